--- /dev/null
+++ b/src/base/counter.h
@@ -0,0 +1,49 @@
+/* Counters of one process, shown at /metrics. */
+#ifndef BR_BASE_COUNTER_H
+#define BR_BASE_COUNTER_H
+
+#include <stdint.h>
+
+#include "base/str.h"
+
+BR_BEGIN_DECLS
+
+/* X (id, name in the text form, help) */
+#define BR_COUNTER_TABLE(X)                                                    \
+  X (REQUESTS, "requests_total", "Requests received from callers")             \
+  X (REQUESTS_REFUSED, "requests_refused_total", "Requests refused")           \
+  X (REQUESTS_FAILED, "requests_failed_total", "Requests that failed")         \
+  X (ATTEMPTS, "attempts_total", "Attempts sent to upstreams")                 \
+  X (ATTEMPTS_FAILED, "attempts_failed_total", "Attempts that failed")         \
+  X (BYTES_STREAMED, "streamed_bytes_total", "Answer bytes sent to callers")   \
+  X (TOKENS_RECOMPUTED, "recomputed_tokens_total",                             \
+     "Tokens generated a second time")                                         \
+  X (AUTH_FAILED, "authentication_failed_total", "Wrong or missing keys")      \
+  X (PEER_ERRORS, "peer_errors_total", "Broken or refused peer links")         \
+  X (PEER_BYTES_SENT, "peer_sent_bytes_total", "Bytes sent to peers")          \
+  X (PEER_BYTES_RECEIVED, "peer_received_bytes_total",                         \
+     "Bytes received from peers")                                              \
+  X (PROTOCOL_ERRORS, "protocol_errors_total", "Messages that did not parse")
+
+typedef enum
+{
+#define X(id, name, help) BR_COUNTER_##id,
+  BR_COUNTER_TABLE (X)
+#undef X
+      BR_COUNTER_COUNT
+} br_counter_id_t;
+
+typedef struct
+{
+  uint64_t values[BR_COUNTER_COUNT];
+} br_counters_t;
+
+void br_counters_add (br_counters_t *counters, br_counter_id_t id, uint64_t n);
+uint64_t br_counters_get (const br_counters_t *counters, br_counter_id_t id);
+
+/* Appends all counters in the text exposition form to OUT. */
+void br_counters_print (const br_counters_t *counters, br_buf_t *out);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/base/error.h
@@ -0,0 +1,76 @@
+/* Errors as values: a code, the step and the peer at which it arose, and a
+ * text for people. */
+#ifndef BR_BASE_ERROR_H
+#define BR_BASE_ERROR_H
+
+#include <stdbool.h>
+
+#include "base/str.h"
+
+BR_BEGIN_DECLS
+
+/* X (id, name, exit code of a command, HTTP status towards a caller) */
+#define BR_ERROR_TABLE(X)                                                      \
+  X (OK, "ok", 0, 200)                                                         \
+  X (INTERNAL, "internal", 1, 500)                                             \
+  X (USAGE, "usage", 2, 400)                                                   \
+  X (SETTINGS, "settings", 3, 400)                                             \
+  X (INVALID, "invalid_request", 4, 400)                                       \
+  X (UNAUTHORIZED, "unauthorized", 5, 401)                                     \
+  X (FORBIDDEN, "forbidden", 5, 403)                                           \
+  X (NOT_FOUND, "not_found", 6, 404)                                           \
+  X (CONFLICT, "conflict", 7, 409)                                             \
+  X (GONE, "gone", 6, 410)                                                     \
+  X (TOO_LARGE, "too_large", 4, 413)                                           \
+  X (QUARANTINED, "quarantined", 4, 422)                                       \
+  X (LIMITED, "limited", 8, 429)                                               \
+  X (UPSTREAM, "upstream_failed", 9, 502)                                      \
+  X (UNAVAILABLE, "unavailable", 8, 503)                                       \
+  X (TIMEOUT, "timeout", 9, 504)                                               \
+  X (UNKNOWN_OUTCOME, "unknown_outcome", 10, 502)                              \
+  X (PEER, "peer", 9, 502)                                                     \
+  X (PROTOCOL, "protocol", 9, 502)                                             \
+  X (STORAGE, "storage", 11, 503)                                              \
+  X (CORRUPT, "corrupt", 12, 500)
+
+typedef enum
+{
+#define X(id, name, exit_code, http) BR_ERROR_##id,
+  BR_ERROR_TABLE (X)
+#undef X
+} br_error_code_t;
+
+#define BR_ERROR_STEP_MAX 40
+#define BR_ERROR_TEXT_MAX 240
+
+/* An error value.  STEP names what was being done ("connect", "append"),
+ * PEER the other side (a VM, an upstream, a file), empty when there is none.
+ * RETRY_AFTER_MS is 0 when coming back would not help. */
+typedef struct
+{
+  br_error_code_t code;
+  int64_t retry_after_ms;
+  char step[BR_ERROR_STEP_MAX];
+  char peer[BR_NAME_MAX + 1];
+  char text[BR_ERROR_TEXT_MAX];
+} br_error_t;
+
+const char *br_error_name (br_error_code_t code);
+int br_error_exit_code (br_error_code_t code);
+int br_error_http_status (br_error_code_t code);
+
+/* Fills *ERR, which may be NULL, and returns false so that a function can
+ * end with `return br_error_set (...)`. */
+bool br_error_set (br_error_t *err,
+                   br_error_code_t code,
+                   const char *step,
+                   const char *peer,
+                   const char *format,
+                   ...) BR_PRINTF (5, 6);
+
+/* Writes "STEP at PEER: TEXT" to the end of OUT. */
+void br_error_print (const br_error_t *err, br_buf_t *out);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/main.c
@@ -0,0 +1,5 @@
+int
+main (void)
+{
+  return 0;
+}
--- /dev/null
+++ b/tests/base_test.cc
@@ -0,0 +1,95 @@
+#include <gtest/gtest.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/hlc.h"
+#include "base/random.h"
+#include "base/str.h"
+#include "base/vec.h"
+
+BR_VEC (int_vec, int);
+
+TEST (Str, ComparesByBytesThenLength)
+{
+  EXPECT_LT (br_str_compare (br_str_from ("a"), br_str_from ("ab")), 0);
+  EXPECT_GT (br_str_compare (br_str_from ("b"), br_str_from ("ab")), 0);
+  EXPECT_EQ (br_str_compare (br_str_from (""), br_str_from ("")), 0);
+}
+
+TEST (Str, ParsesWholeNumbersOnly)
+{
+  uint64_t value = 0;
+
+  EXPECT_TRUE (br_str_to_u64 (br_str_from ("18446744073709551615"), &value));
+  EXPECT_EQ (value, UINT64_MAX);
+  EXPECT_FALSE (br_str_to_u64 (br_str_from ("18446744073709551616"), &value));
+  EXPECT_FALSE (br_str_to_u64 (br_str_from ("1a"), &value));
+  EXPECT_FALSE (br_str_to_u64 (br_str_from (""), &value));
+}
+
+TEST (Buf, GrowsAndConsumes)
+{
+  br_buf_t buf = {};
+
+  for (int i = 0; i < 100; i++)
+    br_buf_printf (&buf, "%02d", i);
+  br_buf_consume (&buf, 190);
+  EXPECT_STREQ (buf.data, "9596979899");
+  br_buf_free (&buf);
+}
+
+TEST (Name, RefusesLongOnes)
+{
+  br_name_t name;
+  std::string longest (BR_NAME_MAX, 'x');
+  std::string longer (BR_NAME_MAX + 1, 'x');
+
+  EXPECT_TRUE (br_name_set (&name, br_str_from (longest.c_str ())));
+  EXPECT_FALSE (br_name_set (&name, br_str_from (longer.c_str ())));
+  EXPECT_EQ (name.len, 0);
+}
+
+TEST (Error, CarriesStepAndPeer)
+{
+  br_error_t err;
+  br_buf_t out = {};
+
+  EXPECT_FALSE (br_error_set (&err, BR_ERROR_PEER, "connect", "castillos-1",
+                              "refused (%d)", 111));
+  br_error_print (&err, &out);
+  EXPECT_STREQ (out.data, "connect at castillos-1: refused (111)");
+  br_buf_free (&out);
+}
+
+TEST (Hlc, NeverGoesBack)
+{
+  br_hlc_t hlc = {};
+  br_hlc_t first = br_hlc_tick (&hlc, 100);
+  br_hlc_t second = br_hlc_tick (&hlc, 50);
+  br_hlc_t remote = { 200, 7 };
+  br_hlc_t third = br_hlc_receive (&hlc, remote, 60);
+
+  EXPECT_LT (br_hlc_compare (first, second), 0);
+  EXPECT_LT (br_hlc_compare (remote, third), 0);
+}
+
+TEST (Random, SameSeedSameNumbers)
+{
+  br_random_t a, b;
+
+  br_random_seed (&a, 42);
+  br_random_seed (&b, 42);
+  for (int i = 0; i < 100; i++)
+    EXPECT_EQ (br_random_below (&a, 1000), br_random_below (&b, 1000));
+}
+
+TEST (Vec, KeepsItems)
+{
+  int_vec_t vec = {};
+
+  for (int i = 0; i < 100; i++)
+    int_vec_push (&vec, i);
+  EXPECT_EQ (vec.len, 100u);
+  EXPECT_EQ (vec.items[99], 99);
+  int_vec_free (&vec);
+}
