Settle the interface between the replicated log, its state and the shell

Cause: the log and the state machine are built side by side and need one border: commands in, results out, proposals with three outcomes. Ruled out: callbacks between tasks (messages keep each task the only owner of its state). Conclusion: both sides can be built against it.

--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -6,6 +6,7 @@
 #include "shell/caller_task.h"
 #include "shell/operator_task.h"
 #include "shell/peer_task.h"
+#include "shell/replica_task.h"
 #include "shell/upstream_task.h"
 #include "shell/work_task.h"
 
@@ -86,6 +87,10 @@
     case BR_NODE_WORK_CHANGED:
       br_caller_task_on_work (node->callers, message->work);
       break;
+    case BR_NODE_PROPOSAL:
+      br_buf_free (&message->proposal.result);
+      break;
+    case BR_NODE_APPLIED:
     case BR_NODE_CATALOG_CHANGED:
       break;
     case BR_NODE_STOP:
@@ -182,6 +187,10 @@
 static bool
 node_start_tasks (br_node_t *node, br_error_t *err)
 {
+  node->state = br_state_new ();
+  node->replica = br_replica_task_new (node, err);
+  if (node->replica == NULL)
+    return false;
   node->upstreams = br_upstream_task_new (node);
   node->works = br_work_task_new (node);
   node->callers = br_caller_task_new (node, err);
@@ -270,6 +279,8 @@
         br_buf_free (&message->attempt.data);
       else if (message->kind == BR_NODE_PEER_RECEIVED)
         br_buf_free (&message->peer.payload);
+      else if (message->kind == BR_NODE_PROPOSAL)
+        br_buf_free (&message->proposal.result);
     }
   messages_free (&queue->pending);
   event_free (queue->wake);
@@ -287,6 +298,8 @@
   br_work_task_free (node->works);
   br_upstream_task_free (node->upstreams);
   br_peer_task_free (node->peers);
+  br_replica_task_free (node->replica);
+  br_state_free (node->state);
   node_free_queue (node);
   br_catalog_release (&node->catalog);
   br_registry_release (&node->registry);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -11,6 +11,7 @@
 #include "base/random.h"
 #include "route/catalog.h"
 #include "shell/settings.h"
+#include "state/state.h"
 #include "upstream/registry.h"
 #include "wire/frame.h"
 
@@ -22,6 +23,7 @@
 typedef struct br_work_task br_work_task_t;
 typedef struct br_caller_task br_caller_task_t;
 typedef struct br_operator_task br_operator_task_t;
+typedef struct br_replica_task br_replica_task_t;
 
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
@@ -30,6 +32,8 @@
   X (PEER_RECEIVED, "a peer sent a message to a part")                         \
   X (ATTEMPT, "something happened to an attempt at an upstream")               \
   X (WORK_CHANGED, "an answer grew or ended")                                  \
+  X (PROPOSAL, "a proposal for the replicated log has an outcome")             \
+  X (APPLIED, "the replicated state changed")                                  \
   X (CATALOG_CHANGED, "a new revision of the declarations is in force")        \
   X (STOP, "stop when nothing is in progress any more")
 
@@ -68,6 +72,21 @@
   br_buf_t payload; /* owned by the message */
 } br_peer_message_t;
 
+typedef enum
+{
+  BR_PROPOSAL_COMMITTED, /* in force, and RESULT is the state's answer */
+  BR_PROPOSAL_REFUSED,   /* surely not in the log, now or later */
+  BR_PROPOSAL_UNKNOWN,   /* may be or become committed */
+} br_proposal_outcome_t;
+
+typedef struct
+{
+  uint64_t ticket;
+  br_proposal_outcome_t outcome;
+  br_buf_t result;  /* owned by the message */
+  br_error_t error; /* unless committed */
+} br_proposal_message_t;
+
 typedef struct
 {
   br_node_message_kind_t kind;
@@ -75,7 +94,9 @@
   {
     br_attempt_message_t attempt;
     br_peer_message_t peer;
+    br_proposal_message_t proposal;
     uint64_t work;
+    uint64_t index; /* log position, of BR_NODE_APPLIED */
   };
 } br_node_message_t;
 
@@ -97,6 +118,8 @@
   br_work_task_t *works;
   br_caller_task_t *callers;
   br_operator_task_t *operators;
+  br_replica_task_t *replica;
+  br_state_t *state; /* owned; changed by the replica task alone */
   struct br_node_queue *queue;
 };
 
