--- a/tests/support/site.sh
+++ b/tests/support/site.sh
@@ -4,7 +4,8 @@
 # site_stop, after SITE_SECONDS at the latest.
 #
 # Ports: BASE+0..2 callers, BASE+10..12 operators, BASE+20..22 peers,
-# BASE+30.. engines, BASE+40 plain service.
+# BASE+30.. engines, BASE+40 plain service, BASE+49.. the relay between the
+# VMs, which is used when SITE_RELAY is set.
 
 SITE_SECONDS=${SITE_SECONDS:-100}
 SITE_VMS=(castillos-1 castillos-2 lascano-1)
@@ -46,6 +47,45 @@
   [ -n "${SITE_KEEP:-}" ] || rm -rf "$SITE"
 }
 
+# Prints the port at which VM number $1 reaches VM number $2: directly, or
+# through the relay when SITE_RELAY is set.
+site_peer_port() {
+  if [ -n "${SITE_RELAY:-}" ]; then
+    echo $((BASE_PORT + 50 + $1 * 3 + $2))
+  else
+    echo $((BASE_PORT + 20 + $2))
+  fi
+}
+
+# Starts the relay between the VMs.  Link number FROM * 3 + TO carries what VM
+# FROM dials to VM TO; its control port is BASE+49.  Set SITE_RELAY first.
+site_start_relay() {
+  local i j links=()
+  for i in 0 1 2; do
+    for j in 0 1 2; do
+      links+=(--link $((BASE_PORT + 50 + i * 3 + j)):$((BASE_PORT + 20 + j)))
+    done
+  done
+  site_start relay "$BUILD/fake_relay" --control $((BASE_PORT + 49)) \
+    "${links[@]}"
+}
+
+# Gives the relay an order: site_relay LINK ORDER
+site_relay() {
+  curl -sSf --max-time 5 -X POST -d '' \
+    "http://127.0.0.1:$((BASE_PORT + 49))/links/$1/$2"
+}
+
+# Cuts VM number $1 off from the others, both ways; with "open" heals it.
+site_cut_off() {
+  local j order=${2:-cut}
+  for j in 0 1 2; do
+    [ "$j" = "$1" ] && continue
+    site_relay $(($1 * 3 + j)) "$order"
+    site_relay $((j * 3 + $1)) "$order"
+  done
+}
+
 # Writes the settings of VM number $1; further JSON members come from $2.
 site_settings() {
   local i=$1 j peers=
@@ -53,7 +93,7 @@
     [ "$j" = "$i" ] && continue
     peers+="${peers:+,}{\"name\":\"${SITE_VMS[j]}\",
       \"failure_domain\":\"${SITE_DOMAINS[j]}\",\"address\":\"127.0.0.1\",
-      \"port\":$((BASE_PORT + 20 + j)),\"voter\":true}"
+      \"port\":$(site_peer_port "$i" "$j"),\"voter\":true}"
   done
   cat << EOF
 // Settings of ${SITE_VMS[i]}.
@@ -125,6 +165,7 @@
 # Starts everything and puts the declarations in force.
 site_up() {
   local i
+  [ -n "${SITE_RELAY:-}" ] && site_start_relay
   site_start_engine 1 "$@"
   site_start_engine 2 "$@"
   site_start ledger-1 "$BUILD/fake_service" --name ledger-1 \
