--- a/src/base/error.h
+++ b/src/base/error.h
@@ -22,6 +22,7 @@
   X (CONFLICT, "conflict", 7, 409)                                             \
   X (GONE, "gone", 6, 410)                                                     \
   X (TOO_LARGE, "too_large", 4, 413)                                           \
+  X (HEAD_TOO_LARGE, "head_too_large", 4, 431)                                 \
   X (QUARANTINED, "quarantined", 4, 422)                                       \
   X (LIMITED, "limited", 8, 429)                                               \
   X (UPSTREAM, "upstream_failed", 9, 502)                                      \
--- a/src/shell/caller_task.c
+++ b/src/shell/caller_task.c
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #include "shell/engine_body.h"
 #include "shell/http_reply.h"
@@ -13,6 +14,13 @@
 
 #define IDLE_CONNECTION_S 60
 
+/* ": " and the line's end. */
+#define HEADER_PUNCTUATION 4
+
+/* evhttp closes a connection over its own limits with a plain page, so they
+ * are this many times those of the settings, which are answered in JSON. */
+#define HTTP_LIMIT_FACTOR 2
+
 static const char services_prefix[] = "/services/";
 static const char contracts_prefix[] = "/v1/contracts/";
 
@@ -530,12 +538,51 @@
   task_refuse (task, request, &err);
 }
 
+static size_t
+request_head_bytes (struct evhttp_request *request)
+{
+  size_t sum = strlen (evhttp_request_get_uri (request));
+  struct evkeyval *header;
+
+  TAILQ_FOREACH (header, evhttp_request_get_input_headers (request), next)
+  sum += strlen (header->key) + strlen (header->value) + HEADER_PUNCTUATION;
+  return sum;
+}
+
+static bool
+task_check_limits (br_caller_task_t *task,
+                   struct evhttp_request *request,
+                   br_error_t *err)
+{
+  const br_settings_t *settings = &task->node->settings;
+  size_t head = request_head_bytes (request);
+  size_t body = br_http_body (request).len;
+
+  if (head > (size_t)settings->header_max_bytes)
+    return br_error_set (err, BR_ERROR_HEAD_TOO_LARGE, "read request", "",
+                         "the head of %zu bytes is over "
+                         "callers.header_max_bytes, %d",
+                         head, (int)settings->header_max_bytes);
+  if (body > (size_t)settings->body_max_bytes)
+    return br_error_set (err, BR_ERROR_TOO_LARGE, "read request", "",
+                         "the body of %zu bytes is over "
+                         "callers.body_max_bytes, %d",
+                         body, (int)settings->body_max_bytes);
+  return true;
+}
+
 static void
 task_on_request (struct evhttp_request *request, void *context)
 {
   br_caller_task_t *task = context;
+  br_error_t err;
 
   br_counters_add (&task->node->counters, BR_COUNTER_REQUESTS, 1);
+  if (!task_check_limits (task, request, &err))
+    {
+      task_refuse (task, request, &err);
+      return;
+    }
   if (path_is (request, "/healthz"))
     br_http_reply (request, HTTP_OK, "text/plain", br_str_from ("alive\n"));
   else if (path_is (request, "/readyz"))
@@ -566,8 +613,10 @@
 
   task->node = node;
   task->http = evhttp_new (node->base);
-  evhttp_set_max_headers_size (task->http, settings->header_max_bytes);
-  evhttp_set_max_body_size (task->http, settings->body_max_bytes);
+  evhttp_set_max_headers_size (task->http,
+                               settings->header_max_bytes * HTTP_LIMIT_FACTOR);
+  evhttp_set_max_body_size (task->http,
+                            settings->body_max_bytes * HTTP_LIMIT_FACTOR);
   evhttp_set_timeout (task->http, IDLE_CONNECTION_S);
   evhttp_set_allowed_methods (task->http,
                               EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT
--- a/src/shell/engine_body.c
+++ b/src/shell/engine_body.c
@@ -10,12 +10,15 @@
 json_read (br_str_t text, const char **why)
 {
   json_tokener *tokener = json_tokener_new_ex (JSON_DEPTH_MAX);
+  enum json_tokener_error error;
   json_object *object;
 
   json_tokener_set_flags (tokener,
                           JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
   object = json_tokener_parse_ex (tokener, text.data, (int)text.len);
-  *why = json_tokener_error_desc (json_tokener_get_error (tokener));
+  error = json_tokener_get_error (tokener);
+  *why = error == json_tokener_continue ? "the JSON text ends too early"
+                                        : json_tokener_error_desc (error);
   json_tokener_free (tokener);
   return object;
 }
--- a/tests/fakes/fake_relay.c
+++ b/tests/fakes/fake_relay.c
@@ -148,8 +148,7 @@
       event_add (direction->timer, &delay);
     }
   else if (direction->ended
-           && evbuffer_get_length (bufferevent_get_output (direction->to))
-                  == 0)
+           && evbuffer_get_length (bufferevent_get_output (direction->to)) == 0)
     pipe_free (direction->pipe);
 }
 
@@ -168,8 +167,7 @@
 
   chunk->bytes = evbuffer_new ();
   bufferevent_read_buffer (direction->from, chunk->bytes);
-  chunk->due_ms
-      = br_clock_now (&relay_clock) + direction->pipe->link->delay_ms;
+  chunk->due_ms = br_clock_now (&relay_clock) + direction->pipe->link->delay_ms;
   *direction->last = chunk;
   direction->last = &chunk->next;
   direction_pump (direction);
@@ -335,10 +333,10 @@
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   address.sin_port = htons ((uint16_t)link->listen_port);
   link->relay = relay;
-  link->listener = evconnlistener_new_bind (
-      relay->base, link_on_accept, link,
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-      (struct sockaddr *)&address, sizeof address);
+  link->listener
+      = evconnlistener_new_bind (relay->base, link_on_accept, link,
+                                 LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                 (struct sockaddr *)&address, sizeof address);
   return link->listener != NULL;
 }
 
@@ -384,8 +382,7 @@
   relay.base = event_base_new ();
   http = evhttp_new (relay.base);
   evhttp_set_gencb (http, relay_on_control, &relay);
-  if (evhttp_bind_socket (http, "127.0.0.1", (uint16_t)relay.control_port)
-      != 0)
+  if (evhttp_bind_socket (http, "127.0.0.1", (uint16_t)relay.control_port) != 0)
     return 1;
   for (int i = 0; i < relay.n_links; i++)
     if (!relay_listen (&relay, &relay.links[i]))
--- a/tests/support/site.sh
+++ b/tests/support/site.sh
@@ -105,7 +105,7 @@
   "peers": {"address": "127.0.0.1", "port": $((BASE_PORT + 20 + i)),
             "shared_key": "0123456789abcdef", "vms": [$peers]},
   "data": {"folder": "$SITE/data-${SITE_VMS[i]}"},
-  "drain": {"notice_ms": 200},
+  "drain": {"notice_ms": ${SITE_NOTICE_MS:-200}},
   "upstreams": [
     {"name": "e1", "failure_domain": "castillos", "address": "127.0.0.1",
      "port": $((BASE_PORT + 30)), "labels": {"model": "contract-lm"}},
