Tests in several checkouts wait for each other's ports

Cause: every checkout's process tests listen on the same loopback ports, so two runs at once fail each other. Ruled out: random ports (a run could not be repeated); shifted ports (they would reach into the range for outgoing connections). Before: two runs at once collide. After: the second waits on a lock. Conclusion: the verdict does not hang on what else is tested.

--- a/tests/support/site.sh
+++ b/tests/support/site.sh
@@ -15,6 +15,9 @@
 
 site_init() {
   SITE=$(mktemp -d)
+  # Two checkouts that are tested at once share the ports: one after another.
+  exec 9> "${TMPDIR:-/tmp}/briarrack-ports-$BASE_PORT.lock"
+  flock 9
   trap site_stop EXIT
   trap 'exit 1' TERM
   # Ends the script, and with it the site, when it takes too long.
