State machine: declarations, claims and fencing numbers as commands

Cause: the replicated log needs a state whose commands are deterministic and whose interface the other parts can build on. Verdicts on operations and claims live in the state, time is a sum of measured spans carried by commands. Ruled out: wall-clock times in commands (a VM whose clock is ahead would purge claims early).

--- /dev/null
+++ b/src/state/declaration_store.h
@@ -0,0 +1,55 @@
+/* The declarations in force, their revision, and the verdicts on the latest
+ * operations. */
+#ifndef BR_STATE_DECLARATION_STORE_H
+#define BR_STATE_DECLARATION_STORE_H
+
+#include "state/message.h"
+
+BR_BEGIN_DECLS
+
+typedef struct br_declaration_entry br_declaration_entry_t;
+typedef struct br_verdict_entry br_verdict_entry_t;
+
+/* An all-zero value is an empty store. */
+typedef struct
+{
+  br_declaration_entry_t *entries;
+  br_verdict_entry_t *verdicts; /* by operation, oldest first */
+  size_t bytes;                 /* of all texts */
+  uint64_t revision;
+} br_declaration_store_t;
+
+/* Judges and applies CHANGE.  *RESULT stays owned by the store, or points to
+ * SCRATCH, and is valid until the next command. */
+void br_declaration_store_change (br_declaration_store_t *store,
+                                  const br_change_t *change,
+                                  br_change_result_t *scratch,
+                                  const br_change_result_t **result);
+
+/* Returns the first declaration, or the one after DECLARATION, in a fixed
+ * order. */
+const br_declaration_t *
+br_declaration_store_next (const br_declaration_store_t *store,
+                           const br_declaration_t *declaration);
+const br_declaration_t *
+br_declaration_store_find (const br_declaration_store_t *store,
+                           br_str_t kind,
+                           br_str_t name);
+size_t br_declaration_store_count (const br_declaration_store_t *store);
+
+/* The same for verdicts, oldest first. */
+const Br__State__Verdict *
+br_verdict_next (const br_declaration_store_t *store,
+                 const Br__State__Verdict *verdict);
+size_t br_verdict_count (const br_declaration_store_t *store);
+
+/* Add what a snapshot holds; false when it is not valid. */
+bool br_declaration_store_add (br_declaration_store_t *store,
+                               const br_declaration_t *declaration);
+bool br_verdict_add (br_declaration_store_t *store,
+                     const Br__State__Verdict *verdict);
+void br_declaration_store_release (br_declaration_store_t *store);
+
+BR_END_DECLS
+
+#endif
--- a/src/state/state.c
+++ b/src/state/state.c
@@ -1,10 +1,27 @@
 #include "state/state.h"
 
 #include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "state/claim_store.h"
+#include "state/declaration_store.h"
+#include "state/fence_store.h"
+
+#define SNAPSHOT_FORMAT 1
+
+/* A snapshot starts with this and a checksum of what follows. */
+static const char snapshot_magic[8] = "brstate";
+
+#define CHECKSUM_BYTES 8
+#define HEAD_BYTES (sizeof snapshot_magic + CHECKSUM_BYTES)
 
 struct br_state
 {
   uint64_t applied;
+  br_declaration_store_t declarations;
+  br_claim_store_t claims;
+  br_fence_store_t fences;
 };
 
 br_state_t *
@@ -13,33 +30,383 @@
   return br_alloc_zero (sizeof (br_state_t));
 }
 
+static void
+state_release (br_state_t *state)
+{
+  br_declaration_store_release (&state->declarations);
+  br_claim_store_release (&state->claims);
+  br_fence_store_release (&state->fences);
+}
+
 void
 br_state_free (br_state_t *state)
 {
+  if (state == NULL)
+    return;
+  state_release (state);
   free (state);
 }
 
+static void
+result_invalid (br_result_t *result, const char *why)
+{
+  result->body_case = BR__STATE__RESULT__BODY_INVALID;
+  result->invalid = (char *)why;
+}
+
+static void
+state_on_change (br_state_t *state, const br_change_t *change, br_buf_t *out)
+{
+  br_result_t result = BR__STATE__RESULT__INIT;
+  const br_change_result_t *verdict;
+  br_change_result_t scratch;
+
+  br_declaration_store_change (&state->declarations, change, &scratch,
+                               &verdict);
+  result.body_case = BR__STATE__RESULT__BODY_CHANGE;
+  result.change = (br_change_result_t *)verdict;
+  br_result_pack (&result, out);
+}
+
+static void
+state_answer_claim (br_claim_verdict_t verdict,
+                    const br_claim_record_t *record,
+                    br_buf_t *out)
+{
+  br_result_t result = BR__STATE__RESULT__INIT;
+  br_claim_result_t claim = BR__STATE__CLAIM_RESULT__INIT;
+
+  claim.verdict = verdict;
+  claim.claim = (br_claim_record_t *)record;
+  result.body_case = BR__STATE__RESULT__BODY_CLAIM;
+  result.claim = &claim;
+  br_result_pack (&result, out);
+}
+
+static void
+state_on_tick (br_state_t *state, const Br__State__Tick *tick, br_buf_t *out)
+{
+  br_result_t result = BR__STATE__RESULT__INIT;
+  Br__State__TickResult body = BR__STATE__TICK_RESULT__INIT;
+
+  br_claim_store_tick (&state->claims, tick);
+  body.sequence = state->claims.tick;
+  body.now_ms = (uint64_t)state->claims.now_ms;
+  result.body_case = BR__STATE__RESULT__BODY_TICK;
+  result.tick = &body;
+  br_result_pack (&result, out);
+}
+
+static void
+state_on_fence (br_state_t *state,
+                const Br__State__FenceNext *fence,
+                br_buf_t *out)
+{
+  br_result_t result = BR__STATE__RESULT__INIT;
+  Br__State__FenceResult body = BR__STATE__FENCE_RESULT__INIT;
+
+  body.number = br_fence_store_advance (&state->fences, fence->resource);
+  result.body_case = BR__STATE__RESULT__BODY_FENCE;
+  result.fence = &body;
+  br_result_pack (&result, out);
+}
+
+static void
+state_dispatch (br_state_t *state,
+                uint64_t index,
+                const br_command_t *command,
+                br_buf_t *out)
+{
+  br_claim_store_t *claims = &state->claims;
+  br_result_t invalid = BR__STATE__RESULT__INIT;
+  const br_claim_record_t *record;
+  br_claim_verdict_t verdict;
+
+  switch (command->body_case)
+    {
+    case BR__STATE__COMMAND__BODY_CHANGE:
+      state_on_change (state, command->change, out);
+      return;
+    case BR__STATE__COMMAND__BODY_CLAIM_TAKE:
+      verdict = br_claim_store_take (claims, command->claim_take, &record);
+      break;
+    case BR__STATE__COMMAND__BODY_CLAIM_SENT:
+      verdict = br_claim_store_sent (claims, command->claim_sent, &record);
+      break;
+    case BR__STATE__COMMAND__BODY_CLAIM_END:
+      verdict = br_claim_store_end (claims, index, command->claim_end, &record);
+      break;
+    case BR__STATE__COMMAND__BODY_CLAIM_ABANDON:
+      verdict
+          = br_claim_store_abandon (claims, command->claim_abandon, &record);
+      break;
+    case BR__STATE__COMMAND__BODY_CLAIM_SETTLE:
+      verdict = br_claim_store_settle (claims, command->claim_settle, &record);
+      break;
+    case BR__STATE__COMMAND__BODY_TICK:
+      state_on_tick (state, command->tick, out);
+      return;
+    case BR__STATE__COMMAND__BODY_FENCE_NEXT:
+      state_on_fence (state, command->fence_next, out);
+      return;
+    default:
+      result_invalid (&invalid, "unknown command");
+      br_result_pack (&invalid, out);
+      return;
+    }
+  state_answer_claim (verdict, record, out);
+}
+
 void
 br_state_apply (br_state_t *state,
                 uint64_t index,
                 br_str_t command,
                 br_buf_t *result)
 {
+  br_command_t *unpacked = br__state__command__unpack (
+      NULL, command.len, (const uint8_t *)command.data);
+  br_result_t invalid = BR__STATE__RESULT__INIT;
+
   state->applied = index;
-  br_buf_append (result, command);
+  if (unpacked == NULL)
+    {
+      result_invalid (&invalid, "the command does not parse");
+      br_result_pack (&invalid, result);
+      return;
+    }
+  state_dispatch (state, index, unpacked, result);
+  br__state__command__free_unpacked (unpacked, NULL);
+}
+
+/* The arrays that a packed snapshot points to; what they point to belongs to
+ * the stores. */
+typedef struct
+{
+  const br_declaration_t **declarations;
+  const Br__State__Verdict **verdicts;
+  const br_claim_record_t **claims;
+  const Br__State__Fence **fences;
+} lists_t;
+
+static void
+lists_fill (const br_state_t *state, lists_t *lists)
+{
+  const br_declaration_t *declaration = NULL;
+  const Br__State__Verdict *verdict = NULL;
+  const br_claim_record_t *claim = NULL;
+  const Br__State__Fence *fence = NULL;
+  size_t i;
+
+  for (i = 0; i < br_declaration_store_count (&state->declarations); i++)
+    lists->declarations[i] = declaration
+        = br_declaration_store_next (&state->declarations, declaration);
+  for (i = 0; i < br_verdict_count (&state->declarations); i++)
+    lists->verdicts[i] = verdict
+        = br_verdict_next (&state->declarations, verdict);
+  for (i = 0; i < br_claim_store_count (&state->claims); i++)
+    lists->claims[i] = claim = br_claim_store_next (&state->claims, claim);
+  for (i = 0; i < br_fence_store_count (&state->fences); i++)
+    lists->fences[i] = fence = br_fence_store_next (&state->fences, fence);
+}
+
+static void
+snapshot_set_lists (const br_state_t *state,
+                    Br__State__Snapshot *snapshot,
+                    lists_t *lists)
+{
+  snapshot->n_declarations = br_declaration_store_count (&state->declarations);
+  snapshot->n_verdicts = br_verdict_count (&state->declarations);
+  snapshot->n_claims = br_claim_store_count (&state->claims);
+  snapshot->n_fences = br_fence_store_count (&state->fences);
+  lists->declarations
+      = br_alloc ((snapshot->n_declarations + 1) * sizeof (void *));
+  lists->verdicts = br_alloc ((snapshot->n_verdicts + 1) * sizeof (void *));
+  lists->claims = br_alloc ((snapshot->n_claims + 1) * sizeof (void *));
+  lists->fences = br_alloc ((snapshot->n_fences + 1) * sizeof (void *));
+  lists_fill (state, lists);
+  snapshot->declarations = (br_declaration_t **)lists->declarations;
+  snapshot->verdicts = (Br__State__Verdict **)lists->verdicts;
+  snapshot->claims = (br_claim_record_t **)lists->claims;
+  snapshot->fences = (Br__State__Fence **)lists->fences;
+}
+
+static void
+checksum_write (br_str_t body, uint8_t out[CHECKSUM_BYTES])
+{
+  XXH64_canonicalFromHash ((XXH64_canonical_t *)out,
+                           XXH64 (body.data, body.len, SNAPSHOT_FORMAT));
 }
 
 void
 br_state_snapshot (const br_state_t *state, br_buf_t *out)
 {
-  br_buf_printf (out, "%llu", (unsigned long long)state->applied);
+  Br__State__Snapshot snapshot = BR__STATE__SNAPSHOT__INIT;
+  uint8_t head[HEAD_BYTES];
+  lists_t lists;
+  size_t start = out->len;
+  size_t len;
+
+  snapshot.format = SNAPSHOT_FORMAT;
+  snapshot.applied = state->applied;
+  snapshot.revision = state->declarations.revision;
+  snapshot.now_ms = (uint64_t)state->claims.now_ms;
+  snapshot.tick = state->claims.tick;
+  snapshot_set_lists (state, &snapshot, &lists);
+  len = br__state__snapshot__get_packed_size (&snapshot);
+  br_buf_reserve (out, HEAD_BYTES + len);
+  out->len += HEAD_BYTES + len;
+  br__state__snapshot__pack (&snapshot,
+                             (uint8_t *)out->data + start + HEAD_BYTES);
+  memcpy (head, snapshot_magic, sizeof snapshot_magic);
+  checksum_write (br_str_make (out->data + start + HEAD_BYTES, len),
+                  head + sizeof snapshot_magic);
+  memcpy (out->data + start, head, HEAD_BYTES);
+  out->data[out->len] = '\0';
+  free (lists.declarations);
+  free (lists.verdicts);
+  free (lists.claims);
+  free (lists.fences);
+}
+
+static bool
+restore_fault (const char *what, br_error_t *err)
+{
+  return br_error_set (err, BR_ERROR_CORRUPT, "restore state", "", "%s", what);
+}
+
+static bool
+state_fill (br_state_t *state,
+            const Br__State__Snapshot *snapshot,
+            br_error_t *err)
+{
+  if (snapshot->format != SNAPSHOT_FORMAT)
+    return restore_fault ("the snapshot has another format version", err);
+  if (snapshot->now_ms > (uint64_t)INT64_MAX / 2)
+    return restore_fault ("time is out of range", err);
+  state->applied = snapshot->applied;
+  state->declarations.revision = snapshot->revision;
+  state->claims.now_ms = (br_ms_t)snapshot->now_ms;
+  state->claims.tick = snapshot->tick;
+  for (size_t i = 0; i < snapshot->n_declarations; i++)
+    if (!br_declaration_store_add (&state->declarations,
+                                   snapshot->declarations[i]))
+      return restore_fault ("a declaration is not valid", err);
+  for (size_t i = 0; i < snapshot->n_verdicts; i++)
+    if (!br_verdict_add (&state->declarations, snapshot->verdicts[i]))
+      return restore_fault ("a verdict is not valid", err);
+  for (size_t i = 0; i < snapshot->n_claims; i++)
+    if (!br_claim_store_add (&state->claims, snapshot->claims[i]))
+      return restore_fault ("a claim is not valid", err);
+  br_claim_store_restored (&state->claims);
+  for (size_t i = 0; i < snapshot->n_fences; i++)
+    if (!br_fence_store_add (&state->fences, snapshot->fences[i]))
+      return restore_fault ("a fencing number is not valid", err);
+  return true;
+}
+
+static bool
+snapshot_check_head (br_str_t snapshot, br_error_t *err)
+{
+  uint8_t checksum[CHECKSUM_BYTES];
+
+  if (snapshot.len < HEAD_BYTES
+      || memcmp (snapshot.data, snapshot_magic, sizeof snapshot_magic) != 0)
+    return restore_fault ("this is not a snapshot of the state", err);
+  checksum_write (
+      br_str_make (snapshot.data + HEAD_BYTES, snapshot.len - HEAD_BYTES),
+      checksum);
+  if (memcmp (snapshot.data + sizeof snapshot_magic, checksum, CHECKSUM_BYTES)
+      != 0)
+    return restore_fault ("the checksum does not match", err);
+  return true;
 }
 
 bool
 br_state_restore (br_state_t *state, br_str_t snapshot, br_error_t *err)
 {
-  if (br_str_to_u64 (snapshot, &state->applied))
-    return true;
-  return br_error_set (err, BR_ERROR_CORRUPT, "restore state", "",
-                       "not a number");
+  Br__State__Snapshot *unpacked;
+  br_state_t restored = { 0 };
+  bool ok;
+
+  if (!snapshot_check_head (snapshot, err))
+    return false;
+  unpacked = br__state__snapshot__unpack (NULL, snapshot.len - HEAD_BYTES,
+                                          (const uint8_t *)snapshot.data
+                                              + HEAD_BYTES);
+  if (unpacked == NULL)
+    return restore_fault ("the snapshot does not parse", err);
+  ok = state_fill (&restored, unpacked, err);
+  br__state__snapshot__free_unpacked (unpacked, NULL);
+  if (!ok)
+    {
+      state_release (&restored);
+      return false;
+    }
+  state_release (state);
+  *state = restored;
+  return true;
+}
+
+uint64_t
+br_state_applied (const br_state_t *state)
+{
+  return state->applied;
+}
+
+uint64_t
+br_state_revision (const br_state_t *state)
+{
+  return state->declarations.revision;
+}
+
+uint64_t
+br_state_tick (const br_state_t *state)
+{
+  return state->claims.tick;
+}
+
+br_ms_t
+br_state_now (const br_state_t *state)
+{
+  return state->claims.now_ms;
+}
+
+void
+br_state_each_declaration (const br_state_t *state,
+                           br_declaration_visit_t visit,
+                           void *context)
+{
+  const br_declaration_t *at = NULL;
+
+  while ((at = br_declaration_store_next (&state->declarations, at)) != NULL)
+    visit (at, context);
+}
+
+const br_declaration_t *
+br_state_declaration (const br_state_t *state, br_str_t kind, br_str_t name)
+{
+  return br_declaration_store_find (&state->declarations, kind, name);
+}
+
+void
+br_state_each_claim (const br_state_t *state,
+                     br_claim_visit_t visit,
+                     void *context)
+{
+  const br_claim_record_t *at = NULL;
+
+  while ((at = br_claim_store_next (&state->claims, at)) != NULL)
+    visit (at, context);
+}
+
+const br_claim_record_t *
+br_state_claim (const br_state_t *state, br_str_t key)
+{
+  return br_claim_store_find (&state->claims, key);
+}
+
+uint64_t
+br_state_fence (const br_state_t *state, br_str_t resource)
+{
+  return br_fence_store_last (&state->fences, resource);
 }
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -3,19 +3,41 @@
 #ifndef BR_STATE_STATE_H
 #define BR_STATE_STATE_H
 
+#include "base/clock.h"
 #include "base/error.h"
 #include "base/str.h"
+#include "state/message.h"
 
 BR_BEGIN_DECLS
 
+/* Bounds of the state; a command over one is refused. */
+#define BR_STATE_DECLARATIONS_MAX 16384
+#define BR_STATE_DECLARATION_MAX_BYTES 16384
+#define BR_STATE_DECLARATIONS_MAX_BYTES (8 * 1024 * 1024)
+#define BR_STATE_CHANGE_MAX_BYTES (2 * 1024 * 1024)
+#define BR_STATE_VERDICTS_MAX 1024
+#define BR_STATE_CLAIMS_MAX 65536
+#define BR_STATE_CLAIM_KEY_MAX 400
+#define BR_STATE_CLAIM_BODY_MAX_BYTES 16384
+#define BR_STATE_CLAIM_BODIES_MAX_BYTES (16 * 1024 * 1024)
+#define BR_STATE_FENCES_MAX 65536
+
+/* Longest span by which one tick advances the state's time. */
+#define BR_STATE_TICK_MAX_MS 10000
+
+/* Bound between proposing the `sent` record and the first byte: an owner that
+ * is later than this does not send. */
+#define BR_STATE_SEND_BOUND_MS 2000
+
 typedef struct br_state br_state_t;
 
 br_state_t *br_state_new (void);
 void br_state_free (br_state_t *state);
 
-/* Applies the committed COMMAND at log position INDEX and appends its result
- * to RESULT.  Deterministic: the same commands give the same state and the
- * same results on every VM. */
+/* Applies the committed COMMAND at log position INDEX and appends its result,
+ * a packed br_result_t, to RESULT.  Deterministic: the same commands give the
+ * same state and the same results on every VM.  A command that does not parse
+ * changes nothing but the position. */
 void br_state_apply (br_state_t *state,
                      uint64_t index,
                      br_str_t command,
@@ -28,6 +50,38 @@
 /* Replaces the whole state.  On an error STATE stays as it was. */
 bool br_state_restore (br_state_t *state, br_str_t snapshot, br_error_t *err);
 
+/* Position of the last command that was applied. */
+uint64_t br_state_applied (const br_state_t *state);
+
+/* Revision of the declarations in force; it never goes back. */
+uint64_t br_state_revision (const br_state_t *state);
+
+/* Number and time of the last tick.  The state's time is a sum of spans that
+ * VMs measured one after the other, so it never runs ahead of any clock. */
+uint64_t br_state_tick (const br_state_t *state);
+br_ms_t br_state_now (const br_state_t *state);
+
+/* The views below are valid until the next command. */
+typedef void (*br_declaration_visit_t) (const br_declaration_t *declaration,
+                                        void *context);
+void br_state_each_declaration (const br_state_t *state,
+                                br_declaration_visit_t visit,
+                                void *context);
+const br_declaration_t *
+br_state_declaration (const br_state_t *state, br_str_t kind, br_str_t name);
+
+typedef void (*br_claim_visit_t) (const br_claim_record_t *claim,
+                                  void *context);
+void br_state_each_claim (const br_state_t *state,
+                          br_claim_visit_t visit,
+                          void *context);
+
+/* Returns NULL when nothing is known of KEY. */
+const br_claim_record_t *br_state_claim (const br_state_t *state, br_str_t key);
+
+/* Last fencing number given out for RESOURCE, 0 for none. */
+uint64_t br_state_fence (const br_state_t *state, br_str_t resource);
+
 BR_END_DECLS
 
 #endif
