Contract part: messages, owner's and partner's side of custody

Ruled out: the replicated log for repeatable work (18,000 requests a second do not go through one log, design.md). State machines without I/O: ownership by epoch, checkpoints by offset, hand-over and take-over. Builds; not yet hooked into the shell, no tests yet.

--- a/src/contract/answer.c
+++ b/src/contract/answer.c
@@ -30,6 +30,23 @@
                       answer->parts.items[offset].end - start);
 }
 
+uint64_t
+br_answer_digest_add (uint64_t previous, br_str_t bytes)
+{
+  return br_str_hash (bytes, previous);
+}
+
+uint64_t
+br_answer_digest (const br_answer_t *answer, size_t n)
+{
+  uint64_t digest = 0;
+
+  assert (n <= answer->parts.len);
+  for (size_t i = 0; i < n; i++)
+    digest = br_answer_digest_add (digest, br_answer_part (answer, i));
+  return digest;
+}
+
 void
 br_answer_text (const br_answer_t *answer, br_buf_t *out)
 {
@@ -38,6 +55,16 @@
       br_buf_append (out, br_answer_part (answer, i));
 }
 
+void
+br_answer_copy (br_answer_t *to, const br_answer_t *from)
+{
+  assert (to->parts.len == 0);
+  for (size_t i = 0; i < from->parts.len; i++)
+    br_answer_parts_push (&to->parts, from->parts.items[i]);
+  br_buf_append (&to->bytes, br_buf_str (&from->bytes));
+  to->complete = from->complete;
+}
+
 void
 br_answer_free (br_answer_t *answer)
 {
--- a/src/contract/answer.h
+++ b/src/contract/answer.h
@@ -46,8 +46,18 @@
  * change. */
 br_str_t br_answer_part (const br_answer_t *answer, size_t offset);
 
+/* Returns the digest of PREVIOUS, that of the parts before, and BYTES, the
+ * next part.  The digest of no parts is 0. */
+uint64_t br_answer_digest_add (uint64_t previous, br_str_t bytes);
+
+/* Returns the digest of the first N parts, which must exist. */
+uint64_t br_answer_digest (const br_answer_t *answer, size_t n);
+
 /* Appends the text of all BR_ANSWER_TEXT parts to OUT. */
 void br_answer_text (const br_answer_t *answer, br_buf_t *out);
+
+/* Makes TO, which must be empty, a copy of FROM. */
+void br_answer_copy (br_answer_t *to, const br_answer_t *from);
 void br_answer_free (br_answer_t *answer);
 
 BR_END_DECLS
--- /dev/null
+++ b/src/contract/contract.c
@@ -0,0 +1,488 @@
+#include "contract/contract.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include "contract/record.h"
+
+br_contract_options_t
+br_contract_options (void)
+{
+  return (br_contract_options_t){
+    .acknowledge_ms = 150,
+    .partners_tried = 2,
+    .checkpoint_parts = 8,
+    .checkpoint_ms = 100,
+    .resend_ms = 300,
+    .take_over_ms = 500,
+    .replace_ms = 200,
+    .retention_ms = 60000,
+  };
+}
+
+br_contracts_t *
+br_contracts_new (const br_contract_options_t *options)
+{
+  br_contracts_t *contracts = br_alloc_zero (sizeof *contracts);
+
+  contracts->options = *options;
+  return contracts;
+}
+
+static void
+copy_release (br_contract_copy_t *copy)
+{
+  br_contract_request_free (&copy->request);
+  br_answer_free (&copy->answer);
+}
+
+void
+br_contract_copy_free (br_contract_copy_t *copy)
+{
+  if (copy == NULL)
+    return;
+  copy_release (copy);
+  free (copy);
+}
+
+void
+br_record_free (br_contracts_t *contracts, br_record_t *record)
+{
+  HASH_DEL (contracts->records, record);
+  br_names_free (&record->tried);
+  br_contract_copy_free (record->copy);
+  free (record);
+}
+
+void
+br_contracts_free (br_contracts_t *contracts)
+{
+  br_record_t *record;
+  br_record_t *next;
+
+  if (contracts == NULL)
+    return;
+  HASH_ITER (hh, contracts->records, record, next)
+  br_record_free (contracts, record);
+  for (size_t i = 0; i < contracts->outbox.len; i++)
+    br_contract_copy_free (contracts->outbox.items[i].copy);
+  br_contract_outbox_free (&contracts->outbox);
+  br_contract_peers_free (&contracts->peers);
+  free (contracts);
+}
+
+br_contract_outbox_t *
+br_contracts_outbox (br_contracts_t *contracts)
+{
+  return &contracts->outbox;
+}
+
+static void
+record_key (const br_contract_id_t *contract, char *key)
+{
+  br_buf_t text = { 0 };
+
+  br_contract_id_print (contract, &text);
+  memcpy (key, text.data, text.len + 1);
+  br_buf_free (&text);
+}
+
+br_record_t *
+br_contracts_record (br_contracts_t *contracts,
+                     const br_contract_id_t *contract)
+{
+  char key[sizeof ((br_record_t *)0)->key];
+  br_record_t *record;
+
+  record_key (contract, key);
+  HASH_FIND_STR (contracts->records, key, record);
+  return record;
+}
+
+br_record_t *
+br_contracts_record_new (br_contracts_t *contracts,
+                         const br_contract_id_t *contract)
+{
+  br_record_t *record = br_contracts_record (contracts, contract);
+
+  if (record != NULL)
+    return record;
+  record = br_alloc_zero (sizeof *record);
+  record->contract = *contract;
+  record->role = BR_RECORD_ENDED;
+  record_key (contract, record->key);
+  HASH_ADD_STR (contracts->records, key, record);
+  return record;
+}
+
+void
+br_record_end (br_contracts_t *contracts, br_record_t *record, br_ms_t now)
+{
+  record->role = BR_RECORD_ENDED;
+  record->request = NULL;
+  record->answer = NULL;
+  record->guards_hand_over = false;
+  br_contract_copy_free (record->copy);
+  record->copy = NULL;
+  record->expires_ms = now + contracts->options.retention_ms;
+}
+
+br_contract_peer_t *
+br_contracts_peer (br_contracts_t *contracts, const br_name_t *vm)
+{
+  for (size_t i = 0; i < contracts->peers.len; i++)
+    if (br_name_equal (&contracts->peers.items[i].vm, vm))
+      return &contracts->peers.items[i];
+  return NULL;
+}
+
+br_contract_action_t *
+br_record_act (br_contracts_t *contracts,
+               const br_record_t *record,
+               br_contract_action_kind_t kind,
+               const br_name_t *vm)
+{
+  br_contract_action_t action = { .kind = kind, .contract = record->contract };
+
+  if (vm != NULL)
+    action.vm = *vm;
+  return br_contract_outbox_push (&contracts->outbox, action);
+}
+
+br_contract_message_t *
+br_record_send (br_contracts_t *contracts,
+                const br_record_t *record,
+                const br_name_t *to,
+                br_contract_message_kind_t kind)
+{
+  br_contract_action_t *action
+      = br_record_act (contracts, record, BR_CONTRACT_SEND, to);
+
+  action->message.kind = kind;
+  action->message.contract = record->contract;
+  action->message.epoch = record->epoch;
+  return &action->message;
+}
+
+void
+br_contracts_add_peer (br_contracts_t *contracts,
+                       const br_name_t *vm,
+                       const br_name_t *failure_domain)
+{
+  br_contract_peer_t peer = { .vm = *vm, .failure_domain = *failure_domain };
+
+  br_contract_peers_push (&contracts->peers, peer);
+}
+
+/* The process of PEER was replaced by a new one. */
+static void
+contracts_on_restart (br_contracts_t *contracts,
+                      const br_contract_peer_t *peer,
+                      br_ms_t now)
+{
+  br_record_t *record;
+  br_record_t *next;
+
+  HASH_ITER (hh, contracts->records, record, next)
+  {
+    if (record->role == BR_RECORD_OWNER
+        && br_name_equal (&record->partner, &peer->vm))
+      br_owner_on_partner_restart (contracts, record, now);
+    else if (record->role == BR_RECORD_PARTNER
+             && br_name_equal (&record->epoch.owner, &peer->vm)
+             && record->epoch.owner_incarnation != peer->incarnation)
+      br_partner_take_over (contracts, record, now);
+  }
+}
+
+/* A former owner is back: it may not know that it was replaced. */
+static void
+contracts_tell_former (br_contracts_t *contracts, const br_name_t *vm)
+{
+  br_record_t *record;
+  br_record_t *next;
+
+  HASH_ITER (hh, contracts->records, record, next)
+  if (record->role == BR_RECORD_OWNER && br_name_equal (&record->former, vm))
+    br_record_send (contracts, record, vm, BR_CONTRACT_SUPERSEDED);
+}
+
+void
+br_contracts_on_link (br_contracts_t *contracts,
+                      const br_name_t *vm,
+                      uint64_t incarnation,
+                      bool up,
+                      br_ms_t now)
+{
+  br_contract_peer_t *peer = br_contracts_peer (contracts, vm);
+  bool replaced;
+
+  if (peer == NULL)
+    return;
+  if (!up)
+    {
+      peer->down_ms = now;
+      peer->up = false;
+      return;
+    }
+  replaced = peer->incarnation != 0 && peer->incarnation != incarnation;
+  peer->incarnation = incarnation;
+  peer->up = true;
+  if (replaced)
+    {
+      peer->leaving = false;
+      contracts_on_restart (contracts, peer, now);
+    }
+  contracts_tell_former (contracts, vm);
+}
+
+/* Tells FROM, which speaks for an older epoch, who the owner is. */
+static bool
+record_is_newer (br_contracts_t *contracts,
+                 br_record_t *record,
+                 const br_name_t *from,
+                 const br_contract_message_t *message)
+{
+  if (br_contract_epoch_compare (&message->epoch, &record->epoch) >= 0)
+    return false;
+  br_record_send (contracts, record, from, BR_CONTRACT_SUPERSEDED);
+  return true;
+}
+
+static void
+contracts_on_superseded (br_contracts_t *contracts,
+                         const br_name_t *from,
+                         const br_contract_message_t *message,
+                         br_ms_t now)
+{
+  br_record_t *record = br_contracts_record (contracts, &message->contract);
+
+  if (record == NULL || record->role != BR_RECORD_OWNER
+      || record_is_newer (contracts, record, from, message)
+      || br_contract_epoch_compare (&message->epoch, &record->epoch) == 0)
+    return;
+  br_owner_on_superseded (contracts, record, &message->epoch, now);
+}
+
+static void
+contracts_on_reply (br_contracts_t *contracts,
+                    const br_name_t *from,
+                    const br_contract_message_t *message,
+                    br_ms_t now)
+{
+  br_record_t *record = br_contracts_record (contracts, &message->contract);
+
+  if (record != NULL && record->role == BR_RECORD_OWNER
+      && record->partner_state != BR_PARTNER_NONE
+      && br_name_equal (&record->partner, from)
+      && br_contract_epoch_compare (&record->epoch, &message->epoch) == 0)
+    br_owner_on_message (contracts, record, from, message, now);
+}
+
+void
+br_contracts_on_message (br_contracts_t *contracts,
+                         const br_name_t *from,
+                         const br_contract_message_t *message,
+                         br_ms_t now)
+{
+  br_contract_peer_t *peer = br_contracts_peer (contracts, from);
+
+  if (peer == NULL)
+    return;
+  peer->heard_ms = now;
+  switch (message->kind)
+    {
+    case BR_CONTRACT_KEEP:
+      br_partner_on_keep (contracts, from, message, now);
+      break;
+    case BR_CONTRACT_CHECKPOINT:
+      br_partner_on_checkpoint (contracts, from, message, now);
+      break;
+    case BR_CONTRACT_RELEASE:
+      br_partner_on_release (contracts, message, now);
+      break;
+    case BR_CONTRACT_HAND_OVER:
+      br_partner_on_hand_over (contracts, message, now);
+      break;
+    case BR_CONTRACT_SUPERSEDED:
+      contracts_on_superseded (contracts, from, message, now);
+      break;
+    case BR_CONTRACT_LEAVING:
+      peer->leaving = true;
+      break;
+    case BR_CONTRACT_KEPT:
+    case BR_CONTRACT_HELD:
+    case BR_CONTRACT_UNKNOWN:
+      contracts_on_reply (contracts, from, message, now);
+      break;
+    case BR_CONTRACT_LOCATE:
+    case BR_CONTRACT_LOCATED:
+    case BR_CONTRACT_FOLLOW:
+    case BR_CONTRACT_FEED:
+    case BR_CONTRACT_MESSAGE_COUNT:
+      break;
+    }
+}
+
+void
+br_contracts_on_tick (br_contracts_t *contracts, br_ms_t now)
+{
+  br_record_t *record;
+  br_record_t *next;
+
+  HASH_ITER (hh, contracts->records, record, next)
+  switch (record->role)
+    {
+    case BR_RECORD_OWNER:
+      br_owner_on_tick (contracts, record, now);
+      break;
+    case BR_RECORD_PARTNER:
+      br_partner_on_tick (contracts, record, now);
+      break;
+    case BR_RECORD_ENDED:
+      if (now >= record->expires_ms)
+        br_record_free (contracts, record);
+      break;
+    }
+}
+
+void
+br_contracts_accept (br_contracts_t *contracts,
+                     const br_contract_id_t *contract,
+                     const br_contract_request_t *request,
+                     const br_answer_t *answer,
+                     br_ms_t now)
+{
+  br_record_t *record = br_contracts_record_new (contracts, contract);
+
+  assert (record->role == BR_RECORD_ENDED && record->epoch.number == 0);
+  record->epoch = (br_contract_epoch_t){
+    .number = 1,
+    .owner = contracts->options.vm,
+    .owner_incarnation = contracts->options.incarnation,
+  };
+  br_owner_start (contracts, record, request, answer, now);
+}
+
+void
+br_contracts_adopt (br_contracts_t *contracts,
+                    const br_contract_id_t *contract,
+                    const br_contract_request_t *request,
+                    const br_answer_t *answer,
+                    uint32_t status,
+                    br_ms_t now)
+{
+  br_record_t *record = br_contracts_record (contracts, contract);
+
+  assert (record != NULL && record->role == BR_RECORD_OWNER);
+  record->announced = true;
+  record->status = status;
+  br_owner_start (contracts, record, request, answer, now);
+}
+
+static br_record_t *
+contracts_owned (br_contracts_t *contracts, const br_contract_id_t *contract)
+{
+  br_record_t *record = br_contracts_record (contracts, contract);
+
+  return record != NULL && record->role == BR_RECORD_OWNER ? record : NULL;
+}
+
+void
+br_contracts_on_answer (br_contracts_t *contracts,
+                        const br_contract_id_t *contract,
+                        uint32_t status,
+                        br_ms_t now)
+{
+  br_record_t *record = contracts_owned (contracts, contract);
+
+  if (record == NULL)
+    return;
+  record->status = status;
+  br_owner_on_answer (contracts, record, now);
+}
+
+void
+br_contracts_forget (br_contracts_t *contracts,
+                     const br_contract_id_t *contract,
+                     br_ms_t now)
+{
+  br_record_t *record = contracts_owned (contracts, contract);
+
+  if (record == NULL)
+    return;
+  if (record->partner_state != BR_PARTNER_NONE)
+    br_record_send (contracts, record, &record->partner, BR_CONTRACT_RELEASE);
+  br_record_end (contracts, record, now);
+}
+
+void
+br_contracts_leave (br_contracts_t *contracts, br_ms_t now)
+{
+  (void)now;
+  contracts->leaving = true;
+  for (size_t i = 0; i < contracts->peers.len; i++)
+    {
+      br_contract_action_t action = { .kind = BR_CONTRACT_SEND };
+
+      action.vm = contracts->peers.items[i].vm;
+      action.message.kind = BR_CONTRACT_LEAVING;
+      br_contract_outbox_push (&contracts->outbox, action);
+    }
+}
+
+void
+br_contracts_hand_over (br_contracts_t *contracts, br_ms_t now)
+{
+  br_record_t *record;
+  br_record_t *next;
+
+  contracts->handing_over = true;
+  HASH_ITER (hh, contracts->records, record, next)
+  if (record->role == BR_RECORD_OWNER)
+    br_owner_on_tick (contracts, record, now);
+}
+
+size_t
+br_contracts_needed_here (const br_contracts_t *contracts)
+{
+  size_t n = 0;
+
+  for (const br_record_t *record = contracts->records; record != NULL;
+       record = record->hh.next)
+    if (record->role == BR_RECORD_PARTNER
+        && (record->guards_hand_over || !record->copy->answer.complete))
+      n++;
+  return n;
+}
+
+br_contract_known_t
+br_contracts_look_up (br_contracts_t *contracts,
+                      const br_contract_id_t *contract,
+                      br_contract_epoch_t *epoch)
+{
+  const br_record_t *record = br_contracts_record (contracts, contract);
+
+  if (record == NULL)
+    return BR_CONTRACT_NOTHING;
+  *epoch = record->epoch;
+  switch (record->role)
+    {
+    case BR_RECORD_OWNER:
+      return BR_CONTRACT_AS_OWNER;
+    case BR_RECORD_PARTNER:
+      return BR_CONTRACT_AS_PARTNER;
+    case BR_RECORD_ENDED:
+      break;
+    }
+  return BR_CONTRACT_NOTHING;
+}
+
+const br_contract_request_t *
+br_contracts_request (br_contracts_t *contracts,
+                      const br_contract_id_t *contract)
+{
+  const br_record_t *record = br_contracts_record (contracts, contract);
+
+  return record != NULL && record->copy != NULL ? &record->copy->request : NULL;
+}
--- /dev/null
+++ b/src/contract/owner.c
@@ -0,0 +1,371 @@
+/* The owner's side of custody: finds a partner, sends it checkpoints, replaces
+ * it when it is lost, and hands over. */
+#include <string.h>
+
+#include "contract/record.h"
+
+static bool
+owner_may_ask (const br_record_t *record, const br_contract_peer_t *peer)
+{
+  if (!peer->up || peer->leaving)
+    return false;
+  for (size_t i = 0; i < record->tried.len; i++)
+    if (br_name_equal (&record->tried.items[i], &peer->vm))
+      return false;
+  return true;
+}
+
+/* Returns the chosen one of the peers that may be asked, those of other
+ * failure domains only when OTHER_DOMAIN.  Contracts spread by number. */
+static const br_contract_peer_t *
+owner_pick (const br_contracts_t *contracts,
+            const br_record_t *record,
+            bool other_domain)
+{
+  const br_contract_peers_t *peers = &contracts->peers;
+  size_t start = peers->len > 0 ? record->contract.number % peers->len : 0;
+
+  for (size_t i = 0; i < peers->len; i++)
+    {
+      const br_contract_peer_t *peer
+          = &peers->items[(start + i) % peers->len];
+
+      if (owner_may_ask (record, peer)
+          && (!other_domain
+              || !br_name_equal (&peer->failure_domain,
+                                 &contracts->options.failure_domain)))
+        return peer;
+    }
+  return NULL;
+}
+
+static void
+owner_announce (br_contracts_t *contracts, br_record_t *record)
+{
+  const br_name_t *partner
+      = record->partner_state == BR_PARTNER_KEPT ? &record->partner : NULL;
+
+  if (record->announced)
+    return;
+  record->announced = true;
+  br_record_act (contracts, record, BR_CONTRACT_ACCEPTED, partner);
+}
+
+static void
+owner_ask (br_contracts_t *contracts,
+           br_record_t *record,
+           const br_name_t *partner,
+           br_ms_t now)
+{
+  br_contract_message_t *message;
+
+  record->partner = *partner;
+  record->partner_state = BR_PARTNER_ASKED;
+  record->asked_ms = now;
+  record->sent = record->held = 0;
+  record->sent_complete = record->held_complete = false;
+  message = br_record_send (contracts, record, partner, BR_CONTRACT_KEEP);
+  message->request = *record->request;
+}
+
+/* Gives the present partner up.  A higher epoch makes what it holds old. */
+static void
+owner_drop_partner (br_contracts_t *contracts, br_record_t *record)
+{
+  br_name_t partner = record->partner;
+
+  if (record->partner_state == BR_PARTNER_NONE)
+    return;
+  record->epoch.number++;
+  record->partner_state = BR_PARTNER_NONE;
+  br_record_send (contracts, record, &partner, BR_CONTRACT_RELEASE);
+}
+
+static void
+owner_find_partner (br_contracts_t *contracts, br_record_t *record, br_ms_t now)
+{
+  const br_contract_peer_t *peer = NULL;
+
+  if (record->tried.len < contracts->options.partners_tried)
+    peer = owner_pick (contracts, record, true);
+  if (peer == NULL && record->tried.len < contracts->options.partners_tried)
+    peer = owner_pick (contracts, record, false);
+  if (peer != NULL)
+    {
+      owner_ask (contracts, record, &peer->vm, now);
+      return;
+    }
+  record->tried.len = 0;
+  record->retry_ms = now + contracts->options.replace_ms;
+  owner_announce (contracts, record);
+}
+
+void
+br_owner_start (br_contracts_t *contracts,
+                br_record_t *record,
+                const br_contract_request_t *request,
+                const br_answer_t *answer,
+                br_ms_t now)
+{
+  record->role = BR_RECORD_OWNER;
+  record->request = request;
+  record->answer = answer;
+  record->partner_state = BR_PARTNER_NONE;
+  record->tried.len = 0;
+  record->pending_ms = BR_MS_NEVER;
+  record->unprotected_ms = now;
+  record->handing_over = false;
+  owner_find_partner (contracts, record, now);
+}
+
+static bool
+owner_sends_parts (const br_contracts_t *contracts, const br_record_t *record)
+{
+  if (record->handing_over)
+    return true;
+  return contracts->options.checkpoint_parts > 0
+         && (record->request->streamed || record->answer->complete);
+}
+
+static bool
+owner_has_unsent (const br_record_t *record)
+{
+  return record->sent < record->answer->parts.len
+         || (record->answer->complete && !record->sent_complete);
+}
+
+/* Sends every part that was not sent. */
+static void
+owner_flush (br_contracts_t *contracts, br_record_t *record, br_ms_t now)
+{
+  const br_answer_t *answer = record->answer;
+
+  record->pending_ms = BR_MS_NEVER;
+  if (record->partner_state != BR_PARTNER_KEPT
+      || !owner_sends_parts (contracts, record))
+    return;
+  if (record->sent == record->held)
+    record->progress_ms = now;
+  while (owner_has_unsent (record))
+    {
+      br_contract_message_t *message = br_record_send (
+          contracts, record, &record->partner, BR_CONTRACT_CHECKPOINT);
+
+      message->checkpoint.slice = br_contract_slice (answer, record->sent);
+      record->sent += message->checkpoint.slice.n_parts;
+      message->checkpoint.complete
+          = answer->complete && record->sent == answer->parts.len;
+      message->checkpoint.status = record->status;
+      record->sent_complete = message->checkpoint.complete;
+    }
+}
+
+void
+br_owner_on_answer (br_contracts_t *contracts, br_record_t *record, br_ms_t now)
+{
+  const br_contract_options_t *options = &contracts->options;
+  size_t waiting = record->answer->parts.len - record->sent;
+
+  if (record->pending_ms == BR_MS_NEVER)
+    record->pending_ms = now;
+  if (record->answer->complete || waiting >= options->checkpoint_parts
+      || record->handing_over)
+    owner_flush (contracts, record, now);
+}
+
+static bool
+owner_is_covered (const br_contracts_t *contracts, const br_record_t *record)
+{
+  if (record->partner_state != BR_PARTNER_KEPT)
+    return false;
+  if (!owner_sends_parts (contracts, record))
+    return true;
+  return record->held >= record->sent
+         && record->held_complete >= record->sent_complete;
+}
+
+/* Reports the end of a time without protection, and frees the former owner
+ * of its copy. */
+static void
+owner_check_covered (br_contracts_t *contracts, br_record_t *record, br_ms_t now)
+{
+  if (record->unprotected_ms == BR_MS_NEVER
+      || !owner_is_covered (contracts, record))
+    return;
+  br_record_act (contracts, record, BR_CONTRACT_PROTECTED, &record->partner)
+      ->after_ms
+      = now - record->unprotected_ms;
+  record->unprotected_ms = BR_MS_NEVER;
+  if (record->former.len > 0
+      && !br_name_equal (&record->former, &record->partner))
+    br_record_send (contracts, record, &record->former, BR_CONTRACT_RELEASE);
+}
+
+static void
+owner_on_held (br_contracts_t *contracts,
+               br_record_t *record,
+               const br_contract_message_t *message,
+               br_ms_t now)
+{
+  size_t offset = message->held.offset;
+
+  if (offset > record->answer->parts.len)
+    return;
+  if (offset > record->held || message->held.complete)
+    record->progress_ms = now;
+  record->held = BR_MAX (record->held, offset);
+  record->sent = BR_MAX (record->sent, record->held);
+  if (message->held.complete && record->answer->complete)
+    record->held_complete = record->sent_complete = true;
+  owner_check_covered (contracts, record, now);
+}
+
+void
+br_owner_on_message (br_contracts_t *contracts,
+                     br_record_t *record,
+                     const br_name_t *from,
+                     const br_contract_message_t *message,
+                     br_ms_t now)
+{
+  if (message->kind == BR_CONTRACT_UNKNOWN)
+    {
+      if (record->partner_state == BR_PARTNER_KEPT)
+        owner_ask (contracts, record, from, now);
+      return;
+    }
+  if (record->partner_state == BR_PARTNER_ASKED)
+    {
+      record->partner_state = BR_PARTNER_KEPT;
+      record->tried.len = 0;
+      owner_announce (contracts, record);
+      owner_on_held (contracts, record, message, now);
+      owner_flush (contracts, record, now);
+      return;
+    }
+  owner_on_held (contracts, record, message, now);
+}
+
+void
+br_owner_on_superseded (br_contracts_t *contracts,
+                        br_record_t *record,
+                        const br_contract_epoch_t *epoch,
+                        br_ms_t now)
+{
+  bool guards = record->handing_over;
+  br_contract_copy_t *copy = NULL;
+
+  owner_announce (contracts, record);
+  if (guards)
+    {
+      copy = br_alloc_zero (sizeof *copy);
+      br_contract_request_copy (&copy->request, record->request);
+      br_answer_copy (&copy->answer, record->answer);
+      copy->status = record->status;
+    }
+  br_record_end (contracts, record, now);
+  record->epoch = *epoch;
+  br_record_act (contracts, record, BR_CONTRACT_STOP, &epoch->owner);
+  if (!guards)
+    return;
+  /* The new owner has no partner yet: be it until it has another one. */
+  record->role = BR_RECORD_PARTNER;
+  record->copy = copy;
+  record->guards_hand_over = true;
+  record->whole_ms = copy->answer.complete ? now : BR_MS_NEVER;
+}
+
+void
+br_owner_on_partner_restart (br_contracts_t *contracts,
+                             br_record_t *record,
+                             br_ms_t now)
+{
+  if (record->partner_state == BR_PARTNER_NONE)
+    return;
+  if (record->unprotected_ms == BR_MS_NEVER)
+    record->unprotected_ms = now;
+  owner_drop_partner (contracts, record);
+  owner_find_partner (contracts, record, now);
+}
+
+static bool
+owner_lost_partner (br_contracts_t *contracts, br_record_t *record, br_ms_t now)
+{
+  const br_contract_peer_t *peer
+      = br_contracts_peer (contracts, &record->partner);
+
+  if (peer == NULL)
+    return true;
+  if (peer->leaving)
+    return owner_pick (contracts, record, false) != NULL;
+  return !peer->up && now - peer->down_ms >= contracts->options.replace_ms;
+}
+
+static void
+owner_check_partner (br_contracts_t *contracts, br_record_t *record, br_ms_t now)
+{
+  const br_contract_options_t *options = &contracts->options;
+
+  switch (record->partner_state)
+    {
+    case BR_PARTNER_NONE:
+      if (now >= record->retry_ms)
+        owner_find_partner (contracts, record, now);
+      break;
+    case BR_PARTNER_ASKED:
+      if (now - record->asked_ms < options->acknowledge_ms)
+        break;
+      br_names_push (&record->tried, record->partner);
+      owner_drop_partner (contracts, record);
+      owner_find_partner (contracts, record, now);
+      break;
+    case BR_PARTNER_KEPT:
+      if (!owner_lost_partner (contracts, record, now))
+        break;
+      if (record->unprotected_ms == BR_MS_NEVER)
+        record->unprotected_ms = now;
+      owner_drop_partner (contracts, record);
+      owner_find_partner (contracts, record, now);
+      break;
+    }
+}
+
+static void
+owner_step_hand_over (br_contracts_t *contracts,
+                      br_record_t *record,
+                      br_ms_t now)
+{
+  const br_contract_peer_t *peer
+      = br_contracts_peer (contracts, &record->partner);
+
+  if (record->answer->complete || record->partner_state != BR_PARTNER_KEPT
+      || peer == NULL || peer->leaving
+      || now - record->hand_over_ms < contracts->options.resend_ms)
+    return;
+  record->handing_over = true;
+  record->hand_over_ms = now;
+  owner_flush (contracts, record, now);
+  br_record_send (contracts, record, &record->partner, BR_CONTRACT_HAND_OVER);
+}
+
+void
+br_owner_on_tick (br_contracts_t *contracts, br_record_t *record, br_ms_t now)
+{
+  const br_contract_options_t *options = &contracts->options;
+
+  owner_check_partner (contracts, record, now);
+  if (record->partner_state != BR_PARTNER_KEPT)
+    return;
+  if (!owner_is_covered (contracts, record)
+      && now - record->progress_ms >= options->resend_ms)
+    {
+      record->sent = record->held;
+      record->sent_complete = record->held_complete;
+      record->progress_ms = now;
+      owner_flush (contracts, record, now);
+    }
+  if (record->pending_ms != BR_MS_NEVER
+      && now - record->pending_ms >= options->checkpoint_ms)
+    owner_flush (contracts, record, now);
+  if (contracts->handing_over)
+    owner_step_hand_over (contracts, record, now);
+}
--- /dev/null
+++ b/src/contract/partner.c
@@ -0,0 +1,190 @@
+/* The partner's side of custody: holds copies and takes over. */
+#include "contract/record.h"
+
+static void
+partner_confirm (br_contracts_t *contracts,
+                 const br_record_t *record,
+                 const br_name_t *to,
+                 br_contract_message_kind_t kind)
+{
+  br_contract_message_t *message = br_record_send (contracts, record, to, kind);
+
+  message->held.offset = record->copy->answer.parts.len;
+  message->held.complete = record->copy->answer.complete;
+}
+
+static void
+partner_keep (br_record_t *record, const br_contract_message_t *message)
+{
+  br_contract_copy_t *copy = br_alloc_zero (sizeof *copy);
+
+  br_contract_request_copy (&copy->request, &message->request);
+  br_contract_copy_free (record->copy);
+  record->copy = copy;
+  record->role = BR_RECORD_PARTNER;
+  record->epoch = message->epoch;
+  record->guards_hand_over = false;
+  record->whole_ms = BR_MS_NEVER;
+}
+
+/* Answers a KEEP that RECORD has heard of already. */
+static void
+partner_on_old_keep (br_contracts_t *contracts,
+                     br_record_t *record,
+                     const br_name_t *from,
+                     int order)
+{
+  if (order > 0)
+    br_record_send (contracts, record, from, BR_CONTRACT_SUPERSEDED);
+  else if (record->role == BR_RECORD_PARTNER)
+    partner_confirm (contracts, record, from, BR_CONTRACT_KEPT);
+}
+
+void
+br_partner_on_keep (br_contracts_t *contracts,
+                    const br_name_t *from,
+                    const br_contract_message_t *message,
+                    br_ms_t now)
+{
+  br_record_t *record = br_contracts_record (contracts, &message->contract);
+
+  if (record != NULL)
+    {
+      int order = br_contract_epoch_compare (&record->epoch, &message->epoch);
+
+      if (order >= 0)
+        {
+          partner_on_old_keep (contracts, record, from, order);
+          return;
+        }
+      if (record->role == BR_RECORD_OWNER)
+        br_owner_on_superseded (contracts, record, &message->epoch, now);
+    }
+  if (contracts->leaving)
+    {
+      br_contract_action_t action = { .kind = BR_CONTRACT_SEND, .vm = *from };
+
+      action.message.kind = BR_CONTRACT_LEAVING;
+      br_contract_outbox_push (&contracts->outbox, action);
+      return;
+    }
+  record = br_contracts_record_new (contracts, &message->contract);
+  partner_keep (record, message);
+  partner_confirm (contracts, record, from, BR_CONTRACT_KEPT);
+}
+
+void
+br_partner_on_checkpoint (br_contracts_t *contracts,
+                          const br_name_t *from,
+                          const br_contract_message_t *message,
+                          br_ms_t now)
+{
+  br_record_t *record = br_contracts_record (contracts, &message->contract);
+  int order = record != NULL ? br_contract_epoch_compare (&record->epoch,
+                                                          &message->epoch)
+                             : -1;
+  const br_contract_slice_t *slice = &message->checkpoint.slice;
+  br_answer_t *answer;
+
+  if (order > 0)
+    br_record_send (contracts, record, from, BR_CONTRACT_SUPERSEDED);
+  if (order < 0)
+    {
+      br_contract_action_t action = { .kind = BR_CONTRACT_SEND, .vm = *from };
+
+      action.message.kind = BR_CONTRACT_UNKNOWN;
+      action.message.contract = message->contract;
+      action.message.epoch = message->epoch;
+      br_contract_outbox_push (&contracts->outbox, action);
+    }
+  if (order != 0 || record->role != BR_RECORD_PARTNER)
+    return;
+  answer = &record->copy->answer;
+  if (br_contract_slice_add (slice, answer) && message->checkpoint.complete
+      && !answer->complete && answer->parts.len == slice->offset + slice->n_parts)
+    {
+      answer->complete = true;
+      record->copy->status = message->checkpoint.status;
+      record->whole_ms = now;
+    }
+  partner_confirm (contracts, record, from, BR_CONTRACT_HELD);
+}
+
+void
+br_partner_on_release (br_contracts_t *contracts,
+                       const br_contract_message_t *message,
+                       br_ms_t now)
+{
+  br_record_t *record = br_contracts_record (contracts, &message->contract);
+
+  if (record == NULL || record->role != BR_RECORD_PARTNER
+      || br_contract_epoch_compare (&record->epoch, &message->epoch) > 0)
+    return;
+  record->epoch = message->epoch;
+  br_record_end (contracts, record, now);
+}
+
+void
+br_partner_take_over (br_contracts_t *contracts,
+                      br_record_t *record,
+                      br_ms_t now)
+{
+  br_contract_action_t *action;
+
+  (void)now;
+  record->former = record->epoch.owner;
+  record->epoch.number++;
+  record->epoch.owner = contracts->options.vm;
+  record->epoch.owner_incarnation = contracts->options.incarnation;
+  record->role = BR_RECORD_OWNER;
+  record->guards_hand_over = false;
+  action = br_record_act (contracts, record, BR_CONTRACT_TAKE_OVER, NULL);
+  action->copy = record->copy;
+  record->copy = NULL;
+  br_record_send (contracts, record, &record->former, BR_CONTRACT_SUPERSEDED);
+}
+
+void
+br_partner_on_hand_over (br_contracts_t *contracts,
+                         const br_contract_message_t *message,
+                         br_ms_t now)
+{
+  br_record_t *record = br_contracts_record (contracts, &message->contract);
+
+  if (record == NULL)
+    return;
+  if (br_contract_epoch_compare (&record->epoch, &message->epoch) > 0)
+    br_record_send (contracts, record, &message->epoch.owner,
+                    BR_CONTRACT_SUPERSEDED);
+  else if (record->role == BR_RECORD_PARTNER
+           && br_contract_epoch_compare (&record->epoch, &message->epoch) == 0)
+    br_partner_take_over (contracts, record, now);
+}
+
+static bool
+partner_lost_owner (br_contracts_t *contracts,
+                    const br_record_t *record,
+                    br_ms_t now)
+{
+  const br_contract_peer_t *peer
+      = br_contracts_peer (contracts, &record->epoch.owner);
+
+  if (peer == NULL)
+    return true;
+  return !peer->up
+         && now - BR_MAX (peer->down_ms, peer->heard_ms)
+                >= contracts->options.take_over_ms;
+}
+
+void
+br_partner_on_tick (br_contracts_t *contracts, br_record_t *record, br_ms_t now)
+{
+  if (record->whole_ms != BR_MS_NEVER
+      && now - record->whole_ms >= contracts->options.retention_ms)
+    {
+      br_record_end (contracts, record, now);
+      return;
+    }
+  if (partner_lost_owner (contracts, record, now))
+    br_partner_take_over (contracts, record, now);
+}
--- /dev/null
+++ b/src/contract/record.h
@@ -0,0 +1,165 @@
+/* Inside of the custody part: one record for each contract that this VM owns,
+ * holds a copy of, or has recently given up. */
+#ifndef BR_CONTRACT_RECORD_H
+#define BR_CONTRACT_RECORD_H
+
+#include <uthash.h>
+
+#include "base/label.h"
+#include "contract/contract.h"
+
+BR_BEGIN_DECLS
+
+typedef enum
+{
+  BR_RECORD_OWNER,
+  BR_RECORD_PARTNER,
+  BR_RECORD_ENDED, /* released or superseded; late messages change nothing */
+} br_record_role_t;
+
+typedef enum
+{
+  BR_PARTNER_NONE,
+  BR_PARTNER_ASKED, /* KEEP was sent */
+  BR_PARTNER_KEPT,
+} br_partner_state_t;
+
+typedef struct br_record
+{
+  char key[BR_NAME_MAX + 40]; /* the printed contract id */
+  br_contract_id_t contract;
+  br_record_role_t role;
+  br_contract_epoch_t epoch;
+
+  /* As owner. */
+  const br_contract_request_t *request;
+  const br_answer_t *answer;
+  uint32_t status;
+  bool announced; /* the caller may know of acceptance */
+  br_partner_state_t partner_state;
+  br_name_t partner;
+  br_names_t tried; /* partners that did not answer in this round */
+  br_ms_t asked_ms;
+  size_t sent; /* parts */
+  size_t held; /* parts that the partner confirmed */
+  bool sent_complete;
+  bool held_complete;
+  br_ms_t pending_ms; /* since when a part waits to be sent, or never */
+  br_ms_t progress_ms;
+  br_ms_t unprotected_ms; /* since when, or never */
+  br_ms_t retry_ms;       /* next search for a partner */
+  bool handing_over;
+  br_ms_t hand_over_ms; /* HAND_OVER was sent last */
+  br_name_t former;     /* the owner before this VM */
+
+  /* As partner. */
+  br_contract_copy_t *copy;
+  bool guards_hand_over; /* until the owner has a partner */
+  br_ms_t whole_ms;      /* the copy became whole, or never */
+
+  br_ms_t expires_ms; /* of BR_RECORD_ENDED */
+  UT_hash_handle hh;
+} br_record_t;
+
+typedef struct
+{
+  br_name_t vm;
+  br_name_t failure_domain;
+  uint64_t incarnation;
+  bool up;
+  bool leaving;
+  br_ms_t down_ms;  /* since when it is down */
+  br_ms_t heard_ms; /* its last message */
+} br_contract_peer_t;
+
+BR_VEC (br_contract_peers, br_contract_peer_t);
+
+struct br_contracts
+{
+  br_contract_options_t options;
+  br_contract_peers_t peers;
+  br_record_t *records;
+  br_contract_outbox_t outbox;
+  bool leaving;
+  bool handing_over;
+};
+
+br_contract_peer_t *br_contracts_peer (br_contracts_t *contracts,
+                                       const br_name_t *vm);
+br_record_t *br_contracts_record (br_contracts_t *contracts,
+                                  const br_contract_id_t *contract);
+
+/* Returns the record of CONTRACT, made when there is none. */
+br_record_t *br_contracts_record_new (br_contracts_t *contracts,
+                                      const br_contract_id_t *contract);
+void br_record_free (br_contracts_t *contracts, br_record_t *record);
+
+/* Keeps only the epoch, so that late messages are known as such. */
+void
+br_record_end (br_contracts_t *contracts, br_record_t *record, br_ms_t now);
+void br_contract_copy_free (br_contract_copy_t *copy);
+
+/* Adds a message about RECORD to the outbox, to be filled by the caller. */
+br_contract_message_t *br_record_send (br_contracts_t *contracts,
+                                       const br_record_t *record,
+                                       const br_name_t *to,
+                                       br_contract_message_kind_t kind);
+br_contract_action_t *br_record_act (br_contracts_t *contracts,
+                                     const br_record_t *record,
+                                     br_contract_action_kind_t kind,
+                                     const br_name_t *vm);
+
+/* The owner's side (owner.c). */
+void br_owner_start (br_contracts_t *contracts,
+                     br_record_t *record,
+                     const br_contract_request_t *request,
+                     const br_answer_t *answer,
+                     br_ms_t now);
+void br_owner_on_answer (br_contracts_t *contracts,
+                         br_record_t *record,
+                         br_ms_t now);
+void br_owner_on_message (br_contracts_t *contracts,
+                          br_record_t *record,
+                          const br_name_t *from,
+                          const br_contract_message_t *message,
+                          br_ms_t now);
+void br_owner_on_tick (br_contracts_t *contracts,
+                       br_record_t *record,
+                       br_ms_t now);
+
+/* The partner's process was replaced: what it held is gone. */
+void br_owner_on_partner_restart (br_contracts_t *contracts,
+                                  br_record_t *record,
+                                  br_ms_t now);
+
+/* EPOCH, which is higher, has another owner. */
+void br_owner_on_superseded (br_contracts_t *contracts,
+                             br_record_t *record,
+                             const br_contract_epoch_t *epoch,
+                             br_ms_t now);
+
+/* The partner's side (partner.c). */
+void br_partner_on_keep (br_contracts_t *contracts,
+                         const br_name_t *from,
+                         const br_contract_message_t *message,
+                         br_ms_t now);
+void br_partner_on_checkpoint (br_contracts_t *contracts,
+                               const br_name_t *from,
+                               const br_contract_message_t *message,
+                               br_ms_t now);
+void br_partner_on_release (br_contracts_t *contracts,
+                            const br_contract_message_t *message,
+                            br_ms_t now);
+void br_partner_on_hand_over (br_contracts_t *contracts,
+                              const br_contract_message_t *message,
+                              br_ms_t now);
+void br_partner_on_tick (br_contracts_t *contracts,
+                         br_record_t *record,
+                         br_ms_t now);
+void br_partner_take_over (br_contracts_t *contracts,
+                           br_record_t *record,
+                           br_ms_t now);
+
+BR_END_DECLS
+
+#endif
