--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -92,6 +92,14 @@
       break;
     case BR_NODE_APPLIED:
     case BR_NODE_CATALOG_CHANGED:
+    case BR_NODE_VM_UP:
+    case BR_NODE_VM_SUSPECT:
+    case BR_NODE_VM_DOWN:
+    case BR_NODE_VM_LEAVING:
+    case BR_NODE_UPSTREAM_CHANGED:
+      break;
+    case BR_NODE_RECLAIM_NOTICE:
+      br_node_drain (node);
       break;
     case BR_NODE_STOP:
       br_node_drain (node);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -35,6 +35,12 @@
   X (PROPOSAL, "a proposal for the replicated log has an outcome")             \
   X (APPLIED, "the replicated state changed")                                  \
   X (CATALOG_CHANGED, "a new revision of the declarations is in force")        \
+  X (VM_UP, "an entry VM, or a new incarnation of it, is live")                \
+  X (VM_SUSPECT, "an entry VM does not answer probes")                         \
+  X (VM_DOWN, "an entry VM was not heard of by any way")                       \
+  X (VM_LEAVING, "an entry VM was told to leave, or said so itself")           \
+  X (UPSTREAM_CHANGED, "an upstream came, left, went down or came back")       \
+  X (RECLAIM_NOTICE, "the platform takes this entry VM back")                  \
   X (STOP, "stop when nothing is in progress any more")
 
 typedef enum
@@ -87,6 +93,13 @@
   br_error_t error; /* unless committed */
 } br_proposal_message_t;
 
+/* Of BR_NODE_VM_UP, _SUSPECT, _DOWN, _LEAVING and _UPSTREAM_CHANGED. */
+typedef struct
+{
+  br_name_t name;
+  uint64_t incarnation;
+} br_member_message_t;
+
 typedef struct
 {
   br_node_message_kind_t kind;
@@ -95,6 +108,8 @@
     br_attempt_message_t attempt;
     br_peer_message_t peer;
     br_proposal_message_t proposal;
+    br_member_message_t member;
+    br_ms_t leave_by_ms; /* of BR_NODE_RECLAIM_NOTICE, monotonic */
     uint64_t work;
     uint64_t index; /* log position, of BR_NODE_APPLIED */
   };
