Settle the interface of admission and of the limits of a failure domain

Limits hold over all entry VMs of a failure domain by leases of fixed shares: no message for each request, and shares in use never add up to more than the limit. The headers only; the code follows.

--- /dev/null
+++ b/src/organisation/digest_codec.h
@@ -0,0 +1,23 @@
+/* The wire form of the digests between entry VMs of a failure domain. */
+#ifndef BR_ORGANISATION_DIGEST_CODEC_H
+#define BR_ORGANISATION_DIGEST_CODEC_H
+
+#include "organisation/admission.h"
+
+BR_BEGIN_DECLS
+
+/* Organisations in one digest at most; a longer one is refused. */
+#define BR_DIGEST_DEMANDS_MAX 4096
+
+void br_digest_pack (const br_admission_digest_t *digest, br_buf_t *out);
+
+/* Reads what VM sent.  On success the caller frees DIGEST->demands; otherwise
+ * *ERR carries the step and VM. */
+bool br_digest_unpack (br_str_t bytes,
+                       const br_name_t *vm,
+                       br_admission_digest_t *digest,
+                       br_error_t *err);
+
+BR_END_DECLS
+
+#endif
