--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -99,8 +99,6 @@
     case BR_NODE_UPSTREAM_CHANGED:
       break;
     case BR_NODE_RECLAIM_NOTICE:
-      br_node_drain (node);
-      break;
     case BR_NODE_STOP:
       br_node_drain (node);
       break;
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -1,5 +1,6 @@
 #include "upstream/registry.h"
 
+#include <assert.h>
 #include <string.h>
 
 static void
@@ -85,6 +86,7 @@
 {
   br_departures_t *departures = &registry->departures;
 
+  assert (departures->items != NULL && departures->len > 0);
   departures->len--;
   memmove (departures->items, departures->items + 1,
            departures->len * sizeof *departures->items);
