Find the readers of an answer by their work; let a surge of connects wait

Cause: with 8,000 streams open 4,203 of 8,000 requests failed. Every token walked the list of all readers, so the work grew with the square of the streams, and a surge of connects overran a backlog of 128. Conclusion: readers are kept in buckets by their work.

--- a/src/shell/caller_task.c
+++ b/src/shell/caller_task.c
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -16,6 +17,13 @@
 
 #define IDLE_CONNECTION_S 60
 
+/* Buckets in which readers are found by their work. */
+#define READER_BUCKETS 4096
+
+/* Connections that wait to be accepted: a surge must not wait for the first
+ * retransmission of a connect, one second. */
+#define LISTEN_BACKLOG 4096
+
 /* ": " and the line's end. */
 #define HEADER_PUNCTUATION 4
 
@@ -46,16 +54,22 @@
   br_node_t *node;
   struct evhttp *http;
   struct evhttp_bound_socket *socket;
-  reader_t *readers;
+  reader_t *readers[READER_BUCKETS]; /* by the number of their work */
   size_t n_readers;
 };
 
+static reader_t **
+task_bucket (br_caller_task_t *task, uint64_t work)
+{
+  return &task->readers[work % READER_BUCKETS];
+}
+
 static void
 reader_free (reader_t *reader)
 {
   br_caller_task_t *task = reader->task;
   br_work_t *work = br_work_task_find (task->node->works, reader->work);
-  reader_t **at = &task->readers;
+  reader_t **at = task_bucket (task, reader->work);
 
   while (*at != reader)
     at = &(*at)->next;
@@ -218,7 +232,8 @@
 
   if (work == NULL)
     return;
-  for (reader_t *reader = task->readers; reader != NULL; reader = next)
+  for (reader_t *reader = *task_bucket (task, number); reader != NULL;
+       reader = next)
     {
       next = reader->next;
       if (reader->work == number)
@@ -249,8 +264,8 @@
   reader->closed = event_new (task->node->base, bufferevent_getfd (bev),
                               EV_CLOSED, reader_on_closed, reader);
   event_add (reader->closed, NULL);
-  reader->next = task->readers;
-  task->readers = reader;
+  reader->next = *task_bucket (task, work->number);
+  *task_bucket (task, work->number) = reader;
   task->n_readers++;
   br_work_watch (work);
   evhttp_add_header (evhttp_request_get_output_headers (request),
@@ -622,6 +637,24 @@
     task_on_unknown (task, request);
 }
 
+static struct evhttp_bound_socket *
+task_listen (br_caller_task_t *task)
+{
+  const br_endpoint_t *endpoint = &task->node->settings.callers;
+  struct sockaddr_storage address;
+  int len;
+  struct evconnlistener *listener;
+
+  if (!br_endpoint_to_sockaddr (endpoint, &address, &len))
+    return NULL;
+  listener = evconnlistener_new_bind (
+      task->node->base, NULL, NULL, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+      LISTEN_BACKLOG, (struct sockaddr *)&address, len);
+  if (listener == NULL)
+    return NULL;
+  return evhttp_bind_listener (task->http, listener);
+}
+
 br_caller_task_t *
 br_caller_task_new (br_node_t *node, br_error_t *err)
 {
@@ -639,8 +672,7 @@
                               EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT
                                   | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH);
   evhttp_set_gencb (task->http, task_on_request, task);
-  task->socket = evhttp_bind_socket_with_handle (
-      task->http, settings->callers.address, (uint16_t)settings->callers.port);
+  task->socket = task_listen (task);
   if (task->socket != NULL)
     return task;
   br_error_set (err, BR_ERROR_INTERNAL, "listen for callers", "",
@@ -665,19 +697,26 @@
   return task->n_readers;
 }
 
-void
-br_caller_task_free (br_caller_task_t *task)
+static void
+task_free_bucket (reader_t **bucket)
 {
-  if (task == NULL)
-    return;
-  while (task->readers != NULL)
+  while (*bucket != NULL)
     {
-      reader_t *reader = task->readers;
+      reader_t *reader = *bucket;
 
-      task->readers = reader->next;
+      *bucket = reader->next;
       event_free (reader->closed);
       free (reader);
     }
+}
+
+void
+br_caller_task_free (br_caller_task_t *task)
+{
+  if (task == NULL)
+    return;
+  for (size_t i = 0; i < READER_BUCKETS; i++)
+    task_free_bucket (&task->readers[i]);
   evhttp_free (task->http);
   free (task);
 }
--- a/src/shell/peer_task.c
+++ b/src/shell/peer_task.c
@@ -375,28 +375,13 @@
   bufferevent_enable (link->bev, EV_READ | EV_WRITE);
 }
 
-static bool
-endpoint_to_sockaddr (const br_endpoint_t *endpoint,
-                      struct sockaddr_storage *address,
-                      int *len)
-{
-  char text[BR_ADDRESS_MAX + 16];
-  const char *format
-      = strchr (endpoint->address, ':') != NULL ? "[%s]:%d" : "%s:%d";
-
-  *len = sizeof *address;
-  snprintf (text, sizeof text, format, endpoint->address, (int)endpoint->port);
-  return evutil_parse_sockaddr_port (text, (struct sockaddr *)address, len)
-         == 0;
-}
-
 static void
 link_dial (link_t *link)
 {
   struct sockaddr_storage address;
   int len;
 
-  if (!endpoint_to_sockaddr (&link->settings->endpoint, &address, &len))
+  if (!br_endpoint_to_sockaddr (&link->settings->endpoint, &address, &len))
     return;
   link_start (link, -1);
   if (bufferevent_socket_connect (link->bev, (struct sockaddr *)&address, len)
@@ -490,7 +475,7 @@
   struct sockaddr_storage address;
   int len;
 
-  if (endpoint_to_sockaddr (endpoint, &address, &len))
+  if (br_endpoint_to_sockaddr (endpoint, &address, &len))
     task->listener
         = evconnlistener_new_bind (task->node->base, task_on_accept, task,
                                    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
--- a/src/shell/settings.c
+++ b/src/shell/settings.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <event2/util.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
@@ -750,6 +751,21 @@
   return ok;
 }
 
+bool
+br_endpoint_to_sockaddr (const br_endpoint_t *endpoint,
+                         struct sockaddr_storage *address,
+                         int *len)
+{
+  char text[BR_ADDRESS_MAX + 16];
+  const char *format
+      = strchr (endpoint->address, ':') != NULL ? "[%s]:%d" : "%s:%d";
+
+  *len = sizeof *address;
+  snprintf (text, sizeof text, format, endpoint->address, (int)endpoint->port);
+  return evutil_parse_sockaddr_port (text, (struct sockaddr *)address, len)
+         == 0;
+}
+
 void
 br_settings_release (br_settings_t *settings)
 {
--- a/src/shell/settings.h
+++ b/src/shell/settings.h
@@ -3,6 +3,8 @@
 #ifndef BR_SHELL_SETTINGS_H
 #define BR_SHELL_SETTINGS_H
 
+#include <sys/socket.h>
+
 #include "base/clock.h"
 #include "base/digest.h"
 #include "base/error.h"
@@ -19,6 +21,11 @@
   int64_t port;
 } br_endpoint_t;
 
+/* Turns an endpoint into a socket address; false when it is not valid. */
+bool br_endpoint_to_sockaddr (const br_endpoint_t *endpoint,
+                              struct sockaddr_storage *address,
+                              int *len);
+
 /* Another entry VM, as the settings name it. */
 typedef struct
 {
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -8,7 +8,9 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <json-c/json.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -19,6 +21,7 @@
 
 #define DEFAULT_TOKENS 16
 #define TOKEN_MAX 32
+#define LISTEN_BACKLOG 4096
 
 typedef struct
 {
@@ -362,6 +365,20 @@
   reply_text (request, 200, "{\"status\":\"ok\"}");
 }
 
+static bool
+engine_listen (engine_t *engine, struct evhttp *http)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct evconnlistener *listener;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons ((uint16_t)engine->options.port);
+  listener = evconnlistener_new_bind (
+      engine->base, NULL, NULL, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+      LISTEN_BACKLOG, (struct sockaddr *)&address, sizeof address);
+  return listener != NULL && evhttp_bind_listener (http, listener) != NULL;
+}
+
 static const struct argp_option engine_argp_options[] = {
   { "port", 'p', "PORT", 0, "Port on 127.0.0.1", 0 },
   { "name", 'n', "NAME", 0, "Name in the log", 0 },
@@ -422,8 +439,7 @@
   evhttp_set_cb (http, "/v1/load", engine_on_load, &engine);
   evhttp_set_cb (http, "/health", engine_on_health, &engine);
   evhttp_set_cb (http, "/fake/silence", engine_on_silence, &engine);
-  if (evhttp_bind_socket (http, "127.0.0.1", (uint16_t)engine.options.port)
-      != 0)
+  if (!engine_listen (&engine, http))
     {
       fprintf (stderr, "cannot listen on port %d\n", engine.options.port);
       return 1;
