--- /dev/null
+++ b/src/replica/config.h
@@ -0,0 +1,56 @@
+/* The configuration of the log: which VMs vote, each with the identity of
+ * its disk. */
+#ifndef BR_REPLICA_CONFIG_H
+#define BR_REPLICA_CONFIG_H
+
+#include "base/error.h"
+#include "base/str.h"
+#include "base/vec.h"
+
+BR_BEGIN_DECLS
+
+/* Most voters of one log. */
+#define BR_VOTERS_MAX 9
+
+/* A member without a vote was removed by an operator and is not promoted
+ * again by itself. */
+typedef struct
+{
+  br_name_t vm;
+  uint64_t disk; /* random number kept in the data folder */
+  bool voter;
+} br_member_t;
+
+BR_VEC (br_members, br_member_t);
+
+/* Sorted by VM name; each name once. */
+typedef struct
+{
+  br_members_t members; /* owned */
+} br_config_t;
+
+void br_config_release (br_config_t *config);
+void br_config_copy (br_config_t *to, const br_config_t *from);
+
+/* Returns NULL when VM is no member. */
+const br_member_t *br_config_find (const br_config_t *config,
+                                   const br_name_t *vm);
+
+/* Adds or replaces the member. */
+void br_config_put (br_config_t *config, br_member_t member);
+void br_config_remove (br_config_t *config, const br_name_t *vm);
+size_t br_config_voters (const br_config_t *config);
+size_t br_config_majority (const br_config_t *config);
+
+/* Whether VM votes with just this disk. */
+bool br_config_is_voter (const br_config_t *config,
+                         const br_name_t *vm,
+                         uint64_t disk);
+
+/* Appends the form that br_config_parse() reads. */
+void br_config_print (const br_config_t *config, br_buf_t *out);
+bool br_config_parse (br_str_t data, br_config_t *config, br_error_t *err);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/replica/election.c
@@ -0,0 +1,177 @@
+#include "replica/replica_private.h"
+
+/* Starts the table of votes with every voter of the configuration. */
+static void
+election_reset_votes (br_replica_t *replica)
+{
+  const br_config_t *config = br_replica_config (replica);
+
+  br_progresses_clear (&replica->progresses);
+  for (size_t i = 0; i < config->members.len; i++)
+    {
+      const br_member_t *member = &config->members.items[i];
+
+      if (member->voter && !br_name_equal (&member->vm, &replica->options.vm))
+        br_replica_add_progress (replica, &member->vm, member->disk);
+    }
+}
+
+static size_t
+election_votes (const br_replica_t *replica)
+{
+  size_t votes = 1;
+
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    votes += replica->progresses.items[i].granted;
+  return votes;
+}
+
+static void
+election_ask (br_replica_t *replica, bool pre_vote, bool transfer)
+{
+  br_replica_message_t request = { .kind = BR_REPLICA_VOTE_REQUEST };
+
+  request.term = replica->hard_state.term + (pre_vote ? 1 : 0);
+  request.vote_request = (br_vote_request_t){
+    .last_index = br_replica_log_last_index (&replica->log),
+    .last_term = br_replica_log_last_term (&replica->log),
+    .pre_vote = pre_vote,
+    .transfer = transfer,
+  };
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    {
+      request.to_disk = replica->progresses.items[i].disk;
+      br_replica_send (replica, &replica->progresses.items[i].vm, request,
+                       replica->change);
+    }
+}
+
+static void
+election_check (br_replica_t *replica)
+{
+  size_t majority = br_config_majority (br_replica_config (replica));
+
+  if (election_votes (replica) < majority)
+    return;
+  if (replica->role == BR_ROLE_PRE_CANDIDATE)
+    br_replica_campaign (replica, false, false);
+  else
+    br_replica_lead (replica);
+}
+
+void
+br_replica_campaign (br_replica_t *replica, bool pre_vote, bool transfer)
+{
+  static const br_name_t nobody;
+
+  replica->leader = nobody;
+  br_replica_reset_election (replica);
+  if (!pre_vote)
+    br_replica_set_hard_state (replica, replica->hard_state.term + 1,
+                               &replica->options.vm);
+  br_replica_set_role (replica,
+                       pre_vote ? BR_ROLE_PRE_CANDIDATE : BR_ROLE_CANDIDATE);
+  replica->in_transfer_election = transfer;
+  election_reset_votes (replica);
+  election_ask (replica, pre_vote, transfer);
+  election_check (replica);
+}
+
+static bool
+election_log_is_current (const br_replica_t *replica,
+                         const br_vote_request_t *request)
+{
+  uint64_t last_term = br_replica_log_last_term (&replica->log);
+
+  if (request->last_term != last_term)
+    return request->last_term > last_term;
+  return request->last_index >= br_replica_log_last_index (&replica->log);
+}
+
+/* Whether a leader was heard of so lately that no election is due. */
+static bool
+election_leader_is_live (const br_replica_t *replica)
+{
+  if (replica->role == BR_ROLE_LEADER)
+    return true;
+  return replica->leader.len > 0
+         && replica->now - replica->heard_leader_ms
+                < replica->options.election_min_ms;
+}
+
+static void
+election_answer (br_replica_t *replica,
+                 const br_replica_message_t *request,
+                 bool granted)
+{
+  br_replica_message_t answer = { .kind = BR_REPLICA_VOTE_ANSWER };
+
+  answer.term = granted ? request->term : replica->hard_state.term;
+  answer.vote_answer.pre_vote = request->vote_request.pre_vote;
+  answer.vote_answer.granted = granted;
+  answer.to_disk = request->disk;
+  br_replica_send (replica, &request->vm, answer, replica->change);
+}
+
+void
+br_replica_on_vote_request (br_replica_t *replica,
+                            const br_replica_message_t *message)
+{
+  const br_vote_request_t *request = &message->vote_request;
+  const br_name_t *vote = &replica->hard_state.vote;
+  bool granted;
+
+  if (br_replica_founder_is_stale (replica, message))
+    return;
+  if (message->term < replica->hard_state.term)
+    {
+      election_answer (replica, message, false);
+      return;
+    }
+  if (election_leader_is_live (replica) && !request->transfer)
+    return;
+  if (!request->pre_vote && message->term > replica->hard_state.term)
+    br_replica_become_follower (replica, message->term, NULL);
+  if (request->pre_vote)
+    granted = message->term > replica->hard_state.term;
+  else
+    granted = vote->len == 0 || br_name_equal (vote, &message->vm);
+  granted = granted && election_log_is_current (replica, request);
+  if (granted && !request->pre_vote)
+    {
+      br_replica_set_hard_state (replica, message->term, &message->vm);
+      br_replica_reset_election (replica);
+    }
+  election_answer (replica, message, granted);
+}
+
+void
+br_replica_on_vote_answer (br_replica_t *replica,
+                           const br_replica_message_t *message)
+{
+  const br_vote_answer_t *answer = &message->vote_answer;
+  br_replica_role_t role
+      = answer->pre_vote ? BR_ROLE_PRE_CANDIDATE : BR_ROLE_CANDIDATE;
+  uint64_t term = replica->hard_state.term + (answer->pre_vote ? 1 : 0);
+  br_progress_t *progress;
+
+  if (replica->role != role || !answer->granted || message->term != term)
+    return;
+  /* A voter whose disk was lost comes back with another disk: its vote does
+   * not count. */
+  progress = br_replica_progress (replica, &message->vm, message->disk);
+  if (progress == NULL)
+    return;
+  progress->granted = true;
+  election_check (replica);
+}
+
+void
+br_replica_on_timeout_now (br_replica_t *replica,
+                           const br_replica_message_t *message)
+{
+  if (message->term == replica->hard_state.term
+      && br_name_equal (&message->vm, &replica->leader)
+      && replica->role == BR_ROLE_FOLLOWER)
+    br_replica_campaign (replica, false, true);
+}
--- /dev/null
+++ b/src/replica/follower.c
@@ -0,0 +1,223 @@
+#include "replica/replica_private.h"
+
+/* Largest snapshot accepted from a leader. */
+#define SNAPSHOT_MAX_BYTES (256 * 1024 * 1024)
+
+static void
+follower_answer (br_replica_t *replica,
+                 const br_replica_message_t *message,
+                 br_append_answer_t content)
+{
+  br_replica_message_t answer = { .kind = BR_REPLICA_APPEND_ANSWER };
+
+  answer.term = replica->hard_state.term;
+  answer.append_answer = content;
+  answer.to_disk = message->disk;
+  br_replica_send (replica, &message->vm, answer, replica->change);
+}
+
+/* Notes that the leader of this term is there.  False when the message is
+ * not from it. */
+static bool
+follower_hear_leader (br_replica_t *replica,
+                      const br_replica_message_t *message)
+{
+  bool known = br_name_equal (&replica->leader, &message->vm);
+
+  if (replica->role == BR_ROLE_LEADER
+      || br_replica_founder_is_stale (replica, message))
+    return false;
+  if (!known || replica->role == BR_ROLE_CANDIDATE
+      || replica->role == BR_ROLE_PRE_CANDIDATE)
+    br_replica_become_follower (replica, message->term, &message->vm);
+  replica->heard_leader_ms = replica->now;
+  br_replica_reset_election (replica);
+  return true;
+}
+
+/* The first index of the term that the entry at INDEX has. */
+static uint64_t
+follower_term_start (const br_replica_t *replica, uint64_t index)
+{
+  uint64_t term = br_replica_log_term (&replica->log, index);
+
+  while (index > replica->log.base_index + 1
+         && br_replica_log_term (&replica->log, index - 1) == term)
+    index--;
+  return BR_MAX (index, replica->commit + 1);
+}
+
+/* Whether the log here holds the entry before the new ones; otherwise *HINT
+ * is where the leader should try next. */
+static bool
+follower_prev_matches (const br_replica_t *replica,
+                       const br_append_t *append,
+                       uint64_t *hint)
+{
+  uint64_t last = br_replica_log_last_index (&replica->log);
+
+  if (append->prev_index <= replica->log.base_index)
+    return true; /* committed, hence the same */
+  *hint = last + 1;
+  if (append->prev_index > last)
+    return false;
+  if (br_replica_log_term (&replica->log, append->prev_index)
+      == append->prev_term)
+    return true;
+  *hint = follower_term_start (replica, append->prev_index);
+  return false;
+}
+
+/* Takes the entries that are not here yet; false when one contradicts a
+ * committed entry. */
+static bool
+follower_take_entries (br_replica_t *replica, br_append_t *append)
+{
+  for (size_t i = 0; i < append->entries.len; i++)
+    {
+      br_entry_t *entry = &append->entries.items[i];
+      uint64_t last = br_replica_log_last_index (&replica->log);
+
+      if (entry->index <= replica->log.base_index)
+        continue;
+      if (entry->index <= last
+          && br_replica_log_term (&replica->log, entry->index) == entry->term)
+        continue;
+      if (entry->index <= replica->commit)
+        return false;
+      if (entry->index <= last)
+        br_replica_truncate (replica, entry->index);
+      br_replica_append_entry (replica, *entry);
+      entry->data = (br_buf_t){ 0 };
+    }
+  return true;
+}
+
+static void
+follower_refresh_role (br_replica_t *replica)
+{
+  br_replica_set_role (replica, br_replica_is_voter (replica)
+                                    ? BR_ROLE_FOLLOWER
+                                    : BR_ROLE_LEARNER);
+}
+
+void
+br_replica_on_append (br_replica_t *replica, br_replica_message_t *message)
+{
+  br_append_t *append = &message->append;
+  br_append_answer_t answer
+      = { .round = append->round, .sent_ms = append->sent_ms };
+  uint64_t matched;
+
+  if (message->term < replica->hard_state.term)
+    {
+      follower_answer (replica, message, answer);
+      return;
+    }
+  if (!follower_hear_leader (replica, message))
+    return;
+  answer.ok = follower_prev_matches (replica, append, &answer.index);
+  if (answer.ok)
+    {
+      if (!follower_take_entries (replica, append))
+        return;
+      follower_refresh_role (replica);
+      matched = append->prev_index + append->entries.len;
+      answer.index = matched;
+      br_replica_set_commit (replica, BR_MIN (append->commit, matched));
+    }
+  follower_answer (replica, message, answer);
+}
+
+static void
+follower_answer_chunk (br_replica_t *replica,
+                       const br_replica_message_t *message)
+{
+  br_replica_message_t answer = { .kind = BR_REPLICA_SNAPSHOT_ANSWER };
+
+  answer.term = replica->hard_state.term;
+  answer.snapshot_answer = (br_snapshot_answer_t){
+    .last_index = message->snapshot.last_index,
+    .offset = replica->incoming.state.len,
+    .round = message->snapshot.round,
+    .sent_ms = message->snapshot.sent_ms,
+  };
+  answer.to_disk = message->disk;
+  br_replica_send (replica, &message->vm, answer, replica->change);
+}
+
+static void
+follower_install (br_replica_t *replica)
+{
+  br_replica_snapshot_t *incoming = &replica->incoming;
+
+  br_replica_log_reset (&replica->log, incoming->index, incoming->term,
+                        &incoming->config);
+  br_replica_snapshot_release (&replica->snapshot);
+  replica->snapshot = *incoming;
+  *incoming = (br_replica_snapshot_t){ 0 };
+  replica->commit = replica->applied = replica->snapshot.index;
+  replica->written = replica->writing = replica->snapshot.index;
+  replica->persisted = 0;
+  replica->write_snapshot = true;
+  replica->change++;
+  follower_refresh_role (replica);
+  br_replica_event (replica,
+                    (br_replica_event_t){ .kind = BR_REPLICA_EVENT_SNAPSHOT,
+                                          .index = replica->commit });
+  br_replica_settle_snapshot (replica);
+}
+
+/* Begins a snapshot when the chunk is its first, and takes the chunk when it
+ * is the next one. */
+static void
+follower_take_chunk (br_replica_t *replica, br_snapshot_chunk_t *chunk)
+{
+  br_replica_snapshot_t *incoming = &replica->incoming;
+
+  if (incoming->index != chunk->last_index
+      || incoming->term != chunk->last_term)
+    {
+      br_replica_snapshot_release (incoming);
+      *incoming = (br_replica_snapshot_t){ .index = chunk->last_index,
+                                           .term = chunk->last_term };
+      br_config_copy (&incoming->config, &chunk->config);
+    }
+  if (chunk->offset == incoming->state.len)
+    br_buf_append (&incoming->state, br_buf_str (&chunk->data));
+}
+
+void
+br_replica_on_snapshot (br_replica_t *replica, br_replica_message_t *message)
+{
+  br_snapshot_chunk_t *chunk = &message->snapshot;
+  br_append_answer_t done = { .ok = true,
+                              .index = chunk->last_index,
+                              .round = chunk->round,
+                              .sent_ms = chunk->sent_ms };
+  const br_entry_t *entry;
+
+  if (message->term < replica->hard_state.term)
+    {
+      done.ok = false;
+      follower_answer (replica, message, done);
+      return;
+    }
+  if (chunk->total > SNAPSHOT_MAX_BYTES
+      || !follower_hear_leader (replica, message))
+    return;
+  entry = br_replica_log_entry (&replica->log, chunk->last_index);
+  if (entry != NULL && entry->term == chunk->last_term)
+    br_replica_set_commit (replica, chunk->last_index);
+  if (chunk->last_index > replica->commit)
+    {
+      follower_take_chunk (replica, chunk);
+      if (replica->incoming.state.len < chunk->total)
+        {
+          follower_answer_chunk (replica, message);
+          return;
+        }
+      follower_install (replica);
+    }
+  follower_answer (replica, message, done);
+}
--- /dev/null
+++ b/src/replica/leader.c
@@ -0,0 +1,300 @@
+#include "replica/replica_private.h"
+
+static bool
+leader_is_voter (const br_replica_t *replica, const br_progress_t *progress)
+{
+  return br_config_is_voter (br_replica_config (replica), &progress->vm,
+                             progress->disk);
+}
+
+bool
+br_replica_has_quorum (const br_replica_t *replica)
+{
+  br_ms_t since = replica->now - replica->options.election_min_ms;
+  size_t live = br_replica_is_voter (replica);
+
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    {
+      const br_progress_t *progress = &replica->progresses.items[i];
+
+      if (leader_is_voter (replica, progress)
+          && BR_MAX (progress->heard_ms, progress->joined_ms) > since)
+        live++;
+    }
+  return live >= br_config_majority (br_replica_config (replica));
+}
+
+/* Keeps a progress for every voter of the configuration in force. */
+static void
+leader_add_voters (br_replica_t *replica)
+{
+  const br_config_t *config = br_replica_config (replica);
+
+  for (size_t i = 0; i < config->members.len; i++)
+    {
+      const br_member_t *member = &config->members.items[i];
+
+      if (member->voter && !br_name_equal (&member->vm, &replica->options.vm))
+        br_replica_add_progress (replica, &member->vm, member->disk)->wants_vote
+            = true;
+    }
+}
+
+/* Forgets disks that a voter had before the one of the configuration in
+ * force. */
+static void
+leader_drop_old_disks (br_replica_t *replica)
+{
+  const br_config_t *config = br_replica_config (replica);
+  br_progresses_t *all = &replica->progresses;
+
+  for (size_t i = 0; i < all->len;)
+    {
+      const br_progress_t *progress = &all->items[i];
+      const br_member_t *member = br_config_find (config, &progress->vm);
+
+      if (member != NULL && member->voter && member->disk != progress->disk)
+        all->items[i] = all->items[--all->len];
+      else
+        i++;
+    }
+}
+
+bool
+br_replica_lead_append (br_replica_t *replica,
+                        br_entry_kind_t kind,
+                        const br_proposer_t *proposer,
+                        br_str_t data)
+{
+  br_entry_t entry = {
+    .index = br_replica_log_last_index (&replica->log) + 1,
+    .term = replica->hard_state.term,
+    .kind = kind,
+  };
+
+  assert (replica->role == BR_ROLE_LEADER);
+  if (kind == BR_ENTRY_COMMAND
+      && (!replica->has_room || replica->transfer_to.len > 0))
+    return false;
+  if (proposer != NULL)
+    entry.proposer = *proposer;
+  br_buf_append (&entry.data, data);
+  br_replica_append_entry (replica, entry);
+  if (kind == BR_ENTRY_CONFIG)
+    {
+      leader_drop_old_disks (replica);
+      leader_add_voters (replica);
+    }
+  replica->has_news = true;
+  return true;
+}
+
+void
+br_replica_broadcast (br_replica_t *replica)
+{
+  replica->heartbeat_at_ms = replica->now + replica->options.heartbeat_ms;
+  replica->has_news = false;
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    br_replica_replicate (replica, &replica->progresses.items[i], true);
+}
+
+void
+br_replica_lead (br_replica_t *replica)
+{
+  static const br_name_t nobody;
+
+  replica->leader = replica->options.vm;
+  replica->transfer_to = nobody;
+  br_tickets_clear (&replica->tickets);
+  br_progresses_clear (&replica->progresses);
+  leader_add_voters (replica);
+  br_replica_set_role (replica, BR_ROLE_LEADER);
+  br_replica_lead_append (replica, BR_ENTRY_NOOP, NULL, br_str_from (""));
+  replica->noop_index = br_replica_log_last_index (&replica->log);
+  br_replica_broadcast (replica);
+}
+
+static int
+index_compare (const void *a, const void *b)
+{
+  uint64_t left = *(const uint64_t *)a;
+  uint64_t right = *(const uint64_t *)b;
+
+  return (left < right) - (left > right);
+}
+
+/* The highest index that a majority of the voters has on disk. */
+static uint64_t
+leader_majority_index (const br_replica_t *replica)
+{
+  const br_config_t *config = br_replica_config (replica);
+  uint64_t matched[BR_VOTERS_MAX + 1] = { 0 };
+  size_t n = 0;
+
+  if (br_replica_is_voter (replica))
+    matched[n++] = replica->persisted;
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    if (leader_is_voter (replica, &replica->progresses.items[i]))
+      matched[n++] = replica->progresses.items[i].match;
+  assert (n <= BR_VOTERS_MAX);
+  qsort (matched, n, sizeof matched[0], index_compare);
+  return matched[br_config_majority (config) - 1];
+}
+
+void
+br_replica_advance_commit (br_replica_t *replica)
+{
+  uint64_t index = leader_majority_index (replica);
+
+  /* Entries of earlier terms are committed only together with a later one
+   * of this term. */
+  if (index <= replica->commit
+      || br_replica_log_term (&replica->log, index) != replica->hard_state.term)
+    return;
+  br_replica_set_commit (replica, index);
+  replica->has_news = true;
+  if (!br_replica_is_voter (replica)
+      && br_replica_log_config_index (&replica->log) <= index)
+    {
+      br_replica_broadcast (replica);
+      br_replica_become_follower (replica, replica->hard_state.term, NULL);
+    }
+}
+
+/* Notes what every answer to the leader tells. */
+static br_progress_t *
+leader_hear (br_replica_t *replica,
+             const br_replica_message_t *message,
+             uint64_t round,
+             br_ms_t sent_ms)
+{
+  br_progress_t *progress;
+
+  if (replica->role != BR_ROLE_LEADER
+      || message->term != replica->hard_state.term || round > replica->round
+      || sent_ms > replica->now)
+    return NULL;
+  progress = br_replica_progress (replica, &message->vm, message->disk);
+  if (progress == NULL)
+    return NULL;
+  progress->round = BR_MAX (progress->round, round);
+  progress->heard_ms = BR_MAX (progress->heard_ms, sent_ms);
+  br_replica_confirm_reads (replica);
+  return progress;
+}
+
+static void
+leader_continue_transfer (br_replica_t *replica, const br_progress_t *progress)
+{
+  br_replica_message_t go = { .kind = BR_REPLICA_TIMEOUT_NOW };
+
+  if (!br_name_equal (&progress->vm, &replica->transfer_to)
+      || progress->match < br_replica_log_last_index (&replica->log))
+    return;
+  go.term = replica->hard_state.term;
+  go.to_disk = progress->disk;
+  br_replica_send (replica, &progress->vm, go, replica->hard_change);
+}
+
+void
+br_replica_on_append_answer (br_replica_t *replica,
+                             const br_replica_message_t *message)
+{
+  const br_append_answer_t *answer = &message->append_answer;
+  uint64_t last = br_replica_log_last_index (&replica->log);
+  br_progress_t *progress
+      = leader_hear (replica, message, answer->round, answer->sent_ms);
+
+  if (progress == NULL || answer->index > last + 1)
+    return;
+  if (!answer->ok)
+    {
+      /* Answers to what was sent before the last step back say nothing
+       * new. */
+      if (answer->round < progress->reset_round
+          || answer->index >= progress->next)
+        return;
+      progress->next = BR_MAX (progress->match + 1, answer->index);
+      progress->reset_round = replica->round + 1;
+      br_replica_replicate (replica, progress, true);
+      return;
+    }
+  if (answer->index > last)
+    return;
+  if (progress->snapshot_index > 0 && answer->index >= progress->snapshot_index)
+    progress->snapshot_index = 0;
+  if (answer->index > progress->match)
+    {
+      progress->match = answer->index;
+      progress->next = BR_MAX (progress->next, progress->match + 1);
+      if (leader_is_voter (replica, progress))
+        br_replica_advance_commit (replica);
+    }
+  if (replica->role != BR_ROLE_LEADER)
+    return;
+  leader_continue_transfer (replica, progress);
+  br_replica_replicate (replica, progress, false);
+}
+
+void
+br_replica_on_snapshot_answer (br_replica_t *replica,
+                               const br_replica_message_t *message)
+{
+  const br_snapshot_answer_t *answer = &message->snapshot_answer;
+  br_progress_t *progress
+      = leader_hear (replica, message, answer->round, answer->sent_ms);
+
+  if (progress == NULL || progress->snapshot_index != answer->last_index)
+    return;
+  progress->snapshot_offset = answer->offset;
+  progress->snapshot_sent_ms = 0;
+  br_replica_replicate (replica, progress, false);
+}
+
+void
+br_replica_tick_leader (br_replica_t *replica)
+{
+  static const br_name_t nobody;
+
+  if (replica->transfer_to.len > 0
+      && replica->now >= replica->transfer_until_ms)
+    replica->transfer_to = nobody;
+  if (replica->now >= replica->heartbeat_at_ms)
+    br_replica_broadcast (replica);
+  br_replica_tick_membership (replica);
+}
+
+/* The live voter that has most of the log. */
+static const br_progress_t *
+leader_successor (const br_replica_t *replica)
+{
+  const br_progress_t *best = NULL;
+  br_ms_t since = replica->now - replica->options.election_min_ms;
+
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    {
+      const br_progress_t *progress = &replica->progresses.items[i];
+
+      if (leader_is_voter (replica, progress) && progress->heard_ms > since
+          && (best == NULL || progress->match > best->match))
+        best = progress;
+    }
+  return best;
+}
+
+bool
+br_replica_transfer (br_replica_t *replica, br_ms_t now)
+{
+  const br_progress_t *successor;
+
+  replica->now = BR_MAX (replica->now, now);
+  if (replica->role != BR_ROLE_LEADER)
+    return false;
+  successor = leader_successor (replica);
+  if (successor == NULL)
+    return false;
+  replica->transfer_to = successor->vm;
+  replica->transfer_until_ms = replica->now + replica->options.election_max_ms;
+  leader_continue_transfer (replica, successor);
+  return true;
+}
--- /dev/null
+++ b/src/replica/proposal.c
@@ -0,0 +1,440 @@
+#include "replica/replica_private.h"
+
+/* Incarnations of proposers that one leader remembers. */
+#define TICKETS_MAX 4096
+
+static void
+pending_end (br_replica_t *replica, size_t i, br_replica_event_t event)
+{
+  br_pendings_t *pendings = &replica->pendings;
+  br_pending_t *pending = &pendings->items[i];
+
+  event.kind
+      = pending->is_read ? BR_REPLICA_EVENT_READ : BR_REPLICA_EVENT_PROPOSAL;
+  event.ticket = pending->ticket;
+  br_replica_event (replica, event);
+  br_buf_free (&pending->command);
+  for (pendings->len--; i < pendings->len; i++)
+    pendings->items[i] = pendings->items[i + 1];
+}
+
+static bool
+pending_find (const br_replica_t *replica, uint64_t ticket, size_t *i)
+{
+  for (*i = 0; *i < replica->pendings.len; (*i)++)
+    if (replica->pendings.items[*i].ticket == ticket)
+      return true;
+  return false;
+}
+
+static br_proposer_t
+pending_proposer (const br_replica_t *replica, const br_pending_t *pending)
+{
+  return (br_proposer_t){ replica->options.vm, replica->options.incarnation,
+                          pending->ticket };
+}
+
+static void
+pending_add (br_replica_t *replica, br_ms_t now, br_pending_t pending)
+{
+  replica->now = BR_MAX (replica->now, now);
+  pending.since_ms = replica->now;
+  br_pendings_push (&replica->pendings, pending);
+  if (replica->role == BR_ROLE_LEADER && !br_replica_has_quorum (replica))
+    br_replica_become_follower (replica, replica->hard_state.term, NULL);
+  br_replica_send_pending (replica);
+}
+
+void
+br_replica_propose (br_replica_t *replica,
+                    br_ms_t now,
+                    uint64_t ticket,
+                    br_str_t command)
+{
+  br_pending_t pending = { .ticket = ticket };
+
+  br_buf_append (&pending.command, command);
+  pending_add (replica, now, pending);
+}
+
+void
+br_replica_read (br_replica_t *replica, br_ms_t now, uint64_t ticket)
+{
+  pending_add (replica, now,
+               (br_pending_t){ .ticket = ticket, .is_read = true });
+}
+
+/* Registers a read that waits for a quorum to confirm the leader. */
+static void
+read_register (br_replica_t *replica, const br_name_t *vm, br_read_t asked)
+{
+  br_quorum_read_t read = {
+    .vm = *vm,
+    .ticket = asked.ticket,
+    .incarnation = asked.incarnation,
+    .index = BR_MAX (replica->commit, replica->noop_index),
+    .round = replica->round + 1,
+  };
+
+  br_quorum_reads_push (&replica->quorum_reads, read);
+  replica->has_news = true;
+  br_replica_confirm_reads (replica);
+}
+
+/* Gives a proposal to this VM's own log; false when it was refused. */
+static bool
+pending_lead (br_replica_t *replica, br_pending_t *pending)
+{
+  br_proposer_t proposer = pending_proposer (replica, pending);
+
+  if (pending->is_read)
+    {
+      read_register (
+          replica, &replica->options.vm,
+          (br_read_t){ pending->ticket, replica->options.incarnation });
+      return true;
+    }
+  return br_replica_lead_append (replica, BR_ENTRY_COMMAND, &proposer,
+                                 br_buf_str (&pending->command));
+}
+
+static void
+pending_send (br_replica_t *replica, br_pending_t *pending)
+{
+  br_replica_message_t message = { .kind = BR_REPLICA_PROPOSE };
+
+  message.term = replica->hard_state.term;
+  if (pending->is_read)
+    {
+      message.kind = BR_REPLICA_READ;
+      message.read
+          = (br_read_t){ pending->ticket, replica->options.incarnation };
+    }
+  else
+    {
+      message.propose.proposer = pending_proposer (replica, pending);
+      br_buf_append (&message.propose.data, br_buf_str (&pending->command));
+    }
+  br_replica_send (replica, &replica->leader, message, 0);
+}
+
+/* Whether it must go to the leader: for the first time, or once more after
+ * the leader of an earlier term did not take it. */
+static bool
+pending_is_due (const br_replica_t *replica, const br_pending_t *pending)
+{
+  if (pending->term == replica->hard_state.term)
+    return false;
+  return pending->state == BR_PENDING_WAITING
+         || (pending->is_read && pending->index == 0);
+}
+
+/* The leader surely did not take it.  Without room it ends here, otherwise it
+ * waits for the next leader. */
+static void
+pending_refuse (br_replica_t *replica, size_t i, bool no_room)
+{
+  if (no_room)
+    pending_end (
+        replica, i,
+        (br_replica_event_t){ .outcome = BR_OUTCOME_REFUSED, .no_room = true });
+  else
+    replica->pendings.items[i].state = BR_PENDING_WAITING;
+}
+
+void
+br_replica_send_pending (br_replica_t *replica)
+{
+  size_t i = 0;
+
+  while (replica->leader.len > 0 && i < replica->pendings.len)
+    {
+      br_pending_t *pending = &replica->pendings.items[i];
+      uint64_t ticket = pending->ticket;
+      bool refused = false;
+
+      if (pending_is_due (replica, pending))
+        {
+          pending->state = BR_PENDING_SENT;
+          pending->term = replica->hard_state.term;
+          if (replica->role == BR_ROLE_LEADER)
+            refused = !pending_lead (replica, pending);
+          else
+            pending_send (replica, pending);
+        }
+      if (refused)
+        pending_refuse (replica, i, !replica->has_room);
+      else if (i < replica->pendings.len
+               && replica->pendings.items[i].ticket == ticket)
+        i++;
+    }
+}
+
+void
+br_replica_unsent (br_replica_t *replica, const br_replica_message_t *message)
+{
+  bool is_read = message->kind == BR_REPLICA_READ;
+  br_pending_t *pending;
+  size_t i;
+
+  if (!is_read && message->kind != BR_REPLICA_PROPOSE)
+    return;
+  if (!pending_find (replica,
+                     is_read ? message->read.ticket
+                             : message->propose.proposer.ticket,
+                     &i))
+    return;
+  pending = &replica->pendings.items[i];
+  if (pending->state != BR_PENDING_SENT || pending->term != message->term)
+    return;
+  pending->state = BR_PENDING_WAITING;
+  pending->term = 0;
+}
+
+void
+br_replica_tick_proposals (br_replica_t *replica)
+{
+  const br_replica_options_t *options = &replica->options;
+
+  br_replica_send_pending (replica);
+  for (size_t i = 0; i < replica->pendings.len;)
+    {
+      const br_pending_t *pending = &replica->pendings.items[i];
+      br_ms_t age = replica->now - pending->since_ms;
+      bool waits = pending->state == BR_PENDING_WAITING;
+      br_replica_event_t event = { .outcome = BR_OUTCOME_REFUSED };
+
+      if (!waits && !pending->is_read)
+        event.outcome = BR_OUTCOME_UNKNOWN;
+      if (age >= (waits ? options->proposal_wait_ms : options->proposal_max_ms))
+        pending_end (replica, i, event);
+      else
+        i++;
+    }
+}
+
+/* An entry of a later term is committed: what was sent to the leader of an
+ * earlier term and is not in the log before it never will be. */
+static void
+pending_refuse_before (br_replica_t *replica, uint64_t term)
+{
+  for (size_t i = 0; i < replica->pendings.len;)
+    {
+      const br_pending_t *pending = &replica->pendings.items[i];
+
+      if (!pending->is_read && pending->state == BR_PENDING_SENT
+          && pending->term < term)
+        pending_end (replica, i,
+                     (br_replica_event_t){ .outcome = BR_OUTCOME_REFUSED });
+      else
+        i++;
+    }
+}
+
+void
+br_replica_settle_applied (br_replica_t *replica, const br_entry_t *entry)
+{
+  const br_proposer_t *proposer = &entry->proposer;
+  size_t i;
+
+  if (entry->kind == BR_ENTRY_COMMAND
+      && proposer->incarnation == replica->options.incarnation
+      && br_name_equal (&proposer->vm, &replica->options.vm)
+      && pending_find (replica, proposer->ticket, &i))
+    pending_end (replica, i,
+                 (br_replica_event_t){ .outcome = BR_OUTCOME_COMMITTED,
+                                       .index = entry->index });
+  pending_refuse_before (replica, entry->term);
+}
+
+void
+br_replica_settle_snapshot (br_replica_t *replica)
+{
+  for (size_t i = 0; i < replica->pendings.len;)
+    {
+      const br_pending_t *pending = &replica->pendings.items[i];
+
+      if (!pending->is_read && pending->state == BR_PENDING_SENT)
+        pending_end (replica, i,
+                     (br_replica_event_t){ .outcome = BR_OUTCOME_UNKNOWN });
+      else
+        i++;
+    }
+  br_replica_settle_reads (replica);
+}
+
+void
+br_replica_settle_reads (br_replica_t *replica)
+{
+  for (size_t i = 0; i < replica->pendings.len;)
+    {
+      const br_pending_t *pending = &replica->pendings.items[i];
+
+      if (pending->is_read && pending->index > 0
+          && pending->index <= replica->applied)
+        pending_end (replica, i,
+                     (br_replica_event_t){ .outcome = BR_OUTCOME_COMMITTED,
+                                           .index = replica->applied });
+      else
+        i++;
+    }
+}
+
+static void
+read_found (br_replica_t *replica, uint64_t ticket, uint64_t index)
+{
+  size_t i;
+
+  if (!pending_find (replica, ticket, &i)
+      || !replica->pendings.items[i].is_read)
+    return;
+  replica->pendings.items[i].index = index;
+  br_replica_settle_reads (replica);
+}
+
+static void
+read_answer (br_replica_t *replica, const br_quorum_read_t *read)
+{
+  br_replica_message_t answer = { .kind = BR_REPLICA_READ_ANSWER };
+
+  answer.term = replica->hard_state.term;
+  answer.read_answer
+      = (br_read_answer_t){ read->ticket, read->incarnation, read->index };
+  br_replica_send (replica, &read->vm, answer, replica->hard_change);
+}
+
+static bool
+read_is_confirmed (const br_replica_t *replica, const br_quorum_read_t *read)
+{
+  const br_config_t *config = br_replica_config (replica);
+  size_t count = br_replica_is_voter (replica);
+
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    {
+      const br_progress_t *progress = &replica->progresses.items[i];
+
+      if (progress->round >= read->round
+          && br_config_is_voter (config, &progress->vm, progress->disk))
+        count++;
+    }
+  return count >= br_config_majority (config);
+}
+
+void
+br_replica_confirm_reads (br_replica_t *replica)
+{
+  br_quorum_reads_t *reads = &replica->quorum_reads;
+
+  for (size_t i = 0; i < reads->len;)
+    {
+      br_quorum_read_t read = reads->items[i];
+
+      if (!read_is_confirmed (replica, &read))
+        {
+          i++;
+          continue;
+        }
+      reads->items[i] = reads->items[--reads->len];
+      if (br_name_equal (&read.vm, &replica->options.vm))
+        read_found (replica, read.ticket, read.index);
+      else
+        read_answer (replica, &read);
+    }
+}
+
+void
+br_replica_drop_reads (br_replica_t *replica)
+{
+  br_quorum_reads_t *reads = &replica->quorum_reads;
+  size_t at;
+
+  for (size_t i = 0; i < reads->len; i++)
+    if (br_name_equal (&reads->items[i].vm, &replica->options.vm)
+        && pending_find (replica, reads->items[i].ticket, &at))
+      replica->pendings.items[at].term = 0;
+  br_quorum_reads_clear (reads);
+}
+
+void
+br_replica_on_read (br_replica_t *replica, const br_replica_message_t *message)
+{
+  if (replica->role == BR_ROLE_LEADER)
+    read_register (replica, &message->vm, message->read);
+}
+
+void
+br_replica_on_read_answer (br_replica_t *replica,
+                           const br_replica_message_t *message)
+{
+  const br_read_answer_t *answer = &message->read_answer;
+
+  if (answer->incarnation == replica->options.incarnation)
+    read_found (replica, answer->ticket, answer->index);
+}
+
+/* Whether a copy of the proposal has been here before; notes that it has
+ * been here now. */
+static bool
+ticket_is_seen (br_replica_t *replica, const br_proposer_t *proposer)
+{
+  br_tickets_t *tickets = &replica->tickets;
+  br_ticket_t fresh = { proposer->vm, proposer->incarnation, proposer->ticket };
+
+  for (size_t i = 0; i < tickets->len; i++)
+    {
+      br_ticket_t *ticket = &tickets->items[i];
+
+      if (ticket->incarnation != proposer->incarnation
+          || !br_name_equal (&ticket->vm, &proposer->vm))
+        continue;
+      if (proposer->ticket <= ticket->ticket)
+        return true;
+      ticket->ticket = proposer->ticket;
+      return false;
+    }
+  if (tickets->len == TICKETS_MAX)
+    return true;
+  br_tickets_push (tickets, fresh);
+  return false;
+}
+
+void
+br_replica_on_propose (br_replica_t *replica,
+                       const br_replica_message_t *message)
+{
+  const br_propose_t *propose = &message->propose;
+  br_replica_message_t answer = { .kind = BR_REPLICA_PROPOSE_ANSWER };
+
+  /* Only the leader of that very term can tell what becomes of it. */
+  if (replica->role != BR_ROLE_LEADER
+      || message->term != replica->hard_state.term
+      || !br_name_equal (&message->vm, &propose->proposer.vm)
+      || ticket_is_seen (replica, &propose->proposer))
+    return;
+  answer.term = message->term;
+  answer.propose_answer = (br_propose_answer_t){
+    .ticket = propose->proposer.ticket,
+    .incarnation = propose->proposer.incarnation,
+    .accepted
+    = br_replica_lead_append (replica, BR_ENTRY_COMMAND, &propose->proposer,
+                              br_buf_str (&propose->data)),
+    .no_room = !replica->has_room,
+    .index = br_replica_log_last_index (&replica->log),
+  };
+  answer.to_disk = message->disk;
+  br_replica_send (replica, &message->vm, answer, replica->hard_change);
+}
+
+void
+br_replica_on_propose_answer (br_replica_t *replica,
+                              const br_replica_message_t *message)
+{
+  const br_propose_answer_t *answer = &message->propose_answer;
+  size_t i;
+
+  if (answer->accepted || answer->incarnation != replica->options.incarnation
+      || !pending_find (replica, answer->ticket, &i)
+      || replica->pendings.items[i].term != message->term)
+    return;
+  pending_refuse (replica, i, answer->no_room);
+}
--- /dev/null
+++ b/src/replica/replica.c
@@ -0,0 +1,494 @@
+#include "replica/replica_private.h"
+
+void
+br_replica_send (br_replica_t *replica,
+                 const br_name_t *to,
+                 br_replica_message_t message,
+                 uint64_t after)
+{
+  message.vm = *to;
+  message.disk = replica->options.disk;
+  message.after = after;
+  br_replica_messages_push (&replica->outbox, message);
+}
+
+void
+br_replica_event (br_replica_t *replica, br_replica_event_t event)
+{
+  br_replica_events_push (&replica->events, event);
+}
+
+const br_config_t *
+br_replica_config (const br_replica_t *replica)
+{
+  return br_replica_log_config (&replica->log);
+}
+
+bool
+br_replica_is_voter (const br_replica_t *replica)
+{
+  return br_config_is_voter (br_replica_config (replica), &replica->options.vm,
+                             replica->options.disk);
+}
+
+void
+br_replica_set_role (br_replica_t *replica, br_replica_role_t role)
+{
+  if (replica->role == role)
+    return;
+  replica->role = role;
+  br_replica_event (replica,
+                    (br_replica_event_t){ .kind = BR_REPLICA_EVENT_ROLE });
+}
+
+void
+br_replica_set_hard_state (br_replica_t *replica,
+                           uint64_t term,
+                           const br_name_t *vote)
+{
+  br_hard_state_t *state = &replica->hard_state;
+
+  assert (term >= state->term);
+  if (term == state->term && br_name_equal (&state->vote, vote))
+    return;
+  state->term = term;
+  state->vote = *vote;
+  replica->write_hard_state = true;
+  replica->hard_change = ++replica->change;
+}
+
+void
+br_replica_reset_election (br_replica_t *replica)
+{
+  const br_replica_options_t *options = &replica->options;
+  br_ms_t spread = options->election_max_ms - options->election_min_ms;
+
+  replica->election_at_ms = replica->now + options->election_min_ms;
+  if (spread > 0)
+    replica->election_at_ms
+        += (br_ms_t)br_random_below (&replica->random, (uint64_t)spread);
+}
+
+void
+br_replica_become_follower (br_replica_t *replica,
+                            uint64_t term,
+                            const br_name_t *leader)
+{
+  static const br_name_t nobody;
+
+  if (replica->role == BR_ROLE_LEADER)
+    br_replica_drop_reads (replica);
+  if (term > replica->hard_state.term)
+    br_replica_set_hard_state (replica, term, &nobody);
+  replica->leader = leader != NULL ? *leader : nobody;
+  replica->in_transfer_election = false;
+  br_replica_set_role (replica, br_replica_is_voter (replica)
+                                    ? BR_ROLE_FOLLOWER
+                                    : BR_ROLE_LEARNER);
+  br_replica_reset_election (replica);
+}
+
+br_progress_t *
+br_replica_progress (br_replica_t *replica, const br_name_t *vm, uint64_t disk)
+{
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    {
+      br_progress_t *progress = &replica->progresses.items[i];
+
+      if (progress->disk == disk && br_name_equal (&progress->vm, vm))
+        return progress;
+    }
+  return NULL;
+}
+
+br_progress_t *
+br_replica_add_progress (br_replica_t *replica,
+                         const br_name_t *vm,
+                         uint64_t disk)
+{
+  br_progress_t *progress = br_replica_progress (replica, vm, disk);
+  br_progress_t fresh = {
+    .vm = *vm,
+    .disk = disk,
+    .next = br_replica_log_last_index (&replica->log) + 1,
+    .joined_ms = replica->now,
+  };
+
+  if (progress != NULL)
+    return progress;
+  return br_progresses_push (&replica->progresses, fresh);
+}
+
+void
+br_replica_append_entry (br_replica_t *replica, br_entry_t entry)
+{
+  br_entry_kind_t kind = entry.kind;
+
+  br_replica_log_append (&replica->log, entry);
+  replica->change++;
+  if (kind == BR_ENTRY_CONFIG)
+    br_replica_event (replica,
+                      (br_replica_event_t){ .kind = BR_REPLICA_EVENT_CONFIG,
+                                            .index = entry.index });
+}
+
+void
+br_replica_truncate (br_replica_t *replica, uint64_t index)
+{
+  assert (index > replica->commit);
+  br_replica_log_truncate (&replica->log, index);
+  replica->written = BR_MIN (replica->written, index - 1);
+  replica->writing = BR_MIN (replica->writing, index - 1);
+  replica->persisted = BR_MIN (replica->persisted, index - 1);
+  replica->change++;
+}
+
+void
+br_replica_set_commit (br_replica_t *replica, uint64_t commit)
+{
+  assert (commit <= br_replica_log_last_index (&replica->log));
+  replica->commit = BR_MAX (replica->commit, commit);
+}
+
+static void
+replica_load (br_replica_t *replica, br_replica_saved_t *saved)
+{
+  replica->hard_state = saved->hard_state;
+  if (saved->snapshot.index > 0)
+    br_replica_log_reset (&replica->log, saved->snapshot.index,
+                          saved->snapshot.term, &saved->snapshot.config);
+  replica->snapshot = saved->snapshot;
+  for (size_t i = 0; i < saved->entries.len; i++)
+    br_replica_log_append (&replica->log, saved->entries.items[i]);
+  br_entries_free (&saved->entries);
+  *saved = (br_replica_saved_t){ 0 };
+  replica->commit = replica->applied = replica->snapshot.index;
+  replica->written = br_replica_log_last_index (&replica->log);
+  replica->writing = replica->persisted = replica->written;
+}
+
+/* The first configuration of a VM that has no peers. */
+static void
+replica_found_alone (br_replica_t *replica)
+{
+  br_config_t config = { 0 };
+  br_entry_t entry = { .index = 1, .term = 1, .kind = BR_ENTRY_CONFIG };
+
+  br_config_put (&config, (br_member_t){ replica->options.vm,
+                                         replica->options.disk, true });
+  br_config_print (&config, &entry.data);
+  br_config_release (&config);
+  br_replica_set_hard_state (replica, 1, &replica->options.vm);
+  br_replica_append_entry (replica, entry);
+}
+
+br_replica_t *
+br_replica_new (const br_replica_options_t *options,
+                br_replica_saved_t *saved,
+                br_ms_t now)
+{
+  br_replica_t *replica = br_alloc_zero (sizeof *replica);
+
+  replica->options = *options;
+  replica->options.peers = (br_replica_peers_t){ 0 };
+  for (size_t i = 0; i < options->peers.len; i++)
+    br_replica_peers_push (&replica->options.peers, options->peers.items[i]);
+  br_random_seed (&replica->random, options->seed);
+  replica->now = now;
+  replica->has_room = true;
+  /* A vote may have gone out just before the restart. */
+  replica->heard_leader_ms = now;
+  if (saved != NULL)
+    replica_load (replica, saved);
+  if (options->peers.len == 0 && br_replica_log_last_index (&replica->log) == 0)
+    replica_found_alone (replica);
+  br_replica_become_follower (replica, replica->hard_state.term, NULL);
+  if (br_replica_is_voter (replica)
+      && br_config_voters (br_replica_config (replica)) == 1)
+    br_replica_campaign (replica, false, false);
+  return replica;
+}
+
+void
+br_replica_free (br_replica_t *replica)
+{
+  if (replica == NULL)
+    return;
+  for (size_t i = replica->outbox_head; i < replica->outbox.len; i++)
+    br_replica_message_release (&replica->outbox.items[i]);
+  br_replica_messages_free (&replica->outbox);
+  for (size_t i = 0; i < replica->pendings.len; i++)
+    br_buf_free (&replica->pendings.items[i].command);
+  br_pendings_free (&replica->pendings);
+  br_replica_events_free (&replica->events);
+  br_replica_peers_free (&replica->options.peers);
+  br_replica_log_release (&replica->log);
+  br_replica_snapshot_release (&replica->snapshot);
+  br_replica_snapshot_release (&replica->incoming);
+  br_progresses_free (&replica->progresses);
+  br_quorum_reads_free (&replica->quorum_reads);
+  br_tickets_free (&replica->tickets);
+  br_members_free (&replica->empty_voters);
+  free (replica);
+}
+
+/* Whether a message of a higher term leaves the term here as it is. */
+static bool
+message_keeps_term (const br_replica_message_t *message)
+{
+  switch (message->kind)
+    {
+    case BR_REPLICA_VOTE_REQUEST:
+      return true; /* judged by br_replica_on_vote_request() */
+    case BR_REPLICA_VOTE_ANSWER:
+      return message->vote_answer.pre_vote && message->vote_answer.granted;
+    case BR_REPLICA_APPEND_ANSWER:
+    case BR_REPLICA_SNAPSHOT_ANSWER:
+    case BR_REPLICA_APPEND:
+    case BR_REPLICA_SNAPSHOT:
+      return false;
+    default:
+      return true;
+    }
+}
+
+static void
+replica_dispatch (br_replica_t *replica, br_replica_message_t *message)
+{
+  switch (message->kind)
+    {
+    case BR_REPLICA_VOTE_REQUEST:
+      br_replica_on_vote_request (replica, message);
+      break;
+    case BR_REPLICA_VOTE_ANSWER:
+      br_replica_on_vote_answer (replica, message);
+      break;
+    case BR_REPLICA_APPEND:
+      br_replica_on_append (replica, message);
+      break;
+    case BR_REPLICA_APPEND_ANSWER:
+      br_replica_on_append_answer (replica, message);
+      break;
+    case BR_REPLICA_SNAPSHOT:
+      br_replica_on_snapshot (replica, message);
+      break;
+    case BR_REPLICA_SNAPSHOT_ANSWER:
+      br_replica_on_snapshot_answer (replica, message);
+      break;
+    case BR_REPLICA_TIMEOUT_NOW:
+      br_replica_on_timeout_now (replica, message);
+      break;
+    case BR_REPLICA_JOIN:
+      br_replica_on_join (replica, message);
+      break;
+    case BR_REPLICA_BOOTSTRAP:
+      br_replica_on_bootstrap (replica, message);
+      break;
+    case BR_REPLICA_BOOTSTRAP_ANSWER:
+      br_replica_on_bootstrap_answer (replica, message);
+      break;
+    case BR_REPLICA_READ:
+      br_replica_on_read (replica, message);
+      break;
+    case BR_REPLICA_READ_ANSWER:
+      br_replica_on_read_answer (replica, message);
+      break;
+    case BR_REPLICA_PROPOSE:
+      br_replica_on_propose (replica, message);
+      break;
+    case BR_REPLICA_PROPOSE_ANSWER:
+      br_replica_on_propose_answer (replica, message);
+      break;
+    case BR_REPLICA_MESSAGE_COUNT:
+      break;
+    }
+}
+
+/* A leader that was frozen finds here that its time has run out, before it
+ * does anything. */
+static void
+replica_set_time (br_replica_t *replica, br_ms_t now)
+{
+  replica->now = BR_MAX (replica->now, now);
+  if (replica->role == BR_ROLE_LEADER && !br_replica_has_quorum (replica))
+    br_replica_become_follower (replica, replica->hard_state.term, NULL);
+}
+
+void
+br_replica_step (br_replica_t *replica,
+                 br_ms_t now,
+                 br_replica_message_t message)
+{
+  replica_set_time (replica, now);
+  if (message.to_disk != 0 && message.to_disk != replica->options.disk)
+    {
+      br_replica_message_release (&message);
+      return;
+    }
+  if (message.term > replica->hard_state.term && !message_keeps_term (&message))
+    br_replica_become_follower (replica, message.term, NULL);
+  replica_dispatch (replica, &message);
+  br_replica_message_release (&message);
+  br_replica_send_pending (replica);
+}
+
+void
+br_replica_tick (br_replica_t *replica, br_ms_t now)
+{
+  replica_set_time (replica, now);
+  if (replica->role == BR_ROLE_LEADER)
+    br_replica_tick_leader (replica);
+  else if (replica->now >= replica->election_at_ms)
+    {
+      if (br_replica_is_voter (replica))
+        br_replica_campaign (replica, true, false);
+      else
+        br_replica_become_follower (replica, replica->hard_state.term, NULL);
+    }
+  br_replica_tick_join (replica);
+  br_replica_tick_proposals (replica);
+}
+
+br_ms_t
+br_replica_deadline (const br_replica_t *replica)
+{
+  br_ms_t at = replica->role == BR_ROLE_LEADER ? replica->heartbeat_at_ms
+                                               : replica->election_at_ms;
+
+  if (replica->leader.len == 0)
+    at = BR_MIN (at, replica->join_at_ms);
+  for (size_t i = 0; i < replica->pendings.len; i++)
+    {
+      const br_pending_t *pending = &replica->pendings.items[i];
+      br_ms_t wait = pending->state == BR_PENDING_WAITING
+                         ? replica->options.proposal_wait_ms
+                         : replica->options.proposal_max_ms;
+
+      at = BR_MIN (at, pending->since_ms + wait);
+    }
+  return at;
+}
+
+void
+br_replica_flush (br_replica_t *replica)
+{
+  if (replica->role == BR_ROLE_LEADER && replica->has_news)
+    br_replica_broadcast (replica);
+  if (replica->role == BR_ROLE_LEADER)
+    br_replica_confirm_reads (replica);
+}
+
+void
+br_replica_set_room (br_replica_t *replica, bool has_room)
+{
+  replica->has_room = has_room;
+}
+
+bool
+br_replica_take_writes (br_replica_t *replica, br_replica_writes_t *writes)
+{
+  uint64_t last = br_replica_log_last_index (&replica->log);
+  bool whole = replica->write_snapshot;
+
+  if (replica->change == replica->persisted_change)
+    return false;
+  *writes = (br_replica_writes_t){
+    .change = replica->change,
+    .has_hard_state = replica->write_hard_state || whole,
+    .hard_state = replica->hard_state,
+    .first = whole ? replica->log.base_index + 1 : replica->written + 1,
+    .last = last,
+    .snapshot = whole ? &replica->snapshot : NULL,
+  };
+  replica->write_hard_state = false;
+  replica->write_snapshot = false;
+  replica->written = replica->writing = last;
+  return true;
+}
+
+void
+br_replica_persisted (br_replica_t *replica, br_ms_t now, uint64_t change)
+{
+  assert (change <= replica->change);
+  replica->persisted_change = change;
+  replica->persisted = replica->writing;
+  replica_set_time (replica, now);
+  if (replica->role == BR_ROLE_LEADER)
+    br_replica_advance_commit (replica);
+}
+
+/* Messages leave in order; one that waits for the disk lets later ones that
+ * do not wait pass. */
+bool
+br_replica_take_message (br_replica_t *replica, br_replica_message_t *message)
+{
+  br_replica_messages_t *outbox = &replica->outbox;
+
+  for (size_t i = replica->outbox_head; i < outbox->len; i++)
+    {
+      if (outbox->items[i].after > replica->persisted_change)
+        continue;
+      *message = outbox->items[i];
+      for (size_t j = i; j > replica->outbox_head; j--)
+        outbox->items[j] = outbox->items[j - 1];
+      replica->outbox_head++;
+      return true;
+    }
+  if (replica->outbox_head == outbox->len)
+    {
+      br_replica_messages_clear (outbox);
+      replica->outbox_head = 0;
+    }
+  return false;
+}
+
+const br_entry_t *
+br_replica_next_committed (const br_replica_t *replica)
+{
+  if (replica->applied >= replica->commit)
+    return NULL;
+  return br_replica_log_entry (&replica->log, replica->applied + 1);
+}
+
+void
+br_replica_applied (br_replica_t *replica, br_ms_t now)
+{
+  const br_entry_t *entry = br_replica_next_committed (replica);
+
+  assert (entry != NULL);
+  replica->now = BR_MAX (replica->now, now);
+  replica->applied++;
+  br_replica_settle_applied (replica, entry);
+  br_replica_settle_reads (replica);
+}
+
+void
+br_replica_compact (br_replica_t *replica, br_str_t state)
+{
+  br_replica_snapshot_t *snapshot = &replica->snapshot;
+
+  if (replica->applied == snapshot->index)
+    return;
+  br_config_copy (&snapshot->config,
+                  br_replica_log_config_at (&replica->log, replica->applied));
+  snapshot->index = replica->applied;
+  snapshot->term = br_replica_log_term (&replica->log, replica->applied);
+  br_buf_clear (&snapshot->state);
+  br_buf_append (&snapshot->state, state);
+  br_replica_log_compact (&replica->log, replica->applied);
+  replica->write_snapshot = true;
+  replica->change++;
+}
+
+bool
+br_replica_take_event (br_replica_t *replica, br_replica_event_t *event)
+{
+  if (replica->events_head == replica->events.len)
+    {
+      br_replica_events_clear (&replica->events);
+      replica->events_head = 0;
+      return false;
+    }
+  *event = replica->events.items[replica->events_head++];
+  return true;
+}
--- /dev/null
+++ b/src/replica/replica_private.h
@@ -0,0 +1,221 @@
+/* Inside of a replica, shared by the files of this folder and by the model
+ * checker. */
+#ifndef BR_REPLICA_PRIVATE_H
+#define BR_REPLICA_PRIVATE_H
+
+#include "replica/replica.h"
+
+BR_BEGIN_DECLS
+
+/* What the leader knows of one follower, or a candidate of one voter. */
+typedef struct
+{
+  br_name_t vm;
+  uint64_t disk;
+  bool wants_vote;
+  bool granted; /* its vote */
+  uint64_t next;
+  uint64_t match;
+  uint64_t round;   /* newest one it answered */
+  br_ms_t heard_ms; /* when the newest message that it answered was sent */
+  br_ms_t joined_ms;
+  uint64_t reset_round;    /* NEXT was last set back before this round */
+  uint64_t snapshot_index; /* of the snapshot on its way; 0 for none */
+  uint64_t snapshot_offset;
+  br_ms_t snapshot_sent_ms;
+} br_progress_t;
+
+BR_VEC (br_progresses, br_progress_t);
+
+typedef enum
+{
+  BR_PENDING_WAITING, /* for a leader; nothing was sent */
+  BR_PENDING_SENT,
+} br_pending_state_t;
+
+/* A proposal or read of this VM without an outcome. */
+typedef struct
+{
+  uint64_t ticket;
+  bool is_read;
+  br_pending_state_t state;
+  uint64_t term;  /* of the leader it was sent to */
+  uint64_t index; /* of a read: apply up to here, 0 while unknown */
+  br_ms_t since_ms;
+  br_buf_t command; /* owned, while it waits */
+} br_pending_t;
+
+BR_VEC (br_pendings, br_pending_t);
+
+/* A read on the leader that waits for a quorum to answer ROUND. */
+typedef struct
+{
+  br_name_t vm; /* who asked */
+  uint64_t ticket;
+  uint64_t incarnation; /* of who asked */
+  uint64_t index;
+  uint64_t round;
+} br_quorum_read_t;
+
+BR_VEC (br_quorum_reads, br_quorum_read_t);
+
+/* The highest ticket of one incarnation that came to this leader. */
+typedef struct
+{
+  br_name_t vm;
+  uint64_t incarnation;
+  uint64_t ticket;
+} br_ticket_t;
+
+BR_VEC (br_tickets, br_ticket_t);
+BR_VEC (br_replica_events, br_replica_event_t);
+
+struct br_replica
+{
+  br_replica_options_t options; /* owns its peers */
+  br_random_t random;
+  br_ms_t now;
+
+  /* On disk. */
+  br_hard_state_t hard_state;
+  br_replica_log_t log;
+  br_replica_snapshot_t snapshot;
+
+  /* Progress of writing. */
+  uint64_t change;      /* counts every change to what is on disk */
+  uint64_t hard_change; /* the last one of the hard state */
+  uint64_t persisted_change;
+  uint64_t written;   /* entries up to here were handed out */
+  uint64_t persisted; /* entries up to here are on disk */
+  uint64_t writing;   /* entries up to here are being written */
+  bool write_hard_state;
+  bool write_snapshot;
+  bool has_room;
+
+  /* Everyone. */
+  br_replica_role_t role;
+  br_name_t leader;
+  uint64_t commit;
+  uint64_t applied;
+  br_ms_t heard_leader_ms;
+  br_ms_t election_at_ms;
+  br_ms_t join_at_ms;
+  bool in_transfer_election;
+  br_replica_messages_t outbox;
+  size_t outbox_head;
+  br_replica_events_t events;
+  size_t events_head;
+  br_pendings_t pendings;
+  br_replica_snapshot_t incoming; /* its state grows by chunks */
+
+  /* Candidate and leader. */
+  br_progresses_t progresses;
+
+  /* Leader. */
+  uint64_t round;
+  br_ms_t heartbeat_at_ms;
+  uint64_t noop_index; /* of the entry that opened its term */
+  bool has_news;       /* entries, a commit or a read to tell followers of */
+  br_quorum_reads_t quorum_reads;
+  br_tickets_t tickets;
+  br_name_t transfer_to;
+  br_ms_t transfer_until_ms;
+
+  /* An empty voter before the first configuration. */
+  br_name_t founder; /* who last asked whether this disk is empty */
+  uint64_t founder_disk;
+  br_members_t empty_voters; /* that answered this founder */
+};
+
+/* replica.c */
+void br_replica_send (br_replica_t *replica,
+                      const br_name_t *to,
+                      br_replica_message_t message,
+                      uint64_t after);
+void br_replica_event (br_replica_t *replica, br_replica_event_t event);
+void br_replica_set_role (br_replica_t *replica, br_replica_role_t role);
+void br_replica_set_hard_state (br_replica_t *replica,
+                                uint64_t term,
+                                const br_name_t *vote);
+void br_replica_become_follower (br_replica_t *replica,
+                                 uint64_t term,
+                                 const br_name_t *leader);
+void br_replica_reset_election (br_replica_t *replica);
+const br_config_t *br_replica_config (const br_replica_t *replica);
+bool br_replica_is_voter (const br_replica_t *replica);
+br_progress_t *
+br_replica_progress (br_replica_t *replica, const br_name_t *vm, uint64_t disk);
+br_progress_t *br_replica_add_progress (br_replica_t *replica,
+                                        const br_name_t *vm,
+                                        uint64_t disk);
+void br_replica_append_entry (br_replica_t *replica, br_entry_t entry);
+void br_replica_truncate (br_replica_t *replica, uint64_t index);
+void br_replica_set_commit (br_replica_t *replica, uint64_t commit);
+
+/* election.c */
+void br_replica_campaign (br_replica_t *replica, bool pre_vote, bool transfer);
+void br_replica_on_vote_request (br_replica_t *replica,
+                                 const br_replica_message_t *message);
+void br_replica_on_vote_answer (br_replica_t *replica,
+                                const br_replica_message_t *message);
+void br_replica_on_timeout_now (br_replica_t *replica,
+                                const br_replica_message_t *message);
+
+/* leader.c */
+void br_replica_lead (br_replica_t *replica);
+void br_replica_tick_leader (br_replica_t *replica);
+bool br_replica_has_quorum (const br_replica_t *replica);
+void br_replica_broadcast (br_replica_t *replica);
+void br_replica_advance_commit (br_replica_t *replica);
+void br_replica_on_append_answer (br_replica_t *replica,
+                                  const br_replica_message_t *message);
+void br_replica_on_snapshot_answer (br_replica_t *replica,
+                                    const br_replica_message_t *message);
+bool br_replica_lead_append (br_replica_t *replica,
+                             br_entry_kind_t kind,
+                             const br_proposer_t *proposer,
+                             br_str_t data);
+
+/* replicate.c */
+void br_replica_replicate (br_replica_t *replica,
+                           br_progress_t *progress,
+                           bool heartbeat);
+
+/* follower.c */
+void br_replica_on_append (br_replica_t *replica,
+                           br_replica_message_t *message);
+void br_replica_on_snapshot (br_replica_t *replica,
+                             br_replica_message_t *message);
+
+/* membership.c */
+void br_replica_tick_join (br_replica_t *replica);
+bool br_replica_founder_is_stale (const br_replica_t *replica,
+                                  const br_replica_message_t *message);
+void br_replica_tick_membership (br_replica_t *replica);
+void br_replica_on_join (br_replica_t *replica,
+                         const br_replica_message_t *message);
+void br_replica_on_bootstrap (br_replica_t *replica,
+                              const br_replica_message_t *message);
+void br_replica_on_bootstrap_answer (br_replica_t *replica,
+                                     const br_replica_message_t *message);
+
+/* proposal.c */
+void br_replica_tick_proposals (br_replica_t *replica);
+void br_replica_send_pending (br_replica_t *replica);
+void br_replica_settle_applied (br_replica_t *replica, const br_entry_t *entry);
+void br_replica_settle_snapshot (br_replica_t *replica);
+void br_replica_settle_reads (br_replica_t *replica);
+void br_replica_confirm_reads (br_replica_t *replica);
+void br_replica_drop_reads (br_replica_t *replica);
+void br_replica_on_propose (br_replica_t *replica,
+                            const br_replica_message_t *message);
+void br_replica_on_propose_answer (br_replica_t *replica,
+                                   const br_replica_message_t *message);
+void br_replica_on_read (br_replica_t *replica,
+                         const br_replica_message_t *message);
+void br_replica_on_read_answer (br_replica_t *replica,
+                                const br_replica_message_t *message);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/replica_random_test.cc
@@ -0,0 +1,136 @@
+/* Random faults over many seeds: messages dropped, doubled, reordered and
+ * delayed, one-way cuts, crashes in mid write, freezes, wiped disks. */
+#include <cstdlib>
+
+#include "replica_sim.h"
+
+#define FAULT_MS 6000
+
+static uint64_t
+random_below (replica_sim &sim, uint64_t bound)
+{
+  return br_random_below (sim.random (), bound);
+}
+
+/* How many VMs are down, frozen or have just lost their disk. */
+static size_t
+impaired (replica_sim &sim, size_t voters)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < voters; i++)
+    n += !sim.vm (i).up || sim.vm (i).frozen
+         || br_replica_role (sim.vm (i).replica) == BR_ROLE_LEARNER;
+  return n;
+}
+
+/* One fault.  A disk is wiped only while all other voters are whole, as a
+ * majority of disks must survive. */
+static void
+disturb (replica_sim &sim, const sim_options &options)
+{
+  size_t i = random_below (sim, options.vms);
+  size_t j = random_below (sim, options.vms);
+  sim_vm &vm = sim.vm (i);
+
+  switch (random_below (sim, 8))
+    {
+    case 0:
+      if (vm.up)
+        sim.crash (i);
+      break;
+    case 1:
+    case 2:
+      if (!vm.up)
+        sim.start (i);
+      break;
+    case 3:
+      if (vm.up)
+        sim.freeze (i, !vm.frozen);
+      break;
+    case 4:
+      sim.cut (i, j, true);
+      break;
+    case 5:
+      sim.cut (i, j, false);
+      break;
+    case 6:
+      sim.isolate (i, random_below (sim, 2) == 0);
+      break;
+    case 7:
+      if (i < options.voters && impaired (sim, options.voters) == 0
+          && sim.find_leader () >= 0 && sim.find_leader () != (int)i)
+        {
+          sim.crash (i);
+          sim.wipe (i);
+          sim.start (i);
+        }
+      break;
+    }
+}
+
+static void
+heal (replica_sim &sim, const sim_options &options)
+{
+  for (size_t i = 0; i < options.vms; i++)
+    {
+      sim.isolate (i, false);
+      if (!sim.vm (i).up)
+        sim.start (i);
+      sim.freeze (i, false);
+    }
+}
+
+static void
+run_seed (uint64_t seed)
+{
+  SCOPED_TRACE ("seed " + std::to_string (seed));
+  sim_options options;
+
+  options.seed = seed;
+  options.voters = seed % 3 == 0 ? 5 : 3;
+  options.vms = options.voters + seed % 2;
+  options.drop = 0.05 * (double)(seed % 3);
+  options.duplicate = 0.05 * (double)(seed % 4);
+  options.delay_max = 1 + (br_ms_t)(seed % 5) * 8;
+  options.write_max = 1 + (br_ms_t)(seed % 4) * 5;
+  options.compact_after = seed % 2 ? 10 : 0;
+  replica_sim sim (options);
+  if (sim.run_to_leader () < 0)
+    {
+      ADD_FAILURE () << "no first leader";
+      return;
+    }
+  for (br_ms_t until = sim.now () + FAULT_MS;
+       sim.now () < until && !::testing::Test::HasFailure ();)
+    {
+      size_t i = random_below (sim, options.vms);
+
+      sim.run (1 + (br_ms_t)random_below (sim, 30));
+      if (sim.vm (i).up && !sim.vm (i).frozen)
+        sim.propose (i);
+      if (sim.vm (i).up && !sim.vm (i).frozen && random_below (sim, 3) == 0)
+        sim.read (i);
+      if (random_below (sim, 6) == 0)
+        disturb (sim, options);
+    }
+  heal (sim, options);
+  sim.run (4000);
+  EXPECT_GE (sim.find_leader (), 0) << "no leader after healing";
+  sim.check_outcomes ();
+  sim.check_equal ();
+}
+
+TEST (ReplicaRandom, InvariantsHoldOverManySeeds)
+{
+  const char *count = getenv ("BR_REPLICA_SEEDS");
+  const char *first = getenv ("BR_REPLICA_FIRST_SEED");
+  uint64_t from = first != nullptr ? strtoull (first, nullptr, 10) : 1;
+  uint64_t n = count != nullptr ? strtoull (count, nullptr, 10) : 60;
+  uint64_t seed = from;
+
+  while (seed < from + n && !HasFailure ())
+    run_seed (seed++);
+  printf ("seeds %llu to %llu\n", (unsigned long long)from,
+          (unsigned long long)(seed - 1));
+}
--- /dev/null
+++ b/tests/replica_test.cc
@@ -0,0 +1,195 @@
+#include "replica_sim.h"
+
+static size_t
+count (replica_sim &sim, sim_outcome outcome)
+{
+  size_t n = 0;
+
+  for (const sim_proposal &proposal : sim.proposals ())
+    n += proposal.outcome == outcome;
+  return n;
+}
+
+TEST (Replica, AloneCommitsAtOnce)
+{
+  sim_options options;
+
+  options.vms = options.voters = 1;
+  replica_sim sim (options);
+  sim.run (20);
+  sim.propose (0);
+  sim.read (0);
+  sim.run (20);
+  EXPECT_EQ (count (sim, SIM_COMMITTED), 1u);
+  EXPECT_EQ (sim.reads_done, 1u);
+}
+
+TEST (Replica, ThreeVotersElectAndCommitFromAnyVm)
+{
+  replica_sim sim (sim_options{});
+
+  ASSERT_GE (sim.run_to_leader (), 0);
+  for (size_t i = 0; i < 30; i++)
+    {
+      sim.propose (i % 3);
+      sim.read (i % 3);
+      sim.run (2);
+    }
+  sim.run (300);
+  EXPECT_EQ (count (sim, SIM_COMMITTED), 30u);
+  EXPECT_EQ (sim.reads_done, 30u);
+  sim.check_outcomes ();
+  sim.check_equal ();
+}
+
+TEST (Replica, NextLeaderAfterACrash)
+{
+  replica_sim sim (sim_options{});
+  int first = sim.run_to_leader ();
+
+  ASSERT_GE (first, 0);
+  sim.crash ((size_t)first);
+  sim.run (200);
+  int second = sim.run_to_leader ();
+  ASSERT_GE (second, 0);
+  EXPECT_NE (first, second);
+  sim.propose ((size_t)second);
+  sim.run (50);
+  EXPECT_EQ (count (sim, SIM_COMMITTED), 1u);
+}
+
+TEST (Replica, MinorityRefusesWithinASecond)
+{
+  replica_sim sim (sim_options{});
+  int leader = sim.run_to_leader ();
+
+  ASSERT_GE (leader, 0);
+  sim.isolate ((size_t)leader, true);
+  sim.run (500);
+  size_t p = sim.propose ((size_t)leader);
+  sim.run (400);
+  EXPECT_EQ (sim.proposals ()[p].outcome, SIM_REFUSED);
+  sim.isolate ((size_t)leader, false);
+  sim.run (2000);
+  sim.check_outcomes ();
+  sim.check_equal ();
+}
+
+TEST (Replica, FrozenLeaderDoesNotAnswerAfterItWakes)
+{
+  replica_sim sim (sim_options{});
+  int leader = sim.run_to_leader ();
+
+  ASSERT_GE (leader, 0);
+  sim.freeze ((size_t)leader, true);
+  sim.run (1000);
+  ASSERT_GE (sim.find_leader (), 0);
+  sim.propose ((size_t)sim.find_leader ());
+  sim.run (100);
+  sim.freeze ((size_t)leader, false);
+  sim.propose ((size_t)leader);
+  EXPECT_NE (br_replica_role (sim.vm ((size_t)leader).replica), BR_ROLE_LEADER);
+  sim.read ((size_t)leader);
+  sim.run (2000);
+  sim.check_outcomes ();
+  sim.check_equal ();
+}
+
+TEST (Replica, LearnersFollow)
+{
+  sim_options options;
+
+  options.vms = 5;
+  replica_sim sim (options);
+  ASSERT_GE (sim.run_to_leader (), 0);
+  for (int i = 0; i < 10; i++)
+    sim.propose (4);
+  sim.run (1000);
+  EXPECT_EQ (count (sim, SIM_COMMITTED), 10u);
+  EXPECT_EQ (br_replica_role (sim.vm (4).replica), BR_ROLE_LEARNER);
+  sim.check_equal ();
+}
+
+TEST (Replica, WipedVoterComesBackAsLearnerAndIsPromoted)
+{
+  sim_options options;
+
+  options.compact_after = 20;
+  replica_sim sim (options);
+  int leader = sim.run_to_leader ();
+  ASSERT_GE (leader, 0);
+  size_t lost = ((size_t)leader + 1) % 3;
+
+  for (int i = 0; i < 50; i++)
+    sim.propose ((size_t)leader);
+  sim.run (100);
+  sim.crash (lost);
+  sim.wipe (lost);
+  sim.start (lost);
+  EXPECT_EQ (br_replica_role (sim.vm (lost).replica), BR_ROLE_LEARNER);
+  sim.run (2000);
+  EXPECT_EQ (br_replica_role (sim.vm (lost).replica), BR_ROLE_FOLLOWER);
+  EXPECT_GE (sim.installs, 1u);
+  /* One change to take the vote, one to give it back. */
+  EXPECT_LT (br_replica_commit_index (sim.vm (lost).replica), 60u);
+  /* A second VM is lost right after the repair. */
+  sim.crash ((size_t)leader);
+  sim.run (200);
+  ASSERT_GE (sim.run_to_leader (), 0);
+  sim.propose ((size_t)sim.find_leader ());
+  sim.run (100);
+  EXPECT_EQ (count (sim, SIM_COMMITTED), 51u);
+  sim.check_outcomes ();
+}
+
+TEST (Replica, TransferBeforeAStop)
+{
+  replica_sim sim (sim_options{});
+  int leader = sim.run_to_leader ();
+
+  ASSERT_GE (leader, 0);
+  sim.run (100);
+  ASSERT_TRUE (
+      br_replica_transfer (sim.vm ((size_t)leader).replica, sim.now ()));
+  sim.run (20);
+  ASSERT_GE (sim.find_leader (), 0);
+  EXPECT_NE (sim.find_leader (), leader);
+}
+
+TEST (Replica, RemovedVoterStaysOutUntilItIsAllowed)
+{
+  replica_sim sim (sim_options{});
+  int leader = sim.run_to_leader ();
+
+  ASSERT_GE (leader, 0);
+  size_t other = ((size_t)leader + 1) % 3;
+  br_replica_t *replica = sim.vm ((size_t)leader).replica;
+  sim.run (100);
+  ASSERT_TRUE (
+      br_replica_remove_voter (replica, sim.now (), &sim.vm (other).name));
+  sim.run (3000);
+  EXPECT_EQ (br_replica_role (sim.vm (other).replica), BR_ROLE_LEARNER);
+  ASSERT_TRUE (
+      br_replica_allow_voter (replica, sim.now (), &sim.vm (other).name));
+  sim.run (1000);
+  EXPECT_EQ (br_replica_role (sim.vm (other).replica), BR_ROLE_FOLLOWER);
+  EXPECT_EQ (sim.find_leader (), leader);
+}
+
+TEST (Replica, FullDiskRefusesAndRecovers)
+{
+  replica_sim sim (sim_options{});
+  int leader = sim.run_to_leader ();
+
+  ASSERT_GE (leader, 0);
+  sim.set_room ((size_t)leader, false);
+  sim.propose ((size_t)leader);
+  sim.propose (((size_t)leader + 1) % 3);
+  sim.run (20);
+  EXPECT_EQ (count (sim, SIM_REFUSED), 2u);
+  sim.set_room ((size_t)leader, true);
+  sim.propose (((size_t)leader + 1) % 3);
+  sim.run (20);
+  EXPECT_EQ (count (sim, SIM_COMMITTED), 1u);
+  sim.check_outcomes ();
+}
