Membership of entry VMs: random probes, refutable suspicion, sticky leaving, notices

Cause: a heartbeat with every peer grows with the system, calls a VM dead that others still reach, and says nothing of a cut in one direction. Each VM probes one other a period, asks three others before it suspects, and a suspect refutes by a higher version. Notices (who leaves, which request crashed what) go at once to three VMs, then on probes, and a digest on each message shows two VMs whether their sets differ, so that a healed cut evens them out. Ruled out: that a VM reachable in no way from one side of a one-way cut stays up there; it is held down, the link shows inbound_only, and it heals.

--- /dev/null
+++ b/src/domain/membership_view.c
@@ -0,0 +1,282 @@
+#include "domain/membership_internal.h"
+
+/* Messages that carry one view or notice, for each doubling of the VMs. */
+#define SENDS_PER_DOUBLING 3
+
+/* Least time between two transfers of the whole set of notices. */
+#define SYNC_INTERVAL_MS 500
+
+br_member_t *
+br_membership_member (const br_membership_t *membership, const br_name_t *name)
+{
+  for (size_t i = 0; i < membership->members.len; i++)
+    if (br_name_equal (&membership->members.items[i].vm.name, name))
+      return &membership->members.items[i];
+  return NULL;
+}
+
+static uint32_t
+membership_sends (const br_membership_t *membership)
+{
+  uint32_t doublings = 1;
+
+  for (size_t n = membership->members.len; n > 1; n /= 2)
+    doublings++;
+  return SENDS_PER_DOUBLING * doublings;
+}
+
+br_membership_output_t *
+br_membership_output (br_membership_t *membership,
+                   br_membership_output_kind_t kind,
+                   const br_name_t *name)
+{
+  br_membership_output_t *output = br_membership_outputs_push (
+      &membership->outbox, (br_membership_output_t){ .kind = kind });
+
+  output->name = *name;
+  return output;
+}
+
+static void
+member_changed (br_membership_t *membership, br_member_t *member)
+{
+  member->sends_left = membership_sends (membership);
+  br_membership_output (membership, BR_MEMBERSHIP_VM, &member->vm.name)->vm
+      = member->vm;
+}
+
+void
+br_member_start_suspicion (br_member_t *member, br_ms_t now)
+{
+  member->suspect_ms = now;
+  member->down_at_ms = now + BR_MEMBERSHIP_SUSPICION_MS;
+}
+
+static bool
+membership_knows_leaving (const br_membership_t *membership, const br_vm_t *vm)
+{
+  for (size_t i = 0; i < membership->notices.entries.len; i++)
+    {
+      const br_notice_t *each = &membership->notices.entries.items[i].notice;
+
+      if (each->kind == BR_NOTICE_VM_LEAVING
+          && each->incarnation == vm->incarnation
+          && br_name_equal (&each->name, &vm->name))
+        return true;
+    }
+  return false;
+}
+
+void
+br_member_merge (br_membership_t *membership,
+              br_member_t *member,
+              const br_vm_t *news,
+              br_ms_t now)
+{
+  br_vm_t before = member->vm;
+  br_vm_t checked = *news;
+
+  if (news->incarnation > before.incarnation)
+    checked.leaving |= membership_knows_leaving (membership, news);
+  if (!br_vm_merge (&member->vm, &checked))
+    return;
+  if (member->vm.state == BR_VM_SUSPECT
+      && (before.state != BR_VM_SUSPECT
+          || before.incarnation != member->vm.incarnation))
+    br_member_start_suspicion (member, now);
+  if (before.state == BR_VM_SUSPECT && member->vm.state == BR_VM_UP)
+    membership->urgent = true;
+  if (member->vm.state == BR_VM_DOWN && member->link.kind == BR_LINK_BOTH_WAYS)
+    member->link.kind = BR_LINK_SILENT;
+  member_changed (membership, member);
+}
+
+/* Answers a view of this VM itself: refutes a suspicion. */
+static void
+membership_merge_self (br_membership_t *membership, const br_vm_t *news)
+{
+  br_vm_t *self = &membership->self;
+
+  if (news->incarnation != self->incarnation || news->version < self->version
+      || news->state == BR_VM_UP)
+    return;
+  self->version = news->version + 1;
+}
+
+void
+br_membership_merge (br_membership_t *membership, const br_vm_t *news, br_ms_t now)
+{
+  br_member_t *member;
+
+  if (br_name_equal (&news->name, &membership->self.name))
+    {
+      membership_merge_self (membership, news);
+      return;
+    }
+  member = br_membership_member (membership, &news->name);
+  if (member != NULL)
+    br_member_merge (membership, member, news, now);
+}
+
+/* Marks the VM that a notice names; its incarnation need not be known yet. */
+static void
+membership_apply_leaving (br_membership_t *membership,
+                          const br_notice_t *notice,
+                          br_ms_t now)
+{
+  br_member_t *member = br_membership_member (membership, &notice->name);
+  br_vm_t *self = &membership->self;
+  br_vm_t news = {
+    .name = notice->name,
+    .incarnation = notice->incarnation,
+    .leaving = true,
+  };
+
+  if (br_name_equal (&notice->name, &self->name)
+      && notice->incarnation == self->incarnation)
+    self->leaving = true;
+  else if (member != NULL && member->vm.incarnation == notice->incarnation)
+    {
+      news.version = member->vm.version;
+      news.state = member->vm.state;
+      br_member_merge (membership, member, &news, now);
+    }
+}
+
+bool
+br_membership_learn (br_membership_t *membership,
+                  const br_notice_t *notice,
+                  br_ms_t now)
+{
+  if (!br_notices_add (&membership->notices, notice,
+                       membership_sends (membership), now))
+    return false;
+  if (notice->kind == BR_NOTICE_VM_LEAVING)
+    membership_apply_leaving (membership, notice, now);
+  br_membership_output (membership, BR_MEMBERSHIP_NOTICE, &notice->name)->notice
+      = *notice;
+  membership->urgent = true;
+  return true;
+}
+
+void
+br_member_set_up (br_membership_t *membership,
+               br_member_t *member,
+               uint64_t incarnation,
+               uint32_t version,
+               br_ms_t now)
+{
+  br_vm_t news = {
+    .name = member->vm.name,
+    .incarnation = incarnation,
+    .version = version,
+    .state = BR_VM_UP,
+  };
+
+  br_member_merge (membership, member, &news, now);
+}
+
+static void
+message_add_vm (br_domain_message_t *message, const br_vm_t *vm)
+{
+  if (message->n_vms < BR_DOMAIN_VMS_MAX)
+    message->vms[message->n_vms++] = *vm;
+}
+
+static br_member_t *
+membership_least_sent (br_membership_t *membership,
+                       const br_domain_message_t *message)
+{
+  br_member_t *best = NULL;
+
+  for (size_t i = 0; i < membership->members.len; i++)
+    {
+      br_member_t *each = &membership->members.items[i];
+      bool there = false;
+
+      for (size_t j = 0; j < message->n_vms; j++)
+        there |= br_name_equal (&message->vms[j].name, &each->vm.name);
+      if (there || each->sends_left == 0)
+        continue;
+      if (best == NULL || each->sends_left > best->sends_left)
+        best = each;
+    }
+  return best;
+}
+
+/* The view of the receiver goes first, so that it can refute it. */
+static void
+message_add_vms (br_membership_t *membership,
+                 const br_member_t *receiver,
+                 br_domain_message_t *message)
+{
+  if (receiver->vm.incarnation != 0 && receiver->vm.state != BR_VM_UP)
+    message_add_vm (message, &receiver->vm);
+  while (message->n_vms < BR_DOMAIN_VMS_MAX)
+    {
+      br_member_t *best = membership_least_sent (membership, message);
+
+      if (best == NULL)
+        return;
+      best->sends_left--;
+      message_add_vm (message, &best->vm);
+    }
+}
+
+br_domain_message_t *
+br_membership_send (br_membership_t *membership,
+                 const br_member_t *to,
+                 br_domain_message_kind_t kind)
+{
+  br_domain_message_t *message
+      = &br_membership_output (membership, BR_MEMBERSHIP_SEND, &to->vm.name)
+             ->message;
+
+  message->kind = kind;
+  message->incarnation = membership->self.incarnation;
+  message->version = membership->self.version;
+  message->notices_digest = membership->notices.digest;
+  message_add_vms (membership, to, message);
+  if (kind != BR_DOMAIN_NOTICES)
+    message->n_notices = br_notices_take (
+        &membership->notices, message->notices, BR_DOMAIN_NOTICES_MAX);
+  return message;
+}
+
+/* Sends a ping for whose answer nothing waits. */
+void
+br_membership_ping (br_membership_t *membership, const br_member_t *to)
+{
+  br_domain_message_t *ping = br_membership_send (membership, to, BR_DOMAIN_PING);
+
+  ping->sequence = ++membership->last_sequence;
+}
+
+/* Sends all notices, or a part of them from a random place on. */
+static void
+membership_sync (br_membership_t *membership, const br_member_t *to)
+{
+  size_t len = membership->notices.entries.len;
+  br_domain_message_t *message;
+
+  if (len == 0)
+    return;
+  message = br_membership_send (membership, to, BR_DOMAIN_NOTICES);
+  message->n_notices = br_notices_copy (
+      &membership->notices, br_random_below (&membership->random, len),
+      message->notices, BR_DOMAIN_NOTICES_MAX);
+}
+
+void
+br_membership_compare_notices (br_membership_t *membership,
+                            const br_member_t *from,
+                            const br_domain_message_t *message,
+                            br_ms_t now)
+{
+  if (message->notices_digest == membership->notices.digest
+      || now < membership->next_sync_ms)
+    return;
+  membership->next_sync_ms = now + SYNC_INTERVAL_MS;
+  membership_sync (membership, from);
+}
+
--- /dev/null
+++ b/src/domain/notice.h
@@ -0,0 +1,81 @@
+/* Facts that must reach every entry VM: who leaves, and which request crashed
+ * which upstream.  Each is passed on a bounded number of times, and a digest
+ * of the whole set shows two VMs whether they know the same ones. */
+#ifndef BR_DOMAIN_NOTICE_H
+#define BR_DOMAIN_NOTICE_H
+
+#include "base/clock.h"
+#include "base/str.h"
+#include "base/vec.h"
+
+BR_BEGIN_DECLS
+
+/* X (id, name) */
+#define BR_NOTICE_TABLE(X)                                                     \
+  X (UPSTREAM_LEAVING, "upstream_leaving")                                     \
+  X (VM_LEAVING, "vm_leaving")                                                 \
+  X (CRASH, "crash")
+
+typedef enum
+{
+#define X(id, name) BR_NOTICE_##id,
+  BR_NOTICE_TABLE (X)
+#undef X
+      BR_NOTICE_COUNT
+} br_notice_kind_t;
+
+/* Longest life of a notice. */
+#define BR_NOTICE_LIFE_MS (10 * 60 * 1000)
+
+/* Notices held at once; beyond, the one that ends first goes. */
+#define BR_NOTICES_MAX 4096
+
+typedef struct
+{
+  br_notice_kind_t kind;
+  br_name_t name; /* the upstream or VM */
+  uint64_t incarnation;
+  uint64_t content; /* of a crash: digest of the request */
+  br_ms_t expires_ms;
+} br_notice_t;
+
+typedef struct
+{
+  br_notice_t notice;
+  uint64_t id;
+  uint32_t sends_left;
+} br_notice_entry_t;
+
+BR_VEC (br_notice_entries, br_notice_entry_t);
+
+/* An all-zero value is an empty set. */
+typedef struct
+{
+  br_notice_entries_t entries;
+  uint64_t digest;
+} br_notices_t;
+
+const char *br_notice_kind_name (br_notice_kind_t kind);
+
+/* Adds NOTICE, to be passed on SENDS times.  Returns false when it was there,
+ * or has expired. */
+bool br_notices_add (br_notices_t *notices,
+                     const br_notice_t *notice,
+                     uint32_t sends,
+                     br_ms_t now);
+
+/* Copies up to MAX notices that are still to be passed on, those sent least
+ * first, and counts them as sent once.  Returns their number. */
+size_t br_notices_take (br_notices_t *notices, br_notice_t *out, size_t max);
+
+/* Copies up to MAX notices from position FROM on, around the end. */
+size_t br_notices_copy (const br_notices_t *notices,
+                        size_t from,
+                        br_notice_t *out,
+                        size_t max);
+void br_notices_expire (br_notices_t *notices, br_ms_t now);
+void br_notices_free (br_notices_t *notices);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/link/link.c
@@ -0,0 +1,60 @@
+#include "link/link.h"
+
+/* Weight of the newest delay in the smoothed one: one part in this many. */
+#define DELAY_SMOOTHING 8
+
+/* A direction that carried is held to carry for this long after its last
+ * message. */
+#define INBOUND_KEEP_MS 10000
+
+static const char *const kind_names[] = {
+#define X(id, name) name,
+  BR_LINK_KIND_TABLE (X)
+#undef X
+};
+
+const char *
+br_link_kind_name (br_link_kind_t kind)
+{
+  return (unsigned)kind < BR_LINK_KIND_COUNT ? kind_names[kind] : "invalid";
+}
+
+void
+br_link_on_heard (br_link_t *link, br_ms_t now)
+{
+  link->heard = true;
+  link->heard_ms = now;
+  if (link->kind == BR_LINK_SILENT)
+    link->kind = BR_LINK_INBOUND_ONLY;
+}
+
+void
+br_link_on_ack (br_link_t *link, br_ms_t sent_ms, br_ms_t now)
+{
+  br_ms_t delay_ms = (now - sent_ms) / 2;
+
+  if (link->kind == BR_LINK_UNKNOWN)
+    link->delay_ms = delay_ms;
+  else
+    link->delay_ms += (delay_ms - link->delay_ms) / DELAY_SMOOTHING;
+  link->kind = BR_LINK_BOTH_WAYS;
+}
+
+void
+br_link_on_miss (br_link_t *link, br_ms_t sent_ms, bool heard_us)
+{
+  br_ms_t since_ms = sent_ms;
+
+  if (link->kind == BR_LINK_INBOUND_ONLY)
+    since_ms -= INBOUND_KEEP_MS;
+  if (br_link_heard_since (link, since_ms))
+    link->kind = heard_us ? BR_LINK_BOTH_WAYS : BR_LINK_INBOUND_ONLY;
+  else
+    link->kind = heard_us ? BR_LINK_OUTBOUND_ONLY : BR_LINK_SILENT;
+}
+
+bool
+br_link_heard_since (const br_link_t *link, br_ms_t since_ms)
+{
+  return link->heard && link->heard_ms >= since_ms;
+}
--- /dev/null
+++ b/src/vm/vm.h
@@ -0,0 +1,46 @@
+/* What one entry VM holds to be true of another: incarnation, liveness, and
+ * the rule by which two such views merge. */
+#ifndef BR_VM_VM_H
+#define BR_VM_VM_H
+
+#include <stdint.h>
+
+#include "base/str.h"
+
+BR_BEGIN_DECLS
+
+/* X (id, name), in rising precedence at equal incarnation and version. */
+#define BR_VM_STATE_TABLE(X)                                                   \
+  X (UP, "up")                                                                 \
+  X (SUSPECT, "suspect")                                                       \
+  X (DOWN, "down")
+
+typedef enum
+{
+#define X(id, name) BR_VM_##id,
+  BR_VM_STATE_TABLE (X)
+#undef X
+      BR_VM_STATE_COUNT
+} br_vm_state_t;
+
+/* INCARNATION rises with each process that bears the name; 0 means that none
+ * was ever heard of.  VERSION rises each time the VM refutes a suspicion. */
+typedef struct
+{
+  br_name_t name;
+  uint64_t incarnation;
+  uint32_t version;
+  br_vm_state_t state;
+  bool leaving; /* for good in this incarnation */
+} br_vm_t;
+
+const char *br_vm_state_name (br_vm_state_t state);
+
+/* Takes into *VM what NEWS, of the same name, knows better.  Commutative,
+ * associative and idempotent, so that the order and number of messages do not
+ * matter.  Returns whether *VM changed. */
+bool br_vm_merge (br_vm_t *vm, const br_vm_t *news);
+
+BR_END_DECLS
+
+#endif
