--- a/tests/support/site.sh
+++ b/tests/support/site.sh
@@ -15,6 +15,9 @@
 
 site_init() {
   SITE=$(mktemp -d)
+  # Two checkouts that are tested at once share the ports: one after another.
+  exec 9> "${TMPDIR:-/tmp}/briarrack-ports-$BASE_PORT.lock"
+  flock 9
   trap site_stop EXIT
   trap 'exit 1' TERM
   # Ends the script, and with it the site, when it takes too long.
@@ -105,7 +108,7 @@
   "peers": {"address": "127.0.0.1", "port": $((BASE_PORT + 20 + i)),
             "shared_key": "0123456789abcdef", "vms": [$peers]},
   "data": {"folder": "$SITE/data-${SITE_VMS[i]}"},
-  "drain": {"notice_ms": 200},
+  "drain": {"notice_ms": ${SITE_NOTICE_MS:-200}},
   "upstreams": [
     {"name": "e1", "failure_domain": "castillos", "address": "127.0.0.1",
      "port": $((BASE_PORT + 30)), "labels": {"model": "contract-lm"}},
