--- a/src/contract/contract.c
+++ b/src/contract/contract.c
@@ -264,6 +264,24 @@
   br_owner_on_superseded (contracts, record, &message->epoch, now);
 }
 
+/* FROM holds a copy that this process, which is its owner, does not need. */
+static void
+contracts_release_stray (br_contracts_t *contracts,
+                         const br_name_t *from,
+                         const br_contract_message_t *message)
+{
+  br_contract_action_t action = { .kind = BR_CONTRACT_SEND, .vm = *from };
+
+  if (message->kind != BR_CONTRACT_HELD
+      || !br_name_equal (&message->epoch.owner, &contracts->options.vm)
+      || message->epoch.owner_incarnation != contracts->options.incarnation)
+    return;
+  action.message.kind = BR_CONTRACT_RELEASE;
+  action.message.contract = message->contract;
+  action.message.epoch = message->epoch;
+  br_contract_outbox_push (&contracts->outbox, action);
+}
+
 static void
 contracts_on_reply (br_contracts_t *contracts,
                     const br_name_t *from,
@@ -272,10 +290,11 @@
 {
   br_record_t *record = br_contracts_record (contracts, &message->contract);
 
-  if (record != NULL && record->role == BR_RECORD_OWNER
-      && record->partner_state != BR_PARTNER_NONE
-      && br_name_equal (&record->partner, from)
-      && br_contract_epoch_compare (&record->epoch, &message->epoch) == 0)
+  if (record == NULL || record->role != BR_RECORD_OWNER
+      || record->partner_state == BR_PARTNER_NONE
+      || !br_name_equal (&record->partner, from))
+    contracts_release_stray (contracts, from, message);
+  else if (br_contract_epoch_compare (&record->epoch, &message->epoch) == 0)
     br_owner_on_message (contracts, record, from, message, now);
 }
 
--- /dev/null
+++ b/src/contract/follow.h
@@ -0,0 +1,78 @@
+/* Reading an answer that another VM owns: finds the owner of a contract, asks
+ * it for the parts from an offset, and goes on at a new owner when the old one
+ * is lost.  Like the rest of the part it has no sockets and no clock. */
+#ifndef BR_CONTRACT_FOLLOW_H
+#define BR_CONTRACT_FOLLOW_H
+
+#include "base/clock.h"
+#include "contract/message.h"
+
+BR_BEGIN_DECLS
+
+typedef struct br_follows br_follows_t;
+
+/* All times in milliseconds. */
+typedef struct
+{
+  br_name_t vm;
+  br_ms_t locate_ms;  /* wait for the answers of the VMs asked */
+  br_ms_t again_ms;   /* until they are asked again, when one has a copy */
+  br_ms_t give_up_ms; /* search for an owner */
+  br_ms_t renew_ms;   /* between requests to the owner */
+  br_ms_t silence_ms; /* of the owner before it is searched again */
+} br_follow_options_t;
+
+/* Returns options with the default times, and no name. */
+br_follow_options_t br_follow_options (void);
+
+typedef enum
+{
+  BR_FOLLOW_SEND,   /* MESSAGE goes to VM */
+  BR_FOLLOW_FOUND,  /* VM owns it; MESSAGE, of kind LOCATED, describes it */
+  BR_FOLLOW_GREW,   /* the answer has more parts */
+  BR_FOLLOW_ENDED,  /* it is whole, with STATUS */
+  BR_FOLLOW_FAILED, /* ERROR says why; nothing follows */
+} br_follow_action_kind_t;
+
+typedef struct
+{
+  br_follow_action_kind_t kind;
+  br_name_t vm;
+  br_contract_id_t contract;
+  br_contract_message_t message;
+  uint32_t status;
+  br_error_t error;
+} br_follow_action_t;
+
+BR_VEC (br_follow_outbox, br_follow_action_t);
+
+br_follows_t *br_follows_new (const br_follow_options_t *options);
+void br_follows_free (br_follows_t *follows);
+
+/* The actions since it was cleared last. */
+br_follow_outbox_t *br_follows_outbox (br_follows_t *follows);
+void br_follows_add_peer (br_follows_t *follows, const br_name_t *vm);
+void br_follows_on_link (br_follows_t *follows,
+                         const br_name_t *vm,
+                         bool up,
+                         br_ms_t now);
+
+/* Follows CONTRACT into ANSWER, which may have parts already and must live
+ * until BR_FOLLOW_ENDED, BR_FOLLOW_FAILED or br_follows_stop().  OWNER may be
+ * NULL when it is not known. */
+void br_follows_start (br_follows_t *follows,
+                       const br_contract_id_t *contract,
+                       const br_name_t *owner,
+                       br_answer_t *answer,
+                       br_ms_t now);
+void
+br_follows_stop (br_follows_t *follows, const br_contract_id_t *contract);
+void br_follows_on_message (br_follows_t *follows,
+                            const br_name_t *from,
+                            const br_contract_message_t *message,
+                            br_ms_t now);
+void br_follows_on_tick (br_follows_t *follows, br_ms_t now);
+
+BR_END_DECLS
+
+#endif
--- a/src/contract/message.c
+++ b/src/contract/message.c
@@ -95,8 +95,7 @@
 }
 
 static void
-wire_request (const br_contract_request_t *request,
-              Br__Contract__Request *out)
+wire_request (const br_contract_request_t *request, Br__Contract__Request *out)
 {
   out->service = wire_name (&request->service);
   out->organisation = wire_name (&request->organisation);
@@ -186,6 +185,7 @@
       request.service = wire_name (&message->located.service);
       request.organisation = wire_name (&message->located.organisation);
       request.streamed = message->located.streamed;
+      request.path = wire_bytes (message->located.path);
       wire.request = &request;
       break;
     case BR_CONTRACT_FOLLOW:
@@ -226,10 +226,10 @@
 {
   request->streamed = wire->streamed;
   request->method = wire->method;
-  br_buf_append (&request->path, br_str_make ((const char *)wire->path.data,
-                                              wire->path.len));
-  br_buf_append (&request->body, br_str_make ((const char *)wire->body.data,
-                                              wire->body.len));
+  br_buf_append (&request->path,
+                 br_str_make ((const char *)wire->path.data, wire->path.len));
+  br_buf_append (&request->body,
+                 br_str_make ((const char *)wire->body.data, wire->body.len));
   br_buf_append (&request->content_type,
                  br_str_make ((const char *)wire->content_type.data,
                               wire->content_type.len));
@@ -249,8 +249,7 @@
     return false;
   slice->offset = wire->offset;
   slice->n_parts = wire->n_parts;
-  slice->bytes
-      = br_str_make ((const char *)wire->bytes.data, wire->bytes.len);
+  slice->bytes = br_str_make ((const char *)wire->bytes.data, wire->bytes.len);
   unpacked->parts = br_alloc_zero ((wire->n_parts + 1) * sizeof *slice->parts);
   slice->parts = unpacked->parts;
   for (size_t i = 0; i < wire->n_parts; i++)
@@ -295,6 +294,8 @@
     return false;
   message->located.known = (br_contract_known_t)wire->known;
   message->located.streamed = wire->request->streamed;
+  message->located.path = br_str_make ((const char *)wire->request->path.data,
+                                       wire->request->path.len);
   return br_name_set (&message->located.service,
                       br_str_from (wire->request->service))
          && br_name_set (&message->located.organisation,
--- a/src/contract/owner.c
+++ b/src/contract/owner.c
@@ -27,8 +27,7 @@
 
   for (size_t i = 0; i < peers->len; i++)
     {
-      const br_contract_peer_t *peer
-          = &peers->items[(start + i) % peers->len];
+      const br_contract_peer_t *peer = &peers->items[(start + i) % peers->len];
 
       if (owner_may_ask (record, peer)
           && (!other_domain
@@ -121,10 +120,9 @@
 static bool
 owner_sends_parts (const br_contracts_t *contracts, const br_record_t *record)
 {
-  if (record->handing_over)
-    return true;
-  return contracts->options.checkpoint_parts > 0
-         && (record->request->streamed || record->answer->complete);
+  if (!record->request->streamed && !record->answer->complete)
+    return false;
+  return record->handing_over || contracts->options.checkpoint_parts > 0;
 }
 
 static bool
@@ -187,7 +185,9 @@
 /* Reports the end of a time without protection, and frees the former owner
  * of its copy. */
 static void
-owner_check_covered (br_contracts_t *contracts, br_record_t *record, br_ms_t now)
+owner_check_covered (br_contracts_t *contracts,
+                     br_record_t *record,
+                     br_ms_t now)
 {
   if (record->unprotected_ms == BR_MS_NEVER
       || !owner_is_covered (contracts, record))
@@ -301,7 +301,9 @@
 }
 
 static void
-owner_check_partner (br_contracts_t *contracts, br_record_t *record, br_ms_t now)
+owner_check_partner (br_contracts_t *contracts,
+                     br_record_t *record,
+                     br_ms_t now)
 {
   const br_contract_options_t *options = &contracts->options;
 
--- a/src/contract/partner.c
+++ b/src/contract/partner.c
@@ -1,6 +1,9 @@
 /* The partner's side of custody: holds copies and takes over. */
 #include "contract/record.h"
 
+/* A copy that its owner has not mentioned for so long may not be needed. */
+#define STRAY_MS 10000
+
 static void
 partner_confirm (br_contracts_t *contracts,
                  const br_record_t *record,
@@ -70,6 +73,7 @@
     }
   record = br_contracts_record_new (contracts, &message->contract);
   partner_keep (record, message);
+  record->progress_ms = now;
   partner_confirm (contracts, record, from, BR_CONTRACT_KEPT);
 }
 
@@ -80,9 +84,9 @@
                           br_ms_t now)
 {
   br_record_t *record = br_contracts_record (contracts, &message->contract);
-  int order = record != NULL ? br_contract_epoch_compare (&record->epoch,
-                                                          &message->epoch)
-                             : -1;
+  int order = record != NULL
+                  ? br_contract_epoch_compare (&record->epoch, &message->epoch)
+                  : -1;
   const br_contract_slice_t *slice = &message->checkpoint.slice;
   br_answer_t *answer;
 
@@ -100,8 +104,10 @@
   if (order != 0 || record->role != BR_RECORD_PARTNER)
     return;
   answer = &record->copy->answer;
+  record->progress_ms = now;
   if (br_contract_slice_add (slice, answer) && message->checkpoint.complete
-      && !answer->complete && answer->parts.len == slice->offset + slice->n_parts)
+      && !answer->complete
+      && answer->parts.len == slice->offset + slice->n_parts)
     {
       answer->complete = true;
       record->copy->status = message->checkpoint.status;
@@ -187,4 +193,10 @@
     }
   if (partner_lost_owner (contracts, record, now))
     br_partner_take_over (contracts, record, now);
+  else if (now - record->progress_ms >= STRAY_MS)
+    {
+      record->progress_ms = now;
+      partner_confirm (contracts, record, &record->epoch.owner,
+                       BR_CONTRACT_HELD);
+    }
 }
--- a/src/contract/record.h
+++ b/src/contract/record.h
@@ -44,8 +44,8 @@
   size_t held; /* parts that the partner confirmed */
   bool sent_complete;
   bool held_complete;
-  br_ms_t pending_ms; /* since when a part waits to be sent, or never */
-  br_ms_t progress_ms;
+  br_ms_t pending_ms;     /* since when a part waits to be sent, or never */
+  br_ms_t progress_ms;    /* the other side was heard of last */
   br_ms_t unprotected_ms; /* since when, or never */
   br_ms_t retry_ms;       /* next search for a partner */
   bool handing_over;
@@ -123,9 +123,8 @@
                           const br_name_t *from,
                           const br_contract_message_t *message,
                           br_ms_t now);
-void br_owner_on_tick (br_contracts_t *contracts,
-                       br_record_t *record,
-                       br_ms_t now);
+void
+br_owner_on_tick (br_contracts_t *contracts, br_record_t *record, br_ms_t now);
 
 /* The partner's process was replaced: what it held is gone. */
 void br_owner_on_partner_restart (br_contracts_t *contracts,
--- a/src/shell/caller_task.c
+++ b/src/shell/caller_task.c
@@ -14,6 +14,9 @@
 
 #define IDLE_CONNECTION_S 60
 
+/* A caller that waits for its first token hears of acceptance by then. */
+#define HEAD_DELAY_MS 200
+
 /* ": " and the line's end. */
 #define HEADER_PUNCTUATION 4
 
@@ -21,6 +24,7 @@
  * are this many times those of the settings, which are answered in JSON. */
 #define HTTP_LIMIT_FACTOR 2
 
+static const char chat_path[] = "/v1/chat/completions";
 static const char services_prefix[] = "/services/";
 static const char contracts_prefix[] = "/v1/contracts/";
 
@@ -31,7 +35,11 @@
   struct evhttp_request *request;
   struct event *closed; /* fires when the caller's connection ends */
   uint64_t work;
-  size_t offset; /* parts written */
+  size_t offset;        /* parts written, or read by the caller elsewhere */
+  uint64_t digest;      /* of these parts, once it is known */
+  br_event_id_t resume; /* where the caller goes on */
+  bool resumed;         /* RESUME fits the answer */
+  struct event *head;   /* fires when the head of a stream is due */
   bool stream;
   bool chat;
   bool started; /* the head of a streamed reply is sent */
@@ -62,6 +70,7 @@
   if (work != NULL)
     br_work_unwatch (task->node->works, work);
   event_free (reader->closed);
+  event_free (reader->head);
   free (reader);
 }
 
@@ -107,7 +116,16 @@
 }
 
 static void
-reader_start_stream (reader_t *reader)
+reader_add_partner (reader_t *reader, const br_work_t *work)
+{
+  if (work->repeatable && !work->followed)
+    evhttp_add_header (evhttp_request_get_output_headers (reader->request),
+                       "X-Contract-Partner",
+                       work->partner.len > 0 ? work->partner.data : "none");
+}
+
+static void
+reader_start_stream (reader_t *reader, const br_work_t *work)
 {
   struct evkeyvalq *headers
       = evhttp_request_get_output_headers (reader->request);
@@ -115,6 +133,7 @@
   if (reader->started)
     return;
   reader->started = true;
+  reader_add_partner (reader, work);
   evhttp_add_header (headers, "Content-Type", "text/event-stream");
   evhttp_add_header (headers, "Cache-Control", "no-store");
   evhttp_send_reply_start (reader->request, HTTP_OK, NULL);
@@ -126,11 +145,18 @@
   br_buf_t out = { 0 };
 
   while (reader->offset < work->answer.parts.len)
-    br_engine_event_write (&work->answer, reader->offset++, work->contract_text,
-                           &reader->model, reader->chat, &out);
+    {
+      size_t offset = reader->offset++;
+
+      reader->digest = br_answer_digest_add (
+          reader->digest, br_answer_part (&work->answer, offset));
+      br_engine_event_write (&work->answer, offset, reader->digest,
+                             work->contract_text, &reader->model, reader->chat,
+                             &out);
+    }
   if (out.len > 0)
     {
-      reader_start_stream (reader);
+      reader_start_stream (reader, work);
       reader_send (reader, br_buf_str (&out));
     }
   br_buf_free (&out);
@@ -146,7 +172,7 @@
       br_http_reply_error (reader->request, &work->error);
       return;
     }
-  reader_start_stream (reader);
+  reader_start_stream (reader, work);
   if (work->state == BR_WORK_FAILED)
     {
       br_buf_printf (&out, "event: error\ndata: ");
@@ -165,6 +191,7 @@
 {
   br_buf_t out = { 0 };
 
+  reader_add_partner (reader, work);
   if (work->state == BR_WORK_FAILED)
     br_http_reply_error (reader->request, &work->error);
   else if (work->kind == BR_SERVICE_PLAIN)
@@ -189,10 +216,70 @@
   reader_on_closed (-1, 0, reader);
 }
 
+/* Refuses a caller whose parts are not those of the answer. */
+static void
+reader_refuse_resume (reader_t *reader, const br_work_t *work)
+{
+  br_error_t err;
+
+  if (reader->resume.offset > work->answer.parts.len)
+    br_error_set (&err, BR_ERROR_INVALID, "read request", "",
+                  "Last-Event-ID: the answer has %zu parts",
+                  work->answer.parts.len);
+  else
+    br_error_set (&err, BR_ERROR_CONFLICT, "resume answer", "",
+                  "Last-Event-ID: the answer was generated again and differs "
+                  "before this event; read it from the start");
+  br_http_reply_error (reader->request, &err);
+  reader_free (reader);
+}
+
+/* Whether the caller can go on where it wants to.  False while the answer is
+ * too short to tell, and when the reader was refused and is gone. */
+static bool
+reader_resume (reader_t *reader, const br_work_t *work)
+{
+  const br_event_id_t *resume = &reader->resume;
+
+  if (reader->resumed)
+    return true;
+  if (resume->offset > work->answer.parts.len)
+    {
+      if (work->state == BR_WORK_DONE)
+        reader_refuse_resume (reader, work);
+      return work->state == BR_WORK_FAILED;
+    }
+  reader->digest = br_answer_digest (&work->answer, resume->offset);
+  if (resume->has_digest && resume->digest != (uint32_t)reader->digest)
+    {
+      reader_refuse_resume (reader, work);
+      return false;
+    }
+  reader->resumed = true;
+  return true;
+}
+
+/* Takes over what became known of work that another VM owns. */
+static void
+reader_learn (reader_t *reader, const br_work_t *work)
+{
+  if (reader->model.len > 0 || work->service.len == 0)
+    return;
+  reader->model = work->service;
+  reader->stream = work->kind == BR_SERVICE_MODEL;
+  reader->chat
+      = br_str_equal (br_buf_str (&work->path), br_str_from (chat_path));
+}
+
 /* Writes what is new; the reader may be freed. */
 static void
 reader_update (reader_t *reader, const br_work_t *work)
 {
+  if (!work->accepted && work->state == BR_WORK_RUNNING)
+    return;
+  reader_learn (reader, work);
+  if (!reader_resume (reader, work))
+    return;
   if (reader->stream)
     reader_write_parts (reader, work);
   if (work->state == BR_WORK_RUNNING)
@@ -224,13 +311,33 @@
     }
 }
 
+/* Without a token for a while, the caller hears of acceptance by itself. */
+static void
+reader_on_head (evutil_socket_t fd, short what, void *context)
+{
+  reader_t *reader = context;
+  const br_work_t *work
+      = br_work_task_find (reader->task->node->works, reader->work);
+  struct timeval again = { 0, HEAD_DELAY_MS * 1000 };
+
+  (void)fd;
+  (void)what;
+  if (reader->started || work == NULL || work->state != BR_WORK_RUNNING)
+    return;
+  if (work->accepted && (reader->resumed || reader->offset == 0))
+    reader_start_stream (reader, work);
+  else
+    event_add (reader->head, &again);
+}
+
 static void
 task_add_reader (br_caller_task_t *task,
                  struct evhttp_request *request,
                  br_work_t *work,
                  const br_completion_head_t *head,
-                 size_t offset)
+                 const br_event_id_t *resume)
 {
+  struct timeval head_delay = { 0, HEAD_DELAY_MS * 1000 };
   reader_t *reader = br_alloc_zero (sizeof *reader);
   struct evhttp_connection *connection
       = evhttp_request_get_connection (request);
@@ -240,13 +347,18 @@
   reader->task = task;
   reader->request = request;
   reader->work = work->number;
-  reader->offset = offset;
+  if (resume != NULL)
+    reader->resume = *resume;
+  reader->offset = reader->resume.offset;
   reader->stream = head->stream;
   reader->chat = head->chat;
   reader->model = head->model;
   reader->closed = event_new (task->node->base, bufferevent_getfd (bev),
                               EV_CLOSED, reader_on_closed, reader);
   event_add (reader->closed, NULL);
+  reader->head = evtimer_new (task->node->base, reader_on_head, reader);
+  if (reader->stream)
+    event_add (reader->head, &head_delay);
   reader->next = task->readers;
   task->readers = reader;
   task->n_readers++;
@@ -287,16 +399,20 @@
 static bool
 task_let_in (br_caller_task_t *task,
              struct evhttp_request *request,
-             const br_service_t *service,
+             br_work_options_t *options,
              br_error_t *err)
 {
   br_node_t *node = task->node;
+  const br_service_t *service = options->service;
   const br_workload_t *workload = task_authenticate (task, request, err);
+  const br_organisation_t *organisation;
 
   if (workload == NULL)
     return false;
-  if (br_catalog_organisation_of (&node->catalog, workload, err) == NULL)
+  organisation = br_catalog_organisation_of (&node->catalog, workload, err);
+  if (organisation == NULL)
     return false;
+  options->organisation = organisation->name;
   if (!br_selector_matches (&service->workloads, &workload->labels))
     return br_error_set (
         err, BR_ERROR_FORBIDDEN, "authorise", workload->name.data,
@@ -340,7 +456,7 @@
 {
   br_work_options_t options = {
     .method = EVHTTP_REQ_POST,
-    .path = br_str_from (chat ? "/v1/chat/completions" : "/v1/completions"),
+    .path = br_str_from (chat ? chat_path : "/v1/completions"),
     .body = br_http_body (request),
     .content_type = br_str_from ("application/json"),
   };
@@ -351,11 +467,11 @@
       || !br_completion_read (options.body, chat, &head, &err))
     goto refuse;
   options.service = task_model_service (task, &head, &err);
-  if (options.service == NULL
-      || !task_let_in (task, request, options.service, &err))
+  if (options.service == NULL || !task_let_in (task, request, &options, &err))
     goto refuse;
   task_add_reader (task, request,
-                   br_work_task_accept (task->node->works, &options), &head, 0);
+                   br_work_task_accept (task->node->works, &options), &head,
+                   NULL);
   return;
 refuse:
   task_refuse (task, request, &err);
@@ -407,25 +523,41 @@
 
   options.service = task_plain_service (task, evhttp_request_get_uri (request),
                                         &options.path, &err);
-  if (options.service == NULL
-      || !task_let_in (task, request, options.service, &err)
+  if (options.service == NULL || !task_let_in (task, request, &options, &err)
       || !options_check_key (&options, &err))
     {
       task_refuse (task, request, &err);
       return;
     }
   task_add_reader (task, request,
-                   br_work_task_accept (task->node->works, &options), &head, 0);
+                   br_work_task_accept (task->node->works, &options), &head,
+                   NULL);
 }
 
-static size_t
-request_offset (struct evhttp_request *request)
+/* Finds the work of CONTRACT, here or elsewhere, for ORGANISATION. */
+static br_work_t *
+task_find_contract (br_caller_task_t *task,
+                    br_str_t text,
+                    const br_name_t *organisation,
+                    br_error_t *err)
 {
-  br_str_t header = request_header (request, "Last-Event-ID");
-  uint64_t offset = 0;
+  br_contract_id_t contract;
+  br_work_t *work;
 
-  br_str_to_u64 (header, &offset);
-  return (size_t)offset;
+  if (!br_contract_id_parse (text, &contract))
+    {
+      br_error_set (err, BR_ERROR_NOT_FOUND, "find contract", "",
+                    "this is not a contract id");
+      return NULL;
+    }
+  work = br_work_task_find_contract (task->node->works, &contract);
+  if (work == NULL || (work->followed && work->state == BR_WORK_FAILED))
+    return br_work_task_follow (task->node->works, &contract, organisation);
+  if (br_name_equal (&work->organisation, organisation))
+    return work;
+  br_error_set (err, BR_ERROR_FORBIDDEN, "authorise", "",
+                "the contract belongs to another organisation");
+  return NULL;
 }
 
 static void
@@ -433,32 +565,30 @@
 {
   const char *text
       = evhttp_request_get_uri (request) + sizeof contracts_prefix - 1;
-  br_completion_head_t head = { .stream = true, .chat = true };
-  br_contract_id_t contract;
-  br_work_t *work = NULL;
+  br_completion_head_t head = { .stream = true };
   br_error_t err;
-  size_t offset = request_offset (request);
+  const br_workload_t *workload = task_authenticate (task, request, &err);
+  const br_organisation_t *organisation;
+  br_event_id_t resume;
+  br_work_t *work;
 
-  if (task_authenticate (task, request, &err) == NULL)
+  if (workload == NULL)
     goto refuse;
-  if (br_contract_id_parse (br_str_make (text, strcspn (text, "?")), &contract))
-    work = br_work_task_find_contract (task->node->works, &contract);
-  if (work == NULL)
-    {
-      br_error_set (&err, BR_ERROR_NOT_FOUND, "find contract", "",
-                    "there is no such contract on this VM");
-      goto refuse;
-    }
-  if (offset > work->answer.parts.len)
+  organisation
+      = br_catalog_organisation_of (&task->node->catalog, workload, &err);
+  if (organisation == NULL)
+    goto refuse;
+  if (!br_event_id_parse (request_header (request, "Last-Event-ID"), &resume))
     {
       br_error_set (&err, BR_ERROR_INVALID, "read request", "",
-                    "Last-Event-ID: the answer has %zu parts",
-                    work->answer.parts.len);
+                    "Last-Event-ID: the id of an event is wanted");
       goto refuse;
     }
-  head.stream = work->kind == BR_SERVICE_MODEL;
-  head.model = work->service;
-  task_add_reader (task, request, work, &head, offset);
+  work = task_find_contract (task, br_str_make (text, strcspn (text, "?")),
+                             &organisation->name, &err);
+  if (work == NULL)
+    goto refuse;
+  task_add_reader (task, request, work, &head, &resume);
   return;
 refuse:
   task_refuse (task, request, &err);
@@ -659,6 +789,7 @@
 
       task->readers = reader->next;
       event_free (reader->closed);
+      event_free (reader->head);
       free (reader);
     }
   evhttp_free (task->http);
--- a/src/shell/engine_body.c
+++ b/src/shell/engine_body.c
@@ -1,6 +1,7 @@
 #include "shell/engine_body.h"
 
 #include <json-c/json.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define JSON_DEPTH_MAX 32
@@ -178,6 +179,7 @@
 void
 br_engine_event_write (const br_answer_t *answer,
                        size_t offset,
+                       uint64_t digest,
                        const char *contract,
                        const br_name_t *model,
                        bool chat,
@@ -185,7 +187,7 @@
 {
   br_str_t bytes = br_answer_part (answer, offset);
 
-  br_buf_printf (out, "id: %zu\ndata: ", offset + 1);
+  br_buf_printf (out, "id: %zu-%08x\ndata: ", offset + 1, (uint32_t)digest);
   switch (answer->parts.items[offset].kind)
     {
     case BR_ANSWER_RAW:
@@ -206,6 +208,31 @@
   br_buf_printf (out, "\n\n");
 }
 
+bool
+br_event_id_parse (br_str_t text, br_event_id_t *id)
+{
+  const char *dash = text.len > 0 ? memchr (text.data, '-', text.len) : NULL;
+  size_t len = dash != NULL ? (size_t)(dash - text.data) : text.len;
+  uint64_t offset = 0;
+  char digits[9] = { 0 };
+  char *end;
+
+  *id = (br_event_id_t){ 0 };
+  if (text.len == 0)
+    return true;
+  if (!br_str_to_u64 (br_str_make (text.data, len), &offset))
+    return false;
+  id->offset = (size_t)offset;
+  if (dash == NULL)
+    return true;
+  if (text.len - len - 1 != sizeof digits - 1)
+    return false;
+  memcpy (digits, dash + 1, sizeof digits - 1);
+  id->has_digest = true;
+  id->digest = (uint32_t)strtoul (digits, &end, 16);
+  return end == digits + sizeof digits - 1;
+}
+
 static const char *
 answer_finish_reason (const br_answer_t *answer)
 {
--- a/src/shell/engine_body.h
+++ b/src/shell/engine_body.h
@@ -31,10 +31,12 @@
 bool
 br_engine_event_read (br_str_t data, br_answer_kind_t *kind, br_buf_t *text);
 
-/* Appends part OFFSET as one server-sent event, its id the offset behind
- * it. */
+/* Appends part OFFSET as one server-sent event.  Its id is the offset behind
+ * it and the low half of DIGEST, br_answer_digest() of the parts up to there;
+ * a caller that comes back with it is served only what continues them. */
 void br_engine_event_write (const br_answer_t *answer,
                             size_t offset,
+                            uint64_t digest,
                             const char *contract,
                             const br_name_t *model,
                             bool chat,
@@ -47,6 +49,17 @@
                           bool chat,
                           br_buf_t *out);
 
+/* Where a caller wants to go on, from its Last-Event-ID. */
+typedef struct
+{
+  size_t offset;
+  bool has_digest;
+  uint32_t digest; /* of the parts before OFFSET */
+} br_event_id_t;
+
+/* Reads "OFFSET" or "OFFSET-DIGEST"; empty TEXT is the start. */
+bool br_event_id_parse (br_str_t text, br_event_id_t *id);
+
 BR_END_DECLS
 
 #endif
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "shell/caller_task.h"
+#include "shell/contract_task.h"
 #include "shell/operator_task.h"
 #include "shell/peer_task.h"
 #include "shell/replica_task.h"
@@ -52,12 +53,13 @@
 static void
 node_on_peer_message (br_node_t *node, br_peer_message_t *message)
 {
-  (void)node;
   switch (message->part)
     {
+    case BR_PART_CONTRACT:
+      br_contract_task_on_peer (node->contracts, message);
+      break;
     case BR_PART_REPLICA:
     case BR_PART_STATE:
-    case BR_PART_CONTRACT:
     case BR_PART_DOMAIN:
     case BR_PART_LINK:
     case BR_PART_UPSTREAM:
@@ -76,6 +78,8 @@
     {
     case BR_NODE_PEER_UP:
     case BR_NODE_PEER_DOWN:
+      br_contract_task_on_link (node->contracts, &message->peer,
+                                message->kind == BR_NODE_PEER_UP);
       break;
     case BR_NODE_PEER_RECEIVED:
       node_on_peer_message (node, &message->peer);
@@ -192,6 +196,7 @@
   if (node->replica == NULL)
     return false;
   node->upstreams = br_upstream_task_new (node);
+  node->contracts = br_contract_task_new (node);
   node->works = br_work_task_new (node);
   node->callers = br_caller_task_new (node, err);
   if (node->callers == NULL)
@@ -296,6 +301,7 @@
   br_caller_task_free (node->callers);
   br_operator_task_free (node->operators);
   br_work_task_free (node->works);
+  br_contract_task_free (node->contracts);
   br_upstream_task_free (node->upstreams);
   br_peer_task_free (node->peers);
   br_replica_task_free (node->replica);
--- a/src/shell/settings.c
+++ b/src/shell/settings.c
@@ -58,7 +58,13 @@
   X (INT, "upstream.token_gap_ms", token_gap_ms, false, 10, 600000, 2000,      \
      "bound on the time between two parts of an answer")                       \
   X (INT, "drain.notice_ms", drain_notice_ms, false, 0, 600000, 1000,          \
-     "time for the balancer to see that this VM takes no new work")
+     "time for the balancer to see that this VM takes no new work")            \
+  X (INT, "drain.grace_ms", drain_grace_ms, false, 0, 86400000, 0,             \
+     "time for work in progress before it is handed over; 0: no limit")        \
+  X (INT, "contract.checkpoint_tokens", checkpoint_tokens, false, 0, 65536, 8, \
+     "tokens generated before they go to the backup partner; 0: never")        \
+  X (INT, "contract.checkpoint_ms", checkpoint_ms, false, 1, 60000, 100,       \
+     "longest wait of a token before it goes to the backup partner")
 
 typedef enum
 {
--- a/src/shell/settings.h
+++ b/src/shell/settings.h
@@ -63,6 +63,9 @@
   br_ms_t first_token_ms;
   br_ms_t token_gap_ms;
   br_ms_t drain_notice_ms;
+  br_ms_t drain_grace_ms; /* 0: as long as work takes */
+  int64_t checkpoint_tokens;
+  br_ms_t checkpoint_ms;
   br_peer_settings_list_t vms;
   br_upstream_settings_list_t upstreams;
 } br_settings_t;
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -1,8 +1,11 @@
 #include "shell/work_task.h"
 
+#include <assert.h>
+#include <string.h>
 #include <uthash.h>
 
 #include "route/choice.h"
+#include "shell/contract_task.h"
 #include "shell/engine_body.h"
 #include "shell/upstream_task.h"
 
@@ -16,25 +19,28 @@
 typedef struct entry
 {
   br_work_t work;
-  UT_hash_handle hh;
+  UT_hash_handle hh;          /* by number */
+  UT_hash_handle hh_contract; /* by contract_text */
 } entry_t;
 
 struct br_work_task
 {
   br_node_t *node;
   entry_t *entries;
+  entry_t *contracts;
   uint64_t last_number;
   size_t in_progress;
   struct event *sweep;
 };
 
 static void
-work_changed (br_work_task_t *task, const br_work_t *work)
+work_changed (br_work_task_t *task, br_work_t *work)
 {
   br_node_message_t message = { .kind = BR_NODE_WORK_CHANGED };
 
   message.work = work->number;
   br_node_post (task->node, message);
+  br_contract_task_on_answer (task->node->contracts, work);
 }
 
 static void
@@ -42,7 +48,8 @@
 {
   work->state = state;
   work->unwatched_ms = br_node_now (task->node);
-  task->in_progress--;
+  if (!work->followed)
+    task->in_progress--;
   if (state == BR_WORK_FAILED)
     br_counters_add (&task->node->counters, BR_COUNTER_REQUESTS_FAILED, 1);
   BR_LOG (&task->node->log, "work",
@@ -103,6 +110,8 @@
   work->upstream = upstream->name;
   work->base_offset = work->answer.parts.len;
   work->received = 0;
+  if (!is_model)
+    br_answer_free (&work->answer);
   upstream->in_flight++;
   BR_LOG (&task->node->log, "work", "attempt",
           br_field_z ("contract", work->contract_text),
@@ -243,48 +252,158 @@
 }
 
 static void
-work_set_contract (br_work_task_t *task, br_work_t *work)
+work_set_contract (br_work_t *work, const br_contract_id_t *contract)
 {
   br_buf_t text = { 0 };
 
-  work->contract = (br_contract_id_t){
-    .vm = task->node->settings.vm,
-    .incarnation = task->node->incarnation,
-    .number = work->number,
-  };
+  work->contract = *contract;
   br_contract_id_print (&work->contract, &text);
   memcpy (work->contract_text, text.data, text.len + 1);
   br_buf_free (&text);
 }
 
-br_work_t *
-br_work_task_accept (br_work_task_t *task, const br_work_options_t *options)
+/* Adds empty work; without CONTRACT it gets one of this VM. */
+static br_work_t *
+task_add (br_work_task_t *task, const br_contract_id_t *contract)
 {
   entry_t *entry = br_alloc_zero (sizeof *entry);
   br_work_t *work = &entry->work;
+  br_contract_id_t own = {
+    .vm = task->node->settings.vm,
+    .incarnation = task->node->incarnation,
+    .number = ++task->last_number,
+  };
+
+  work->number = task->last_number;
+  work->accepted_ms = work->unwatched_ms = br_node_now (task->node);
+  work_set_contract (work, contract != NULL ? contract : &own);
+  HASH_ADD (hh, task->entries, work.number, sizeof work->number, entry);
+  HASH_ADD_KEYPTR (hh_contract, task->contracts, work->contract_text,
+                   strlen (work->contract_text), entry);
+  return work;
+}
+
+br_work_t *
+br_work_task_accept (br_work_task_t *task, const br_work_options_t *options)
+{
+  br_work_t *work = task_add (task, NULL);
 
-  work->number = ++task->last_number;
+  work->organisation = options->organisation;
   work->service = options->service->name;
   work->kind = options->service->kind;
   work->repeatable
       = options->service->repeatable || options->method == EVHTTP_REQ_GET;
   work->method = options->method;
-  work->accepted_ms = work->unwatched_ms = br_node_now (task->node);
   br_buf_append (&work->path, options->path);
   br_buf_append (&work->body, options->body);
   br_buf_append (&work->content_type, options->content_type);
   if (options->idempotency_key.len > 0)
     br_buf_append (&work->idempotency_key, options->idempotency_key);
-  work_set_contract (task, work);
-  HASH_ADD (hh, task->entries, work.number, sizeof work->number, entry);
   task->in_progress++;
   BR_LOG (&task->node->log, "work", "accepted",
           br_field_z ("contract", work->contract_text),
           br_field_str ("service", br_name_str (&work->service)));
+  br_contract_task_accept (task->node->contracts, work);
   work_try (task, work);
   return work;
 }
 
+br_work_t *
+br_work_task_follow (br_work_task_t *task,
+                     const br_contract_id_t *contract,
+                     const br_name_t *organisation)
+{
+  br_work_t *work = br_work_task_find_contract (task, contract);
+
+  if (work == NULL)
+    work = task_add (task, contract);
+  work->state = BR_WORK_RUNNING;
+  work->organisation = *organisation;
+  work->followed = true;
+  work->repeatable = true;
+  br_contract_task_follow (task->node->contracts, work);
+  return work;
+}
+
+void
+br_work_task_end_followed (br_work_task_t *task,
+                           br_work_t *work,
+                           int status,
+                           const br_error_t *err)
+{
+  work->status = status;
+  if (err != NULL)
+    work_fail (task, work, err);
+  else
+    work_end (task, work, BR_WORK_DONE);
+}
+
+/* Replaces the answer of WORK by that of COPY when the latter has more or
+ * differs. */
+static void
+work_take_answer (br_work_t *work, br_contract_copy_t *copy)
+{
+  size_t common = BR_MIN (work->answer.parts.len, copy->answer.parts.len);
+  bool same = br_answer_digest (&work->answer, common)
+              == br_answer_digest (&copy->answer, common);
+
+  if (same && copy->answer.parts.len <= work->answer.parts.len
+      && !copy->answer.complete)
+    return;
+  br_answer_free (&work->answer);
+  work->answer = copy->answer;
+  copy->answer = (br_answer_t){ 0 };
+}
+
+br_work_t *
+br_work_task_take_over (br_work_task_t *task,
+                        const br_contract_id_t *contract,
+                        br_contract_copy_t *copy)
+{
+  br_work_t *work = br_work_task_find_contract (task, contract);
+  const br_contract_request_t *request = &copy->request;
+
+  if (work == NULL)
+    work = task_add (task, contract);
+  assert (work->followed || work->body.len == 0);
+  work->followed = false;
+  work->accepted = work->repeatable = true;
+  work->state = BR_WORK_RUNNING;
+  work->organisation = request->organisation;
+  work->service = request->service;
+  work->kind = request->streamed ? BR_SERVICE_MODEL : BR_SERVICE_PLAIN;
+  work->method = (enum evhttp_cmd_type)request->method;
+  work->status = (int)copy->status;
+  work->unwatched_ms = br_node_now (task->node);
+  br_buf_clear (&work->path);
+  br_buf_clear (&work->body);
+  br_buf_clear (&work->content_type);
+  br_buf_append (&work->path, br_buf_str (&request->path));
+  br_buf_append (&work->body, br_buf_str (&request->body));
+  br_buf_append (&work->content_type, br_buf_str (&request->content_type));
+  work_take_answer (work, copy);
+  task->in_progress++;
+  return work;
+}
+
+void
+br_work_task_resume (br_work_task_t *task, br_work_t *work)
+{
+  if (work->answer.complete)
+    work_end (task, work, BR_WORK_DONE);
+  else
+    work_try (task, work);
+}
+
+void
+br_work_task_release (br_work_task_t *task, br_work_t *work)
+{
+  br_upstream_task_cancel (task->node->upstreams, work->attempt);
+  work_drop_attempt (task, work);
+  work->followed = true;
+  task->in_progress--;
+}
+
 br_work_t *
 br_work_task_find (br_work_task_t *task, uint64_t number)
 {
@@ -298,11 +417,13 @@
 br_work_task_find_contract (br_work_task_t *task,
                             const br_contract_id_t *contract)
 {
-  br_work_t *work = br_work_task_find (task, contract->number);
+  br_buf_t text = { 0 };
+  entry_t *entry;
 
-  if (work == NULL || !br_contract_id_equal (&work->contract, contract))
-    return NULL;
-  return work;
+  br_contract_id_print (contract, &text);
+  HASH_FIND (hh_contract, task->contracts, text.data, text.len, entry);
+  br_buf_free (&text);
+  return entry != NULL ? &entry->work : NULL;
 }
 
 void
@@ -330,6 +451,7 @@
   br_work_t *work = &entry->work;
 
   HASH_DEL (task->entries, entry);
+  HASH_DELETE (hh_contract, task->contracts, entry);
   br_buf_free (&work->path);
   br_buf_free (&work->body);
   br_buf_free (&work->content_type);
@@ -367,10 +489,13 @@
 
     if (work->watchers > 0 || now - work->unwatched_ms < UNWATCHED_KEEP_MS)
       continue;
-    if (work->state == BR_WORK_RUNNING)
+    if (work->state == BR_WORK_RUNNING && !work->followed)
       work_cancel (task, work);
     else
-      entry_free (task, entry);
+      {
+        br_contract_task_forget (task->node->contracts, work);
+        entry_free (task, entry);
+      }
   }
 }
 
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 
 #include "contract/answer.h"
+#include "contract/contract.h"
 #include "contract/contract_id.h"
 #include "shell/node.h"
 
@@ -24,8 +25,13 @@
   br_contract_id_t contract;
   char contract_text[BR_NAME_MAX + 40];
   br_name_t service;
+  br_name_t organisation;
   br_service_kind_t kind;
   bool repeatable;
+  bool accepted;     /* the caller may hear of it */
+  bool followed;     /* another VM owns it and sends the answer */
+  br_name_t partner; /* that held a copy at acceptance; empty for none */
+  br_contract_request_t request; /* views of the fields below */
   enum evhttp_cmd_type method;
   br_buf_t path;
   br_buf_t body; /* as the caller sent it */
@@ -50,6 +56,7 @@
 typedef struct
 {
   const br_service_t *service;
+  br_name_t organisation;
   enum evhttp_cmd_type method;
   br_str_t path;
   br_str_t body;
@@ -69,6 +76,28 @@
 br_work_t *br_work_task_find (br_work_task_t *task, uint64_t number);
 br_work_t *br_work_task_find_contract (br_work_task_t *task,
                                        const br_contract_id_t *contract);
+
+/* Starts to read the answer of a contract that is not known here, for a
+ * workload of ORGANISATION. */
+br_work_t *br_work_task_follow (br_work_task_t *task,
+                                const br_contract_id_t *contract,
+                                const br_name_t *organisation);
+
+/* Ends followed work, as failed when ERR is not NULL. */
+void br_work_task_end_followed (br_work_task_t *task,
+                                br_work_t *work,
+                                int status,
+                                const br_error_t *err);
+
+/* Makes work of COPY, whose owner is lost, or changes the work that followed
+ * that owner.  br_work_task_resume() then goes on with it. */
+br_work_t *br_work_task_take_over (br_work_task_t *task,
+                                   const br_contract_id_t *contract,
+                                   br_contract_copy_t *copy);
+void br_work_task_resume (br_work_task_t *task, br_work_t *work);
+
+/* Another VM owns WORK now: ends its attempt; WORK is followed from now on. */
+void br_work_task_release (br_work_task_t *task, br_work_t *work);
 void br_work_task_on_attempt (br_work_task_t *task,
                               br_attempt_message_t *message);
 
