Planned stop and reclaim notice hand work over; peer links send at once

Cause: acceptance waited 32 ms for the partner on loopback (one run by hand): Nagle's algorithm with delayed acknowledgements on the peer links. A drain tells the partners, hands over what its grace leaves over, and waits for copies that others still need; a second signal hands over at once. Errors of work that may have run say outcome unknown, also for a lost contract.

--- a/src/contract/contract.c
+++ b/src/contract/contract.c
@@ -127,15 +127,6 @@
   record->expires_ms = now + contracts->options.retention_ms;
 }
 
-br_contract_peer_t *
-br_contracts_peer (br_contracts_t *contracts, const br_name_t *vm)
-{
-  for (size_t i = 0; i < contracts->peers.len; i++)
-    if (br_name_equal (&contracts->peers.items[i].vm, vm))
-      return &contracts->peers.items[i];
-  return NULL;
-}
-
 br_contract_action_t *
 br_record_act (br_contracts_t *contracts,
                const br_record_t *record,
@@ -164,78 +155,6 @@
   return &action->message;
 }
 
-void
-br_contracts_add_peer (br_contracts_t *contracts,
-                       const br_name_t *vm,
-                       const br_name_t *failure_domain)
-{
-  br_contract_peer_t peer = { .vm = *vm, .failure_domain = *failure_domain };
-
-  br_contract_peers_push (&contracts->peers, peer);
-}
-
-/* The process of PEER was replaced by a new one. */
-static void
-contracts_on_restart (br_contracts_t *contracts,
-                      const br_contract_peer_t *peer,
-                      br_ms_t now)
-{
-  br_record_t *record;
-  br_record_t *next;
-
-  HASH_ITER (hh, contracts->records, record, next)
-  {
-    if (record->role == BR_RECORD_OWNER
-        && br_name_equal (&record->partner, &peer->vm))
-      br_owner_on_partner_restart (contracts, record, now);
-    else if (record->role == BR_RECORD_PARTNER
-             && br_name_equal (&record->epoch.owner, &peer->vm)
-             && record->epoch.owner_incarnation != peer->incarnation)
-      br_partner_take_over (contracts, record, now);
-  }
-}
-
-/* A former owner is back: it may not know that it was replaced. */
-static void
-contracts_tell_former (br_contracts_t *contracts, const br_name_t *vm)
-{
-  br_record_t *record;
-  br_record_t *next;
-
-  HASH_ITER (hh, contracts->records, record, next)
-  if (record->role == BR_RECORD_OWNER && br_name_equal (&record->former, vm))
-    br_record_send (contracts, record, vm, BR_CONTRACT_SUPERSEDED);
-}
-
-void
-br_contracts_on_link (br_contracts_t *contracts,
-                      const br_name_t *vm,
-                      uint64_t incarnation,
-                      bool up,
-                      br_ms_t now)
-{
-  br_contract_peer_t *peer = br_contracts_peer (contracts, vm);
-  bool replaced;
-
-  if (peer == NULL)
-    return;
-  if (!up)
-    {
-      peer->down_ms = now;
-      peer->up = false;
-      return;
-    }
-  replaced = peer->incarnation != 0 && peer->incarnation != incarnation;
-  peer->incarnation = incarnation;
-  peer->up = true;
-  if (replaced)
-    {
-      peer->leaving = false;
-      contracts_on_restart (contracts, peer, now);
-    }
-  contracts_tell_former (contracts, vm);
-}
-
 /* Tells FROM, which speaks for an older epoch, who the owner is. */
 static bool
 record_is_newer (br_contracts_t *contracts,
@@ -435,21 +354,6 @@
   br_record_end (contracts, record, now);
 }
 
-void
-br_contracts_leave (br_contracts_t *contracts, br_ms_t now)
-{
-  (void)now;
-  contracts->leaving = true;
-  for (size_t i = 0; i < contracts->peers.len; i++)
-    {
-      br_contract_action_t action = { .kind = BR_CONTRACT_SEND };
-
-      action.vm = contracts->peers.items[i].vm;
-      action.message.kind = BR_CONTRACT_LEAVING;
-      br_contract_outbox_push (&contracts->outbox, action);
-    }
-}
-
 void
 br_contracts_hand_over (br_contracts_t *contracts, br_ms_t now)
 {
--- a/src/contract/contract.pb-c.c
+++ b/src/contract/contract.pb-c.c
@@ -367,7 +367,7 @@
   (ProtobufCMessageInit) br__contract__slice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__contract__failure__field_descriptors[5] =
+static const ProtobufCFieldDescriptor br__contract__failure__field_descriptors[6] =
 {
   {
     "code",
@@ -429,9 +429,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "may_have_run",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Br__Contract__Failure, may_have_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__contract__failure__field_indices_by_name[] = {
   0,   /* field[0] = code */
+  5,   /* field[5] = may_have_run */
   3,   /* field[3] = peer */
   1,   /* field[1] = retry_after_ms */
   2,   /* field[2] = step */
@@ -440,7 +453,7 @@
 static const ProtobufCIntRange br__contract__failure__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor br__contract__failure__descriptor =
 {
@@ -450,7 +463,7 @@
   "Br__Contract__Failure",
   "br.contract",
   sizeof(Br__Contract__Failure),
-  5,
+  6,
   br__contract__failure__field_descriptors,
   br__contract__failure__field_indices_by_name,
   1,  br__contract__failure__number_ranges,
--- a/src/contract/contract.pb-c.h
+++ b/src/contract/contract.pb-c.h
@@ -70,10 +70,11 @@
   char *step;
   char *peer;
   char *text;
+  protobuf_c_boolean may_have_run;
 };
 #define BR__CONTRACT__FAILURE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__contract__failure__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/src/contract/follow.c
+++ b/src/contract/follow.c
@@ -247,6 +247,7 @@
 
   br_error_set (&err, BR_ERROR_NOT_FOUND, "find contract", "",
                 "no entry VM knows this contract");
+  err.may_have_run = true;
   follow_fail (follows, follow, &err);
 }
 
@@ -265,6 +266,7 @@
                 "no owner was found; without an answer:%s",
                 missing.data != NULL ? missing.data : " none");
   err.retry_after_ms = RETRY_AFTER_MS;
+  err.may_have_run = true;
   br_buf_free (&missing);
   follow_fail (follows, follow, &err);
 }
@@ -349,8 +351,7 @@
   size_t before = follow->answer->parts.len;
   br_follow_action_t *ended;
 
-  if (follow->state != FOLLOW_READING
-      || !br_name_equal (from, &follow->owner)
+  if (follow->state != FOLLOW_READING || !br_name_equal (from, &follow->owner)
       || br_contract_epoch_compare (&message->epoch, &follow->epoch) < 0)
     return;
   follow->epoch = message->epoch;
@@ -453,7 +454,8 @@
     {
     case FOLLOW_ASKING_FIRST:
     case FOLLOW_ASKING_ALL:
-      if (follow->asked.len == 0 || now - follow->since_ms >= options->locate_ms)
+      if (follow->asked.len == 0
+          || now - follow->since_ms >= options->locate_ms)
         follow_conclude (follows, follow, now);
       break;
     case FOLLOW_WAITING:
--- a/src/contract/follow.h
+++ b/src/contract/follow.h
@@ -65,8 +65,7 @@
                        const br_name_t *owner,
                        br_answer_t *answer,
                        br_ms_t now);
-void
-br_follows_stop (br_follows_t *follows, const br_contract_id_t *contract);
+void br_follows_stop (br_follows_t *follows, const br_contract_id_t *contract);
 void br_follows_on_message (br_follows_t *follows,
                             const br_name_t *from,
                             const br_contract_message_t *message,
--- a/src/contract/message.c
+++ b/src/contract/message.c
@@ -132,6 +132,7 @@
 {
   out->code = failure->code;
   out->retry_after_ms = (uint64_t)failure->retry_after_ms;
+  out->may_have_run = failure->may_have_run;
   out->step = (char *)(uintptr_t)failure->step;
   out->peer = (char *)(uintptr_t)failure->peer;
   out->text = (char *)(uintptr_t)failure->text;
@@ -281,6 +282,7 @@
     return false;
   failure->code = (br_error_code_t)wire->code;
   failure->retry_after_ms = (int64_t)wire->retry_after_ms;
+  failure->may_have_run = wire->may_have_run;
   text_set (failure->step, sizeof failure->step, wire->step);
   text_set (failure->peer, sizeof failure->peer, wire->peer);
   text_set (failure->text, sizeof failure->text, wire->text);
--- a/src/shell/contract_task.c
+++ b/src/shell/contract_task.c
@@ -163,8 +163,7 @@
     }
   work->organisation = message->located.organisation;
   work->service = message->located.service;
-  work->kind
-      = message->located.streamed ? BR_SERVICE_MODEL : BR_SERVICE_PLAIN;
+  work->kind = message->located.streamed ? BR_SERVICE_MODEL : BR_SERVICE_PLAIN;
   br_buf_clear (&work->path);
   br_buf_append (&work->path, message->located.path);
   work->accepted = true;
@@ -267,8 +266,8 @@
       = { .kind = BR_CONTRACT_LOCATED, .contract = asked->contract };
   const br_work_t *work
       = br_work_task_find_contract (task->node->works, &asked->contract);
-  br_contract_known_t known = br_contracts_look_up (
-      task->contracts, &asked->contract, &reply.epoch);
+  br_contract_known_t known
+      = br_contracts_look_up (task->contracts, &asked->contract, &reply.epoch);
 
   reply.located.known = known;
   if (work != NULL && !work->followed)
@@ -402,6 +401,16 @@
   task_flush (task);
 }
 
+void
+br_contract_task_on_leaving (br_contract_task_t *task, const br_name_t *name)
+{
+  br_contract_message_t leaving = { .kind = BR_CONTRACT_LEAVING };
+
+  br_contracts_on_message (task->contracts, name, &leaving,
+                           br_node_now (task->node));
+  task_flush (task);
+}
+
 void
 br_contract_task_hand_over (br_contract_task_t *task)
 {
@@ -453,8 +462,7 @@
   contract_options.vm = follow_options.vm = node->settings.vm;
   contract_options.failure_domain = node->settings.failure_domain;
   contract_options.incarnation = node->incarnation;
-  contract_options.checkpoint_parts
-      = (size_t)node->settings.checkpoint_tokens;
+  contract_options.checkpoint_parts = (size_t)node->settings.checkpoint_tokens;
   contract_options.checkpoint_ms = node->settings.checkpoint_ms;
   task->node = node;
   task->contracts = br_contracts_new (&contract_options);
--- a/src/shell/contract_task.h
+++ b/src/shell/contract_task.h
@@ -33,6 +33,10 @@
 /* This VM stops: it gets no more copies. */
 void br_contract_task_leave (br_contract_task_t *task);
 
+/* The entry VM NAME leaves. */
+void br_contract_task_on_leaving (br_contract_task_t *task,
+                                  const br_name_t *name);
+
 /* Hands unfinished work over to the partners. */
 void br_contract_task_hand_over (br_contract_task_t *task);
 
--- a/src/shell/http_reply.c
+++ b/src/shell/http_reply.c
@@ -26,7 +26,7 @@
 void
 br_http_error_json (const br_error_t *err, br_buf_t *out)
 {
-  bool unknown = err->code == BR_ERROR_UNKNOWN_OUTCOME;
+  bool unknown = err->code == BR_ERROR_UNKNOWN_OUTCOME || err->may_have_run;
   json_object *object = json_object_new_object ();
   json_object *inner = json_object_new_object ();
 
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -15,6 +15,12 @@
 #define QUEUE_BATCH 256
 #define DRAIN_POLL_MS 50
 
+/* Before the end of a drain's grace, work that is left is handed over. */
+#define HAND_OVER_MARGIN_MS 1500
+
+/* How long a stopping VM goes on for the copies that it holds for others. */
+#define COPIES_KEEP_MS 5000
+
 BR_VEC (messages, br_node_message_t);
 
 struct br_node_queue
@@ -25,6 +31,8 @@
   struct event *signals[2];
   struct event *drain_timer;
   br_ms_t drain_from_ms;
+  br_ms_t leave_by_ms; /* of a drain, or never */
+  bool handing_over;
 };
 
 br_ms_t
@@ -99,11 +107,14 @@
     case BR_NODE_VM_UP:
     case BR_NODE_VM_SUSPECT:
     case BR_NODE_VM_DOWN:
+      break;
     case BR_NODE_VM_LEAVING:
+      br_contract_task_on_leaving (node->contracts, &message->member.name);
+      break;
     case BR_NODE_UPSTREAM_CHANGED:
       break;
     case BR_NODE_RECLAIM_NOTICE:
-      br_node_drain (node);
+      br_node_drain_by (node, message->leave_by_ms);
       break;
     case BR_NODE_STOP:
       br_node_drain (node);
@@ -137,8 +148,29 @@
 static bool
 node_is_idle (const br_node_t *node)
 {
-  return br_work_task_in_progress (node->works) == 0
-         && br_caller_task_in_progress (node->callers) == 0;
+  br_ms_t now = br_node_now (node);
+  br_ms_t copies_until = BR_MIN (node->queue->drain_from_ms + COPIES_KEEP_MS,
+                                 node->queue->leave_by_ms);
+
+  if (br_work_task_in_progress (node->works) > 0)
+    return false;
+  if (now < copies_until && br_contract_task_needed_here (node->contracts) > 0)
+    return false;
+  return now >= node->queue->leave_by_ms
+         || br_caller_task_in_progress (node->callers) == 0;
+}
+
+/* Hands the work that is left over to other VMs. */
+static void
+node_hand_over (br_node_t *node)
+{
+  if (node->queue->handing_over)
+    return;
+  node->queue->handing_over = true;
+  BR_LOG (&node->log, "node", "hand_over",
+          br_field_int ("in_progress",
+                        (int64_t)br_work_task_in_progress (node->works)));
+  br_contract_task_hand_over (node->contracts);
 }
 
 static void
@@ -153,6 +185,8 @@
   (void)what;
   if (br_node_now (node) >= notice_until)
     br_caller_task_stop_accepting (node->callers);
+  if (br_node_now (node) >= node->queue->leave_by_ms - HAND_OVER_MARGIN_MS)
+    node_hand_over (node);
   if (br_node_now (node) >= notice_until && node_is_idle (node))
     {
       BR_LOG (&node->log, "node", "drained",
@@ -173,18 +207,34 @@
     return;
   node->draining = true;
   node->queue->drain_from_ms = br_node_now (node);
+  if (node->settings.drain_grace_ms > 0)
+    br_node_drain_by (node, br_node_now (node) + node->settings.drain_grace_ms);
   BR_LOG (&node->log, "node", "draining",
           br_field_int ("in_progress",
                         (int64_t)br_work_task_in_progress (node->works)));
   event_add (node->queue->drain_timer, &soon);
+  br_contract_task_leave (node->contracts);
 }
 
+void
+br_node_drain_by (br_node_t *node, br_ms_t leave_by_ms)
+{
+  node->queue->leave_by_ms = BR_MIN (node->queue->leave_by_ms, leave_by_ms);
+  br_node_drain (node);
+}
+
+/* A second signal asks for haste. */
 static void
 node_on_signal (evutil_socket_t fd, short what, void *context)
 {
+  br_node_t *node = context;
+
   (void)fd;
   (void)what;
-  br_node_drain (context);
+  if (node->draining)
+    node_hand_over (node);
+  else
+    br_node_drain (node);
 }
 
 static void
@@ -255,6 +305,7 @@
   br_random_seed (&node->random, br_str_hash (br_name_str (&node->settings.vm),
                                               node->incarnation));
   node->queue = br_alloc_zero (sizeof *node->queue);
+  node->queue->leave_by_ms = BR_MS_NEVER;
   node->queue->wake = event_new (node->base, -1, 0, node_on_wake, node);
   node->queue->drain_timer
       = evtimer_new (node->base, node_on_drain_timer, node);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -151,6 +151,10 @@
 /* Takes no new work from now on; br_node_run() returns once the work in
  * progress is done. */
 void br_node_drain (br_node_t *node);
+
+/* Like br_node_drain(), and hands over in time what would not be done by
+ * LEAVE_BY_MS. */
+void br_node_drain_by (br_node_t *node, br_ms_t leave_by_ms);
 void br_node_free (br_node_t *node);
 
 /* Puts a message into the queue; what it owns goes to the queue.  It is
--- a/src/shell/peer_task.c
+++ b/src/shell/peer_task.c
@@ -6,6 +6,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <inttypes.h>
+#include <netinet/tcp.h>
 #include <openssl/rand.h>
 #include <stdio.h>
 #include <string.h>
@@ -350,6 +351,17 @@
     link_fail (link, &err);
 }
 
+/* A message that follows another must not wait for the acknowledgement of the
+ * first. */
+static void
+link_send_at_once (link_t *link)
+{
+  int on = 1;
+
+  setsockopt (bufferevent_getfd (link->bev), IPPROTO_TCP, TCP_NODELAY, &on,
+              sizeof on);
+}
+
 static void
 link_on_event (struct bufferevent *bev, short what, void *context)
 {
@@ -357,7 +369,10 @@
 
   (void)bev;
   if (what & BEV_EVENT_CONNECTED)
-    link_send_hello (link);
+    {
+      link_send_at_once (link);
+      link_send_hello (link);
+    }
   else if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
     link_close (link);
 }
@@ -481,6 +496,7 @@
   task->accepted = link;
   task->n_accepted++;
   link_start (link, fd);
+  link_send_at_once (link);
 }
 
 static bool
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -1,13 +1,12 @@
 #include "shell/work_task.h"
 
 #include <assert.h>
-#include <string.h>
-#include <uthash.h>
 
 #include "route/choice.h"
 #include "shell/contract_task.h"
 #include "shell/engine_body.h"
 #include "shell/upstream_task.h"
+#include "shell/work_table.h"
 
 /* How long work goes on, and an answer is kept, without a reader. */
 #define UNWATCHED_KEEP_MS 30000
@@ -16,18 +15,10 @@
 /* Attempts for one piece of work that may be repeated. */
 #define ATTEMPTS_MAX 4
 
-typedef struct entry
-{
-  br_work_t work;
-  UT_hash_handle hh;          /* by number */
-  UT_hash_handle hh_contract; /* by contract_text */
-} entry_t;
-
 struct br_work_task
 {
   br_node_t *node;
-  entry_t *entries;
-  entry_t *contracts;
+  br_work_table_t *table;
   uint64_t last_number;
   size_t in_progress;
   struct event *sweep;
@@ -67,6 +58,7 @@
 work_fail (br_work_task_t *task, br_work_t *work, const br_error_t *err)
 {
   work->error = *err;
+  work->error.may_have_run |= work->may_have_run;
   work_end (task, work, BR_WORK_FAILED);
 }
 
@@ -193,6 +185,7 @@
 {
   br_error_t err;
 
+  work->may_have_run |= message->may_have_run;
   if (work->repeatable || !message->may_have_run)
     {
       work_on_failure (task, work, &message->error);
@@ -209,6 +202,7 @@
   br_error_t err;
 
   work->status = status;
+  work->may_have_run = true;
   if (work->kind == BR_SERVICE_PLAIN || work->answer.complete)
     {
       work->answer.complete = true;
@@ -251,35 +245,19 @@
     }
 }
 
-static void
-work_set_contract (br_work_t *work, const br_contract_id_t *contract)
-{
-  br_buf_t text = { 0 };
-
-  work->contract = *contract;
-  br_contract_id_print (&work->contract, &text);
-  memcpy (work->contract_text, text.data, text.len + 1);
-  br_buf_free (&text);
-}
-
 /* Adds empty work; without CONTRACT it gets one of this VM. */
 static br_work_t *
 task_add (br_work_task_t *task, const br_contract_id_t *contract)
 {
-  entry_t *entry = br_alloc_zero (sizeof *entry);
-  br_work_t *work = &entry->work;
   br_contract_id_t own = {
     .vm = task->node->settings.vm,
     .incarnation = task->node->incarnation,
     .number = ++task->last_number,
   };
+  br_work_t *work = br_work_table_add (task->table, own.number,
+                                       contract != NULL ? contract : &own);
 
-  work->number = task->last_number;
   work->accepted_ms = work->unwatched_ms = br_node_now (task->node);
-  work_set_contract (work, contract != NULL ? contract : &own);
-  HASH_ADD (hh, task->entries, work.number, sizeof work->number, entry);
-  HASH_ADD_KEYPTR (hh_contract, task->contracts, work->contract_text,
-                   strlen (work->contract_text), entry);
   return work;
 }
 
@@ -367,7 +345,7 @@
     work = task_add (task, contract);
   assert (work->followed || work->body.len == 0);
   work->followed = false;
-  work->accepted = work->repeatable = true;
+  work->accepted = work->repeatable = work->may_have_run = true;
   work->state = BR_WORK_RUNNING;
   work->organisation = request->organisation;
   work->service = request->service;
@@ -407,23 +385,14 @@
 br_work_t *
 br_work_task_find (br_work_task_t *task, uint64_t number)
 {
-  entry_t *entry;
-
-  HASH_FIND (hh, task->entries, &number, sizeof number, entry);
-  return entry != NULL ? &entry->work : NULL;
+  return br_work_table_find (task->table, number);
 }
 
 br_work_t *
 br_work_task_find_contract (br_work_task_t *task,
                             const br_contract_id_t *contract)
 {
-  br_buf_t text = { 0 };
-  entry_t *entry;
-
-  br_contract_id_print (contract, &text);
-  HASH_FIND (hh_contract, task->contracts, text.data, text.len, entry);
-  br_buf_free (&text);
-  return entry != NULL ? &entry->work : NULL;
+  return br_work_table_find_contract (task->table, contract);
 }
 
 void
@@ -445,22 +414,6 @@
   return task->in_progress;
 }
 
-static void
-entry_free (br_work_task_t *task, entry_t *entry)
-{
-  br_work_t *work = &entry->work;
-
-  HASH_DEL (task->entries, entry);
-  HASH_DELETE (hh_contract, task->contracts, entry);
-  br_buf_free (&work->path);
-  br_buf_free (&work->body);
-  br_buf_free (&work->content_type);
-  br_buf_free (&work->idempotency_key);
-  br_answer_free (&work->answer);
-  br_names_free (&work->tried);
-  free (entry);
-}
-
 static void
 work_cancel (br_work_task_t *task, br_work_t *work)
 {
@@ -468,35 +421,37 @@
 
   br_upstream_task_cancel (task->node->upstreams, work->attempt);
   work_drop_attempt (task, work);
+  work->may_have_run = true;
   br_error_set (&err, BR_ERROR_TIMEOUT, "wait for reader", "",
                 "nobody read the answer for %d ms", UNWATCHED_KEEP_MS);
   work_fail (task, work, &err);
 }
 
 static void
-task_on_sweep (evutil_socket_t fd, short what, void *context)
+work_sweep (br_work_t *work, void *context)
 {
   br_work_task_t *task = context;
   br_ms_t now = br_node_now (task->node);
-  entry_t *entry;
-  entry_t *next;
+
+  if (work->watchers > 0 || now - work->unwatched_ms < UNWATCHED_KEEP_MS)
+    return;
+  if (work->state == BR_WORK_RUNNING && !work->followed)
+    {
+      work_cancel (task, work);
+      return;
+    }
+  br_contract_task_forget (task->node->contracts, work);
+  br_work_table_remove (task->table, work);
+}
+
+static void
+task_on_sweep (evutil_socket_t fd, short what, void *context)
+{
+  br_work_task_t *task = context;
 
   (void)fd;
   (void)what;
-  HASH_ITER (hh, task->entries, entry, next)
-  {
-    br_work_t *work = &entry->work;
-
-    if (work->watchers > 0 || now - work->unwatched_ms < UNWATCHED_KEEP_MS)
-      continue;
-    if (work->state == BR_WORK_RUNNING && !work->followed)
-      work_cancel (task, work);
-    else
-      {
-        br_contract_task_forget (task->node->contracts, work);
-        entry_free (task, entry);
-      }
-  }
+  br_work_table_each (task->table, work_sweep, task);
 }
 
 br_work_task_t *
@@ -506,6 +461,7 @@
   struct timeval period = { SWEEP_MS / 1000, 0 };
 
   task->node = node;
+  task->table = br_work_table_new ();
   task->sweep = event_new (node->base, -1, EV_PERSIST, task_on_sweep, task);
   event_add (task->sweep, &period);
   return task;
@@ -514,13 +470,9 @@
 void
 br_work_task_free (br_work_task_t *task)
 {
-  entry_t *entry;
-  entry_t *next;
-
   if (task == NULL)
     return;
-  HASH_ITER (hh, task->entries, entry, next)
-  entry_free (task, entry);
+  br_work_table_free (task->table);
   event_free (task->sweep);
   free (task);
 }
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -29,6 +29,7 @@
   br_service_kind_t kind;
   bool repeatable;
   bool accepted;     /* the caller may hear of it */
+  bool may_have_run; /* an attempt that failed may have run */
   bool followed;     /* another VM owns it and sends the answer */
   br_name_t partner; /* that held a copy at acceptance; empty for none */
   br_contract_request_t request; /* views of the fields below */
