--- /dev/null
+++ b/tests/process/contract_handover.sh
@@ -0,0 +1,68 @@
+# A VM that must leave within seconds hands over its streams: with its callers
+# connected, killed in the middle of it, and with the notice coming to entry VM
+# and partner at once.  Usage: contract_handover.sh BUILD
+set -u
+BUILD=$1
+BASE_PORT=24300
+. "$(dirname "$0")/../support/site.sh"
+. "$(dirname "$0")/../support/contract.sh"
+site_init
+site_up --token-ms 30 > /dev/null || site_fail "site does not come up"
+contract_wait_links
+site_complete 1 "$(contract_body draft 150)" > "$SITE/whole" &
+whole=$!
+
+# Restarts VM number $1 with a grace of $2 ms.
+restart() {
+  kill -9 "$(site_pid "${SITE_VMS[$1]}")" 2> /dev/null
+  SITE_GRACE_MS=$2 site_start_vm "$1"
+  site_wait "http://127.0.0.1:$((BASE_PORT + $1))/healthz"
+  site_apply "$SITE/declarations.json" > /dev/null
+  contract_wait_links
+}
+
+# 1. Stop with a grace shorter than the stream: the process ends in time.
+restart 0 2000
+contract_stream 0 draft 150 short
+contract_wait_tokens short 5
+owner=$(site_pid castillos-1)
+kill -TERM "$owner"
+wait "$owner"
+[ $? = 0 ] || site_fail "exit code of a hand-over"
+contract_check_rest short 1 whole
+grep -q '"event":"take_over"' "$SITE/lascano-1.log" || site_fail "no hand-over"
+
+# 2. A second signal hands over at once; the caller stays and gets all of it.
+restart 0 0
+contract_stream 0 draft 150 stays
+contract_wait_tokens stays 5
+kill -TERM "$(site_pid castillos-1)"
+sleep 0.1
+kill -TERM "$(site_pid castillos-1)"
+wait "$CONTRACT_READER"
+grep -q '^data: \[DONE\]$' "$SITE/stays" || site_fail "a connected caller was cut"
+wait "$(site_pid castillos-1)" || site_fail "exit code after a second signal"
+contract_check_rest stays 1 whole
+
+# 3. Killed right after the hand-over began.
+restart 0 2000
+contract_stream 0 draft 150 killed
+contract_wait_tokens killed 5
+kill -TERM "$(site_pid castillos-1)"
+sleep 0.1
+kill -TERM "$(site_pid castillos-1)"
+kill -9 "$(site_pid castillos-1)"
+contract_check_rest killed 1 whole
+
+# 4. Notice for entry VM, partner and engine at once.
+restart 0 2000
+restart 2 2000
+contract_stream 0 draft 150 three
+contract_wait_tokens three 5
+kill -TERM "$(site_pid castillos-1)" "$(site_pid lascano-1)"
+sleep 0.3
+kill -9 "$(site_pid e1)"
+contract_check_rest three 1 whole
+wait "$whole"
+contract_check_engines
+echo "hand-over: ok"
