--- a/src/contract/message.h
+++ b/src/contract/message.h
@@ -100,6 +100,7 @@
       br_name_t organisation;
       br_name_t service;
       bool streamed;
+      br_str_t path;
     } located; /* LOCATED */
     struct
     {
