--- a/bench/domain_bench.c
+++ b/bench/domain_bench.c
@@ -91,8 +91,8 @@
 {
   static const int sizes[] = { 7, 25, 100, 390 };
 
-  printf ("%5s %10s %14s %14s %14s %14s\n", "VMs", "state", "bytes/s a VM", "% of a core",
-          "notice ms max", "longest frame");
+  printf ("%5s %10s %14s %14s %14s %14s\n", "VMs", "state", "bytes/s a VM",
+          "% of a core", "notice ms max", "longest frame");
   for (size_t i = 0; i < BR_N_ELEMENTS (sizes); i++)
     {
       bench_size (sizes[i], false);
--- a/src/domain/membership.c
+++ b/src/domain/membership.c
@@ -28,7 +28,8 @@
   if (from == NULL || message->incarnation < from->vm.incarnation)
     return;
   membership_heard (membership, from, now);
-  br_member_set_up (membership, from, message->incarnation, message->version, now);
+  br_member_set_up (membership, from, message->incarnation, message->version,
+                    now);
   for (size_t i = 0; i < message->n_vms; i++)
     br_membership_merge (membership, &message->vms[i], now);
   for (size_t i = 0; i < message->n_notices; i++)
--- a/tests/domain_membership_test.cc
+++ b/tests/domain_membership_test.cc
@@ -210,7 +210,9 @@
   for (int by = 0; by < bus->n; by++)
     {
       if (by != 2)
-        { EXPECT_TRUE (bus_view (bus, 2, by)->vm.leaving); }
+        {
+          EXPECT_TRUE (bus_view (bus, 2, by)->vm.leaving);
+        }
     }
   EXPECT_TRUE (br_membership_is_leaving (bus->vms[2]));
   bus_start (bus, 2, BUS_INCARNATION + 1);
@@ -219,7 +221,9 @@
   for (int by = 0; by < bus->n; by++)
     {
       if (by != 2)
-        { EXPECT_FALSE (bus_view (bus, 2, by)->vm.leaving); }
+        {
+          EXPECT_FALSE (bus_view (bus, 2, by)->vm.leaving);
+        }
     }
   EXPECT_FALSE (br_membership_is_leaving (bus->vms[2]));
 }
@@ -237,7 +241,9 @@
       const bus_event_t *event = &bus->events.items[i];
 
       if (event->from == 3 && event->output.kind == BR_MEMBERSHIP_VM)
-        { EXPECT_NE (event->output.vm.state, BR_VM_DOWN); }
+        {
+          EXPECT_NE (event->output.vm.state, BR_VM_DOWN);
+        }
     }
 }
 
--- a/tests/support/domain_bus.h
+++ b/tests/support/domain_bus.h
@@ -98,8 +98,7 @@
         continue;
       br_membership_link_up (bus->vms[i], &other, bus->incarnations[j],
                              bus->now);
-      br_membership_link_up (bus->vms[j], &own, bus->incarnations[i],
-                             bus->now);
+      br_membership_link_up (bus->vms[j], &own, bus->incarnations[i], bus->now);
     }
 }
 
