--- a/src/base/error.h
+++ b/src/base/error.h
@@ -22,6 +22,7 @@
   X (CONFLICT, "conflict", 7, 409)                                             \
   X (GONE, "gone", 6, 410)                                                     \
   X (TOO_LARGE, "too_large", 4, 413)                                           \
+  X (HEAD_TOO_LARGE, "head_too_large", 4, 431)                                 \
   X (QUARANTINED, "quarantined", 4, 422)                                       \
   X (LIMITED, "limited", 8, 429)                                               \
   X (UPSTREAM, "upstream_failed", 9, 502)                                      \
@@ -50,6 +51,7 @@
 {
   br_error_code_t code;
   int64_t retry_after_ms;
+  bool may_have_run; /* the work, in part or in whole */
   char step[BR_ERROR_STEP_MAX];
   char peer[BR_NAME_MAX + 1];
   char text[BR_ERROR_TEXT_MAX];
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -24,6 +24,7 @@
 typedef struct br_caller_task br_caller_task_t;
 typedef struct br_operator_task br_operator_task_t;
 typedef struct br_replica_task br_replica_task_t;
+typedef struct br_contract_task br_contract_task_t;
 
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
@@ -35,6 +36,12 @@
   X (PROPOSAL, "a proposal for the replicated log has an outcome")             \
   X (APPLIED, "the replicated state changed")                                  \
   X (CATALOG_CHANGED, "a new revision of the declarations is in force")        \
+  X (VM_UP, "an entry VM, or a new incarnation of it, is live")                \
+  X (VM_SUSPECT, "an entry VM does not answer probes")                         \
+  X (VM_DOWN, "an entry VM was not heard of by any way")                       \
+  X (VM_LEAVING, "an entry VM was told to leave, or said so itself")           \
+  X (UPSTREAM_CHANGED, "an upstream came, left, went down or came back")       \
+  X (RECLAIM_NOTICE, "the platform takes this entry VM back")                  \
   X (STOP, "stop when nothing is in progress any more")
 
 typedef enum
@@ -87,6 +94,13 @@
   br_error_t error; /* unless committed */
 } br_proposal_message_t;
 
+/* Of BR_NODE_VM_UP, _SUSPECT, _DOWN, _LEAVING and _UPSTREAM_CHANGED. */
+typedef struct
+{
+  br_name_t name;
+  uint64_t incarnation;
+} br_member_message_t;
+
 typedef struct
 {
   br_node_message_kind_t kind;
@@ -95,6 +109,8 @@
     br_attempt_message_t attempt;
     br_peer_message_t peer;
     br_proposal_message_t proposal;
+    br_member_message_t member;
+    br_ms_t leave_by_ms; /* of BR_NODE_RECLAIM_NOTICE, monotonic */
     uint64_t work;
     uint64_t index; /* log position, of BR_NODE_APPLIED */
   };
@@ -119,6 +135,7 @@
   br_caller_task_t *callers;
   br_operator_task_t *operators;
   br_replica_task_t *replica;
+  br_contract_task_t *contracts;
   br_state_t *state; /* owned; changed by the replica task alone */
   struct br_node_queue *queue;
 };
@@ -134,6 +151,10 @@
 /* Takes no new work from now on; br_node_run() returns once the work in
  * progress is done. */
 void br_node_drain (br_node_t *node);
+
+/* Like br_node_drain(), and hands over in time what would not be done by
+ * LEAVE_BY_MS. */
+void br_node_drain_by (br_node_t *node, br_ms_t leave_by_ms);
 void br_node_free (br_node_t *node);
 
 /* Puts a message into the queue; what it owns goes to the queue.  It is
--- a/src/shell/peer_task.c
+++ b/src/shell/peer_task.c
@@ -6,6 +6,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <inttypes.h>
+#include <netinet/tcp.h>
 #include <openssl/rand.h>
 #include <stdio.h>
 #include <string.h>
@@ -350,6 +351,17 @@
     link_fail (link, &err);
 }
 
+/* A message that follows another must not wait for the acknowledgement of the
+ * first. */
+static void
+link_send_at_once (link_t *link)
+{
+  int on = 1;
+
+  setsockopt (bufferevent_getfd (link->bev), IPPROTO_TCP, TCP_NODELAY, &on,
+              sizeof on);
+}
+
 static void
 link_on_event (struct bufferevent *bev, short what, void *context)
 {
@@ -357,7 +369,10 @@
 
   (void)bev;
   if (what & BEV_EVENT_CONNECTED)
-    link_send_hello (link);
+    {
+      link_send_at_once (link);
+      link_send_hello (link);
+    }
   else if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
     link_close (link);
 }
@@ -375,28 +390,13 @@
   bufferevent_enable (link->bev, EV_READ | EV_WRITE);
 }
 
-static bool
-endpoint_to_sockaddr (const br_endpoint_t *endpoint,
-                      struct sockaddr_storage *address,
-                      int *len)
-{
-  char text[BR_ADDRESS_MAX + 16];
-  const char *format
-      = strchr (endpoint->address, ':') != NULL ? "[%s]:%d" : "%s:%d";
-
-  *len = sizeof *address;
-  snprintf (text, sizeof text, format, endpoint->address, (int)endpoint->port);
-  return evutil_parse_sockaddr_port (text, (struct sockaddr *)address, len)
-         == 0;
-}
-
 static void
 link_dial (link_t *link)
 {
   struct sockaddr_storage address;
   int len;
 
-  if (!endpoint_to_sockaddr (&link->settings->endpoint, &address, &len))
+  if (!br_endpoint_to_sockaddr (&link->settings->endpoint, &address, &len))
     return;
   link_start (link, -1);
   if (bufferevent_socket_connect (link->bev, (struct sockaddr *)&address, len)
@@ -481,6 +481,7 @@
   task->accepted = link;
   task->n_accepted++;
   link_start (link, fd);
+  link_send_at_once (link);
 }
 
 static bool
@@ -490,7 +491,7 @@
   struct sockaddr_storage address;
   int len;
 
-  if (endpoint_to_sockaddr (endpoint, &address, &len))
+  if (br_endpoint_to_sockaddr (endpoint, &address, &len))
     task->listener
         = evconnlistener_new_bind (task->node->base, task_on_accept, task,
                                    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
