--- a/src/base/error.h
+++ b/src/base/error.h
@@ -29,6 +29,7 @@
   X (UNAVAILABLE, "unavailable", 8, 503)                                       \
   X (TIMEOUT, "timeout", 9, 504)                                               \
   X (UNKNOWN_OUTCOME, "unknown_outcome", 10, 502)                              \
+  X (ANSWER_GONE, "answer_gone", 10, 410)                                      \
   X (PEER, "peer", 9, 502)                                                     \
   X (PROTOCOL, "protocol", 9, 502)                                             \
   X (STORAGE, "storage", 11, 503)                                              \
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -72,13 +72,6 @@
   br_buf_t payload; /* owned by the message */
 } br_peer_message_t;
 
-typedef enum
-{
-  BR_PROPOSAL_COMMITTED, /* in force, and RESULT is the state's answer */
-  BR_PROPOSAL_REFUSED,   /* surely not in the log, now or later */
-  BR_PROPOSAL_UNKNOWN,   /* may be or become committed */
-} br_proposal_outcome_t;
-
 typedef struct
 {
   uint64_t ticket;
--- a/src/state/state.c
+++ b/src/state/state.c
@@ -399,6 +399,12 @@
     visit (at, context);
 }
 
+size_t
+br_state_claim_count (const br_state_t *state)
+{
+  return br_claim_store_count (&state->claims);
+}
+
 const br_claim_record_t *
 br_state_claim (const br_state_t *state, br_str_t key)
 {
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -31,6 +31,14 @@
 
 typedef struct br_state br_state_t;
 
+/* What became of a command that was proposed for the log. */
+typedef enum
+{
+  BR_PROPOSAL_COMMITTED, /* in force, and there is a result */
+  BR_PROPOSAL_REFUSED,   /* surely not in the log, now or later */
+  BR_PROPOSAL_UNKNOWN,   /* may be or become committed */
+} br_proposal_outcome_t;
+
 br_state_t *br_state_new (void);
 void br_state_free (br_state_t *state);
 
@@ -76,6 +84,8 @@
                           br_claim_visit_t visit,
                           void *context);
 
+size_t br_state_claim_count (const br_state_t *state);
+
 /* Returns NULL when nothing is known of KEY. */
 const br_claim_record_t *br_state_claim (const br_state_t *state, br_str_t key);
 
