--- a/bench/load_client.c
+++ b/bench/load_client.c
@@ -117,8 +117,8 @@
   call_t *call = context;
   struct evbuffer *input = evhttp_request_get_input_buffer (request);
   int64_t now = now_us ();
-  samples_t *samples = call->last_us == 0 ? &call->load->first_token_ms
-                                          : &call->load->gap_ms;
+  samples_t *samples
+      = call->last_us == 0 ? &call->load->first_token_ms : &call->load->gap_ms;
   int64_t since = call->last_us == 0 ? call->started_us : call->last_us;
 
   samples_push (samples, (double)(now - since) / 1000);
@@ -201,8 +201,7 @@
   static const double shares[] = { 0.5, 0.95, 0.99 };
   static const char *const labels[] = { "p50", "p95", "p99" };
 
-  qsort (samples->items, samples->len, sizeof *samples->items,
-         compare_doubles);
+  qsort (samples->items, samples->len, sizeof *samples->items, compare_doubles);
   printf (",\"%s\":{", name);
   for (size_t i = 0; i < BR_N_ELEMENTS (shares); i++)
     {
@@ -302,8 +301,7 @@
   load.first_us = now_us ();
   if (load.options.rate > 0)
     {
-      load.timer
-          = event_new (load.base, -1, EV_PERSIST, load_on_timer, &load);
+      load.timer = event_new (load.base, -1, EV_PERSIST, load_on_timer, &load);
       event_add (load.timer, &period);
     }
   else
--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -19,6 +19,9 @@
   X (TOKENS_RECOMPUTED, "recomputed_tokens_total",                             \
      "Tokens generated a second time")                                         \
   X (AUTH_FAILED, "authentication_failed_total", "Wrong or missing keys")      \
+  X (CLAIMS_SENT, "claims_sent_total", "Claims that allowed a first byte")     \
+  X (CLAIMS_NOT_RUN, "claims_not_run_total", "Claims that proved not run")     \
+  X (CLAIMS_UNKNOWN, "claims_unknown_total", "Claims of unknown outcome")      \
   X (PEER_ERRORS, "peer_errors_total", "Broken or refused peer links")         \
   X (PEER_BYTES_SENT, "peer_sent_bytes_total", "Bytes sent to peers")          \
   X (PEER_BYTES_RECEIVED, "peer_received_bytes_total",                         \
--- a/src/contract/claim.c
+++ b/src/contract/claim.c
@@ -296,9 +296,7 @@
 }
 
 static void
-claim_on_taken (br_claim_t *claim,
-                br_ms_t now,
-                br_claim_actions_t *outbox)
+claim_on_taken (br_claim_t *claim, br_ms_t now, br_claim_actions_t *outbox)
 {
   claim->taken = true;
   if (claim->sent_refused)
--- a/src/contract/claim_command.c
+++ b/src/contract/claim_command.c
@@ -70,4 +70,3 @@
   command.claim_end = &end;
   br_command_pack (&command, out);
 }
-
--- a/src/contract/contract.h
+++ b/src/contract/contract.h
@@ -36,9 +36,9 @@
 
 typedef enum
 {
-  BR_CONTRACT_SEND,     /* MESSAGE goes to VM */
-  BR_CONTRACT_ACCEPTED, /* the caller may hear of acceptance; VM is the
-                           partner, empty when there is none */
+  BR_CONTRACT_SEND,      /* MESSAGE goes to VM */
+  BR_CONTRACT_ACCEPTED,  /* the caller may hear of acceptance; VM is the
+                            partner, empty when there is none */
   BR_CONTRACT_PROTECTED, /* VM holds all that was generated, AFTER_MS after
                             protection was lost or begun */
   BR_CONTRACT_TAKE_OVER, /* this VM is the owner now; COPY goes over */
--- a/src/contract/message.c
+++ b/src/contract/message.c
@@ -95,8 +95,7 @@
 }
 
 static void
-wire_request (const br_contract_request_t *request,
-              Br__Contract__Request *out)
+wire_request (const br_contract_request_t *request, Br__Contract__Request *out)
 {
   out->service = wire_name (&request->service);
   out->organisation = wire_name (&request->organisation);
@@ -226,10 +225,10 @@
 {
   request->streamed = wire->streamed;
   request->method = wire->method;
-  br_buf_append (&request->path, br_str_make ((const char *)wire->path.data,
-                                              wire->path.len));
-  br_buf_append (&request->body, br_str_make ((const char *)wire->body.data,
-                                              wire->body.len));
+  br_buf_append (&request->path,
+                 br_str_make ((const char *)wire->path.data, wire->path.len));
+  br_buf_append (&request->body,
+                 br_str_make ((const char *)wire->body.data, wire->body.len));
   br_buf_append (&request->content_type,
                  br_str_make ((const char *)wire->content_type.data,
                               wire->content_type.len));
@@ -249,8 +248,7 @@
     return false;
   slice->offset = wire->offset;
   slice->n_parts = wire->n_parts;
-  slice->bytes
-      = br_str_make ((const char *)wire->bytes.data, wire->bytes.len);
+  slice->bytes = br_str_make ((const char *)wire->bytes.data, wire->bytes.len);
   unpacked->parts = br_alloc_zero ((wire->n_parts + 1) * sizeof *slice->parts);
   slice->parts = unpacked->parts;
   for (size_t i = 0; i < wire->n_parts; i++)
--- a/src/contract/message.h
+++ b/src/contract/message.h
@@ -62,8 +62,8 @@
 
 /* Adds the parts of SLICE that follow on what ANSWER has.  Returns false when
  * a part before SLICE is missing. */
-bool
-br_contract_slice_add (const br_contract_slice_t *slice, br_answer_t *answer);
+bool br_contract_slice_add (const br_contract_slice_t *slice,
+                            br_answer_t *answer);
 
 /* What a VM knows of a contract. */
 typedef enum
@@ -120,8 +120,8 @@
 const char *br_contract_message_name (br_contract_message_kind_t kind);
 
 /* Appends the packed MESSAGE to OUT. */
-void
-br_contract_message_pack (const br_contract_message_t *message, br_buf_t *out);
+void br_contract_message_pack (const br_contract_message_t *message,
+                               br_buf_t *out);
 
 /* Reads a message that PEER sent; every field is checked.  Released with
  * br_contract_message_release() in either case. */
--- a/src/contract/owner.c
+++ b/src/contract/owner.c
@@ -27,8 +27,7 @@
 
   for (size_t i = 0; i < peers->len; i++)
     {
-      const br_contract_peer_t *peer
-          = &peers->items[(start + i) % peers->len];
+      const br_contract_peer_t *peer = &peers->items[(start + i) % peers->len];
 
       if (owner_may_ask (record, peer)
           && (!other_domain
@@ -187,7 +186,9 @@
 /* Reports the end of a time without protection, and frees the former owner
  * of its copy. */
 static void
-owner_check_covered (br_contracts_t *contracts, br_record_t *record, br_ms_t now)
+owner_check_covered (br_contracts_t *contracts,
+                     br_record_t *record,
+                     br_ms_t now)
 {
   if (record->unprotected_ms == BR_MS_NEVER
       || !owner_is_covered (contracts, record))
@@ -301,7 +302,9 @@
 }
 
 static void
-owner_check_partner (br_contracts_t *contracts, br_record_t *record, br_ms_t now)
+owner_check_partner (br_contracts_t *contracts,
+                     br_record_t *record,
+                     br_ms_t now)
 {
   const br_contract_options_t *options = &contracts->options;
 
--- a/src/contract/partner.c
+++ b/src/contract/partner.c
@@ -80,9 +80,9 @@
                           br_ms_t now)
 {
   br_record_t *record = br_contracts_record (contracts, &message->contract);
-  int order = record != NULL ? br_contract_epoch_compare (&record->epoch,
-                                                          &message->epoch)
-                             : -1;
+  int order = record != NULL
+                  ? br_contract_epoch_compare (&record->epoch, &message->epoch)
+                  : -1;
   const br_contract_slice_t *slice = &message->checkpoint.slice;
   br_answer_t *answer;
 
@@ -101,7 +101,8 @@
     return;
   answer = &record->copy->answer;
   if (br_contract_slice_add (slice, answer) && message->checkpoint.complete
-      && !answer->complete && answer->parts.len == slice->offset + slice->n_parts)
+      && !answer->complete
+      && answer->parts.len == slice->offset + slice->n_parts)
     {
       answer->complete = true;
       record->copy->status = message->checkpoint.status;
--- a/src/contract/record.h
+++ b/src/contract/record.h
@@ -123,9 +123,8 @@
                           const br_name_t *from,
                           const br_contract_message_t *message,
                           br_ms_t now);
-void br_owner_on_tick (br_contracts_t *contracts,
-                       br_record_t *record,
-                       br_ms_t now);
+void
+br_owner_on_tick (br_contracts_t *contracts, br_record_t *record, br_ms_t now);
 
 /* The partner's process was replaced: what it held is gone. */
 void br_owner_on_partner_restart (br_contracts_t *contracts,
--- a/src/organisation/admission.h
+++ b/src/organisation/admission.h
@@ -9,8 +9,8 @@
 
 #include "base/clock.h"
 #include "base/error.h"
-#include "base/str.h"
 #include "base/label.h"
+#include "base/str.h"
 #include "base/vec.h"
 
 BR_BEGIN_DECLS
--- a/src/route/catalog.c
+++ b/src/route/catalog.c
@@ -39,6 +39,8 @@
     0 },
   { "repeatable", KEY_BOOL, offsetof (br_service_t, repeatable), false, 0, 0,
     1 },
+  { "retention_s", KEY_INT, offsetof (br_service_t, retention_s), false, 60,
+    2592000, 86400 },
   { "first_token_ms", KEY_INT, offsetof (br_service_t, first_token_ms), false,
     1, 600000, 1100 },
   { "token_gap_ms", KEY_INT, offsetof (br_service_t, token_gap_ms), false, 1,
--- a/src/route/catalog.h
+++ b/src/route/catalog.h
@@ -39,6 +39,7 @@
   br_selector_t upstreams; /* which upstreams answer; owned */
   br_selector_t workloads; /* which workloads may call; owned */
   bool repeatable;         /* false: a call runs at most once */
+  int64_t retention_s;     /* how long a key of such a call is kept */
   br_ms_t first_token_ms;  /* latency target */
   br_ms_t token_gap_ms;    /* latency target */
 } br_service_t;
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "shell/caller_task.h"
+#include "shell/claim_task.h"
 #include "shell/operator_task.h"
 #include "shell/peer_task.h"
 #include "shell/replica_task.h"
@@ -76,6 +77,9 @@
     {
     case BR_NODE_PEER_UP:
     case BR_NODE_PEER_DOWN:
+      br_claim_task_on_vm (node->claims, &message->peer.vm,
+                           message->peer.incarnation,
+                           message->kind == BR_NODE_PEER_UP);
       break;
     case BR_NODE_PEER_RECEIVED:
       node_on_peer_message (node, &message->peer);
@@ -88,9 +92,12 @@
       br_caller_task_on_work (node->callers, message->work);
       break;
     case BR_NODE_PROPOSAL:
+      br_claim_task_on_proposal (node->claims, &message->proposal);
       br_buf_free (&message->proposal.result);
       break;
     case BR_NODE_APPLIED:
+      br_claim_task_on_applied (node->claims);
+      break;
     case BR_NODE_CATALOG_CHANGED:
     case BR_NODE_VM_UP:
     case BR_NODE_VM_SUSPECT:
@@ -134,6 +141,7 @@
 node_is_idle (const br_node_t *node)
 {
   return br_work_task_in_progress (node->works) == 0
+         && br_claim_task_in_progress (node->claims) == 0
          && br_caller_task_in_progress (node->callers) == 0;
 }
 
@@ -201,6 +209,7 @@
     return false;
   node->upstreams = br_upstream_task_new (node);
   node->works = br_work_task_new (node);
+  node->claims = br_claim_task_new (node);
   node->callers = br_caller_task_new (node, err);
   if (node->callers == NULL)
     return false;
@@ -303,6 +312,7 @@
 {
   br_caller_task_free (node->callers);
   br_operator_task_free (node->operators);
+  br_claim_task_free (node->claims);
   br_work_task_free (node->works);
   br_upstream_task_free (node->upstreams);
   br_peer_task_free (node->peers);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -24,6 +24,7 @@
 typedef struct br_caller_task br_caller_task_t;
 typedef struct br_operator_task br_operator_task_t;
 typedef struct br_replica_task br_replica_task_t;
+typedef struct br_claim_task br_claim_task_t;
 
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
@@ -127,6 +128,7 @@
   br_caller_task_t *callers;
   br_operator_task_t *operators;
   br_replica_task_t *replica;
+  br_claim_task_t *claims;
   br_state_t *state; /* owned; changed by the replica task alone */
   struct br_node_queue *queue;
 };
--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -51,6 +51,7 @@
   bool stream;
   bool opened;
   bool byte_left; /* something was handed to the socket */
+  br_ms_t not_after_ms;
   int http_error; /* evhttp's code, or -1 */
   br_sse_t sse;
   UT_hash_handle hh;
@@ -230,6 +231,14 @@
   (void)buffer;
   if (info->n_added == 0 || attempt->byte_left)
     return;
+  if (attempt->not_after_ms > 0
+      && br_node_now (attempt->task->node) > attempt->not_after_ms)
+    {
+      /* Ends the attempt before the loop asks whether the socket is ready to
+       * be written. */
+      event_active (attempt->timer, EV_TIMEOUT, 0);
+      return;
+    }
   attempt->byte_left = true;
   attempt_set_timer (attempt, "first token",
                      attempt->task->node->settings.first_token_ms);
@@ -418,6 +427,7 @@
   attempt->work = options->work;
   br_name_set (&attempt->upstream, br_str_from (options->upstream));
   attempt->stream = options->stream;
+  attempt->not_after_ms = options->not_after_ms;
   attempt->http_error = -1;
   attempt->pool = task_pool (task, options->address, options->port);
   attempt->connection = task_connection (task, attempt->pool, options);
--- a/src/shell/upstream_task.h
+++ b/src/shell/upstream_task.h
@@ -24,6 +24,7 @@
   const char *idempotency_key; /* sent on when not NULL */
   bool stream;                 /* split the answer into events */
   bool fresh_connection;       /* do not use one that was used before */
+  br_ms_t not_after_ms;        /* no first byte leaves later; 0 for no bound */
 } br_attempt_options_t;
 
 br_upstream_task_t *br_upstream_task_new (br_node_t *node);
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -1,8 +1,10 @@
 #include "shell/work_task.h"
 
+#include <assert.h>
 #include <uthash.h>
 
 #include "route/choice.h"
+#include "shell/claim_task.h"
 #include "shell/engine_body.h"
 #include "shell/upstream_task.h"
 
@@ -59,6 +61,8 @@
 static void
 work_fail (br_work_task_t *task, br_work_t *work, const br_error_t *err)
 {
+  if (br_claim_task_take_failure (task->node->claims, work, err))
+    return;
   work->error = *err;
   work_end (task, work, BR_WORK_FAILED);
 }
@@ -94,6 +98,7 @@
     .idempotency_key = work->idempotency_key.data,
     .stream = is_model,
     .fresh_connection = !work->repeatable,
+    .not_after_ms = work->not_after_ms,
   };
 
   if (is_model)
@@ -128,6 +133,11 @@
   br_upstream_t *upstream = NULL;
   br_error_t err;
 
+  if (!work->repeatable && work->not_after_ms == 0)
+    {
+      br_claim_task_start (node->claims, work);
+      return;
+    }
   if (query.service != NULL)
     upstream = br_choice_take (&node->registry, &query);
   if (upstream != NULL)
@@ -203,6 +213,7 @@
   if (work->kind == BR_SERVICE_PLAIN || work->answer.complete)
     {
       work->answer.complete = true;
+      br_claim_task_on_answer (task->node->claims, work);
       work_end (task, work, BR_WORK_DONE);
       return;
     }
@@ -242,6 +253,47 @@
     }
 }
 
+void
+br_work_task_may_send (br_work_task_t *task,
+                       uint64_t number,
+                       br_ms_t not_after_ms)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  assert (work != NULL && work->state == BR_WORK_RUNNING);
+  work->not_after_ms = not_after_ms;
+  work_try (task, work);
+}
+
+void
+br_work_task_answered (br_work_task_t *task,
+                       uint64_t number,
+                       int status,
+                       br_str_t body)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  if (work == NULL || work->state != BR_WORK_RUNNING)
+    return;
+  work->status = status;
+  br_answer_add (&work->answer, 0, BR_ANSWER_RAW, body);
+  work->answer.complete = true;
+  work_end (task, work, BR_WORK_DONE);
+}
+
+void
+br_work_task_failed (br_work_task_t *task,
+                     uint64_t number,
+                     const br_error_t *err)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  if (work == NULL || work->state != BR_WORK_RUNNING)
+    return;
+  work->error = *err;
+  work_end (task, work, BR_WORK_FAILED);
+}
+
 static void
 work_set_contract (br_work_task_t *task, br_work_t *work)
 {
@@ -264,6 +316,7 @@
   br_work_t *work = &entry->work;
 
   work->number = ++task->last_number;
+  work->organisation = options->organisation;
   work->service = options->service->name;
   work->kind = options->service->kind;
   work->repeatable
@@ -365,6 +418,9 @@
   {
     br_work_t *work = &entry->work;
 
+    /* Work that runs once may not be ended on this side alone. */
+    if (work->state == BR_WORK_RUNNING && !work->repeatable)
+      continue;
     if (work->watchers > 0 || now - work->unwatched_ms < UNWATCHED_KEEP_MS)
       continue;
     if (work->state == BR_WORK_RUNNING)
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -23,6 +23,7 @@
   uint64_t number;
   br_contract_id_t contract;
   char contract_text[BR_NAME_MAX + 40];
+  br_name_t organisation;
   br_name_t service;
   br_service_kind_t kind;
   bool repeatable;
@@ -36,12 +37,13 @@
   br_answer_t answer;
   br_error_t error;
   uint32_t attempts;
-  uint64_t attempt;   /* the one that runs, 0 for none */
-  br_name_t upstream; /* of that attempt */
-  size_t base_offset; /* parts that were there when it started */
-  size_t received;    /* parts it has delivered */
-  br_names_t tried;   /* upstreams that failed */
-  uint32_t watchers;  /* callers that read the answer */
+  uint64_t attempt;     /* the one that runs, 0 for none */
+  br_name_t upstream;   /* of that attempt */
+  size_t base_offset;   /* parts that were there when it started */
+  size_t received;      /* parts it has delivered */
+  br_names_t tried;     /* upstreams that failed */
+  uint32_t watchers;    /* callers that read the answer */
+  br_ms_t not_after_ms; /* of work that runs once: no first byte later */
   br_ms_t accepted_ms;
   br_ms_t unwatched_ms; /* since when nobody reads it */
 } br_work_t;
@@ -50,6 +52,7 @@
 typedef struct
 {
   const br_service_t *service;
+  br_name_t organisation;
   enum evhttp_cmd_type method;
   br_str_t path;
   br_str_t body;
@@ -72,6 +75,19 @@
 void br_work_task_on_attempt (br_work_task_t *task,
                               br_attempt_message_t *message);
 
+/* The claim of work that runs once has an outcome: it may be sent before
+ * NOT_AFTER_MS, the log holds its answer, or it fails. */
+void br_work_task_may_send (br_work_task_t *task,
+                            uint64_t number,
+                            br_ms_t not_after_ms);
+void br_work_task_answered (br_work_task_t *task,
+                            uint64_t number,
+                            int status,
+                            br_str_t body);
+void br_work_task_failed (br_work_task_t *task,
+                          uint64_t number,
+                          const br_error_t *err);
+
 /* Counts the callers that read the answer; without any for a while, work
  * that runs is cancelled and work that is done is forgotten. */
 void br_work_watch (br_work_t *work);
--- /dev/null
+++ b/src/state/command.c
@@ -0,0 +1,67 @@
+#include "state/command.h"
+
+#include <stdlib.h>
+
+void
+br_command_abandon (const br_claim_record_t *claim, br_buf_t *out)
+{
+  br_command_t command = BR__STATE__COMMAND__INIT;
+  Br__State__ClaimAbandon abandon = BR__STATE__CLAIM_ABANDON__INIT;
+
+  abandon.key = claim->key;
+  abandon.owner = claim->owner;
+  abandon.attempt = claim->attempt;
+  command.body_case = BR__STATE__COMMAND__BODY_CLAIM_ABANDON;
+  command.claim_abandon = &abandon;
+  br_command_pack (&command, out);
+}
+
+void
+br_command_settle (br_str_t key, br_claim_state_t state, br_buf_t *out)
+{
+  br_command_t command = BR__STATE__COMMAND__INIT;
+  Br__State__ClaimSettle settle = BR__STATE__CLAIM_SETTLE__INIT;
+
+  settle.key = br_str_dup (key);
+  settle.state = state;
+  command.body_case = BR__STATE__COMMAND__BODY_CLAIM_SETTLE;
+  command.claim_settle = &settle;
+  br_command_pack (&command, out);
+  free (settle.key);
+}
+
+void
+br_command_tick (uint64_t sequence, br_ms_t elapsed_ms, br_buf_t *out)
+{
+  br_command_t command = BR__STATE__COMMAND__INIT;
+  Br__State__Tick tick = BR__STATE__TICK__INIT;
+
+  tick.sequence = sequence;
+  tick.elapsed_ms = (uint64_t)elapsed_ms;
+  command.body_case = BR__STATE__COMMAND__BODY_TICK;
+  command.tick = &tick;
+  br_command_pack (&command, out);
+}
+
+void
+br_command_fence (br_str_t resource, br_buf_t *out)
+{
+  br_command_t command = BR__STATE__COMMAND__INIT;
+  Br__State__FenceNext fence = BR__STATE__FENCE_NEXT__INIT;
+
+  fence.resource = br_str_dup (resource);
+  command.body_case = BR__STATE__COMMAND__BODY_FENCE_NEXT;
+  command.fence_next = &fence;
+  br_command_pack (&command, out);
+  free (fence.resource);
+}
+
+void
+br_command_change (const br_change_t *change, br_buf_t *out)
+{
+  br_command_t command = BR__STATE__COMMAND__INIT;
+
+  command.body_case = BR__STATE__COMMAND__BODY_CHANGE;
+  command.change = (br_change_t *)change;
+  br_command_pack (&command, out);
+}
