--- a/src/contract/claim.c
+++ b/src/contract/claim.c
@@ -6,6 +6,7 @@
 #include "contract/claim_command.h"
 
 #define TAKES_MAX 4
+#define SENTS_MAX 3
 #define PROPOSE_AGAIN_MS 300
 
 /* How long the proof that nothing ran may take before the caller hears that
@@ -77,6 +78,14 @@
          && br_claim_owner_equal (record->owner, &owner);
 }
 
+/* Whether the key went on to another attempt. */
+static bool
+record_is_later (const br_claim_t *claim, const br_claim_record_t *record)
+{
+  return record != NULL && record->attempt >= claim->attempt
+         && !record_is_own (claim, record);
+}
+
 static void
 claim_propose (const br_claim_t *claim,
                br_claim_proposal_t proposal,
@@ -101,14 +110,6 @@
   br_claim_actions_push (outbox, action);
 }
 
-static void
-claim_propose_sent (br_claim_t *claim, br_ms_t now, br_claim_actions_t *outbox)
-{
-  claim->sent_proposed_ms = now;
-  claim->sent_too_soon = false;
-  claim_propose (claim, BR_CLAIM_PROPOSE_SENT, outbox);
-}
-
 /* Tells the caller, once. */
 static void
 claim_tell (br_claim_t *claim,
@@ -170,6 +171,19 @@
   claim_fence (claim, now, &err, outbox);
 }
 
+static void
+claim_propose_sent (br_claim_t *claim, br_ms_t now, br_claim_actions_t *outbox)
+{
+  if (++claim->sents > SENTS_MAX)
+    {
+      claim_fence_why (claim, now, "the claim is gone", outbox);
+      return;
+    }
+  claim->sent_proposed_ms = now;
+  claim->sent_too_soon = false;
+  claim_propose (claim, BR_CLAIM_PROPOSE_SENT, outbox);
+}
+
 static void
 claim_take (br_claim_t *claim,
             br_ms_t now,
@@ -184,6 +198,7 @@
   claim->step = BR_CLAIM_STEP_TAKING;
   claim->attempt = attempt;
   claim->taken = claim->sent_refused = false;
+  claim->sents = 0;
   claim_propose (claim, BR_CLAIM_PROPOSE_TAKE, outbox);
   claim_propose_sent (claim, now, outbox);
 }
@@ -391,7 +406,8 @@
     claim->sent_refused = true;
   else if (result->verdict == BR_VERDICT_OK)
     claim_send (claim, now, outbox);
-  else if (record_is_own (claim, result->claim))
+  else if (record_is_own (claim, result->claim)
+           || record_is_later (claim, result->claim))
     claim_fence_why (claim, now, "another VM gave this claim up", outbox);
   else if (claim->taken)
     claim_propose_sent (claim, now, outbox);
--- a/src/contract/claim.h
+++ b/src/contract/claim.h
@@ -52,6 +52,7 @@
   uint32_t attempt;
   uint32_t takes;           /* attempts of this contract to get the key */
   br_ms_t sent_proposed_ms; /* of the latest record that it is sent */
+  uint32_t sents;           /* records before the first byte proposed */
   bool taken;               /* the claim is committed */
   bool sent_too_soon;       /* that record reached the log before the claim */
   bool sent_refused;
--- a/src/shell/claim_task.c
+++ b/src/shell/claim_task.c
@@ -377,8 +377,7 @@
   br_command_abandon (claim, &command);
   commands_push (&sweep->commands, command);
   BR_LOG (&sweep->task->node->log, "claim", "abandon",
-          br_field_z ("key", claim->key),
-          br_field_z ("peer", claim->owner->vm),
+          br_field_z ("key", claim->key), br_field_z ("peer", claim->owner->vm),
           br_field_z ("step", br_claim_state_name (claim->state)));
 }
 
--- a/tests/claim_model_test.cc
+++ b/tests/claim_model_test.cc
@@ -14,7 +14,8 @@
 #include "contract/claim.h"
 #include "state/command.h"
 
-namespace {
+namespace
+{
 
 constexpr br_ms_t START_MS = 1000;
 constexpr br_ms_t PAUSE_MS = 60000;
@@ -490,10 +491,9 @@
 
         world.left.abandons--;
         br_command_abandon (record, &command);
-        world.proposals.push_back (
-            { -1, BR_CLAIM_PROPOSE_END, 0,
-              std::string (command.data, command.len),
-              BR_PROPOSAL_COMMITTED });
+        world.proposals.push_back ({ -1, BR_CLAIM_PROPOSE_END, 0,
+                                     std::string (command.data, command.len),
+                                     BR_PROPOSAL_COMMITTED });
         push (world);
       }
     br_buf_clear (&command);
@@ -508,8 +508,7 @@
         world.left.settlements--;
         br_command_settle (br_str_from ("o/s/k"), BR_CLAIM_NOT_RUN, &command);
         bytes = apply (world, std::string (command.data, command.len));
-        result
-            = br_result_unpack (br_str_make (bytes.data (), bytes.size ()));
+        result = br_result_unpack (br_str_make (bytes.data (), bytes.size ()));
         world.settled = result->claim->verdict == BR_VERDICT_OK
                         && result->claim->claim->settled && only_owner (world);
         br_result_free (result);
@@ -575,24 +574,15 @@
   explore ({ 1, 1, 0, 0, 0, 0, 0, 0, 0 });
 }
 
-TEST (ClaimModel, CrashAndAbandon)
-{
-  explore ({ 0, 0, 0, 1, 1, 0, 0, 0, 1 });
-}
+TEST (ClaimModel, CrashAndAbandon) { explore ({ 0, 0, 0, 1, 1, 0, 0, 0, 1 }); }
 
 TEST (ClaimModel, FrozenOwnerAndSettlement)
 {
   explore ({ 0, 0, 0, 0, 1, 1, 1, 0, 0 });
 }
 
-TEST (ClaimModel, NoMajority)
-{
-  explore ({ 0, 2, 1, 0, 0, 1, 0, 2, 0 });
-}
+TEST (ClaimModel, NoMajority) { explore ({ 0, 2, 1, 0, 0, 1, 0, 2, 0 }); }
 
-TEST (ClaimModel, Everything)
-{
-  explore ({ 1, 1, 1, 1, 1, 1, 1, 1, 1 });
-}
+TEST (ClaimModel, Everything) { explore ({ 1, 1, 1, 1, 1, 1, 1, 1, 1 }); }
 
 } // namespace
--- /dev/null
+++ b/tests/state_test.cc
@@ -0,0 +1,288 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include <xxhash.h>
+
+#include "base/random.h"
+#include "state/command.h"
+#include "state/state.h"
+
+namespace {
+
+class State : public ::testing::Test
+{
+protected:
+  br_state_t *state_ = br_state_new ();
+  uint64_t index_ = 0;
+  std::vector<br_result_t *> results_;
+
+  ~State () override
+  {
+    for (br_result_t *each : results_)
+      br_result_free (each);
+    br_state_free (state_);
+  }
+
+  const br_result_t *
+  apply (const br_buf_t *command)
+  {
+    br_buf_t out = {};
+
+    br_state_apply (state_, ++index_, br_buf_str (command), &out);
+    results_.push_back (br_result_unpack (br_buf_str (&out)));
+    br_buf_free (&out);
+    return results_.back ();
+  }
+
+  /* Puts service NAME with the text JSON; EXPECTED below 0 for no
+   * expectation. */
+  const br_change_result_t *
+  put (const char *operation, const char *name, const char *json, int expected)
+  {
+    br_change_t change = BR__STATE__CHANGE__INIT;
+    br_declaration_t put = BR__STATE__DECLARATION__INIT;
+    br_declaration_t *list[] = { &put };
+    br_buf_t command = {};
+    const br_result_t *result;
+
+    put.kind = (char *)"service";
+    put.name = (char *)name;
+    put.json = (char *)json;
+    change.operation = (char *)operation;
+    change.actor = (char *)"castillos-1";
+    change.expects = expected >= 0;
+    change.expected_revision = expected >= 0 ? (uint64_t)expected : 0;
+    change.base_revision = br_state_revision (state_);
+    change.n_put = 1;
+    change.put = list;
+    br_command_change (&change, &command);
+    result = apply (&command);
+    br_buf_free (&command);
+    return result->change;
+  }
+
+  std::string
+  snapshot ()
+  {
+    br_buf_t out = {};
+    std::string bytes;
+
+    br_state_snapshot (state_, &out);
+    bytes.assign (out.data, out.len);
+    br_buf_free (&out);
+    return bytes;
+  }
+
+  bool
+  restore (const std::string &bytes)
+  {
+    br_error_t err;
+
+    return br_state_restore (state_, br_str_make (bytes.data (), bytes.size ()),
+                             &err);
+  }
+};
+
+TEST_F (State, OfTwoOperatorsWithEqualNumbersOneWins)
+{
+  const br_change_result_t *result;
+
+  put ("op-0", "ledger", "{}", -1);
+  result = put ("op-rocha", "ledger", "{\"a\":1}", 1);
+  EXPECT_EQ (result->outcome, BR_CHANGE_APPLIED);
+  EXPECT_EQ (result->revision, 2u);
+  result = put ("op-kovacik", "filing", "{\"b\":1}", 1);
+  EXPECT_EQ (result->outcome, BR_CHANGE_CONFLICT);
+  EXPECT_EQ (result->revision, 2u);
+  EXPECT_STREQ (result->winner_operation, "op-rocha");
+  EXPECT_STREQ (result->winner_actor, "castillos-1");
+  ASSERT_EQ (result->n_winner_changed, 1u);
+  EXPECT_STREQ (result->winner_changed[0], "service/ledger");
+  EXPECT_EQ (br_state_declaration (state_, br_str_from ("service"),
+                                   br_str_from ("filing")),
+             nullptr);
+}
+
+TEST_F (State, ResendGetsTheFirstVerdictAlsoAfterASnapshot)
+{
+  const br_change_result_t *result;
+
+  put ("op-1", "ledger", "{\"a\":1}", 0);
+  put ("op-2", "ledger", "{\"a\":2}", 0);
+  put ("op-3", "ledger", "{\"a\":3}", 1);
+  ASSERT_TRUE (restore (snapshot ()));
+  result = put ("op-1", "ledger", "{\"a\":1}", 0);
+  EXPECT_EQ (result->outcome, BR_CHANGE_APPLIED);
+  EXPECT_EQ (result->revision, 1u);
+  EXPECT_FALSE (result->first);
+  result = put ("op-2", "ledger", "{\"a\":2}", 0);
+  EXPECT_EQ (result->outcome, BR_CHANGE_CONFLICT);
+  EXPECT_STREQ (result->winner_operation, "op-1");
+  EXPECT_STREQ (br_state_declaration (state_, br_str_from ("service"),
+                                      br_str_from ("ledger"))
+                    ->json,
+                "{\"a\":3}");
+}
+
+TEST_F (State, VerdictsAreBoundedAndTheOldestIsGivenUp)
+{
+  const br_change_result_t *result;
+
+  for (int i = 0; i <= BR_STATE_VERDICTS_MAX; i++)
+    put (("op-" + std::to_string (i)).c_str (), "ledger",
+         ("{\"a\":" + std::to_string (i) + "}").c_str (), -1);
+  result = put ("op-1", "ledger", "{}", -1);
+  EXPECT_FALSE (result->first);
+  EXPECT_EQ (result->revision, 2u);
+  result = put ("op-0", "ledger", "{\"z\":0}", -1);
+  EXPECT_TRUE (result->first);
+}
+
+TEST_F (State, RevisionNeverGoesBackAndNoChangeKeepsIt)
+{
+  uint64_t last = 0;
+
+  for (int i = 0; i < 200; i++)
+    {
+      put (("op-" + std::to_string (i)).c_str (),
+           ("s" + std::to_string (i % 7)).c_str (),
+           ("{\"a\":" + std::to_string (i % 3) + "}").c_str (), i % 5 - 1);
+      EXPECT_GE (br_state_revision (state_), last);
+      last = br_state_revision (state_);
+      if (i % 50 == 0)
+        {
+          ASSERT_TRUE (restore (snapshot ()));
+        }
+      EXPECT_EQ (br_state_revision (state_), last);
+    }
+  put ("again-1", "s0", "{\"x\":1}", -1);
+  last = br_state_revision (state_);
+  EXPECT_EQ (put ("again-2", "s0", "{\"x\":1}", -1)->revision, last);
+}
+
+TEST_F (State, FencingNumbersOnlyGrow)
+{
+  br_buf_t command = {};
+
+  br_command_fence (br_str_from ("engine/e1"), &command);
+  EXPECT_EQ (apply (&command)->fence->number, 1u);
+  EXPECT_EQ (apply (&command)->fence->number, 2u);
+  ASSERT_TRUE (restore (snapshot ()));
+  EXPECT_EQ (apply (&command)->fence->number, 3u);
+  EXPECT_EQ (br_state_fence (state_, br_str_from ("engine/e2")), 0u);
+  br_buf_free (&command);
+}
+
+TEST_F (State, TicksCountOnceAndPurgeWhatIsOver)
+{
+  br_command_t take = BR__STATE__COMMAND__INIT;
+  Br__State__ClaimTake body = BR__STATE__CLAIM_TAKE__INIT;
+  br_claim_owner_t owner = BR__STATE__CLAIM_OWNER__INIT;
+  std::string digest (BR_DIGEST_BYTES, 'd');
+  br_buf_t command = {};
+
+  owner.vm = (char *)"castillos-1";
+  body.key = (char *)"o/s/k";
+  body.digest
+      = br_message_bytes (br_str_make (digest.data (), digest.size ()));
+  body.owner = &owner;
+  body.attempt = 1;
+  body.retention_ms = 60000;
+  take.body_case = BR__STATE__COMMAND__BODY_CLAIM_TAKE;
+  take.claim_take = &body;
+  br_command_pack (&take, &command);
+  EXPECT_EQ (apply (&command)->claim->verdict, BR_VERDICT_OK);
+  EXPECT_EQ (apply (&command)->claim->verdict, BR_VERDICT_OK);
+  br_buf_clear (&command);
+  br_command_abandon (br_state_claim (state_, br_str_from ("o/s/k")),
+                      &command);
+  EXPECT_EQ (apply (&command)->claim->claim->state, BR_CLAIM_NOT_RUN);
+  for (int i = 1; i <= 7; i++)
+    {
+      ASSERT_NE (br_state_claim (state_, br_str_from ("o/s/k")), nullptr) << i;
+      br_buf_clear (&command);
+      br_command_tick ((uint64_t)i, 3600000, &command);
+      apply (&command);
+      apply (&command); /* a duplicate counts once */
+      EXPECT_EQ (br_state_now (state_), i * BR_STATE_TICK_MAX_MS);
+    }
+  EXPECT_EQ (br_state_claim (state_, br_str_from ("o/s/k")), nullptr);
+  br_buf_free (&command);
+}
+
+TEST_F (State, CommandsThatDoNotParseChangeNothing)
+{
+  br_random_t random;
+  std::string before;
+
+  put ("op-1", "ledger", "{\"a\":1}", -1);
+  for (uint64_t seed = 1; seed <= 2000; seed++)
+    {
+      br_change_t change = BR__STATE__CHANGE__INIT;
+      br_buf_t command = {};
+
+      br_random_seed (&random, seed);
+      change.operation = (char *)"op-2";
+      br_command_change (&change, &command);
+      for (size_t i = 0; i < command.len; i++)
+        if (br_random_below (&random, 3) == 0)
+          command.data[i] = (char)br_random_below (&random, 256);
+      EXPECT_NE (apply (&command), nullptr) << "seed " << seed;
+      EXPECT_EQ (br_state_revision (state_), 1u) << "seed " << seed;
+      br_buf_free (&command);
+    }
+}
+
+/* Mutated snapshots are refused or make a state that works; a mutation behind
+ * a right checksum reaches the parser. */
+TEST_F (State, RestoreSurvivesMutatedBytes)
+{
+  std::string good;
+  br_buf_t command = {};
+  size_t refused = 0;
+
+  for (int i = 0; i < 20; i++)
+    put (("op-" + std::to_string (i)).c_str (),
+         ("s" + std::to_string (i)).c_str (), "{\"a\":1}", i % 3 - 1);
+  br_command_fence (br_str_from ("engine/e1"), &command);
+  apply (&command);
+  br_buf_free (&command);
+  good = snapshot ();
+  for (uint64_t seed = 1; seed <= 4000; seed++)
+    {
+      std::string bad = good;
+      br_random_t random;
+      uint64_t changes;
+
+      br_random_seed (&random, seed);
+      changes = 1 + br_random_below (&random, 8);
+      for (uint64_t i = 0; i < changes; i++)
+        bad[br_random_below (&random, bad.size ())]
+            = (char)br_random_below (&random, 256);
+      if (br_random_below (&random, 4) == 0)
+        bad.resize (br_random_below (&random, bad.size ()));
+      if (seed % 2 == 0 && bad.size () > 16)
+        {
+          XXH64_canonical_t checksum;
+
+          XXH64_canonicalFromHash (
+              &checksum, XXH64 (bad.data () + 16, bad.size () - 16, 1));
+          bad.replace (0, 8, good, 0, 8);
+          bad.replace (8, 8, (const char *)checksum.digest, 8);
+        }
+      if (!restore (bad))
+        refused++;
+      else
+        {
+          EXPECT_TRUE (restore (snapshot ())) << "seed " << seed;
+        }
+      ASSERT_TRUE (restore (good)) << "seed " << seed;
+      ASSERT_EQ (snapshot (), good) << "seed " << seed;
+    }
+  printf ("refused %zu of 4000 mutated snapshots\n", refused);
+  EXPECT_GT (refused, 2000u);
+}
+
+} // namespace
