--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -25,6 +25,7 @@
 typedef struct br_operator_task br_operator_task_t;
 typedef struct br_replica_task br_replica_task_t;
 typedef struct br_contract_task br_contract_task_t;
+typedef struct br_claim_task br_claim_task_t;
 
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
@@ -79,13 +80,6 @@
   br_buf_t payload; /* owned by the message */
 } br_peer_message_t;
 
-typedef enum
-{
-  BR_PROPOSAL_COMMITTED, /* in force, and RESULT is the state's answer */
-  BR_PROPOSAL_REFUSED,   /* surely not in the log, now or later */
-  BR_PROPOSAL_UNKNOWN,   /* may be or become committed */
-} br_proposal_outcome_t;
-
 typedef struct
 {
   uint64_t ticket;
@@ -136,6 +130,7 @@
   br_operator_task_t *operators;
   br_replica_task_t *replica;
   br_contract_task_t *contracts;
+  br_claim_task_t *claims;
   br_state_t *state; /* owned; changed by the replica task alone */
   struct br_node_queue *queue;
 };
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 
 #include "route/choice.h"
+#include "shell/claim_task.h"
 #include "shell/contract_task.h"
 #include "shell/engine_body.h"
 #include "shell/upstream_task.h"
@@ -57,6 +58,8 @@
 static void
 work_fail (br_work_task_t *task, br_work_t *work, const br_error_t *err)
 {
+  if (br_claim_task_take_failure (task->node->claims, work, err))
+    return;
   work->error = *err;
   work->error.may_have_run |= work->may_have_run;
   work_end (task, work, BR_WORK_FAILED);
@@ -93,6 +96,7 @@
     .idempotency_key = work->idempotency_key.data,
     .stream = is_model,
     .fresh_connection = !work->repeatable,
+    .not_after_ms = work->not_after_ms,
   };
 
   if (is_model)
@@ -129,6 +133,11 @@
   br_upstream_t *upstream = NULL;
   br_error_t err;
 
+  if (!work->repeatable && work->not_after_ms == 0)
+    {
+      br_claim_task_start (node->claims, work);
+      return;
+    }
   if (query.service != NULL)
     upstream = br_choice_take (&node->registry, &query);
   if (upstream != NULL)
@@ -206,6 +215,7 @@
   if (work->kind == BR_SERVICE_PLAIN || work->answer.complete)
     {
       work->answer.complete = true;
+      br_claim_task_on_answer (task->node->claims, work);
       work_end (task, work, BR_WORK_DONE);
       return;
     }
@@ -245,6 +255,47 @@
     }
 }
 
+void
+br_work_task_may_send (br_work_task_t *task,
+                       uint64_t number,
+                       br_ms_t not_after_ms)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  assert (work != NULL && work->state == BR_WORK_RUNNING);
+  work->not_after_ms = not_after_ms;
+  work_try (task, work);
+}
+
+void
+br_work_task_answered (br_work_task_t *task,
+                       uint64_t number,
+                       int status,
+                       br_str_t body)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  if (work == NULL || work->state != BR_WORK_RUNNING)
+    return;
+  work->status = status;
+  br_answer_add (&work->answer, 0, BR_ANSWER_RAW, body);
+  work->answer.complete = true;
+  work_end (task, work, BR_WORK_DONE);
+}
+
+void
+br_work_task_failed (br_work_task_t *task,
+                     uint64_t number,
+                     const br_error_t *err)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  if (work == NULL || work->state != BR_WORK_RUNNING)
+    return;
+  work->error = *err;
+  work_end (task, work, BR_WORK_FAILED);
+}
+
 /* Adds empty work; without CONTRACT it gets one of this VM. */
 static br_work_t *
 task_add (br_work_task_t *task, const br_contract_id_t *contract)
@@ -433,6 +484,9 @@
   br_work_task_t *task = context;
   br_ms_t now = br_node_now (task->node);
 
+  /* Work that runs once may not be ended on this side alone. */
+  if (work->state == BR_WORK_RUNNING && !work->repeatable)
+    return;
   if (work->watchers > 0 || now - work->unwatched_ms < UNWATCHED_KEEP_MS)
     return;
   if (work->state == BR_WORK_RUNNING && !work->followed)
