Replica shell: files, peers and proposals; the log survives restarts

Cause: proposals were applied by each VM for itself. A writer thread syncs one group of records at a time, so a slow disk holds up neither callers nor streams; what is proposed meanwhile shares the next sync. Proposals go to the leader from any VM; the status shows role, term, leader, indexes and members. Leadership is handed over when a VM drains. Ruled out: syncing in the event loop, which stops every stream for the length of a sync.

--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -23,6 +23,10 @@
   X (PEER_BYTES_SENT, "peer_sent_bytes_total", "Bytes sent to peers")          \
   X (PEER_BYTES_RECEIVED, "peer_received_bytes_total",                         \
      "Bytes received from peers")                                              \
+  X (LOG_SYNCS, "log_syncs_total", "Writes to the log, each with one sync")    \
+  X (LOG_RECORDS, "log_records_total", "Records written to the log")           \
+  X (LOG_BYTES_SENT, "log_sent_bytes_total",                                   \
+     "Bytes sent to peers for the replicated log")                             \
   X (PROTOCOL_ERRORS, "protocol_errors_total", "Messages that did not parse")
 
 typedef enum
--- a/src/replica/leader.c
+++ b/src/replica/leader.c
@@ -288,7 +288,7 @@
   const br_progress_t *successor;
 
   replica->now = BR_MAX (replica->now, now);
-  if (replica->role != BR_ROLE_LEADER)
+  if (replica->role != BR_ROLE_LEADER || replica->transfer_to.len > 0)
     return false;
   successor = leader_successor (replica);
   if (successor == NULL)
--- a/src/replica/observe.c
+++ b/src/replica/observe.c
@@ -24,6 +24,12 @@
   return replica->hard_state.term;
 }
 
+const br_hard_state_t *
+br_replica_hard_state (const br_replica_t *replica)
+{
+  return &replica->hard_state;
+}
+
 const br_name_t *
 br_replica_leader (const br_replica_t *replica)
 {
--- a/src/replica/proposal.c
+++ b/src/replica/proposal.c
@@ -213,6 +213,21 @@
     }
 }
 
+void
+br_replica_abandon (br_replica_t *replica)
+{
+  while (replica->pendings.len > 0)
+    {
+      const br_pending_t *pending = &replica->pendings.items[0];
+      bool sent = pending->state == BR_PENDING_SENT && !pending->is_read;
+
+      pending_end (replica, 0,
+                   (br_replica_event_t){ .outcome = sent
+                                                        ? BR_OUTCOME_UNKNOWN
+                                                        : BR_OUTCOME_REFUSED });
+    }
+}
+
 /* An entry of a later term is committed: what was sent to the leader of an
  * earlier term and is not in the log before it never will be. */
 static void
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -384,13 +384,19 @@
   replica->has_room = has_room;
 }
 
+bool
+br_replica_has_writes (const br_replica_t *replica)
+{
+  return replica->change != replica->persisted_change;
+}
+
 bool
 br_replica_take_writes (br_replica_t *replica, br_replica_writes_t *writes)
 {
   uint64_t last = br_replica_log_last_index (&replica->log);
   bool whole = replica->write_snapshot;
 
-  if (replica->change == replica->persisted_change)
+  if (!br_replica_has_writes (replica))
     return false;
   *writes = (br_replica_writes_t){
     .change = replica->change,
@@ -463,21 +469,31 @@
 }
 
 void
-br_replica_compact (br_replica_t *replica, br_str_t state)
+br_replica_make_snapshot (const br_replica_t *replica,
+                          br_str_t state,
+                          br_replica_snapshot_t *snapshot)
 {
-  br_replica_snapshot_t *snapshot = &replica->snapshot;
-
-  if (replica->applied == snapshot->index)
-    return;
+  *snapshot = (br_replica_snapshot_t){
+    .index = replica->applied,
+    .term = br_replica_log_term (&replica->log, replica->applied),
+  };
   br_config_copy (&snapshot->config,
                   br_replica_log_config_at (&replica->log, replica->applied));
-  snapshot->index = replica->applied;
-  snapshot->term = br_replica_log_term (&replica->log, replica->applied);
-  br_buf_clear (&snapshot->state);
   br_buf_append (&snapshot->state, state);
-  br_replica_log_compact (&replica->log, replica->applied);
-  replica->write_snapshot = true;
-  replica->change++;
+}
+
+void
+br_replica_compact (br_replica_t *replica, br_replica_snapshot_t *snapshot)
+{
+  if (snapshot->index > replica->snapshot.index)
+    {
+      br_replica_snapshot_release (&replica->snapshot);
+      replica->snapshot = *snapshot;
+      br_replica_log_compact (&replica->log, snapshot->index);
+    }
+  else
+    br_replica_snapshot_release (snapshot);
+  *snapshot = (br_replica_snapshot_t){ 0 };
 }
 
 bool
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -109,7 +109,7 @@
                              const br_name_t *vm);
 
 /* Hands leadership to the voter that has most of the log.  False when this
- * is not the leader or there is nobody to take over. */
+ * is not the leader, is handing over already, or nobody can take over. */
 bool br_replica_transfer (br_replica_t *replica, br_ms_t now);
 
 /* --- what the owner writes --- */
@@ -129,6 +129,7 @@
 
 /* False when there is nothing to write.  No second call before
  * br_replica_persisted(). */
+bool br_replica_has_writes (const br_replica_t *replica);
 bool br_replica_take_writes (br_replica_t *replica,
                              br_replica_writes_t *writes);
 void br_replica_persisted (br_replica_t *replica, br_ms_t now, uint64_t change);
@@ -154,9 +155,20 @@
 /* Says that the entry from br_replica_next_committed() was applied. */
 void br_replica_applied (br_replica_t *replica, br_ms_t now);
 
-/* Gives the log a snapshot of the state at the applied index; the entries up
- * to there are dropped.  It is written with the next writes. */
-void br_replica_compact (br_replica_t *replica, br_str_t state);
+/* Fills SNAPSHOT for the state at the applied index; the caller releases it or
+ * hands it to br_replica_compact(). */
+void br_replica_make_snapshot (const br_replica_t *replica,
+                               br_str_t state,
+                               br_replica_snapshot_t *snapshot);
+
+/* Takes over SNAPSHOT, which is on disk together with the entries after it,
+ * and drops the entries up to it. */
+void br_replica_compact (br_replica_t *replica,
+                         br_replica_snapshot_t *snapshot);
+
+/* Ends every proposal and read without an outcome, as this replica goes on no
+ * longer. */
+void br_replica_abandon (br_replica_t *replica);
 
 typedef enum
 {
@@ -190,6 +202,7 @@
 br_replica_role_t br_replica_role (const br_replica_t *replica);
 const char *br_replica_role_name (br_replica_role_t role);
 uint64_t br_replica_term (const br_replica_t *replica);
+const br_hard_state_t *br_replica_hard_state (const br_replica_t *replica);
 
 /* Empty when no leader is known. */
 const br_name_t *br_replica_leader (const br_replica_t *replica);
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -67,6 +67,9 @@
       br_contract_task_on_peer (node->contracts, message);
       break;
     case BR_PART_REPLICA:
+      br_replica_task_on_message (node->replica, &message->vm,
+                                  br_buf_str (&message->payload));
+      break;
     case BR_PART_STATE:
     case BR_PART_DOMAIN:
     case BR_PART_LINK:
@@ -100,6 +103,8 @@
       br_caller_task_on_work (node->callers, message->work);
       break;
     case BR_NODE_PROPOSAL:
+      if (node->on_proposal != NULL)
+        node->on_proposal (node->on_proposal_context, &message->proposal);
       br_buf_free (&message->proposal.result);
       break;
     case BR_NODE_APPLIED:
@@ -214,6 +219,7 @@
                         (int64_t)br_work_task_in_progress (node->works)));
   event_add (node->queue->drain_timer, &soon);
   br_contract_task_leave (node->contracts);
+  br_replica_task_hand_over (node->replica);
 }
 
 void
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -116,6 +116,10 @@
   };
 } br_node_message_t;
 
+/* Hears of every outcome; PROPOSAL is a view. */
+typedef void (*br_proposal_fn) (void *context,
+                                const br_proposal_message_t *proposal);
+
 struct br_node
 {
   struct event_base *base; /* owned */
@@ -136,7 +140,9 @@
   br_operator_task_t *operators;
   br_replica_task_t *replica;
   br_contract_task_t *contracts;
-  br_state_t *state; /* owned; changed by the replica task alone */
+  br_state_t *state;          /* owned; changed by the replica task alone */
+  br_proposal_fn on_proposal; /* of a program that embeds the node; or NULL */
+  void *on_proposal_context;
   struct br_node_queue *queue;
 };
 
--- a/src/shell/operator_task.c
+++ b/src/shell/operator_task.c
@@ -8,6 +8,7 @@
 
 #include "shell/http_reply.h"
 #include "shell/peer_task.h"
+#include "shell/replica_task.h"
 #include "shell/work_task.h"
 
 #define BODY_MAX_BYTES (4 * 1024 * 1024)
@@ -91,7 +92,9 @@
                  br_work_task_in_progress (node->works));
   if (node->peers != NULL)
     br_peer_task_status (node->peers, &out);
-  br_buf_printf (&out, "]}\n");
+  br_buf_printf (&out, "],\"replica\":");
+  br_replica_task_status (node->replica, &out);
+  br_buf_printf (&out, "}\n");
   br_http_reply (request, HTTP_OK, "application/json", br_buf_str (&out));
   br_buf_free (&out);
 }
--- /dev/null
+++ b/src/shell/replica_outcome.c
@@ -0,0 +1,104 @@
+#include "shell/replica_outcome.h"
+
+#define HEARTBEAT_MS 150
+#define ELECTION_MIN_MS 600
+#define ELECTION_MAX_MS 1200
+
+/* A proposal that finds no leader is refused after this long; one that was
+ * sent has an unknown outcome after the second bound. */
+#define PROPOSAL_WAIT_MS 900
+#define PROPOSAL_MAX_MS 3000
+
+#define APPEND_MAX_BYTES (256 * 1024)
+#define SNAPSHOT_CHUNK_BYTES (256 * 1024)
+
+void
+br_replica_options_of (br_node_t *node,
+                       uint64_t disk,
+                       br_replica_options_t *options)
+{
+  const br_settings_t *settings = &node->settings;
+
+  *options = (br_replica_options_t){
+    .vm = settings->vm,
+    .disk = disk,
+    .incarnation = node->incarnation,
+    .voter = settings->voter || settings->vms.len == 0,
+    .heartbeat_ms = HEARTBEAT_MS,
+    .election_min_ms = ELECTION_MIN_MS,
+    .election_max_ms = ELECTION_MAX_MS,
+    .proposal_wait_ms = PROPOSAL_WAIT_MS,
+    .proposal_max_ms = PROPOSAL_MAX_MS,
+    .append_max_bytes = APPEND_MAX_BYTES,
+    .snapshot_chunk_bytes = SNAPSHOT_CHUNK_BYTES,
+    .seed = br_random_below (&node->random, UINT32_MAX),
+  };
+  for (size_t i = 0; i < settings->vms.len; i++)
+    br_replica_peers_push (&options->peers,
+                           (br_replica_peer_t){ settings->vms.items[i].name,
+                                                settings->vms.items[i].voter });
+}
+
+static void
+outcome_post (br_node_t *node, br_proposal_message_t proposal)
+{
+  br_node_message_t message = { .kind = BR_NODE_PROPOSAL };
+
+  message.proposal = proposal;
+  br_node_post (node, message);
+}
+
+void
+br_replica_post_refusal (br_node_t *node,
+                         const br_name_t *leader,
+                         uint64_t ticket,
+                         br_error_code_t code,
+                         const char *why)
+{
+  br_proposal_message_t proposal
+      = { .ticket = ticket, .outcome = BR_PROPOSAL_REFUSED };
+
+  br_error_set (&proposal.error, code, "propose", leader->data, "%s", why);
+  if (code != BR_ERROR_TOO_LARGE)
+    proposal.error.retry_after_ms = ELECTION_MAX_MS;
+  outcome_post (node, proposal);
+}
+
+void
+br_replica_post_outcome (br_node_t *node,
+                         const br_name_t *leader,
+                         const br_replica_event_t *event,
+                         br_buf_t *result)
+{
+  br_proposal_message_t proposal = { .ticket = event->ticket };
+
+  switch (event->outcome)
+    {
+    case BR_OUTCOME_COMMITTED:
+      proposal.outcome = BR_PROPOSAL_COMMITTED;
+      if (result != NULL)
+        {
+          proposal.result = *result;
+          *result = (br_buf_t){ 0 };
+        }
+      outcome_post (node, proposal);
+      break;
+    case BR_OUTCOME_REFUSED:
+      if (event->no_room)
+        br_replica_post_refusal (node, leader, event->ticket, BR_ERROR_STORAGE,
+                                 "the leader's disk has no room");
+      else
+        br_replica_post_refusal (
+            node, leader, event->ticket, BR_ERROR_UNAVAILABLE,
+            "no leader with a majority of the voters took it");
+      break;
+    case BR_OUTCOME_UNKNOWN:
+      proposal.outcome = BR_PROPOSAL_UNKNOWN;
+      br_error_set (&proposal.error, BR_ERROR_UNKNOWN_OUTCOME, "commit",
+                    leader->data,
+                    "it was sent to the leader and is not known to be "
+                    "committed");
+      outcome_post (node, proposal);
+      break;
+    }
+}
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -1,57 +1,511 @@
 #include "shell/replica_task.h"
 
-#include "state/state.h"
+#include <inttypes.h>
+#include <openssl/rand.h>
+#include <string.h>
+
+#include "shell/replica_load.h"
+#include "shell/replica_outcome.h"
+#include "shell/replica_status.h"
+#include "shell/replica_writer.h"
+
+#define TICK_MS 25
+
+/* A checkpoint is due when the log has grown to this, or to twice the last
+ * snapshot. */
+#define CHECKPOINT_MIN_BYTES (128 * 1024)
+
+/* How long after a write that failed for want of room the next one is
+ * tried. */
+#define ROOM_RETRY_MS 200
+
+#define DISK_FAILED "this VM's data folder cannot be written"
 
 struct br_replica_task
 {
   br_node_t *node;
+  br_replica_t *replica;
+  br_replica_writer_t *writer; /* NULL without a data folder */
+  struct event *flush;
+  struct event *tick;
   uint64_t last_ticket;
-  uint64_t last_index;
+  uint64_t posted_index; /* of the last BR_NODE_APPLIED */
+  uint64_t log_bytes;
+  uint64_t disk;
+  bool failed;      /* takes no part any more */
+  bool has_room;    /* on this disk */
+  br_ms_t retry_ms; /* when the failed write is tried again, 0 for none */
+  uint64_t writing; /* change that is being written, 0 for none */
+  bool checkpointing;
+  br_replica_snapshot_t checkpoint; /* being written */
 };
 
+/* --- events --- */
+
+static void
+task_refuse (br_replica_task_t *task,
+             uint64_t ticket,
+             br_error_code_t code,
+             const char *why)
+{
+  br_replica_post_refusal (task->node, br_replica_leader (task->replica),
+                           ticket, code, why);
+}
+
+static void
+task_log_role (br_replica_task_t *task)
+{
+  const br_replica_t *replica = task->replica;
+
+  BR_LOG (&task->node->log, "replica", "role",
+          br_field_z ("role", br_replica_role_name (br_replica_role (replica))),
+          br_field_int ("term", (int64_t)br_replica_term (replica)),
+          br_field_str ("leader", br_name_str (br_replica_leader (replica))));
+}
+
+static void
+task_fail (br_replica_task_t *task, const br_error_t *err)
+{
+  br_log_error (&task->node->log, "replica", "failed", err);
+  task->failed = true;
+  br_replica_abandon (task->replica);
+}
+
+static void
+task_restore (br_replica_task_t *task)
+{
+  const br_replica_snapshot_t *snapshot = br_replica_snapshot (task->replica);
+  br_error_t err;
+
+  BR_LOG (&task->node->log, "replica", "snapshot installed",
+          br_field_int ("index", (int64_t)snapshot->index),
+          br_field_int ("bytes", (int64_t)snapshot->state.len));
+  if (!br_state_restore (task->node->state, br_buf_str (&snapshot->state),
+                         &err))
+    task_fail (task, &err);
+}
+
+/* RESULT, when not NULL, is what the entry just applied gave. */
+static void
+task_take_events (br_replica_task_t *task, br_buf_t *result)
+{
+  br_replica_event_t event;
+
+  while (br_replica_take_event (task->replica, &event))
+    switch (event.kind)
+      {
+      case BR_REPLICA_EVENT_PROPOSAL:
+        br_replica_post_outcome (task->node, br_replica_leader (task->replica),
+                                 &event, result);
+        break;
+      case BR_REPLICA_EVENT_READ:
+        br_replica_post_outcome (task->node, br_replica_leader (task->replica),
+                                 &event, NULL);
+        break;
+      case BR_REPLICA_EVENT_SNAPSHOT:
+        task_restore (task);
+        break;
+      case BR_REPLICA_EVENT_ROLE:
+        task_log_role (task);
+        break;
+      case BR_REPLICA_EVENT_CONFIG:
+        BR_LOG (&task->node->log, "replica", "members changed",
+                br_field_int ("index", (int64_t)event.index));
+        break;
+      }
+}
+
+/* --- one round of work --- */
+
+static void
+task_send (br_replica_task_t *task)
+{
+  br_replica_message_t message;
+  br_buf_t payload = { 0 };
+
+  while (br_replica_take_message (task->replica, &message))
+    {
+      br_buf_clear (&payload);
+      br_replica_pack (&message, &payload);
+      if (br_node_send (task->node, &message.vm, BR_PART_REPLICA,
+                        br_buf_str (&payload)))
+        br_counters_add (&task->node->counters, BR_COUNTER_LOG_BYTES_SENT,
+                         payload.len);
+      else
+        br_replica_unsent (task->replica, &message);
+      br_replica_message_release (&message);
+    }
+  br_buf_free (&payload);
+}
+
+static void
+task_apply (br_replica_task_t *task)
+{
+  br_node_t *node = task->node;
+  const br_entry_t *entry;
+  br_node_message_t applied = { .kind = BR_NODE_APPLIED };
+
+  while (!task->failed
+         && (entry = br_replica_next_committed (task->replica)) != NULL)
+    {
+      br_buf_t result = { 0 };
+
+      if (entry->kind == BR_ENTRY_COMMAND)
+        br_state_apply (node->state, entry->index, br_buf_str (&entry->data),
+                        &result);
+      br_replica_applied (task->replica, br_node_now (node));
+      task_take_events (task, &result);
+      br_buf_free (&result);
+    }
+  applied.index = br_replica_applied_index (task->replica);
+  if (applied.index == task->posted_index)
+    return;
+  task->posted_index = applied.index;
+  br_node_post (node, applied);
+}
+
+static void
+task_count_write (br_replica_task_t *task, size_t records)
+{
+  br_counters_add (&task->node->counters, BR_COUNTER_LOG_SYNCS, 1);
+  br_counters_add (&task->node->counters, BR_COUNTER_LOG_RECORDS, records);
+}
+
+static void
+task_write (br_replica_task_t *task)
+{
+  br_replica_writes_t writes;
+  br_store_records_t records = { 0 };
+  br_buf_t snapshot = { 0 };
+
+  if (task->writer != NULL && br_replica_writer_is_busy (task->writer))
+    return;
+  if (task->retry_ms > 0 || !br_replica_take_writes (task->replica, &writes))
+    return;
+  if (task->writer == NULL)
+    {
+      br_replica_persisted (task->replica, br_node_now (task->node),
+                            writes.change);
+      return;
+    }
+  br_replica_pack_writes (task->replica, &writes, &records);
+  if (writes.snapshot != NULL)
+    br_replica_snapshot_pack (writes.snapshot, &snapshot);
+  task_count_write (task, records.len);
+  task->writing = writes.change;
+  br_replica_writer_start (task->writer, &records, writes.snapshot != NULL,
+                           &snapshot);
+}
+
+static bool
+task_checkpoint_is_due (const br_replica_task_t *task)
+{
+  const br_replica_snapshot_t *last = br_replica_snapshot (task->replica);
+  uint64_t limit = BR_MAX ((uint64_t)CHECKPOINT_MIN_BYTES, 2 * last->state.len);
+
+  return task->log_bytes > limit && task->retry_ms == 0
+         && !br_replica_has_writes (task->replica)
+         && !br_replica_writer_is_busy (task->writer)
+         && br_replica_applied_index (task->replica) > last->index;
+}
+
+/* Writes the state and the entries after it in place of the whole log. */
+static void
+task_checkpoint (br_replica_task_t *task)
+{
+  br_replica_writes_t rest = { .has_hard_state = true };
+  br_store_records_t records = { 0 };
+  br_buf_t state = { 0 };
+  br_buf_t snapshot = { 0 };
+
+  if (task->writer == NULL || !task_checkpoint_is_due (task))
+    return;
+  br_state_snapshot (task->node->state, &state);
+  br_replica_make_snapshot (task->replica, br_buf_str (&state),
+                            &task->checkpoint);
+  br_buf_free (&state);
+  br_replica_snapshot_pack (&task->checkpoint, &snapshot);
+  rest.hard_state = *br_replica_hard_state (task->replica);
+  rest.first = br_replica_applied_index (task->replica) + 1;
+  rest.last = br_replica_log_last_index (br_replica_log (task->replica));
+  br_replica_pack_writes (task->replica, &rest, &records);
+  task->checkpointing = true;
+  task_count_write (task, records.len);
+  br_replica_writer_start (task->writer, &records, true, &snapshot);
+}
+
+static void
+task_run (br_replica_task_t *task)
+{
+  if (task->failed)
+    return;
+  br_replica_flush (task->replica);
+  task_send (task);
+  task_write (task);
+  br_replica_flush (task->replica);
+  task_take_events (task, NULL);
+  task_apply (task);
+  task_send (task);
+  task_checkpoint (task);
+}
+
+static void
+task_on_flush (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  task_run (context);
+}
+
+/* Runs a round after the callbacks that are due now, so that what they
+ * propose shares one write and one message to each follower. */
+static void
+task_schedule (br_replica_task_t *task)
+{
+  event_active (task->flush, EV_TIMEOUT, 0);
+}
+
+static void
+task_set_room (br_replica_task_t *task, bool has_room)
+{
+  if (has_room == task->has_room)
+    return;
+  task->has_room = has_room;
+  br_replica_set_room (task->replica, has_room);
+  BR_LOG (
+      &task->node->log, "replica",
+      has_room ? "disk has room again" : "disk is full",
+      br_field_str ("peer", br_buf_str (&task->node->settings.data_folder)));
+}
+
+static void
+task_on_written (void *context, const br_replica_written_t *written)
+{
+  br_replica_task_t *task = context;
+  br_ms_t now = br_node_now (task->node);
+
+  if (task->failed)
+    return;
+  if (!written->usable)
+    {
+      task_fail (task, &written->error);
+      task_take_events (task, NULL);
+      return;
+    }
+  task_set_room (task, written->has_room);
+  task->log_bytes = written->log_bytes;
+  if (!written->ok)
+    {
+      br_log_error (&task->node->log, "replica", "write failed",
+                    &written->error);
+      task->retry_ms = now + ROOM_RETRY_MS;
+      return;
+    }
+  if (task->checkpointing)
+    br_replica_compact (task->replica, &task->checkpoint);
+  else if (task->writing > 0)
+    br_replica_persisted (task->replica, now, task->writing);
+  task->checkpointing = false;
+  task->writing = 0;
+  task_run (task);
+}
+
+/* Tries the write that failed again, or looks whether there is room now. */
+static void
+task_retry (br_replica_task_t *task)
+{
+  br_store_records_t none = { 0 };
+
+  if (task->writer == NULL || br_replica_writer_is_busy (task->writer))
+    return;
+  if (task->retry_ms > 0 && br_node_now (task->node) >= task->retry_ms)
+    {
+      task->retry_ms = 0;
+      br_replica_writer_retry (task->writer);
+    }
+  else if (!task->has_room && task->retry_ms == 0)
+    br_replica_writer_start (task->writer, &none, false, NULL);
+}
+
+static void
+task_on_tick (evutil_socket_t fd, short what, void *context)
+{
+  br_replica_task_t *task = context;
+
+  (void)fd;
+  (void)what;
+  if (task->failed)
+    return;
+  br_replica_tick (task->replica, br_node_now (task->node));
+  if (task->node->draining)
+    br_replica_task_hand_over (task);
+  task_retry (task);
+  task_run (task);
+}
+
+/* --- start and stop --- */
+
+static uint64_t
+random_identity (void)
+{
+  uint64_t number = 0;
+
+  while (number == 0)
+    RAND_bytes ((unsigned char *)&number, sizeof number);
+  return number;
+}
+
+static bool
+task_open_store (br_replica_task_t *task,
+                 br_replica_saved_t *saved,
+                 br_error_t *err)
+{
+  br_node_t *node = task->node;
+  br_replica_folder_t folder = {
+    .path = node->settings.data_folder.data,
+    .log = &node->log,
+  };
+  br_store_t *store = br_replica_open_folder (&folder, &task->disk, saved, err);
+
+  if (store == NULL)
+    return false;
+  if (saved->snapshot.index > 0
+      && !br_state_restore (node->state, br_buf_str (&saved->snapshot.state),
+                            err))
+    {
+      br_replica_saved_release (saved);
+      br_store_close (store);
+      return false;
+    }
+  task->writer
+      = br_replica_writer_new (node->base, store, task_on_written, task);
+  return true;
+}
+
 br_replica_task_t *
 br_replica_task_new (br_node_t *node, br_error_t *err)
 {
   br_replica_task_t *task = br_alloc_zero (sizeof *task);
+  br_replica_options_t options;
+  br_replica_saved_t saved = { 0 };
+  struct timeval period = { 0, TICK_MS * 1000 };
 
-  (void)err;
   task->node = node;
+  task->disk = random_identity ();
+  task->has_room = true;
+  if (node->settings.data_folder.len > 0
+      && !task_open_store (task, &saved, err))
+    {
+      free (task);
+      return NULL;
+    }
+  br_replica_options_of (node, task->disk, &options);
+  task->replica = br_replica_new (&options, &saved, br_node_now (node));
+  br_replica_peers_free (&options.peers);
+  task->flush = event_new (node->base, -1, 0, task_on_flush, task);
+  task->tick = event_new (node->base, -1, EV_PERSIST, task_on_tick, task);
+  event_add (task->tick, &period);
+  task_schedule (task);
   return task;
 }
 
 void
 br_replica_task_free (br_replica_task_t *task)
 {
+  if (task == NULL)
+    return;
+  br_replica_writer_free (task->writer);
+  br_replica_snapshot_release (&task->checkpoint);
+  br_replica_free (task->replica);
+  event_free (task->flush);
+  event_free (task->tick);
   free (task);
 }
 
-static void
-task_answer (br_replica_task_t *task, uint64_t ticket, br_buf_t result)
-{
-  br_node_message_t message = { .kind = BR_NODE_PROPOSAL };
-
-  message.proposal.ticket = ticket;
-  message.proposal.outcome = BR_PROPOSAL_COMMITTED;
-  message.proposal.result = result;
-  br_node_post (task->node, message);
-}
+/* --- what others ask --- */
 
 uint64_t
 br_replica_task_propose (br_replica_task_t *task, br_str_t command)
 {
-  br_node_message_t applied = { .kind = BR_NODE_APPLIED };
-  br_buf_t result = { 0 };
+  uint64_t ticket = ++task->last_ticket;
 
-  br_state_apply (task->node->state, ++task->last_index, command, &result);
-  applied.index = task->last_index;
-  br_node_post (task->node, applied);
-  task_answer (task, ++task->last_ticket, result);
-  return task->last_ticket;
+  if (task->failed)
+    task_refuse (task, ticket, BR_ERROR_STORAGE, DISK_FAILED);
+  else if (command.len > BR_COMMAND_MAX)
+    task_refuse (task, ticket, BR_ERROR_TOO_LARGE, "the command is too long");
+  else
+    br_replica_propose (task->replica, br_node_now (task->node), ticket,
+                        command);
+  task_schedule (task);
+  return ticket;
 }
 
 uint64_t
 br_replica_task_read (br_replica_task_t *task)
 {
-  task_answer (task, ++task->last_ticket, (br_buf_t){ 0 });
-  return task->last_ticket;
+  uint64_t ticket = ++task->last_ticket;
+
+  if (task->failed)
+    task_refuse (task, ticket, BR_ERROR_STORAGE, DISK_FAILED);
+  else
+    br_replica_read (task->replica, br_node_now (task->node), ticket);
+  task_schedule (task);
+  return ticket;
+}
+
+void
+br_replica_task_on_message (br_replica_task_t *task,
+                            const br_name_t *vm,
+                            br_str_t payload)
+{
+  br_replica_message_t message;
+  br_error_t err;
+
+  /* Without room to write, what comes in would only pile up. */
+  if (task->failed || task->retry_ms > 0)
+    return;
+  if (!br_replica_unpack (payload, vm, &message, &err))
+    {
+      br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
+      br_log_error (&task->node->log, "replica", "bad message", &err);
+      return;
+    }
+  br_replica_step (task->replica, br_node_now (task->node), message);
+  task_schedule (task);
+}
+
+void
+br_replica_task_hand_over (br_replica_task_t *task)
+{
+  if (task->failed
+      || !br_replica_transfer (task->replica, br_node_now (task->node)))
+    return;
+  BR_LOG (&task->node->log, "replica", "handing over",
+          br_field_int ("term", (int64_t)br_replica_term (task->replica)));
+  task_schedule (task);
+}
+
+bool
+br_replica_task_is_leader (const br_replica_task_t *task)
+{
+  return !task->failed && br_replica_role (task->replica) == BR_ROLE_LEADER;
+}
+
+const br_name_t *
+br_replica_task_leader (const br_replica_task_t *task)
+{
+  return br_replica_leader (task->replica);
+}
+
+void
+br_replica_task_status (const br_replica_task_t *task, br_buf_t *out)
+{
+  br_replica_status_t status = {
+    .replica = task->replica,
+    .disk = task->disk,
+    .failed = task->failed,
+    .has_room = task->has_room,
+  };
+
+  br_replica_status_print (&status, out);
 }
--- a/src/shell/replica_task.h
+++ b/src/shell/replica_task.h
@@ -7,6 +7,9 @@
 
 BR_BEGIN_DECLS
 
+/* Longest command, in bytes. */
+#define BR_COMMAND_MAX (1024 * 1024)
+
 /* Opens the data folder, when the settings name one, and loads what is
  * there. */
 br_replica_task_t *br_replica_task_new (br_node_t *node, br_error_t *err);
@@ -14,13 +17,31 @@
 
 /* Proposes COMMAND for the log, on whichever VM this is; it is passed on to
  * the leader.  The outcome arrives as BR_NODE_PROPOSAL with the ticket that
- * is returned. */
+ * is returned, also when it is refused at once. */
 uint64_t br_replica_task_propose (br_replica_task_t *task, br_str_t command);
 
 /* Asks that the state here be at least as new as every commit that was
  * answered before this call.  Answered like a proposal. */
 uint64_t br_replica_task_read (br_replica_task_t *task);
 
+/* A peer sent PAYLOAD to the replica here. */
+void br_replica_task_on_message (br_replica_task_t *task,
+                                 const br_name_t *vm,
+                                 br_str_t payload);
+
+/* Hands leadership to another voter, when this VM has it, and goes on trying
+ * while the node drains. */
+void br_replica_task_hand_over (br_replica_task_t *task);
+
+/* Whether this VM leads; with none known br_replica_task_leader() is
+ * empty. */
+bool br_replica_task_is_leader (const br_replica_task_t *task);
+const br_name_t *br_replica_task_leader (const br_replica_task_t *task);
+
+/* Appends one JSON object: role, term, leader, commit and applied index,
+ * members, and on the leader how far each follower is. */
+void br_replica_task_status (const br_replica_task_t *task, br_buf_t *out);
+
 BR_END_DECLS
 
 #endif
--- a/tests/replica_sim.h
+++ b/tests/replica_sim.h
@@ -457,6 +457,23 @@
     br_replica_persisted (vm.replica, now_, vm.writes.change);
   }
 
+  void
+  compact (sim_vm &vm)
+  {
+    br_replica_snapshot_t snapshot;
+    br_buf_t out = {};
+
+    br_replica_make_snapshot (vm.replica,
+                              br_str_make (vm.state.data (), vm.state.size ()),
+                              &snapshot);
+    br_replica_snapshot_pack (&snapshot, &out);
+    vm.disk.snapshot.assign (out.data, out.len);
+    vm.disk.entries.erase (vm.disk.entries.begin (),
+                           vm.disk.entries.upper_bound (snapshot.index));
+    br_buf_free (&out);
+    br_replica_compact (vm.replica, &snapshot);
+  }
+
   void
   send (size_t from, const br_replica_message_t &message)
   {
@@ -610,9 +627,9 @@
       }
     take_events (i);
     if (options_.compact_after > 0 && !vm.writing
+        && !br_replica_has_writes (vm.replica)
         && br_replica_log (vm.replica)->entries.len > options_.compact_after)
-      br_replica_compact (vm.replica,
-                          br_str_make (vm.state.data (), vm.state.size ()));
+      compact (vm);
     while (br_replica_take_message (vm.replica, &message))
       {
         send (i, message);
