Fair queueing, limits of a failure domain, deadlines and refusals

Cause: every request went straight to an upstream, so that one organisation could fill all queues, and limits were declared but not in force.

Ruled out: a count at one VM for all (a message for each request, and nothing in a cut); demand digests that only say who used what (two VMs that do not hear each other both take the whole).

--- /dev/null
+++ b/src/organisation/admission.c
@@ -0,0 +1,397 @@
+#include "organisation/admission.h"
+
+#include <math.h>
+#include <uthash.h>
+
+#include "organisation/fair_queue.h"
+#include "organisation/limits.h"
+
+/* Weight of the newest request in the measured drain rate. */
+#define DRAIN_SMOOTHING 0.05
+
+/* When to come back if nothing was measured yet. */
+#define RETRY_UNKNOWN_MS 1000
+
+/* The requests of one service on this VM. */
+typedef struct
+{
+  br_name_t service;
+  uint64_t capacity; /* requests that may run; UINT64_MAX when not known */
+  uint64_t running;
+  br_fair_queue_t queue;
+  double done_tokens; /* smoothed, of a request that has ended */
+  double done_ms;     /* smoothed time for which it ran */
+} pool_t;
+
+BR_VEC (pools, pool_t);
+
+typedef struct
+{
+  uint64_t number;
+  br_name_t organisation;
+  size_t pool;
+  uint64_t tokens;
+  bool running;
+  br_ms_t asked_ms;
+  br_ms_t started_ms;
+  UT_hash_handle hh;
+} ticket_t;
+
+struct br_admission
+{
+  br_limits_t limits;
+  pools_t pools;
+  ticket_t *tickets;
+  size_t waiting;
+  size_t running;
+};
+
+br_admission_t *
+br_admission_new (const br_admission_options_t *options)
+{
+  br_admission_t *admission = br_alloc_zero (sizeof *admission);
+
+  br_limits_init (&admission->limits, options);
+  return admission;
+}
+
+void
+br_admission_free (br_admission_t *admission)
+{
+  ticket_t *ticket;
+  ticket_t *next;
+
+  if (admission == NULL)
+    return;
+  HASH_ITER (hh, admission->tickets, ticket, next)
+  {
+    HASH_DEL (admission->tickets, ticket);
+    free (ticket);
+  }
+  for (size_t i = 0; i < admission->pools.len; i++)
+    br_fair_queue_release (&admission->pools.items[i].queue);
+  pools_free (&admission->pools);
+  br_limits_release (&admission->limits);
+  free (admission);
+}
+
+static size_t
+admission_pool (br_admission_t *admission, const br_name_t *service)
+{
+  pool_t fresh = { .service = *service, .capacity = UINT64_MAX };
+
+  for (size_t i = 0; i < admission->pools.len; i++)
+    if (br_name_equal (&admission->pools.items[i].service, service))
+      return i;
+  pools_push (&admission->pools, fresh);
+  return admission->pools.len - 1;
+}
+
+static ticket_t *
+admission_ticket (br_admission_t *admission, uint64_t number)
+{
+  ticket_t *ticket;
+
+  HASH_FIND (hh, admission->tickets, &number, sizeof number, ticket);
+  return ticket;
+}
+
+/* Returns the measured time in which one token of the queue drains, or 0 when
+ * nothing was measured. */
+static double
+pool_token_ms (const pool_t *pool)
+{
+  double slots = (double)BR_MIN (pool->capacity, pool->running);
+
+  if (pool->done_ms <= 0 || pool->done_tokens <= 0)
+    return 0;
+  return pool->done_ms / (pool->done_tokens * BR_MAX (slots, 1));
+}
+
+static br_ms_t
+pool_drain_ms (const pool_t *pool, uint64_t tokens)
+{
+  return (br_ms_t)ceil ((double)tokens * pool_token_ms (pool));
+}
+
+static void
+outbox_refuse (br_admission_outbox_t *outbox,
+               uint64_t ticket,
+               br_error_code_t code,
+               const br_name_t *organisation,
+               br_ms_t retry_after_ms,
+               const char *text)
+{
+  br_admission_output_t *output = br_admission_outbox_push (
+      outbox,
+      (br_admission_output_t){ .kind = BR_ADMISSION_REFUSED, .ticket = ticket });
+
+  br_error_set (&output->error, code, "admit", organisation->data, "%s", text);
+  output->error.retry_after_ms
+      = retry_after_ms > 0 ? retry_after_ms : RETRY_UNKNOWN_MS;
+}
+
+static void
+admission_forget_ticket (br_admission_t *admission,
+                         ticket_t *ticket,
+                         br_ms_t now)
+{
+  br_limits_end (br_limits_find (&admission->limits, &ticket->organisation),
+                 now - ticket->asked_ms);
+  HASH_DEL (admission->tickets, ticket);
+  free (ticket);
+}
+
+static void
+admission_start (br_admission_t *admission,
+                 ticket_t *ticket,
+                 br_ms_t now,
+                 br_admission_outbox_t *outbox)
+{
+  br_admission_output_t output
+      = { .kind = BR_ADMISSION_ADMITTED, .ticket = ticket->number };
+
+  ticket->running = true;
+  ticket->started_ms = now;
+  admission->pools.items[ticket->pool].running++;
+  admission->running++;
+  br_admission_outbox_push (outbox, output);
+}
+
+/* Ends the wait of a request that will not start in time. */
+static void
+admission_refuse_waiting (br_admission_t *admission,
+                          pool_t *pool,
+                          uint64_t number,
+                          br_ms_t now,
+                          br_admission_outbox_t *outbox)
+{
+  ticket_t *ticket = admission_ticket (admission, number);
+
+  admission->waiting--;
+  outbox_refuse (outbox, number, BR_ERROR_UNAVAILABLE, &ticket->organisation,
+                 pool_drain_ms (pool, pool->queue.tokens),
+                 "the latency target cannot be met any more");
+  admission_forget_ticket (admission, ticket, now);
+}
+
+static void
+admission_pump (br_admission_t *admission,
+                pool_t *pool,
+                br_ms_t now,
+                br_admission_outbox_t *outbox)
+{
+  br_fair_item_t item;
+
+  while (br_fair_queue_pop_late (&pool->queue, now, &item))
+    admission_refuse_waiting (admission, pool, item.ticket, now, outbox);
+  while (pool->running < pool->capacity
+         && br_fair_queue_pop (&pool->queue, &item))
+    {
+      admission->waiting--;
+      admission_start (admission, admission_ticket (admission, item.ticket),
+                       now, outbox);
+    }
+  while (br_fair_queue_pop_hopeless (&pool->queue, now, pool_token_ms (pool),
+                                     &item))
+    admission_refuse_waiting (admission, pool, item.ticket, now, outbox);
+}
+
+static ticket_t *
+admission_add_ticket (br_admission_t *admission,
+                      const br_admission_ask_t *ask,
+                      size_t pool,
+                      br_ms_t now)
+{
+  ticket_t *ticket = br_alloc_zero (sizeof *ticket);
+
+  ticket->number = ask->ticket;
+  ticket->organisation = ask->organisation;
+  ticket->pool = pool;
+  ticket->tokens = BR_MAX (ask->tokens, 1);
+  ticket->asked_ms = now;
+  HASH_ADD (hh, admission->tickets, number, sizeof ticket->number, ticket);
+  return ticket;
+}
+
+/* Refuses a request that would have to wait for too long. */
+static bool
+admission_can_wait (br_admission_t *admission,
+                    const pool_t *pool,
+                    const br_admission_ask_t *ask,
+                    br_ms_t now,
+                    br_admission_outbox_t *outbox)
+{
+  uint64_t ahead = br_fair_queue_ahead (&pool->queue, &ask->organisation);
+  br_ms_t wait_ms = pool_drain_ms (pool, ahead);
+  br_ms_t left_ms = ask->deadline_ms - now;
+
+  if (admission->waiting >= BR_ADMISSION_QUEUE_MAX)
+    {
+      outbox_refuse (outbox, ask->ticket, BR_ERROR_UNAVAILABLE,
+                     &ask->organisation,
+                     pool_drain_ms (pool, pool->queue.tokens),
+                     "the queue of this VM is full");
+      return false;
+    }
+  if (wait_ms <= left_ms)
+    return true;
+  outbox_refuse (outbox, ask->ticket, BR_ERROR_UNAVAILABLE, &ask->organisation,
+                 wait_ms - left_ms, "the latency target cannot be met now");
+  return false;
+}
+
+static void
+admission_on_ask (br_admission_t *admission,
+                  const br_admission_ask_t *ask,
+                  br_ms_t now,
+                  br_admission_outbox_t *outbox)
+{
+  br_limited_t *organisation
+      = br_limits_find (&admission->limits, &ask->organisation);
+  size_t index = admission_pool (admission, &ask->service);
+  pool_t *pool = &admission->pools.items[index];
+  br_ms_t limit_wait_ms = br_limits_ask (organisation, now);
+  bool must_wait = pool->queue.len > 0 || pool->running >= pool->capacity;
+  ticket_t *ticket;
+
+  assert (admission_ticket (admission, ask->ticket) == NULL);
+  if (limit_wait_ms > 0)
+    {
+      outbox_refuse (outbox, ask->ticket, BR_ERROR_LIMITED, &ask->organisation,
+                     limit_wait_ms, "a limit of the organisation is reached");
+      return;
+    }
+  if (must_wait && !admission_can_wait (admission, pool, ask, now, outbox))
+    return;
+  br_limits_take (organisation, now);
+  ticket = admission_add_ticket (admission, ask, index, now);
+  if (!must_wait)
+    {
+      admission_start (admission, ticket, now, outbox);
+      return;
+    }
+  br_fair_queue_set_weight (&pool->queue, &ask->organisation,
+                            organisation->declared.weight);
+  br_fair_queue_push (&pool->queue, &ask->organisation,
+                      (br_fair_item_t){ .ticket = ask->ticket,
+                                        .tokens = ticket->tokens,
+                                        .deadline_ms = ask->deadline_ms });
+  admission->waiting++;
+}
+
+static void
+pool_measure (pool_t *pool, uint64_t tokens, br_ms_t span_ms)
+{
+  double ms = (double)BR_MAX (span_ms, 1);
+
+  if (pool->done_ms <= 0)
+    {
+      pool->done_tokens = (double)tokens;
+      pool->done_ms = ms;
+      return;
+    }
+  pool->done_tokens += DRAIN_SMOOTHING * ((double)tokens - pool->done_tokens);
+  pool->done_ms += DRAIN_SMOOTHING * (ms - pool->done_ms);
+}
+
+/* MEASURE: the request ran to its end and tells how fast the pool drains. */
+static void
+admission_end (br_admission_t *admission,
+               uint64_t number,
+               bool measure,
+               br_ms_t now,
+               br_admission_outbox_t *outbox)
+{
+  ticket_t *ticket = admission_ticket (admission, number);
+  pool_t *pool;
+
+  if (ticket == NULL)
+    return;
+  pool = &admission->pools.items[ticket->pool];
+  if (ticket->running)
+    {
+      pool->running--;
+      admission->running--;
+      if (measure)
+        pool_measure (pool, ticket->tokens, now - ticket->started_ms);
+    }
+  else
+    {
+      br_fair_queue_remove (&pool->queue, number);
+      admission->waiting--;
+    }
+  admission_forget_ticket (admission, ticket, now);
+  admission_pump (admission, pool, now, outbox);
+}
+
+static void
+admission_on_tick (br_admission_t *admission,
+                   br_ms_t now,
+                   br_admission_outbox_t *outbox)
+{
+  for (size_t i = 0; i < admission->pools.len; i++)
+    admission_pump (admission, &admission->pools.items[i], now, outbox);
+  br_limits_tick (&admission->limits, now, outbox);
+}
+
+void
+br_admission_handle (br_admission_t *admission,
+                     const br_admission_input_t *input,
+                     br_ms_t now,
+                     br_admission_outbox_t *outbox)
+{
+  size_t index;
+  pool_t *pool;
+
+  switch (input->kind)
+    {
+    case BR_ADMISSION_LIMITS:
+      br_limits_declare (&admission->limits, &input->limits, now);
+      break;
+    case BR_ADMISSION_FORGET:
+      br_limits_forget (&admission->limits, &input->forget);
+      break;
+    case BR_ADMISSION_CAPACITY:
+      index = admission_pool (admission, &input->capacity.service);
+      pool = &admission->pools.items[index];
+      pool->capacity = input->capacity.requests;
+      admission_pump (admission, pool, now, outbox);
+      break;
+    case BR_ADMISSION_ASK:
+      admission_on_ask (admission, &input->ask, now, outbox);
+      break;
+    case BR_ADMISSION_GIVE_UP:
+      admission_end (admission, input->give_up, false, now, outbox);
+      break;
+    case BR_ADMISSION_DONE:
+      admission_end (admission, input->done, true, now, outbox);
+      break;
+    case BR_ADMISSION_DIGEST:
+      br_limits_on_digest (&admission->limits, input->digest);
+      break;
+    case BR_ADMISSION_TICK:
+      admission_on_tick (admission, now, outbox);
+      break;
+    }
+}
+
+void
+br_admission_outbox_reset (br_admission_outbox_t *outbox)
+{
+  for (size_t i = 0; i < outbox->len; i++)
+    br_admission_demands_free (&outbox->items[i].digest.demands);
+  outbox->len = 0;
+}
+
+size_t
+br_admission_waiting (const br_admission_t *admission)
+{
+  return admission->waiting;
+}
+
+size_t
+br_admission_running (const br_admission_t *admission)
+{
+  return admission->running;
+}
--- a/src/organisation/admission.h
+++ b/src/organisation/admission.h
@@ -9,8 +9,8 @@
 
 #include "base/clock.h"
 #include "base/error.h"
-#include "base/str.h"
 #include "base/label.h"
+#include "base/str.h"
 #include "base/vec.h"
 
 BR_BEGIN_DECLS
@@ -145,7 +145,7 @@
                           br_admission_outbox_t *outbox);
 
 /* Frees what the messages own and empties OUTBOX. */
-void br_admission_outbox_clear (br_admission_outbox_t *outbox);
+void br_admission_outbox_reset (br_admission_outbox_t *outbox);
 
 /* For the operators' view. */
 size_t br_admission_waiting (const br_admission_t *admission);
--- a/src/organisation/digest_codec.h
+++ b/src/organisation/digest_codec.h
@@ -9,6 +9,10 @@
 /* Organisations in one digest at most; a longer one is refused. */
 #define BR_DIGEST_DEMANDS_MAX 4096
 
+/* Largest amount and clock value accepted. */
+#define BR_DIGEST_AMOUNT_MAX 1000000000
+#define BR_DIGEST_TIME_MAX (INT64_MAX / 2)
+
 void br_digest_pack (const br_admission_digest_t *digest, br_buf_t *out);
 
 /* Reads what VM sent.  On success the caller frees DIGEST->demands; otherwise
--- /dev/null
+++ b/src/organisation/fair_queue.c
@@ -0,0 +1,239 @@
+#include "organisation/fair_queue.h"
+
+#include <string.h>
+
+/* Virtual time units for one token at weight 1. */
+#define VIRTUAL_SCALE 1000
+
+/* Items before the head that are kept before the array is moved up. */
+#define COMPACT_AT 64
+
+static br_fair_flow_t *
+queue_flow (br_fair_queue_t *queue, const br_name_t *organisation)
+{
+  br_fair_flow_t flow = { .organisation = *organisation, .weight = 1 };
+
+  for (size_t i = 0; i < queue->flows.len; i++)
+    if (br_name_equal (&queue->flows.items[i].organisation, organisation))
+      return &queue->flows.items[i];
+  return br_fair_flows_push (&queue->flows, flow);
+}
+
+static bool
+flow_is_empty (const br_fair_flow_t *flow)
+{
+  return flow->head == flow->items.len;
+}
+
+static uint64_t
+flow_span (const br_fair_flow_t *flow, uint64_t tokens)
+{
+  return BR_MAX (tokens * VIRTUAL_SCALE / (uint64_t)flow->weight, 1);
+}
+
+/* Virtual time at which the oldest request of FLOW starts. */
+static uint64_t
+flow_start (const br_fair_flow_t *flow)
+{
+  return flow->finish - flow_span (flow, flow->tokens);
+}
+
+static void
+flow_compact (br_fair_flow_t *flow)
+{
+  size_t left = flow->items.len - flow->head;
+
+  if (flow->head < COMPACT_AT || flow->head < left)
+    return;
+  memmove (flow->items.items, flow->items.items + flow->head,
+           left * sizeof *flow->items.items);
+  flow->items.len = left;
+  flow->head = 0;
+}
+
+/* Takes item INDEX out of FLOW. */
+static br_fair_item_t
+queue_take (br_fair_queue_t *queue, br_fair_flow_t *flow, size_t index)
+{
+  br_fair_item_t item = flow->items.items[index];
+
+  memmove (flow->items.items + flow->head + 1, flow->items.items + flow->head,
+           (index - flow->head) * sizeof item);
+  flow->head++;
+  flow->tokens -= item.tokens;
+  queue->tokens -= item.tokens;
+  queue->len--;
+  flow_compact (flow);
+  return item;
+}
+
+/* Takes out an item that is not served: its organisation does not pay. */
+static br_fair_item_t
+queue_drop (br_fair_queue_t *queue, br_fair_flow_t *flow, size_t index)
+{
+  uint64_t start = flow_start (flow);
+  br_fair_item_t item = queue_take (queue, flow, index);
+
+  flow->finish = start + (flow_is_empty (flow)
+                              ? 0
+                              : flow_span (flow, flow->tokens));
+  return item;
+}
+
+void
+br_fair_queue_release (br_fair_queue_t *queue)
+{
+  for (size_t i = 0; i < queue->flows.len; i++)
+    br_fair_items_free (&queue->flows.items[i].items);
+  br_fair_flows_free (&queue->flows);
+}
+
+void
+br_fair_queue_set_weight (br_fair_queue_t *queue,
+                          const br_name_t *organisation,
+                          int64_t weight)
+{
+  br_fair_flow_t *flow = queue_flow (queue, organisation);
+  uint64_t start;
+
+  assert (weight > 0);
+  if (flow_is_empty (flow))
+    {
+      flow->weight = weight;
+      return;
+    }
+  start = flow_start (flow);
+  flow->weight = weight;
+  flow->finish = start + flow_span (flow, flow->tokens);
+}
+
+void
+br_fair_queue_push (br_fair_queue_t *queue,
+                    const br_name_t *organisation,
+                    br_fair_item_t item)
+{
+  br_fair_flow_t *flow = queue_flow (queue, organisation);
+  uint64_t start;
+
+  item.tokens = BR_MAX (item.tokens, 1);
+  if (flow_is_empty (flow))
+    start = BR_MAX (flow->finish, queue->virtual_time);
+  else
+    start = flow_start (flow);
+  flow->tokens += item.tokens;
+  flow->finish = start + flow_span (flow, flow->tokens);
+  br_fair_items_push (&flow->items, item);
+  queue->tokens += item.tokens;
+  queue->len++;
+}
+
+bool
+br_fair_queue_pop (br_fair_queue_t *queue, br_fair_item_t *item)
+{
+  br_fair_flow_t *first = NULL;
+
+  for (size_t i = 0; i < queue->flows.len; i++)
+    {
+      br_fair_flow_t *each = &queue->flows.items[i];
+
+      if (!flow_is_empty (each)
+          && (first == NULL || flow_start (each) < flow_start (first)))
+        first = each;
+    }
+  if (first == NULL)
+    return false;
+  queue->virtual_time = BR_MAX (queue->virtual_time, flow_start (first));
+  *item = queue_take (queue, first, first->head);
+  return true;
+}
+
+bool
+br_fair_queue_pop_late (br_fair_queue_t *queue,
+                        br_ms_t now,
+                        br_fair_item_t *item)
+{
+  for (size_t i = 0; i < queue->flows.len; i++)
+    {
+      br_fair_flow_t *flow = &queue->flows.items[i];
+
+      for (size_t j = flow->head; j < flow->items.len; j++)
+        if (flow->items.items[j].deadline_ms <= now)
+          {
+            *item = queue_drop (queue, flow, j);
+            return true;
+          }
+    }
+  return false;
+}
+
+bool
+br_fair_queue_remove (br_fair_queue_t *queue, uint64_t ticket)
+{
+  for (size_t i = 0; i < queue->flows.len; i++)
+    {
+      br_fair_flow_t *flow = &queue->flows.items[i];
+
+      for (size_t j = flow->head; j < flow->items.len; j++)
+        if (flow->items.items[j].ticket == ticket)
+          {
+            queue_drop (queue, flow, j);
+            return true;
+          }
+    }
+  return false;
+}
+
+uint64_t
+br_fair_queue_ahead (const br_fair_queue_t *queue,
+                     const br_name_t *organisation)
+{
+  uint64_t start = queue->virtual_time;
+  uint64_t ahead = 0;
+
+  for (size_t i = 0; i < queue->flows.len; i++)
+    if (br_name_equal (&queue->flows.items[i].organisation, organisation))
+      {
+        start = BR_MAX (start, queue->flows.items[i].finish);
+        ahead = queue->flows.items[i].tokens;
+      }
+  for (size_t i = 0; i < queue->flows.len; i++)
+    {
+      const br_fair_flow_t *each = &queue->flows.items[i];
+      uint64_t head;
+      uint64_t served;
+
+      if (flow_is_empty (each)
+          || br_name_equal (&each->organisation, organisation))
+        continue;
+      head = flow_start (each);
+      served = start > head
+                   ? (start - head) * (uint64_t)each->weight / VIRTUAL_SCALE
+                   : 0;
+      ahead += BR_MIN (served, each->tokens);
+    }
+  return ahead;
+}
+
+bool
+br_fair_queue_pop_hopeless (br_fair_queue_t *queue,
+                            br_ms_t now,
+                            double token_ms,
+                            br_fair_item_t *item)
+{
+  for (size_t i = 0; i < queue->flows.len; i++)
+    {
+      br_fair_flow_t *flow = &queue->flows.items[i];
+      const br_fair_item_t *newest;
+      uint64_t ahead;
+
+      if (flow_is_empty (flow))
+        continue;
+      newest = &flow->items.items[flow->items.len - 1];
+      ahead = br_fair_queue_ahead (queue, &flow->organisation) - newest->tokens;
+      if ((double)now + (double)ahead * token_ms <= (double)newest->deadline_ms)
+        continue;
+      *item = queue_drop (queue, flow, flow->items.len - 1);
+      return true;
+    }
+  return false;
+}
--- a/src/organisation/fair_queue.h
+++ b/src/organisation/fair_queue.h
@@ -62,6 +62,13 @@
                              br_ms_t now,
                              br_fair_item_t *item);
 
+/* Takes out the newest request of an organisation that will not get its turn
+ * before its deadline when one token takes TOKEN_MS; false when all will. */
+bool br_fair_queue_pop_hopeless (br_fair_queue_t *queue,
+                                 br_ms_t now,
+                                 double token_ms,
+                                 br_fair_item_t *item);
+
 /* Takes out TICKET; false when it does not wait. */
 bool br_fair_queue_remove (br_fair_queue_t *queue, uint64_t ticket);
 
--- a/src/organisation/token_bucket.h
+++ b/src/organisation/token_bucket.h
@@ -24,10 +24,11 @@
   br_ms_t filled_ms;
 } br_token_bucket_t;
 
-/* Fills for the time since the last call at the old rate, and then goes on at
- * RATE.  A bucket that is new starts with one request. */
-void
-br_token_bucket_set_rate (br_token_bucket_t *bucket, uint64_t rate, br_ms_t now);
+/* Fills for the time since the last call at the lower of the old rate and RATE,
+ * and then goes on at RATE.  A bucket that is new starts with one request. */
+void br_token_bucket_set_rate (br_token_bucket_t *bucket,
+                               uint64_t rate,
+                               br_ms_t now);
 
 /* Takes one request; false when there is none. */
 bool br_token_bucket_take (br_token_bucket_t *bucket, br_ms_t now);
--- a/src/shell/admit_task.h
+++ b/src/shell/admit_task.h
@@ -26,9 +26,8 @@
 /* Returns whether the work with TICKET may start now.  Otherwise
  * br_work_task_admitted() or br_work_task_refused() is called for WORK later.
  * Ticket 0 may always start. */
-bool br_admit_task_may_start (br_admit_task_t *task,
-                              uint64_t ticket,
-                              uint64_t work);
+bool
+br_admit_task_may_start (br_admit_task_t *task, uint64_t ticket, uint64_t work);
 
 /* The work of TICKET has ended, or its caller gave up while it waited. */
 void br_admit_task_done (br_admit_task_t *task, uint64_t ticket);
