Admission on the callers' path: 429 with Retry-After, waiting work, done work

Cause: admission existed as a state machine only. Hooks: caller_task asks for a ticket before a request becomes work, work_task waits for its turn and ends the ticket. The cost is estimated from the body's length and max_tokens.

--- a/src/organisation/admission.c
+++ b/src/organisation/admission.c
@@ -123,8 +123,8 @@
                const char *text)
 {
   br_admission_output_t *output = br_admission_outbox_push (
-      outbox,
-      (br_admission_output_t){ .kind = BR_ADMISSION_REFUSED, .ticket = ticket });
+      outbox, (br_admission_output_t){ .kind = BR_ADMISSION_REFUSED,
+                                       .ticket = ticket });
 
   br_error_set (&output->error, code, "admit", organisation->data, "%s", text);
   output->error.retry_after_ms
--- a/src/organisation/digest_codec.c
+++ b/src/organisation/digest_codec.c
@@ -74,8 +74,8 @@
                   br_error_t *err)
 {
   Briarrack__Organisation__Digest *message
-      = briarrack__organisation__digest__unpack (
-          NULL, bytes.len, (const uint8_t *)bytes.data);
+      = briarrack__organisation__digest__unpack (NULL, bytes.len,
+                                                 (const uint8_t *)bytes.data);
   bool ok;
 
   *digest = (br_admission_digest_t){ .vm = *vm };
@@ -87,7 +87,8 @@
   digest->echo_incarnation = message->echo_incarnation;
   digest->echo_sent_ms = message->echo_sent_ms;
   ok = message->n_demands <= BR_DIGEST_DEMANDS_MAX && message->sent_ms >= 0
-       && message->echo_sent_ms >= 0 && message->echo_sent_ms < BR_DIGEST_TIME_MAX
+       && message->echo_sent_ms >= 0
+       && message->echo_sent_ms < BR_DIGEST_TIME_MAX
        && digest_read_demands (message, digest);
   briarrack__organisation__digest__free_unpacked (message, NULL);
   if (ok)
--- a/src/organisation/fair_queue.c
+++ b/src/organisation/fair_queue.c
@@ -74,9 +74,8 @@
   uint64_t start = flow_start (flow);
   br_fair_item_t item = queue_take (queue, flow, index);
 
-  flow->finish = start + (flow_is_empty (flow)
-                              ? 0
-                              : flow_span (flow, flow->tokens));
+  flow->finish
+      = start + (flow_is_empty (flow) ? 0 : flow_span (flow, flow->tokens));
   return item;
 }
 
--- a/src/organisation/lease_share.c
+++ b/src/organisation/lease_share.c
@@ -139,7 +139,8 @@
   else if (lacking <= spare)
     amount = peer->lacking;
   else
-    amount = (uint64_t)((double)spare * (double)peer->lacking / (double)lacking);
+    amount
+        = (uint64_t)((double)spare * (double)peer->lacking / (double)lacking);
   /* What others still hold limits this loan, not the other way round. */
   amount = BR_MIN (amount, spare > others ? spare - others : 0);
   peer_count_loan (peer, amount, now);
--- a/src/organisation/limits.c
+++ b/src/organisation/limits.c
@@ -75,6 +75,9 @@
 {
   br_limited_t *organisation = br_limits_find (limits, &declared->name);
 
+  /* A first limit starts with one request, not with an empty bucket. */
+  if (organisation->declared.requests_per_second == 0)
+    organisation->bucket = (br_token_bucket_t){ 0 };
   organisation->declared = *declared;
   organisation->known = true;
   br_lease_share_set (&organisation->rate,
@@ -178,8 +181,7 @@
     {
       br_limited_t *organisation = &limits->organisations.items[i];
 
-      br_lease_share_told (&organisation->rate, &digest->vm, 0, 0,
-                           BR_MS_NEVER);
+      br_lease_share_told (&organisation->rate, &digest->vm, 0, 0, BR_MS_NEVER);
       br_lease_share_told (&organisation->slots, &digest->vm, 0, 0,
                            BR_MS_NEVER);
     }
@@ -221,7 +223,8 @@
 static br_admission_demand_t
 limited_demand (br_limited_t *organisation, const br_name_t *vm, br_ms_t now)
 {
-  br_admission_demand_t demand = { .organisation = organisation->declared.name };
+  br_admission_demand_t demand
+      = { .organisation = organisation->declared.name };
 
   if (organisation->declared.requests_per_second > 0)
     {
--- a/src/organisation/limits.h
+++ b/src/organisation/limits.h
@@ -47,7 +47,8 @@
   br_ms_t digest_ms; /* when the last digests went out */
 } br_limits_t;
 
-void br_limits_init (br_limits_t *limits, const br_admission_options_t *options);
+void br_limits_init (br_limits_t *limits,
+                     const br_admission_options_t *options);
 void br_limits_release (br_limits_t *limits);
 void br_limits_declare (br_limits_t *limits,
                         const br_admission_limits_t *declared,
--- a/src/shell/admit_task.h
+++ b/src/shell/admit_task.h
@@ -14,13 +14,14 @@
 br_admit_task_t *br_admit_task_new (br_node_t *node);
 void br_admit_task_free (br_admit_task_t *task);
 
-/* Asks for a request of ORGANISATION with BODY.  Returns its ticket, or 0 with
+/* Asks for a request of ORGANISATION that costs about TOKENS prompt and answer
+ * tokens.  Returns its ticket, or 0 with
  * *ERR set (BR_ERROR_LIMITED or BR_ERROR_UNAVAILABLE, and when to come back)
  * when it is refused at once. */
 uint64_t br_admit_task_ask (br_admit_task_t *task,
                             const br_organisation_t *organisation,
                             const br_service_t *service,
-                            br_str_t body,
+                            uint64_t tokens,
                             br_error_t *err);
 
 /* Returns whether the work with TICKET may start now.  Otherwise
--- a/src/shell/caller_task.c
+++ b/src/shell/caller_task.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "shell/admit_task.h"
 #include "shell/engine_body.h"
 #include "shell/http_reply.h"
 #include "shell/work_task.h"
@@ -285,26 +286,34 @@
   return NULL;
 }
 
-/* Checks that the caller may use SERVICE and that this VM takes new work. */
+/* Checks that the caller may use the service and that this VM takes new work
+ * and some of this organisation's. */
 static bool
 task_let_in (br_caller_task_t *task,
              struct evhttp_request *request,
-             const br_service_t *service,
+             br_work_options_t *options,
              br_error_t *err)
 {
   br_node_t *node = task->node;
+  const br_service_t *service = options->service;
   const br_workload_t *workload = task_authenticate (task, request, err);
+  const br_organisation_t *organisation;
 
   if (workload == NULL)
     return false;
-  if (br_catalog_organisation_of (&node->catalog, workload, err) == NULL)
+  organisation = br_catalog_organisation_of (&node->catalog, workload, err);
+  if (organisation == NULL)
     return false;
   if (!br_selector_matches (&service->workloads, &workload->labels))
     return br_error_set (
         err, BR_ERROR_FORBIDDEN, "authorise", workload->name.data,
         "service %s is not open to this workload", service->name.data);
   if (!node->draining && task->n_readers < (size_t)node->settings.requests_max)
-    return true;
+    {
+      options->ticket = br_admit_task_ask (node->admits, organisation, service,
+                                           options->tokens, err);
+      return options->ticket != 0;
+    }
   br_error_set (err, BR_ERROR_UNAVAILABLE, "admit", node->settings.vm.data,
                 node->draining ? "this VM is stopping"
                                : "callers.requests_max is reached");
@@ -353,8 +362,8 @@
       || !br_completion_read (options.body, chat, &head, &err))
     goto refuse;
   options.service = task_model_service (task, &head, &err);
-  if (options.service == NULL
-      || !task_let_in (task, request, options.service, &err))
+  options.tokens = br_completion_tokens (options.body, &head);
+  if (options.service == NULL || !task_let_in (task, request, &options, &err))
     goto refuse;
   task_add_reader (task, request,
                    br_work_task_accept (task->node->works, &options), &head, 0);
@@ -403,15 +412,15 @@
     .body = br_http_body (request),
     .content_type = request_header (request, "Content-Type"),
     .idempotency_key = request_header (request, "Idempotency-Key"),
+    .tokens = 1,
   };
   br_completion_head_t head = { 0 };
   br_error_t err;
 
   options.service = task_plain_service (task, evhttp_request_get_uri (request),
                                         &options.path, &err);
-  if (options.service == NULL
-      || !task_let_in (task, request, options.service, &err)
-      || !options_check_key (&options, &err))
+  if (options.service == NULL || !options_check_key (&options, &err)
+      || !task_let_in (task, request, &options, &err))
     {
       task_refuse (task, request, &err);
       return;
--- a/src/shell/engine_body.c
+++ b/src/shell/engine_body.c
@@ -5,6 +5,11 @@
 
 #define JSON_DEPTH_MAX 32
 
+/* For the estimate of a request's cost. */
+#define BYTES_PER_TOKEN 4
+#define ANSWER_TOKENS_UNKNOWN 256
+#define ANSWER_TOKENS_MAX 1000000
+
 /* Parses a whole JSON text strictly; NULL when it is not valid. */
 static json_object *
 json_read (br_str_t text, const char **why)
@@ -55,6 +60,7 @@
 {
   json_object *model = json_member (object, "model", json_type_string);
   json_object *stream;
+  json_object *max_tokens;
 
   if (model == NULL || json_text (model).len == 0
       || !br_name_set (&head->model, json_text (model)))
@@ -63,6 +69,8 @@
     return body_fault ("messages", "an array is wanted", err);
   if (!head->chat && json_member (object, "prompt", json_type_string) == NULL)
     return body_fault ("prompt", "a string is wanted", err);
+  max_tokens = json_member (object, "max_tokens", json_type_int);
+  head->max_tokens = BR_MAX (json_object_get_int64 (max_tokens), 0);
   if (!json_object_object_get_ex (object, "stream", &stream))
     return true;
   if (!json_object_is_type (stream, json_type_boolean))
@@ -90,6 +98,15 @@
   return ok;
 }
 
+uint64_t
+br_completion_tokens (br_str_t body, const br_completion_head_t *head)
+{
+  uint64_t answer = head->max_tokens > 0 ? (uint64_t)head->max_tokens
+                                         : ANSWER_TOKENS_UNKNOWN;
+
+  return body.len / BYTES_PER_TOKEN + BR_MIN (answer, ANSWER_TOKENS_MAX);
+}
+
 static void
 json_add_resume (json_object *object, const br_answer_t *answer)
 {
--- a/src/shell/engine_body.h
+++ b/src/shell/engine_body.h
@@ -13,7 +13,8 @@
 {
   br_name_t model;
   bool stream;
-  bool chat; /* /v1/chat/completions, otherwise /v1/completions */
+  bool chat;          /* /v1/chat/completions, otherwise /v1/completions */
+  int64_t max_tokens; /* 0: not said */
 } br_completion_head_t;
 
 /* Checks a completion request; *ERR names the field. */
@@ -22,6 +23,9 @@
                          br_completion_head_t *head,
                          br_error_t *err);
 
+/* Returns the estimated cost of BODY in tokens, prompt and answer. */
+uint64_t br_completion_tokens (br_str_t body, const br_completion_head_t *head);
+
 /* Appends BODY as it goes to an engine: streamed, and resumed behind the
  * parts that ANSWER has. */
 void br_engine_body (br_str_t body, const br_answer_t *answer, br_buf_t *out);
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <string.h>
 
+#include "shell/admit_task.h"
 #include "shell/caller_task.h"
 #include "shell/operator_task.h"
 #include "shell/peer_task.h"
@@ -52,16 +53,17 @@
 static void
 node_on_peer_message (br_node_t *node, br_peer_message_t *message)
 {
-  (void)node;
   switch (message->part)
     {
+    case BR_PART_ORGANISATION:
+      br_admit_task_on_peer (node->admits, message);
+      break;
     case BR_PART_REPLICA:
     case BR_PART_STATE:
     case BR_PART_CONTRACT:
     case BR_PART_DOMAIN:
     case BR_PART_LINK:
     case BR_PART_UPSTREAM:
-    case BR_PART_ORGANISATION:
     case BR_PART_ROUTE:
     case BR_PART_COUNT:
       break;
@@ -201,6 +203,7 @@
     return false;
   node->upstreams = br_upstream_task_new (node);
   node->works = br_work_task_new (node);
+  node->admits = br_admit_task_new (node);
   node->callers = br_caller_task_new (node, err);
   if (node->callers == NULL)
     return false;
@@ -304,6 +307,7 @@
   br_caller_task_free (node->callers);
   br_operator_task_free (node->operators);
   br_work_task_free (node->works);
+  br_admit_task_free (node->admits);
   br_upstream_task_free (node->upstreams);
   br_peer_task_free (node->peers);
   br_replica_task_free (node->replica);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -24,6 +24,7 @@
 typedef struct br_caller_task br_caller_task_t;
 typedef struct br_operator_task br_operator_task_t;
 typedef struct br_replica_task br_replica_task_t;
+typedef struct br_admit_task br_admit_task_t;
 
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
@@ -131,6 +132,7 @@
   br_peer_task_t *peers; /* NULL without peers in the settings */
   br_upstream_task_t *upstreams;
   br_work_task_t *works;
+  br_admit_task_t *admits;
   br_caller_task_t *callers;
   br_operator_task_t *operators;
   br_replica_task_t *replica;
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -3,6 +3,7 @@
 #include <uthash.h>
 
 #include "route/choice.h"
+#include "shell/admit_task.h"
 #include "shell/engine_body.h"
 #include "shell/upstream_task.h"
 
@@ -54,6 +55,7 @@
           br_field_z ("peer", work->error.peer),
           br_field_z ("text", work->error.text));
   work_changed (task, work);
+  br_admit_task_done (task->node->admits, work->ticket);
 }
 
 static void
@@ -270,6 +272,7 @@
       = options->service->repeatable || options->method == EVHTTP_REQ_GET;
   work->method = options->method;
   work->accepted_ms = work->unwatched_ms = br_node_now (task->node);
+  work->ticket = options->ticket;
   br_buf_append (&work->path, options->path);
   br_buf_append (&work->body, options->body);
   br_buf_append (&work->content_type, options->content_type);
@@ -281,10 +284,31 @@
   BR_LOG (&task->node->log, "work", "accepted",
           br_field_z ("contract", work->contract_text),
           br_field_str ("service", br_name_str (&work->service)));
-  work_try (task, work);
+  if (br_admit_task_may_start (task->node->admits, work->ticket, work->number))
+    work_try (task, work);
   return work;
 }
 
+void
+br_work_task_admitted (br_work_task_t *task, uint64_t number)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  if (work != NULL && work->state == BR_WORK_RUNNING)
+    work_try (task, work);
+}
+
+void
+br_work_task_refused (br_work_task_t *task,
+                      uint64_t number,
+                      const br_error_t *err)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  if (work != NULL && work->state == BR_WORK_RUNNING)
+    work_fail (task, work, err);
+}
+
 br_work_t *
 br_work_task_find (br_work_task_t *task, uint64_t number)
 {
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -44,6 +44,7 @@
   uint32_t watchers;  /* callers that read the answer */
   br_ms_t accepted_ms;
   br_ms_t unwatched_ms; /* since when nobody reads it */
+  uint64_t ticket;      /* of admission, 0 for none */
 } br_work_t;
 
 /* What a caller asks for.  Views are copied. */
@@ -55,6 +56,8 @@
   br_str_t body;
   br_str_t content_type;
   br_str_t idempotency_key;
+  uint64_t tokens; /* estimated cost */
+  uint64_t ticket; /* of admission, 0 for none */
 } br_work_options_t;
 
 br_work_task_t *br_work_task_new (br_node_t *node);
@@ -65,6 +68,12 @@
 br_work_t *br_work_task_accept (br_work_task_t *task,
                                 const br_work_options_t *options);
 
+/* Admission lets the work start, or ends its wait with a refusal. */
+void br_work_task_admitted (br_work_task_t *task, uint64_t number);
+void br_work_task_refused (br_work_task_t *task,
+                           uint64_t number,
+                           const br_error_t *err);
+
 /* Returns NULL when there is no such work, or no longer. */
 br_work_t *br_work_task_find (br_work_task_t *task, uint64_t number);
 br_work_t *br_work_task_find_contract (br_work_task_t *task,
--- a/src/state/claim_store.c
+++ b/src/state/claim_store.c
@@ -114,8 +114,8 @@
 
   br__state__claim__init (record);
   record->key = br_str_dup (br_str_from (key));
-  record->digest = br_message_bytes (br_str_make (br_str_dup (digest),
-                                                  digest.len));
+  record->digest
+      = br_message_bytes (br_str_make (br_str_dup (digest), digest.len));
   entry->record = record;
   HASH_ADD_KEYPTR (hh, store->entries, record->key, strlen (record->key),
                    entry);
@@ -144,8 +144,7 @@
                   br_claim_record_t *record,
                   uint64_t span_ms)
 {
-  record->until_ms
-      = (uint64_t)store->now_ms + BR_STATE_TICK_MAX_MS + span_ms;
+  record->until_ms = (uint64_t)store->now_ms + BR_STATE_TICK_MAX_MS + span_ms;
 }
 
 static void
@@ -466,8 +465,7 @@
   return key_is_valid (record->key) && owner_is_valid (record->owner)
          && record->digest.len == BR_DIGEST_BYTES && record->attempt > 0
          && retention_is_valid (record->retention_ms)
-         && record->state > BR_CLAIM_NONE
-         && record->state <= BR_CLAIM_UNKNOWN
+         && record->state > BR_CLAIM_NONE && record->state <= BR_CLAIM_UNKNOWN
          && record->body.len <= BR_STATE_CLAIM_BODY_MAX_BYTES
          && (record->body_kept || record->body.len == 0);
 }
--- a/src/state/claim_store.h
+++ b/src/state/claim_store.h
@@ -41,16 +41,14 @@
                                           const br_claim_record_t **record);
 
 /* Advances the time when TICK is the next one, and purges. */
-void br_claim_store_tick (br_claim_store_t *store,
-                          const Br__State__Tick *tick);
+void br_claim_store_tick (br_claim_store_t *store, const Br__State__Tick *tick);
 
 const br_claim_record_t *br_claim_store_find (const br_claim_store_t *store,
                                               br_str_t key);
 
 /* Returns the first claim, or the one after RECORD, in a fixed order. */
-const br_claim_record_t *
-br_claim_store_next (const br_claim_store_t *store,
-                     const br_claim_record_t *record);
+const br_claim_record_t *br_claim_store_next (const br_claim_store_t *store,
+                                              const br_claim_record_t *record);
 size_t br_claim_store_count (const br_claim_store_t *store);
 
 /* Adds a claim from a snapshot; false when it is not a valid one.  After the
--- a/src/state/declaration_store.h
+++ b/src/state/declaration_store.h
@@ -38,9 +38,8 @@
 size_t br_declaration_store_count (const br_declaration_store_t *store);
 
 /* The same for verdicts, oldest first. */
-const Br__State__Verdict *
-br_verdict_next (const br_declaration_store_t *store,
-                 const Br__State__Verdict *verdict);
+const Br__State__Verdict *br_verdict_next (const br_declaration_store_t *store,
+                                           const Br__State__Verdict *verdict);
 size_t br_verdict_count (const br_declaration_store_t *store);
 
 /* Add what a snapshot holds; false when it is not valid. */
--- a/src/state/fence_store.h
+++ b/src/state/fence_store.h
@@ -27,8 +27,8 @@
 size_t br_fence_store_count (const br_fence_store_t *store);
 
 /* Adds what a snapshot holds; false when it is not valid. */
-bool
-br_fence_store_add (br_fence_store_t *store, const Br__State__Fence *fence);
+bool br_fence_store_add (br_fence_store_t *store,
+                         const Br__State__Fence *fence);
 void br_fence_store_release (br_fence_store_t *store);
 
 BR_END_DECLS
--- a/src/state/message.h
+++ b/src/state/message.h
@@ -76,8 +76,8 @@
 br_result_t *br_result_unpack (br_str_t data);
 void br_result_free (br_result_t *result);
 
-bool
-br_claim_owner_equal (const br_claim_owner_t *a, const br_claim_owner_t *b);
+bool br_claim_owner_equal (const br_claim_owner_t *a,
+                           const br_claim_owner_t *b);
 
 /* Returns a view as a protobuf byte field; it must live as long. */
 ProtobufCBinaryData br_message_bytes (br_str_t str);
--- a/tests/organisation_test.cc
+++ b/tests/organisation_test.cc
@@ -52,7 +52,8 @@
   {
     br_random_seed (&random, seed);
     for (int i = 0; i < kVms; i++)
-      br_names_push (&names, br_name_from (("castillos-" + std::to_string (i)).c_str ()));
+      br_names_push (
+          &names, br_name_from (("castillos-" + std::to_string (i)).c_str ()));
     for (int i = 0; i < kVms; i++)
       {
         offset[i] = (br_ms_t)br_random_below (&random, 50000);
@@ -67,10 +68,12 @@
       br_limits_release (&vm);
     br_names_free (&names);
   }
-  void Start (int i)
+  void
+  Start (int i)
   {
     br_admission_options_t options = {};
-    br_admission_limits_t declared = { br_name_from ("large"), 1, kRps, kSlots };
+    br_admission_limits_t declared
+        = { br_name_from ("large"), 1, kRps, kSlots };
     options.vm = names.items[i];
     options.incarnation = ++incarnation[i];
     options.vms = &names;
@@ -78,19 +81,22 @@
     br_limits_init (&vms[i], &options);
     br_limits_declare (&vms[i], &declared, options.now);
   }
-  br_limited_t *Large (int i)
+  br_limited_t *
+  Large (int i)
   {
     br_name_t name = br_name_from ("large");
     return br_limits_find (&vms[i], &name);
   }
-  void Restart (int i)
+  void
+  Restart (int i)
   {
     br_limits_release (&vms[i]);
     running[i] = 0;
     restarts++;
     Start (i);
   }
-  void Send (int from, const br_admission_digest_t *digest)
+  void
+  Send (int from, const br_admission_digest_t *digest)
   {
     if (cut[from] || br_random_below (&random, 10) == 0)
       return;
@@ -99,12 +105,18 @@
       for (int to = 0; to < kVms; to++)
         if (br_name_equal (&names.items[to], &digest->vm))
           {
-            Packet packet = { now + (br_ms_t)br_random_below (&random, (uint64_t)delay_max), to, {}, names.items[from] };
+            Packet packet = {
+              now + (br_ms_t)br_random_below (&random, (uint64_t)delay_max),
+              to,
+              {},
+              names.items[from]
+            };
             br_digest_pack (digest, &packet.bytes);
             wire.emplace (packet.at, packet);
           }
   }
-  void Ask (int i)
+  void
+  Ask (int i)
   {
     if (br_limits_ask (Large (i), now + offset[i]) > 0)
       return;
@@ -112,14 +124,16 @@
     admitted.push_back (now);
     running[i]++;
   }
-  void End (int i)
+  void
+  End (int i)
   {
     if (running[i] == 0)
       return;
     running[i]--;
     br_limits_end (Large (i), kStep);
   }
-  void Deliver ()
+  void
+  Deliver ()
   {
     while (!wire.empty () && wire.begin ()->first <= now)
       {
@@ -127,14 +141,17 @@
         wire.erase (wire.begin ());
         br_admission_digest_t digest;
         br_error_t err;
-        ASSERT_TRUE (br_digest_unpack (br_buf_str (&packet.bytes), &packet.from, &digest, &err)) << err.text;
+        ASSERT_TRUE (br_digest_unpack (br_buf_str (&packet.bytes), &packet.from,
+                                       &digest, &err))
+            << err.text;
         br_buf_free (&packet.bytes);
         if (!cut[packet.to])
           br_limits_on_digest (&vms[packet.to], &digest);
         br_admission_demands_free (&digest.demands);
       }
   }
-  void Measure ()
+  void
+  Measure ()
   {
     uint64_t rate = 0;
     uint64_t slots = 0;
@@ -149,7 +166,8 @@
     slots_peak = std::max (slots_peak, slots);
     in_flight_peak = std::max (in_flight_peak, in_flight);
   }
-  void Step ()
+  void
+  Step ()
   {
     br_admission_outbox_t outbox = {};
     now += kStep;
@@ -166,7 +184,8 @@
     br_admission_outbox_free (&outbox);
   }
   /* Most requests let in during any window beyond what the rate gives. */
-  double Excess () const
+  double
+  Excess () const
   {
     double worst = -1e9;
     double low = 1e18;
@@ -207,7 +226,8 @@
           if (seed % 2 == 0 && br_random_below (&domain.random, 100) == 0)
             domain.Restart ((int)br_random_below (&domain.random, kVms));
           for (int k = 0; k < 4; k++)
-            domain.Ask (k < 3 ? hot : (int)br_random_below (&domain.random, kVms));
+            domain.Ask (k < 3 ? hot
+                              : (int)br_random_below (&domain.random, kVms));
           for (int i = 0; i < kVms; i++)
             if (br_random_below (&domain.random, 3) > 0)
               domain.End (i);
@@ -234,8 +254,9 @@
       domain.End (0);
       domain.Step ();
     }
-  double per_second = (double)std::count_if (domain.admitted.begin (), domain.admitted.end (),
-                                             [&] (br_ms_t at) { return at > domain.now - 10000; })
+  double per_second = (double)std::count_if (
+                          domain.admitted.begin (), domain.admitted.end (),
+                          [&] (br_ms_t at) { return at > domain.now - 10000; })
                       / 10;
   /* Its own third, and the half that each other VM may lend. */
   EXPECT_GE (per_second, kRps * 0.6);
@@ -254,16 +275,29 @@
   EXPECT_GE ((double)domain.admitted.size () / 20, kRps / 3.0 * 0.9);
 }
 
+TEST (Limits, OneThatIsDeclaredLaterStartsWithARequest)
+{
+  Domain domain (5);
+  br_name_t name = br_name_from ("late");
+  br_admission_limits_t declared = { name, 1, 0, 0 };
+  br_limits_declare (&domain.vms[0], &declared, 1000);
+  declared.requests_per_second = 3;
+  br_limits_declare (&domain.vms[0], &declared, 1100);
+  EXPECT_EQ (br_limits_ask (br_limits_find (&domain.vms[0], &name), 1100), 0);
+}
+
 TEST (Digest, RefusesBadBytes)
 {
   br_name_t vm = br_name_from ("castillos-1");
   br_admission_digest_t digest;
   br_error_t err;
-  EXPECT_FALSE (br_digest_unpack (br_str_from ("\xff\xff"), &vm, &digest, &err));
+  EXPECT_FALSE (
+      br_digest_unpack (br_str_from ("\xff\xff"), &vm, &digest, &err));
   EXPECT_STREQ (err.peer, "castillos-1");
   br_buf_t bytes = {};
   br_admission_digest_t bad = {};
-  br_admission_demands_push (&bad.demands, { br_name_from ("large"), UINT64_MAX, 0, 0, 0 });
+  br_admission_demands_push (&bad.demands,
+                             { br_name_from ("large"), UINT64_MAX, 0, 0, 0 });
   br_digest_pack (&bad, &bytes);
   EXPECT_FALSE (br_digest_unpack (br_buf_str (&bytes), &vm, &digest, &err));
   br_admission_demands_free (&bad.demands);
@@ -290,7 +324,10 @@
         {
           int i = k % 8 == 0 ? 1 : 0;
           owner[++ticket] = i;
-          br_fair_queue_push (&queue, &names[i], { ticket, 1 + br_random_below (&random, i == 1 ? 4000 : 200), BR_MS_NEVER });
+          br_fair_queue_push (
+              &queue, &names[i],
+              { ticket, 1 + br_random_below (&random, i == 1 ? 4000 : 200),
+                BR_MS_NEVER });
         }
       uint64_t ahead_before = br_fair_queue_ahead (&queue, &names[1]);
       EXPECT_LE (ahead_before, queue.tokens);
@@ -300,7 +337,8 @@
         {
           int i = owner[item.ticket];
           served[i] += (double)item.tokens / (double)weights[i];
-          ASSERT_LE (std::abs (served[0] - served[1]), 4000 + 200) << "seed " << seed;
+          ASSERT_LE (std::abs (served[0] - served[1]), 4000 + 200)
+              << "seed " << seed;
         }
       while (br_fair_queue_pop (&queue, &item))
         continue;
