--- /dev/null
+++ b/src/route/retry.c
@@ -0,0 +1,89 @@
+#include "route/retry.h"
+
+#include <assert.h>
+
+#define RETRY_COST 1000
+#define MS_PER_S 1000
+#define DOUBLINGS_MAX 16
+
+/* Retries taken ahead of the budget at most; later ones share the last
+ * place. */
+#define AHEAD_MAX 200
+
+static void
+budget_fill (br_retry_budget_t *budget, br_ms_t now)
+{
+  if (now <= budget->filled_ms)
+    return;
+  budget->balance
+      += (now - budget->filled_ms) * BR_RETRY_PER_S * RETRY_COST / MS_PER_S;
+  budget->balance
+      = BR_MIN (budget->balance, (int64_t)BR_RETRY_BUDGET_MAX * RETRY_COST);
+  budget->filled_ms = now;
+}
+
+void
+br_retry_budget_init (br_retry_budget_t *budget, br_ms_t now)
+{
+  *budget = (br_retry_budget_t){
+    .balance = (int64_t)BR_RETRY_BUDGET_MAX * RETRY_COST,
+    .filled_ms = now,
+  };
+}
+
+void
+br_retry_budget_success (br_retry_budget_t *budget, br_ms_t now)
+{
+  budget_fill (budget, now);
+  budget->balance = BR_MIN (budget->balance + BR_RETRY_PER_SUCCESS,
+                            (int64_t)BR_RETRY_BUDGET_MAX * RETRY_COST);
+}
+
+/* Takes one retry and returns how long it has to wait for its share. */
+static br_ms_t
+budget_take (br_retry_budget_t *budget, br_ms_t now)
+{
+  budget_fill (budget, now);
+  if (budget->balance > -(int64_t)AHEAD_MAX * RETRY_COST)
+    budget->balance -= RETRY_COST;
+  if (budget->balance >= 0)
+    return 0;
+  return -budget->balance / BR_RETRY_PER_S;
+}
+
+static br_ms_t
+backoff_ms (uint32_t attempts, br_random_t *random)
+{
+  uint32_t doublings = BR_MIN (attempts - 1, DOUBLINGS_MAX);
+  br_ms_t bound = (br_ms_t)BR_RETRY_BACKOFF_MS << doublings;
+
+  bound = BR_MIN (bound, BR_RETRY_BACKOFF_MAX_MS);
+  return (br_ms_t)br_random_below (random, (uint64_t)bound + 1);
+}
+
+br_retry_verdict_t
+br_retry_ask (br_retry_budget_t *budget,
+              const br_retry_query_t *query,
+              br_random_t *random,
+              br_ms_t now)
+{
+  br_retry_verdict_t verdict = { 0 };
+  br_ms_t share_ms;
+
+  assert (query->attempts > 0);
+  if ((query->may_have_run && !query->repeatable)
+      || query->attempts >= BR_RETRY_ATTEMPTS_MAX)
+    return verdict;
+  verdict.retry = true;
+  /* An upstream that is overloaded gets the wait of one attempt more. */
+  verdict.wait_ms
+      = backoff_ms (query->attempts + (query->refused ? 1 : 0), random);
+  share_ms = budget_take (budget, now);
+  budget->granted++;
+  if (share_ms > verdict.wait_ms)
+    {
+      budget->delayed++;
+      verdict.wait_ms = share_ms;
+    }
+  return verdict;
+}
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -70,6 +70,8 @@
 
 /* Admission lets the work start, or ends its wait with a refusal. */
 void br_work_task_admitted (br_work_task_t *task, uint64_t number);
+/* The next attempt of work that failed is due. */
+void br_work_task_retry (br_work_task_t *task, uint64_t number);
 void br_work_task_refused (br_work_task_t *task,
                            uint64_t number,
                            const br_error_t *err);
