Retries from a budget, and resends of running requests recognised

Cause: a failed attempt was sent again at once, up to four times, with nothing that bounds retries when much fails at once; a model answer that ended early was retried whether or not it may be repeated; a caller that resent its request made it run twice.

Ruled out: giving work up when the budget is used up (accepted work would be lost in a wave).

--- a/src/shell/caller_task.c
+++ b/src/shell/caller_task.c
@@ -310,6 +310,10 @@
         "service %s is not open to this workload", service->name.data);
   if (!node->draining && task->n_readers < (size_t)node->settings.requests_max)
     {
+      options->workload = workload->name;
+      options->resent = br_work_task_find_resend (node->works, options, err);
+      if (options->resent != NULL || err->code == BR_ERROR_CONFLICT)
+        return options->resent != NULL;
       options->ticket = br_admit_task_ask (node->admits, organisation, service,
                                            options->tokens, err);
       return options->ticket != 0;
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -8,6 +8,7 @@
 #include "shell/operator_task.h"
 #include "shell/peer_task.h"
 #include "shell/replica_task.h"
+#include "shell/retry_task.h"
 #include "shell/upstream_task.h"
 #include "shell/work_task.h"
 
@@ -201,6 +202,7 @@
     return false;
   node->upstreams = br_upstream_task_new (node);
   node->works = br_work_task_new (node);
+  node->retries = br_retry_task_new (node);
   node->admits = br_admit_task_new (node);
   node->callers = br_caller_task_new (node, err);
   if (node->callers == NULL)
@@ -306,6 +308,7 @@
   br_operator_task_free (node->operators);
   br_work_task_free (node->works);
   br_admit_task_free (node->admits);
+  br_retry_task_free (node->retries);
   br_upstream_task_free (node->upstreams);
   br_peer_task_free (node->peers);
   br_replica_task_free (node->replica);
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -3,17 +3,16 @@
 #include <uthash.h>
 
 #include "route/choice.h"
+#include "route/resend.h"
 #include "shell/admit_task.h"
 #include "shell/engine_body.h"
+#include "shell/retry_task.h"
 #include "shell/upstream_task.h"
 
 /* How long work goes on, and an answer is kept, without a reader. */
 #define UNWATCHED_KEEP_MS 30000
 #define SWEEP_MS 1000
 
-/* Attempts for one piece of work that may be repeated. */
-#define ATTEMPTS_MAX 4
-
 typedef struct entry
 {
   br_work_t work;
@@ -24,6 +23,7 @@
 {
   br_node_t *node;
   entry_t *entries;
+  br_resends_t *resends;
   uint64_t last_number;
   size_t in_progress;
   struct event *sweep;
@@ -55,6 +55,7 @@
           br_field_z ("peer", work->error.peer),
           br_field_z ("text", work->error.text));
   work_changed (task, work);
+  br_resends_drop (task->resends, work->number);
   br_admit_task_done (task->node->admits, work->ticket);
 }
 
@@ -169,14 +170,33 @@
 }
 
 static void
-work_on_failure (br_work_task_t *task, br_work_t *work, br_error_t *err)
+work_on_failure (br_work_task_t *task,
+                 br_work_t *work,
+                 br_error_t *err,
+                 bool may_have_run)
 {
+  br_retry_query_t query = {
+    .attempts = work->attempts,
+    .repeatable = work->repeatable,
+    .may_have_run = may_have_run,
+  };
+
   br_log_error (&task->node->log, "work", "attempt_failed", err);
   br_names_push (&work->tried, work->upstream);
-  if (work->attempts < ATTEMPTS_MAX)
+  if (br_retry_task_failed (task->node->retries, work->number, &query))
+    return;
+  if (may_have_run && !work->repeatable)
+    err->code = BR_ERROR_UNKNOWN_OUTCOME;
+  work_fail (task, work, err);
+}
+
+void
+br_work_task_retry (br_work_task_t *task, uint64_t number)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  if (work != NULL && work->state == BR_WORK_RUNNING && work->attempt == 0)
     work_try (task, work);
-  else
-    work_fail (task, work, err);
 }
 
 static void
@@ -184,16 +204,7 @@
                         br_work_t *work,
                         br_attempt_message_t *message)
 {
-  br_error_t err;
-
-  if (work->repeatable || !message->may_have_run)
-    {
-      work_on_failure (task, work, &message->error);
-      return;
-    }
-  err = message->error;
-  err.code = BR_ERROR_UNKNOWN_OUTCOME;
-  work_fail (task, work, &err);
+  work_on_failure (task, work, &message->error, message->may_have_run);
 }
 
 static void
@@ -205,12 +216,13 @@
   if (work->kind == BR_SERVICE_PLAIN || work->answer.complete)
     {
       work->answer.complete = true;
+      br_retry_task_success (task->node->retries);
       work_end (task, work, BR_WORK_DONE);
       return;
     }
   br_error_set (&err, BR_ERROR_UPSTREAM, "read answer", work->upstream.data,
                 "status %d, and no end of the answer", status);
-  work_on_failure (task, work, &err);
+  work_on_failure (task, work, &err, true);
 }
 
 void
@@ -259,12 +271,39 @@
   br_buf_free (&text);
 }
 
+static br_resend_query_t
+options_resend (const br_work_options_t *options)
+{
+  return (br_resend_query_t){
+    .workload = br_name_str (&options->workload),
+    .service = br_name_str (&options->service->name),
+    .path = options->path,
+    .idempotency_key = options->idempotency_key,
+    .body = options->body,
+  };
+}
+
+br_work_t *
+br_work_task_find_resend (br_work_task_t *task,
+                          const br_work_options_t *options,
+                          br_error_t *err)
+{
+  br_resend_query_t query = options_resend (options);
+
+  return br_work_task_find (task, br_resends_find (task->resends, &query, err));
+}
+
 br_work_t *
 br_work_task_accept (br_work_task_t *task, const br_work_options_t *options)
 {
-  entry_t *entry = br_alloc_zero (sizeof *entry);
-  br_work_t *work = &entry->work;
+  br_resend_query_t resend = options_resend (options);
+  entry_t *entry;
+  br_work_t *work;
 
+  if (options->resent != NULL)
+    return options->resent;
+  entry = br_alloc_zero (sizeof *entry);
+  work = &entry->work;
   work->number = ++task->last_number;
   work->service = options->service->name;
   work->kind = options->service->kind;
@@ -273,6 +312,7 @@
   work->method = options->method;
   work->accepted_ms = work->unwatched_ms = br_node_now (task->node);
   work->ticket = options->ticket;
+  br_resends_put (task->resends, &resend, work->number);
   br_buf_append (&work->path, options->path);
   br_buf_append (&work->body, options->body);
   br_buf_append (&work->content_type, options->content_type);
@@ -405,6 +445,7 @@
   struct timeval period = { SWEEP_MS / 1000, 0 };
 
   task->node = node;
+  task->resends = br_resends_new ();
   task->sweep = event_new (node->base, -1, EV_PERSIST, task_on_sweep, task);
   event_add (task->sweep, &period);
   return task;
@@ -420,6 +461,7 @@
     return;
   HASH_ITER (hh, task->entries, entry, next)
   entry_free (task, entry);
+  br_resends_free (task->resends);
   event_free (task->sweep);
   free (task);
 }
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -56,15 +56,24 @@
   br_str_t body;
   br_str_t content_type;
   br_str_t idempotency_key;
-  uint64_t tokens; /* estimated cost */
-  uint64_t ticket; /* of admission, 0 for none */
+  br_name_t workload;
+  uint64_t tokens;   /* estimated cost */
+  uint64_t ticket;   /* of admission, 0 for none */
+  br_work_t *resent; /* work that runs already, instead of a ticket */
 } br_work_options_t;
 
 br_work_task_t *br_work_task_new (br_node_t *node);
 void br_work_task_free (br_work_task_t *task);
 
-/* Accepts work and starts its first attempt.  Every change is posted as
- * BR_NODE_WORK_CHANGED.  The work belongs to the task. */
+/* Returns the running work that this is a resend of; NULL when there is none,
+ * and with *ERR set to BR_ERROR_CONFLICT when its key runs with another
+ * body. */
+br_work_t *br_work_task_find_resend (br_work_task_t *task,
+                                     const br_work_options_t *options,
+                                     br_error_t *err);
+
+/* Accepts work and starts its first attempt; returns what is resent.  Every
+ * change is posted as BR_NODE_WORK_CHANGED.  The work belongs to the task. */
 br_work_t *br_work_task_accept (br_work_task_t *task,
                                 const br_work_options_t *options);
 
