Routing by estimated time to the first token, from a prebuilt index

Cause: br_choice_take() copied labels and matched selectors for every candidate of every attempt, and chose by own attempts in flight alone: it saw neither the upstreams' reports nor what they have cached.

One change: the router. Labels and selectors are resolved when declarations or upstreams change; a decision compares wait (last report and own dispatches since, pending prompt tokens), uncached prompt tokens and link. Numbers of upstreams stay the same over builds, so that what is known of caches survives.

Ruled out: scanning all 3,300 candidates for each decision; of the own failure domain at most 512 are looked at and of each other one 16, from another start each time, and every holder of the prompt's start.

--- a/src/shell/admit_task.c
+++ b/src/shell/admit_task.c
@@ -171,6 +171,18 @@
     }
 }
 
+void
+br_admit_task_set_capacity (br_admit_task_t *task,
+                            const br_name_t *service,
+                            uint64_t requests)
+{
+  br_admission_input_t input = { .kind = BR_ADMISSION_CAPACITY };
+
+  input.capacity.service = *service;
+  input.capacity.requests = requests;
+  task_handle (task, &input);
+}
+
 uint64_t
 br_admit_task_ask (br_admit_task_t *task,
                    const br_organisation_t *organisation,
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -9,6 +9,7 @@
 #include "shell/peer_task.h"
 #include "shell/replica_task.h"
 #include "shell/retry_task.h"
+#include "shell/route_task.h"
 #include "shell/upstream_task.h"
 #include "shell/work_task.h"
 
@@ -93,13 +94,15 @@
     case BR_NODE_PROPOSAL:
       br_buf_free (&message->proposal.result);
       break;
-    case BR_NODE_APPLIED:
     case BR_NODE_CATALOG_CHANGED:
+    case BR_NODE_UPSTREAM_CHANGED:
+      br_route_task_update (node->routes);
+      break;
+    case BR_NODE_APPLIED:
     case BR_NODE_VM_UP:
     case BR_NODE_VM_SUSPECT:
     case BR_NODE_VM_DOWN:
     case BR_NODE_VM_LEAVING:
-    case BR_NODE_UPSTREAM_CHANGED:
       break;
     case BR_NODE_RECLAIM_NOTICE:
     case BR_NODE_STOP:
@@ -204,6 +207,7 @@
   node->works = br_work_task_new (node);
   node->retries = br_retry_task_new (node);
   node->admits = br_admit_task_new (node);
+  node->routes = br_route_task_new (node);
   node->callers = br_caller_task_new (node, err);
   if (node->callers == NULL)
     return false;
@@ -309,6 +313,7 @@
   br_work_task_free (node->works);
   br_admit_task_free (node->admits);
   br_retry_task_free (node->retries);
+  br_route_task_free (node->routes);
   br_upstream_task_free (node->upstreams);
   br_peer_task_free (node->peers);
   br_replica_task_free (node->replica);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -26,6 +26,7 @@
 typedef struct br_replica_task br_replica_task_t;
 typedef struct br_admit_task br_admit_task_t;
 typedef struct br_retry_task br_retry_task_t;
+typedef struct br_route_task br_route_task_t;
 
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
@@ -135,6 +136,7 @@
   br_work_task_t *works;
   br_admit_task_t *admits;
   br_retry_task_t *retries;
+  br_route_task_t *routes;
   br_caller_task_t *callers;
   br_operator_task_t *operators;
   br_replica_task_t *replica;
--- a/src/shell/retry_task.c
+++ b/src/shell/retry_task.c
@@ -5,6 +5,9 @@
 #define MS_PER_S 1000
 #define US_PER_MS 1000
 
+/* How often work without an upstream looks for one. */
+#define NO_UPSTREAM_MS 100
+
 /* A retry that waits for its time. */
 typedef struct waiting
 {
@@ -46,28 +49,38 @@
   br_work_task_retry (works, work);
 }
 
-bool
-br_retry_task_failed (br_retry_task_t *task,
-                      uint64_t work,
-                      const br_retry_query_t *query)
+static void
+task_add (br_retry_task_t *task, uint64_t work, br_ms_t wait_ms)
 {
-  br_node_t *node = task->node;
-  br_retry_verdict_t verdict = br_retry_ask (&task->budget, query,
-                                             &node->random, br_node_now (node));
-  struct timeval delay = { verdict.wait_ms / MS_PER_S,
-                           verdict.wait_ms % MS_PER_S * US_PER_MS };
-  waiting_t *waiting;
+  struct timeval delay = { wait_ms / MS_PER_S, wait_ms % MS_PER_S * US_PER_MS };
+  waiting_t *waiting = br_alloc_zero (sizeof *waiting);
 
-  if (!verdict.retry)
-    return false;
-  waiting = br_alloc_zero (sizeof *waiting);
   waiting->task = task;
   waiting->work = work;
-  waiting->timer = evtimer_new (node->base, waiting_on_timer, waiting);
+  waiting->timer = evtimer_new (task->node->base, waiting_on_timer, waiting);
   waiting->next = task->waiting;
   task->waiting = waiting;
   event_add (waiting->timer, &delay);
-  return true;
+}
+
+bool
+br_retry_task_failed (br_retry_task_t *task,
+                      uint64_t work,
+                      const br_retry_query_t *query)
+{
+  br_node_t *node = task->node;
+  br_retry_verdict_t verdict
+      = br_retry_ask (&task->budget, query, &node->random, br_node_now (node));
+
+  if (verdict.retry)
+    task_add (task, work, verdict.wait_ms);
+  return verdict.retry;
+}
+
+void
+br_retry_task_wait (br_retry_task_t *task, uint64_t work)
+{
+  task_add (task, work, NO_UPSTREAM_MS);
 }
 
 void
--- a/src/shell/retry_task.h
+++ b/src/shell/retry_task.h
@@ -17,6 +17,10 @@
                            uint64_t work,
                            const br_retry_query_t *query);
 
+/* WORK that ran before has no upstream now: calls br_work_task_retry() after a
+ * while. */
+void br_retry_task_wait (br_retry_task_t *task, uint64_t work);
+
 /* An attempt succeeded. */
 void br_retry_task_success (br_retry_task_t *task);
 
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -2,17 +2,20 @@
 
 #include <uthash.h>
 
-#include "route/choice.h"
 #include "route/resend.h"
 #include "shell/admit_task.h"
 #include "shell/engine_body.h"
 #include "shell/retry_task.h"
+#include "shell/route_task.h"
 #include "shell/upstream_task.h"
 
 /* How long work goes on, and an answer is kept, without a reader. */
 #define UNWATCHED_KEEP_MS 30000
 #define SWEEP_MS 1000
 
+/* How long work that ran before waits for an upstream to come. */
+#define NO_UPSTREAM_MS 30000
+
 typedef struct entry
 {
   br_work_t work;
@@ -76,6 +79,7 @@
   if (work->attempt == 0)
     return;
   work->attempt = 0;
+  br_route_task_ended (task->node->routes, work);
   if (upstream != NULL && upstream->in_flight > 0)
     upstream->in_flight--;
 }
@@ -120,24 +124,20 @@
 static void
 work_try (br_work_task_t *task, br_work_t *work)
 {
-  br_node_t *node = task->node;
-  br_choice_query_t query = {
-    .catalog = &node->catalog,
-    .service
-    = br_catalog_service (&node->catalog, br_name_str (&work->service)),
-    .failure_domain = &node->settings.failure_domain,
-    .tried = &work->tried,
-  };
-  br_upstream_t *upstream = NULL;
+  br_upstream_t *upstream = br_route_task_take (task->node->routes, work);
   br_error_t err;
 
-  if (query.service != NULL)
-    upstream = br_choice_take (&node->registry, &query);
   if (upstream != NULL)
     {
       work_send (task, work, upstream);
       return;
     }
+  if (work->attempts > 0
+      && br_node_now (task->node) - work->failed_ms < NO_UPSTREAM_MS)
+    {
+      br_retry_task_wait (task->node->retries, work->number);
+      return;
+    }
   br_error_set (&err, BR_ERROR_UNAVAILABLE, "choose upstream",
                 work->service.data, "no upstream of the service is live");
   err.retry_after_ms = 1000;
@@ -162,7 +162,8 @@
       br_buf_free (&text);
       return;
     }
-  work->received++;
+  if (work->received++ == 0)
+    br_route_task_first_token (task->node->routes, work);
   if (br_answer_add (&work->answer, offset, kind, br_buf_str (&text))
       == BR_ANSWER_ADDED)
     work_changed (task, work);
@@ -183,6 +184,7 @@
 
   br_log_error (&task->node->log, "work", "attempt_failed", err);
   br_names_push (&work->tried, work->upstream);
+  work->failed_ms = br_node_now (task->node);
   if (br_retry_task_failed (task->node->retries, work->number, &query))
     return;
   if (may_have_run && !work->repeatable)
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -45,6 +45,9 @@
   br_ms_t accepted_ms;
   br_ms_t unwatched_ms; /* since when nobody reads it */
   uint64_t ticket;      /* of admission, 0 for none */
+  uint64_t uncached;    /* prompt tokens that the attempt has to read */
+  br_ms_t sent_ms;      /* when the attempt was sent */
+  br_ms_t failed_ms;    /* when the last one failed */
 } br_work_t;
 
 /* What a caller asks for.  Views are copied. */
