--- a/src/contract/message.c
+++ b/src/contract/message.c
@@ -132,6 +132,7 @@
 {
   out->code = failure->code;
   out->retry_after_ms = (uint64_t)failure->retry_after_ms;
+  out->may_have_run = failure->may_have_run;
   out->step = (char *)(uintptr_t)failure->step;
   out->peer = (char *)(uintptr_t)failure->peer;
   out->text = (char *)(uintptr_t)failure->text;
@@ -185,6 +186,7 @@
       request.service = wire_name (&message->located.service);
       request.organisation = wire_name (&message->located.organisation);
       request.streamed = message->located.streamed;
+      request.path = wire_bytes (message->located.path);
       wire.request = &request;
       break;
     case BR_CONTRACT_FOLLOW:
@@ -280,6 +282,7 @@
     return false;
   failure->code = (br_error_code_t)wire->code;
   failure->retry_after_ms = (int64_t)wire->retry_after_ms;
+  failure->may_have_run = wire->may_have_run;
   text_set (failure->step, sizeof failure->step, wire->step);
   text_set (failure->peer, sizeof failure->peer, wire->peer);
   text_set (failure->text, sizeof failure->text, wire->text);
@@ -293,6 +296,8 @@
     return false;
   message->located.known = (br_contract_known_t)wire->known;
   message->located.streamed = wire->request->streamed;
+  message->located.path = br_str_make ((const char *)wire->request->path.data,
+                                       wire->request->path.len);
   return br_name_set (&message->located.service,
                       br_str_from (wire->request->service))
          && br_name_set (&message->located.organisation,
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -27,6 +27,7 @@
 typedef struct br_admit_task br_admit_task_t;
 typedef struct br_retry_task br_retry_task_t;
 typedef struct br_route_task br_route_task_t;
+typedef struct br_contract_task br_contract_task_t;
 
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
@@ -140,6 +141,7 @@
   br_caller_task_t *callers;
   br_operator_task_t *operators;
   br_replica_task_t *replica;
+  br_contract_task_t *contracts;
   br_state_t *state; /* owned; changed by the replica task alone */
   struct br_node_queue *queue;
 };
@@ -155,6 +157,10 @@
 /* Takes no new work from now on; br_node_run() returns once the work in
  * progress is done. */
 void br_node_drain (br_node_t *node);
+
+/* Like br_node_drain(), and hands over in time what would not be done by
+ * LEAVE_BY_MS. */
+void br_node_drain_by (br_node_t *node, br_ms_t leave_by_ms);
 void br_node_free (br_node_t *node);
 
 /* Puts a message into the queue; what it owns goes to the queue.  It is
--- /dev/null
+++ b/tests/process/contract_two_losses.sh
@@ -0,0 +1,42 @@
+# The owner is killed, and right after its take-over the new owner as well;
+# then an engine dies in mid-stream.  Usage: contract_two_losses.sh BUILD
+set -u
+BUILD=$1
+BASE_PORT=24200
+. "$(dirname "$0")/../support/site.sh"
+. "$(dirname "$0")/../support/contract.sh"
+site_init
+site_up --token-ms 30 > /dev/null || site_fail "site does not come up"
+contract_wait_links
+
+site_complete 1 "$(contract_body draft 200)" > "$SITE/whole" &
+whole=$!
+contract_stream 0 draft 200 twice
+contract_wait_tokens twice 10
+kill -9 "$(site_pid castillos-1)"
+for i in $(seq 300); do
+  grep -q '"event":"take_over"' "$SITE/lascano-1.log" && break
+  sleep 0.01
+done
+# Its new partner confirms within a message's time.
+for i in $(seq 300); do
+  grep '"event":"held"' "$SITE/lascano-1.log" | grep -q castillos-2 && break
+  sleep 0.01
+done
+kill -9 "$(site_pid lascano-1)"
+wait "$whole"
+[ "$(contract_tokens "$SITE/whole" | wc -l)" = 200 ] || site_fail "no whole answer"
+contract_check_rest twice 1 whole
+
+# Only castillos-2 is left: accepted unprotected, and said so.
+contract_stream 1 draft 200 engine
+contract_wait_tokens engine 10
+[ "$(contract_partner engine)" = none ] ||
+  site_fail "partner: $(contract_partner engine)"
+for e in e1 e2; do
+  grep "$(contract_id engine)" "$SITE/$e.out" | grep -q '"event":"run"' &&
+    kill -9 "$(site_pid $e)" && break
+done
+contract_check_rest engine 1 whole
+contract_check_engines
+echo "two losses: ok"
