--- /dev/null
+++ b/bench/model/arms.c
@@ -0,0 +1,100 @@
+/* The plain baselines and the way to the router's choice. */
+#include "world.h"
+
+bool
+request_tried (const world_t *world, const request_t *request, int upstream)
+{
+  for (size_t i = 0; i < request->tried.len; i++)
+    if (br_name_equal (&request->tried.items[i],
+                       &world->upstreams[upstream].name))
+      return true;
+  return false;
+}
+
+static bool
+vm_may_use (const world_t *world,
+            const vm_t *vm,
+            const request_t *request,
+            int upstream)
+{
+  return vm->eligible[upstream]
+         && world->upstreams[upstream].plain == request->plain
+         && !request_tried (world, request, upstream);
+}
+
+static int
+choose_round_robin (world_t *world, vm_t *vm, const request_t *request)
+{
+  for (int i = 0; i < world->n_upstreams; i++)
+    {
+      int upstream = vm->turn++ % world->n_upstreams;
+
+      if (vm_may_use (world, vm, request, upstream))
+        return upstream;
+    }
+  return MODEL_NEVER;
+}
+
+static bool
+is_less_loaded (const world_t *world, const vm_t *vm, int a, int b, bool near)
+{
+  bool a_near = world->upstreams[a].domain == vm->domain;
+  bool b_near = world->upstreams[b].domain == vm->domain;
+
+  if (near && a_near != b_near)
+    return a_near;
+  return vm->in_flight[a] < vm->in_flight[b];
+}
+
+static int
+choose_least (world_t *world, vm_t *vm, const request_t *request, bool near)
+{
+  int best = MODEL_NEVER;
+  int from = vm->turn++;
+
+  for (int i = 0; i < world->n_upstreams; i++)
+    {
+      int upstream = (from + i) % world->n_upstreams;
+
+      if (vm_may_use (world, vm, request, upstream)
+          && (best == MODEL_NEVER
+              || is_less_loaded (world, vm, upstream, best, near)))
+        best = upstream;
+    }
+  return best;
+}
+
+static int
+choose_router (world_t *world, vm_t *vm, request_t *request)
+{
+  br_route_query_t query = {
+    .service = br_str_from (request->plain ? "ledger" : "lm"),
+    .prefix = request->plain ? NULL : &request->prefix,
+    .tried = &request->tried,
+  };
+
+  request->route = br_router_choose (vm->router, &query);
+  for (int i = 0; i < world->n_upstreams; i++)
+    if (vm->numbers[i] == request->route.upstream)
+      return i;
+  return MODEL_NEVER;
+}
+
+int
+arm_choose (world_t *world, vm_t *vm, request_t *request)
+{
+  switch (world->options.arm)
+    {
+    case ARM_ROUND_ROBIN:
+      return choose_round_robin (world, vm, request);
+    case ARM_LEAST_IN_FLIGHT:
+      return choose_least (world, vm, request, false);
+    case ARM_PREVIOUS:
+      return choose_least (world, vm, request, true);
+    case ARM_TODAY:
+      return choose_router (world, vm, request);
+    case ARM_COUNT:
+      break;
+    }
+  return MODEL_NEVER;
+}
--- /dev/null
+++ b/bench/model/upstream.c
@@ -0,0 +1,307 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "world.h"
+
+#define MS_PER_S 1000
+#define CACHE_BLOCKS 400
+#define PLAIN_MS 25
+#define CRASH_RESTART_MS 15000
+
+static bool
+attempt_runs (const request_t *request, uint64_t attempt)
+{
+  return request->attempt == attempt && !request->silent;
+}
+
+static block_t *
+cache_find (upstream_t *upstream, uint64_t hash)
+{
+  block_t *block;
+
+  HASH_FIND (hh, upstream->cache, &hash, sizeof hash, block);
+  return block;
+}
+
+static void
+cache_use (upstream_t *upstream, uint64_t hash)
+{
+  block_t *block = cache_find (upstream, hash);
+
+  if (block != NULL)
+    HASH_DEL (upstream->cache, block);
+  else
+    block = br_alloc_zero (sizeof *block);
+  block->hash = hash;
+  HASH_ADD (hh, upstream->cache, hash, sizeof hash, block);
+  if (HASH_COUNT (upstream->cache) <= CACHE_BLOCKS)
+    return;
+  block = upstream->cache;
+  HASH_DEL (upstream->cache, block);
+  free (block);
+}
+
+void
+upstream_forget_cache (upstream_t *upstream)
+{
+  block_t *block;
+  block_t *next;
+
+  HASH_ITER (hh, upstream->cache, block, next)
+  {
+    HASH_DEL (upstream->cache, block);
+    free (block);
+  }
+}
+
+/* Tokens of prompt and answer so far that are not in the cache. */
+static uint64_t
+upstream_uncached (upstream_t *upstream, const request_t *request)
+{
+  const br_prefix_t *prefix = &request->prefix;
+  size_t cached = 0;
+
+  while (cached < prefix->n_blocks
+         && cache_find (upstream, prefix->hashes[cached]) != NULL)
+    cached++;
+  return prefix->tokens - cached * BR_PREFIX_BLOCK_TOKENS + request->generated;
+}
+
+static void
+upstream_prefill (world_t *world, upstream_t *upstream, request_t *request)
+{
+  uint64_t uncached = upstream_uncached (upstream, request);
+  br_ms_t from = BR_MAX (world->now, upstream->prefill_free_ms);
+  event_t *event;
+
+  world->result.prefilled_tokens += uncached;
+  if (request->attempts > 1)
+    world->result.recomputed_tokens += uncached;
+  upstream->prefill_free_ms
+      = from
+        + (br_ms_t)(uncached * MS_PER_S / (uint64_t)upstream->prefill_per_s)
+        + 1;
+  event = world_at (world, upstream->prefill_free_ms - world->now,
+                    EVENT_PREFILLED);
+  event->request = request;
+  event->attempt = request->attempt;
+  event->upstream = (int)(upstream - world->upstreams);
+}
+
+static void
+upstream_pump (world_t *world, upstream_t *upstream)
+{
+  while (upstream->n_waiting > 0 && upstream->n_running < upstream->slots)
+    {
+      request_t *request = upstream->waiting[0];
+      uint64_t attempt = upstream->waiting_attempt[0];
+      int last = --upstream->n_waiting;
+
+      memmove (upstream->waiting, upstream->waiting + 1,
+               (size_t)last * sizeof (request_t *));
+      memmove (upstream->waiting_attempt, upstream->waiting_attempt + 1,
+               (size_t)last * sizeof (uint64_t));
+      upstream->running[upstream->n_running] = request;
+      upstream->running_attempt[upstream->n_running++] = attempt;
+      if (request->plain)
+        {
+          event_t *event = world_at (world, PLAIN_MS, EVENT_FINISH);
+
+          request->runs++;
+          event->request = request;
+          event->attempt = attempt;
+          event->upstream = (int)(upstream - world->upstreams);
+        }
+      else
+        upstream_prefill (world, upstream, request);
+    }
+}
+
+void
+upstream_reach (world_t *world,
+                upstream_t *upstream,
+                request_t *request,
+                uint64_t attempt)
+{
+  if (request->attempt != attempt)
+    return;
+  assert (upstream->n_waiting < (int)BR_N_ELEMENTS (upstream->waiting));
+  upstream->waiting[upstream->n_waiting] = request;
+  upstream->waiting_attempt[upstream->n_waiting++] = attempt;
+  upstream_pump (world, upstream);
+}
+
+static bool
+upstream_runs (const upstream_t *upstream,
+               const request_t *request,
+               uint64_t attempt)
+{
+  for (int i = 0; i < upstream->n_running; i++)
+    if (upstream->running[i] == request
+        && upstream->running_attempt[i] == attempt)
+      return true;
+  return false;
+}
+
+void
+upstream_prefilled (world_t *world,
+                    upstream_t *upstream,
+                    request_t *request,
+                    uint64_t attempt)
+{
+  uint32_t left = request->answer_tokens - request->generated;
+  event_t *event;
+
+  if (!upstream->up || !upstream_runs (upstream, request, attempt))
+    return;
+  for (size_t i = request->prefix.n_blocks; i > 0; i--)
+    cache_use (upstream, request->prefix.hashes[i - 1]);
+  if (request->crash)
+    {
+      int number = (int)(upstream - world->upstreams);
+
+      upstream_kill (world, upstream);
+      world_at (world, CRASH_RESTART_MS, EVENT_START)->upstream = number;
+      return;
+    }
+  if (attempt_runs (request, attempt))
+    {
+      request->token_at_ms = world->now;
+      event = world_at (world,
+                        world_link_ms (world, upstream->domain,
+                                       world->vms[request->vm].domain),
+                        EVENT_FIRST);
+      event->request = request;
+      event->attempt = attempt;
+    }
+  event = world_at (world, (br_ms_t)left * upstream->token_ms, EVENT_FINISH);
+  event->request = request;
+  event->attempt = attempt;
+  event->upstream = (int)(upstream - world->upstreams);
+}
+
+static void
+upstream_remove (upstream_t *upstream,
+                 const request_t *request,
+                 uint64_t attempt)
+{
+  for (int i = 0; i < upstream->n_running; i++)
+    if (upstream->running[i] == request
+        && upstream->running_attempt[i] == attempt)
+      {
+        upstream->n_running--;
+        upstream->running[i] = upstream->running[upstream->n_running];
+        upstream->running_attempt[i]
+            = upstream->running_attempt[upstream->n_running];
+        return;
+      }
+  for (int i = 0; i < upstream->n_waiting; i++)
+    if (upstream->waiting[i] == request
+        && upstream->waiting_attempt[i] == attempt)
+      {
+        int last = --upstream->n_waiting;
+
+        memmove (upstream->waiting + i, upstream->waiting + i + 1,
+                 (size_t)(last - i) * sizeof (request_t *));
+        memmove (upstream->waiting_attempt + i,
+                 upstream->waiting_attempt + i + 1,
+                 (size_t)(last - i) * sizeof (uint64_t));
+        return;
+      }
+}
+
+void
+upstream_finish (world_t *world,
+                 upstream_t *upstream,
+                 request_t *request,
+                 uint64_t attempt)
+{
+  if (!upstream->up || !upstream_runs (upstream, request, attempt))
+    return;
+  upstream_remove (upstream, request, attempt);
+  if (attempt_runs (request, attempt))
+    {
+      event_t *event = world_at (world,
+                                 world_link_ms (world, upstream->domain,
+                                                world->vms[request->vm].domain),
+                                 EVENT_ANSWER);
+
+      event->request = request;
+      event->attempt = attempt;
+    }
+  upstream_pump (world, upstream);
+}
+
+void
+upstream_cancel (world_t *world,
+                 upstream_t *upstream,
+                 const request_t *request,
+                 uint64_t attempt)
+{
+  upstream_remove (upstream, request, attempt);
+  if (upstream->up)
+    upstream_pump (world, upstream);
+}
+
+static void
+kill_tell (world_t *world,
+           upstream_t *upstream,
+           request_t *request,
+           uint64_t attempt)
+{
+  event_t *event;
+
+  if (!attempt_runs (request, attempt))
+    return;
+  event = world_at (
+      world,
+      world_link_ms (world, upstream->domain, world->vms[request->vm].domain),
+      EVENT_FAILED);
+  event->request = request;
+  event->attempt = attempt;
+  event->ran = true;
+}
+
+void
+upstream_kill (world_t *world, upstream_t *upstream)
+{
+  if (!upstream->up)
+    return;
+  upstream->up = false;
+  upstream->up_ms += (double)(world->now - upstream->up_since_ms);
+  upstream_forget_cache (upstream);
+  for (int i = 0; i < upstream->n_running; i++)
+    kill_tell (world, upstream, upstream->running[i],
+               upstream->running_attempt[i]);
+  for (int i = 0; i < upstream->n_waiting; i++)
+    kill_tell (world, upstream, upstream->waiting[i],
+               upstream->waiting_attempt[i]);
+  upstream->n_running = upstream->n_waiting = 0;
+}
+
+br_load_t
+upstream_load (const upstream_t *upstream, br_ms_t now)
+{
+  return (br_load_t){
+    .known = true,
+    .taken_ms = now,
+    .running = (uint32_t)upstream->n_running,
+    .waiting = (uint32_t)upstream->n_waiting,
+    .slots = (uint32_t)upstream->slots,
+    .token_ms = (uint32_t)upstream->token_ms,
+    .prefill_per_s = (uint32_t)upstream->prefill_per_s,
+  };
+}
+
+/* Tokens of the answer that have reached the entry VM by now. */
+uint32_t
+request_generated (const world_t *world, const request_t *request)
+{
+  const upstream_t *upstream = &world->upstreams[request->upstream];
+  br_ms_t until = request->silent ? request->silent_ms : world->now;
+  uint32_t more = 0;
+
+  if (request->token_at_ms != MODEL_NEVER && until > request->token_at_ms)
+    more = 1 + (uint32_t)((until - request->token_at_ms) / upstream->token_ms);
+  return BR_MIN (request->generated + more, request->answer_tokens - 1);
+}
