--- a/src/shell/caller_task.c
+++ b/src/shell/caller_task.c
@@ -11,6 +11,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "shell/admit_task.h"
 #include "shell/engine_body.h"
 #include "shell/http_reply.h"
 #include "shell/work_task.h"
@@ -412,7 +413,8 @@
   return NULL;
 }
 
-/* Checks that the caller may use SERVICE and that this VM takes new work. */
+/* Checks that the caller may use the service and that this VM takes new work
+ * and some of this organisation's. */
 static bool
 task_let_in (br_caller_task_t *task,
              struct evhttp_request *request,
@@ -435,7 +437,15 @@
         err, BR_ERROR_FORBIDDEN, "authorise", workload->name.data,
         "service %s is not open to this workload", service->name.data);
   if (!node->draining && task->n_readers < (size_t)node->settings.requests_max)
-    return true;
+    {
+      options->workload = workload->name;
+      options->resent = br_work_task_find_resend (node->works, options, err);
+      if (options->resent != NULL || err->code == BR_ERROR_CONFLICT)
+        return options->resent != NULL;
+      options->ticket = br_admit_task_ask (node->admits, organisation, service,
+                                           options->tokens, err);
+      return options->ticket != 0;
+    }
   br_error_set (err, BR_ERROR_UNAVAILABLE, "admit", node->settings.vm.data,
                 node->draining ? "this VM is stopping"
                                : "callers.requests_max is reached");
@@ -484,6 +494,7 @@
       || !br_completion_read (options.body, chat, &head, &err))
     goto refuse;
   options.service = task_model_service (task, &head, &err);
+  options.tokens = br_completion_tokens (options.body, &head);
   if (options.service == NULL || !task_let_in (task, request, &options, &err))
     goto refuse;
   task_add_reader (task, request,
@@ -546,14 +557,15 @@
     .body = br_http_body (request),
     .content_type = request_header (request, "Content-Type"),
     .idempotency_key = request_header (request, "Idempotency-Key"),
+    .tokens = 1,
   };
   br_completion_head_t head = { 0 };
   br_error_t err;
 
   options.service = task_plain_service (task, evhttp_request_get_uri (request),
                                         &options.path, &err);
-  if (options.service == NULL || !task_let_in (task, request, &options, &err)
-      || !options_check_key (&options, &err))
+  if (options.service == NULL || !options_check_key (&options, &err)
+      || !task_let_in (task, request, &options, &err))
     {
       task_refuse (task, request, &err);
       return;
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -2,10 +2,13 @@
 
 #include <assert.h>
 
-#include "route/choice.h"
+#include "route/resend.h"
+#include "shell/admit_task.h"
 #include "shell/claim_task.h"
 #include "shell/contract_task.h"
 #include "shell/engine_body.h"
+#include "shell/retry_task.h"
+#include "shell/route_task.h"
 #include "shell/upstream_task.h"
 #include "shell/work_table.h"
 
@@ -13,13 +16,14 @@
 #define UNWATCHED_KEEP_MS 30000
 #define SWEEP_MS 1000
 
-/* Attempts for one piece of work that may be repeated. */
-#define ATTEMPTS_MAX 4
+/* How long work that ran before waits for an upstream to come. */
+#define NO_UPSTREAM_MS 30000
 
 struct br_work_task
 {
   br_node_t *node;
   br_work_table_t *table;
+  br_resends_t *resends;
   uint64_t last_number;
   size_t in_progress;
   struct event *sweep;
@@ -53,6 +57,8 @@
           br_field_z ("peer", work->error.peer),
           br_field_z ("text", work->error.text));
   work_changed (task, work);
+  br_resends_drop (task->resends, work->number);
+  br_admit_task_done (task->node->admits, work->ticket);
 }
 
 static void
@@ -75,6 +81,7 @@
   if (work->attempt == 0)
     return;
   work->attempt = 0;
+  br_route_task_ended (task->node->routes, work);
   if (upstream != NULL && upstream->in_flight > 0)
     upstream->in_flight--;
 }
@@ -122,29 +129,27 @@
 static void
 work_try (br_work_task_t *task, br_work_t *work)
 {
-  br_node_t *node = task->node;
-  br_choice_query_t query = {
-    .catalog = &node->catalog,
-    .service
-    = br_catalog_service (&node->catalog, br_name_str (&work->service)),
-    .failure_domain = &node->settings.failure_domain,
-    .tried = &work->tried,
-  };
-  br_upstream_t *upstream = NULL;
+  br_upstream_t *upstream;
   br_error_t err;
 
   if (!work->repeatable && work->not_after_ms == 0)
     {
-      br_claim_task_start (node->claims, work);
+      br_claim_task_start (task->node->claims, work);
       return;
     }
-  if (query.service != NULL)
-    upstream = br_choice_take (&node->registry, &query);
+  upstream = br_route_task_take (task->node->routes, work);
   if (upstream != NULL)
     {
       work_send (task, work, upstream);
       return;
     }
+  if ((work->may_have_run || (work->accepted && work->attempts > 0))
+      && br_node_now (task->node) - BR_MAX (work->failed_ms, work->accepted_ms)
+             < NO_UPSTREAM_MS)
+    {
+      br_retry_task_wait (task->node->retries, work->number);
+      return;
+    }
   br_error_set (&err, BR_ERROR_UNAVAILABLE, "choose upstream",
                 work->service.data, "no upstream of the service is live");
   err.retry_after_ms = 1000;
@@ -169,7 +174,8 @@
       br_buf_free (&text);
       return;
     }
-  work->received++;
+  if (work->received++ == 0)
+    br_route_task_first_token (task->node->routes, work);
   if (br_answer_add (&work->answer, offset, kind, br_buf_str (&text))
       == BR_ANSWER_ADDED)
     work_changed (task, work);
@@ -177,14 +183,35 @@
 }
 
 static void
-work_on_failure (br_work_task_t *task, br_work_t *work, br_error_t *err)
-{
+work_on_failure (br_work_task_t *task,
+                 br_work_t *work,
+                 br_error_t *err,
+                 bool may_have_run)
+{
+  br_retry_query_t query = {
+    .attempts = work->attempts,
+    .repeatable = work->repeatable,
+    .may_have_run = may_have_run,
+  };
+
   br_log_error (&task->node->log, "work", "attempt_failed", err);
   br_names_push (&work->tried, work->upstream);
-  if (work->attempts < ATTEMPTS_MAX)
+  work->failed_ms = br_node_now (task->node);
+  if (br_retry_task_failed (task->node->retries, work->number, &query))
+    return;
+  if (may_have_run && !work->repeatable)
+    err->code = BR_ERROR_UNKNOWN_OUTCOME;
+  work_fail (task, work, err);
+}
+
+void
+br_work_task_retry (br_work_task_t *task, uint64_t number)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  if (work != NULL && work->state == BR_WORK_RUNNING && !work->followed
+      && work->attempt == 0)
     work_try (task, work);
-  else
-    work_fail (task, work, err);
 }
 
 static void
@@ -192,17 +219,8 @@
                         br_work_t *work,
                         br_attempt_message_t *message)
 {
-  br_error_t err;
-
   work->may_have_run |= message->may_have_run;
-  if (work->repeatable || !message->may_have_run)
-    {
-      work_on_failure (task, work, &message->error);
-      return;
-    }
-  err = message->error;
-  err.code = BR_ERROR_UNKNOWN_OUTCOME;
-  work_fail (task, work, &err);
+  work_on_failure (task, work, &message->error, message->may_have_run);
 }
 
 static void
@@ -216,12 +234,13 @@
     {
       work->answer.complete = true;
       br_claim_task_on_answer (task->node->claims, work);
+      br_retry_task_success (task->node->retries);
       work_end (task, work, BR_WORK_DONE);
       return;
     }
   br_error_set (&err, BR_ERROR_UPSTREAM, "read answer", work->upstream.data,
                 "status %d, and no end of the answer", status);
-  work_on_failure (task, work, &err);
+  work_on_failure (task, work, &err, true);
 }
 
 void
@@ -312,17 +331,45 @@
   return work;
 }
 
+static br_resend_query_t
+options_resend (const br_work_options_t *options)
+{
+  return (br_resend_query_t){
+    .workload = br_name_str (&options->workload),
+    .service = br_name_str (&options->service->name),
+    .path = options->path,
+    .idempotency_key = options->idempotency_key,
+    .body = options->body,
+  };
+}
+
+br_work_t *
+br_work_task_find_resend (br_work_task_t *task,
+                          const br_work_options_t *options,
+                          br_error_t *err)
+{
+  br_resend_query_t query = options_resend (options);
+
+  return br_work_task_find (task, br_resends_find (task->resends, &query, err));
+}
+
 br_work_t *
 br_work_task_accept (br_work_task_t *task, const br_work_options_t *options)
 {
-  br_work_t *work = task_add (task, NULL);
+  br_resend_query_t resend = options_resend (options);
+  br_work_t *work;
 
+  if (options->resent != NULL)
+    return options->resent;
+  work = task_add (task, NULL);
   work->organisation = options->organisation;
   work->service = options->service->name;
   work->kind = options->service->kind;
   work->repeatable
       = options->service->repeatable || options->method == EVHTTP_REQ_GET;
   work->method = options->method;
+  work->ticket = options->ticket;
+  br_resends_put (task->resends, &resend, work->number);
   br_buf_append (&work->path, options->path);
   br_buf_append (&work->body, options->body);
   br_buf_append (&work->content_type, options->content_type);
@@ -333,10 +380,31 @@
           br_field_z ("contract", work->contract_text),
           br_field_str ("service", br_name_str (&work->service)));
   br_contract_task_accept (task->node->contracts, work);
-  work_try (task, work);
+  if (br_admit_task_may_start (task->node->admits, work->ticket, work->number))
+    work_try (task, work);
   return work;
 }
 
+void
+br_work_task_admitted (br_work_task_t *task, uint64_t number)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  if (work != NULL && work->state == BR_WORK_RUNNING && !work->followed)
+    work_try (task, work);
+}
+
+void
+br_work_task_refused (br_work_task_t *task,
+                      uint64_t number,
+                      const br_error_t *err)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  if (work != NULL && work->state == BR_WORK_RUNNING)
+    work_fail (task, work, err);
+}
+
 br_work_t *
 br_work_task_follow (br_work_task_t *task,
                      const br_contract_id_t *contract,
@@ -431,6 +499,7 @@
   work_drop_attempt (task, work);
   work->followed = true;
   task->in_progress--;
+  br_admit_task_done (task->node->admits, work->ticket);
 }
 
 br_work_t *
@@ -515,6 +584,7 @@
   struct timeval period = { SWEEP_MS / 1000, 0 };
 
   task->node = node;
+  task->resends = br_resends_new ();
   task->table = br_work_table_new ();
   task->sweep = event_new (node->base, -1, EV_PERSIST, task_on_sweep, task);
   event_add (task->sweep, &period);
@@ -526,6 +596,7 @@
 {
   if (task == NULL)
     return;
+  br_resends_free (task->resends);
   br_work_table_free (task->table);
   event_free (task->sweep);
   free (task);
