Platform: lagging VM list, reclaim notices, cloud API; notices reach every VM

Cause: upstreams came from the settings alone and nobody heard of a reclaim. Each entry VM reads the list (by revision, so that an unchanged one is short) and the notices; a notice is announced through the membership, so that a VM that the platform does not tell hears it as well. Leaving is kept by name and incarnation and beats the list. A notice for an entry VM starts its drain.

--- a/bench/domain_bench.c
+++ b/bench/domain_bench.c
@@ -61,6 +61,7 @@
   double cpu_s;
   br_ms_t worst = 0;
 
+  bus->measured = true;
   bus_run (bus, WARM_UP_MS);
   if (settled)
     settle (bus);
@@ -91,8 +92,8 @@
 {
   static const int sizes[] = { 7, 25, 100, 390 };
 
-  printf ("%5s %10s %14s %14s %14s %14s\n", "VMs", "state", "bytes/s a VM", "% of a core",
-          "notice ms max", "longest frame");
+  printf ("%5s %10s %14s %14s %14s %14s\n", "VMs", "state", "bytes/s a VM",
+          "% of a core", "notice ms max", "longest frame");
   for (size_t i = 0; i < BR_N_ELEMENTS (sizes); i++)
     {
       bench_size (sizes[i], false);
--- a/src/domain/membership.c
+++ b/src/domain/membership.c
@@ -28,7 +28,8 @@
   if (from == NULL || message->incarnation < from->vm.incarnation)
     return;
   membership_heard (membership, from, now);
-  br_member_set_up (membership, from, message->incarnation, message->version, now);
+  br_member_set_up (membership, from, message->incarnation, message->version,
+                    now);
   for (size_t i = 0; i < message->n_vms; i++)
     br_membership_merge (membership, &message->vms[i], now);
   for (size_t i = 0; i < message->n_notices; i++)
@@ -83,9 +84,9 @@
   membership->ticked = true;
   membership->last_tick_ms = now;
   br_notices_expire (&membership->notices, now);
-  if (membership->urgent)
+  if (membership->urgent > 0)
     membership_push_notices (membership);
-  membership->urgent = false;
+  membership->urgent -= membership->urgent > 0;
   if (probe->running && !probe->acked && !probe->requested
       && now - probe->sent_ms >= BR_MEMBERSHIP_DIRECT_MS)
     br_membership_request_probes (membership);
--- a/src/domain/membership_internal.h
+++ b/src/domain/membership_internal.h
@@ -10,6 +10,9 @@
 /* Probes made on behalf of others at once. */
 #define RELAYS_MAX 64
 
+/* Ticks on which a new notice is sent to others at once. */
+#define BR_NOTICE_PUSHES 2
+
 /* A probe that waits for its answer. */
 typedef struct
 {
@@ -51,36 +54,54 @@
   br_ms_t last_tick_ms;
   br_ms_t next_probe_ms;
   br_ms_t next_sync_ms;
-  bool urgent; /* notices are to be passed on without delay */
+  uint32_t urgent; /* ticks on which notices are still to be sent at once */
 };
 
-
 /* Returns the member NAME, or NULL. */
-br_member_t *br_membership_member (const br_membership_t *membership, const br_name_t *name);
+br_member_t *br_membership_member (const br_membership_t *membership,
+                                   const br_name_t *name);
 
 /* Adds an output about the VM NAME to the outbox; valid until the next. */
-br_membership_output_t *br_membership_output (br_membership_t *membership, br_membership_output_kind_t kind, const br_name_t *name);
+br_membership_output_t *br_membership_output (br_membership_t *membership,
+                                              br_membership_output_kind_t kind,
+                                              const br_name_t *name);
 
 /* Takes NEWS into the view of MEMBER, and reports a change. */
-void br_member_merge (br_membership_t *membership, br_member_t *member, const br_vm_t *news, br_ms_t now);
+void br_member_merge (br_membership_t *membership,
+                      br_member_t *member,
+                      const br_vm_t *news,
+                      br_ms_t now);
 
 /* Adds a message to the outbox; valid until the next output. */
-br_domain_message_t *br_membership_send (br_membership_t *membership, const br_member_t *to, br_domain_message_kind_t kind);
+br_domain_message_t *br_membership_send (br_membership_t *membership,
+                                         const br_member_t *to,
+                                         br_domain_message_kind_t kind);
 
 /* Sends a ping for whose answer nothing waits. */
 void br_membership_ping (br_membership_t *membership, const br_member_t *to);
 
 /* MEMBER gave a sign of life in this incarnation and version. */
-void br_member_set_up (br_membership_t *membership, br_member_t *member, uint64_t incarnation, uint32_t version, br_ms_t now);
+void br_member_set_up (br_membership_t *membership,
+                       br_member_t *member,
+                       uint64_t incarnation,
+                       uint32_t version,
+                       br_ms_t now);
 
 /* The same by name; a view of this VM itself is refuted. */
-void br_membership_merge (br_membership_t *membership, const br_vm_t *news, br_ms_t now);
+void br_membership_merge (br_membership_t *membership,
+                          const br_vm_t *news,
+                          br_ms_t now);
 
 /* Takes in a notice; false when it was known. */
-bool br_membership_learn (br_membership_t *membership, const br_notice_t *notice, br_ms_t now);
+bool br_membership_learn (br_membership_t *membership,
+                          const br_notice_t *notice,
+                          br_ms_t now);
 
 /* Sends FROM the notices that it may lack. */
-void br_membership_compare_notices (br_membership_t *membership, const br_member_t *from, const br_domain_message_t *message, br_ms_t now);
+void br_membership_compare_notices (br_membership_t *membership,
+                                    const br_member_t *from,
+                                    const br_domain_message_t *message,
+                                    br_ms_t now);
 
 /* Gives a suspect its whole time to refute. */
 void br_member_start_suspicion (br_member_t *member, br_ms_t now);
@@ -89,13 +110,22 @@
 br_member_t *br_membership_random_up (br_membership_t *membership);
 
 /* Answers a ping. */
-void br_membership_answer (br_membership_t *membership, const br_member_t *from, const br_domain_message_t *ping, br_ms_t now);
+void br_membership_answer (br_membership_t *membership,
+                           const br_member_t *from,
+                           const br_domain_message_t *ping,
+                           br_ms_t now);
 
 /* Probes a VM on behalf of FROM. */
-void br_membership_relay (br_membership_t *membership, const br_member_t *from, const br_domain_message_t *request, br_ms_t now);
+void br_membership_relay (br_membership_t *membership,
+                          const br_member_t *from,
+                          const br_domain_message_t *request,
+                          br_ms_t now);
 
 /* Takes the answer to a probe, or to one made for another VM. */
-void br_membership_on_ack (br_membership_t *membership, br_member_t *from, const br_domain_message_t *ack, br_ms_t now);
+void br_membership_on_ack (br_membership_t *membership,
+                           br_member_t *from,
+                           const br_domain_message_t *ack,
+                           br_ms_t now);
 
 /* Judges the probe of the last period. */
 void br_membership_end_probe (br_membership_t *membership, br_ms_t now);
@@ -107,13 +137,17 @@
 void br_membership_request_probes (br_membership_t *membership);
 
 /* Holds a suspect to be down once its time has passed. */
-void br_member_check_suspicion (br_membership_t *membership, br_member_t *member, br_ms_t now);
+void br_member_check_suspicion (br_membership_t *membership,
+                                br_member_t *member,
+                                br_ms_t now);
 
 /* After a pause of this VM nothing that it waited for has a meaning. */
 void br_membership_after_pause (br_membership_t *membership, br_ms_t now);
 
 /* Reports the kind of a link when it is no longer BEFORE. */
-void br_membership_set_link (br_membership_t *membership, br_member_t *member, br_link_kind_t before);
+void br_membership_set_link (br_membership_t *membership,
+                             br_member_t *member,
+                             br_link_kind_t before);
 
 BR_END_DECLS
 
--- a/src/domain/membership_probe.c
+++ b/src/domain/membership_probe.c
@@ -8,12 +8,13 @@
 
 void
 br_membership_answer (br_membership_t *membership,
-                   const br_member_t *from,
-                   const br_domain_message_t *ping,
-                   br_ms_t now)
+                      const br_member_t *from,
+                      const br_domain_message_t *ping,
+                      br_ms_t now)
 {
   const br_member_t *origin = br_membership_member (membership, &ping->origin);
-  br_domain_message_t *ack = br_membership_send (membership, from, BR_DOMAIN_ACK);
+  br_domain_message_t *ack
+      = br_membership_send (membership, from, BR_DOMAIN_ACK);
 
   ack->sequence = ping->sequence;
   if (origin != NULL && origin->link.heard)
@@ -30,11 +31,12 @@
 
 void
 br_membership_relay (br_membership_t *membership,
-                  const br_member_t *from,
-                  const br_domain_message_t *request,
-                  br_ms_t now)
+                     const br_member_t *from,
+                     const br_domain_message_t *request,
+                     br_ms_t now)
 {
-  const br_member_t *target = br_membership_member (membership, &request->target);
+  const br_member_t *target
+      = br_membership_member (membership, &request->target);
   relay_t *relay = &membership->relays[0];
   br_domain_message_t *ping;
 
@@ -73,11 +75,12 @@
 
 void
 br_membership_set_link (br_membership_t *membership,
-                     br_member_t *member,
-                     br_link_kind_t before)
+                        br_member_t *member,
+                        br_link_kind_t before)
 {
   if (member->link.kind != before)
-    br_membership_output (membership, BR_MEMBERSHIP_LINK, &member->vm.name)->link
+    br_membership_output (membership, BR_MEMBERSHIP_LINK, &member->vm.name)
+        ->link
         = member->link.kind;
 }
 
@@ -96,16 +99,17 @@
 
 void
 br_membership_on_ack (br_membership_t *membership,
-                   br_member_t *from,
-                   const br_domain_message_t *ack,
-                   br_ms_t now)
+                      br_member_t *from,
+                      const br_domain_message_t *ack,
+                      br_ms_t now)
 {
   probe_t *probe = &membership->probe;
   br_ms_t since_ms = now - probe->sent_ms;
 
   if (probe->running && ack->sequence == probe->sequence)
     {
-      if (ack->target.len == 0 && br_name_equal (&from->vm.name, &probe->target))
+      if (ack->target.len == 0
+          && br_name_equal (&from->vm.name, &probe->target))
         membership_on_direct_ack (membership, from, now);
       else if (br_name_equal (&ack->target, &probe->target))
         {
@@ -275,8 +279,8 @@
 
 void
 br_member_check_suspicion (br_membership_t *membership,
-                        br_member_t *member,
-                        br_ms_t now)
+                           br_member_t *member,
+                           br_ms_t now)
 {
   br_vm_t news = member->vm;
 
@@ -300,4 +304,3 @@
     if (membership->members.items[i].vm.state == BR_VM_SUSPECT)
       br_member_start_suspicion (&membership->members.items[i], now);
 }
-
--- a/src/domain/membership_view.c
+++ b/src/domain/membership_view.c
@@ -27,8 +27,8 @@
 
 br_membership_output_t *
 br_membership_output (br_membership_t *membership,
-                   br_membership_output_kind_t kind,
-                   const br_name_t *name)
+                      br_membership_output_kind_t kind,
+                      const br_name_t *name)
 {
   br_membership_output_t *output = br_membership_outputs_push (
       &membership->outbox, (br_membership_output_t){ .kind = kind });
@@ -69,9 +69,9 @@
 
 void
 br_member_merge (br_membership_t *membership,
-              br_member_t *member,
-              const br_vm_t *news,
-              br_ms_t now)
+                 br_member_t *member,
+                 const br_vm_t *news,
+                 br_ms_t now)
 {
   br_vm_t before = member->vm;
   br_vm_t checked = *news;
@@ -85,7 +85,7 @@
           || before.incarnation != member->vm.incarnation))
     br_member_start_suspicion (member, now);
   if (before.state == BR_VM_SUSPECT && member->vm.state == BR_VM_UP)
-    membership->urgent = true;
+    membership->urgent = BR_NOTICE_PUSHES;
   if (member->vm.state == BR_VM_DOWN && member->link.kind == BR_LINK_BOTH_WAYS)
     member->link.kind = BR_LINK_SILENT;
   member_changed (membership, member);
@@ -104,7 +104,9 @@
 }
 
 void
-br_membership_merge (br_membership_t *membership, const br_vm_t *news, br_ms_t now)
+br_membership_merge (br_membership_t *membership,
+                     const br_vm_t *news,
+                     br_ms_t now)
 {
   br_member_t *member;
 
@@ -145,8 +147,8 @@
 
 bool
 br_membership_learn (br_membership_t *membership,
-                  const br_notice_t *notice,
-                  br_ms_t now)
+                     const br_notice_t *notice,
+                     br_ms_t now)
 {
   if (!br_notices_add (&membership->notices, notice,
                        membership_sends (membership), now))
@@ -155,16 +157,16 @@
     membership_apply_leaving (membership, notice, now);
   br_membership_output (membership, BR_MEMBERSHIP_NOTICE, &notice->name)->notice
       = *notice;
-  membership->urgent = true;
+  membership->urgent = BR_NOTICE_PUSHES;
   return true;
 }
 
 void
 br_member_set_up (br_membership_t *membership,
-               br_member_t *member,
-               uint64_t incarnation,
-               uint32_t version,
-               br_ms_t now)
+                  br_member_t *member,
+                  uint64_t incarnation,
+                  uint32_t version,
+                  br_ms_t now)
 {
   br_vm_t news = {
     .name = member->vm.name,
@@ -225,8 +227,8 @@
 
 br_domain_message_t *
 br_membership_send (br_membership_t *membership,
-                 const br_member_t *to,
-                 br_domain_message_kind_t kind)
+                    const br_member_t *to,
+                    br_domain_message_kind_t kind)
 {
   br_domain_message_t *message
       = &br_membership_output (membership, BR_MEMBERSHIP_SEND, &to->vm.name)
@@ -247,7 +249,8 @@
 void
 br_membership_ping (br_membership_t *membership, const br_member_t *to)
 {
-  br_domain_message_t *ping = br_membership_send (membership, to, BR_DOMAIN_PING);
+  br_domain_message_t *ping
+      = br_membership_send (membership, to, BR_DOMAIN_PING);
 
   ping->sequence = ++membership->last_sequence;
 }
@@ -269,9 +272,9 @@
 
 void
 br_membership_compare_notices (br_membership_t *membership,
-                            const br_member_t *from,
-                            const br_domain_message_t *message,
-                            br_ms_t now)
+                               const br_member_t *from,
+                               const br_domain_message_t *message,
+                               br_ms_t now)
 {
   if (message->notices_digest == membership->notices.digest
       || now < membership->next_sync_ms)
@@ -279,4 +282,3 @@
   membership->next_sync_ms = now + SYNC_INTERVAL_MS;
   membership_sync (membership, from);
 }
-
--- a/src/domain/notice.c
+++ b/src/domain/notice.c
@@ -30,8 +30,7 @@
 notices_remove (br_notices_t *notices, size_t at)
 {
   notices->digest ^= notices->entries.items[at].id;
-  notices->entries.items[at]
-      = notices->entries.items[notices->entries.len - 1];
+  notices->entries.items[at] = notices->entries.items[notices->entries.len - 1];
   notices->entries.len--;
 }
 
--- /dev/null
+++ b/src/shell/http_call.c
@@ -0,0 +1,152 @@
+#include "shell/http_call.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/keyvalq_struct.h>
+#include <stdio.h>
+
+typedef struct call
+{
+  br_http_calls_t *calls;
+  struct evhttp_connection *connection;
+  struct evhttp_request *request; /* NULL once evhttp is done with it */
+  struct event *timer;            /* the bound, then the end */
+  br_http_call_cb_t done;
+  void *context;
+  int status;
+  br_buf_t body;
+  struct call *next;
+} call_t;
+
+struct br_http_calls
+{
+  struct event_base *base;
+  call_t *first;
+};
+
+static void
+call_free (call_t *call)
+{
+  call_t **at = &call->calls->first;
+
+  while (*at != call)
+    at = &(*at)->next;
+  *at = call->next;
+  if (call->request != NULL)
+    evhttp_cancel_request (call->request);
+  evhttp_connection_free (call->connection);
+  event_free (call->timer);
+  br_buf_free (&call->body);
+  free (call);
+}
+
+/* Runs from the loop, when evhttp has nothing of the call on the stack. */
+static void
+call_on_timer (evutil_socket_t fd, short what, void *context)
+{
+  call_t *call = context;
+  br_http_call_cb_t done = call->done;
+  void *done_context = call->context;
+  int status = call->request == NULL ? call->status : 0;
+  br_buf_t body = call->body;
+
+  (void)fd;
+  (void)what;
+  call->body = (br_buf_t){ 0 };
+  call_free (call);
+  done (done_context, status, br_buf_str (&body));
+  br_buf_free (&body);
+}
+
+static void
+call_set_timer (call_t *call, br_ms_t ms)
+{
+  struct timeval bound = { ms / 1000, ms % 1000 * 1000 };
+
+  event_add (call->timer, &bound);
+}
+
+static void
+call_on_done (struct evhttp_request *request, void *context)
+{
+  call_t *call = context;
+
+  call->request = NULL;
+  if (request != NULL)
+    {
+      struct evbuffer *input = evhttp_request_get_input_buffer (request);
+      size_t len = evbuffer_get_length (input);
+
+      call->status = evhttp_request_get_response_code (request);
+      br_buf_append (
+          &call->body,
+          br_str_make ((const char *)evbuffer_pullup (input, -1), len));
+    }
+  call_set_timer (call, 0);
+}
+
+static struct evhttp_request *
+call_new_request (call_t *call, const br_http_call_options_t *options)
+{
+  struct evhttp_request *request = evhttp_request_new (call_on_done, call);
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  char host[64];
+
+  snprintf (host, sizeof host, "%s:%u", options->address, options->port);
+  evhttp_add_header (headers, "Host", host);
+  evhttp_add_header (headers, "Connection", "close");
+  if (options->vm != NULL)
+    evhttp_add_header (headers, "X-VM", options->vm);
+  if (options->body.len > 0)
+    {
+      evhttp_add_header (headers, "Content-Type", "application/json");
+      evbuffer_add (evhttp_request_get_output_buffer (request),
+                    options->body.data, options->body.len);
+    }
+  return request;
+}
+
+void
+br_http_call (br_http_calls_t *calls, const br_http_call_options_t *options)
+{
+  call_t *call = br_alloc_zero (sizeof *call);
+
+  call->calls = calls;
+  call->done = options->done;
+  call->context = options->context;
+  call->next = calls->first;
+  calls->first = call;
+  call->timer = evtimer_new (calls->base, call_on_timer, call);
+  call->connection = evhttp_connection_base_new (
+      calls->base, NULL, options->address, options->port);
+  evhttp_connection_set_max_body_size (call->connection, BR_HTTP_CALL_BODY_MAX);
+  call_set_timer (call, options->bound_ms);
+  call->request = call_new_request (call, options);
+  if (evhttp_make_request (call->connection, call->request, options->method,
+                           options->path)
+      != 0)
+    {
+      /* evhttp has freed the request already. */
+      call->request = NULL;
+      call_set_timer (call, 0);
+    }
+}
+
+br_http_calls_t *
+br_http_calls_new (struct event_base *base)
+{
+  br_http_calls_t *calls = br_alloc_zero (sizeof *calls);
+
+  calls->base = base;
+  return calls;
+}
+
+void
+br_http_calls_free (br_http_calls_t *calls)
+{
+  if (calls == NULL)
+    return;
+  while (calls->first != NULL)
+    call_free (calls->first);
+  free (calls);
+}
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -4,8 +4,10 @@
 #include <string.h>
 
 #include "shell/caller_task.h"
+#include "shell/domain_task.h"
 #include "shell/operator_task.h"
 #include "shell/peer_task.h"
+#include "shell/platform_task.h"
 #include "shell/replica_task.h"
 #include "shell/upstream_task.h"
 #include "shell/work_task.h"
@@ -52,13 +54,14 @@
 static void
 node_on_peer_message (br_node_t *node, br_peer_message_t *message)
 {
-  (void)node;
   switch (message->part)
     {
+    case BR_PART_DOMAIN:
+      br_domain_task_receive (node->domain, message);
+      break;
     case BR_PART_REPLICA:
     case BR_PART_STATE:
     case BR_PART_CONTRACT:
-    case BR_PART_DOMAIN:
     case BR_PART_LINK:
     case BR_PART_UPSTREAM:
     case BR_PART_ORGANISATION:
@@ -75,6 +78,8 @@
   switch (message->kind)
     {
     case BR_NODE_PEER_UP:
+      br_domain_task_on_peer_up (node->domain, &message->peer);
+      break;
     case BR_NODE_PEER_DOWN:
       break;
     case BR_NODE_PEER_RECEIVED:
@@ -197,6 +202,8 @@
   node->replica = br_replica_task_new (node, err);
   if (node->replica == NULL)
     return false;
+  node->domain = br_domain_task_new (node);
+  node->platform = br_platform_task_new (node);
   node->upstreams = br_upstream_task_new (node);
   node->works = br_work_task_new (node);
   node->callers = br_caller_task_new (node, err);
@@ -304,6 +311,8 @@
   br_work_task_free (node->works);
   br_upstream_task_free (node->upstreams);
   br_peer_task_free (node->peers);
+  br_platform_task_free (node->platform);
+  br_domain_task_free (node->domain);
   br_replica_task_free (node->replica);
   br_state_free (node->state);
   node_free_queue (node);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -24,6 +24,8 @@
 typedef struct br_caller_task br_caller_task_t;
 typedef struct br_operator_task br_operator_task_t;
 typedef struct br_replica_task br_replica_task_t;
+typedef struct br_domain_task br_domain_task_t;
+typedef struct br_platform_task br_platform_task_t;
 
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
@@ -134,7 +136,9 @@
   br_caller_task_t *callers;
   br_operator_task_t *operators;
   br_replica_task_t *replica;
-  br_state_t *state; /* owned; changed by the replica task alone */
+  br_domain_task_t *domain;
+  br_platform_task_t *platform; /* NULL without one in the settings */
+  br_state_t *state;            /* owned; changed by the replica task alone */
   struct br_node_queue *queue;
 };
 
--- /dev/null
+++ b/tests/domain_cut_test.cc
@@ -0,0 +1,72 @@
+#include "support/domain_fixture.h"
+
+TEST_P (Seeded, OneWayCutOfAPairBringsNobodyDown)
+{
+  bus->cut[1][2] = true;
+  bus_run (bus, 60000);
+  EXPECT_EQ (events_of (bus, BR_VM_DOWN), 0);
+  EXPECT_EQ (bus_view (bus, 2, 1)->link.kind, BR_LINK_INBOUND_ONLY);
+  EXPECT_EQ (bus_view (bus, 1, 2)->link.kind, BR_LINK_OUTBOUND_ONLY);
+}
+
+TEST_P (Seeded, FullCutOfAPairBringsNobodyDown)
+{
+  bus->cut[1][2] = bus->cut[2][1] = true;
+  bus_run (bus, 60000);
+  EXPECT_EQ (events_of (bus, BR_VM_DOWN), 0);
+  EXPECT_EQ (bus_view (bus, 2, 1)->link.kind, BR_LINK_SILENT);
+}
+
+TEST_P (Seeded, OneWayCutOfADomainIsKnownAndHeals)
+{
+  for (int a = 0; a < 3; a++)
+    for (int b = 3; b < 7; b++)
+      bus->cut[a][b] = true;
+  bus_run (bus, 30000);
+  for (int a = 0; a < 3; a++)
+    for (int b = 3; b < 7; b++)
+      EXPECT_EQ (bus_view (bus, b, a)->link.kind, BR_LINK_INBOUND_ONLY);
+  memset (bus->cut, 0, sizeof bus->cut);
+  bus_run (bus, 20000);
+  EXPECT_EQ (all_views_not_up (bus), 0);
+}
+
+TEST_P (Seeded, OneWayCutBetweenDomainsThatAThirdReachesBringsNobodyDown)
+{
+  for (int a = 0; a < 2; a++)
+    for (int b = 2; b < 4; b++)
+      bus->cut[a][b] = true;
+  bus_run (bus, 60000);
+  EXPECT_EQ (events_of (bus, BR_VM_DOWN), 0);
+}
+
+TEST_P (Seeded, CutDomainGoesOnAndHeals)
+{
+  for (int a = 0; a < 2; a++)
+    for (int b = 2; b < 7; b++)
+      bus->cut[a][b] = bus->cut[b][a] = true;
+  bus_run (bus, 60000);
+  EXPECT_EQ (bus_view (bus, 1, 0)->vm.state, BR_VM_UP);
+  EXPECT_EQ (bus_view (bus, 5, 0)->vm.state, BR_VM_DOWN);
+  EXPECT_EQ (bus_view (bus, 0, 5)->vm.state, BR_VM_DOWN);
+  memset (bus->cut, 0, sizeof bus->cut);
+  bus_run (bus, 20000);
+  EXPECT_EQ (all_views_not_up (bus), 0);
+}
+
+TEST_P (Seeded, NoticeOnOneSideOfACutCrossesWhenItHeals)
+{
+  br_notice_t notice = notice_make ("e1", 5, bus->now);
+
+  for (int a = 0; a < 2; a++)
+    for (int b = 2; b < 7; b++)
+      bus->cut[a][b] = bus->cut[b][a] = true;
+  bus_run (bus, 5000);
+  br_membership_announce (bus->vms[0], &notice, bus->now);
+  bus_drain (bus, 0);
+  bus_run (bus, 60000);
+  EXPECT_EQ (vms_that_know_notices (bus), 2);
+  memset (bus->cut, 0, sizeof bus->cut);
+  bus_run (bus, 10000);
+  EXPECT_EQ (vms_that_know_notices (bus), 7);
+}
--- a/tests/domain_membership_test.cc
+++ b/tests/domain_membership_test.cc
@@ -1,90 +1,4 @@
-#include <gtest/gtest.h>
-
-#include "support/domain_bus.h"
-
-#define SEEDS 200
-
-/* Views of OF, by all other live VMs, that are not in STATE. */
-static int
-views_not (const bus_t *bus, int of, br_vm_state_t state)
-{
-  int n = 0;
-
-  for (int by = 0; by < bus->n; by++)
-    if (by != of && !bus->dead[by] && bus_view (bus, of, by)->vm.state != state)
-      n++;
-  return n;
-}
-
-static int
-all_views_not_up (const bus_t *bus)
-{
-  int n = 0;
-
-  for (int of = 0; of < bus->n; of++)
-    if (!bus->dead[of])
-      n += views_not (bus, of, BR_VM_UP);
-  return n;
-}
-
-static int
-events_of (const bus_t *bus, br_vm_state_t state)
-{
-  int n = 0;
-
-  for (size_t i = 0; i < bus->events.len; i++)
-    n += bus->events.items[i].output.kind == BR_MEMBERSHIP_VM
-         && bus->events.items[i].output.vm.state == state;
-  return n;
-}
-
-static br_notice_t
-notice_make (const char *name, uint64_t incarnation, br_ms_t now)
-{
-  br_notice_t notice = {};
-
-  notice.kind = BR_NOTICE_UPSTREAM_LEAVING;
-  notice.name = br_name_from (name);
-  notice.incarnation = incarnation;
-  notice.expires_ms = now + BR_NOTICE_LIFE_MS;
-  return notice;
-}
-
-static int
-vms_that_know_notices (const bus_t *bus)
-{
-  bool knows[BUS_VMS_MAX] = {};
-  int n = 0;
-
-  for (size_t i = 0; i < bus->events.len; i++)
-    if (bus->events.items[i].output.kind == BR_MEMBERSHIP_NOTICE)
-      knows[bus->events.items[i].from] = true;
-  for (int i = 0; i < bus->n; i++)
-    n += knows[i];
-  return n;
-}
-
-class Seeded : public testing::TestWithParam<int>
-{
-protected:
-  bus_t *bus = bus_new (7, (uint64_t)GetParam () * 7919 + 1);
-
-  void
-  SetUp () override
-  {
-    bus_run (bus, 3000);
-    ASSERT_EQ (all_views_not_up (bus), 0);
-    bus_events_clear (&bus->events);
-  }
-
-  void
-  TearDown () override
-  {
-    bus_free (bus);
-  }
-};
-
-INSTANTIATE_TEST_SUITE_P (Seeds, Seeded, testing::Range (0, SEEDS));
+#include "support/domain_fixture.h"
 
 TEST_P (Seeded, DeadVmIsDownEverywhere)
 {
@@ -102,77 +16,6 @@
   EXPECT_EQ (events_of (bus, BR_VM_DOWN), 0);
 }
 
-TEST_P (Seeded, OneWayCutOfAPairBringsNobodyDown)
-{
-  bus->cut[1][2] = true;
-  bus_run (bus, 60000);
-  EXPECT_EQ (events_of (bus, BR_VM_DOWN), 0);
-  EXPECT_EQ (bus_view (bus, 2, 1)->link.kind, BR_LINK_INBOUND_ONLY);
-  EXPECT_EQ (bus_view (bus, 1, 2)->link.kind, BR_LINK_OUTBOUND_ONLY);
-}
-
-TEST_P (Seeded, FullCutOfAPairBringsNobodyDown)
-{
-  bus->cut[1][2] = bus->cut[2][1] = true;
-  bus_run (bus, 60000);
-  EXPECT_EQ (events_of (bus, BR_VM_DOWN), 0);
-  EXPECT_EQ (bus_view (bus, 2, 1)->link.kind, BR_LINK_SILENT);
-}
-
-TEST_P (Seeded, OneWayCutOfADomainIsKnownAndHeals)
-{
-  for (int a = 0; a < 3; a++)
-    for (int b = 3; b < 7; b++)
-      bus->cut[a][b] = true;
-  bus_run (bus, 30000);
-  for (int a = 0; a < 3; a++)
-    for (int b = 3; b < 7; b++)
-      EXPECT_EQ (bus_view (bus, b, a)->link.kind, BR_LINK_INBOUND_ONLY);
-  memset (bus->cut, 0, sizeof bus->cut);
-  bus_run (bus, 20000);
-  EXPECT_EQ (all_views_not_up (bus), 0);
-}
-
-TEST_P (Seeded, OneWayCutBetweenDomainsThatAThirdReachesBringsNobodyDown)
-{
-  for (int a = 0; a < 2; a++)
-    for (int b = 2; b < 4; b++)
-      bus->cut[a][b] = true;
-  bus_run (bus, 60000);
-  EXPECT_EQ (events_of (bus, BR_VM_DOWN), 0);
-}
-
-TEST_P (Seeded, CutDomainGoesOnAndHeals)
-{
-  for (int a = 0; a < 2; a++)
-    for (int b = 2; b < 7; b++)
-      bus->cut[a][b] = bus->cut[b][a] = true;
-  bus_run (bus, 60000);
-  EXPECT_EQ (bus_view (bus, 1, 0)->vm.state, BR_VM_UP);
-  EXPECT_EQ (bus_view (bus, 5, 0)->vm.state, BR_VM_DOWN);
-  EXPECT_EQ (bus_view (bus, 0, 5)->vm.state, BR_VM_DOWN);
-  memset (bus->cut, 0, sizeof bus->cut);
-  bus_run (bus, 20000);
-  EXPECT_EQ (all_views_not_up (bus), 0);
-}
-
-TEST_P (Seeded, NoticeOnOneSideOfACutCrossesWhenItHeals)
-{
-  br_notice_t notice = notice_make ("e1", 5, bus->now);
-
-  for (int a = 0; a < 2; a++)
-    for (int b = 2; b < 7; b++)
-      bus->cut[a][b] = bus->cut[b][a] = true;
-  bus_run (bus, 5000);
-  br_membership_announce (bus->vms[0], &notice, bus->now);
-  bus_drain (bus, 0);
-  bus_run (bus, 60000);
-  EXPECT_EQ (vms_that_know_notices (bus), 2);
-  memset (bus->cut, 0, sizeof bus->cut);
-  bus_run (bus, 10000);
-  EXPECT_EQ (vms_that_know_notices (bus), 7);
-}
-
 TEST_P (Seeded, NoticeIsEverywhereWithinASecondUnderLoss)
 {
   br_notice_t notice = notice_make ("e1", 5, bus->now);
@@ -210,7 +53,9 @@
   for (int by = 0; by < bus->n; by++)
     {
       if (by != 2)
-        { EXPECT_TRUE (bus_view (bus, 2, by)->vm.leaving); }
+        {
+          EXPECT_TRUE (bus_view (bus, 2, by)->vm.leaving);
+        }
     }
   EXPECT_TRUE (br_membership_is_leaving (bus->vms[2]));
   bus_start (bus, 2, BUS_INCARNATION + 1);
@@ -219,7 +64,9 @@
   for (int by = 0; by < bus->n; by++)
     {
       if (by != 2)
-        { EXPECT_FALSE (bus_view (bus, 2, by)->vm.leaving); }
+        {
+          EXPECT_FALSE (bus_view (bus, 2, by)->vm.leaving);
+        }
     }
   EXPECT_FALSE (br_membership_is_leaving (bus->vms[2]));
 }
@@ -237,7 +84,9 @@
       const bus_event_t *event = &bus->events.items[i];
 
       if (event->from == 3 && event->output.kind == BR_MEMBERSHIP_VM)
-        { EXPECT_NE (event->output.vm.state, BR_VM_DOWN); }
+        {
+          EXPECT_NE (event->output.vm.state, BR_VM_DOWN);
+        }
     }
 }
 
--- a/tests/support/domain_bus.h
+++ b/tests/support/domain_bus.h
@@ -49,6 +49,7 @@
   bus_messages_t wire;
   bus_events_t events; /* all but messages */
   bool keep_events;
+  bool measured; /* count bytes as framed on the wire */
   uint64_t bytes_sent;
   uint64_t longest;
 } bus_t;
@@ -98,8 +99,7 @@
         continue;
       br_membership_link_up (bus->vms[i], &other, bus->incarnations[j],
                              bus->now);
-      br_membership_link_up (bus->vms[j], &own, bus->incarnations[i],
-                             bus->now);
+      br_membership_link_up (bus->vms[j], &own, bus->incarnations[i], bus->now);
     }
 }
 
@@ -152,26 +152,34 @@
 }
 
 static inline void
-bus_post (bus_t *bus, int from, const br_membership_output_t *output)
+bus_measure (bus_t *bus, br_str_t bytes)
 {
-  int to = bus_index (&output->name);
-  br_buf_t bytes = {};
   br_buf_t framed = {};
   br_frame_t frame = {};
 
-  br_domain_message_pack (&output->message, bus->now, &bytes);
   frame.kind = BR_FRAME_ENVELOPE;
   frame.envelope.part = BR_PART_DOMAIN;
   frame.envelope.hlc.wall_ms = INT64_C (1796340000000);
-  frame.envelope.payload = br_buf_str (&bytes);
+  frame.envelope.payload = bytes;
   br_frame_pack (&frame, &framed);
   bus->bytes_sent += framed.len;
   bus->longest = BR_MAX (bus->longest, framed.len);
+  br_buf_free (&framed);
+}
+
+static inline void
+bus_post (bus_t *bus, int from, const br_membership_output_t *output)
+{
+  int to = bus_index (&output->name);
+  br_buf_t bytes = {};
+
+  br_domain_message_pack (&output->message, bus->now, &bytes);
+  if (bus->measured)
+    bus_measure (bus, br_buf_str (&bytes));
   if (!bus->cut[from][to] && br_random_unit (&bus->random) >= bus->loss)
     bus_put (bus, from, to, br_buf_str (&bytes));
   if (!bus->cut[from][to] && br_random_unit (&bus->random) < bus->doubled)
     bus_put (bus, from, to, br_buf_str (&bytes));
-  br_buf_free (&framed);
   br_buf_free (&bytes);
 }
 
