--- a/src/contract/contract.c
+++ b/src/contract/contract.c
@@ -127,15 +127,6 @@
   record->expires_ms = now + contracts->options.retention_ms;
 }
 
-br_contract_peer_t *
-br_contracts_peer (br_contracts_t *contracts, const br_name_t *vm)
-{
-  for (size_t i = 0; i < contracts->peers.len; i++)
-    if (br_name_equal (&contracts->peers.items[i].vm, vm))
-      return &contracts->peers.items[i];
-  return NULL;
-}
-
 br_contract_action_t *
 br_record_act (br_contracts_t *contracts,
                const br_record_t *record,
@@ -164,78 +155,6 @@
   return &action->message;
 }
 
-void
-br_contracts_add_peer (br_contracts_t *contracts,
-                       const br_name_t *vm,
-                       const br_name_t *failure_domain)
-{
-  br_contract_peer_t peer = { .vm = *vm, .failure_domain = *failure_domain };
-
-  br_contract_peers_push (&contracts->peers, peer);
-}
-
-/* The process of PEER was replaced by a new one. */
-static void
-contracts_on_restart (br_contracts_t *contracts,
-                      const br_contract_peer_t *peer,
-                      br_ms_t now)
-{
-  br_record_t *record;
-  br_record_t *next;
-
-  HASH_ITER (hh, contracts->records, record, next)
-  {
-    if (record->role == BR_RECORD_OWNER
-        && br_name_equal (&record->partner, &peer->vm))
-      br_owner_on_partner_restart (contracts, record, now);
-    else if (record->role == BR_RECORD_PARTNER
-             && br_name_equal (&record->epoch.owner, &peer->vm)
-             && record->epoch.owner_incarnation != peer->incarnation)
-      br_partner_take_over (contracts, record, now);
-  }
-}
-
-/* A former owner is back: it may not know that it was replaced. */
-static void
-contracts_tell_former (br_contracts_t *contracts, const br_name_t *vm)
-{
-  br_record_t *record;
-  br_record_t *next;
-
-  HASH_ITER (hh, contracts->records, record, next)
-  if (record->role == BR_RECORD_OWNER && br_name_equal (&record->former, vm))
-    br_record_send (contracts, record, vm, BR_CONTRACT_SUPERSEDED);
-}
-
-void
-br_contracts_on_link (br_contracts_t *contracts,
-                      const br_name_t *vm,
-                      uint64_t incarnation,
-                      bool up,
-                      br_ms_t now)
-{
-  br_contract_peer_t *peer = br_contracts_peer (contracts, vm);
-  bool replaced;
-
-  if (peer == NULL)
-    return;
-  if (!up)
-    {
-      peer->down_ms = now;
-      peer->up = false;
-      return;
-    }
-  replaced = peer->incarnation != 0 && peer->incarnation != incarnation;
-  peer->incarnation = incarnation;
-  peer->up = true;
-  if (replaced)
-    {
-      peer->leaving = false;
-      contracts_on_restart (contracts, peer, now);
-    }
-  contracts_tell_former (contracts, vm);
-}
-
 /* Tells FROM, which speaks for an older epoch, who the owner is. */
 static bool
 record_is_newer (br_contracts_t *contracts,
@@ -264,6 +183,24 @@
   br_owner_on_superseded (contracts, record, &message->epoch, now);
 }
 
+/* FROM holds a copy that this process, which is its owner, does not need. */
+static void
+contracts_release_stray (br_contracts_t *contracts,
+                         const br_name_t *from,
+                         const br_contract_message_t *message)
+{
+  br_contract_action_t action = { .kind = BR_CONTRACT_SEND, .vm = *from };
+
+  if (message->kind != BR_CONTRACT_HELD
+      || !br_name_equal (&message->epoch.owner, &contracts->options.vm)
+      || message->epoch.owner_incarnation != contracts->options.incarnation)
+    return;
+  action.message.kind = BR_CONTRACT_RELEASE;
+  action.message.contract = message->contract;
+  action.message.epoch = message->epoch;
+  br_contract_outbox_push (&contracts->outbox, action);
+}
+
 static void
 contracts_on_reply (br_contracts_t *contracts,
                     const br_name_t *from,
@@ -272,10 +209,11 @@
 {
   br_record_t *record = br_contracts_record (contracts, &message->contract);
 
-  if (record != NULL && record->role == BR_RECORD_OWNER
-      && record->partner_state != BR_PARTNER_NONE
-      && br_name_equal (&record->partner, from)
-      && br_contract_epoch_compare (&record->epoch, &message->epoch) == 0)
+  if (record == NULL || record->role != BR_RECORD_OWNER
+      || record->partner_state == BR_PARTNER_NONE
+      || !br_name_equal (&record->partner, from))
+    contracts_release_stray (contracts, from, message);
+  else if (br_contract_epoch_compare (&record->epoch, &message->epoch) == 0)
     br_owner_on_message (contracts, record, from, message, now);
 }
 
@@ -416,21 +354,6 @@
   br_record_end (contracts, record, now);
 }
 
-void
-br_contracts_leave (br_contracts_t *contracts, br_ms_t now)
-{
-  (void)now;
-  contracts->leaving = true;
-  for (size_t i = 0; i < contracts->peers.len; i++)
-    {
-      br_contract_action_t action = { .kind = BR_CONTRACT_SEND };
-
-      action.vm = contracts->peers.items[i].vm;
-      action.message.kind = BR_CONTRACT_LEAVING;
-      br_contract_outbox_push (&contracts->outbox, action);
-    }
-}
-
 void
 br_contracts_hand_over (br_contracts_t *contracts, br_ms_t now)
 {
--- a/src/contract/record.h
+++ b/src/contract/record.h
@@ -44,8 +44,8 @@
   size_t held; /* parts that the partner confirmed */
   bool sent_complete;
   bool held_complete;
-  br_ms_t pending_ms; /* since when a part waits to be sent, or never */
-  br_ms_t progress_ms;
+  br_ms_t pending_ms;     /* since when a part waits to be sent, or never */
+  br_ms_t progress_ms;    /* the other side was heard of last */
   br_ms_t unprotected_ms; /* since when, or never */
   br_ms_t retry_ms;       /* next search for a partner */
   bool handing_over;
--- a/src/shell/settings.h
+++ b/src/shell/settings.h
@@ -3,6 +3,8 @@
 #ifndef BR_SHELL_SETTINGS_H
 #define BR_SHELL_SETTINGS_H
 
+#include <sys/socket.h>
+
 #include "base/clock.h"
 #include "base/digest.h"
 #include "base/error.h"
@@ -19,6 +21,11 @@
   int64_t port;
 } br_endpoint_t;
 
+/* Turns an endpoint into a socket address; false when it is not valid. */
+bool br_endpoint_to_sockaddr (const br_endpoint_t *endpoint,
+                              struct sockaddr_storage *address,
+                              int *len);
+
 /* Another entry VM, as the settings name it. */
 typedef struct
 {
@@ -63,6 +70,9 @@
   br_ms_t first_token_ms;
   br_ms_t token_gap_ms;
   br_ms_t drain_notice_ms;
+  br_ms_t drain_grace_ms; /* 0: as long as work takes */
+  int64_t checkpoint_tokens;
+  br_ms_t checkpoint_ms;
   br_peer_settings_list_t vms;
   br_upstream_settings_list_t upstreams;
 } br_settings_t;
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -1,10 +1,12 @@
 #include "shell/work_task.h"
 
-#include <uthash.h>
+#include <assert.h>
 
 #include "route/choice.h"
+#include "shell/contract_task.h"
 #include "shell/engine_body.h"
 #include "shell/upstream_task.h"
+#include "shell/work_table.h"
 
 /* How long work goes on, and an answer is kept, without a reader. */
 #define UNWATCHED_KEEP_MS 30000
@@ -13,28 +15,23 @@
 /* Attempts for one piece of work that may be repeated. */
 #define ATTEMPTS_MAX 4
 
-typedef struct entry
-{
-  br_work_t work;
-  UT_hash_handle hh;
-} entry_t;
-
 struct br_work_task
 {
   br_node_t *node;
-  entry_t *entries;
+  br_work_table_t *table;
   uint64_t last_number;
   size_t in_progress;
   struct event *sweep;
 };
 
 static void
-work_changed (br_work_task_t *task, const br_work_t *work)
+work_changed (br_work_task_t *task, br_work_t *work)
 {
   br_node_message_t message = { .kind = BR_NODE_WORK_CHANGED };
 
   message.work = work->number;
   br_node_post (task->node, message);
+  br_contract_task_on_answer (task->node->contracts, work);
 }
 
 static void
@@ -42,7 +39,8 @@
 {
   work->state = state;
   work->unwatched_ms = br_node_now (task->node);
-  task->in_progress--;
+  if (!work->followed)
+    task->in_progress--;
   if (state == BR_WORK_FAILED)
     br_counters_add (&task->node->counters, BR_COUNTER_REQUESTS_FAILED, 1);
   BR_LOG (&task->node->log, "work",
@@ -60,6 +58,7 @@
 work_fail (br_work_task_t *task, br_work_t *work, const br_error_t *err)
 {
   work->error = *err;
+  work->error.may_have_run |= work->may_have_run;
   work_end (task, work, BR_WORK_FAILED);
 }
 
@@ -103,6 +102,8 @@
   work->upstream = upstream->name;
   work->base_offset = work->answer.parts.len;
   work->received = 0;
+  if (!is_model)
+    br_answer_free (&work->answer);
   upstream->in_flight++;
   BR_LOG (&task->node->log, "work", "attempt",
           br_field_z ("contract", work->contract_text),
@@ -184,6 +185,7 @@
 {
   br_error_t err;
 
+  work->may_have_run |= message->may_have_run;
   if (work->repeatable || !message->may_have_run)
     {
       work_on_failure (task, work, &message->error);
@@ -200,6 +202,7 @@
   br_error_t err;
 
   work->status = status;
+  work->may_have_run = true;
   if (work->kind == BR_SERVICE_PLAIN || work->answer.complete)
     {
       work->answer.complete = true;
@@ -242,67 +245,154 @@
     }
 }
 
-static void
-work_set_contract (br_work_task_t *task, br_work_t *work)
+/* Adds empty work; without CONTRACT it gets one of this VM. */
+static br_work_t *
+task_add (br_work_task_t *task, const br_contract_id_t *contract)
 {
-  br_buf_t text = { 0 };
-
-  work->contract = (br_contract_id_t){
+  br_contract_id_t own = {
     .vm = task->node->settings.vm,
     .incarnation = task->node->incarnation,
-    .number = work->number,
+    .number = ++task->last_number,
   };
-  br_contract_id_print (&work->contract, &text);
-  memcpy (work->contract_text, text.data, text.len + 1);
-  br_buf_free (&text);
+  br_work_t *work = br_work_table_add (task->table, own.number,
+                                       contract != NULL ? contract : &own);
+
+  work->accepted_ms = work->unwatched_ms = br_node_now (task->node);
+  return work;
 }
 
 br_work_t *
 br_work_task_accept (br_work_task_t *task, const br_work_options_t *options)
 {
-  entry_t *entry = br_alloc_zero (sizeof *entry);
-  br_work_t *work = &entry->work;
+  br_work_t *work = task_add (task, NULL);
 
-  work->number = ++task->last_number;
+  work->organisation = options->organisation;
   work->service = options->service->name;
   work->kind = options->service->kind;
   work->repeatable
       = options->service->repeatable || options->method == EVHTTP_REQ_GET;
   work->method = options->method;
-  work->accepted_ms = work->unwatched_ms = br_node_now (task->node);
   br_buf_append (&work->path, options->path);
   br_buf_append (&work->body, options->body);
   br_buf_append (&work->content_type, options->content_type);
   if (options->idempotency_key.len > 0)
     br_buf_append (&work->idempotency_key, options->idempotency_key);
-  work_set_contract (task, work);
-  HASH_ADD (hh, task->entries, work.number, sizeof work->number, entry);
   task->in_progress++;
   BR_LOG (&task->node->log, "work", "accepted",
           br_field_z ("contract", work->contract_text),
           br_field_str ("service", br_name_str (&work->service)));
+  br_contract_task_accept (task->node->contracts, work);
   work_try (task, work);
   return work;
 }
 
 br_work_t *
-br_work_task_find (br_work_task_t *task, uint64_t number)
+br_work_task_follow (br_work_task_t *task,
+                     const br_contract_id_t *contract,
+                     const br_name_t *organisation)
+{
+  br_work_t *work = br_work_task_find_contract (task, contract);
+
+  if (work == NULL)
+    work = task_add (task, contract);
+  work->state = BR_WORK_RUNNING;
+  work->organisation = *organisation;
+  work->followed = true;
+  work->repeatable = true;
+  br_contract_task_follow (task->node->contracts, work);
+  return work;
+}
+
+void
+br_work_task_end_followed (br_work_task_t *task,
+                           br_work_t *work,
+                           int status,
+                           const br_error_t *err)
+{
+  work->status = status;
+  if (err != NULL)
+    work_fail (task, work, err);
+  else
+    work_end (task, work, BR_WORK_DONE);
+}
+
+/* Replaces the answer of WORK by that of COPY when the latter has more or
+ * differs. */
+static void
+work_take_answer (br_work_t *work, br_contract_copy_t *copy)
 {
-  entry_t *entry;
+  size_t common = BR_MIN (work->answer.parts.len, copy->answer.parts.len);
+  bool same = br_answer_digest (&work->answer, common)
+              == br_answer_digest (&copy->answer, common);
 
-  HASH_FIND (hh, task->entries, &number, sizeof number, entry);
-  return entry != NULL ? &entry->work : NULL;
+  if (same && copy->answer.parts.len <= work->answer.parts.len
+      && !copy->answer.complete)
+    return;
+  br_answer_free (&work->answer);
+  work->answer = copy->answer;
+  copy->answer = (br_answer_t){ 0 };
+}
+
+br_work_t *
+br_work_task_take_over (br_work_task_t *task,
+                        const br_contract_id_t *contract,
+                        br_contract_copy_t *copy)
+{
+  br_work_t *work = br_work_task_find_contract (task, contract);
+  const br_contract_request_t *request = &copy->request;
+
+  if (work == NULL)
+    work = task_add (task, contract);
+  assert (work->followed || work->body.len == 0);
+  work->followed = false;
+  work->accepted = work->repeatable = work->may_have_run = true;
+  work->state = BR_WORK_RUNNING;
+  work->organisation = request->organisation;
+  work->service = request->service;
+  work->kind = request->streamed ? BR_SERVICE_MODEL : BR_SERVICE_PLAIN;
+  work->method = (enum evhttp_cmd_type)request->method;
+  work->status = (int)copy->status;
+  work->unwatched_ms = br_node_now (task->node);
+  br_buf_clear (&work->path);
+  br_buf_clear (&work->body);
+  br_buf_clear (&work->content_type);
+  br_buf_append (&work->path, br_buf_str (&request->path));
+  br_buf_append (&work->body, br_buf_str (&request->body));
+  br_buf_append (&work->content_type, br_buf_str (&request->content_type));
+  work_take_answer (work, copy);
+  task->in_progress++;
+  return work;
+}
+
+void
+br_work_task_resume (br_work_task_t *task, br_work_t *work)
+{
+  if (work->answer.complete)
+    work_end (task, work, BR_WORK_DONE);
+  else
+    work_try (task, work);
+}
+
+void
+br_work_task_release (br_work_task_t *task, br_work_t *work)
+{
+  br_upstream_task_cancel (task->node->upstreams, work->attempt);
+  work_drop_attempt (task, work);
+  work->followed = true;
+  task->in_progress--;
+}
+
+br_work_t *
+br_work_task_find (br_work_task_t *task, uint64_t number)
+{
+  return br_work_table_find (task->table, number);
 }
 
 br_work_t *
 br_work_task_find_contract (br_work_task_t *task,
                             const br_contract_id_t *contract)
 {
-  br_work_t *work = br_work_task_find (task, contract->number);
-
-  if (work == NULL || !br_contract_id_equal (&work->contract, contract))
-    return NULL;
-  return work;
+  return br_work_table_find_contract (task->table, contract);
 }
 
 void
@@ -324,21 +414,6 @@
   return task->in_progress;
 }
 
-static void
-entry_free (br_work_task_t *task, entry_t *entry)
-{
-  br_work_t *work = &entry->work;
-
-  HASH_DEL (task->entries, entry);
-  br_buf_free (&work->path);
-  br_buf_free (&work->body);
-  br_buf_free (&work->content_type);
-  br_buf_free (&work->idempotency_key);
-  br_answer_free (&work->answer);
-  br_names_free (&work->tried);
-  free (entry);
-}
-
 static void
 work_cancel (br_work_task_t *task, br_work_t *work)
 {
@@ -346,32 +421,37 @@
 
   br_upstream_task_cancel (task->node->upstreams, work->attempt);
   work_drop_attempt (task, work);
+  work->may_have_run = true;
   br_error_set (&err, BR_ERROR_TIMEOUT, "wait for reader", "",
                 "nobody read the answer for %d ms", UNWATCHED_KEEP_MS);
   work_fail (task, work, &err);
 }
 
 static void
-task_on_sweep (evutil_socket_t fd, short what, void *context)
+work_sweep (br_work_t *work, void *context)
 {
   br_work_task_t *task = context;
   br_ms_t now = br_node_now (task->node);
-  entry_t *entry;
-  entry_t *next;
+
+  if (work->watchers > 0 || now - work->unwatched_ms < UNWATCHED_KEEP_MS)
+    return;
+  if (work->state == BR_WORK_RUNNING && !work->followed)
+    {
+      work_cancel (task, work);
+      return;
+    }
+  br_contract_task_forget (task->node->contracts, work);
+  br_work_table_remove (task->table, work);
+}
+
+static void
+task_on_sweep (evutil_socket_t fd, short what, void *context)
+{
+  br_work_task_t *task = context;
 
   (void)fd;
   (void)what;
-  HASH_ITER (hh, task->entries, entry, next)
-  {
-    br_work_t *work = &entry->work;
-
-    if (work->watchers > 0 || now - work->unwatched_ms < UNWATCHED_KEEP_MS)
-      continue;
-    if (work->state == BR_WORK_RUNNING)
-      work_cancel (task, work);
-    else
-      entry_free (task, entry);
-  }
+  br_work_table_each (task->table, work_sweep, task);
 }
 
 br_work_task_t *
@@ -381,6 +461,7 @@
   struct timeval period = { SWEEP_MS / 1000, 0 };
 
   task->node = node;
+  task->table = br_work_table_new ();
   task->sweep = event_new (node->base, -1, EV_PERSIST, task_on_sweep, task);
   event_add (task->sweep, &period);
   return task;
@@ -389,13 +470,9 @@
 void
 br_work_task_free (br_work_task_t *task)
 {
-  entry_t *entry;
-  entry_t *next;
-
   if (task == NULL)
     return;
-  HASH_ITER (hh, task->entries, entry, next)
-  entry_free (task, entry);
+  br_work_table_free (task->table);
   event_free (task->sweep);
   free (task);
 }
--- a/tests/support/domain_fixture.h
+++ b/tests/support/domain_fixture.h
@@ -4,7 +4,7 @@
 
 #include <gtest/gtest.h>
 
-#include "support/domain_bus.h"
+#include "domain_bus.h"
 
 #define SEEDS 200
 
