--- a/src/domain/notice.c
+++ b/src/domain/notice.c
@@ -22,6 +22,8 @@
   id = br_str_hash (br_str_make ((const char *)&notice->incarnation,
                                  sizeof notice->incarnation),
                     id);
+  if (notice->kind != BR_NOTICE_CRASH)
+    return id;
   return br_str_hash (
       br_str_make ((const char *)&notice->content, sizeof notice->content), id);
 }
--- a/src/domain/notice.h
+++ b/src/domain/notice.h
@@ -35,7 +35,10 @@
   br_notice_kind_t kind;
   br_name_t name; /* the upstream or VM */
   uint64_t incarnation;
-  uint64_t content; /* of a crash: digest of the request */
+  /* Of a crash: digest of the request.  Of a leaving VM: when it must be gone,
+   * in wall-clock milliseconds; two notices that differ in this only are one.
+   */
+  uint64_t content;
   br_ms_t expires_ms;
 } br_notice_t;
 
--- a/src/shell/domain_task.c
+++ b/src/shell/domain_task.c
@@ -88,7 +88,8 @@
   if (!br_name_equal (&notice->name, &node->settings.vm)
       || notice->incarnation != node->incarnation || node->draining)
     return;
-  message.leave_by_ms = notice->expires_ms;
+  message.leave_by_ms
+      = br_node_now (node) + ((br_ms_t)notice->content - br_clock_wall ());
   br_node_post (node, message);
 }
 
--- a/src/shell/domain_task.h
+++ b/src/shell/domain_task.h
@@ -20,7 +20,8 @@
                              const br_peer_message_t *message);
 
 /* Makes it known everywhere that this incarnation of an upstream or entry VM
- * leaves, or that a request crashed an upstream. */
+ * leaves, or that a request crashed an upstream.  CONTENT is as in
+ * br_notice_t. */
 void br_domain_task_announce (br_domain_task_t *task,
                               br_notice_kind_t kind,
                               const br_name_t *name,
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -11,6 +11,7 @@
 #include "shell/platform_task.h"
 #include "shell/replica_task.h"
 #include "shell/upstream_task.h"
+#include "shell/upstream_watch.h"
 #include "shell/work_task.h"
 
 /* Messages handled before the loop turns to its sockets again. */
@@ -65,6 +66,9 @@
 {
   switch (message->part)
     {
+    case BR_PART_UPSTREAM:
+      br_upstream_watch_receive (node->upstream_watch, message);
+      break;
     case BR_PART_DOMAIN:
       br_domain_task_receive (node->domain, message);
       break;
@@ -74,7 +78,6 @@
     case BR_PART_REPLICA:
     case BR_PART_STATE:
     case BR_PART_LINK:
-    case BR_PART_UPSTREAM:
     case BR_PART_ORGANISATION:
     case BR_PART_ROUTE:
     case BR_PART_COUNT:
@@ -261,6 +264,7 @@
     return false;
   node->domain = br_domain_task_new (node);
   node->platform = br_platform_task_new (node);
+  node->upstream_watch = br_upstream_watch_new (node);
   node->upstreams = br_upstream_task_new (node);
   node->contracts = br_contract_task_new (node);
   node->works = br_work_task_new (node);
@@ -370,6 +374,7 @@
   br_work_task_free (node->works);
   br_contract_task_free (node->contracts);
   br_upstream_task_free (node->upstreams);
+  br_upstream_watch_free (node->upstream_watch);
   br_peer_task_free (node->peers);
   br_platform_task_free (node->platform);
   br_domain_task_free (node->domain);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -26,6 +26,7 @@
 typedef struct br_replica_task br_replica_task_t;
 typedef struct br_domain_task br_domain_task_t;
 typedef struct br_platform_task br_platform_task_t;
+typedef struct br_upstream_watch br_upstream_watch_t;
 typedef struct br_contract_task br_contract_task_t;
 
 /* X (id, task that handles it) */
@@ -71,6 +72,10 @@
   br_buf_t data;     /* owned by the message */
   br_error_t error;  /* of BR_ATTEMPT_FAILED */
   bool may_have_run; /* of BR_ATTEMPT_FAILED: a byte left this VM */
+
+  /* Of BR_ATTEMPT_FAILED: the connection went silent, but the upstream answers
+   * on a new one, so that the attempt is best repeated there. */
+  bool upstream_answers;
 } br_attempt_message_t;
 
 typedef struct
@@ -133,6 +138,7 @@
   br_ms_t started_ms;
   br_peer_task_t *peers; /* NULL without peers in the settings */
   br_upstream_task_t *upstreams;
+  br_upstream_watch_t *upstream_watch;
   br_work_task_t *works;
   br_caller_task_t *callers;
   br_operator_task_t *operators;
--- a/src/shell/platform_task.c
+++ b/src/shell/platform_task.c
@@ -58,15 +58,18 @@
 
 /* An entry VM's notice concerns the process that runs there now. */
 static void
-task_announce_entry (br_platform_task_t *task, const br_name_t *vm)
+task_announce_entry (br_platform_task_t *task,
+                     const br_name_t *vm,
+                     br_ms_t leave_in_ms)
 {
   br_node_t *node = task->node;
   const br_members_t *members = br_domain_task_members (node->domain);
+  uint64_t leave_by_ms = (uint64_t)(br_clock_wall () + leave_in_ms);
 
   if (br_name_equal (vm, &node->settings.vm))
     {
       br_domain_task_announce (node->domain, BR_NOTICE_VM_LEAVING, vm,
-                               node->incarnation, 0);
+                               node->incarnation, leave_by_ms);
       return;
     }
   for (size_t i = 0; i < members->len; i++)
@@ -74,7 +77,7 @@
         && members->items[i].vm.incarnation != 0)
       {
         br_domain_task_announce (node->domain, BR_NOTICE_VM_LEAVING, vm,
-                                 members->items[i].vm.incarnation, 0);
+                                 members->items[i].vm.incarnation, leave_by_ms);
         return;
       }
 }
@@ -139,7 +142,7 @@
   if (!task_is_entry (task, &reclaim->vm))
     task_announce_upstream (task, &reclaim->vm, reclaim->incarnation);
   else if (reclaim->leave_in_ms > 0)
-    task_announce_entry (task, &reclaim->vm);
+    task_announce_entry (task, &reclaim->vm, reclaim->leave_in_ms);
 }
 
 static void
