Failed attempts are checked on a new connection; quarantine of crashing requests

Cause: a stall or a broken connection was held against the upstream without a question to it, the next attempt went elsewhere, and a request that crashes what runs it could take one upstream after the other with it. An attempt that fails is followed by one probe on a new connection for all the attempts that failed there. No answer: the upstream is down, and what broke there, unless it was leaving, is reported as a crash to every entry VM. An answer after a silence: the idle connections are dropped and the work goes on at the same upstream on a new connection. A request at two distinct crashes that alone explains one of them is refused as quarantined for ten minutes; suspects run apart from each other and from new work where there is room. An event that is not JSON in valid UTF-8 fails the attempt.

--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -23,6 +23,10 @@
   X (PEER_BYTES_SENT, "peer_sent_bytes_total", "Bytes sent to peers")          \
   X (PEER_BYTES_RECEIVED, "peer_received_bytes_total",                         \
      "Bytes received from peers")                                              \
+  X (SILENT_CONNECTIONS, "silent_connections_total",                           \
+     "Upstream connections that went silent while new ones work")              \
+  X (QUARANTINED, "requests_quarantined_total",                                \
+     "Requests refused because their content crashed upstreams")               \
   X (PROTOCOL_ERRORS, "protocol_errors_total", "Messages that did not parse")
 
 typedef enum
--- a/src/shell/domain_task.c
+++ b/src/shell/domain_task.c
@@ -75,6 +75,8 @@
 {
   br_registry_leave (&task->node->registry, br_name_str (&notice->name),
                      notice->incarnation, br_node_now (task->node));
+  br_quarantine_forgive (&task->node->quarantine, &notice->name,
+                         notice->incarnation);
   task_post_member (task, BR_NODE_UPSTREAM_CHANGED, &notice->name,
                     notice->incarnation);
 }
@@ -93,6 +95,17 @@
   br_node_post (node, message);
 }
 
+/* A crash of an upstream that is known to leave was its reclaim. */
+static void
+task_on_crash (br_domain_task_t *task, const br_notice_t *notice)
+{
+  if (br_registry_is_leaving (&task->node->registry,
+                              br_name_str (&notice->name), notice->incarnation))
+    return;
+  br_quarantine_report (&task->node->quarantine, notice->content, &notice->name,
+                        notice->incarnation, br_node_now (task->node));
+}
+
 static void
 task_on_notice (br_domain_task_t *task, const br_notice_t *notice)
 {
@@ -109,6 +122,8 @@
       task_on_vm_leaving (task, notice);
       break;
     case BR_NOTICE_CRASH:
+      task_on_crash (task, notice);
+      break;
     case BR_NOTICE_COUNT:
       break;
     }
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -383,6 +383,7 @@
   node_free_queue (node);
   br_catalog_release (&node->catalog);
   br_registry_release (&node->registry);
+  br_quarantine_free (&node->quarantine);
   br_settings_release (&node->settings);
   event_base_free (node->base);
   free (node);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -12,6 +12,7 @@
 #include "route/catalog.h"
 #include "shell/settings.h"
 #include "state/state.h"
+#include "upstream/quarantine.h"
 #include "upstream/registry.h"
 #include "wire/frame.h"
 
@@ -134,6 +135,7 @@
   uint64_t incarnation;
   br_catalog_t catalog;
   br_registry_t registry;
+  br_quarantine_t quarantine;
   bool draining; /* takes no new work */
   br_ms_t started_ms;
   br_peer_task_t *peers; /* NULL without peers in the settings */
--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -12,39 +12,32 @@
 #include <string.h>
 #include <uthash.h>
 
+#include "shell/connection_pool.h"
+#include "shell/domain_task.h"
+#include "shell/http_call.h"
+#include "shell/upstream_watch.h"
 #include "upstream/sse.h"
 
-/* Idle connections kept for one upstream. */
-#define POOL_MAX 64
-#define ADDRESS_KEY_MAX 64
+#define HOST_MAX 64
+
+/* Bound on the probe that follows a failed attempt. */
+#define CHECK_BOUND_MS 500
 
 /* Bound on evhttp's own timer; the attempt's timers are shorter. */
 #define HTTP_TIMEOUT_S 3600
 
-typedef struct pooled
-{
-  struct evhttp_connection *connection;
-  struct pooled *next;
-} pooled_t;
-
-/* The idle connections to one address and port. */
-typedef struct
-{
-  char key[ADDRESS_KEY_MAX];
-  pooled_t *idle;
-  size_t n_idle;
-  UT_hash_handle hh;
-} pool_t;
-
 typedef struct
 {
   uint64_t number;
   br_upstream_task_t *task;
   uint64_t work;
   br_name_t upstream;
-  pool_t *pool;
-  struct evhttp_connection *connection;
+  char address[BR_UPSTREAM_ADDRESS_MAX];
+  uint16_t port;
+  uint64_t content;
+  struct evhttp_connection *connection; /* NULL while it is checked */
   struct evhttp_request *request;
+  bool reused; /* the connection had carried another attempt */
   struct evbuffer_cb_entry *output_cb;
   struct event *timer;
   const char *step; /* "connect", "first token" or "token gap" */
@@ -53,87 +46,29 @@
   bool byte_left; /* something was handed to the socket */
   int http_error; /* evhttp's code, or -1 */
   br_sse_t sse;
+  bool checking;    /* it failed, and the upstream is probed */
+  br_error_t error; /* of the failure */
   UT_hash_handle hh;
 } attempt_t;
 
+/* A probe, on a new connection, of an upstream at which attempts failed. */
+typedef struct check
+{
+  br_upstream_task_t *task;
+  br_name_t upstream;
+  struct check *next;
+} check_t;
+
 struct br_upstream_task
 {
   br_node_t *node;
-  pool_t *pools;
+  br_connection_pool_t *pool;
+  br_http_calls_t *calls;
+  check_t *checks;
   attempt_t *attempts;
   uint64_t last_number;
 };
 
-static void
-connection_on_free (evutil_socket_t fd, short what, void *context)
-{
-  (void)fd;
-  (void)what;
-  evhttp_connection_free (context);
-}
-
-/* Frees the connection from the next turn of the loop: evhttp may still be
- * working with it on the stack. */
-static void
-connection_free_later (br_upstream_task_t *task,
-                       struct evhttp_connection *connection)
-{
-  struct timeval now = { 0, 0 };
-
-  event_base_once (task->node->base, -1, EV_TIMEOUT, connection_on_free,
-                   connection, &now);
-}
-
-static pool_t *
-task_pool (br_upstream_task_t *task, const char *address, uint16_t port)
-{
-  char key[ADDRESS_KEY_MAX];
-  pool_t *pool;
-
-  snprintf (key, sizeof key, "%s:%u", address, port);
-  HASH_FIND_STR (task->pools, key, pool);
-  if (pool != NULL)
-    return pool;
-  pool = br_alloc_zero (sizeof *pool);
-  memcpy (pool->key, key, sizeof key);
-  HASH_ADD_STR (task->pools, key, pool);
-  return pool;
-}
-
-static struct evhttp_connection *
-pool_take (pool_t *pool)
-{
-  pooled_t *first = pool->idle;
-  struct evhttp_connection *connection;
-
-  if (first == NULL)
-    return NULL;
-  connection = first->connection;
-  pool->idle = first->next;
-  pool->n_idle--;
-  free (first);
-  return connection;
-}
-
-static void
-pool_put (br_upstream_task_t *task,
-          pool_t *pool,
-          struct evhttp_connection *connection)
-{
-  pooled_t *entry;
-
-  if (pool->n_idle >= POOL_MAX)
-    {
-      connection_free_later (task, connection);
-      return;
-    }
-  entry = br_alloc (sizeof *entry);
-  entry->connection = connection;
-  entry->next = pool->idle;
-  pool->idle = entry;
-  pool->n_idle++;
-}
-
 static br_node_message_t
 attempt_message (const attempt_t *attempt, br_attempt_event_t event)
 {
@@ -177,37 +112,154 @@
   attempt->output_cb = NULL;
 }
 
-/* Ends the attempt.  The connection goes back to the pool when REUSE. */
+/* Gives the connection back to the pool when REUSE, or closes it. */
 static void
-attempt_free (attempt_t *attempt, bool reuse)
+attempt_release_connection (attempt_t *attempt, bool reuse)
 {
   br_upstream_task_t *task = attempt->task;
 
+  if (attempt->connection == NULL)
+    return;
   attempt_unhook (attempt);
-  HASH_DEL (task->attempts, attempt);
   if (reuse)
-    pool_put (task, attempt->pool, attempt->connection);
+    br_connection_pool_put (task->pool, attempt->address, attempt->port,
+                            attempt->connection);
   else
-    connection_free_later (task, attempt->connection);
+    br_connection_free_later (task->node->base, attempt->connection);
+  attempt->connection = NULL;
+}
+
+/* Ends the attempt.  The connection goes back to the pool when REUSE. */
+static void
+attempt_free (attempt_t *attempt, bool reuse)
+{
+  attempt_release_connection (attempt, reuse);
+  HASH_DEL (attempt->task->attempts, attempt);
   event_free (attempt->timer);
   br_sse_free (&attempt->sse);
   free (attempt);
 }
 
+/* Whether a connection that went silent, and not the upstream, may be why the
+ * attempt failed. */
+static bool
+attempt_went_silent (const attempt_t *attempt)
+{
+  return attempt->error.code == BR_ERROR_TIMEOUT
+         && (attempt->opened || attempt->reused);
+}
+
 static void
-attempt_fail (attempt_t *attempt, br_error_code_t code, const char *text)
+attempt_post_failure (attempt_t *attempt, bool answers)
 {
+  br_upstream_task_t *task = attempt->task;
   br_node_message_t message = attempt_message (attempt, BR_ATTEMPT_FAILED);
 
   message.attempt.may_have_run = attempt->byte_left;
-  br_error_set (&message.attempt.error, code, attempt->step,
-                attempt->upstream.data, "%s", text);
-  br_counters_add (&attempt->task->node->counters, BR_COUNTER_ATTEMPTS_FAILED,
-                   1);
-  br_node_post (attempt->task->node, message);
+  message.attempt.error = attempt->error;
+  message.attempt.upstream_answers = answers && attempt_went_silent (attempt);
+  if (message.attempt.upstream_answers)
+    {
+      br_counters_add (&task->node->counters, BR_COUNTER_SILENT_CONNECTIONS, 1);
+      br_connection_pool_drop (task->pool, attempt->address, attempt->port);
+    }
+  br_node_post (task->node, message);
+  attempt_free (attempt, false);
+}
+
+/* A connection that broke, at an upstream that is gone and that nobody took
+ * back, is a crash: all that ran there may have caused it. */
+static void
+attempt_report_crash (const attempt_t *attempt)
+{
+  br_node_t *node = attempt->task->node;
+  const br_upstream_t *upstream
+      = br_registry_find (&node->registry, br_name_str (&attempt->upstream));
+
+  if (attempt->error.code == BR_ERROR_TIMEOUT || !attempt->byte_left
+      || attempt->content == 0 || upstream == NULL || upstream->leaving
+      || upstream->vanished)
+    return;
+  br_domain_task_announce (node->domain, BR_NOTICE_CRASH, &attempt->upstream,
+                           upstream->incarnation, attempt->content);
+}
+
+static void
+task_end_check (check_t *check)
+{
+  check_t **at = &check->task->checks;
+
+  while (*at != check)
+    at = &(*at)->next;
+  *at = check->next;
+  free (check);
+}
+
+static void
+check_on_done (void *context, int status, br_str_t body)
+{
+  check_t *check = context;
+  br_upstream_task_t *task = check->task;
+  br_name_t upstream = check->upstream;
+  attempt_t *attempt;
+  attempt_t *next;
+
+  (void)body;
+  task_end_check (check);
+  if (status == 0)
+    br_upstream_watch_set_down (task->node->upstream_watch, &upstream, true);
+  HASH_ITER (hh, task->attempts, attempt, next)
+  {
+    if (!attempt->checking || !br_name_equal (&attempt->upstream, &upstream))
+      continue;
+    if (status == 0)
+      attempt_report_crash (attempt);
+    attempt_post_failure (attempt, status != 0);
+  }
+}
+
+/* Probes the upstream unless a probe is under way. */
+static void
+task_check (br_upstream_task_t *task, const attempt_t *attempt)
+{
+  check_t *check;
+  br_http_call_options_t options = {
+    .address = attempt->address,
+    .port = attempt->port,
+    .method = EVHTTP_REQ_GET,
+    .path = "/health",
+    .bound_ms = CHECK_BOUND_MS,
+    .done = check_on_done,
+  };
+
+  for (check = task->checks; check != NULL; check = check->next)
+    if (br_name_equal (&check->upstream, &attempt->upstream))
+      return;
+  check = br_alloc_zero (sizeof *check);
+  check->task = task;
+  check->upstream = attempt->upstream;
+  check->next = task->checks;
+  task->checks = check;
+  options.context = check;
+  br_http_call (task->calls, &options);
+}
+
+/* The attempt has failed; its message follows once the upstream is probed. */
+static void
+attempt_fail (attempt_t *attempt, br_error_code_t code, const char *text)
+{
+  br_upstream_task_t *task = attempt->task;
+
+  br_error_set (&attempt->error, code, attempt->step, attempt->upstream.data,
+                "%s", text);
+  br_counters_add (&task->node->counters, BR_COUNTER_ATTEMPTS_FAILED, 1);
   if (attempt->request != NULL)
     evhttp_cancel_request (attempt->request);
-  attempt_free (attempt, false);
+  attempt->request = NULL;
+  event_del (attempt->timer);
+  attempt_release_connection (attempt, false);
+  attempt->checking = true;
+  task_check (task, attempt);
 }
 
 static void
@@ -362,7 +414,7 @@
                      const br_attempt_options_t *options)
 {
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
-  char host[ADDRESS_KEY_MAX];
+  char host[HOST_MAX];
 
   snprintf (host, sizeof host, "%s:%u", options->address, options->port);
   evhttp_add_header (headers, "Host", host);
@@ -390,20 +442,21 @@
   return request;
 }
 
-static struct evhttp_connection *
-task_connection (br_upstream_task_t *task,
-                 pool_t *pool,
-                 const br_attempt_options_t *options)
+static void
+attempt_connect (attempt_t *attempt, const br_attempt_options_t *options)
 {
-  struct evhttp_connection *connection = NULL;
+  br_upstream_task_t *task = attempt->task;
 
+  snprintf (attempt->address, sizeof attempt->address, "%s", options->address);
+  attempt->port = options->port;
   if (!options->fresh_connection)
-    connection = pool_take (pool);
-  if (connection == NULL)
-    connection = evhttp_connection_base_new (task->node->base, NULL,
-                                             options->address, options->port);
-  evhttp_connection_set_timeout (connection, HTTP_TIMEOUT_S);
-  return connection;
+    attempt->connection
+        = br_connection_pool_take (task->pool, attempt->address, attempt->port);
+  attempt->reused = attempt->connection != NULL;
+  if (!attempt->reused)
+    attempt->connection = evhttp_connection_base_new (
+        task->node->base, NULL, attempt->address, attempt->port);
+  evhttp_connection_set_timeout (attempt->connection, HTTP_TIMEOUT_S);
 }
 
 uint64_t
@@ -419,8 +472,8 @@
   br_name_set (&attempt->upstream, br_str_from (options->upstream));
   attempt->stream = options->stream;
   attempt->http_error = -1;
-  attempt->pool = task_pool (task, options->address, options->port);
-  attempt->connection = task_connection (task, attempt->pool, options);
+  attempt->content = options->content;
+  attempt_connect (attempt, options);
   attempt->timer = evtimer_new (task->node->base, attempt_on_timer, attempt);
   HASH_ADD (hh, task->attempts, number, sizeof attempt->number, attempt);
   bev = evhttp_connection_get_bufferevent (attempt->connection);
@@ -459,7 +512,8 @@
 
   if (attempt == NULL)
     return;
-  evhttp_cancel_request (attempt->request);
+  if (attempt->request != NULL)
+    evhttp_cancel_request (attempt->request);
   attempt_free (attempt, false);
 }
 
@@ -469,26 +523,11 @@
   br_upstream_task_t *task = br_alloc_zero (sizeof *task);
 
   task->node = node;
+  task->pool = br_connection_pool_new (node->base);
+  task->calls = br_http_calls_new (node->base);
   return task;
 }
 
-static void
-task_free_pools (br_upstream_task_t *task)
-{
-  pool_t *pool;
-  pool_t *next;
-
-  HASH_ITER (hh, task->pools, pool, next)
-  {
-    struct evhttp_connection *connection;
-
-    while ((connection = pool_take (pool)) != NULL)
-      evhttp_connection_free (connection);
-    HASH_DEL (task->pools, pool);
-    free (pool);
-  }
-}
-
 void
 br_upstream_task_free (br_upstream_task_t *task)
 {
@@ -501,13 +540,19 @@
   {
     struct evhttp_connection *connection = attempt->connection;
 
-    attempt_unhook (attempt);
+    if (connection != NULL)
+      {
+        attempt_unhook (attempt);
+        evhttp_connection_free (connection);
+      }
     HASH_DEL (task->attempts, attempt);
-    evhttp_connection_free (connection);
     event_free (attempt->timer);
     br_sse_free (&attempt->sse);
     free (attempt);
   }
-  task_free_pools (task);
+  br_http_calls_free (task->calls);
+  while (task->checks != NULL)
+    task_end_check (task->checks);
+  br_connection_pool_free (task->pool);
   free (task);
 }
--- a/src/shell/upstream_task.h
+++ b/src/shell/upstream_task.h
@@ -22,6 +22,7 @@
   const char *content_type;
   const char *contract;        /* sent as X-Contract-Id */
   const char *idempotency_key; /* sent on when not NULL */
+  uint64_t content;            /* digest of the request, for the quarantine */
   bool stream;                 /* split the answer into events */
   bool fresh_connection;       /* do not use one that was used before */
 } br_attempt_options_t;
--- /dev/null
+++ b/src/shell/work_quarantine.c
@@ -0,0 +1,85 @@
+#include "shell/work_quarantine.h"
+
+uint64_t
+br_work_content (const br_work_t *work)
+{
+  uint64_t digest = br_str_hash (br_name_str (&work->service), 0);
+
+  digest = br_str_hash (br_buf_str (&work->path), digest);
+  digest = br_str_hash (br_buf_str (&work->body), digest);
+  return digest != 0 ? digest : 1;
+}
+
+bool
+br_work_is_quarantined (br_node_t *node, const br_work_t *work, br_error_t *err)
+{
+  if (node->quarantine.crashes.len == 0
+      || !br_quarantine_holds (&node->quarantine, br_work_content (work),
+                               br_node_now (node)))
+    return false;
+  br_counters_add (&node->counters, BR_COUNTER_QUARANTINED, 1);
+  br_error_set (err, BR_ERROR_QUARANTINED, "choose upstream",
+                work->service.data,
+                "this request crashed several upstreams; it runs no more for "
+                "%d minutes",
+                BR_QUARANTINE_LIFE_MS / 60000);
+  return true;
+}
+
+static br_upstream_t *
+work_same_upstream (br_node_t *node, br_work_t *work)
+{
+  br_upstream_t *upstream;
+
+  if (!work->same_upstream)
+    return NULL;
+  upstream = br_registry_find (&node->registry, br_name_str (&work->upstream));
+  return upstream != NULL && upstream->state == BR_UPSTREAM_LIVE ? upstream
+                                                                 : NULL;
+}
+
+br_upstream_t *
+br_work_choose (br_node_t *node,
+                br_work_t *work,
+                const br_choice_query_t *query)
+{
+  br_upstream_t *upstream = work_same_upstream (node, work);
+  br_choice_query_t apart = *query;
+  br_names_t tried = { 0 };
+
+  if (upstream != NULL)
+    return upstream;
+  work->same_upstream = false;
+  if (node->quarantine.runs.len > 0)
+    {
+      for (size_t i = 0; i < query->tried->len; i++)
+        br_names_push (&tried, query->tried->items[i]);
+      br_quarantine_avoid (&node->quarantine, br_work_content (work), &tried);
+      apart.tried = &tried;
+      upstream = br_choice_take (&node->registry, &apart);
+      br_names_free (&tried);
+    }
+  return upstream != NULL ? upstream : br_choice_take (&node->registry, query);
+}
+
+void
+br_work_note_start (br_node_t *node, const br_work_t *work)
+{
+  if (node->quarantine.crashes.len > 0)
+    br_quarantine_start (&node->quarantine, br_work_content (work),
+                         &work->upstream);
+}
+
+void
+br_work_note_end (br_node_t *node, const br_work_t *work)
+{
+  if (node->quarantine.runs.len > 0)
+    br_quarantine_end (&node->quarantine, br_work_content (work));
+}
+
+void
+br_work_note_answered (br_node_t *node, const br_work_t *work)
+{
+  if (node->quarantine.crashes.len > 0)
+    br_quarantine_clear (&node->quarantine, br_work_content (work));
+}
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -6,6 +6,7 @@
 #include "shell/contract_task.h"
 #include "shell/engine_body.h"
 #include "shell/upstream_task.h"
+#include "shell/work_quarantine.h"
 #include "shell/work_table.h"
 
 /* How long work goes on, and an answer is kept, without a reader. */
@@ -72,6 +73,7 @@
   if (work->attempt == 0)
     return;
   work->attempt = 0;
+  br_work_note_end (task->node, work);
   if (upstream != NULL && upstream->in_flight > 0)
     upstream->in_flight--;
 }
@@ -92,7 +94,8 @@
     .contract = work->contract_text,
     .idempotency_key = work->idempotency_key.data,
     .stream = is_model,
-    .fresh_connection = !work->repeatable,
+    .content = br_work_content (work),
+    .fresh_connection = !work->repeatable || work->same_upstream,
   };
 
   if (is_model)
@@ -100,6 +103,8 @@
   options.body = br_buf_str (is_model ? &body : &work->body);
   work->attempts++;
   work->upstream = upstream->name;
+  work->same_upstream = false;
+  br_work_note_start (task->node, work);
   work->base_offset = work->answer.parts.len;
   work->received = 0;
   if (!is_model)
@@ -129,8 +134,13 @@
   br_upstream_t *upstream = NULL;
   br_error_t err;
 
+  if (br_work_is_quarantined (node, work, &err))
+    {
+      work_fail (task, work, &err);
+      return;
+    }
   if (query.service != NULL)
-    upstream = br_choice_take (&node->registry, &query);
+    upstream = br_work_choose (node, work, &query);
   if (upstream != NULL)
     {
       work_send (task, work, upstream);
@@ -142,36 +152,12 @@
   work_fail (task, work, &err);
 }
 
-static void
-work_on_event (br_work_task_t *task, br_work_t *work, br_str_t data)
-{
-  size_t offset = work->base_offset + work->received;
-  br_answer_kind_t kind;
-  br_buf_t text = { 0 };
-
-  if (br_str_equal (data, br_str_from ("[DONE]")))
-    {
-      work->answer.complete = true;
-      return;
-    }
-  if (!br_engine_event_read (data, &kind, &text))
-    {
-      br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
-      br_buf_free (&text);
-      return;
-    }
-  work->received++;
-  if (br_answer_add (&work->answer, offset, kind, br_buf_str (&text))
-      == BR_ANSWER_ADDED)
-    work_changed (task, work);
-  br_buf_free (&text);
-}
-
 static void
 work_on_failure (br_work_task_t *task, br_work_t *work, br_error_t *err)
 {
   br_log_error (&task->node->log, "work", "attempt_failed", err);
-  br_names_push (&work->tried, work->upstream);
+  if (!work->same_upstream)
+    br_names_push (&work->tried, work->upstream);
   if (work->attempts < ATTEMPTS_MAX)
     work_try (task, work);
   else
@@ -186,6 +172,7 @@
   br_error_t err;
 
   work->may_have_run |= message->may_have_run;
+  work->same_upstream = message->upstream_answers;
   if (work->repeatable || !message->may_have_run)
     {
       work_on_failure (task, work, &message->error);
@@ -196,6 +183,46 @@
   work_fail (task, work, &err);
 }
 
+/* The engine sent something that is no event: what follows can't be trusted. */
+static void
+work_on_bad_event (br_work_task_t *task, br_work_t *work, br_str_t data)
+{
+  br_attempt_message_t failed = { .may_have_run = true };
+
+  br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
+  br_error_set (&failed.error, BR_ERROR_PROTOCOL, "read event",
+                work->upstream.data,
+                "event of %zu bytes is not JSON in valid UTF-8", data.len);
+  br_upstream_task_cancel (task->node->upstreams, work->attempt);
+  work_drop_attempt (task, work);
+  work_on_failed_attempt (task, work, &failed);
+}
+
+static void
+work_on_event (br_work_task_t *task, br_work_t *work, br_str_t data)
+{
+  size_t offset = work->base_offset + work->received;
+  br_answer_kind_t kind;
+  br_buf_t text = { 0 };
+
+  if (br_str_equal (data, br_str_from ("[DONE]")))
+    {
+      work->answer.complete = true;
+      return;
+    }
+  if (!br_engine_event_read (data, &kind, &text))
+    {
+      br_buf_free (&text);
+      work_on_bad_event (task, work, data);
+      return;
+    }
+  work->received++;
+  if (br_answer_add (&work->answer, offset, kind, br_buf_str (&text))
+      == BR_ANSWER_ADDED)
+    work_changed (task, work);
+  br_buf_free (&text);
+}
+
 static void
 work_on_done (br_work_task_t *task, br_work_t *work, int status)
 {
@@ -206,6 +233,7 @@
   if (work->kind == BR_SERVICE_PLAIN || work->answer.complete)
     {
       work->answer.complete = true;
+      br_work_note_answered (task->node, work);
       work_end (task, work, BR_WORK_DONE);
       return;
     }
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -47,6 +47,7 @@
   br_name_t upstream; /* of that attempt */
   size_t base_offset; /* parts that were there when it started */
   size_t received;    /* parts it has delivered */
+  bool same_upstream; /* its connection went silent, but it answers */
   br_names_t tried;   /* upstreams that failed */
   uint32_t watchers;  /* callers that read the answer */
   br_ms_t accepted_ms;
--- /dev/null
+++ b/src/upstream/quarantine.c
@@ -0,0 +1,171 @@
+#include "upstream/quarantine.h"
+
+#include <string.h>
+
+static bool
+crash_is_at (const br_crash_t *crash,
+             const br_name_t *upstream,
+             uint64_t incarnation)
+{
+  return crash->incarnation == incarnation
+         && br_name_equal (&crash->upstream, upstream);
+}
+
+static int
+quarantine_count (const br_quarantine_t *quarantine, uint64_t content)
+{
+  int n = 0;
+
+  for (size_t i = 0; i < quarantine->crashes.len; i++)
+    n += quarantine->crashes.items[i].content == content;
+  return n;
+}
+
+static void
+quarantine_remove (br_quarantine_t *quarantine, size_t at)
+{
+  br_crashes_t *crashes = &quarantine->crashes;
+
+  crashes->len--;
+  memmove (&crashes->items[at], &crashes->items[at + 1],
+           (crashes->len - at) * sizeof *crashes->items);
+}
+
+void
+br_quarantine_report (br_quarantine_t *quarantine,
+                      uint64_t content,
+                      const br_name_t *upstream,
+                      uint64_t incarnation,
+                      br_ms_t now)
+{
+  br_crash_t crash = {
+    .content = content,
+    .upstream = *upstream,
+    .incarnation = incarnation,
+    .expires_ms = now + BR_QUARANTINE_LIFE_MS,
+  };
+
+  for (size_t i = 0; i < quarantine->crashes.len; i++)
+    if (quarantine->crashes.items[i].content == content
+        && crash_is_at (&quarantine->crashes.items[i], upstream, incarnation))
+      return;
+  if (quarantine->crashes.len == BR_CRASHES_MAX)
+    quarantine_remove (quarantine, 0);
+  br_crashes_push (&quarantine->crashes, crash);
+}
+
+void
+br_quarantine_forgive (br_quarantine_t *quarantine,
+                       const br_name_t *upstream,
+                       uint64_t incarnation)
+{
+  size_t i = 0;
+
+  while (i < quarantine->crashes.len)
+    if (crash_is_at (&quarantine->crashes.items[i], upstream, incarnation))
+      quarantine_remove (quarantine, i);
+    else
+      i++;
+}
+
+void
+br_quarantine_clear (br_quarantine_t *quarantine, uint64_t content)
+{
+  size_t i = 0;
+
+  while (i < quarantine->crashes.len)
+    if (quarantine->crashes.items[i].content == content)
+      quarantine_remove (quarantine, i);
+    else
+      i++;
+}
+
+static void
+quarantine_expire (br_quarantine_t *quarantine, br_ms_t now)
+{
+  while (quarantine->crashes.len > 0
+         && quarantine->crashes.items[0].expires_ms <= now)
+    quarantine_remove (quarantine, 0);
+}
+
+/* Whether CONTENT is the only one at the crash that was at another as well. */
+static bool
+quarantine_explains (const br_quarantine_t *quarantine,
+                     uint64_t content,
+                     const br_crash_t *crash)
+{
+  for (size_t i = 0; i < quarantine->crashes.len; i++)
+    {
+      const br_crash_t *each = &quarantine->crashes.items[i];
+
+      if (each->content != content
+          && crash_is_at (each, &crash->upstream, crash->incarnation)
+          && quarantine_count (quarantine, each->content) > 1)
+        return false;
+    }
+  return true;
+}
+
+bool
+br_quarantine_holds (br_quarantine_t *quarantine, uint64_t content, br_ms_t now)
+{
+  int n;
+
+  quarantine_expire (quarantine, now);
+  n = quarantine_count (quarantine, content);
+  if (n < 2 || n >= BR_CRASHES_CERTAIN)
+    return n >= BR_CRASHES_CERTAIN;
+  for (size_t i = 0; i < quarantine->crashes.len; i++)
+    if (quarantine->crashes.items[i].content == content
+        && quarantine_explains (quarantine, content,
+                                &quarantine->crashes.items[i]))
+      return true;
+  return false;
+}
+
+bool
+br_quarantine_is_suspect (const br_quarantine_t *quarantine, uint64_t content)
+{
+  return quarantine_count (quarantine, content) > 0;
+}
+
+void
+br_quarantine_start (br_quarantine_t *quarantine,
+                     uint64_t content,
+                     const br_name_t *upstream)
+{
+  br_suspect_run_t run = { .content = content, .upstream = *upstream };
+
+  if (br_quarantine_is_suspect (quarantine, content))
+    br_suspect_runs_push (&quarantine->runs, run);
+}
+
+void
+br_quarantine_end (br_quarantine_t *quarantine, uint64_t content)
+{
+  br_suspect_runs_t *runs = &quarantine->runs;
+
+  for (size_t i = 0; i < runs->len; i++)
+    if (runs->items[i].content == content)
+      {
+        runs->items[i] = runs->items[--runs->len];
+        return;
+      }
+}
+
+void
+br_quarantine_avoid (const br_quarantine_t *quarantine,
+                     uint64_t content,
+                     br_names_t *names)
+{
+  for (size_t i = 0; i < quarantine->runs.len; i++)
+    if (quarantine->runs.items[i].content != content)
+      br_names_push (names, quarantine->runs.items[i].upstream);
+}
+
+void
+br_quarantine_free (br_quarantine_t *quarantine)
+{
+  br_crashes_free (&quarantine->crashes);
+  br_suspect_runs_free (&quarantine->runs);
+}
--- /dev/null
+++ b/src/upstream/quarantine.h
@@ -0,0 +1,91 @@
+/* Requests that crash upstreams.  A request is named by a digest of its
+ * content, so that its resend has the same name.  It is a suspect after one
+ * crash, and quarantined after two distinct ones when it alone explains one of
+ * them; what crashed together twice is told apart by running suspects on
+ * different upstreams. */
+#ifndef BR_UPSTREAM_QUARANTINE_H
+#define BR_UPSTREAM_QUARANTINE_H
+
+#include "base/clock.h"
+#include "base/label.h"
+#include "base/str.h"
+#include "base/vec.h"
+
+BR_BEGIN_DECLS
+
+/* After this time a crash is forgotten. */
+#define BR_QUARANTINE_LIFE_MS (10 * 60 * 1000)
+
+/* Crashes remembered, one for each request that ran; the oldest goes first. */
+#define BR_CRASHES_MAX 2048
+
+/* Crashes after which a request is quarantined in any case. */
+#define BR_CRASHES_CERTAIN 3
+
+/* One request that ran on an upstream when that crashed. */
+typedef struct
+{
+  uint64_t content;
+  br_name_t upstream;
+  uint64_t incarnation;
+  br_ms_t expires_ms;
+} br_crash_t;
+
+/* A suspect that runs now. */
+typedef struct
+{
+  uint64_t content;
+  br_name_t upstream;
+} br_suspect_run_t;
+
+BR_VEC (br_crashes, br_crash_t);
+BR_VEC (br_suspect_runs, br_suspect_run_t);
+
+/* An all-zero value is an empty quarantine. */
+typedef struct
+{
+  br_crashes_t crashes;
+  br_suspect_runs_t runs;
+} br_quarantine_t;
+
+/* Notes that CONTENT ran on the upstream when that crashed; a report that came
+ * before changes nothing. */
+void br_quarantine_report (br_quarantine_t *quarantine,
+                           uint64_t content,
+                           const br_name_t *upstream,
+                           uint64_t incarnation,
+                           br_ms_t now);
+
+/* The upstream did not crash: its VM was reclaimed in this incarnation. */
+void br_quarantine_forgive (br_quarantine_t *quarantine,
+                            const br_name_t *upstream,
+                            uint64_t incarnation);
+
+/* CONTENT ran to its end: it crashes nothing. */
+void br_quarantine_clear (br_quarantine_t *quarantine, uint64_t content);
+
+/* Whether CONTENT must not run again. */
+bool br_quarantine_holds (br_quarantine_t *quarantine,
+                          uint64_t content,
+                          br_ms_t now);
+
+/* Whether CONTENT ran in a crash. */
+bool br_quarantine_is_suspect (const br_quarantine_t *quarantine,
+                               uint64_t content);
+
+/* A suspect starts to run, or its run has ended. */
+void br_quarantine_start (br_quarantine_t *quarantine,
+                          uint64_t content,
+                          const br_name_t *upstream);
+void br_quarantine_end (br_quarantine_t *quarantine, uint64_t content);
+
+/* Appends to NAMES the upstreams on which other suspects run: CONTENT had
+ * better run elsewhere. */
+void br_quarantine_avoid (const br_quarantine_t *quarantine,
+                          uint64_t content,
+                          br_names_t *names);
+void br_quarantine_free (br_quarantine_t *quarantine);
+
+BR_END_DECLS
+
+#endif
