--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "shell/caller_task.h"
+#include "shell/claim_task.h"
 #include "shell/contract_task.h"
 #include "shell/domain_task.h"
 #include "shell/operator_task.h"
@@ -97,6 +98,9 @@
         br_domain_task_on_peer_up (node->domain, &message->peer);
       br_contract_task_on_link (node->contracts, &message->peer,
                                 message->kind == BR_NODE_PEER_UP);
+      br_claim_task_on_vm (node->claims, &message->peer.vm,
+                           message->peer.incarnation,
+                           message->kind == BR_NODE_PEER_UP);
       break;
     case BR_NODE_PEER_RECEIVED:
       node_on_peer_message (node, &message->peer);
@@ -109,9 +113,12 @@
       br_caller_task_on_work (node->callers, message->work);
       break;
     case BR_NODE_PROPOSAL:
+      br_claim_task_on_proposal (node->claims, &message->proposal);
       br_buf_free (&message->proposal.result);
       break;
     case BR_NODE_APPLIED:
+      br_claim_task_on_applied (node->claims);
+      break;
     case BR_NODE_CATALOG_CHANGED:
     case BR_NODE_VM_UP:
     case BR_NODE_VM_SUSPECT:
@@ -161,7 +168,8 @@
   br_ms_t copies_until = BR_MIN (node->queue->drain_from_ms + COPIES_KEEP_MS,
                                  node->queue->leave_by_ms);
 
-  if (br_work_task_in_progress (node->works) > 0)
+  if (br_work_task_in_progress (node->works) > 0
+      || br_claim_task_in_progress (node->claims) > 0)
     return false;
   if (now < copies_until && br_contract_task_needed_here (node->contracts) > 0)
     return false;
@@ -268,6 +276,7 @@
   node->upstreams = br_upstream_task_new (node);
   node->contracts = br_contract_task_new (node);
   node->works = br_work_task_new (node);
+  node->claims = br_claim_task_new (node);
   node->callers = br_caller_task_new (node, err);
   if (node->callers == NULL)
     return false;
@@ -371,6 +380,7 @@
 {
   br_caller_task_free (node->callers);
   br_operator_task_free (node->operators);
+  br_claim_task_free (node->claims);
   br_work_task_free (node->works);
   br_contract_task_free (node->contracts);
   br_upstream_task_free (node->upstreams);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -29,6 +29,7 @@
 typedef struct br_platform_task br_platform_task_t;
 typedef struct br_upstream_watch br_upstream_watch_t;
 typedef struct br_contract_task br_contract_task_t;
+typedef struct br_claim_task br_claim_task_t;
 
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
@@ -87,13 +88,6 @@
   br_buf_t payload; /* owned by the message */
 } br_peer_message_t;
 
-typedef enum
-{
-  BR_PROPOSAL_COMMITTED, /* in force, and RESULT is the state's answer */
-  BR_PROPOSAL_REFUSED,   /* surely not in the log, now or later */
-  BR_PROPOSAL_UNKNOWN,   /* may be or become committed */
-} br_proposal_outcome_t;
-
 typedef struct
 {
   uint64_t ticket;
@@ -148,6 +142,7 @@
   br_domain_task_t *domain;
   br_platform_task_t *platform; /* NULL without one in the settings */
   br_contract_task_t *contracts;
+  br_claim_task_t *claims;
   br_state_t *state; /* owned; changed by the replica task alone */
   struct br_node_queue *queue;
 };
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -24,8 +24,8 @@
   uint64_t number;
   br_contract_id_t contract;
   char contract_text[BR_NAME_MAX + 40];
-  br_name_t service;
   br_name_t organisation;
+  br_name_t service;
   br_service_kind_t kind;
   bool repeatable;
   bool accepted;     /* the caller may hear of it */
@@ -43,13 +43,14 @@
   br_answer_t answer;
   br_error_t error;
   uint32_t attempts;
-  uint64_t attempt;   /* the one that runs, 0 for none */
-  br_name_t upstream; /* of that attempt */
-  size_t base_offset; /* parts that were there when it started */
-  size_t received;    /* parts it has delivered */
-  bool same_upstream; /* its connection went silent, but it answers */
-  br_names_t tried;   /* upstreams that failed */
-  uint32_t watchers;  /* callers that read the answer */
+  uint64_t attempt;     /* the one that runs, 0 for none */
+  br_name_t upstream;   /* of that attempt */
+  size_t base_offset;   /* parts that were there when it started */
+  size_t received;      /* parts it has delivered */
+  bool same_upstream;   /* its connection went silent, but it answers */
+  br_names_t tried;     /* upstreams that failed */
+  uint32_t watchers;    /* callers that read the answer */
+  br_ms_t not_after_ms; /* of work that runs once: no first byte later */
   br_ms_t accepted_ms;
   br_ms_t unwatched_ms; /* since when nobody reads it */
 } br_work_t;
@@ -103,6 +104,19 @@
 void br_work_task_on_attempt (br_work_task_t *task,
                               br_attempt_message_t *message);
 
+/* The claim of work that runs once has an outcome: it may be sent before
+ * NOT_AFTER_MS, the log holds its answer, or it fails. */
+void br_work_task_may_send (br_work_task_t *task,
+                            uint64_t number,
+                            br_ms_t not_after_ms);
+void br_work_task_answered (br_work_task_t *task,
+                            uint64_t number,
+                            int status,
+                            br_str_t body);
+void br_work_task_failed (br_work_task_t *task,
+                          uint64_t number,
+                          const br_error_t *err);
+
 /* Counts the callers that read the answer; without any for a while, work
  * that runs is cancelled and work that is done is forgotten. */
 void br_work_watch (br_work_t *work);
