--- a/src/shell/domain_task.c
+++ b/src/shell/domain_task.c
@@ -215,9 +215,18 @@
   };
 
   br_membership_announce (task->membership, &notice, now);
+  /* Sends it before this process may end. */
+  br_membership_tick (task->membership, now);
   task_drain_outbox (task);
 }
 
+void
+br_domain_task_leave (br_domain_task_t *task)
+{
+  br_domain_task_announce (task, BR_NOTICE_VM_LEAVING, &task->node->settings.vm,
+                           task->node->incarnation, 0);
+}
+
 bool
 br_domain_task_is_live (const br_domain_task_t *task, const br_name_t *vm)
 {
--- a/src/shell/domain_task.h
+++ b/src/shell/domain_task.h
@@ -28,6 +28,9 @@
                               uint64_t incarnation,
                               uint64_t content);
 
+/* Tells the other entry VMs that this one leaves. */
+void br_domain_task_leave (br_domain_task_t *task);
+
 /* Whether the entry VM is up and not leaving, as far as this one knows. */
 bool br_domain_task_is_live (const br_domain_task_t *task, const br_name_t *vm);
 const br_members_t *br_domain_task_members (const br_domain_task_t *task);
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -230,6 +230,7 @@
           br_field_int ("in_progress",
                         (int64_t)br_work_task_in_progress (node->works)));
   event_add (node->queue->drain_timer, &soon);
+  br_domain_task_leave (node->domain);
   br_contract_task_leave (node->contracts);
 }
 
--- /dev/null
+++ b/tests/process/upstream_quarantine.sh
@@ -0,0 +1,72 @@
+# A request that crashes engines takes two, is then refused on every entry VM,
+# and what ran beside it is answered.  Usage: upstream_quarantine.sh BUILD
+set -u
+BUILD=$1
+BASE_PORT=25200
+. "$(dirname "$0")/../support/site.sh"
+
+poison='{"model":"contract-lm","max_tokens":8,
+  "messages":[{"role":"user","content":"poison"}]}'
+good='{"model":"contract-lm","max_tokens":30,
+  "messages":[{"role":"user","content":"beside"}]}'
+
+# Starts engine $1; 3 and 4 come from the VM list.
+start_engine() {
+  site_start "e$1" "$BUILD/fake_engine" --name "e$1" \
+    --port $((BASE_PORT + 29 + $1)) --token-ms "$2" --crash-on poison
+}
+
+site_init
+more="\"platform\": {\"address\": \"127.0.0.1\",
+  \"port\": $((BASE_PORT + 50)), \"poll_ms\": 200}"
+{
+  echo '['
+  for i in 3 4; do
+    [ "$i" = 4 ] && echo ','
+    echo "{\"name\":\"e$i\",\"role\":\"upstream\",\"incarnation\":1,
+      \"failure_domain\":\"lascano\",\"address\":\"127.0.0.1\",
+      \"port\":$((BASE_PORT + 29 + i)),\"state\":\"live\",
+      \"labels\":{\"model\":\"contract-lm\"}}"
+  done
+  echo ']'
+} > "$SITE/vms.json"
+site_start platform "$BUILD/fake_platform" --port $((BASE_PORT + 50)) \
+  --vms "$SITE/vms.json"
+for i in 1 2 3 4; do start_engine "$i" 30; done
+for i in 0 1 2; do site_start_vm "$i" "$more"; done
+for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/healthz"; done
+site_declarations > "$SITE/declarations.json"
+site_apply "$SITE/declarations.json" > /dev/null || site_fail "apply"
+
+sleep 1
+site_complete 0 "$good" > "$SITE/beside" &
+beside=$!
+sleep 0.3
+status=$(site_complete 0 "$poison" -o "$SITE/poison" -w '%{http_code}')
+[ "$status" = 422 ] || site_fail "poison: $status $(cat "$SITE/poison")"
+wait "$beside"
+grep -q '"finish_reason":"length"' "$SITE/beside" ||
+  site_fail "beside: $(cat "$SITE/beside")"
+down=()
+for i in 1 2 3 4; do
+  kill -0 "$(site_pid "e$i")" 2> /dev/null || down+=("$i")
+done
+[ "${#down[@]}" = 2 ] || site_fail "engines that crashed: ${down[*]}"
+
+# The engines are restarted; the resend runs on none of them.
+for i in "${down[@]}"; do start_engine "$i" 5; done
+for i in 0 1 2; do
+  for try in $(seq 50); do
+    [ "$(site_complete "$i" "${good/beside/after}" -o /dev/null \
+      -w '%{http_code}')" = 200 ] && break
+    sleep 0.1
+  done
+  status=$(site_complete "$i" "$poison" -o /dev/null -w '%{http_code}')
+  [ "$status" = 422 ] || site_fail "resend through VM $i: $status"
+  status=$(site_complete "$i" "$good" -o /dev/null -w '%{http_code}')
+  [ "$status" = 200 ] || site_fail "innocent through VM $i: $status"
+done
+for i in 1 2 3 4; do
+  kill -0 "$(site_pid "e$i")" 2> /dev/null || site_fail "e$i crashed again"
+done
+echo "upstream quarantine: ok"
