--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -30,6 +30,10 @@
      "Upstream connections that went silent while new ones work")              \
   X (QUARANTINED, "requests_quarantined_total",                                \
      "Requests refused because their content crashed upstreams")               \
+  X (LOG_SYNCS, "log_syncs_total", "Writes to the log, each with one sync")    \
+  X (LOG_RECORDS, "log_records_total", "Records written to the log")           \
+  X (LOG_BYTES_SENT, "log_sent_bytes_total",                                   \
+     "Bytes sent to peers for the replicated log")                             \
   X (PROTOCOL_ERRORS, "protocol_errors_total", "Messages that did not parse")
 
 typedef enum
