--- a/bench/domain_bench.c
+++ b/bench/domain_bench.c
@@ -61,6 +61,7 @@
   double cpu_s;
   br_ms_t worst = 0;
 
+  bus->measured = true;
   bus_run (bus, WARM_UP_MS);
   if (settled)
     settle (bus);
--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -26,6 +26,10 @@
   X (PEER_BYTES_SENT, "peer_sent_bytes_total", "Bytes sent to peers")          \
   X (PEER_BYTES_RECEIVED, "peer_received_bytes_total",                         \
      "Bytes received from peers")                                              \
+  X (SILENT_CONNECTIONS, "silent_connections_total",                           \
+     "Upstream connections that went silent while new ones work")              \
+  X (QUARANTINED, "requests_quarantined_total",                                \
+     "Requests refused because their content crashed upstreams")               \
   X (LOG_SYNCS, "log_syncs_total", "Writes to the log, each with one sync")    \
   X (LOG_RECORDS, "log_records_total", "Records written to the log")           \
   X (LOG_BYTES_SENT, "log_sent_bytes_total",                                   \
--- a/src/domain/membership_internal.h
+++ b/src/domain/membership_internal.h
@@ -10,6 +10,9 @@
 /* Probes made on behalf of others at once. */
 #define RELAYS_MAX 64
 
+/* Ticks on which a new notice is sent to others at once. */
+#define BR_NOTICE_PUSHES 2
+
 /* A probe that waits for its answer. */
 typedef struct
 {
@@ -51,7 +54,7 @@
   br_ms_t last_tick_ms;
   br_ms_t next_probe_ms;
   br_ms_t next_sync_ms;
-  bool urgent; /* notices are to be passed on without delay */
+  uint32_t urgent; /* ticks on which notices are still to be sent at once */
 };
 
 /* Returns the member NAME, or NULL. */
--- a/src/domain/membership_view.c
+++ b/src/domain/membership_view.c
@@ -85,7 +85,7 @@
           || before.incarnation != member->vm.incarnation))
     br_member_start_suspicion (member, now);
   if (before.state == BR_VM_SUSPECT && member->vm.state == BR_VM_UP)
-    membership->urgent = true;
+    membership->urgent = BR_NOTICE_PUSHES;
   if (member->vm.state == BR_VM_DOWN && member->link.kind == BR_LINK_BOTH_WAYS)
     member->link.kind = BR_LINK_SILENT;
   member_changed (membership, member);
@@ -157,7 +157,7 @@
     membership_apply_leaving (membership, notice, now);
   br_membership_output (membership, BR_MEMBERSHIP_NOTICE, &notice->name)->notice
       = *notice;
-  membership->urgent = true;
+  membership->urgent = BR_NOTICE_PUSHES;
   return true;
 }
 
--- a/src/shell/route_task.c
+++ b/src/shell/route_task.c
@@ -116,36 +116,63 @@
   return NULL;
 }
 
+/* Fills PREFIX with what WORK asks an engine to read. */
+static const br_prefix_t *
+work_prefix (const br_work_t *work, br_prefix_t *prefix)
+{
+  if (work->kind != BR_SERVICE_MODEL)
+    return NULL;
+  br_prefix_set (prefix, br_buf_str (&work->body),
+                 br_str_hash (br_name_str (&work->service), 0));
+  prefix->tokens += work->answer.parts.len;
+  return prefix;
+}
+
+static void
+task_note_sent (br_route_task_t *task,
+                br_work_t *work,
+                const br_route_t *route,
+                const br_prefix_t *prefix)
+{
+  work->uncached = route->uncached;
+  work->sent_ms = br_node_now (task->node);
+  br_router_sent (task->router, route, prefix, work->sent_ms);
+}
+
 br_upstream_t *
-br_route_task_take (br_route_task_t *task, br_work_t *work)
+br_route_task_take (br_route_task_t *task,
+                    br_work_t *work,
+                    const br_names_t *tried)
 {
-  bool is_model = work->kind == BR_SERVICE_MODEL;
+  br_prefix_t prefix;
   br_route_query_t query = {
     .service = br_name_str (&work->service),
-    .tried = &work->tried,
+    .prefix = work_prefix (work, &prefix),
+    .tried = tried,
   };
-  br_prefix_t prefix;
   br_route_t route;
   br_upstream_t *upstream;
 
   if (task->revision != task->node->catalog.revision)
     task_build (task);
-  if (is_model)
-    {
-      br_prefix_set (&prefix, br_buf_str (&work->body),
-                     br_str_hash (query.service, 0));
-      prefix.tokens += work->answer.parts.len;
-      query.prefix = &prefix;
-    }
   upstream = task_choose (task, &query, &route);
-  if (upstream == NULL)
-    return NULL;
-  work->uncached = route.uncached;
-  work->sent_ms = br_node_now (task->node);
-  br_router_sent (task->router, &route, query.prefix, work->sent_ms);
+  if (upstream != NULL)
+    task_note_sent (task, work, &route, query.prefix);
   return upstream;
 }
 
+void
+br_route_task_take_again (br_route_task_t *task, br_work_t *work)
+{
+  br_prefix_t prefix;
+  br_route_t route = {
+    .upstream = br_router_find (task->router, br_name_str (&work->upstream)),
+  };
+
+  if (route.upstream != BR_ROUTE_NONE)
+    task_note_sent (task, work, &route, work_prefix (work, &prefix));
+}
+
 void
 br_route_task_first_token (br_route_task_t *task, br_work_t *work)
 {
