--- a/src/contract/contract.c
+++ b/src/contract/contract.c
@@ -50,6 +50,7 @@
 {
   HASH_DEL (contracts->records, record);
   br_names_free (&record->tried);
+  br_names_free (&record->stale);
   br_contract_copy_free (record->copy);
   free (record);
 }
@@ -155,6 +156,35 @@
   return &action->message;
 }
 
+void
+br_record_add_stale (br_record_t *record, const br_name_t *vm)
+{
+  br_record_remove_stale (record, vm);
+  br_names_push (&record->stale, *vm);
+}
+
+void
+br_record_remove_stale (br_record_t *record, const br_name_t *vm)
+{
+  for (size_t i = record->stale.len; i > 0; i--)
+    if (br_name_equal (&record->stale.items[i - 1], vm))
+      record->stale.items[i - 1] = record->stale.items[--record->stale.len];
+}
+
+void
+br_contracts_reply (br_contracts_t *contracts,
+                    const br_name_t *to,
+                    br_contract_message_kind_t kind,
+                    const br_contract_message_t *message)
+{
+  br_contract_action_t action = { .kind = BR_CONTRACT_SEND, .vm = *to };
+
+  action.contract = action.message.contract = message->contract;
+  action.message.kind = kind;
+  action.message.epoch = message->epoch;
+  br_contract_outbox_push (&contracts->outbox, action);
+}
+
 /* Tells FROM, which speaks for an older epoch, who the owner is. */
 static bool
 record_is_newer (br_contracts_t *contracts,
@@ -189,16 +219,11 @@
                          const br_name_t *from,
                          const br_contract_message_t *message)
 {
-  br_contract_action_t action = { .kind = BR_CONTRACT_SEND, .vm = *from };
-
   if (message->kind != BR_CONTRACT_HELD
       || !br_name_equal (&message->epoch.owner, &contracts->options.vm)
       || message->epoch.owner_incarnation != contracts->options.incarnation)
     return;
-  action.message.kind = BR_CONTRACT_RELEASE;
-  action.message.contract = message->contract;
-  action.message.epoch = message->epoch;
-  br_contract_outbox_push (&contracts->outbox, action);
+  br_contracts_reply (contracts, from, BR_CONTRACT_RELEASE, message);
 }
 
 static void
@@ -208,9 +233,15 @@
                     br_ms_t now)
 {
   br_record_t *record = br_contracts_record (contracts, &message->contract);
+  bool owned = record != NULL && record->role == BR_RECORD_OWNER;
 
-  if (record == NULL || record->role != BR_RECORD_OWNER
-      || record->partner_state == BR_PARTNER_NONE
+  if (owned && message->kind == BR_CONTRACT_UNKNOWN
+      && !br_name_equal (&record->partner, from))
+    br_record_remove_stale (record, from);
+  if (owned && record->unprotected_ms != BR_MS_NEVER
+      && !br_name_equal (&record->partner, from))
+    return;
+  if (!owned || record->partner_state == BR_PARTNER_NONE
       || !br_name_equal (&record->partner, from))
     contracts_release_stray (contracts, from, message);
   else if (br_contract_epoch_compare (&record->epoch, &message->epoch) == 0)
@@ -237,7 +268,7 @@
       br_partner_on_checkpoint (contracts, from, message, now);
       break;
     case BR_CONTRACT_RELEASE:
-      br_partner_on_release (contracts, message, now);
+      br_partner_on_release (contracts, from, message, now);
       break;
     case BR_CONTRACT_HAND_OVER:
       br_partner_on_hand_over (contracts, message, now);
@@ -349,8 +380,7 @@
 
   if (record == NULL)
     return;
-  if (record->partner_state != BR_PARTNER_NONE)
-    br_record_send (contracts, record, &record->partner, BR_CONTRACT_RELEASE);
+  br_owner_release_all (contracts, record, now);
   br_record_end (contracts, record, now);
 }
 
--- a/src/contract/contract.pb-c.c
+++ b/src/contract/contract.pb-c.c
@@ -470,7 +470,7 @@
   (ProtobufCMessageInit) br__contract__failure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__contract__message__field_descriptors[15] =
+static const ProtobufCFieldDescriptor br__contract__message__field_descriptors[16] =
 {
   {
     "kind",
@@ -652,6 +652,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stale",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Br__Contract__Message, n_stale),
+    offsetof(Br__Contract__Message, stale),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__contract__message__field_indices_by_name[] = {
   11,   /* field[11] = complete */
@@ -667,13 +679,14 @@
   6,   /* field[6] = owner_incarnation */
   7,   /* field[7] = request */
   8,   /* field[8] = slice */
+  15,   /* field[15] = stale */
   12,   /* field[12] = status */
   1,   /* field[1] = vm */
 };
 static const ProtobufCIntRange br__contract__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor br__contract__message__descriptor =
 {
@@ -683,7 +696,7 @@
   "Br__Contract__Message",
   "br.contract",
   sizeof(Br__Contract__Message),
-  15,
+  16,
   br__contract__message__field_descriptors,
   br__contract__message__field_indices_by_name,
   1,  br__contract__message__number_ranges,
--- a/src/contract/contract.pb-c.h
+++ b/src/contract/contract.pb-c.h
@@ -99,10 +99,12 @@
   uint32_t status;
   Br__Contract__Failure *failure;
   uint32_t known;
+  size_t n_stale;
+  char **stale;
 };
 #define BR__CONTRACT__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__contract__message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, NULL, 0, 0, 0, 0, NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, NULL, 0, 0, 0, 0, NULL, 0, 0,NULL }
 
 
 /* Br__Contract__Request methods */
--- a/src/contract/follow.c
+++ b/src/contract/follow.c
@@ -1,5 +1,6 @@
 #include "contract/follow.h"
 
+#include <assert.h>
 #include <string.h>
 #include <uthash.h>
 
@@ -189,7 +190,12 @@
   follow->asked.len = 0;
   follow->has_copy = false;
   for (size_t i = 0; i < follows->peers.len; i++)
-    follow_ask (follows, follow, &follows->peers.items[i]);
+    {
+      const peer_t *peer = &follows->peers.items[i];
+
+      assert (peer != NULL);
+      follow_ask (follows, follow, peer);
+    }
 }
 
 static void
--- a/src/contract/message.c
+++ b/src/contract/message.c
@@ -8,6 +8,9 @@
 #define SLICE_PARTS_MAX 4096
 #define SLICE_BYTES_MAX ((size_t)256 * 1024)
 
+/* Former partners of one contract. */
+#define STALE_MAX 64
+
 typedef Br__Contract__Message wire_t;
 
 /* What one unpacked message owns. */
@@ -16,6 +19,7 @@
   wire_t *wire;
   br_answer_part_t *parts;
   br_contract_request_t request;
+  br_name_t stale[STALE_MAX];
 } unpacked_t;
 
 const char *
@@ -127,6 +131,15 @@
     }
 }
 
+static void
+wire_stale (const br_contract_message_t *message, char **names, wire_t *wire)
+{
+  wire->n_stale = BR_MIN (message->keep.n_stale, STALE_MAX);
+  wire->stale = names;
+  for (size_t i = 0; i < wire->n_stale; i++)
+    names[i] = wire_name (&message->keep.stale[i]);
+}
+
 static void
 wire_failure (const br_error_t *failure, Br__Contract__Failure *out)
 {
@@ -156,6 +169,7 @@
   Br__Contract__Request request = BR__CONTRACT__REQUEST__INIT;
   Br__Contract__Slice slice = BR__CONTRACT__SLICE__INIT;
   Br__Contract__Failure failure = BR__CONTRACT__FAILURE__INIT;
+  char *stale[STALE_MAX];
 
   wire.kind = message->kind;
   wire.vm = wire_name (&message->contract.vm);
@@ -167,7 +181,8 @@
   switch (message->kind)
     {
     case BR_CONTRACT_KEEP:
-      wire_request (&message->request, &request);
+      wire_request (&message->keep.request, &request);
+      wire_stale (message, stale, &wire);
       wire.request = &request;
       break;
     case BR_CONTRACT_CHECKPOINT:
@@ -239,6 +254,21 @@
                          br_str_from (wire->organisation));
 }
 
+static bool
+unpack_stale (const wire_t *wire,
+              unpacked_t *unpacked,
+              br_contract_message_t *message)
+{
+  if (wire->n_stale > STALE_MAX)
+    return false;
+  for (size_t i = 0; i < wire->n_stale; i++)
+    if (!br_name_set (&unpacked->stale[i], br_str_from (wire->stale[i])))
+      return false;
+  message->keep.stale = unpacked->stale;
+  message->keep.n_stale = wire->n_stale;
+  return true;
+}
+
 static bool
 unpack_slice (const Br__Contract__Slice *wire,
               unpacked_t *unpacked,
@@ -315,8 +345,8 @@
       if (wire->request == NULL
           || !unpack_request (wire->request, &unpacked->request))
         return false;
-      message->request = unpacked->request;
-      return true;
+      message->keep.request = unpacked->request;
+      return unpack_stale (wire, unpacked, message);
     case BR_CONTRACT_CHECKPOINT:
       message->checkpoint.complete = wire->complete;
       message->checkpoint.status = wire->status;
--- a/src/contract/message.h
+++ b/src/contract/message.h
@@ -19,7 +19,7 @@
   X (RELEASE, "release")       /* owner: the copy is not needed any more */    \
   X (HAND_OVER, "hand_over")   /* owner: become the owner now */               \
   X (SUPERSEDED, "superseded") /* a higher epoch has another owner */          \
-  X (UNKNOWN, "unknown")       /* partner: no copy of this contract here */    \
+  X (UNKNOWN, "unknown")       /* no copy of this contract here */             \
   X (LEAVING, "leaving")       /* the sender stops: give it no copies */       \
   X (LOCATE, "locate")         /* who owns this contract? */                   \
   X (LOCATED, "located")       /* what the asked VM knows */                   \
@@ -82,7 +82,12 @@
   br_contract_epoch_t epoch;
   union
   {
-    br_contract_request_t request; /* KEEP */
+    struct
+    {
+      br_contract_request_t request;
+      const br_name_t *stale; /* VMs that have copies of older epochs */
+      size_t n_stale;
+    } keep; /* KEEP */
     struct
     {
       br_contract_slice_t slice;
--- a/src/contract/owner.c
+++ b/src/contract/owner.c
@@ -4,6 +4,9 @@
 
 #include "contract/record.h"
 
+/* Copies of older epochs are released again when that was not confirmed. */
+#define RELEASE_AGAIN_MS 2000
+
 static bool
 owner_may_ask (const br_record_t *record, const br_contract_peer_t *peer)
 {
@@ -59,25 +62,57 @@
   br_contract_message_t *message;
 
   record->partner = *partner;
+  br_record_remove_stale (record, partner);
   record->partner_state = BR_PARTNER_ASKED;
   record->asked_ms = now;
   record->sent = record->held = 0;
   record->sent_complete = record->held_complete = false;
   message = br_record_send (contracts, record, partner, BR_CONTRACT_KEEP);
-  message->request = *record->request;
+  message->keep.request = *record->request;
+  message->keep.stale = record->stale.items;
+  message->keep.n_stale = record->stale.len;
 }
 
-/* Gives the present partner up.  A higher epoch makes what it holds old. */
+/* Ends all copies but that of the partner; those VMs confirm it.  The release
+ * names the present epoch: a copy that one of them gets later is of a higher
+ * one. */
 static void
-owner_drop_partner (br_contracts_t *contracts, br_record_t *record)
+owner_release_stale (br_contracts_t *contracts,
+                     br_record_t *record,
+                     br_ms_t now)
+{
+  record->release_ms = now;
+  for (size_t i = 0; i < record->stale.len; i++)
+    {
+      const br_contract_peer_t *peer
+          = br_contracts_peer (contracts, &record->stale.items[i]);
+
+      if (peer != NULL && peer->up)
+        br_record_send (contracts, record, &peer->vm, BR_CONTRACT_RELEASE);
+    }
+}
+
+void
+br_owner_release_all (br_contracts_t *contracts,
+                      br_record_t *record,
+                      br_ms_t now)
 {
-  br_name_t partner = record->partner;
+  if (record->partner_state != BR_PARTNER_NONE)
+    br_record_add_stale (record, &record->partner);
+  record->partner_state = BR_PARTNER_NONE;
+  owner_release_stale (contracts, record, now);
+}
 
+/* Gives the present partner up; what it holds is of an old epoch from now on,
+ * and is released once another VM holds as much. */
+static void
+owner_drop_partner (br_record_t *record)
+{
   if (record->partner_state == BR_PARTNER_NONE)
     return;
+  br_record_add_stale (record, &record->partner);
   record->epoch.number++;
   record->partner_state = BR_PARTNER_NONE;
-  br_record_send (contracts, record, &partner, BR_CONTRACT_RELEASE);
 }
 
 static void
@@ -111,9 +146,13 @@
   record->answer = answer;
   record->partner_state = BR_PARTNER_NONE;
   record->tried.len = 0;
+  br_record_remove_stale (record, &contracts->options.vm);
+  if (record->former.len > 0)
+    br_record_add_stale (record, &record->former);
   record->pending_ms = BR_MS_NEVER;
   record->unprotected_ms = now;
   record->handing_over = false;
+  record->hand_over_ms = now - contracts->options.resend_ms;
   owner_find_partner (contracts, record, now);
 }
 
@@ -182,6 +221,15 @@
          && record->held_complete >= record->sent_complete;
 }
 
+/* Whether what there was when the partner was found is held. */
+static bool
+owner_is_protected (const br_contracts_t *contracts, const br_record_t *record)
+{
+  return record->partner_state == BR_PARTNER_KEPT
+         && (!owner_sends_parts (contracts, record)
+             || record->held >= record->covers);
+}
+
 /* Reports the end of a time without protection, and frees the former owner
  * of its copy. */
 static void
@@ -190,15 +238,13 @@
                      br_ms_t now)
 {
   if (record->unprotected_ms == BR_MS_NEVER
-      || !owner_is_covered (contracts, record))
+      || !owner_is_protected (contracts, record))
     return;
   br_record_act (contracts, record, BR_CONTRACT_PROTECTED, &record->partner)
       ->after_ms
       = now - record->unprotected_ms;
   record->unprotected_ms = BR_MS_NEVER;
-  if (record->former.len > 0
-      && !br_name_equal (&record->former, &record->partner))
-    br_record_send (contracts, record, &record->former, BR_CONTRACT_RELEASE);
+  owner_release_stale (contracts, record, now);
 }
 
 static void
@@ -238,8 +284,9 @@
       record->partner_state = BR_PARTNER_KEPT;
       record->tried.len = 0;
       owner_announce (contracts, record);
-      owner_on_held (contracts, record, message, now);
+      record->covers = record->answer->parts.len;
       owner_flush (contracts, record, now);
+      owner_on_held (contracts, record, message, now);
       return;
     }
   owner_on_held (contracts, record, message, now);
@@ -283,7 +330,7 @@
     return;
   if (record->unprotected_ms == BR_MS_NEVER)
     record->unprotected_ms = now;
-  owner_drop_partner (contracts, record);
+  owner_drop_partner (record);
   owner_find_partner (contracts, record, now);
 }
 
@@ -317,7 +364,7 @@
       if (now - record->asked_ms < options->acknowledge_ms)
         break;
       br_names_push (&record->tried, record->partner);
-      owner_drop_partner (contracts, record);
+      owner_drop_partner (record);
       owner_find_partner (contracts, record, now);
       break;
     case BR_PARTNER_KEPT:
@@ -325,7 +372,7 @@
         break;
       if (record->unprotected_ms == BR_MS_NEVER)
         record->unprotected_ms = now;
-      owner_drop_partner (contracts, record);
+      owner_drop_partner (record);
       owner_find_partner (contracts, record, now);
       break;
     }
@@ -357,6 +404,9 @@
   owner_check_partner (contracts, record, now);
   if (record->partner_state != BR_PARTNER_KEPT)
     return;
+  if (record->unprotected_ms == BR_MS_NEVER && record->stale.len > 0
+      && now - record->release_ms >= RELEASE_AGAIN_MS)
+    owner_release_stale (contracts, record, now);
   if (!owner_is_covered (contracts, record)
       && now - record->progress_ms >= options->resend_ms)
     {
--- a/src/contract/partner.c
+++ b/src/contract/partner.c
@@ -21,13 +21,16 @@
 {
   br_contract_copy_t *copy = br_alloc_zero (sizeof *copy);
 
-  br_contract_request_copy (&copy->request, &message->request);
+  br_contract_request_copy (&copy->request, &message->keep.request);
   br_contract_copy_free (record->copy);
   record->copy = copy;
   record->role = BR_RECORD_PARTNER;
   record->epoch = message->epoch;
   record->guards_hand_over = false;
   record->whole_ms = BR_MS_NEVER;
+  record->stale.len = 0;
+  for (size_t i = 0; i < message->keep.n_stale; i++)
+    br_names_push (&record->stale, message->keep.stale[i]);
 }
 
 /* Answers a KEEP that RECORD has heard of already. */
@@ -65,10 +68,7 @@
     }
   if (contracts->leaving)
     {
-      br_contract_action_t action = { .kind = BR_CONTRACT_SEND, .vm = *from };
-
-      action.message.kind = BR_CONTRACT_LEAVING;
-      br_contract_outbox_push (&contracts->outbox, action);
+      br_contracts_reply (contracts, from, BR_CONTRACT_LEAVING, message);
       return;
     }
   record = br_contracts_record_new (contracts, &message->contract);
@@ -93,14 +93,7 @@
   if (order > 0)
     br_record_send (contracts, record, from, BR_CONTRACT_SUPERSEDED);
   if (order < 0)
-    {
-      br_contract_action_t action = { .kind = BR_CONTRACT_SEND, .vm = *from };
-
-      action.message.kind = BR_CONTRACT_UNKNOWN;
-      action.message.contract = message->contract;
-      action.message.epoch = message->epoch;
-      br_contract_outbox_push (&contracts->outbox, action);
-    }
+    br_contracts_reply (contracts, from, BR_CONTRACT_UNKNOWN, message);
   if (order != 0 || record->role != BR_RECORD_PARTNER)
     return;
   answer = &record->copy->answer;
@@ -118,16 +111,25 @@
 
 void
 br_partner_on_release (br_contracts_t *contracts,
+                       const br_name_t *from,
                        const br_contract_message_t *message,
                        br_ms_t now)
 {
   br_record_t *record = br_contracts_record (contracts, &message->contract);
 
-  if (record == NULL || record->role != BR_RECORD_PARTNER
-      || br_contract_epoch_compare (&record->epoch, &message->epoch) > 0)
+  if (record != NULL
+      && br_contract_epoch_compare (&record->epoch, &message->epoch) > 0)
     return;
-  record->epoch = message->epoch;
-  br_record_end (contracts, record, now);
+  if (record != NULL && record->role == BR_RECORD_OWNER
+      && br_contract_epoch_compare (&record->epoch, &message->epoch) < 0)
+    br_owner_on_superseded (contracts, record, &message->epoch, now);
+  if (record != NULL && record->role == BR_RECORD_PARTNER)
+    {
+      record->epoch = message->epoch;
+      br_record_end (contracts, record, now);
+    }
+  if (record == NULL || record->role == BR_RECORD_ENDED)
+    br_contracts_reply (contracts, from, BR_CONTRACT_UNKNOWN, message);
 }
 
 void
--- a/src/contract/record.h
+++ b/src/contract/record.h
@@ -31,6 +31,9 @@
   br_record_role_t role;
   br_contract_epoch_t epoch;
 
+  /* VMs that may have copies of older epochs, from one owner to the next. */
+  br_names_t stale;
+
   /* As owner. */
   const br_contract_request_t *request;
   const br_answer_t *answer;
@@ -40,13 +43,15 @@
   br_name_t partner;
   br_names_t tried; /* partners that did not answer in this round */
   br_ms_t asked_ms;
-  size_t sent; /* parts */
-  size_t held; /* parts that the partner confirmed */
+  size_t sent;   /* parts */
+  size_t held;   /* parts that the partner confirmed */
+  size_t covers; /* parts to hold before the work counts as protected */
   bool sent_complete;
   bool held_complete;
   br_ms_t pending_ms;     /* since when a part waits to be sent, or never */
   br_ms_t progress_ms;    /* the other side was heard of last */
   br_ms_t unprotected_ms; /* since when, or never */
+  br_ms_t release_ms;     /* copies were released last */
   br_ms_t retry_ms;       /* next search for a partner */
   bool handing_over;
   br_ms_t hand_over_ms; /* HAND_OVER was sent last */
@@ -97,6 +102,16 @@
 /* Keeps only the epoch, so that late messages are known as such. */
 void
 br_record_end (br_contracts_t *contracts, br_record_t *record, br_ms_t now);
+
+/* VM may have a copy of an older epoch, or has none any more. */
+void br_record_add_stale (br_record_t *record, const br_name_t *vm);
+void br_record_remove_stale (br_record_t *record, const br_name_t *vm);
+
+/* Adds a message about the contract and epoch of MESSAGE to the outbox. */
+void br_contracts_reply (br_contracts_t *contracts,
+                         const br_name_t *to,
+                         br_contract_message_kind_t kind,
+                         const br_contract_message_t *message);
 void br_contract_copy_free (br_contract_copy_t *copy);
 
 /* Adds a message about RECORD to the outbox, to be filled by the caller. */
@@ -123,6 +138,11 @@
                           const br_name_t *from,
                           const br_contract_message_t *message,
                           br_ms_t now);
+
+/* Ends the copies at all other VMs. */
+void br_owner_release_all (br_contracts_t *contracts,
+                           br_record_t *record,
+                           br_ms_t now);
 void
 br_owner_on_tick (br_contracts_t *contracts, br_record_t *record, br_ms_t now);
 
@@ -147,6 +167,7 @@
                                const br_contract_message_t *message,
                                br_ms_t now);
 void br_partner_on_release (br_contracts_t *contracts,
+                            const br_name_t *from,
                             const br_contract_message_t *message,
                             br_ms_t now);
 void br_partner_on_hand_over (br_contracts_t *contracts,
--- a/src/shell/work_table.c
+++ b/src/shell/work_table.c
@@ -1,5 +1,6 @@
 #include "shell/work_table.h"
 
+#include <assert.h>
 #include <string.h>
 #include <uthash.h>
 
@@ -27,6 +28,7 @@
 {
   entry_t *entry = (entry_t *)work;
 
+  assert (table->numbers != NULL && table->contracts != NULL);
   HASH_DEL (table->numbers, entry);
   HASH_DELETE (hh_contract, table->contracts, entry);
   br_buf_free (&work->path);
