--- a/tests/contract_follow_test.cc
+++ b/tests/contract_follow_test.cc
@@ -80,7 +80,10 @@
   }
 
   void
-  located (const char *vm, br_contract_known_t known, uint64_t epoch, br_ms_t now)
+  located (const char *vm,
+           br_contract_known_t known,
+           uint64_t epoch,
+           br_ms_t now)
   {
     br_contract_message_t message = {};
     br_name_t from = br_name_from (vm);
@@ -94,7 +97,10 @@
   }
 
   void
-  feed (const char *vm, uint64_t epoch, size_t offset, const br_answer_t *source,
+  feed (const char *vm,
+        uint64_t epoch,
+        size_t offset,
+        const br_answer_t *source,
         br_ms_t now)
   {
     br_contract_message_t message = {};
@@ -246,8 +252,8 @@
         bytes[br_random_below (&random, bytes.size ())]
             = (char)br_random_below (&random, 256);
       bytes.resize (bytes.size () - br_random_below (&random, 3));
-      if (br_contract_message_unpack (br_str_make (bytes.data (), bytes.size ()),
-                                      "a", &got, &err)
+      if (br_contract_message_unpack (
+              br_str_make (bytes.data (), bytes.size ()), "a", &got, &err)
           && got.kind == BR_CONTRACT_CHECKPOINT)
         br_contract_slice_add (&got.checkpoint.slice, &copy);
       br_contract_message_release (&got);
--- a/tests/contract_random_test.cc
+++ b/tests/contract_random_test.cc
@@ -88,10 +88,18 @@
   }
 
   int crashes = 0;
-  int take_overs () const { return (int)world_.attempts - accepted_; }
+  int
+  take_overs () const
+  {
+    return (int)world_.attempts - accepted_;
+  }
 
 private:
-  uint64_t pick (uint64_t n) { return br_random_below (&chaos_.random, n); }
+  uint64_t
+  pick (uint64_t n)
+  {
+    return br_random_below (&chaos_.random, n);
+  }
 
   void
   accept ()
@@ -248,14 +256,12 @@
       return;
     ASSERT_LE (copy->copy->answer.bytes.len, owner->answer->bytes.len)
         << "seed " << seed_;
-    ASSERT_EQ (std::string (copy->copy->answer.bytes.data
-                                ? copy->copy->answer.bytes.data
-                                : "",
-                            copy->copy->answer.bytes.len),
-               std::string (owner->answer->bytes.data
-                                ? owner->answer->bytes.data
-                                : "",
-                            copy->copy->answer.bytes.len))
+    ASSERT_EQ (
+        std::string (
+            copy->copy->answer.bytes.data ? copy->copy->answer.bytes.data : "",
+            copy->copy->answer.bytes.len),
+        std::string (owner->answer->bytes.data ? owner->answer->bytes.data : "",
+                     copy->copy->answer.bytes.len))
         << "seed " << seed_;
   }
 
@@ -297,9 +303,9 @@
       {
         br_str_t part = br_answer_part (answer, i);
 
-        EXPECT_EQ (std::string (part.data, part.len).find (std::to_string (i)
-                                                           + ":"),
-                   0U)
+        EXPECT_EQ (
+            std::string (part.data, part.len).find (std::to_string (i) + ":"),
+            0U)
             << "seed " << seed_;
       }
   }
@@ -319,7 +325,9 @@
   const char *one = getenv ("BR_SEED");
   const char *many = getenv ("BR_SEEDS");
   uint64_t first = one != nullptr ? strtoull (one, nullptr, 10) : 1;
-  uint64_t n = one != nullptr ? 1 : many != nullptr ? strtoull (many, nullptr, 10) : 60;
+  uint64_t n = one != nullptr    ? 1
+               : many != nullptr ? strtoull (many, nullptr, 10)
+                                 : 60;
   int crashes = 0;
   int take_overs = 0;
 
