--- a/src/contract/contract.c
+++ b/src/contract/contract.c
@@ -122,7 +122,7 @@
   record->role = BR_RECORD_ENDED;
   record->request = NULL;
   record->answer = NULL;
-  record->guards_hand_over = false;
+  record->guards = false;
   br_contract_copy_free (record->copy);
   record->copy = NULL;
   record->expires_ms = now + contracts->options.retention_ms;
@@ -404,7 +404,7 @@
   for (const br_record_t *record = contracts->records; record != NULL;
        record = record->hh.next)
     if (record->role == BR_RECORD_PARTNER
-        && (record->guards_hand_over || !record->copy->answer.complete))
+        && (record->guards || !record->copy->answer.complete))
       n++;
   return n;
 }
--- a/src/contract/owner.c
+++ b/src/contract/owner.c
@@ -298,26 +298,21 @@
                         const br_contract_epoch_t *epoch,
                         br_ms_t now)
 {
-  bool guards = record->handing_over;
-  br_contract_copy_t *copy = NULL;
+  br_contract_copy_t *copy = br_alloc_zero (sizeof *copy);
 
   owner_announce (contracts, record);
-  if (guards)
-    {
-      copy = br_alloc_zero (sizeof *copy);
-      br_contract_request_copy (&copy->request, record->request);
-      br_answer_copy (&copy->answer, record->answer);
-      copy->status = record->status;
-    }
+  br_contract_request_copy (&copy->request, record->request);
+  br_answer_copy (&copy->answer, record->answer);
+  copy->status = record->status;
   br_record_end (contracts, record, now);
   record->epoch = *epoch;
   br_record_act (contracts, record, BR_CONTRACT_STOP, &epoch->owner);
-  if (!guards)
-    return;
-  /* The new owner has no partner yet: be it until it has another one. */
+  /* The new owner may be lost before it has a partner: be its partner until it
+   * releases this copy. */
   record->role = BR_RECORD_PARTNER;
   record->copy = copy;
-  record->guards_hand_over = true;
+  record->guards = true;
+  record->progress_ms = now;
   record->whole_ms = copy->answer.complete ? now : BR_MS_NEVER;
 }
 
--- a/src/contract/partner.c
+++ b/src/contract/partner.c
@@ -26,7 +26,7 @@
   record->copy = copy;
   record->role = BR_RECORD_PARTNER;
   record->epoch = message->epoch;
-  record->guards_hand_over = false;
+  record->guards = false;
   record->whole_ms = BR_MS_NEVER;
   record->stale.len = 0;
   for (size_t i = 0; i < message->keep.n_stale; i++)
@@ -119,7 +119,11 @@
 
   if (record != NULL
       && br_contract_epoch_compare (&record->epoch, &message->epoch) > 0)
-    return;
+    {
+      /* The sender may still think that it is the owner. */
+      br_record_send (contracts, record, from, BR_CONTRACT_SUPERSEDED);
+      return;
+    }
   if (record != NULL && record->role == BR_RECORD_OWNER
       && br_contract_epoch_compare (&record->epoch, &message->epoch) < 0)
     br_owner_on_superseded (contracts, record, &message->epoch, now);
@@ -145,7 +149,7 @@
   record->epoch.owner = contracts->options.vm;
   record->epoch.owner_incarnation = contracts->options.incarnation;
   record->role = BR_RECORD_OWNER;
-  record->guards_hand_over = false;
+  record->guards = false;
   action = br_record_act (contracts, record, BR_CONTRACT_TAKE_OVER, NULL);
   action->copy = record->copy;
   record->copy = NULL;
--- a/src/contract/record.h
+++ b/src/contract/record.h
@@ -59,8 +59,8 @@
 
   /* As partner. */
   br_contract_copy_t *copy;
-  bool guards_hand_over; /* until the owner has a partner */
-  br_ms_t whole_ms;      /* the copy became whole, or never */
+  bool guards;      /* was the owner before; until the owner has a partner */
+  br_ms_t whole_ms; /* the copy became whole, or never */
 
   br_ms_t expires_ms; /* of BR_RECORD_ENDED */
   UT_hash_handle hh;
--- a/tests/contract_random_test.cc
+++ b/tests/contract_random_test.cc
@@ -251,7 +251,7 @@
     owner = br_contracts_record (world_.vms[vm].contracts, &contract);
     copy = br_contracts_record (world_.vms[peer].contracts, &contract);
     if (owner->role != BR_RECORD_OWNER || copy->role != BR_RECORD_PARTNER
-        || copy->guards_hand_over
+        || copy->guards
         || br_contract_epoch_compare (&owner->epoch, &copy->epoch) != 0)
       return;
     ASSERT_LE (copy->copy->answer.bytes.len, owner->answer->bytes.len)
--- a/tests/support/contract_world.h
+++ b/tests/support/contract_world.h
@@ -55,6 +55,7 @@
   br_ms_t now;
   br_ms_t delay_ms;
   size_t tokens; /* of a whole answer */
+  size_t prompt_bytes;
   uint64_t attempts;
   uint64_t generated;
   uint64_t bytes; /* between VMs */
@@ -287,6 +288,8 @@
   work->request.service = br_name_from ("contract-lm");
   work->request.streamed = true;
   br_buf_printf (&work->request.body, "prompt %" PRIu64, number);
+  while (work->request.body.len < world->prompt_bytes)
+    br_buf_append_char (&work->request.body, 'x');
   br_contracts_accept (world->vms[vm].contracts, &contract, &work->request,
                        &work->answer, world->now);
   world_flush (world, vm);
