--- /dev/null
+++ b/tests/process/contract_cut.sh
@@ -0,0 +1,58 @@
+# A failure domain is cut off while its VM is the partner of a stream: both
+# sides go on, each serves its callers, and after the cut one owner is left.
+# Then a cut in one direction only.  Usage: contract_cut.sh BUILD
+set -u
+BUILD=$1
+BASE_PORT=24500
+SITE_RELAY=1
+. "$(dirname "$0")/../support/site.sh"
+. "$(dirname "$0")/../support/contract.sh"
+site_init
+site_up --token-ms 40 > /dev/null || site_fail "site does not come up"
+contract_wait_links
+site_complete 1 "$(contract_body draft 250)" > "$SITE/whole" &
+whole=$!
+
+contract_stream 0 draft 250 cut
+contract_wait_tokens cut 10
+[ "$(contract_partner cut)" = lascano-1 ] || site_fail "partner"
+id=$(contract_id cut)
+site_cut_off 2 > /dev/null
+# The other side took over, and serves it there.
+contract_read 2 "$id" "" "$SITE/other-side" &
+other=$!
+for i in $(seq 500); do
+  grep -q '"event":"take_over"' "$SITE/lascano-1.log" && break
+  sleep 0.01
+done
+grep -q '"event":"take_over"' "$SITE/lascano-1.log" || site_fail "no take-over"
+# This side found another partner.
+grep "$id" "$SITE/castillos-1.log" | grep '"event":"held"' |
+  grep -q castillos-2 || site_fail "not protected again"
+# A contract that this side can't know of: which VM could not be asked.
+answer=$(curl -sS -i -H "Authorization: Bearer $SITE_KEY" \
+  "http://127.0.0.1:$BASE_PORT/v1/contracts/lascano-1.1.1")
+grep -q '^HTTP/1.1 503' <<< "$answer" || site_fail "not 503: $answer"
+grep -q 'without an answer: lascano-1' <<< "$answer" || site_fail "$answer"
+site_cut_off 2 open > /dev/null
+contract_check_rest cut 0 whole
+wait "$other" "$whole"
+diff <(contract_tokens "$SITE/other-side") <(contract_tokens "$SITE/whole") ||
+  site_fail "the other side's answer differs"
+for i in $(seq 300); do
+  [ "$(grep -h "$id" "$SITE"/*-?.log | grep -c '"event":"superseded"')" -ge 1 ] &&
+    break
+  sleep 0.02
+done
+[ "$(grep -h "$id" "$SITE"/*-?.log | grep -c '"event":"superseded"')" -ge 1 ] ||
+  site_fail "two owners are left"
+
+# The partner can't be sent to, but is heard: link 2 is castillos-1 to it.
+contract_wait_links
+contract_stream 0 draft 250 oneway
+contract_wait_tokens oneway 10
+site_relay 2 cut-to > /dev/null
+contract_check_rest oneway 0 whole
+site_relay 2 open > /dev/null
+contract_check_engines
+echo "cut: ok"
