--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -19,10 +19,17 @@
   X (TOKENS_RECOMPUTED, "recomputed_tokens_total",                             \
      "Tokens generated a second time")                                         \
   X (AUTH_FAILED, "authentication_failed_total", "Wrong or missing keys")      \
+  X (CLAIMS_SENT, "claims_sent_total", "Claims that allowed a first byte")     \
+  X (CLAIMS_NOT_RUN, "claims_not_run_total", "Claims that proved not run")     \
+  X (CLAIMS_UNKNOWN, "claims_unknown_total", "Claims of unknown outcome")      \
   X (PEER_ERRORS, "peer_errors_total", "Broken or refused peer links")         \
   X (PEER_BYTES_SENT, "peer_sent_bytes_total", "Bytes sent to peers")          \
   X (PEER_BYTES_RECEIVED, "peer_received_bytes_total",                         \
      "Bytes received from peers")                                              \
+  X (LOG_SYNCS, "log_syncs_total", "Writes to the log, each with one sync")    \
+  X (LOG_RECORDS, "log_records_total", "Records written to the log")           \
+  X (LOG_BYTES_SENT, "log_sent_bytes_total",                                   \
+     "Bytes sent to peers for the replicated log")                             \
   X (PROTOCOL_ERRORS, "protocol_errors_total", "Messages that did not parse")
 
 typedef enum
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "shell/caller_task.h"
+#include "shell/claim_task.h"
 #include "shell/contract_task.h"
 #include "shell/operator_task.h"
 #include "shell/peer_task.h"
@@ -67,6 +68,9 @@
       br_contract_task_on_peer (node->contracts, message);
       break;
     case BR_PART_REPLICA:
+      br_replica_task_on_message (node->replica, &message->vm,
+                                  br_buf_str (&message->payload));
+      break;
     case BR_PART_STATE:
     case BR_PART_DOMAIN:
     case BR_PART_LINK:
@@ -88,6 +92,9 @@
     case BR_NODE_PEER_DOWN:
       br_contract_task_on_link (node->contracts, &message->peer,
                                 message->kind == BR_NODE_PEER_UP);
+      br_claim_task_on_vm (node->claims, &message->peer.vm,
+                           message->peer.incarnation,
+                           message->kind == BR_NODE_PEER_UP);
       break;
     case BR_NODE_PEER_RECEIVED:
       node_on_peer_message (node, &message->peer);
@@ -100,9 +107,14 @@
       br_caller_task_on_work (node->callers, message->work);
       break;
     case BR_NODE_PROPOSAL:
+      br_claim_task_on_proposal (node->claims, &message->proposal);
+      if (node->on_proposal != NULL)
+        node->on_proposal (node->on_proposal_context, &message->proposal);
       br_buf_free (&message->proposal.result);
       break;
     case BR_NODE_APPLIED:
+      br_claim_task_on_applied (node->claims);
+      break;
     case BR_NODE_CATALOG_CHANGED:
     case BR_NODE_VM_UP:
     case BR_NODE_VM_SUSPECT:
@@ -152,7 +164,8 @@
   br_ms_t copies_until = BR_MIN (node->queue->drain_from_ms + COPIES_KEEP_MS,
                                  node->queue->leave_by_ms);
 
-  if (br_work_task_in_progress (node->works) > 0)
+  if (br_work_task_in_progress (node->works) > 0
+      || br_claim_task_in_progress (node->claims) > 0)
     return false;
   if (now < copies_until && br_contract_task_needed_here (node->contracts) > 0)
     return false;
@@ -214,6 +227,7 @@
                         (int64_t)br_work_task_in_progress (node->works)));
   event_add (node->queue->drain_timer, &soon);
   br_contract_task_leave (node->contracts);
+  br_replica_task_hand_over (node->replica);
 }
 
 void
@@ -256,6 +270,7 @@
   node->upstreams = br_upstream_task_new (node);
   node->contracts = br_contract_task_new (node);
   node->works = br_work_task_new (node);
+  node->claims = br_claim_task_new (node);
   node->callers = br_caller_task_new (node, err);
   if (node->callers == NULL)
     return false;
@@ -359,6 +374,7 @@
 {
   br_caller_task_free (node->callers);
   br_operator_task_free (node->operators);
+  br_claim_task_free (node->claims);
   br_work_task_free (node->works);
   br_contract_task_free (node->contracts);
   br_upstream_task_free (node->upstreams);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -25,6 +25,7 @@
 typedef struct br_operator_task br_operator_task_t;
 typedef struct br_replica_task br_replica_task_t;
 typedef struct br_contract_task br_contract_task_t;
+typedef struct br_claim_task br_claim_task_t;
 
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
@@ -79,13 +80,6 @@
   br_buf_t payload; /* owned by the message */
 } br_peer_message_t;
 
-typedef enum
-{
-  BR_PROPOSAL_COMMITTED, /* in force, and RESULT is the state's answer */
-  BR_PROPOSAL_REFUSED,   /* surely not in the log, now or later */
-  BR_PROPOSAL_UNKNOWN,   /* may be or become committed */
-} br_proposal_outcome_t;
-
 typedef struct
 {
   uint64_t ticket;
@@ -116,6 +110,10 @@
   };
 } br_node_message_t;
 
+/* Hears of every outcome; PROPOSAL is a view. */
+typedef void (*br_proposal_fn) (void *context,
+                                const br_proposal_message_t *proposal);
+
 struct br_node
 {
   struct event_base *base; /* owned */
@@ -136,7 +134,10 @@
   br_operator_task_t *operators;
   br_replica_task_t *replica;
   br_contract_task_t *contracts;
-  br_state_t *state; /* owned; changed by the replica task alone */
+  br_claim_task_t *claims;
+  br_state_t *state;          /* owned; changed by the replica task alone */
+  br_proposal_fn on_proposal; /* of a program that embeds the node; or NULL */
+  void *on_proposal_context;
   struct br_node_queue *queue;
 };
 
