--- a/src/shell/caller_task.c
+++ b/src/shell/caller_task.c
@@ -526,18 +526,6 @@
                        "run at most once");
 }
 
-/* The organisation of a caller that was let in. */
-static br_name_t
-task_organisation (br_caller_task_t *task, struct evhttp_request *request)
-{
-  br_error_t err;
-
-  return br_catalog_organisation_of (&task->node->catalog,
-                                     task_authenticate (task, request, &err),
-                                     &err)
-      ->name;
-}
-
 static void
 task_on_service (br_caller_task_t *task, struct evhttp_request *request)
 {
@@ -558,7 +546,6 @@
       task_refuse (task, request, &err);
       return;
     }
-  options.organisation = task_organisation (task, request);
   task_add_reader (task, request,
                    br_work_task_accept (task->node->works, &options), &head,
                    NULL);
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -7,7 +7,7 @@
 #include "shell/contract_task.h"
 #include "shell/engine_body.h"
 #include "shell/upstream_task.h"
-#include "shell/work_table.h"
+#include "shell/work_inside.h"
 
 /* How long work goes on, and an answer is kept, without a reader. */
 #define UNWATCHED_KEEP_MS 30000
@@ -16,15 +16,6 @@
 /* Attempts for one piece of work that may be repeated. */
 #define ATTEMPTS_MAX 4
 
-struct br_work_task
-{
-  br_node_t *node;
-  br_work_table_t *table;
-  uint64_t last_number;
-  size_t in_progress;
-  struct event *sweep;
-};
-
 static void
 work_changed (br_work_task_t *task, br_work_t *work)
 {
@@ -35,8 +26,8 @@
   br_contract_task_on_answer (task->node->contracts, work);
 }
 
-static void
-work_end (br_work_task_t *task, br_work_t *work, br_work_state_t state)
+void
+br_work_end (br_work_task_t *task, br_work_t *work, br_work_state_t state)
 {
   work->state = state;
   work->unwatched_ms = br_node_now (task->node);
@@ -55,19 +46,19 @@
   work_changed (task, work);
 }
 
-static void
-work_fail (br_work_task_t *task, br_work_t *work, const br_error_t *err)
+void
+br_work_fail (br_work_task_t *task, br_work_t *work, const br_error_t *err)
 {
   if (br_claim_task_take_failure (task->node->claims, work, err))
     return;
   work->error = *err;
   work->error.may_have_run |= work->may_have_run;
-  work_end (task, work, BR_WORK_FAILED);
+  br_work_end (task, work, BR_WORK_FAILED);
 }
 
 /* Forgets the attempt that runs, or ran. */
-static void
-work_drop_attempt (br_work_task_t *task, br_work_t *work)
+void
+br_work_drop_attempt (br_work_task_t *task, br_work_t *work)
 {
   br_upstream_t *upstream
       = br_registry_find (&task->node->registry, br_name_str (&work->upstream));
@@ -119,8 +110,8 @@
   br_buf_free (&body);
 }
 
-static void
-work_try (br_work_task_t *task, br_work_t *work)
+void
+br_work_try (br_work_task_t *task, br_work_t *work)
 {
   br_node_t *node = task->node;
   br_choice_query_t query = {
@@ -148,7 +139,7 @@
   br_error_set (&err, BR_ERROR_UNAVAILABLE, "choose upstream",
                 work->service.data, "no upstream of the service is live");
   err.retry_after_ms = 1000;
-  work_fail (task, work, &err);
+  br_work_fail (task, work, &err);
 }
 
 static void
@@ -182,9 +173,9 @@
   br_log_error (&task->node->log, "work", "attempt_failed", err);
   br_names_push (&work->tried, work->upstream);
   if (work->attempts < ATTEMPTS_MAX)
-    work_try (task, work);
+    br_work_try (task, work);
   else
-    work_fail (task, work, err);
+    br_work_fail (task, work, err);
 }
 
 static void
@@ -202,7 +193,7 @@
     }
   err = message->error;
   err.code = BR_ERROR_UNKNOWN_OUTCOME;
-  work_fail (task, work, &err);
+  br_work_fail (task, work, &err);
 }
 
 static void
@@ -216,7 +207,7 @@
     {
       work->answer.complete = true;
       br_claim_task_on_answer (task->node->claims, work);
-      work_end (task, work, BR_WORK_DONE);
+      br_work_end (task, work, BR_WORK_DONE);
       return;
     }
   br_error_set (&err, BR_ERROR_UPSTREAM, "read answer", work->upstream.data,
@@ -245,11 +236,11 @@
                        br_buf_str (&message->data));
       break;
     case BR_ATTEMPT_DONE:
-      work_drop_attempt (task, work);
+      br_work_drop_attempt (task, work);
       work_on_done (task, work, message->status);
       break;
     case BR_ATTEMPT_FAILED:
-      work_drop_attempt (task, work);
+      br_work_drop_attempt (task, work);
       work_on_failed_attempt (task, work, message);
       break;
     }
@@ -264,7 +255,7 @@
 
   assert (work != NULL && work->state == BR_WORK_RUNNING);
   work->not_after_ms = not_after_ms;
-  work_try (task, work);
+  br_work_try (task, work);
 }
 
 void
@@ -280,7 +271,7 @@
   work->status = status;
   br_answer_add (&work->answer, 0, BR_ANSWER_RAW, body);
   work->answer.complete = true;
-  work_end (task, work, BR_WORK_DONE);
+  br_work_end (task, work, BR_WORK_DONE);
 }
 
 void
@@ -293,12 +284,12 @@
   if (work == NULL || work->state != BR_WORK_RUNNING)
     return;
   work->error = *err;
-  work_end (task, work, BR_WORK_FAILED);
+  br_work_end (task, work, BR_WORK_FAILED);
 }
 
 /* Adds empty work; without CONTRACT it gets one of this VM. */
-static br_work_t *
-task_add (br_work_task_t *task, const br_contract_id_t *contract)
+br_work_t *
+br_work_add (br_work_task_t *task, const br_contract_id_t *contract)
 {
   br_contract_id_t own = {
     .vm = task->node->settings.vm,
@@ -315,7 +306,7 @@
 br_work_t *
 br_work_task_accept (br_work_task_t *task, const br_work_options_t *options)
 {
-  br_work_t *work = task_add (task, NULL);
+  br_work_t *work = br_work_add (task, NULL);
 
   work->organisation = options->organisation;
   work->service = options->service->name;
@@ -333,106 +324,10 @@
           br_field_z ("contract", work->contract_text),
           br_field_str ("service", br_name_str (&work->service)));
   br_contract_task_accept (task->node->contracts, work);
-  work_try (task, work);
+  br_work_try (task, work);
   return work;
 }
 
-br_work_t *
-br_work_task_follow (br_work_task_t *task,
-                     const br_contract_id_t *contract,
-                     const br_name_t *organisation)
-{
-  br_work_t *work = br_work_task_find_contract (task, contract);
-
-  if (work == NULL)
-    work = task_add (task, contract);
-  work->state = BR_WORK_RUNNING;
-  work->organisation = *organisation;
-  work->followed = true;
-  work->repeatable = true;
-  br_contract_task_follow (task->node->contracts, work);
-  return work;
-}
-
-void
-br_work_task_end_followed (br_work_task_t *task,
-                           br_work_t *work,
-                           int status,
-                           const br_error_t *err)
-{
-  work->status = status;
-  if (err != NULL)
-    work_fail (task, work, err);
-  else
-    work_end (task, work, BR_WORK_DONE);
-}
-
-/* Replaces the answer of WORK by that of COPY when the latter has more or
- * differs. */
-static void
-work_take_answer (br_work_t *work, br_contract_copy_t *copy)
-{
-  size_t common = BR_MIN (work->answer.parts.len, copy->answer.parts.len);
-  bool same = br_answer_digest (&work->answer, common)
-              == br_answer_digest (&copy->answer, common);
-
-  if (same && copy->answer.parts.len <= work->answer.parts.len
-      && !copy->answer.complete)
-    return;
-  br_answer_free (&work->answer);
-  work->answer = copy->answer;
-  copy->answer = (br_answer_t){ 0 };
-}
-
-br_work_t *
-br_work_task_take_over (br_work_task_t *task,
-                        const br_contract_id_t *contract,
-                        br_contract_copy_t *copy)
-{
-  br_work_t *work = br_work_task_find_contract (task, contract);
-  const br_contract_request_t *request = &copy->request;
-
-  if (work == NULL)
-    work = task_add (task, contract);
-  assert (work->followed || work->body.len == 0);
-  work->followed = false;
-  work->accepted = work->repeatable = work->may_have_run = true;
-  work->state = BR_WORK_RUNNING;
-  work->organisation = request->organisation;
-  work->service = request->service;
-  work->kind = request->streamed ? BR_SERVICE_MODEL : BR_SERVICE_PLAIN;
-  work->method = (enum evhttp_cmd_type)request->method;
-  work->status = (int)copy->status;
-  work->unwatched_ms = br_node_now (task->node);
-  br_buf_clear (&work->path);
-  br_buf_clear (&work->body);
-  br_buf_clear (&work->content_type);
-  br_buf_append (&work->path, br_buf_str (&request->path));
-  br_buf_append (&work->body, br_buf_str (&request->body));
-  br_buf_append (&work->content_type, br_buf_str (&request->content_type));
-  work_take_answer (work, copy);
-  task->in_progress++;
-  return work;
-}
-
-void
-br_work_task_resume (br_work_task_t *task, br_work_t *work)
-{
-  if (work->answer.complete)
-    work_end (task, work, BR_WORK_DONE);
-  else
-    work_try (task, work);
-}
-
-void
-br_work_task_release (br_work_task_t *task, br_work_t *work)
-{
-  br_upstream_task_cancel (task->node->upstreams, work->attempt);
-  work_drop_attempt (task, work);
-  work->followed = true;
-  task->in_progress--;
-}
-
 br_work_t *
 br_work_task_find (br_work_task_t *task, uint64_t number)
 {
@@ -471,11 +366,11 @@
   br_error_t err;
 
   br_upstream_task_cancel (task->node->upstreams, work->attempt);
-  work_drop_attempt (task, work);
+  br_work_drop_attempt (task, work);
   work->may_have_run = true;
   br_error_set (&err, BR_ERROR_TIMEOUT, "wait for reader", "",
                 "nobody read the answer for %d ms", UNWATCHED_KEEP_MS);
-  work_fail (task, work, &err);
+  br_work_fail (task, work, &err);
 }
 
 static void
