Readers of answers have their own file; an owner of an old incarnation is lost

A VM that holds a copy does not answer 503 while it may become the owner. process.contract_cut looked for the new partner before the owner's side could know of the cut (failed once in 42 tests at -j6): it waits for it now, bounded.

--- a/src/contract/follow.c
+++ b/src/contract/follow.c
@@ -24,6 +24,7 @@
   br_answer_t *answer;
   br_names_t asked;
   br_names_t denied; /* said that they know nothing */
+  bool copy_here;
   bool has_copy;     /* a VM said that it holds a copy */
   br_ms_t since_ms;  /* the state began */
   br_ms_t search_ms; /* the search began */
@@ -283,7 +284,7 @@
 {
   if (follow->state == FOLLOW_ASKING_FIRST)
     follow_ask_all (follows, follow, now);
-  else if (follow->has_copy
+  else if ((follow->has_copy || follow->copy_here)
            && now - follow->search_ms < follows->options.give_up_ms)
     {
       follow->state = FOLLOW_WAITING;
@@ -422,6 +423,7 @@
 br_follows_start (br_follows_t *follows,
                   const br_contract_id_t *contract,
                   const br_name_t *owner,
+                  bool copy_here,
                   br_answer_t *answer,
                   br_ms_t now)
 {
@@ -435,6 +437,7 @@
       HASH_ADD_STR (follows->all, key, follow);
     }
   follow->answer = answer;
+  follow->copy_here = copy_here;
   follow->search_ms = now;
   if (owner != NULL)
     follow_read (follows, follow, owner, now);
--- a/src/contract/partner.c
+++ b/src/contract/partner.c
@@ -181,7 +181,8 @@
   const br_contract_peer_t *peer
       = br_contracts_peer (contracts, &record->epoch.owner);
 
-  if (peer == NULL)
+  /* The owner's process may have been replaced before the copy came. */
+  if (peer == NULL || record->epoch.owner_incarnation < peer->incarnation)
     return true;
   return !peer->up
          && now - BR_MAX (peer->down_ms, peer->heard_ms)
--- a/src/shell/caller_task.c
+++ b/src/shell/caller_task.c
@@ -13,20 +13,15 @@
 
 #include "shell/engine_body.h"
 #include "shell/http_reply.h"
+#include "shell/reader.h"
 #include "shell/work_task.h"
 
 #define IDLE_CONNECTION_S 60
 
-/* Buckets in which readers are found by their work. */
-#define READER_BUCKETS 4096
-
 /* Connections that wait to be accepted: a surge must not wait for the first
  * retransmission of a connect, one second. */
 #define LISTEN_BACKLOG 4096
 
-/* A caller that waits for its first token hears of acceptance by then. */
-#define HEAD_DELAY_MS 200
-
 /* ": " and the line's end. */
 #define HEADER_PUNCTUATION 4
 
@@ -38,354 +33,14 @@
 static const char services_prefix[] = "/services/";
 static const char contracts_prefix[] = "/v1/contracts/";
 
-/* One caller that reads the answer of one piece of work. */
-typedef struct reader
-{
-  br_caller_task_t *task;
-  struct evhttp_request *request;
-  struct event *closed; /* fires when the caller's connection ends */
-  uint64_t work;
-  size_t offset;        /* parts written, or read by the caller elsewhere */
-  uint64_t digest;      /* of these parts, once it is known */
-  br_event_id_t resume; /* where the caller goes on */
-  bool resumed;         /* RESUME fits the answer */
-  struct event *head;   /* fires when the head of a stream is due */
-  bool stream;
-  bool chat;
-  bool started; /* the head of a streamed reply is sent */
-  br_name_t model;
-  struct reader *next;
-} reader_t;
-
 struct br_caller_task
 {
   br_node_t *node;
   struct evhttp *http;
   struct evhttp_bound_socket *socket;
-  reader_t *readers[READER_BUCKETS]; /* by the number of their work */
-  size_t n_readers;
+  br_readers_t *readers;
 };
 
-static reader_t **
-task_bucket (br_caller_task_t *task, uint64_t work)
-{
-  return &task->readers[work % READER_BUCKETS];
-}
-
-static void
-reader_free (reader_t *reader)
-{
-  br_caller_task_t *task = reader->task;
-  br_work_t *work = br_work_task_find (task->node->works, reader->work);
-  reader_t **at = task_bucket (task, reader->work);
-
-  while (*at != reader)
-    at = &(*at)->next;
-  *at = reader->next;
-  task->n_readers--;
-  if (work != NULL)
-    br_work_unwatch (task->node->works, work);
-  event_free (reader->closed);
-  event_free (reader->head);
-  free (reader);
-}
-
-/* The caller went away: the work goes on without it. */
-static void
-reader_on_closed (evutil_socket_t fd, short what, void *context)
-{
-  reader_t *reader = context;
-  struct evhttp_request *request = reader->request;
-  struct evhttp_connection *connection
-      = evhttp_request_get_connection (request);
-
-  (void)fd;
-  (void)what;
-  reader_free (reader);
-  /* Frees the request as well. */
-  if (connection != NULL)
-    evhttp_connection_free (connection);
-}
-
-static bool
-reader_is_too_slow (const reader_t *reader)
-{
-  struct evhttp_connection *connection
-      = evhttp_request_get_connection (reader->request);
-  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
-  size_t waiting = evbuffer_get_length (bufferevent_get_output (bev));
-
-  return waiting
-         > (size_t)reader->task->node->settings.reader_backlog_max_bytes;
-}
-
-static void
-reader_send (reader_t *reader, br_str_t bytes)
-{
-  struct evbuffer *chunk = evbuffer_new ();
-
-  evbuffer_add (chunk, bytes.data, bytes.len);
-  evhttp_send_reply_chunk (reader->request, chunk);
-  evbuffer_free (chunk);
-  br_counters_add (&reader->task->node->counters, BR_COUNTER_BYTES_STREAMED,
-                   bytes.len);
-}
-
-static void
-reader_add_partner (reader_t *reader, const br_work_t *work)
-{
-  if (work->repeatable && !work->followed)
-    evhttp_add_header (evhttp_request_get_output_headers (reader->request),
-                       "X-Contract-Partner",
-                       work->partner.len > 0 ? work->partner.data : "none");
-}
-
-static void
-reader_start_stream (reader_t *reader, const br_work_t *work)
-{
-  struct evkeyvalq *headers
-      = evhttp_request_get_output_headers (reader->request);
-
-  if (reader->started)
-    return;
-  reader->started = true;
-  reader_add_partner (reader, work);
-  evhttp_add_header (headers, "Content-Type", "text/event-stream");
-  evhttp_add_header (headers, "Cache-Control", "no-store");
-  evhttp_send_reply_start (reader->request, HTTP_OK, NULL);
-}
-
-static void
-reader_write_parts (reader_t *reader, const br_work_t *work)
-{
-  br_buf_t out = { 0 };
-
-  while (reader->offset < work->answer.parts.len)
-    {
-      size_t offset = reader->offset++;
-
-      reader->digest = br_answer_digest_add (
-          reader->digest, br_answer_part (&work->answer, offset));
-      br_engine_event_write (&work->answer, offset, reader->digest,
-                             work->contract_text, &reader->model, reader->chat,
-                             &out);
-    }
-  if (out.len > 0)
-    {
-      reader_start_stream (reader, work);
-      reader_send (reader, br_buf_str (&out));
-    }
-  br_buf_free (&out);
-}
-
-static void
-reader_end_stream (reader_t *reader, const br_work_t *work)
-{
-  br_buf_t out = { 0 };
-
-  if (work->state == BR_WORK_FAILED && !reader->started)
-    {
-      br_http_reply_error (reader->request, &work->error);
-      return;
-    }
-  reader_start_stream (reader, work);
-  if (work->state == BR_WORK_FAILED)
-    {
-      br_buf_printf (&out, "event: error\ndata: ");
-      br_http_error_json (&work->error, &out);
-      br_buf_printf (&out, "\n");
-    }
-  else
-    br_buf_printf (&out, "data: [DONE]\n\n");
-  reader_send (reader, br_buf_str (&out));
-  evhttp_send_reply_end (reader->request);
-  br_buf_free (&out);
-}
-
-static void
-reader_reply_whole (reader_t *reader, const br_work_t *work)
-{
-  br_buf_t out = { 0 };
-
-  reader_add_partner (reader, work);
-  if (work->state == BR_WORK_FAILED)
-    br_http_reply_error (reader->request, &work->error);
-  else if (work->kind == BR_SERVICE_PLAIN)
-    br_http_reply (reader->request, work->status, "application/json",
-                   br_buf_str (&work->answer.bytes));
-  else
-    {
-      br_completion_write (&work->answer, work->contract_text, &reader->model,
-                           reader->chat, &out);
-      br_http_reply (reader->request, HTTP_OK, "application/json",
-                     br_buf_str (&out));
-    }
-  br_buf_free (&out);
-}
-
-static void
-reader_cut_off (reader_t *reader, const br_work_t *work)
-{
-  BR_LOG (&reader->task->node->log, "caller", "slow_reader",
-          br_field_z ("contract", work->contract_text),
-          br_field_int ("offset", (int64_t)reader->offset));
-  reader_on_closed (-1, 0, reader);
-}
-
-/* Refuses a caller whose parts are not those of the answer. */
-static void
-reader_refuse_resume (reader_t *reader, const br_work_t *work)
-{
-  br_error_t err;
-
-  if (reader->resume.offset > work->answer.parts.len)
-    br_error_set (&err, BR_ERROR_INVALID, "read request", "",
-                  "Last-Event-ID: the answer has %zu parts",
-                  work->answer.parts.len);
-  else
-    br_error_set (&err, BR_ERROR_CONFLICT, "resume answer", "",
-                  "Last-Event-ID: the answer was generated again and differs "
-                  "before this event; read it from the start");
-  br_http_reply_error (reader->request, &err);
-  reader_free (reader);
-}
-
-/* Whether the caller can go on where it wants to.  False while the answer is
- * too short to tell, and when the reader was refused and is gone. */
-static bool
-reader_resume (reader_t *reader, const br_work_t *work)
-{
-  const br_event_id_t *resume = &reader->resume;
-
-  if (reader->resumed)
-    return true;
-  if (resume->offset > work->answer.parts.len)
-    {
-      if (work->state == BR_WORK_DONE)
-        reader_refuse_resume (reader, work);
-      return work->state == BR_WORK_FAILED;
-    }
-  reader->digest = br_answer_digest (&work->answer, resume->offset);
-  if (resume->has_digest && resume->digest != (uint32_t)reader->digest)
-    {
-      reader_refuse_resume (reader, work);
-      return false;
-    }
-  reader->resumed = true;
-  return true;
-}
-
-/* Takes over what became known of work that another VM owns. */
-static void
-reader_learn (reader_t *reader, const br_work_t *work)
-{
-  if (reader->model.len > 0 || work->service.len == 0)
-    return;
-  reader->model = work->service;
-  reader->stream = work->kind == BR_SERVICE_MODEL;
-  reader->chat
-      = br_str_equal (br_buf_str (&work->path), br_str_from (chat_path));
-}
-
-/* Writes what is new; the reader may be freed. */
-static void
-reader_update (reader_t *reader, const br_work_t *work)
-{
-  if (!work->accepted && work->state == BR_WORK_RUNNING)
-    return;
-  reader_learn (reader, work);
-  if (!reader_resume (reader, work))
-    return;
-  if (reader->stream)
-    reader_write_parts (reader, work);
-  if (work->state == BR_WORK_RUNNING)
-    {
-      if (reader->stream && reader_is_too_slow (reader))
-        reader_cut_off (reader, work);
-      return;
-    }
-  if (reader->stream)
-    reader_end_stream (reader, work);
-  else
-    reader_reply_whole (reader, work);
-  reader_free (reader);
-}
-
-void
-br_caller_task_on_work (br_caller_task_t *task, uint64_t number)
-{
-  br_work_t *work = br_work_task_find (task->node->works, number);
-  reader_t *next;
-
-  if (work == NULL)
-    return;
-  for (reader_t *reader = *task_bucket (task, number); reader != NULL;
-       reader = next)
-    {
-      next = reader->next;
-      if (reader->work == number)
-        reader_update (reader, work);
-    }
-}
-
-/* Without a token for a while, the caller hears of acceptance by itself. */
-static void
-reader_on_head (evutil_socket_t fd, short what, void *context)
-{
-  reader_t *reader = context;
-  const br_work_t *work
-      = br_work_task_find (reader->task->node->works, reader->work);
-  struct timeval again = { 0, HEAD_DELAY_MS * 1000 };
-
-  (void)fd;
-  (void)what;
-  if (reader->started || work == NULL || work->state != BR_WORK_RUNNING)
-    return;
-  if (work->accepted && (reader->resumed || reader->offset == 0))
-    reader_start_stream (reader, work);
-  else
-    event_add (reader->head, &again);
-}
-
-static void
-task_add_reader (br_caller_task_t *task,
-                 struct evhttp_request *request,
-                 br_work_t *work,
-                 const br_completion_head_t *head,
-                 const br_event_id_t *resume)
-{
-  struct timeval head_delay = { 0, HEAD_DELAY_MS * 1000 };
-  reader_t *reader = br_alloc_zero (sizeof *reader);
-  struct evhttp_connection *connection
-      = evhttp_request_get_connection (request);
-  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
-  br_node_message_t message = { .kind = BR_NODE_WORK_CHANGED };
-
-  reader->task = task;
-  reader->request = request;
-  reader->work = work->number;
-  if (resume != NULL)
-    reader->resume = *resume;
-  reader->offset = reader->resume.offset;
-  reader->stream = head->stream;
-  reader->chat = head->chat;
-  reader->model = head->model;
-  reader->closed = event_new (task->node->base, bufferevent_getfd (bev),
-                              EV_CLOSED, reader_on_closed, reader);
-  event_add (reader->closed, NULL);
-  reader->head = evtimer_new (task->node->base, reader_on_head, reader);
-  if (reader->stream)
-    event_add (reader->head, &head_delay);
-  reader->next = *task_bucket (task, work->number);
-  *task_bucket (task, work->number) = reader;
-  task->n_readers++;
-  br_work_watch (work);
-  evhttp_add_header (evhttp_request_get_output_headers (request),
-                     "X-Contract-Id", work->contract_text);
-  message.work = work->number;
-  br_node_post (task->node, message);
-}
-
 static void
 task_refuse (br_caller_task_t *task,
              struct evhttp_request *request,
@@ -434,7 +89,8 @@
     return br_error_set (
         err, BR_ERROR_FORBIDDEN, "authorise", workload->name.data,
         "service %s is not open to this workload", service->name.data);
-  if (!node->draining && task->n_readers < (size_t)node->settings.requests_max)
+  if (!node->draining
+      && br_readers_count (task->readers) < (size_t)node->settings.requests_max)
     return true;
   br_error_set (err, BR_ERROR_UNAVAILABLE, "admit", node->settings.vm.data,
                 node->draining ? "this VM is stopping"
@@ -486,9 +142,9 @@
   options.service = task_model_service (task, &head, &err);
   if (options.service == NULL || !task_let_in (task, request, &options, &err))
     goto refuse;
-  task_add_reader (task, request,
-                   br_work_task_accept (task->node->works, &options), &head,
-                   NULL);
+  br_readers_add (task->readers, request,
+                  br_work_task_accept (task->node->works, &options), &head,
+                  NULL);
   return;
 refuse:
   task_refuse (task, request, &err);
@@ -546,9 +202,9 @@
       task_refuse (task, request, &err);
       return;
     }
-  task_add_reader (task, request,
-                   br_work_task_accept (task->node->works, &options), &head,
-                   NULL);
+  br_readers_add (task->readers, request,
+                  br_work_task_accept (task->node->works, &options), &head,
+                  NULL);
 }
 
 /* Finds the work of CONTRACT, here or elsewhere, for ORGANISATION. */
@@ -605,7 +261,7 @@
                              &organisation->name, &err);
   if (work == NULL)
     goto refuse;
-  task_add_reader (task, request, work, &head, &resume);
+  br_readers_add (task->readers, request, work, &head, &resume);
   return;
 refuse:
   task_refuse (task, request, &err);
@@ -792,6 +448,7 @@
   const br_settings_t *settings = &node->settings;
 
   task->node = node;
+  task->readers = br_readers_new (node);
   task->http = evhttp_new (node->base);
   evhttp_set_max_headers_size (task->http,
                                settings->header_max_bytes * HTTP_LIMIT_FACTOR);
@@ -812,6 +469,12 @@
   return NULL;
 }
 
+void
+br_caller_task_on_work (br_caller_task_t *task, uint64_t work)
+{
+  br_readers_on_work (task->readers, work);
+}
+
 void
 br_caller_task_stop_accepting (br_caller_task_t *task)
 {
@@ -824,21 +487,7 @@
 size_t
 br_caller_task_in_progress (const br_caller_task_t *task)
 {
-  return task->n_readers;
-}
-
-static void
-task_free_bucket (reader_t **bucket)
-{
-  while (*bucket != NULL)
-    {
-      reader_t *reader = *bucket;
-
-      *bucket = reader->next;
-      event_free (reader->closed);
-      event_free (reader->head);
-      free (reader);
-    }
+  return br_readers_count (task->readers);
 }
 
 void
@@ -846,8 +495,7 @@
 {
   if (task == NULL)
     return;
-  for (size_t i = 0; i < READER_BUCKETS; i++)
-    task_free_bucket (&task->readers[i]);
+  br_readers_free (task->readers);
   evhttp_free (task->http);
   free (task);
 }
--- a/src/shell/contract_task.c
+++ b/src/shell/contract_task.c
@@ -112,8 +112,8 @@
   if (work->state != BR_WORK_RUNNING)
     return;
   br_work_task_release (task->node->works, work);
-  br_follows_start (task->follows, &work->contract, &action->vm, &work->answer,
-                    br_node_now (task->node));
+  br_follows_start (task->follows, &work->contract, &action->vm, true,
+                    &work->answer, br_node_now (task->node));
 }
 
 static void
@@ -389,8 +389,13 @@
 void
 br_contract_task_follow (br_contract_task_t *task, br_work_t *work)
 {
-  br_follows_start (task->follows, &work->contract, NULL, &work->answer,
-                    br_node_now (task->node));
+  br_contract_epoch_t epoch;
+  bool copy_here
+      = br_contracts_look_up (task->contracts, &work->contract, &epoch)
+        == BR_CONTRACT_AS_PARTNER;
+
+  br_follows_start (task->follows, &work->contract, NULL, copy_here,
+                    &work->answer, br_node_now (task->node));
   task_flush (task);
 }
 
--- /dev/null
+++ b/src/shell/reader.c
@@ -0,0 +1,399 @@
+#include "shell/reader.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include "shell/http_reply.h"
+
+/* Buckets in which readers are found by their work. */
+#define READER_BUCKETS 4096
+
+/* A caller that waits for its first token hears of acceptance by then. */
+#define HEAD_DELAY_MS 200
+
+static const char chat_path[] = "/v1/chat/completions";
+
+/* One caller that reads the answer of one piece of work. */
+typedef struct reader
+{
+  br_readers_t *readers;
+  struct evhttp_request *request;
+  struct event *closed; /* fires when the caller's connection ends */
+  uint64_t work;
+  size_t offset;        /* parts written, or read by the caller elsewhere */
+  uint64_t digest;      /* of these parts, once it is known */
+  br_event_id_t resume; /* where the caller goes on */
+  bool resumed;         /* RESUME fits the answer */
+  struct event *head;   /* fires when the head of a stream is due */
+  bool stream;
+  bool chat;
+  bool started; /* the head of a streamed reply is sent */
+  br_name_t model;
+  struct reader *next;
+} reader_t;
+
+struct br_readers
+{
+  br_node_t *node;
+  reader_t *buckets[READER_BUCKETS]; /* by the number of their work */
+  size_t n;
+};
+
+static reader_t **
+readers_bucket (br_readers_t *readers, uint64_t work)
+{
+  return &readers->buckets[work % READER_BUCKETS];
+}
+
+static void
+reader_free (reader_t *reader)
+{
+  br_readers_t *readers = reader->readers;
+  br_work_t *work = br_work_task_find (readers->node->works, reader->work);
+  reader_t **at = readers_bucket (readers, reader->work);
+
+  while (*at != reader)
+    at = &(*at)->next;
+  *at = reader->next;
+  readers->n--;
+  if (work != NULL)
+    br_work_unwatch (readers->node->works, work);
+  event_free (reader->closed);
+  event_free (reader->head);
+  free (reader);
+}
+
+/* The caller went away: the work goes on without it. */
+static void
+reader_on_closed (evutil_socket_t fd, short what, void *context)
+{
+  reader_t *reader = context;
+  struct evhttp_request *request = reader->request;
+  struct evhttp_connection *connection
+      = evhttp_request_get_connection (request);
+
+  (void)fd;
+  (void)what;
+  reader_free (reader);
+  /* Frees the request as well. */
+  if (connection != NULL)
+    evhttp_connection_free (connection);
+}
+
+static bool
+reader_is_too_slow (const reader_t *reader)
+{
+  struct evhttp_connection *connection
+      = evhttp_request_get_connection (reader->request);
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
+  size_t waiting = evbuffer_get_length (bufferevent_get_output (bev));
+
+  return waiting
+         > (size_t)reader->readers->node->settings.reader_backlog_max_bytes;
+}
+
+static void
+reader_send (reader_t *reader, br_str_t bytes)
+{
+  struct evbuffer *chunk = evbuffer_new ();
+
+  evbuffer_add (chunk, bytes.data, bytes.len);
+  evhttp_send_reply_chunk (reader->request, chunk);
+  evbuffer_free (chunk);
+  br_counters_add (&reader->readers->node->counters, BR_COUNTER_BYTES_STREAMED,
+                   bytes.len);
+}
+
+static void
+reader_add_partner (reader_t *reader, const br_work_t *work)
+{
+  if (work->repeatable && !work->followed)
+    evhttp_add_header (evhttp_request_get_output_headers (reader->request),
+                       "X-Contract-Partner",
+                       work->partner.len > 0 ? work->partner.data : "none");
+}
+
+static void
+reader_start_stream (reader_t *reader, const br_work_t *work)
+{
+  struct evkeyvalq *headers
+      = evhttp_request_get_output_headers (reader->request);
+
+  if (reader->started)
+    return;
+  reader->started = true;
+  reader_add_partner (reader, work);
+  evhttp_add_header (headers, "Content-Type", "text/event-stream");
+  evhttp_add_header (headers, "Cache-Control", "no-store");
+  evhttp_send_reply_start (reader->request, HTTP_OK, NULL);
+}
+
+static void
+reader_write_parts (reader_t *reader, const br_work_t *work)
+{
+  br_buf_t out = { 0 };
+
+  while (reader->offset < work->answer.parts.len)
+    {
+      size_t offset = reader->offset++;
+
+      reader->digest = br_answer_digest_add (
+          reader->digest, br_answer_part (&work->answer, offset));
+      br_engine_event_write (&work->answer, offset, reader->digest,
+                             work->contract_text, &reader->model, reader->chat,
+                             &out);
+    }
+  if (out.len > 0)
+    {
+      reader_start_stream (reader, work);
+      reader_send (reader, br_buf_str (&out));
+    }
+  br_buf_free (&out);
+}
+
+static void
+reader_end_stream (reader_t *reader, const br_work_t *work)
+{
+  br_buf_t out = { 0 };
+
+  if (work->state == BR_WORK_FAILED && !reader->started)
+    {
+      br_http_reply_error (reader->request, &work->error);
+      return;
+    }
+  reader_start_stream (reader, work);
+  if (work->state == BR_WORK_FAILED)
+    {
+      br_buf_printf (&out, "event: error\ndata: ");
+      br_http_error_json (&work->error, &out);
+      br_buf_printf (&out, "\n");
+    }
+  else
+    br_buf_printf (&out, "data: [DONE]\n\n");
+  reader_send (reader, br_buf_str (&out));
+  evhttp_send_reply_end (reader->request);
+  br_buf_free (&out);
+}
+
+static void
+reader_reply_whole (reader_t *reader, const br_work_t *work)
+{
+  br_buf_t out = { 0 };
+
+  reader_add_partner (reader, work);
+  if (work->state == BR_WORK_FAILED)
+    br_http_reply_error (reader->request, &work->error);
+  else if (work->kind == BR_SERVICE_PLAIN)
+    br_http_reply (reader->request, work->status, "application/json",
+                   br_buf_str (&work->answer.bytes));
+  else
+    {
+      br_completion_write (&work->answer, work->contract_text, &reader->model,
+                           reader->chat, &out);
+      br_http_reply (reader->request, HTTP_OK, "application/json",
+                     br_buf_str (&out));
+    }
+  br_buf_free (&out);
+}
+
+static void
+reader_cut_off (reader_t *reader, const br_work_t *work)
+{
+  BR_LOG (&reader->readers->node->log, "caller", "slow_reader",
+          br_field_z ("contract", work->contract_text),
+          br_field_int ("offset", (int64_t)reader->offset));
+  reader_on_closed (-1, 0, reader);
+}
+
+/* Refuses a caller whose parts are not those of the answer. */
+static void
+reader_refuse_resume (reader_t *reader, const br_work_t *work)
+{
+  br_error_t err;
+
+  if (reader->resume.offset > work->answer.parts.len)
+    br_error_set (&err, BR_ERROR_INVALID, "read request", "",
+                  "Last-Event-ID: the answer has %zu parts",
+                  work->answer.parts.len);
+  else
+    br_error_set (&err, BR_ERROR_CONFLICT, "resume answer", "",
+                  "Last-Event-ID: the answer was generated again and differs "
+                  "before this event; read it from the start");
+  br_http_reply_error (reader->request, &err);
+  reader_free (reader);
+}
+
+/* Whether the caller can go on where it wants to.  False while the answer is
+ * too short to tell, and when the reader was refused and is gone. */
+static bool
+reader_resume (reader_t *reader, const br_work_t *work)
+{
+  const br_event_id_t *resume = &reader->resume;
+
+  if (reader->resumed)
+    return true;
+  if (resume->offset > work->answer.parts.len)
+    {
+      if (work->state == BR_WORK_DONE)
+        reader_refuse_resume (reader, work);
+      return work->state == BR_WORK_FAILED;
+    }
+  reader->digest = br_answer_digest (&work->answer, resume->offset);
+  if (resume->has_digest && resume->digest != (uint32_t)reader->digest)
+    {
+      reader_refuse_resume (reader, work);
+      return false;
+    }
+  reader->resumed = true;
+  return true;
+}
+
+/* Takes over what became known of work that another VM owns. */
+static void
+reader_learn (reader_t *reader, const br_work_t *work)
+{
+  if (reader->model.len > 0 || work->service.len == 0)
+    return;
+  reader->model = work->service;
+  reader->stream = work->kind == BR_SERVICE_MODEL;
+  reader->chat
+      = br_str_equal (br_buf_str (&work->path), br_str_from (chat_path));
+}
+
+/* Writes what is new; the reader may be freed. */
+static void
+reader_update (reader_t *reader, const br_work_t *work)
+{
+  if (!work->accepted && work->state == BR_WORK_RUNNING)
+    return;
+  reader_learn (reader, work);
+  if (!reader_resume (reader, work))
+    return;
+  if (reader->stream)
+    reader_write_parts (reader, work);
+  if (work->state == BR_WORK_RUNNING)
+    {
+      if (reader->stream && reader_is_too_slow (reader))
+        reader_cut_off (reader, work);
+      return;
+    }
+  if (reader->stream)
+    reader_end_stream (reader, work);
+  else
+    reader_reply_whole (reader, work);
+  reader_free (reader);
+}
+
+void
+br_readers_on_work (br_readers_t *readers, uint64_t number)
+{
+  br_work_t *work = br_work_task_find (readers->node->works, number);
+  reader_t *next;
+
+  if (work == NULL)
+    return;
+  for (reader_t *reader = *readers_bucket (readers, number); reader != NULL;
+       reader = next)
+    {
+      next = reader->next;
+      if (reader->work == number)
+        reader_update (reader, work);
+    }
+}
+
+/* Without a token for a while, the caller hears of acceptance by itself. */
+static void
+reader_on_head (evutil_socket_t fd, short what, void *context)
+{
+  reader_t *reader = context;
+  const br_work_t *work
+      = br_work_task_find (reader->readers->node->works, reader->work);
+  struct timeval again = { 0, HEAD_DELAY_MS * 1000 };
+
+  (void)fd;
+  (void)what;
+  if (reader->started || work == NULL || work->state != BR_WORK_RUNNING)
+    return;
+  if (work->accepted && (reader->resumed || reader->offset == 0))
+    reader_start_stream (reader, work);
+  else
+    event_add (reader->head, &again);
+}
+
+void
+br_readers_add (br_readers_t *readers,
+                struct evhttp_request *request,
+                br_work_t *work,
+                const br_completion_head_t *head,
+                const br_event_id_t *resume)
+{
+  struct timeval head_delay = { 0, HEAD_DELAY_MS * 1000 };
+  reader_t *reader = br_alloc_zero (sizeof *reader);
+  struct evhttp_connection *connection
+      = evhttp_request_get_connection (request);
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
+  br_node_message_t message = { .kind = BR_NODE_WORK_CHANGED };
+
+  reader->readers = readers;
+  reader->request = request;
+  reader->work = work->number;
+  if (resume != NULL)
+    reader->resume = *resume;
+  reader->offset = reader->resume.offset;
+  reader->stream = head->stream;
+  reader->chat = head->chat;
+  reader->model = head->model;
+  reader->closed = event_new (readers->node->base, bufferevent_getfd (bev),
+                              EV_CLOSED, reader_on_closed, reader);
+  event_add (reader->closed, NULL);
+  reader->head = evtimer_new (readers->node->base, reader_on_head, reader);
+  if (reader->stream)
+    event_add (reader->head, &head_delay);
+  reader->next = *readers_bucket (readers, work->number);
+  *readers_bucket (readers, work->number) = reader;
+  readers->n++;
+  br_work_watch (work);
+  evhttp_add_header (evhttp_request_get_output_headers (request),
+                     "X-Contract-Id", work->contract_text);
+  message.work = work->number;
+  br_node_post (readers->node, message);
+}
+
+static void
+readers_free_bucket (reader_t **bucket)
+{
+  while (*bucket != NULL)
+    {
+      reader_t *reader = *bucket;
+
+      *bucket = reader->next;
+      event_free (reader->closed);
+      event_free (reader->head);
+      free (reader);
+    }
+}
+
+br_readers_t *
+br_readers_new (br_node_t *node)
+{
+  br_readers_t *readers = br_alloc_zero (sizeof *readers);
+
+  readers->node = node;
+  return readers;
+}
+
+size_t
+br_readers_count (const br_readers_t *readers)
+{
+  return readers->n;
+}
+
+void
+br_readers_free (br_readers_t *readers)
+{
+  for (size_t i = 0; i < READER_BUCKETS; i++)
+    readers_free_bucket (&readers->buckets[i]);
+  free (readers);
+}
--- a/tests/contract_follow_test.cc
+++ b/tests/contract_follow_test.cc
@@ -76,7 +76,7 @@
   void
   start ()
   {
-    br_follows_start (follows_, &contract_, nullptr, &answer_, 0);
+    br_follows_start (follows_, &contract_, nullptr, false, &answer_, 0);
   }
 
   void
--- a/tests/process/contract_cut.sh
+++ b/tests/process/contract_cut.sh
@@ -27,6 +27,12 @@
 done
 grep -q '"event":"take_over"' "$SITE/lascano-1.log" || site_fail "no take-over"
 # This side found another partner.
+# Each side finds out by itself, in any order.
+for i in $(seq 300); do
+  grep "$id" "$SITE/castillos-1.log" | grep '"event":"held"' |
+    grep -q castillos-2 && break
+  sleep 0.01
+done
 grep "$id" "$SITE/castillos-1.log" | grep '"event":"held"' |
   grep -q castillos-2 || site_fail "not protected again"
 # A contract that this side can't know of: which VM could not be asked.
