Drain plan: finish, export or move, by the fewest tokens computed again

Cause: work on a leaving upstream ran on until it was cut off. A second arm has engines that export caches (7,000 tokens a second, an assumption of the model). Recomputed tokens now count only what had been computed before.

--- a/bench/model/arms.c
+++ b/bench/model/arms.c
@@ -92,6 +92,7 @@
     case ARM_PREVIOUS:
       return choose_least (world, vm, request, true);
     case ARM_TODAY:
+    case ARM_EXPORT:
       return choose_router (world, vm, request);
     case ARM_COUNT:
       break;
--- a/bench/model/entry.c
+++ b/bench/model/entry.c
@@ -11,7 +11,7 @@
 static bool
 is_today (const world_t *world)
 {
-  return world->options.arm == ARM_TODAY;
+  return world->options.arm == ARM_TODAY || world->options.arm == ARM_EXPORT;
 }
 
 static uint64_t
@@ -264,6 +264,8 @@
   if (request->attempt != attempt)
     return;
   request->generated = request_generated (world, request);
+  if (request->computed > 0)
+    request->computed = request->prefix.tokens + request->generated;
   vm_drop_attempt (world, request, false);
   request->attempt = 0;
   br_names_push (&request->tried, world->upstreams[request->upstream].name);
@@ -342,11 +344,138 @@
   vm_admission (world, vm, &input);
 }
 
+/* Ends the attempt to go on elsewhere. */
+static void
+vm_move (world_t *world, vm_t *vm, request_t *request)
+{
+  uint64_t attempt = request->attempt;
+  upstream_t *from = &world->upstreams[request->upstream];
+
+  request->generated = request_generated (world, request);
+  if (request->computed > 0)
+    request->computed = request->prefix.tokens + request->generated;
+  vm_drop_attempt (world, request, false);
+  request->attempt = 0;
+  upstream_cancel (world, from, request, attempt);
+  vm_try (world, vm, request);
+}
+
+void
+vm_export (world_t *world, request_t *request, uint64_t attempt)
+{
+  upstream_t *from = &world->upstreams[request->upstream];
+  uint64_t context;
+  event_t *event;
+
+  if (request->attempt != attempt || request->silent)
+    return;
+  context = request->prefix.tokens + request_generated (world, request);
+  from->export_free_ms = BR_MAX (from->export_free_ms, world->now)
+                         + (br_ms_t)(context * 1000 / EXPORT_PER_S) + 1;
+  event = world_at (world, from->export_free_ms - world->now, EVENT_EXPORTED);
+  event->request = request;
+  event->attempt = attempt;
+}
+
+void
+vm_exported (world_t *world, request_t *request, uint64_t attempt)
+{
+  if (request->attempt != attempt || request->silent)
+    return;
+  request->imported = true;
+  vm_move (world, &world->vms[request->vm], request);
+}
+
+/* Tokens that the next upstream would have to read. */
+static uint64_t
+vm_uncached_elsewhere (vm_t *vm, const request_t *request)
+{
+  br_route_query_t query
+      = { .service = br_str_from ("lm"), .prefix = &request->prefix };
+
+  return br_router_choose (vm->router, &query).uncached;
+}
+
+/* The fewest tokens that are to come, by what callers allow. */
+static uint64_t
+request_least (const request_t *request, uint32_t generated)
+{
+  uint64_t least = (uint64_t)(request->max_tokens / MAX_TOKENS_FACTOR);
+
+  return least > generated ? least - generated : 0;
+}
+
+static double
+vm_leaving_share (const world_t *world, const vm_t *vm)
+{
+  int leaving = 0;
+
+  for (int i = 0; i < world->options.site->n_engines; i++)
+    leaving += vm->leaving[i] == vm->incarnation[i];
+  return (double)leaving / world->options.site->n_engines;
+}
+
+static void
+vm_plan_drain (world_t *world, vm_t *vm, int upstream, br_ms_t left_ms)
+{
+  const upstream_t *from = &world->upstreams[upstream];
+  br_drain_options_t options = {
+    .left_ms = left_ms,
+    .token_ms = (uint32_t)from->token_ms,
+    .leaving_share = vm_leaving_share (world, vm),
+  };
+  br_drain_works_t works = { 0 };
+
+  /* Other VMs export from there as well. */
+  if (world->options.arm == ARM_EXPORT)
+    options.export_per_s = EXPORT_PER_S * (uint64_t)vm->in_flight[upstream]
+                           / (uint64_t)BR_MAX (from->n_running, 1);
+
+  for (int i = 0; i < world->n_requests; i++)
+    {
+      request_t *request = &world->requests[i];
+      uint32_t generated;
+
+      if (request->state != REQUEST_RUNNING || request->plain
+          || request->upstream != upstream || &world->vms[request->vm] != vm)
+        continue;
+      generated = request_generated (world, request);
+      br_drain_works_push (
+          &works,
+          (br_drain_work_t){
+              .work = (uint64_t)i,
+              .context = request->prefix.tokens + generated,
+              .uncached = vm_uncached_elsewhere (vm, request) + generated,
+              .remaining_min = request_least (request, generated),
+              .remaining_max = request->max_tokens - generated,
+              .started = request->token_at_ms != MODEL_NEVER,
+          });
+    }
+  br_drain_plan (&options, &works);
+  for (size_t i = 0; i < works.len; i++)
+    {
+      request_t *request = &world->requests[works.items[i].work];
+      event_t *event;
+
+      if (works.items[i].action == BR_DRAIN_MOVE)
+        vm_move (world, vm, request);
+      if (works.items[i].action != BR_DRAIN_EXPORT)
+        continue;
+      event = world_at (world, works.items[i].at_ms, EVENT_EXPORT);
+      event->request = request;
+      event->attempt = request->attempt;
+    }
+  br_drain_works_free (&works);
+}
+
 void
 vm_notice (world_t *world, vm_t *vm, int upstream)
 {
   vm->leaving[upstream] = vm->incarnation[upstream];
   vm_set_eligible (world, vm, upstream, false);
+  if (is_today (world))
+    vm_plan_drain (world, vm, upstream,
+                   world->upstreams[upstream].leave_by_ms - world->now);
 }
 
 static void
--- a/bench/model/model.h
+++ b/bench/model/model.h
@@ -22,7 +22,8 @@
   X (ROUND_ROBIN, "round robin")                                               \
   X (LEAST_IN_FLIGHT, "least in flight")                                       \
   X (PREVIOUS, "near, least in flight")                                        \
-  X (TODAY, "today")
+  X (TODAY, "today")                                                           \
+  X (EXPORT, "today, caches exported")
 
 typedef enum
 {
--- a/bench/model/run.c
+++ b/bench/model/run.c
@@ -222,6 +222,12 @@
     case EVENT_START:
       upstream_start (world, upstream);
       break;
+    case EVENT_EXPORT:
+      vm_export (world, event->request, event->attempt);
+      break;
+    case EVENT_EXPORTED:
+      vm_exported (world, event->request, event->attempt);
+      break;
     case EVENT_FAULT:
       world_fault (world, event);
       break;
--- a/bench/model/upstream.c
+++ b/bench/model/upstream.c
@@ -74,9 +74,11 @@
   br_ms_t from = BR_MAX (world->now, upstream->prefill_free_ms);
   event_t *event;
 
+  if (request->imported)
+    uncached = 1;
+  request->imported = false;
+  world->result.recomputed_tokens += BR_MIN (uncached, request->computed);
   world->result.prefilled_tokens += uncached;
-  if (request->attempts > 1)
-    world->result.recomputed_tokens += uncached;
   upstream->prefill_free_ms
       = from
         + (br_ms_t)(uncached * MS_PER_S / (uint64_t)upstream->prefill_per_s)
@@ -164,6 +166,7 @@
       world_at (world, CRASH_RESTART_MS, EVENT_START)->upstream = number;
       return;
     }
+  request->computed = request->prefix.tokens + request->generated;
   if (attempt_runs (request, attempt))
     {
       request->token_at_ms = world->now;
--- a/bench/model/workload.c
+++ b/bench/model/workload.c
@@ -90,6 +90,10 @@
   request->answer_tokens = 1
                            + (uint32_t)pick_exponential (
                                world, world->options.site->answer_tokens);
+  request->max_tokens = (uint32_t)(request->answer_tokens
+                                   * (1
+                                      + (MAX_TOKENS_FACTOR - 1)
+                                            * br_random_unit (&world->random)));
   request_set_prompt (world, request);
   request->vm = (int)br_random_below (&world->random,
                                       (uint64_t)world->options.site->n_vms);
--- a/bench/model/world.h
+++ b/bench/model/world.h
@@ -6,6 +6,7 @@
 
 #include "base/random.h"
 #include "model.h"
+#include "route/drain.h"
 
 #define RUN_MS 60000
 #define CLIENT_MS 3
@@ -20,6 +21,13 @@
 #define NOTICE_HEARD_MS 300
 #define NOTICE_MS 5000
 #define PATIENCE_MS 30000
+
+/* Callers allow up to this many times the tokens that their answers have. */
+#define MAX_TOKENS_FACTOR 1.5
+
+/* Cache that an engine sends out, in tokens: about 128 KB each over 10 Gbit/s
+ * that it shares with its answers. */
+#define EXPORT_PER_S 7000
 #define ASKS_MAX 6
 
 typedef enum
@@ -41,6 +49,9 @@
   bool crash; /* ends every engine that runs it */
   br_prefix_t prefix;
   uint32_t answer_tokens;
+  uint32_t max_tokens; /* what the caller says that the answer may have */
+  uint64_t computed;   /* tokens that some engine has read or made */
+  bool imported;       /* the next engine gets its cache */
   br_ms_t asked_ms;
   br_ms_t first_token_ms;
   request_state_t state;
@@ -83,6 +94,7 @@
   br_ms_t up_since_ms;
   double up_ms;
   br_ms_t prefill_free_ms;
+  br_ms_t export_free_ms;
   br_ms_t leave_by_ms; /* MODEL_NEVER: stays */
   block_t *cache;      /* the least recently used first */
   request_t *running[64];
@@ -127,6 +139,8 @@
   X (NOTICE_IN)                                                                \
   X (KILL)                                                                     \
   X (START)                                                                    \
+  X (EXPORT)                                                                   \
+  X (EXPORTED)                                                                 \
   X (FAULT)
 
 typedef enum
@@ -213,6 +227,8 @@
 void vm_report (world_t *world, vm_t *vm, const event_t *report);
 void vm_tick (world_t *world, vm_t *vm);
 void vm_notice (world_t *world, vm_t *vm, int upstream);
+void vm_export (world_t *world, request_t *request, uint64_t attempt);
+void vm_exported (world_t *world, request_t *request, uint64_t attempt);
 
 /* arms.c */
 int arm_choose (world_t *world, vm_t *vm, request_t *request);
