--- a/bench/model/arms.c
+++ b/bench/model/arms.c
@@ -71,6 +71,8 @@
     .service = br_str_from (request->plain ? "ledger" : "lm"),
     .prefix = request->plain ? NULL : &request->prefix,
     .tried = &request->tried,
+    .hold_ms = (br_ms_t)request->max_tokens * ENGINE_TOKEN_MS,
+    .now = world->now,
   };
 
   request->route = br_router_choose (vm->router, &query);
--- a/bench/model/entry.c
+++ b/bench/model/entry.c
@@ -388,10 +388,13 @@
 
 /* Tokens that the next upstream would have to read. */
 static uint64_t
-vm_uncached_elsewhere (vm_t *vm, const request_t *request)
+vm_uncached_elsewhere (vm_t *vm, const request_t *request, br_ms_t now)
 {
-  br_route_query_t query
-      = { .service = br_str_from ("lm"), .prefix = &request->prefix };
+  br_route_query_t query = {
+    .service = br_str_from ("lm"),
+    .prefix = &request->prefix,
+    .now = now,
+  };
 
   return br_router_choose (vm->router, &query).uncached;
 }
@@ -445,7 +448,8 @@
           (br_drain_work_t){
               .work = (uint64_t)i,
               .context = request->prefix.tokens + generated,
-              .uncached = vm_uncached_elsewhere (vm, request) + generated,
+              .uncached
+              = vm_uncached_elsewhere (vm, request, world->now) + generated,
               .remaining_min = request_least (request, generated),
               .remaining_max = request->max_tokens - generated,
               .started = request->token_at_ms != MODEL_NEVER,
@@ -473,6 +477,7 @@
 {
   vm->leaving[upstream] = vm->incarnation[upstream];
   vm_set_eligible (world, vm, upstream, false);
+  br_router_notice (vm->router, vm->numbers[upstream], world->now);
   if (is_today (world))
     vm_plan_drain (world, vm, upstream,
                    world->upstreams[upstream].leave_by_ms - world->now);
@@ -489,6 +494,7 @@
         .failure_domain
         = br_name_from (world->options.site->domains[from->domain]),
         .incarnation = 1,
+        .reclaimable = from->reclaimable,
       };
 
       br_labels_set (&upstream.labels, br_str_from ("kind"),
--- a/bench/model/world.h
+++ b/bench/model/world.h
@@ -21,6 +21,7 @@
 #define NOTICE_HEARD_MS 300
 #define NOTICE_MS 5000
 #define PATIENCE_MS 30000
+#define ENGINE_TOKEN_MS 28
 
 /* Callers allow up to this many times the tokens that their answers have. */
 #define MAX_TOKENS_FACTOR 1.5
--- a/src/route/choice.c
+++ b/src/route/choice.c
@@ -16,6 +16,7 @@
   float best_score;
   float best_ms;
   uint64_t best_uncached;
+  float reclaim_ms; /* what being reclaimable counts for this request */
 } choice_t;
 
 static bool
@@ -51,6 +52,12 @@
              + domain->delay_ms;
   float score = ms + domain->cost_ms + estimate->active * SPREAD_MS;
 
+  if (candidate->reclaimable)
+    score += choice->reclaim_ms
+             + (choice->query->now < domain->wave_until_ms
+                    ? (float)BR_ROUTE_WAVE_COST_MS
+                    : 0);
+
   if (score >= choice->best_score || !candidate->eligible
       || (choice->n_tried > 0 && choice_was_tried (choice, upstream)))
     return;
@@ -139,6 +146,13 @@
           = br_router_find (router, br_name_str (&tried->items[i]));
 }
 
+static float
+reclaim_ms (br_ms_t hold_ms)
+{
+  return (float)BR_MIN (hold_ms, BR_ROUTE_RECLAIM_HOLD_MS) * BR_ROUTE_RECLAIM_MS
+         / BR_ROUTE_RECLAIM_HOLD_MS;
+}
+
 br_route_t
 br_router_choose (br_router_t *router, const br_route_query_t *query)
 {
@@ -153,6 +167,7 @@
   choice.best_score = FLT_MAX;
   choice.best_ms = 0;
   choice.best_uncached = 0;
+  choice.reclaim_ms = reclaim_ms (query->hold_ms);
   if (service == NULL)
     return (br_route_t){ .upstream = BR_ROUTE_NONE };
   choice_set_tried (&choice, router, query->tried);
--- a/src/route/estimate.c
+++ b/src/route/estimate.c
@@ -2,6 +2,7 @@
 
 #define MS_PER_S 1000.0F
 #define HOLD_SMOOTHING 0.1
+#define BUSY_MAX 0.9
 
 static void
 events_add (br_estimate_events_t *events, br_ms_t now)
@@ -46,6 +47,20 @@
   return BR_MAX (active, (int64_t)estimate->own);
 }
 
+/* Prompts of others that are being read: as many come in the time that one
+ * takes as the report and the time of an attempt say. */
+static float
+estimate_others_ms (const br_estimate_t *estimate,
+                    int64_t active,
+                    double hold_ms)
+{
+  double read_ms = estimate->uncached * (double)estimate->token_ms;
+  double busy = (double)(active - estimate->own) * read_ms / hold_ms;
+
+  busy = BR_MIN (busy, BUSY_MAX);
+  return (float)(read_ms * busy / (2 * (1 - busy)));
+}
+
 static void
 estimate_update (br_estimate_t *estimate)
 {
@@ -60,7 +75,8 @@
 
   estimate->token_ms = MS_PER_S / (float)prefill;
   estimate->active = (float)active / (float)slots;
-  estimate->wait_ms = (float)estimate->pending_prefill * estimate->token_ms;
+  estimate->wait_ms = (float)estimate->pending_prefill * estimate->token_ms
+                      + estimate_others_ms (estimate, active, hold_ms);
   if (over > 0)
     estimate->wait_ms += (float)((double)over * hold_ms / (double)slots);
 }
@@ -79,6 +95,8 @@
 {
   estimate->own++;
   estimate->pending_prefill += uncached;
+  estimate->uncached
+      += HOLD_SMOOTHING * ((double)uncached - estimate->uncached);
   events_add (&estimate->sent, now);
   estimate_update (estimate);
 }
--- a/src/route/estimate.h
+++ b/src/route/estimate.h
@@ -31,6 +31,7 @@
   uint32_t own;             /* attempts of this VM that run there */
   uint64_t pending_prefill; /* prompt tokens sent, without a first token yet */
   double hold_ms;           /* smoothed time of an attempt; 0: not measured */
+  double uncached;          /* smoothed prompt tokens of an attempt */
   br_estimate_events_t sent;
   br_estimate_events_t ended;
   float wait_ms;  /* until a new prompt would be read */
--- a/src/route/router.c
+++ b/src/route/router.c
@@ -106,6 +106,16 @@
   return &router->upstreams[upstream].name;
 }
 
+void
+br_router_notice (br_router_t *router, uint32_t upstream, br_ms_t at_ms)
+{
+  br_route_domain_t *domain
+      = &router->domains.items[router->upstreams[upstream].domain];
+
+  domain->wave_until_ms
+      = BR_MAX (domain->wave_until_ms, at_ms + BR_ROUTE_WAVE_MS);
+}
+
 /* Updates an entry for UPSTREAM, which is new or another incarnation when what
  * is known of the old one does not hold any more. */
 static void
@@ -125,6 +135,10 @@
   candidate->domain = router_domain (router, &upstream->failure_domain);
   candidate->present = true;
   candidate->eligible = upstream->state == BR_UPSTREAM_LIVE;
+  candidate->reclaimable = upstream->reclaimable;
+  if (upstream->leaving)
+    br_router_notice (router, (uint32_t)(candidate - router->upstreams),
+                      upstream->state_ms);
   br_estimate_report (&candidate->estimate, &upstream->load);
 }
 
--- a/src/route/router.h
+++ b/src/route/router.h
@@ -20,6 +20,15 @@
 #define BR_ROUTE_SCAN_OWN 512
 #define BR_ROUTE_SCAN_OTHER 16
 
+/* What an upstream that can be reclaimed counts worse for work that will run
+ * for this long, in proportion, and in a failure domain with a notice. */
+#define BR_ROUTE_RECLAIM_MS 30
+#define BR_ROUTE_RECLAIM_HOLD_MS 5000
+#define BR_ROUTE_WAVE_COST_MS 30
+
+/* How long a notice makes further ones in its failure domain likely. */
+#define BR_ROUTE_WAVE_MS 30000
+
 /* What an upstream in another failure domain must be better by when nothing
  * is known of the link. */
 #define BR_ROUTE_LINK_MS 8
@@ -36,6 +45,8 @@
   br_str_t service;
   const br_prefix_t *prefix; /* NULL for plain services */
   const br_names_t *tried;   /* upstreams not to take again */
+  br_ms_t hold_ms;           /* how long it will run, roughly; 0: not known */
+  br_ms_t now;
 } br_route_query_t;
 
 typedef struct
@@ -68,6 +79,8 @@
 /* Takes the upstream out until the next build, or back in. */
 void
 br_router_set_eligible (br_router_t *router, uint32_t upstream, bool eligible);
+/* A notice was given for the upstream at AT_MS. */
+void br_router_notice (br_router_t *router, uint32_t upstream, br_ms_t at_ms);
 void br_router_report (br_router_t *router,
                        uint32_t upstream,
                        const br_load_t *load);
--- a/src/route/router_index.h
+++ b/src/route/router_index.h
@@ -16,6 +16,7 @@
   uint32_t domain;
   bool present;  /* in the registry; else the number is free */
   bool eligible; /* may get work */
+  bool reclaimable;
   br_estimate_t estimate;
   UT_hash_handle hh;
 } br_route_candidate_t;
@@ -25,6 +26,7 @@
   br_name_t name;
   float delay_ms;
   float cost_ms;
+  br_ms_t wave_until_ms; /* further notices are likely until then */
 } br_route_domain_t;
 
 /* Members of a service in one failure domain. */
