Admission: room by slots and prompts, and a part kept for small organisations

Changes: a VM runs its part of all slots and its part of the free ones; an eighth of the slots is kept for organisations that have less than their part running; no more prompts wait at an upstream than it reads in 500 ms.

--- a/bench/model/entry.c
+++ b/bench/model/entry.c
@@ -205,6 +205,20 @@
     vm_try (world, &world->vms[request->vm], request);
 }
 
+static void
+vm_set_capacity (world_t *world, vm_t *vm, const char *service)
+{
+  br_admission_input_t input = { .kind = BR_ADMISSION_CAPACITY };
+  br_route_capacity_t capacity;
+
+  input.capacity.service = br_name_from (service);
+  capacity = br_router_capacity (vm->router, br_str_from (service),
+                                 (size_t)world->options.site->n_vms);
+  input.capacity.most = capacity.most;
+  input.capacity.usual = capacity.usual;
+  vm_admission (world, vm, &input);
+}
+
 void
 vm_first (world_t *world, request_t *request, uint64_t attempt)
 {
@@ -214,8 +228,12 @@
     request->first_token_ms = world->now + CLIENT_MS;
   request->prefilled = true;
   if (is_today (world))
-    br_router_first_token (world->vms[request->vm].router,
-                           request->route.upstream, request->route.uncached);
+    {
+      br_router_first_token (world->vms[request->vm].router,
+                             request->route.upstream, request->route.uncached);
+      vm_set_capacity (world, &world->vms[request->vm],
+                       request->plain ? "ledger" : "lm");
+    }
 }
 
 void
@@ -318,17 +336,6 @@
     br_router_report (vm->router, vm->numbers[upstream], &report->load);
 }
 
-static void
-vm_set_capacity (world_t *world, vm_t *vm, const char *service)
-{
-  br_admission_input_t input = { .kind = BR_ADMISSION_CAPACITY };
-
-  input.capacity.service = br_name_from (service);
-  input.capacity.requests = br_router_capacity (
-      vm->router, br_str_from (service), (size_t)world->options.site->n_vms);
-  vm_admission (world, vm, &input);
-}
-
 void
 vm_tick (world_t *world, vm_t *vm)
 {
--- a/src/organisation/admission.c
+++ b/src/organisation/admission.c
@@ -17,6 +17,7 @@
 {
   br_name_t service;
   uint64_t capacity; /* requests that may run; UINT64_MAX when not known */
+  uint64_t usual;    /* of these, for organisations above their part */
   uint64_t running;
   br_fair_queue_t queue;
   double done_tokens; /* smoothed, of a request that has ended */
@@ -78,7 +79,8 @@
 static size_t
 admission_pool (br_admission_t *admission, const br_name_t *service)
 {
-  pool_t fresh = { .service = *service, .capacity = UINT64_MAX };
+  pool_t fresh
+      = { .service = *service, .capacity = UINT64_MAX, .usual = UINT64_MAX };
 
   for (size_t i = 0; i < admission->pools.len; i++)
     if (br_name_equal (&admission->pools.items[i].service, service))
@@ -142,6 +144,26 @@
   free (ticket);
 }
 
+/* Whether one more request of ORGANISATION may run now. */
+static bool
+pool_has_room (pool_t *pool, const br_name_t *organisation)
+{
+  if (pool->running >= pool->capacity)
+    return false;
+  return pool->running < pool->usual
+         || br_fair_queue_running (&pool->queue, organisation)
+                < br_fair_queue_part (&pool->queue, organisation,
+                                      pool->capacity);
+}
+
+static bool
+pool_next_has_room (pool_t *pool)
+{
+  const br_name_t *next = br_fair_queue_next (&pool->queue);
+
+  return next != NULL && pool_has_room (pool, next);
+}
+
 static void
 admission_start (br_admission_t *admission,
                  ticket_t *ticket,
@@ -150,10 +172,12 @@
 {
   br_admission_output_t output
       = { .kind = BR_ADMISSION_ADMITTED, .ticket = ticket->number };
+  pool_t *pool = &admission->pools.items[ticket->pool];
 
   ticket->running = true;
   ticket->started_ms = now;
-  admission->pools.items[ticket->pool].running++;
+  pool->running++;
+  br_fair_queue_started (&pool->queue, &ticket->organisation);
   admission->running++;
   br_admission_outbox_push (outbox, output);
 }
@@ -185,9 +209,9 @@
 
   while (br_fair_queue_pop_late (&pool->queue, now, &item))
     admission_refuse_waiting (admission, pool, item.ticket, now, outbox);
-  while (pool->running < pool->capacity
-         && br_fair_queue_pop (&pool->queue, &item))
+  while (pool_next_has_room (pool))
     {
+      br_fair_queue_pop (&pool->queue, &item);
       admission->waiting--;
       admission_start (admission, admission_ticket (admission, item.ticket),
                        now, outbox);
@@ -252,10 +276,13 @@
   size_t index = admission_pool (admission, &ask->service);
   pool_t *pool = &admission->pools.items[index];
   br_ms_t limit_wait_ms = br_limits_ask (organisation, now);
-  bool must_wait = pool->queue.len > 0 || pool->running >= pool->capacity;
+  bool must_wait;
   ticket_t *ticket;
 
   assert (admission_ticket (admission, ask->ticket) == NULL);
+  br_fair_queue_set_weight (&pool->queue, &ask->organisation,
+                            organisation->declared.weight);
+  must_wait = pool->queue.len > 0 || !pool_has_room (pool, &ask->organisation);
   if (limit_wait_ms > 0)
     {
       outbox_refuse (outbox, ask->ticket, BR_ERROR_LIMITED, &ask->organisation,
@@ -271,13 +298,12 @@
       admission_start (admission, ticket, now, outbox);
       return;
     }
-  br_fair_queue_set_weight (&pool->queue, &ask->organisation,
-                            organisation->declared.weight);
   br_fair_queue_push (&pool->queue, &ask->organisation,
                       (br_fair_item_t){ .ticket = ask->ticket,
                                         .tokens = ticket->tokens,
                                         .deadline_ms = ask->deadline_ms });
   admission->waiting++;
+  admission_pump (admission, pool, now, outbox);
 }
 
 static void
@@ -312,6 +338,7 @@
   if (ticket->running)
     {
       pool->running--;
+      br_fair_queue_ended (&pool->queue, &ticket->organisation);
       admission->running--;
       if (measure)
         pool_measure (pool, ticket->tokens, now - ticket->started_ms);
@@ -355,7 +382,8 @@
     case BR_ADMISSION_CAPACITY:
       index = admission_pool (admission, &input->capacity.service);
       pool = &admission->pools.items[index];
-      pool->capacity = input->capacity.requests;
+      pool->capacity = input->capacity.most;
+      pool->usual = input->capacity.usual;
       admission_pump (admission, pool, now, outbox);
       break;
     case BR_ADMISSION_ASK:
--- a/src/organisation/admission.h
+++ b/src/organisation/admission.h
@@ -93,7 +93,9 @@
     struct
     {
       br_name_t service;
-      uint64_t requests; /* UINT64_MAX when it is not known */
+      uint64_t most;  /* requests that may run; UINT64_MAX: not known */
+      uint64_t usual; /* without what is kept for organisations that have
+                         less running than their part */
     } capacity;
     br_admission_ask_t ask;
     uint64_t give_up;
--- a/src/organisation/fair_queue.c
+++ b/src/organisation/fair_queue.c
@@ -126,23 +126,81 @@
   queue->len++;
 }
 
-bool
-br_fair_queue_pop (br_fair_queue_t *queue, br_fair_item_t *item)
+void
+br_fair_queue_started (br_fair_queue_t *queue, const br_name_t *organisation)
+{
+  queue_flow (queue, organisation)->running++;
+}
+
+void
+br_fair_queue_ended (br_fair_queue_t *queue, const br_name_t *organisation)
+{
+  br_fair_flow_t *flow = queue_flow (queue, organisation);
+
+  assert (flow->running > 0);
+  flow->running--;
+}
+
+uint64_t
+br_fair_queue_running (br_fair_queue_t *queue, const br_name_t *organisation)
+{
+  return queue_flow (queue, organisation)->running;
+}
+
+uint64_t
+br_fair_queue_part (br_fair_queue_t *queue,
+                    const br_name_t *organisation,
+                    uint64_t capacity)
 {
-  br_fair_flow_t *first = NULL;
+  br_fair_flow_t *flow = queue_flow (queue, organisation);
+  uint64_t weights = 0;
 
   for (size_t i = 0; i < queue->flows.len; i++)
     {
-      br_fair_flow_t *each = &queue->flows.items[i];
+      const br_fair_flow_t *each = &queue->flows.items[i];
+
+      if (each == flow || each->running > 0 || !flow_is_empty (each))
+        weights += (uint64_t)each->weight;
+    }
+  return capacity * (uint64_t)flow->weight / weights;
+}
+
+static size_t
+queue_first (const br_fair_queue_t *queue)
+{
+  size_t first = queue->flows.len;
+
+  for (size_t i = 0; i < queue->flows.len; i++)
+    {
+      const br_fair_flow_t *each = &queue->flows.items[i];
 
       if (!flow_is_empty (each)
-          && (first == NULL || flow_start (each) < flow_start (first)))
-        first = each;
+          && (first == queue->flows.len
+              || flow_start (each) < flow_start (&queue->flows.items[first])))
+        first = i;
     }
-  if (first == NULL)
+  return first;
+}
+
+const br_name_t *
+br_fair_queue_next (const br_fair_queue_t *queue)
+{
+  size_t first = queue_first (queue);
+
+  return first < queue->flows.len ? &queue->flows.items[first].organisation
+                                  : NULL;
+}
+
+bool
+br_fair_queue_pop (br_fair_queue_t *queue, br_fair_item_t *item)
+{
+  size_t first = queue_first (queue);
+  br_fair_flow_t *flow = &queue->flows.items[first];
+
+  if (first == queue->flows.len)
     return false;
-  queue->virtual_time = BR_MAX (queue->virtual_time, flow_start (first));
-  *item = queue_take (queue, first, first->head);
+  queue->virtual_time = BR_MAX (queue->virtual_time, flow_start (flow));
+  *item = queue_take (queue, flow, flow->head);
   return true;
 }
 
--- a/src/organisation/fair_queue.h
+++ b/src/organisation/fair_queue.h
@@ -28,8 +28,9 @@
   int64_t weight;
   uint64_t finish; /* virtual time at which its last request ends */
   br_fair_items_t items;
-  size_t head;     /* first of ITEMS that still waits */
-  uint64_t tokens; /* of all that wait */
+  size_t head;      /* first of ITEMS that still waits */
+  uint64_t tokens;  /* of all that wait */
+  uint64_t running; /* requests that were taken and have not ended */
 } br_fair_flow_t;
 
 BR_VEC (br_fair_flows, br_fair_flow_t);
@@ -49,6 +50,25 @@
 void br_fair_queue_set_weight (br_fair_queue_t *queue,
                                const br_name_t *organisation,
                                int64_t weight);
+/* Counts a request of ORGANISATION that runs, or has ended. */
+void br_fair_queue_started (br_fair_queue_t *queue,
+                            const br_name_t *organisation);
+void br_fair_queue_ended (br_fair_queue_t *queue,
+                          const br_name_t *organisation);
+
+/* Returns how many of CAPACITY requests that run are ORGANISATION's part, by
+ * its weight among those that wait or run, itself included. */
+uint64_t br_fair_queue_part (br_fair_queue_t *queue,
+                             const br_name_t *organisation,
+                             uint64_t capacity);
+
+/* Returns the organisation whose turn it is, or NULL when none waits; valid
+ * until the queue changes. */
+const br_name_t *br_fair_queue_next (const br_fair_queue_t *queue);
+
+/* Returns how many requests of ORGANISATION run. */
+uint64_t br_fair_queue_running (br_fair_queue_t *queue,
+                                const br_name_t *organisation);
 void br_fair_queue_push (br_fair_queue_t *queue,
                          const br_name_t *organisation,
                          br_fair_item_t item);
--- a/src/route/estimate.c
+++ b/src/route/estimate.c
@@ -75,8 +75,9 @@
 
   estimate->token_ms = MS_PER_S / (float)prefill;
   estimate->active = (float)active / (float)slots;
-  estimate->wait_ms = (float)estimate->pending_prefill * estimate->token_ms
-                      + estimate_others_ms (estimate, active, hold_ms);
+  estimate->prefill_ms = (float)estimate->pending_prefill * estimate->token_ms
+                         + estimate_others_ms (estimate, active, hold_ms);
+  estimate->wait_ms = estimate->prefill_ms;
   if (over > 0)
     estimate->wait_ms += (float)((double)over * hold_ms / (double)slots);
 }
@@ -125,7 +126,16 @@
 }
 
 int64_t
-br_estimate_room (const br_estimate_t *estimate)
+br_estimate_slots_free (const br_estimate_t *estimate)
 {
   return (int64_t)estimate_slots (estimate) - estimate_active (estimate);
 }
+
+int64_t
+br_estimate_prompts (const br_estimate_t *estimate, br_ms_t queue_ms)
+{
+  float read_ms = BR_MAX ((float)estimate->uncached * estimate->token_ms, 1);
+  float left_ms = (float)queue_ms - estimate->prefill_ms;
+
+  return (int64_t)(BR_MAX (left_ms, 0) / read_ms);
+}
--- a/src/route/estimate.h
+++ b/src/route/estimate.h
@@ -34,9 +34,10 @@
   double uncached;          /* smoothed prompt tokens of an attempt */
   br_estimate_events_t sent;
   br_estimate_events_t ended;
-  float wait_ms;  /* until a new prompt would be read */
-  float active;   /* requests there, per slot */
-  float token_ms; /* time to read one prompt token */
+  float prefill_ms; /* until the prompts there are read */
+  float wait_ms;    /* until a new prompt would be read */
+  float active;     /* requests there, per slot */
+  float token_ms;   /* time to read one prompt token */
 } br_estimate_t;
 
 void br_estimate_report (br_estimate_t *estimate, const br_load_t *load);
@@ -53,9 +54,11 @@
                         bool whole,
                         br_ms_t now);
 
-/* Returns how many requests the upstream has room for without a queue; below
- * 0 when it has one. */
-int64_t br_estimate_room (const br_estimate_t *estimate);
+/* Returns the free slots; below 0 when requests wait for one. */
+int64_t br_estimate_slots_free (const br_estimate_t *estimate);
+
+/* Returns how many more prompts are read within QUEUE_MS. */
+int64_t br_estimate_prompts (const br_estimate_t *estimate, br_ms_t queue_ms);
 
 BR_END_DECLS
 
--- a/src/route/router.c
+++ b/src/route/router.c
@@ -356,31 +356,70 @@
                      now);
 }
 
-uint64_t
-br_router_capacity (const br_router_t *router, br_str_t name, size_t n_vms)
+/* What all members of a service have, added up. */
+typedef struct
 {
-  const br_route_service_t *service = br_router_service (router, name);
-  int64_t capacity = 0;
-  uint64_t slots = 0;
+  int64_t own;
+  int64_t slots;
+  int64_t slots_free; /* below 0 when requests wait for slots */
+  int64_t prompts;    /* room for prompts */
+  int64_t prompts_usual;
+  uint64_t pending_prefill;
+  bool known;
+} service_room_t;
+
+static service_room_t
+service_room (const br_router_t *router, const br_route_service_t *service)
+{
+  service_room_t room = { .known = true };
 
-  assert (n_vms > 0);
-  if (service == NULL)
-    return UINT64_MAX;
   for (size_t i = 0; i < service->members.len; i++)
     {
       const br_route_candidate_t *each
           = &router->upstreams[service->members.items[i]];
+      const br_estimate_t *estimate = &each->estimate;
 
+      room.own += estimate->own;
+      room.pending_prefill += estimate->pending_prefill;
       if (!each->eligible)
         continue;
-      if (!each->estimate.load.known || each->estimate.load.slots == 0)
-        return UINT64_MAX;
-      slots += each->estimate.load.slots;
-      capacity += each->estimate.own + br_estimate_room (&each->estimate);
+      room.known
+          = room.known && estimate->load.known && estimate->load.slots > 0;
+      room.slots += estimate->load.slots;
+      room.slots_free += br_estimate_slots_free (estimate);
+      room.prompts += br_estimate_prompts (estimate, BR_ROUTE_QUEUE_MS);
+      room.prompts_usual
+          += br_estimate_prompts (estimate, BR_ROUTE_QUEUE_MS / 2);
     }
-  if (slots == 0)
-    return UINT64_MAX;
-  return BR_MAX ((uint64_t)BR_MAX (capacity, 0), (slots + n_vms - 1) / n_vms);
+  room.known = room.known && room.slots > 0;
+  return room;
+}
+
+br_route_capacity_t
+br_router_capacity (const br_router_t *router, br_str_t name, size_t n_vms)
+{
+  const br_route_service_t *service = br_router_service (router, name);
+  service_room_t room = { 0 };
+  int64_t n = (int64_t)n_vms;
+  int64_t one;
+  int64_t slots;
+  int64_t usual;
+
+  assert (n_vms > 0);
+  if (service != NULL)
+    room = service_room (router, service);
+  if (!room.known)
+    return (br_route_capacity_t){ UINT64_MAX, UINT64_MAX };
+  slots = room.own + BR_MAX (room.slots_free, 0) / n;
+  slots = BR_MAX (slots, BR_MAX (room.slots / n, 1));
+  usual = slots - slots / BR_ROUTE_RESERVE_DIVISOR;
+  /* One prompt may always be on its way. */
+  one = room.pending_prefill == 0 ? 1 : 0;
+  return (br_route_capacity_t){
+    .most = (uint64_t)BR_MIN (slots, room.own + BR_MAX (room.prompts, one)),
+    .usual
+    = (uint64_t)BR_MIN (usual, room.own + BR_MAX (room.prompts_usual, one)),
+  };
 }
 
 size_t
--- a/src/route/router.h
+++ b/src/route/router.h
@@ -29,6 +29,13 @@
 /* How long a notice makes further ones in its failure domain likely. */
 #define BR_ROUTE_WAVE_MS 30000
 
+/* Prompts that wait at an upstream, by the time to read them, before further
+ * requests wait on the entry VM, where organisations take turns. */
+#define BR_ROUTE_QUEUE_MS 500
+
+/* This part of the slots is kept for organisations with little running. */
+#define BR_ROUTE_RESERVE_DIVISOR 8
+
 /* What an upstream in another failure domain must be better by when nothing
  * is known of the link. */
 #define BR_ROUTE_LINK_MS 8
@@ -104,11 +111,19 @@
                       bool whole,
                       br_ms_t now);
 
-/* Returns how many requests of SERVICE may run from this VM now without a
- * queue at the upstreams: its own that run, and the room that is left, but at
- * least its part of all slots as one of N_VMS entry VMs.  UINT64_MAX when an
- * upstream of it tells no load, or none is there. */
-uint64_t
+/* Requests of a service that may run from one entry VM; UINT64_MAX when it is
+ * not known. */
+typedef struct
+{
+  uint64_t most;
+  uint64_t usual; /* without what is kept for organisations with little */
+} br_route_capacity_t;
+
+/* Returns how many requests of SERVICE may run from this VM, one of N_VMS entry
+ * VMs: its part of all slots, and as much of the free ones; but no more prompts
+ * than the upstreams read in BR_ROUTE_QUEUE_MS.  Not known when an upstream of
+ * it tells no load, or none is there. */
+br_route_capacity_t
 br_router_capacity (const br_router_t *router, br_str_t service, size_t n_vms);
 
 /* The same as a rough size, for benches and operators. */
--- a/src/shell/admit_task.c
+++ b/src/shell/admit_task.c
@@ -174,12 +174,14 @@
 void
 br_admit_task_set_capacity (br_admit_task_t *task,
                             const br_name_t *service,
-                            uint64_t requests)
+                            uint64_t most,
+                            uint64_t usual)
 {
   br_admission_input_t input = { .kind = BR_ADMISSION_CAPACITY };
 
   input.capacity.service = *service;
-  input.capacity.requests = requests;
+  input.capacity.most = most;
+  input.capacity.usual = usual;
   task_handle (task, &input);
 }
 
--- a/src/shell/admit_task.h
+++ b/src/shell/admit_task.h
@@ -33,11 +33,13 @@
 /* The work of TICKET has ended, or its caller gave up while it waited. */
 void br_admit_task_done (br_admit_task_t *task, uint64_t ticket);
 
-/* Sets how many requests of SERVICE may run from this VM at once; UINT64_MAX
+/* Sets how many requests of SERVICE may run from this VM at once, and how many
+ * of them for organisations that have more than their part running; UINT64_MAX
  * when it is not known. */
 void br_admit_task_set_capacity (br_admit_task_t *task,
                                  const br_name_t *service,
-                                 uint64_t requests);
+                                 uint64_t most,
+                                 uint64_t usual);
 
 /* New declarations are in force. */
 void br_admit_task_on_catalog (br_admit_task_t *task);
--- a/src/shell/route_task.c
+++ b/src/shell/route_task.c
@@ -28,19 +28,22 @@
 }
 
 static void
-task_set_capacities (br_route_task_t *task)
+task_set_capacity (br_route_task_t *task, const br_name_t *service)
 {
-  br_node_t *node = task->node;
+  br_route_capacity_t capacity
+      = br_router_capacity (task->router, br_name_str (service), task->n_vms);
 
-  for (size_t i = 0; i < node->catalog.services.len; i++)
-    {
-      const br_name_t *service = &node->catalog.services.items[i].name;
+  br_admit_task_set_capacity (task->node->admits, service, capacity.most,
+                              capacity.usual);
+}
 
-      br_admit_task_set_capacity (node->admits, service,
-                                  br_router_capacity (task->router,
-                                                      br_name_str (service),
-                                                      task->n_vms));
-    }
+static void
+task_set_capacities (br_route_task_t *task)
+{
+  const br_services_t *services = &task->node->catalog.services;
+
+  for (size_t i = 0; i < services->len; i++)
+    task_set_capacity (task, &services->items[i].name);
 }
 
 void
@@ -155,6 +158,7 @@
   if (number != BR_ROUTE_NONE)
     br_router_first_token (task->router, number, work->uncached);
   work->uncached = 0;
+  task_set_capacity (task, &work->service);
 }
 
 void
--- a/tests/organisation_session.c
+++ b/tests/organisation_session.c
@@ -1,6 +1,6 @@
 /* Runs admission on a chosen clock.  Each line of the script is
  *   at MS | vm NAME of VMS... | limits ORG WEIGHT RPS IN_FLIGHT | forget ORG
- *   capacity SERVICE N | ask TICKET ORG SERVICE TOKENS DEADLINE_MS
+ *   capacity SERVICE MOST [USUAL] | ask TICKET ORG SERVICE TOKENS DEADLINE_MS
  *   giveup TICKET | done TICKET | tick
  *   digest VM INCARNATION SENT ECHO_INCARNATION ECHO_SENT [ORG LACKING_RATE
  *     LACKING_SLOTS LENT_RATE LENT_SLOTS]
@@ -145,7 +145,9 @@
     {
       input.kind = BR_ADMISSION_CAPACITY;
       input.capacity.service = br_name_from (words[1]);
-      input.capacity.requests = strtoull (words[2], NULL, 10);
+      input.capacity.most = strtoull (words[2], NULL, 10);
+      input.capacity.usual = words[3] != NULL ? strtoull (words[3], NULL, 10)
+                                              : input.capacity.most;
     }
   else if (strcmp (words[0], "giveup") == 0)
     {
@@ -185,7 +187,7 @@
 
   while (fgets (line, sizeof line, stdin) != NULL)
     {
-      char *words[WORDS_MAX];
+      char *words[WORDS_MAX] = { 0 };
       char *rest = NULL;
       int n = 0;
 
--- a/tests/route_session.c
+++ b/tests/route_session.c
@@ -154,6 +154,16 @@
   session->router = br_router_new (&options);
 }
 
+static void
+session_capacity (session_t *session, char **words)
+{
+  br_route_capacity_t capacity = br_router_capacity (
+      session->router, br_str_from (words[1]), (size_t)atoi (words[2]));
+
+  printf ("  most %" PRId64 " usual %" PRId64 "\n", (int64_t)capacity.most,
+          (int64_t)capacity.usual);
+}
+
 static void
 session_run (session_t *session, char **words, int n)
 {
@@ -192,9 +202,7 @@
   else if (strcmp (command, "event") == 0)
     session_event (session, words, n);
   else if (strcmp (command, "capacity") == 0)
-    printf ("  %" PRId64 "\n", (int64_t)br_router_capacity (
-                                   session->router, br_str_from (words[1]),
-                                   (size_t)atoi (words[2])));
+    session_capacity (session, words);
 }
 
 int
