--- a/bench/model/arms.c
+++ b/bench/model/arms.c
@@ -65,12 +65,15 @@
 }
 
 static int
-choose_router (world_t *world, vm_t *vm, request_t *request)
+choose_router_among (world_t *world,
+                     vm_t *vm,
+                     request_t *request,
+                     const br_names_t *tried)
 {
   br_route_query_t query = {
     .service = br_str_from (request->plain ? "ledger" : "lm"),
     .prefix = request->plain ? NULL : &request->prefix,
-    .tried = &request->tried,
+    .tried = tried,
     .hold_ms = (br_ms_t)request->max_tokens * ENGINE_TOKEN_MS,
     .now = world->now,
   };
@@ -82,6 +85,25 @@
   return MODEL_NEVER;
 }
 
+static int
+choose_router (world_t *world, vm_t *vm, request_t *request)
+{
+  br_names_t names = { 0 };
+  int upstream = MODEL_NEVER;
+
+  vm_avoid (world, vm, request, &names);
+  if (names.len > 0)
+    {
+      for (size_t i = 0; i < request->tried.len; i++)
+        br_names_push (&names, request->tried.items[i]);
+      upstream = choose_router_among (world, vm, request, &names);
+    }
+  br_names_free (&names);
+  return upstream != MODEL_NEVER
+             ? upstream
+             : choose_router_among (world, vm, request, &request->tried);
+}
+
 int
 arm_choose (world_t *world, vm_t *vm, request_t *request)
 {
--- a/bench/model/world.h
+++ b/bench/model/world.h
@@ -7,6 +7,7 @@
 #include "base/random.h"
 #include "model.h"
 #include "route/drain.h"
+#include "upstream/quarantine.h"
 
 #define RUN_MS 60000
 #define CLIENT_MS 3
@@ -121,6 +122,7 @@
   br_registry_t registry;
   br_admission_t *admission;
   br_retry_budget_t budget;
+  br_quarantine_t quarantine;
 } vm_t;
 
 /* X (id): what happens at a time. */
@@ -228,9 +230,25 @@
 void vm_report (world_t *world, vm_t *vm, const event_t *report);
 void vm_tick (world_t *world, vm_t *vm);
 void vm_notice (world_t *world, vm_t *vm, int upstream);
+/* Ends the attempt to go on elsewhere. */
+void vm_move (world_t *world, vm_t *vm, request_t *request);
+
+/* drain.c */
+void vm_plan_drain (world_t *world, vm_t *vm, int upstream, br_ms_t left_ms);
 void vm_export (world_t *world, request_t *request, uint64_t attempt);
 void vm_exported (world_t *world, request_t *request, uint64_t attempt);
 
+/* quarantine.c */
+void vm_note_crash (world_t *world, const vm_t *vm, const request_t *request);
+bool vm_quarantines (world_t *world, vm_t *vm, const request_t *request);
+void
+vm_note_start (vm_t *vm, const request_t *request, const br_name_t *upstream);
+void vm_note_end (vm_t *vm, const request_t *request, bool answered);
+void vm_avoid (const world_t *world,
+               const vm_t *vm,
+               const request_t *request,
+               br_names_t *names);
+
 /* arms.c */
 int arm_choose (world_t *world, vm_t *vm, request_t *request);
 bool
