--- /dev/null
+++ b/tests/fakes/fake_broken.c
@@ -0,0 +1,153 @@
+/* An engine that answers health and load, and breaks each completion in one
+ * way: a chunk that is cut short, invalid UTF-8, or an event that is not
+ * JSON.  Prints one line for each completion. */
+#include <argp.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/macros.h"
+
+typedef struct
+{
+  const char *fault;
+  const char *event; /* what it sends */
+  int length;        /* that its chunk claims; 0: the true one */
+} fault_t;
+
+static const fault_t faults[] = {
+  { "chunk", "data: {\"choices\"", 4000 },
+  { "utf8", "data: {\"choices\":[{\"index\":0,\"text\":\"\xff\xfe\"}]}\n\n",
+    0 },
+  { "json", "data: this is not JSON\n\n", 0 },
+};
+
+typedef struct
+{
+  int port;
+  const fault_t *fault;
+} broken_t;
+
+static void
+broken_complete (const broken_t *broken, struct evbuffer *out)
+{
+  int length = broken->fault->length;
+
+  if (length == 0)
+    length = (int)strlen (broken->fault->event);
+  printf ("{\"event\":\"broken\",\"fault\":\"%s\"}\n", broken->fault->fault);
+  fflush (stdout);
+  evbuffer_add_printf (out,
+                       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n"
+                       "%x\r\n%s",
+                       (unsigned)length, broken->fault->event);
+  if (broken->fault->length == 0)
+    evbuffer_add_printf (out, "\r\n");
+}
+
+static void
+broken_on_written (struct bufferevent *bev, void *context)
+{
+  (void)context;
+  bufferevent_free (bev);
+}
+
+static void
+broken_on_event (struct bufferevent *bev, short what, void *context)
+{
+  (void)what;
+  (void)context;
+  bufferevent_free (bev);
+}
+
+static void
+broken_on_read (struct bufferevent *bev, void *context)
+{
+  struct evbuffer *input = bufferevent_get_input (bev);
+  struct evbuffer *out = bufferevent_get_output (bev);
+  size_t len = evbuffer_get_length (input);
+  struct evbuffer_ptr end = evbuffer_search (input, "\r\n\r\n", 4, NULL);
+  char method[8] = { 0 };
+
+  if (end.pos < 0)
+    return;
+  evbuffer_copyout (input, method, 4);
+  evbuffer_drain (input, len);
+  if (strncmp (method, "POST", 4) == 0)
+    broken_complete (context, out);
+  else
+    evbuffer_add_printf (out, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                              "Connection: close\r\n\r\n{}");
+  bufferevent_setcb (bev, NULL, broken_on_written, broken_on_event, context);
+}
+
+static void
+broken_on_accept (struct evconnlistener *listener,
+                  evutil_socket_t fd,
+                  struct sockaddr *address,
+                  int len,
+                  void *context)
+{
+  struct bufferevent *bev = bufferevent_socket_new (
+      evconnlistener_get_base (listener), fd, BEV_OPT_CLOSE_ON_FREE);
+
+  (void)address;
+  (void)len;
+  bufferevent_setcb (bev, broken_on_read, NULL, broken_on_event, context);
+  bufferevent_enable (bev, EV_READ | EV_WRITE);
+}
+
+static const struct argp_option broken_options[] = {
+  { "port", 'p', "PORT", 0, "Port on 127.0.0.1", 0 },
+  { "fault", 'f', "FAULT", 0, "chunk, utf8 or json", 0 },
+  { 0 },
+};
+
+static error_t
+broken_parse (int key, char *arg, struct argp_state *state)
+{
+  broken_t *broken = state->input;
+
+  switch (key)
+    {
+    case 'p':
+      broken->port = atoi (arg);
+      return 0;
+    case 'f':
+      for (size_t i = 0; i < BR_N_ELEMENTS (faults); i++)
+        if (strcmp (faults[i].fault, arg) == 0)
+          broken->fault = &faults[i];
+      return broken->fault != NULL ? 0 : ARGP_ERR_UNKNOWN;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp argp
+      = { .options = broken_options, .parser = broken_parse };
+  broken_t broken = { .fault = &faults[0] };
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct event_base *base = event_base_new ();
+
+  argp_parse (&argp, argc, argv, 0, NULL, &broken);
+  address.sin_port = htons ((uint16_t)broken.port);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (evconnlistener_new_bind (base, broken_on_accept, &broken,
+                               LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, -1,
+                               (struct sockaddr *)&address, sizeof address)
+      == NULL)
+    {
+      fprintf (stderr, "cannot listen on port %d\n", broken.port);
+      return 1;
+    }
+  event_base_dispatch (base);
+  return 0;
+}
