--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <string.h>
 
+#include "shell/admit_task.h"
 #include "shell/caller_task.h"
 #include "shell/claim_task.h"
 #include "shell/contract_task.h"
@@ -11,6 +12,8 @@
 #include "shell/peer_task.h"
 #include "shell/platform_task.h"
 #include "shell/replica_task.h"
+#include "shell/retry_task.h"
+#include "shell/route_task.h"
 #include "shell/upstream_task.h"
 #include "shell/upstream_watch.h"
 #include "shell/work_task.h"
@@ -67,6 +70,9 @@
 {
   switch (message->part)
     {
+    case BR_PART_ORGANISATION:
+      br_admit_task_on_peer (node->admits, message);
+      break;
     case BR_PART_UPSTREAM:
       br_upstream_watch_receive (node->upstream_watch, message);
       break;
@@ -82,7 +88,6 @@
       break;
     case BR_PART_STATE:
     case BR_PART_LINK:
-    case BR_PART_ORGANISATION:
     case BR_PART_ROUTE:
     case BR_PART_COUNT:
       break;
@@ -125,6 +130,9 @@
       br_claim_task_on_applied (node->claims);
       break;
     case BR_NODE_CATALOG_CHANGED:
+    case BR_NODE_UPSTREAM_CHANGED:
+      br_route_task_update (node->routes);
+      break;
     case BR_NODE_VM_UP:
     case BR_NODE_VM_SUSPECT:
     case BR_NODE_VM_DOWN:
@@ -132,8 +140,6 @@
     case BR_NODE_VM_LEAVING:
       br_contract_task_on_leaving (node->contracts, &message->member.name);
       break;
-    case BR_NODE_UPSTREAM_CHANGED:
-      break;
     case BR_NODE_RECLAIM_NOTICE:
       br_node_drain_by (node, message->leave_by_ms);
       break;
@@ -284,6 +290,9 @@
   node->contracts = br_contract_task_new (node);
   node->works = br_work_task_new (node);
   node->claims = br_claim_task_new (node);
+  node->retries = br_retry_task_new (node);
+  node->admits = br_admit_task_new (node);
+  node->routes = br_route_task_new (node);
   node->callers = br_caller_task_new (node, err);
   if (node->callers == NULL)
     return false;
@@ -389,6 +398,9 @@
   br_operator_task_free (node->operators);
   br_claim_task_free (node->claims);
   br_work_task_free (node->works);
+  br_admit_task_free (node->admits);
+  br_retry_task_free (node->retries);
+  br_route_task_free (node->routes);
   br_contract_task_free (node->contracts);
   br_upstream_task_free (node->upstreams);
   br_upstream_watch_free (node->upstream_watch);
--- a/src/shell/work_quarantine.c
+++ b/src/shell/work_quarantine.c
@@ -1,5 +1,7 @@
 #include "shell/work_quarantine.h"
 
+#include "shell/route_task.h"
+
 uint64_t
 br_work_content (const br_work_t *work)
 {
@@ -48,42 +50,40 @@
 
 /* Returns an upstream that the quarantine would rather see taken, or NULL. */
 static br_upstream_t *
-work_choose_apart (br_node_t *node,
-                   const br_work_t *work,
-                   const br_choice_query_t *query,
-                   bool idle)
+work_choose_apart (br_node_t *node, br_work_t *work, bool idle)
 {
-  br_choice_query_t apart = *query;
   br_names_t tried = { 0 };
   br_upstream_t *upstream;
 
-  for (size_t i = 0; i < query->tried->len; i++)
-    br_names_push (&tried, query->tried->items[i]);
+  for (size_t i = 0; i < work->tried.len; i++)
+    br_names_push (&tried, work->tried.items[i]);
   br_quarantine_avoid (&node->quarantine, br_work_content (work), &tried);
   if (idle)
     names_add_busy (&node->registry, &tried);
-  apart.tried = &tried;
-  upstream = br_choice_take (&node->registry, &apart);
+  upstream = br_route_task_take (node->routes, work, &tried);
   br_names_free (&tried);
   return upstream;
 }
 
 br_upstream_t *
-br_work_choose (br_node_t *node,
-                br_work_t *work,
-                const br_choice_query_t *query)
+br_work_choose (br_node_t *node, br_work_t *work)
 {
   br_upstream_t *upstream = work_same_upstream (node, work);
 
   if (upstream != NULL)
-    return upstream;
+    {
+      br_route_task_take_again (node->routes, work);
+      return upstream;
+    }
   work->same_upstream = false;
   if (node->quarantine.crashes.len > 0
       && br_quarantine_is_suspect (&node->quarantine, br_work_content (work)))
-    upstream = work_choose_apart (node, work, query, true);
+    upstream = work_choose_apart (node, work, true);
   if (upstream == NULL && node->quarantine.runs.len > 0)
-    upstream = work_choose_apart (node, work, query, false);
-  return upstream != NULL ? upstream : br_choice_take (&node->registry, query);
+    upstream = work_choose_apart (node, work, false);
+  if (upstream != NULL)
+    return upstream;
+  return br_route_task_take (node->routes, work, &work->tried);
 }
 
 void
--- a/src/shell/work_quarantine.h
+++ b/src/shell/work_quarantine.h
@@ -3,7 +3,6 @@
 #ifndef BR_SHELL_WORK_QUARANTINE_H
 #define BR_SHELL_WORK_QUARANTINE_H
 
-#include "route/choice.h"
 #include "shell/work_task.h"
 
 BR_BEGIN_DECLS
@@ -17,11 +16,9 @@
                              const br_work_t *work,
                              br_error_t *err);
 
-/* Like br_choice_take(), but keeps to the upstream whose connection went
+/* Like br_route_task_take(), but keeps to the upstream whose connection went
  * silent, and suspects apart from other work where there is room. */
-br_upstream_t *br_work_choose (br_node_t *node,
-                               br_work_t *work,
-                               const br_choice_query_t *query);
+br_upstream_t *br_work_choose (br_node_t *node, br_work_t *work);
 
 /* An attempt starts, or has ended. */
 void br_work_note_start (br_node_t *node, const br_work_t *work);
