--- a/src/contract/owner.c
+++ b/src/contract/owner.c
@@ -120,10 +120,9 @@
 static bool
 owner_sends_parts (const br_contracts_t *contracts, const br_record_t *record)
 {
-  if (record->handing_over)
-    return true;
-  return contracts->options.checkpoint_parts > 0
-         && (record->request->streamed || record->answer->complete);
+  if (!record->request->streamed && !record->answer->complete)
+    return false;
+  return record->handing_over || contracts->options.checkpoint_parts > 0;
 }
 
 static bool
--- a/src/shell/claim_task.c
+++ b/src/shell/claim_task.c
@@ -169,7 +169,9 @@
     .organisation = br_name_str (&work->organisation),
     .service = br_name_str (&work->service),
     .key = br_buf_str (&work->idempotency_key),
-    .contract = work->contract,
+    .contract = { .vm = task->node->settings.vm,
+                  .incarnation = task->node->incarnation,
+                  .number = work->number },
     .retention_ms
     = (uint64_t)(service != NULL ? service->retention_s : 86400) * 1000,
   };
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -25,6 +25,7 @@
 typedef struct br_operator_task br_operator_task_t;
 typedef struct br_replica_task br_replica_task_t;
 typedef struct br_claim_task br_claim_task_t;
+typedef struct br_contract_task br_contract_task_t;
 
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
@@ -129,6 +130,7 @@
   br_operator_task_t *operators;
   br_replica_task_t *replica;
   br_claim_task_t *claims;
+  br_contract_task_t *contracts;
   br_state_t *state; /* owned; changed by the replica task alone */
   struct br_node_queue *queue;
 };
@@ -144,6 +146,10 @@
 /* Takes no new work from now on; br_node_run() returns once the work in
  * progress is done. */
 void br_node_drain (br_node_t *node);
+
+/* Like br_node_drain(), and hands over in time what would not be done by
+ * LEAVE_BY_MS. */
+void br_node_drain_by (br_node_t *node, br_ms_t leave_by_ms);
 void br_node_free (br_node_t *node);
 
 /* Puts a message into the queue; what it owns goes to the queue.  It is
--- a/src/shell/settings.c
+++ b/src/shell/settings.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <event2/util.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
@@ -58,7 +59,13 @@
   X (INT, "upstream.token_gap_ms", token_gap_ms, false, 10, 600000, 2000,      \
      "bound on the time between two parts of an answer")                       \
   X (INT, "drain.notice_ms", drain_notice_ms, false, 0, 600000, 1000,          \
-     "time for the balancer to see that this VM takes no new work")
+     "time for the balancer to see that this VM takes no new work")            \
+  X (INT, "drain.grace_ms", drain_grace_ms, false, 0, 86400000, 0,             \
+     "time for work in progress before it is handed over; 0: no limit")        \
+  X (INT, "contract.checkpoint_tokens", checkpoint_tokens, false, 0, 65536, 8, \
+     "tokens generated before they go to the backup partner; 0: never")        \
+  X (INT, "contract.checkpoint_ms", checkpoint_ms, false, 1, 60000, 100,       \
+     "longest wait of a token before it goes to the backup partner")
 
 typedef enum
 {
@@ -750,6 +757,21 @@
   return ok;
 }
 
+bool
+br_endpoint_to_sockaddr (const br_endpoint_t *endpoint,
+                         struct sockaddr_storage *address,
+                         int *len)
+{
+  char text[BR_ADDRESS_MAX + 16];
+  const char *format
+      = strchr (endpoint->address, ':') != NULL ? "[%s]:%d" : "%s:%d";
+
+  *len = sizeof *address;
+  snprintf (text, sizeof text, format, endpoint->address, (int)endpoint->port);
+  return evutil_parse_sockaddr_port (text, (struct sockaddr *)address, len)
+         == 0;
+}
+
 void
 br_settings_release (br_settings_t *settings)
 {
--- a/tests/claim_session.c
+++ b/tests/claim_session.c
@@ -223,9 +223,8 @@
     printf ("  %s\n", err.text);
   br_state_snapshot (session->state, &second);
   printf ("  the snapshot of the restored state is %s\n",
-          br_str_equal (br_buf_str (&first), br_buf_str (&second))
-              ? "the same"
-              : "another");
+          br_str_equal (br_buf_str (&first), br_buf_str (&second)) ? "the same"
+                                                                   : "another");
   br_buf_free (&first);
   br_buf_free (&second);
 }
@@ -233,8 +232,8 @@
 static void
 session_run (session_t *session, const char *verb, const char *word)
 {
-  int contract = word[0] >= 'a' && word[0] < 'a' + CONTRACTS_MAX ? word[0] - 'a'
-                                                                 : 0;
+  int contract
+      = word[0] >= 'a' && word[0] < 'a' + CONTRACTS_MAX ? word[0] - 'a' : 0;
   const char *rest = word[0] != '\0' && word[1] == ' ' ? word + 2 : "";
   br_claim_input_t input;
 
--- /dev/null
+++ b/tests/process/contract_frozen.sh
@@ -0,0 +1,27 @@
+# The owner is frozen while it streams: the partner takes over.  When the owner
+# wakes, its caller still gets one whole answer, and the owner gives way.
+# Usage: contract_frozen.sh BUILD
+set -u
+BUILD=$1
+BASE_PORT=24100
+. "$(dirname "$0")/../support/site.sh"
+. "$(dirname "$0")/../support/contract.sh"
+site_init
+site_up --token-ms 30 > /dev/null || site_fail "site does not come up"
+contract_wait_links
+
+site_complete 1 "$(contract_body draft 200)" > "$SITE/whole" &
+contract_stream 0 draft 200 frozen
+contract_wait_tokens frozen 12
+kill -STOP "$(site_pid castillos-1)"
+id=$(contract_id frozen)
+contract_read 1 "$id" "" "$SITE/elsewhere"
+grep -q '"event":"take_over"' "$SITE/lascano-1.log" || site_fail "no take-over"
+diff <(contract_tokens "$SITE/elsewhere") <(contract_tokens "$SITE/whole") ||
+  site_fail "read elsewhere differs"
+kill -CONT "$(site_pid castillos-1)"
+contract_check_rest frozen 0 whole
+grep -q '"event":"superseded"' "$SITE/castillos-1.log" ||
+  site_fail "the old owner did not give way"
+contract_check_engines
+echo "frozen: ok"
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -9,7 +9,8 @@
 #include "state/command.h"
 #include "state/state.h"
 
-namespace {
+namespace
+{
 
 class State : public ::testing::Test
 {
@@ -185,8 +186,7 @@
 
   owner.vm = (char *)"castillos-1";
   body.key = (char *)"o/s/k";
-  body.digest
-      = br_message_bytes (br_str_make (digest.data (), digest.size ()));
+  body.digest = br_message_bytes (br_str_make (digest.data (), digest.size ()));
   body.owner = &owner;
   body.attempt = 1;
   body.retention_ms = 60000;
@@ -196,8 +196,7 @@
   EXPECT_EQ (apply (&command)->claim->verdict, BR_VERDICT_OK);
   EXPECT_EQ (apply (&command)->claim->verdict, BR_VERDICT_OK);
   br_buf_clear (&command);
-  br_command_abandon (br_state_claim (state_, br_str_from ("o/s/k")),
-                      &command);
+  br_command_abandon (br_state_claim (state_, br_str_from ("o/s/k")), &command);
   EXPECT_EQ (apply (&command)->claim->claim->state, BR_CLAIM_NOT_RUN);
   for (int i = 1; i <= 7; i++)
     {
