Operators' declarations go through the log

Cause: each VM kept the declarations it was told, so a VM that was not told served others than its peers, and nothing decided between two operators. Now one operation is checked against the revision in force, proposed with that revision, and answered by the log's verdict; a resend of its name gets the first one. Every VM compiles the same revision and tells its peers.

--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -67,8 +67,10 @@
     case BR_PART_CONTRACT:
       br_contract_task_on_peer (node->contracts, message);
       break;
-    case BR_PART_REPLICA:
     case BR_PART_STATE:
+      br_operator_task_on_report (node->operators, message);
+      break;
+    case BR_PART_REPLICA:
     case BR_PART_DOMAIN:
     case BR_PART_LINK:
     case BR_PART_UPSTREAM:
@@ -90,6 +92,8 @@
       br_claim_task_on_vm (node->claims, &message->peer.vm,
                            message->peer.incarnation,
                            message->kind == BR_NODE_PEER_UP);
+      if (message->kind == BR_NODE_PEER_UP)
+        br_operator_task_on_peer_up (node->operators, &message->peer.vm);
       br_contract_task_on_link (node->contracts, &message->peer,
                                 message->kind == BR_NODE_PEER_UP);
       break;
@@ -104,11 +108,13 @@
       br_caller_task_on_work (node->callers, message->work);
       break;
     case BR_NODE_PROPOSAL:
-      br_claim_task_on_proposal (node->claims, &message->proposal);
+      if (!br_claim_task_on_proposal (node->claims, &message->proposal))
+        br_operator_task_on_proposal (node->operators, &message->proposal);
       br_buf_free (&message->proposal.result);
       break;
     case BR_NODE_APPLIED:
       br_claim_task_on_applied (node->claims);
+      br_operator_task_on_applied (node->operators);
       break;
     case BR_NODE_VM_UP:
     case BR_NODE_VM_DOWN:
--- /dev/null
+++ b/src/shell/operator_report.h
@@ -0,0 +1,26 @@
+/* What a change of the declarations means here: what each selector matches
+ * before and after, and what is wrong with it. */
+#ifndef BR_SHELL_OPERATOR_REPORT_H
+#define BR_SHELL_OPERATOR_REPORT_H
+
+#include "shell/node.h"
+
+BR_BEGIN_DECLS
+
+/* "KIND/NAME" of the declarations that a change puts. */
+BR_VEC (br_paths, br_buf_t);
+
+/* Compares two catalogs and appends {"declaration", "field", "matches",
+ * "before", "after"} for each selector that matches something else or is new
+ * to OUT, separated by commas.  False, with *ERR set, when the new one has
+ * rules that clash, or a selector of a declaration in PUT matches nothing. */
+bool br_operator_report (const br_node_t *node,
+                         const br_catalog_t *before,
+                         const br_catalog_t *after,
+                         const br_paths_t *put,
+                         br_buf_t *out,
+                         br_error_t *err);
+
+BR_END_DECLS
+
+#endif
--- a/src/shell/operator_task.c
+++ b/src/shell/operator_task.c
@@ -2,21 +2,24 @@
 
 #include <errno.h>
 #include <event2/http.h>
-#include <inttypes.h>
-#include <json-c/json.h>
 #include <string.h>
 
 #include "shell/http_reply.h"
-#include "shell/peer_task.h"
-#include "shell/work_task.h"
+#include "shell/operator_catalog.h"
+#include "shell/operator_change.h"
+#include "shell/operator_view.h"
 
 #define BODY_MAX_BYTES (4 * 1024 * 1024)
 #define HEADER_MAX_BYTES (16 * 1024)
 
+static const char declarations_prefix[] = "/v1/declarations/";
+
 struct br_operator_task
 {
   br_node_t *node;
   struct evhttp *http;
+  br_operator_catalog_t *catalog;
+  br_operator_change_t *changes;
 };
 
 static bool
@@ -29,73 +32,6 @@
          || br_digest_equal (&settings->operator_key_digest, &digest);
 }
 
-/* Builds the catalog of all declarations in the JSON array TEXT. */
-static bool
-catalog_build (br_str_t text, br_catalog_t *catalog, br_error_t *err)
-{
-  json_tokener *tokener = json_tokener_new ();
-  json_object *list = json_tokener_parse_ex (tokener, text.data, (int)text.len);
-  bool ok = json_object_is_type (list, json_type_array);
-
-  if (!ok)
-    br_error_set (err, BR_ERROR_INVALID, "read declarations", "",
-                  "a JSON array is wanted");
-  for (size_t i = 0; ok && i < json_object_array_length (list); i++)
-    {
-      json_object *each = json_object_array_get_idx (list, i);
-
-      ok = br_catalog_add (
-          catalog, br_str_from (json_object_to_json_string (each)), err);
-    }
-  json_object_put (list);
-  json_tokener_free (tokener);
-  return ok;
-}
-
-static void
-task_on_apply (br_operator_task_t *task, struct evhttp_request *request)
-{
-  br_node_t *node = task->node;
-  br_catalog_t catalog = { .revision = node->catalog.revision + 1 };
-  br_node_message_t message = { .kind = BR_NODE_CATALOG_CHANGED };
-  br_error_t err;
-  br_buf_t out = { 0 };
-
-  if (!catalog_build (br_http_body (request), &catalog, &err))
-    {
-      br_catalog_release (&catalog);
-      br_http_reply_error (request, &err);
-      return;
-    }
-  br_catalog_release (&node->catalog);
-  node->catalog = catalog;
-  br_node_post (node, message);
-  br_buf_printf (&out, "{\"revision\":%" PRIu64 "}\n", catalog.revision);
-  br_http_reply (request, HTTP_OK, "application/json", br_buf_str (&out));
-  br_buf_free (&out);
-}
-
-static void
-task_on_status (br_operator_task_t *task, struct evhttp_request *request)
-{
-  br_node_t *node = task->node;
-  br_buf_t out = { 0 };
-
-  br_buf_printf (&out,
-                 "{\"vm\":\"%s\",\"incarnation\":%" PRIu64
-                 ",\"failure_domain\":\"%s\",\"revision\":%" PRIu64
-                 ",\"draining\":%s,\"in_progress\":%zu,\"peers\":[",
-                 node->settings.vm.data, node->incarnation,
-                 node->settings.failure_domain.data, node->catalog.revision,
-                 node->draining ? "true" : "false",
-                 br_work_task_in_progress (node->works));
-  if (node->peers != NULL)
-    br_peer_task_status (node->peers, &out);
-  br_buf_printf (&out, "]}\n");
-  br_http_reply (request, HTTP_OK, "application/json", br_buf_str (&out));
-  br_buf_free (&out);
-}
-
 static void
 task_on_drain (br_operator_task_t *task, struct evhttp_request *request)
 {
@@ -127,6 +63,19 @@
          && strncmp (uri, path, strlen (path)) == 0;
 }
 
+static void
+task_on_delete (br_operator_task_t *task, struct evhttp_request *request)
+{
+  const char *path
+      = evhttp_request_get_uri (request) + sizeof declarations_prefix - 1;
+  size_t len = 0;
+  char *decoded = evhttp_uridecode (path, 0, &len);
+
+  br_operator_change_delete (task->changes, request,
+                             br_str_make (decoded, strcspn (decoded, "?")));
+  free (decoded);
+}
+
 static void
 task_on_request (struct evhttp_request *request, void *context)
 {
@@ -141,9 +90,20 @@
       br_http_reply_error (request, &err);
     }
   else if (request_is (request, EVHTTP_REQ_POST, "/v1/declarations"))
-    task_on_apply (task, request);
+    br_operator_change_apply (task->changes, request);
+  else if (request_is (request, EVHTTP_REQ_GET, "/v1/declarations"))
+    br_operator_view_declarations (task->node, request);
+  else if (evhttp_request_get_command (request) == EVHTTP_REQ_DELETE
+           && strncmp (evhttp_request_get_uri (request), declarations_prefix,
+                       sizeof declarations_prefix - 1)
+                  == 0)
+    task_on_delete (task, request);
+  else if (request_is (request, EVHTTP_REQ_GET, "/v1/claims"))
+    br_operator_view_claims (task->node, request);
+  else if (request_is (request, EVHTTP_REQ_POST, "/v1/claims/settle"))
+    br_operator_change_settle (task->changes, request);
   else if (request_is (request, EVHTTP_REQ_GET, "/v1/status"))
-    task_on_status (task, request);
+    br_operator_view_status (task->node, task->catalog, request);
   else if (request_is (request, EVHTTP_REQ_POST, "/v1/drain"))
     task_on_drain (task, request);
   else if (request_is (request, EVHTTP_REQ_GET, "/metrics"))
@@ -163,6 +123,8 @@
   const br_endpoint_t *endpoint = &node->settings.operators;
 
   task->node = node;
+  task->catalog = br_operator_catalog_new (node);
+  task->changes = br_operator_change_new (node);
   task->http = evhttp_new (node->base);
   evhttp_set_max_headers_size (task->http, HEADER_MAX_BYTES);
   evhttp_set_max_body_size (task->http, BODY_MAX_BYTES);
@@ -180,11 +142,40 @@
   return NULL;
 }
 
+bool
+br_operator_task_on_proposal (br_operator_task_t *task,
+                              const br_proposal_message_t *message)
+{
+  return br_operator_change_on_proposal (task->changes, message);
+}
+
+void
+br_operator_task_on_applied (br_operator_task_t *task)
+{
+  br_operator_catalog_on_applied (task->catalog);
+  br_operator_change_on_applied (task->changes);
+}
+
+void
+br_operator_task_on_peer_up (br_operator_task_t *task, const br_name_t *vm)
+{
+  br_operator_catalog_on_peer_up (task->catalog, vm);
+}
+
+void
+br_operator_task_on_report (br_operator_task_t *task,
+                            const br_peer_message_t *message)
+{
+  br_operator_catalog_on_report (task->catalog, message);
+}
+
 void
 br_operator_task_free (br_operator_task_t *task)
 {
   if (task == NULL)
     return;
+  br_operator_change_free (task->changes);
+  br_operator_catalog_free (task->catalog);
   evhttp_free (task->http);
   free (task);
 }
--- a/src/shell/operator_task.h
+++ b/src/shell/operator_task.h
@@ -10,6 +10,17 @@
 br_operator_task_t *br_operator_task_new (br_node_t *node, br_error_t *err);
 void br_operator_task_free (br_operator_task_t *task);
 
+/* Returns false when the proposal is not one of this task. */
+bool br_operator_task_on_proposal (br_operator_task_t *task,
+                                   const br_proposal_message_t *message);
+void br_operator_task_on_applied (br_operator_task_t *task);
+void br_operator_task_on_peer_up (br_operator_task_t *task,
+                                  const br_name_t *vm);
+
+/* A peer told its revision (BR_PART_STATE). */
+void br_operator_task_on_report (br_operator_task_t *task,
+                                 const br_peer_message_t *message);
+
 BR_END_DECLS
 
 #endif
--- a/src/state/declaration_store.c
+++ b/src/state/declaration_store.c
@@ -373,6 +373,16 @@
   return entry != NULL ? entry->verdict : NULL;
 }
 
+const br_change_result_t *
+br_verdict_find (const br_declaration_store_t *store, br_str_t operation)
+{
+  const br_verdict_entry_t *entry;
+
+  HASH_FIND (hh, store->verdicts, operation.data, (unsigned)operation.len,
+             entry);
+  return entry != NULL ? entry->verdict->result : NULL;
+}
+
 size_t
 br_verdict_count (const br_declaration_store_t *store)
 {
--- a/src/state/declaration_store.h
+++ b/src/state/declaration_store.h
@@ -40,6 +40,8 @@
 /* The same for verdicts, oldest first. */
 const Br__State__Verdict *br_verdict_next (const br_declaration_store_t *store,
                                            const Br__State__Verdict *verdict);
+const br_change_result_t *br_verdict_find (const br_declaration_store_t *store,
+                                           br_str_t operation);
 size_t br_verdict_count (const br_declaration_store_t *store);
 
 /* Add what a snapshot holds; false when it is not valid. */
--- a/src/state/state.c
+++ b/src/state/state.c
@@ -399,6 +399,12 @@
     visit (at, context);
 }
 
+const br_change_result_t *
+br_state_verdict (const br_state_t *state, br_str_t operation)
+{
+  return br_verdict_find (&state->declarations, operation);
+}
+
 size_t
 br_state_claim_count (const br_state_t *state)
 {
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -84,6 +84,11 @@
                           br_claim_visit_t visit,
                           void *context);
 
+/* Returns the verdict on OPERATION, or NULL when it is not known, or no
+ * longer. */
+const br_change_result_t *br_state_verdict (const br_state_t *state,
+                                            br_str_t operation);
+
 size_t br_state_claim_count (const br_state_t *state);
 
 /* Returns NULL when nothing is known of KEY. */
