--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -172,6 +172,15 @@
     }
 }
 
+static br_error_code_t
+code_of_name (const char *name, int status)
+{
+  for (int code = BR_ERROR_OK; code <= BR_ERROR_CORRUPT; code++)
+    if (strcmp (br_error_name ((br_error_code_t)code), name) == 0)
+      return (br_error_code_t)code;
+  return code_of_status (status);
+}
+
 /* Turns an error answer into *ERR; always false. */
 static bool
 error_read (int status, br_str_t body, br_error_t *err)
@@ -180,9 +189,9 @@
   json_object *inner;
 
   if (json_object_object_get_ex (object, "error", &inner))
-    br_error_set (err, code_of_status (status), json_string (inner, "step"),
-                  json_string (inner, "peer"), "%s",
-                  json_string (inner, "message"));
+    br_error_set (err, code_of_name (json_string (inner, "code"), status),
+                  json_string (inner, "step"), json_string (inner, "peer"),
+                  "%s", json_string (inner, "message"));
   else
     br_error_set (err, code_of_status (status), "call", "", "status %d",
                   status);
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -11,8 +11,9 @@
   X (SERVE, serve, "run this VM's process")                                    \
   X (CHECK, check, "check a settings file, or describe all settings")          \
   X (APPLY, apply, "put declarations in force")                                \
-  X (GET, get, "show declarations")                                            \
+  X (GET, get, "show declarations or claims")                                  \
   X (DELETE, delete, "remove declarations")                                    \
+  X (SETTLE, settle, "settle a claim whose outcome is unknown")                \
   X (STATUS, status, "show what a VM sees and which revision is in force")     \
   X (DRAIN, drain, "stop a VM's process without cutting a request")            \
   X (TIMELINE, timeline, "merge the logs of several processes")
--- a/src/route/catalog.c
+++ b/src/route/catalog.c
@@ -347,6 +347,18 @@
   return true;
 }
 
+/* Checks what keys mean together. */
+static bool
+declaration_check_whole (const declaration_t *declaration, br_error_t *err)
+{
+  if (declaration->kind == BR_DECLARATION_SERVICE
+      && declaration->service.kind == BR_SERVICE_MODEL
+      && !declaration->service.repeatable)
+    return declaration_fault (declaration, "repeatable",
+                              "false wants \"answers\": \"plain\"", err);
+  return true;
+}
+
 static void
 declaration_release (declaration_t *declaration)
 {
@@ -392,7 +404,8 @@
     }
   ok = declaration_read_head (declaration, object, err)
        && declaration_check_keys (declaration, object, err)
-       && declaration_read_keys (declaration, object, err);
+       && declaration_read_keys (declaration, object, err)
+       && declaration_check_whole (declaration, err);
   if (!ok)
     declaration_release (declaration);
 out:
--- a/src/shell/claim_task.c
+++ b/src/shell/claim_task.c
@@ -376,7 +376,7 @@
   if (sweep->commands.len >= ABANDONS_PER_SWEEP
       || !task_owner_is_gone (sweep->task, claim))
     return;
-  br_command_abandon (claim, &command);
+  br_state_command_abandon (claim, &command);
   commands_push (&sweep->commands, command);
   BR_LOG (&sweep->task->node->log, "claim", "abandon",
           br_field_z ("key", claim->key), br_field_z ("peer", claim->owner->vm),
@@ -411,7 +411,7 @@
   if (br_state_claim_count (task->node->state) == 0
       || elapsed < TICK_EVERY_MS + task->tick_spread_ms)
     return;
-  br_command_tick (task->tick + 1, elapsed, &action.bytes);
+  br_state_command_tick (task->tick + 1, elapsed, &action.bytes);
   task_propose (task, 0, &action);
   br_buf_free (&action.bytes);
   /* Comes back only when the tick is applied, or after another span. */
--- a/src/shell/operator_catalog.c
+++ b/src/shell/operator_catalog.c
@@ -125,9 +125,8 @@
 br_operator_catalog_on_report (br_operator_catalog_t *catalog,
                                const br_peer_message_t *message)
 {
-  Br__State__Report *report
-      = br__state__report__unpack (NULL, message->payload.len,
-                                   (const uint8_t *)message->payload.data);
+  Br__State__Report *report = br__state__report__unpack (
+      NULL, message->payload.len, (const uint8_t *)message->payload.data);
   br_error_t err;
 
   if (report == NULL)
--- a/src/shell/operator_change.c
+++ b/src/shell/operator_change.c
@@ -98,7 +98,8 @@
                  "{\"operation\":\"%s\",\"revision\":%" PRIu64
                  ",\"dry_run\":%s,\"repeated\":%s,\"selectors\":[%s]}\n",
                  change->input.operation.data, revision,
-                 change->input.dry_run ? "true" : "false", first ? "false" : "true",
+                 change->input.dry_run ? "true" : "false",
+                 first ? "false" : "true",
                  change->report.len > 0 ? change->report.data : "");
   if (request != NULL)
     br_http_reply (request, HTTP_OK, "application/json", br_buf_str (&out));
@@ -127,10 +128,9 @@
   br_buf_t text = { 0 };
   br_error_t err;
 
-  br_buf_printf (&text,
-                 "revision %" PRIu64 " was expected and %" PRIu64
-                 " was in force",
-                 change->input.expected_revision, result->revision);
+  br_buf_printf (
+      &text, "revision %" PRIu64 " was expected and %" PRIu64 " was in force",
+      change->input.expected_revision, result->revision);
   print_winner (result, &text);
   br_error_set (&err, BR_ERROR_CONFLICT, "change declarations", "", "%s",
                 text.data);
@@ -179,8 +179,10 @@
   br_str_t name = br_str_from (declaration->name);
 
   if (!br_declaration_kind_parse (br_str_from (declaration->kind), &kind)
-      || br_operator_items_find (&overlay->change->input.put, kind, name) != NULL
-      || br_operator_items_find (&overlay->change->input.remove, kind, name) != NULL)
+      || br_operator_items_find (&overlay->change->input.put, kind, name)
+             != NULL
+      || br_operator_items_find (&overlay->change->input.remove, kind, name)
+             != NULL)
     return;
   br_catalog_add (overlay->catalog, br_str_from (declaration->json), NULL);
 }
@@ -194,7 +196,8 @@
   br_state_each_declaration (change->changes->node->state, overlay_visit,
                              &overlay);
   for (size_t i = 0; i < change->input.put.len; i++)
-    br_catalog_add (catalog, br_buf_str (&change->input.put.items[i].json), NULL);
+    br_catalog_add (catalog, br_buf_str (&change->input.put.items[i].json),
+                    NULL);
 }
 
 static bool
@@ -241,7 +244,7 @@
   wire.n_put = change->input.put.len;
   wire.remove = br_operator_items_wire (&change->input.remove);
   wire.n_remove = change->input.remove.len;
-  br_command_change (&wire, &command);
+  br_state_command_change (&wire, &command);
   change->ticket
       = br_replica_task_propose (node->replica, br_buf_str (&command));
   br_operator_wire_free (wire.put);
--- a/src/shell/operator_input.c
+++ b/src/shell/operator_input.c
@@ -19,7 +19,9 @@
 }
 
 const br_operator_item_t *
-br_operator_items_find (const br_operator_items_t *items, br_declaration_kind_t kind, br_str_t name)
+br_operator_items_find (const br_operator_items_t *items,
+                        br_declaration_kind_t kind,
+                        br_str_t name)
 {
   for (size_t i = 0; i < items->len; i++)
     if (items->items[i].kind == kind
@@ -68,10 +70,11 @@
 }
 
 bool
-br_operator_input_read_query (br_operator_input_t *input, struct evhttp_request *request, br_error_t *err)
+br_operator_input_read_query (br_operator_input_t *input,
+                              struct evhttp_request *request,
+                              br_error_t *err)
 {
-  const struct evhttp_uri *uri
-      = evhttp_request_get_evhttp_uri (request);
+  const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri (request);
   const char *text = evhttp_uri_get_query (uri);
   struct evkeyvalq query;
   const char *expect;
@@ -94,8 +97,8 @@
 
 static bool
 input_add_put (br_operator_input_t *input,
-                const br_declaration_text_t *text,
-                br_error_t *err)
+               const br_declaration_text_t *text,
+               br_error_t *err)
 {
   br_operator_item_t item = { 0 };
   br_error_t inner;
@@ -104,13 +107,13 @@
                          &inner))
     return br_error_set (err, inner.code, inner.step, inner.peer, "line %d: %s",
                          text->line, inner.text);
-  if (br_operator_items_find (&input->put, item.kind, br_name_str (&item.name)) != NULL)
-    return br_error_set (err, BR_ERROR_CONFLICT, "check declarations",
-                         item.name.data,
-                         "line %d: %s/%s: is declared twice, the first one "
-                         "stands above",
-                         text->line, br_declaration_kind_name (item.kind),
-                         item.name.data);
+  if (br_operator_items_find (&input->put, item.kind, br_name_str (&item.name))
+      != NULL)
+    return br_error_set (
+        err, BR_ERROR_CONFLICT, "check declarations", item.name.data,
+        "line %d: %s/%s: is declared twice, the first one "
+        "stands above",
+        text->line, br_declaration_kind_name (item.kind), item.name.data);
   br_buf_append (&item.json, br_buf_str (&text->json));
   br_operator_items_push (&input->put, item);
   return true;
@@ -148,8 +151,8 @@
   if (slash == NULL
       || !br_declaration_kind_parse (br_str_make (path.data, kind_len),
                                      &item.kind)
-      || !br_name_set (&item.name, br_str_make (slash + 1,
-                                                path.len - kind_len - 1)))
+      || !br_name_set (&item.name,
+                       br_str_make (slash + 1, path.len - kind_len - 1)))
     return br_error_set (err, BR_ERROR_INVALID, "read request", "",
                          "KIND/NAME is wanted");
   br_operator_items_push (&input->remove, item);
@@ -157,7 +160,9 @@
 }
 
 bool
-br_operator_settle_read (struct evhttp_request *request, br_buf_t *command, br_error_t *err)
+br_operator_settle_read (struct evhttp_request *request,
+                         br_buf_t *command,
+                         br_error_t *err)
 {
   const char *text
       = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
@@ -176,11 +181,10 @@
        && br_claim_state_parse (br_str_from (as), &state)
        && (state == BR_CLAIM_ANSWERED || state == BR_CLAIM_NOT_RUN);
   if (ok)
-    br_command_settle (br_str_from (key), state, command);
+    br_state_command_settle (br_str_from (key), state, command);
   else
     br_error_set (err, BR_ERROR_INVALID, "read request", "",
                   "key, and as=answered or as=not-run, are wanted");
   evhttp_clear_headers (&query);
   return ok;
 }
-
--- a/src/shell/operator_view.c
+++ b/src/shell/operator_view.c
@@ -203,16 +203,15 @@
 {
   br_buf_t out = { 0 };
 
-  br_buf_printf (&out,
-                 "{\"vm\":\"%s\",\"incarnation\":%" PRIu64
-                 ",\"failure_domain\":\"%s\",\"revision\":%" PRIu64
-                 ",\"applied\":%" PRIu64
-                 ",\"draining\":%s,\"in_progress\":%zu,\"revisions\":[",
-                 node->settings.vm.data, node->incarnation,
-                 node->settings.failure_domain.data, node->catalog.revision,
-                 br_state_applied (node->state),
-                 node->draining ? "true" : "false",
-                 br_work_task_in_progress (node->works));
+  br_buf_printf (
+      &out,
+      "{\"vm\":\"%s\",\"incarnation\":%" PRIu64
+      ",\"failure_domain\":\"%s\",\"revision\":%" PRIu64 ",\"applied\":%" PRIu64
+      ",\"draining\":%s,\"in_progress\":%zu,\"revisions\":[",
+      node->settings.vm.data, node->incarnation,
+      node->settings.failure_domain.data, node->catalog.revision,
+      br_state_applied (node->state), node->draining ? "true" : "false",
+      br_work_task_in_progress (node->works));
   br_operator_catalog_print (catalog, &out);
   br_buf_printf (&out, "],\"peers\":[");
   if (node->peers != NULL)
--- a/src/state/command.c
+++ b/src/state/command.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 
 void
-br_command_abandon (const br_claim_record_t *claim, br_buf_t *out)
+br_state_command_abandon (const br_claim_record_t *claim, br_buf_t *out)
 {
   br_command_t command = BR__STATE__COMMAND__INIT;
   Br__State__ClaimAbandon abandon = BR__STATE__CLAIM_ABANDON__INIT;
@@ -17,7 +17,7 @@
 }
 
 void
-br_command_settle (br_str_t key, br_claim_state_t state, br_buf_t *out)
+br_state_command_settle (br_str_t key, br_claim_state_t state, br_buf_t *out)
 {
   br_command_t command = BR__STATE__COMMAND__INIT;
   Br__State__ClaimSettle settle = BR__STATE__CLAIM_SETTLE__INIT;
@@ -31,7 +31,7 @@
 }
 
 void
-br_command_tick (uint64_t sequence, br_ms_t elapsed_ms, br_buf_t *out)
+br_state_command_tick (uint64_t sequence, br_ms_t elapsed_ms, br_buf_t *out)
 {
   br_command_t command = BR__STATE__COMMAND__INIT;
   Br__State__Tick tick = BR__STATE__TICK__INIT;
@@ -44,7 +44,7 @@
 }
 
 void
-br_command_fence (br_str_t resource, br_buf_t *out)
+br_state_command_fence (br_str_t resource, br_buf_t *out)
 {
   br_command_t command = BR__STATE__COMMAND__INIT;
   Br__State__FenceNext fence = BR__STATE__FENCE_NEXT__INIT;
@@ -57,7 +57,7 @@
 }
 
 void
-br_command_change (const br_change_t *change, br_buf_t *out)
+br_state_command_change (const br_change_t *change, br_buf_t *out)
 {
   br_command_t command = BR__STATE__COMMAND__INIT;
 
--- a/src/state/command.h
+++ b/src/state/command.h
@@ -8,11 +8,13 @@
 BR_BEGIN_DECLS
 
 /* Each appends the packed command to OUT. */
-void br_command_abandon (const br_claim_record_t *claim, br_buf_t *out);
-void br_command_settle (br_str_t key, br_claim_state_t state, br_buf_t *out);
-void br_command_tick (uint64_t sequence, br_ms_t elapsed_ms, br_buf_t *out);
-void br_command_fence (br_str_t resource, br_buf_t *out);
-void br_command_change (const br_change_t *change, br_buf_t *out);
+void br_state_command_abandon (const br_claim_record_t *claim, br_buf_t *out);
+void
+br_state_command_settle (br_str_t key, br_claim_state_t state, br_buf_t *out);
+void
+br_state_command_tick (uint64_t sequence, br_ms_t elapsed_ms, br_buf_t *out);
+void br_state_command_fence (br_str_t resource, br_buf_t *out);
+void br_state_command_change (const br_change_t *change, br_buf_t *out);
 
 BR_END_DECLS
 
--- a/src/state/declaration_text.c
+++ b/src/state/declaration_text.c
@@ -259,8 +259,8 @@
   *texts = (br_declaration_texts_t){ 0 };
   reader.handle = yajl_alloc (&reader_callbacks, NULL, &reader);
   yajl_config (reader.handle, yajl_allow_comments, 1);
-  status = yajl_parse (reader.handle, (const unsigned char *)text.data,
-                       text.len);
+  status
+      = yajl_parse (reader.handle, (const unsigned char *)text.data, text.len);
   if (status == yajl_status_ok)
     status = yajl_complete_parse (reader.handle);
   if (status != yajl_status_ok)
--- a/tests/claim_model_test.cc
+++ b/tests/claim_model_test.cc
@@ -465,8 +465,8 @@
         br_buf_t command = {};
 
         load (world);
-        br_command_tick (br_state_tick (state_) + 1, BR_STATE_TICK_MAX_MS,
-                         &command);
+        br_state_command_tick (br_state_tick (state_) + 1, BR_STATE_TICK_MAX_MS,
+                               &command);
         apply (world, std::string (command.data, command.len));
         br_buf_free (&command);
       }
@@ -490,7 +490,7 @@
         World world = from;
 
         world.left.abandons--;
-        br_command_abandon (record, &command);
+        br_state_command_abandon (record, &command);
         world.proposals.push_back ({ -1, BR_CLAIM_PROPOSE_END, 0,
                                      std::string (command.data, command.len),
                                      BR_PROPOSAL_COMMITTED });
@@ -506,7 +506,8 @@
         std::string bytes;
 
         world.left.settlements--;
-        br_command_settle (br_str_from ("o/s/k"), BR_CLAIM_NOT_RUN, &command);
+        br_state_command_settle (br_str_from ("o/s/k"), BR_CLAIM_NOT_RUN,
+                                 &command);
         bytes = apply (world, std::string (command.data, command.len));
         result = br_result_unpack (br_str_make (bytes.data (), bytes.size ()));
         world.settled = result->claim->verdict == BR_VERDICT_OK
--- a/tests/claim_session.c
+++ b/tests/claim_session.c
@@ -182,7 +182,7 @@
 {
   br_buf_t command = { 0 };
 
-  br_command_tick (br_state_tick (session->state) + 1, elapsed, &command);
+  br_state_command_tick (br_state_tick (session->state) + 1, elapsed, &command);
   session_apply_unheard (session, br_buf_str (&command));
   br_buf_free (&command);
 }
@@ -192,8 +192,8 @@
 {
   br_buf_t command = { 0 };
 
-  br_command_abandon (br_state_claim (session->state, br_str_from (key)),
-                      &command);
+  br_state_command_abandon (br_state_claim (session->state, br_str_from (key)),
+                            &command);
   session_apply_unheard (session, br_buf_str (&command));
   br_buf_free (&command);
 }
@@ -205,7 +205,7 @@
   br_claim_state_t state = BR_CLAIM_NONE;
 
   br_claim_state_parse (br_str_from (as), &state);
-  br_command_settle (br_str_from (key), state, &command);
+  br_state_command_settle (br_str_from (key), state, &command);
   session_apply_unheard (session, br_buf_str (&command));
   br_buf_free (&command);
 }
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -58,7 +58,7 @@
     change.base_revision = br_state_revision (state_);
     change.n_put = 1;
     change.put = list;
-    br_command_change (&change, &command);
+    br_state_command_change (&change, &command);
     result = apply (&command);
     br_buf_free (&command);
     return result->change;
@@ -167,7 +167,7 @@
 {
   br_buf_t command = {};
 
-  br_command_fence (br_str_from ("engine/e1"), &command);
+  br_state_command_fence (br_str_from ("engine/e1"), &command);
   EXPECT_EQ (apply (&command)->fence->number, 1u);
   EXPECT_EQ (apply (&command)->fence->number, 2u);
   ASSERT_TRUE (restore (snapshot ()));
@@ -196,13 +196,14 @@
   EXPECT_EQ (apply (&command)->claim->verdict, BR_VERDICT_OK);
   EXPECT_EQ (apply (&command)->claim->verdict, BR_VERDICT_OK);
   br_buf_clear (&command);
-  br_command_abandon (br_state_claim (state_, br_str_from ("o/s/k")), &command);
+  br_state_command_abandon (br_state_claim (state_, br_str_from ("o/s/k")),
+                            &command);
   EXPECT_EQ (apply (&command)->claim->claim->state, BR_CLAIM_NOT_RUN);
   for (int i = 1; i <= 7; i++)
     {
       ASSERT_NE (br_state_claim (state_, br_str_from ("o/s/k")), nullptr) << i;
       br_buf_clear (&command);
-      br_command_tick ((uint64_t)i, 3600000, &command);
+      br_state_command_tick ((uint64_t)i, 3600000, &command);
       apply (&command);
       apply (&command); /* a duplicate counts once */
       EXPECT_EQ (br_state_now (state_), i * BR_STATE_TICK_MAX_MS);
@@ -224,7 +225,7 @@
 
       br_random_seed (&random, seed);
       change.operation = (char *)"op-2";
-      br_command_change (&change, &command);
+      br_state_command_change (&change, &command);
       for (size_t i = 0; i < command.len; i++)
         if (br_random_below (&random, 3) == 0)
           command.data[i] = (char)br_random_below (&random, 256);
@@ -245,7 +246,7 @@
   for (int i = 0; i < 20; i++)
     put (("op-" + std::to_string (i)).c_str (),
          ("s" + std::to_string (i)).c_str (), "{\"a\":1}", i % 3 - 1);
-  br_command_fence (br_str_from ("engine/e1"), &command);
+  br_state_command_fence (br_str_from ("engine/e1"), &command);
   apply (&command);
   br_buf_free (&command);
   good = snapshot ();
