--- a/src/shell/operator_view.c
+++ b/src/shell/operator_view.c
@@ -6,6 +6,7 @@
 
 #include "shell/http_reply.h"
 #include "shell/peer_task.h"
+#include "shell/replica_task.h"
 #include "shell/work_task.h"
 
 /* Claims in one answer. */
@@ -216,7 +217,9 @@
   br_buf_printf (&out, "],\"peers\":[");
   if (node->peers != NULL)
     br_peer_task_status (node->peers, &out);
-  br_buf_printf (&out, "]}\n");
+  br_buf_printf (&out, "],\"replica\":");
+  br_replica_task_status (node->replica, &out);
+  br_buf_printf (&out, "}\n");
   br_http_reply (request, HTTP_OK, "application/json", br_buf_str (&out));
   br_buf_free (&out);
 }
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -24,8 +24,8 @@
   uint64_t number;
   br_contract_id_t contract;
   char contract_text[BR_NAME_MAX + 40];
-  br_name_t service;
   br_name_t organisation;
+  br_name_t service;
   br_service_kind_t kind;
   bool repeatable;
   bool accepted;     /* the caller may hear of it */
