--- a/src/contract/claim.c
+++ b/src/contract/claim.c
@@ -190,6 +190,11 @@
             uint32_t attempt,
             br_claim_actions_t *outbox)
 {
+  if (claim->no_majority)
+    {
+      claim_refuse (claim, "no majority of voters can be reached", outbox);
+      return;
+    }
   if (++claim->takes > TAKES_MAX)
     {
       claim_refuse (claim, "other contracts keep taking the key", outbox);
@@ -531,7 +536,9 @@
   switch (input->kind)
     {
     case BR_CLAIM_INPUT_START:
+      claim->no_majority = input->no_majority;
       claim_start (claim, now, input->record, outbox);
+      claim->no_majority = false;
       break;
     case BR_CLAIM_INPUT_PROPOSAL:
       claim_on_proposal (claim, now, input, outbox);
--- a/src/contract/claim.h
+++ b/src/contract/claim.h
@@ -53,6 +53,7 @@
   uint32_t takes;           /* attempts of this contract to get the key */
   br_ms_t sent_proposed_ms; /* of the latest record that it is sent */
   uint32_t sents;           /* records before the first byte proposed */
+  bool no_majority;         /* while it starts */
   bool taken;               /* the claim is committed */
   bool sent_too_soon;       /* that record reached the log before the claim */
   bool sent_refused;
@@ -79,6 +80,7 @@
 {
   br_claim_input_kind_t kind;
   const br_claim_record_t *record;
+  bool no_majority; /* of START: the log has had no leader for long */
   struct
   {
     br_claim_proposal_t kind;
--- a/src/shell/claim_task.c
+++ b/src/shell/claim_task.c
@@ -20,6 +20,9 @@
 #define ABANDON_SPREAD_MS 3000
 #define ABANDONS_PER_SWEEP 64
 
+/* Without a leader for this long, new claims are refused at once. */
+#define LEADERLESS_MS 1500
+
 /* A planned stop waits this long for the log to learn an end. */
 #define STOP_WAITS_MS 10000
 
@@ -59,6 +62,7 @@
   vm_t *vms;
   struct event *poll;
   unsigned polls;
+  br_ms_t leader_seen_ms;
   uint64_t tick; /* last one seen, and when */
   br_ms_t tick_seen_ms;
   br_ms_t tick_spread_ms;
@@ -159,6 +163,21 @@
   br_buf_append (out, br_buf_str (&work->body));
 }
 
+static void
+task_see_leader (br_claim_task_t *task)
+{
+  if (br_replica_task_leader (task->node->replica)->len > 0)
+    task->leader_seen_ms = br_node_now (task->node);
+}
+
+/* An election is over sooner than this. */
+static bool
+task_has_no_majority (br_claim_task_t *task)
+{
+  task_see_leader (task);
+  return br_node_now (task->node) - task->leader_seen_ms >= LEADERLESS_MS;
+}
+
 void
 br_claim_task_start (br_claim_task_t *task, br_work_t *work)
 {
@@ -194,6 +213,7 @@
   HASH_ADD (hh, task->entries, number, sizeof entry->number, entry);
   input.record
       = br_state_claim (task->node->state, br_buf_str (&entry->claim.key));
+  input.no_majority = task_has_no_majority (task);
   entry_handle (task, entry, &input);
 }
 
@@ -428,6 +448,7 @@
 
   (void)fd;
   (void)what;
+  task_see_leader (task);
   HASH_ITER (hh, task->entries, entry, next)
   {
     entry_handle (task, entry, &input);
@@ -464,7 +485,7 @@
   struct timeval period = { 0, POLL_MS * 1000 };
 
   task->node = node;
-  task->tick_seen_ms = br_node_now (node);
+  task->tick_seen_ms = task->leader_seen_ms = br_node_now (node);
   task->poll = event_new (node->base, -1, EV_PERSIST, task_on_poll, task);
   event_add (task->poll, &period);
   return task;
--- a/src/shell/http_reply.c
+++ b/src/shell/http_reply.c
@@ -37,7 +37,9 @@
   json_object_object_add (inner, "message", json_object_new_string (err->text));
   json_object_object_add (
       inner, "outcome",
-      json_object_new_string (unknown ? "unknown" : "not_run"));
+      json_object_new_string (err->code == BR_ERROR_ANSWER_GONE ? "answered"
+                              : unknown                         ? "unknown"
+                                                                : "not_run"));
   if (err->retry_after_ms > 0)
     json_object_object_add (inner, "retry_after_ms",
                             json_object_new_int64 (err->retry_after_ms));
--- /dev/null
+++ b/tests/process/claim_minority.sh
@@ -0,0 +1,37 @@
+# Two of three VMs are frozen: the third refuses calls that run at most once,
+# at once, with Retry-After and truthfully not run, and goes on with work that
+# may be repeated.  Usage: claim_minority.sh BUILD
+set -u
+BUILD=$1
+BASE_PORT=23400
+. "$(dirname "$0")/../support/site.sh"
+
+runs() { grep -c "\"key\":\"$1\"" "$SITE/ledger-1.out"; }
+
+site_init
+site_up || site_fail "site does not come up"
+kill -STOP "$(site_pid castillos-2)" "$(site_pid lascano-1)"
+sleep 3
+for i in 1 2 3; do
+  start=$(date +%s%N)
+  told=$(site_call 0 "order-$i" '{"amount":1}' -i)
+  took=$((($(date +%s%N) - start) / 1000000))
+  grep -q '"outcome":"not_run"' <<< "$told" || site_fail "told: $told"
+  grep -qi '^retry-after:' <<< "$told" || site_fail "no Retry-After: $told"
+  echo "refused after $took ms"
+done
+draft=$(site_complete 0 '{"model":"contract-lm","max_tokens":3,
+  "messages":[{"role":"user","content":"draft"}]}')
+grep -q '"content"' <<< "$draft" || site_fail "repeatable work: $draft"
+
+kill -CONT "$(site_pid castillos-2)" "$(site_pid lascano-1)"
+for i in $(seq 50); do
+  told=$(site_call 0 order-1 '{"amount":1}')
+  grep -q '"call"' <<< "$told" && break
+  sleep 0.2
+done
+grep -q '"call"' <<< "$told" || site_fail "after the cut: $told"
+[ "$(runs order-1)" = 1 ] || site_fail "order-1 ran $(runs order-1) times"
+[ "$(runs order-2)" = 0 ] || site_fail "order-2 was told not run, and ran"
+[ "$(runs order-3)" = 0 ] || site_fail "order-3 was told not run, and ran"
+echo "claim minority: ok"
--- /dev/null
+++ b/tests/process/claim_resend.sh
@@ -0,0 +1,39 @@
+# A call that runs at most once, sent again through other VMs: while it runs,
+# after its answer, after its owner was killed, and after all VMs restarted.
+# Usage: claim_resend.sh BUILD
+set -u
+BUILD=$1
+BASE_PORT=23000
+SITE_LEDGER_ARGS="--delay-ms 400"
+. "$(dirname "$0")/../support/site.sh"
+
+runs() { grep -c "\"key\":\"$1\"" "$SITE/ledger-1.out"; }
+
+site_init
+site_up || site_fail "site does not come up"
+
+site_call 0 order-1 '{"amount":100}' > "$SITE/first" &
+first=$!
+sleep 0.1
+second=$(site_call 2 order-1 '{"amount":100}')
+wait "$first"
+[ "$second" = "$(cat "$SITE/first")" ] || site_fail "resend while it ran: $second"
+grep -q '"call":1' "$SITE/first" || site_fail "first: $(cat "$SITE/first")"
+
+[ "$(site_call 1 order-1 '{"amount":999}' -o /dev/null -w '%{http_code}')" = 409 ] ||
+  site_fail "another body under the same key was not refused"
+
+kill -9 "$(site_pid castillos-1)"
+third=$(site_call 1 order-1 '{"amount":100}')
+[ "$third" = "$second" ] || site_fail "resend after its owner died: $third"
+
+kill -9 "$(site_pid castillos-2)" "$(site_pid lascano-1)"
+for i in 0 1 2; do site_start_vm "$i"; done
+for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/healthz"; done
+site_wait_revision 1 || site_fail "no declarations after the restart"
+for i in 0 1 2; do
+  again=$(site_call "$i" order-1 '{"amount":100}')
+  [ "$again" = "$second" ] || site_fail "resend after the restart: $again"
+done
+[ "$(runs order-1)" = 1 ] || site_fail "ran $(runs order-1) times"
+echo "claim resend: ok"
