--- a/src/contract/claim.c
+++ b/src/contract/claim.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "contract/claim_command.h"
+#include "contract/claim_tell.h"
 
 #define TAKES_MAX 4
 #define SENTS_MAX 3
@@ -110,39 +111,6 @@
   br_claim_actions_push (outbox, action);
 }
 
-/* Tells the caller, once. */
-static void
-claim_tell (br_claim_t *claim,
-            const br_error_t *err,
-            br_claim_actions_t *outbox)
-{
-  br_claim_action_t action = { .kind = BR_CLAIM_ACTION_FAIL, .error = *err };
-
-  if (claim->told)
-    return;
-  claim->told = true;
-  br_claim_actions_push (outbox, action);
-}
-
-static void
-claim_fail (br_claim_t *claim,
-            const br_error_t *err,
-            br_claim_actions_t *outbox)
-{
-  claim->step = BR_CLAIM_STEP_OVER;
-  claim_tell (claim, err, outbox);
-}
-
-static void
-claim_refuse (br_claim_t *claim, const char *why, br_claim_actions_t *outbox)
-{
-  br_error_t err;
-
-  br_error_set (&err, BR_ERROR_UNAVAILABLE, "claim key", "", "%s", why);
-  err.retry_after_ms = RETRY_AFTER_MS;
-  claim_fail (claim, &err, outbox);
-}
-
 /* Surely nothing was sent, and from here on nothing will be. */
 static void
 claim_fence (br_claim_t *claim,
@@ -192,12 +160,12 @@
 {
   if (claim->no_majority)
     {
-      claim_refuse (claim, "no majority of voters can be reached", outbox);
+      br_claim_refuse (claim, "no majority of voters can be reached", outbox);
       return;
     }
   if (++claim->takes > TAKES_MAX)
     {
-      claim_refuse (claim, "other contracts keep taking the key", outbox);
+      br_claim_refuse (claim, "other contracts keep taking the key", outbox);
       return;
     }
   claim->step = BR_CLAIM_STEP_TAKING;
@@ -208,52 +176,6 @@
   claim_propose_sent (claim, now, outbox);
 }
 
-static void
-claim_answer (br_claim_t *claim,
-              const br_claim_record_t *record,
-              br_claim_actions_t *outbox)
-{
-  br_claim_action_t action = { .kind = BR_CLAIM_ACTION_ANSWER };
-  br_error_t err;
-
-  if (!record->body_kept)
-    {
-      br_error_set (&err, BR_ERROR_ANSWER_GONE, "read claim", record->owner->vm,
-                    "the work ran once and %s; its answer is not kept",
-                    record->settled ? "was settled as answered" : "ended");
-      claim_fail (claim, &err, outbox);
-      return;
-    }
-  action.status = record->status;
-  br_buf_append (&action.bytes, br_message_str (record->body));
-  claim->step = BR_CLAIM_STEP_OVER;
-  claim->told = true;
-  br_claim_actions_push (outbox, action);
-}
-
-static void
-claim_fail_unknown (br_claim_t *claim,
-                    const char *vm,
-                    const char *why,
-                    br_claim_actions_t *outbox)
-{
-  br_error_t err;
-
-  br_error_set (&err, BR_ERROR_UNKNOWN_OUTCOME, "read claim", vm, "%s", why);
-  err.retry_after_ms = RETRY_AFTER_MS;
-  claim_fail (claim, &err, outbox);
-}
-
-static void
-claim_fail_other_body (br_claim_t *claim, br_claim_actions_t *outbox)
-{
-  br_error_t err;
-
-  br_error_set (&err, BR_ERROR_CONFLICT, "claim key", "",
-                "Idempotency-Key: was used with another method, path or body");
-  claim_fail (claim, &err, outbox);
-}
-
 static void
 claim_wait (br_claim_t *claim, br_ms_t now)
 {
@@ -279,7 +201,7 @@
     }
   if (!br_str_equal (br_message_str (record->digest), digest))
     {
-      claim_fail_other_body (claim, outbox);
+      br_claim_fail_other_body (claim, outbox);
       return;
     }
   switch (record->state)
@@ -289,14 +211,14 @@
       claim_wait (claim, now);
       break;
     case BR_CLAIM_ANSWERED:
-      claim_answer (claim, record, outbox);
+      br_claim_tell_answer (claim, record, outbox);
       break;
     case BR_CLAIM_NOT_RUN:
       claim_take (claim, now, record->attempt + 1, outbox);
       break;
     default:
-      claim_fail_unknown (claim, record->owner->vm,
-                          "the work of this key may have run", outbox);
+      br_claim_fail_unknown (claim, record->owner->vm,
+                             "the work of this key may have run", outbox);
       break;
     }
 }
@@ -339,7 +261,7 @@
   else if (record_is_own (claim, result->claim))
     claim_fence_why (claim, now, "another VM gave this claim up", outbox);
   else if (result->verdict == BR_VERDICT_OTHER_BODY)
-    claim_fail_other_body (claim, outbox);
+    br_claim_fail_other_body (claim, outbox);
   else if (result->verdict == BR_VERDICT_EXISTS
            || result->verdict == BR_VERDICT_STALE)
     claim_consider (claim, now, result->claim, outbox);
@@ -349,7 +271,7 @@
                     "the log refused the claim: %s",
                     br_claim_verdict_name (result->verdict));
       err.retry_after_ms = RETRY_AFTER_MS;
-      claim_fail (claim, &err, outbox);
+      br_claim_fail (claim, &err, outbox);
     }
 }
 
@@ -367,7 +289,7 @@
       claim_on_take_verdict (claim, now, input->proposal.result, outbox);
       break;
     case BR_PROPOSAL_REFUSED:
-      claim_refuse (claim, "no majority of voters can be reached", outbox);
+      br_claim_refuse (claim, "no majority of voters can be reached", outbox);
       break;
     case BR_PROPOSAL_UNKNOWN:
       claim_fence_why (claim, now, "no majority of voters answered in time",
@@ -431,7 +353,7 @@
       = committed ? input->proposal.result->verdict : BR_VERDICT_FULL;
 
   if (verdict == BR_VERDICT_OK || verdict == BR_VERDICT_STALE)
-    claim_fail (claim, &claim->failure, outbox);
+    br_claim_fail (claim, &claim->failure, outbox);
   else
     claim->propose_at_ms = now + PROPOSE_AGAIN_MS;
 }
@@ -497,7 +419,7 @@
                      && input->end.body.len <= BR_STATE_CLAIM_BODY_MAX_BYTES;
   claim_propose (claim, BR_CLAIM_PROPOSE_END, outbox);
   if (input->end.state == BR_CLAIM_UNKNOWN)
-    claim_tell (claim, &input->end.error, outbox);
+    br_claim_tell (claim, &input->end.error, outbox);
   claim->told = true;
 }
 
@@ -519,12 +441,12 @@
                     "nothing was sent, but the key may be claimed until a "
                     "majority of voters answers; resend with the same key");
       err.retry_after_ms = RETRY_AFTER_MS;
-      claim_tell (claim, &err, outbox);
+      br_claim_tell (claim, &err, outbox);
     }
   if (claim->step == BR_CLAIM_STEP_WAITING && now >= claim->tell_by_ms)
-    claim_fail_unknown (claim, "",
-                        "the work of this key still runs; resend to wait on",
-                        outbox);
+    br_claim_fail_unknown (claim, "",
+                           "the work of this key still runs; resend to wait on",
+                           outbox);
 }
 
 void
--- /dev/null
+++ b/src/contract/claim_tell.c
@@ -0,0 +1,82 @@
+#include "contract/claim_tell.h"
+
+#define RETRY_AFTER_MS 1000
+
+/* Tells the caller, once. */
+void
+br_claim_tell (br_claim_t *claim,
+            const br_error_t *err,
+            br_claim_actions_t *outbox)
+{
+  br_claim_action_t action = { .kind = BR_CLAIM_ACTION_FAIL, .error = *err };
+
+  if (claim->told)
+    return;
+  claim->told = true;
+  br_claim_actions_push (outbox, action);
+}
+
+void
+br_claim_fail (br_claim_t *claim,
+            const br_error_t *err,
+            br_claim_actions_t *outbox)
+{
+  claim->step = BR_CLAIM_STEP_OVER;
+  br_claim_tell (claim, err, outbox);
+}
+
+void
+br_claim_refuse (br_claim_t *claim, const char *why, br_claim_actions_t *outbox)
+{
+  br_error_t err;
+
+  br_error_set (&err, BR_ERROR_UNAVAILABLE, "claim key", "", "%s", why);
+  err.retry_after_ms = RETRY_AFTER_MS;
+  br_claim_fail (claim, &err, outbox);
+}
+
+void
+br_claim_tell_answer (br_claim_t *claim,
+              const br_claim_record_t *record,
+              br_claim_actions_t *outbox)
+{
+  br_claim_action_t action = { .kind = BR_CLAIM_ACTION_ANSWER };
+  br_error_t err;
+
+  if (!record->body_kept)
+    {
+      br_error_set (&err, BR_ERROR_ANSWER_GONE, "read claim", record->owner->vm,
+                    "the work ran once and %s; its answer is not kept",
+                    record->settled ? "was settled as answered" : "ended");
+      br_claim_fail (claim, &err, outbox);
+      return;
+    }
+  action.status = record->status;
+  br_buf_append (&action.bytes, br_message_str (record->body));
+  claim->step = BR_CLAIM_STEP_OVER;
+  claim->told = true;
+  br_claim_actions_push (outbox, action);
+}
+
+void
+br_claim_fail_unknown (br_claim_t *claim,
+                    const char *vm,
+                    const char *why,
+                    br_claim_actions_t *outbox)
+{
+  br_error_t err;
+
+  br_error_set (&err, BR_ERROR_UNKNOWN_OUTCOME, "read claim", vm, "%s", why);
+  err.retry_after_ms = RETRY_AFTER_MS;
+  br_claim_fail (claim, &err, outbox);
+}
+
+void
+br_claim_fail_other_body (br_claim_t *claim, br_claim_actions_t *outbox)
+{
+  br_error_t err;
+
+  br_error_set (&err, BR_ERROR_CONFLICT, "claim key", "",
+                "Idempotency-Key: was used with another method, path or body");
+  br_claim_fail (claim, &err, outbox);
+}
--- a/src/shell/claim_task.c
+++ b/src/shell/claim_task.c
@@ -3,6 +3,7 @@
 #include <uthash.h>
 
 #include "contract/claim.h"
+#include "shell/claim_vms.h"
 #include "shell/replica_task.h"
 #include "state/command.h"
 
@@ -14,10 +15,6 @@
 #define TICK_EVERY_MS 2000
 #define TICK_SPREAD_MS 2000
 
-/* A VM that is away for this long, and a share of the spread, loses the
- * claims that it has not ended. */
-#define ABANDON_AFTER_MS 5000
-#define ABANDON_SPREAD_MS 3000
 #define ABANDONS_PER_SWEEP 64
 
 /* Without a leader for this long, new claims are refused at once. */
@@ -44,22 +41,12 @@
   UT_hash_handle hh;
 } proposal_t;
 
-/* What is known of another entry VM. */
-typedef struct
-{
-  br_name_t name;
-  uint64_t incarnation;
-  bool up;
-  br_ms_t since_ms;
-  UT_hash_handle hh; /* by name.data */
-} vm_t;
-
 struct br_claim_task
 {
   br_node_t *node;
   entry_t *entries;
   proposal_t *proposals;
-  vm_t *vms;
+  br_claim_vms_t *vms;
   struct event *poll;
   unsigned polls;
   br_ms_t leader_seen_ms;
@@ -325,23 +312,11 @@
 
 void
 br_claim_task_on_vm (br_claim_task_t *task,
-                     const br_name_t *name,
+                     const br_name_t *vm,
                      uint64_t incarnation,
                      bool up)
 {
-  vm_t *vm;
-
-  HASH_FIND_STR (task->vms, name->data, vm);
-  if (vm == NULL)
-    {
-      vm = br_alloc_zero (sizeof *vm);
-      vm->name = *name;
-      HASH_ADD_KEYPTR (hh, task->vms, vm->name.data, vm->name.len, vm);
-    }
-  vm->incarnation = BR_MAX (vm->incarnation, incarnation);
-  if (vm->up != up || vm->since_ms == 0)
-    vm->since_ms = br_node_now (task->node);
-  vm->up = up;
+  br_claim_vms_see (task->vms, br_node_now (task->node), vm, incarnation, up);
 }
 
 /* Whether the contract that has CLAIM will surely not end it any more, as far
@@ -351,28 +326,13 @@
 {
   const br_claim_owner_t *owner = claim->owner;
   br_node_t *node = task->node;
-  br_ms_t away_ms
-      = ABANDON_AFTER_MS
-        + (br_ms_t)(br_str_hash (br_name_str (&node->settings.vm), 0)
-                    % ABANDON_SPREAD_MS);
-  br_ms_t since_ms = node->started_ms;
-  vm_t *vm;
-
-  if (br_str_equal (br_str_from (owner->vm), br_name_str (&node->settings.vm)))
-    {
-      const entry_t *entry = task_find (task, owner->number);
+  const entry_t *entry;
 
-      return owner->incarnation != node->incarnation || entry == NULL
-             || entry->claim.step == BR_CLAIM_STEP_OVER;
-    }
-  HASH_FIND_STR (task->vms, owner->vm, vm);
-  if (vm != NULL && owner->incarnation < vm->incarnation)
-    return true;
-  if (vm != NULL && vm->up)
-    return false;
-  if (vm != NULL)
-    since_ms = vm->since_ms;
-  return br_node_now (node) - since_ms >= away_ms;
+  if (!br_str_equal (br_str_from (owner->vm), br_name_str (&node->settings.vm)))
+    return br_claim_vms_is_gone (task->vms, br_node_now (node), owner);
+  entry = task_find (task, owner->number);
+  return owner->incarnation != node->incarnation || entry == NULL
+         || entry->claim.step == BR_CLAIM_STEP_OVER;
 }
 
 BR_VEC (commands, br_buf_t);
@@ -485,6 +445,7 @@
   struct timeval period = { 0, POLL_MS * 1000 };
 
   task->node = node;
+  task->vms = br_claim_vms_new (&node->settings.vm, node->started_ms);
   task->tick_seen_ms = task->leader_seen_ms = br_node_now (node);
   task->poll = event_new (node->base, -1, EV_PERSIST, task_on_poll, task);
   event_add (task->poll, &period);
@@ -498,8 +459,6 @@
   entry_t *next_entry;
   proposal_t *proposal;
   proposal_t *next_proposal;
-  vm_t *vm;
-  vm_t *next_vm;
 
   if (task == NULL)
     return;
@@ -514,11 +473,7 @@
     HASH_DEL (task->proposals, proposal);
     free (proposal);
   }
-  HASH_ITER (hh, task->vms, vm, next_vm)
-  {
-    HASH_DEL (task->vms, vm);
-    free (vm);
-  }
+  br_claim_vms_free (task->vms);
   event_free (task->poll);
   free (task);
 }
--- /dev/null
+++ b/src/shell/claim_vms.c
@@ -0,0 +1,91 @@
+#include "shell/claim_vms.h"
+
+#include <stdlib.h>
+#include <uthash.h>
+
+/* A VM that is away for this long, and a share of the spread, loses the
+ * claims that it has not ended. */
+#define ABANDON_AFTER_MS 5000
+#define ABANDON_SPREAD_MS 3000
+
+typedef struct
+{
+  br_name_t name;
+  uint64_t incarnation;
+  bool up;
+  br_ms_t since_ms;
+  UT_hash_handle hh; /* by name.data */
+} vm_t;
+
+struct br_claim_vms
+{
+  vm_t *vms;
+  br_ms_t started_ms;
+  br_ms_t away_ms; /* after which this VM gives up the claims of another */
+};
+
+br_claim_vms_t *
+br_claim_vms_new (const br_name_t *vm, br_ms_t started_ms)
+{
+  br_claim_vms_t *vms = br_alloc_zero (sizeof *vms);
+
+  vms->started_ms = started_ms;
+  vms->away_ms
+      = ABANDON_AFTER_MS
+        + (br_ms_t)(br_str_hash (br_name_str (vm), 0) % ABANDON_SPREAD_MS);
+  return vms;
+}
+
+void
+br_claim_vms_free (br_claim_vms_t *vms)
+{
+  vm_t *vm;
+  vm_t *next;
+
+  HASH_ITER (hh, vms->vms, vm, next)
+  {
+    HASH_DEL (vms->vms, vm);
+    free (vm);
+  }
+  free (vms);
+}
+
+void
+br_claim_vms_see (br_claim_vms_t *vms,
+                  br_ms_t now,
+                  const br_name_t *name,
+                  uint64_t incarnation,
+                  bool up)
+{
+  vm_t *vm;
+
+  HASH_FIND_STR (vms->vms, name->data, vm);
+  if (vm == NULL)
+    {
+      vm = br_alloc_zero (sizeof *vm);
+      vm->name = *name;
+      HASH_ADD_KEYPTR (hh, vms->vms, vm->name.data, vm->name.len, vm);
+    }
+  vm->incarnation = BR_MAX (vm->incarnation, incarnation);
+  if (vm->up != up || vm->since_ms == 0)
+    vm->since_ms = now;
+  vm->up = up;
+}
+
+bool
+br_claim_vms_is_gone (const br_claim_vms_t *vms,
+                      br_ms_t now,
+                      const br_claim_owner_t *owner)
+{
+  br_ms_t since_ms = vms->started_ms;
+  vm_t *vm;
+
+  HASH_FIND_STR (vms->vms, owner->vm, vm);
+  if (vm != NULL && owner->incarnation < vm->incarnation)
+    return true;
+  if (vm != NULL && vm->up)
+    return false;
+  if (vm != NULL)
+    since_ms = vm->since_ms;
+  return now - since_ms >= vms->away_ms;
+}
--- a/src/shell/operator_change.c
+++ b/src/shell/operator_change.c
@@ -165,41 +165,6 @@
   change_fail (change, &err);
 }
 
-typedef struct
-{
-  const change_t *change;
-  br_catalog_t *catalog;
-} overlay_t;
-
-static void
-overlay_visit (const br_declaration_t *declaration, void *context)
-{
-  overlay_t *overlay = context;
-  br_declaration_kind_t kind;
-  br_str_t name = br_str_from (declaration->name);
-
-  if (!br_declaration_kind_parse (br_str_from (declaration->kind), &kind)
-      || br_operator_items_find (&overlay->change->input.put, kind, name)
-             != NULL
-      || br_operator_items_find (&overlay->change->input.remove, kind, name)
-             != NULL)
-    return;
-  br_catalog_add (overlay->catalog, br_str_from (declaration->json), NULL);
-}
-
-/* The catalog as it would be after CHANGE. */
-static void
-change_build_catalog (const change_t *change, br_catalog_t *catalog)
-{
-  overlay_t overlay = { .change = change, .catalog = catalog };
-
-  br_state_each_declaration (change->changes->node->state, overlay_visit,
-                             &overlay);
-  for (size_t i = 0; i < change->input.put.len; i++)
-    br_catalog_add (catalog, br_buf_str (&change->input.put.items[i].json),
-                    NULL);
-}
-
 static bool
 change_check (change_t *change, br_error_t *err)
 {
@@ -217,7 +182,7 @@
                      change->input.put.items[i].name.data);
       br_paths_push (&put, path);
     }
-  change_build_catalog (change, &after);
+  br_operator_overlay (node->state, &change->input, &after);
   br_buf_clear (&change->report);
   ok = br_operator_report (node, &node->catalog, &after, &put, &change->report,
                            err);
--- a/src/shell/operator_report.c
+++ b/src/shell/operator_report.c
@@ -165,3 +165,35 @@
   br_match_upstreams_free (&report.upstreams);
   return ok;
 }
+
+typedef struct
+{
+  const br_operator_input_t *input;
+  br_catalog_t *catalog;
+} overlay_t;
+
+static void
+overlay_visit (const br_declaration_t *declaration, void *context)
+{
+  overlay_t *overlay = context;
+  br_declaration_kind_t kind;
+  br_str_t name = br_str_from (declaration->name);
+
+  if (!br_declaration_kind_parse (br_str_from (declaration->kind), &kind)
+      || br_operator_items_find (&overlay->input->put, kind, name) != NULL
+      || br_operator_items_find (&overlay->input->remove, kind, name) != NULL)
+    return;
+  br_catalog_add (overlay->catalog, br_str_from (declaration->json), NULL);
+}
+
+void
+br_operator_overlay (const br_state_t *state,
+                     const br_operator_input_t *input,
+                     br_catalog_t *catalog)
+{
+  overlay_t overlay = { .input = input, .catalog = catalog };
+
+  br_state_each_declaration (state, overlay_visit, &overlay);
+  for (size_t i = 0; i < input->put.len; i++)
+    br_catalog_add (catalog, br_buf_str (&input->put.items[i].json), NULL);
+}
--- a/src/shell/operator_report.h
+++ b/src/shell/operator_report.h
@@ -4,6 +4,7 @@
 #define BR_SHELL_OPERATOR_REPORT_H
 
 #include "shell/node.h"
+#include "shell/operator_input.h"
 
 BR_BEGIN_DECLS
 
@@ -21,6 +22,12 @@
                          br_buf_t *out,
                          br_error_t *err);
 
+/* Fills the empty CATALOG with the declarations of STATE as they would be
+ * after INPUT. */
+void br_operator_overlay (const br_state_t *state,
+                          const br_operator_input_t *input,
+                          br_catalog_t *catalog);
+
 BR_END_DECLS
 
 #endif
--- a/src/state/claim_store.c
+++ b/src/state/claim_store.c
@@ -5,11 +5,9 @@
 #include <uthash.h>
 #include <utlist.h>
 
+#include "state/claim_check.h"
 #include "state/state.h"
 
-#define RETENTION_MIN_MS 1000
-#define RETENTION_MAX_MS ((uint64_t)30 * 24 * 3600 * 1000)
-
 /* An operator may settle a claim this long after it was sent: by then its
  * owner, should it wake, is past BR_STATE_SEND_BOUND_MS. */
 #define SETTLE_AFTER_MS (5 * BR_STATE_SEND_BOUND_MS)
@@ -22,28 +20,6 @@
   UT_hash_handle hh; /* by record->key */
 };
 
-static bool
-owner_is_valid (const br_claim_owner_t *owner)
-{
-  size_t len = owner != NULL ? strlen (owner->vm) : 0;
-
-  return len > 0 && len <= BR_NAME_MAX;
-}
-
-static bool
-key_is_valid (const char *key)
-{
-  size_t len = strlen (key);
-
-  return len > 0 && len <= BR_STATE_CLAIM_KEY_MAX;
-}
-
-static bool
-retention_is_valid (uint64_t retention_ms)
-{
-  return retention_ms >= RETENTION_MIN_MS && retention_ms <= RETENTION_MAX_MS;
-}
-
 static br_claim_entry_t *
 store_find (const br_claim_store_t *store, br_str_t key)
 {
@@ -187,14 +163,6 @@
          && br_claim_owner_equal (record->owner, owner);
 }
 
-static bool
-take_is_valid (const Br__State__ClaimTake *take)
-{
-  return key_is_valid (take->key) && owner_is_valid (take->owner)
-         && take->digest.len == BR_DIGEST_BYTES && take->attempt > 0
-         && retention_is_valid (take->retention_ms);
-}
-
 /* Judges a take of a key that has a claim already. */
 static br_claim_verdict_t
 record_take (const br_claim_store_t *store,
@@ -233,7 +201,7 @@
   br_claim_entry_t *entry;
 
   *record = NULL;
-  if (!take_is_valid (take))
+  if (!br_claim_take_is_valid (take))
     return BR_VERDICT_INVALID;
   entry = store_find (store, br_str_from (take->key));
   if (entry != NULL)
@@ -271,16 +239,6 @@
   return BR_VERDICT_OK;
 }
 
-static bool
-end_is_valid (const Br__State__ClaimEnd *end)
-{
-  return key_is_valid (end->key) && owner_is_valid (end->owner)
-         && end->digest.len == BR_DIGEST_BYTES && end->attempt > 0
-         && retention_is_valid (end->retention_ms)
-         && (end->state == BR_CLAIM_ANSWERED || end->state == BR_CLAIM_NOT_RUN
-             || end->state == BR_CLAIM_UNKNOWN);
-}
-
 /* Keeps a take that may still come from having an effect. */
 static br_claim_verdict_t
 store_fence (br_claim_store_t *store,
@@ -350,7 +308,7 @@
   br_claim_state_t to = end->state;
 
   *record = entry != NULL ? entry->record : NULL;
-  if (!end_is_valid (end))
+  if (!br_claim_end_is_valid (end))
     return BR_VERDICT_INVALID;
   if (entry == NULL || !record_is_of (entry->record, end->owner, end->attempt))
     return store_fence (store, entry, end, record);
@@ -459,24 +417,13 @@
   return HASH_COUNT (store->entries);
 }
 
-static bool
-record_is_valid (const br_claim_record_t *record)
-{
-  return key_is_valid (record->key) && owner_is_valid (record->owner)
-         && record->digest.len == BR_DIGEST_BYTES && record->attempt > 0
-         && retention_is_valid (record->retention_ms)
-         && record->state > BR_CLAIM_NONE && record->state <= BR_CLAIM_UNKNOWN
-         && record->body.len <= BR_STATE_CLAIM_BODY_MAX_BYTES
-         && (record->body_kept || record->body.len == 0);
-}
-
 bool
 br_claim_store_add (br_claim_store_t *store, const br_claim_record_t *record)
 {
   br_claim_entry_t *entry;
   br_claim_record_t *copy;
 
-  if (!record_is_valid (record) || store_is_full (store)
+  if (!br_claim_record_is_valid (record) || store_is_full (store)
       || store_find (store, br_str_from (record->key)) != NULL)
     return false;
   entry = store_insert (store, record->key, br_message_str (record->digest));
