--- a/src/contract/claim_tell.c
+++ b/src/contract/claim_tell.c
@@ -5,8 +5,8 @@
 /* Tells the caller, once. */
 void
 br_claim_tell (br_claim_t *claim,
-            const br_error_t *err,
-            br_claim_actions_t *outbox)
+               const br_error_t *err,
+               br_claim_actions_t *outbox)
 {
   br_claim_action_t action = { .kind = BR_CLAIM_ACTION_FAIL, .error = *err };
 
@@ -18,8 +18,8 @@
 
 void
 br_claim_fail (br_claim_t *claim,
-            const br_error_t *err,
-            br_claim_actions_t *outbox)
+               const br_error_t *err,
+               br_claim_actions_t *outbox)
 {
   claim->step = BR_CLAIM_STEP_OVER;
   br_claim_tell (claim, err, outbox);
@@ -37,8 +37,8 @@
 
 void
 br_claim_tell_answer (br_claim_t *claim,
-              const br_claim_record_t *record,
-              br_claim_actions_t *outbox)
+                      const br_claim_record_t *record,
+                      br_claim_actions_t *outbox)
 {
   br_claim_action_t action = { .kind = BR_CLAIM_ACTION_ANSWER };
   br_error_t err;
@@ -60,9 +60,9 @@
 
 void
 br_claim_fail_unknown (br_claim_t *claim,
-                    const char *vm,
-                    const char *why,
-                    br_claim_actions_t *outbox)
+                       const char *vm,
+                       const char *why,
+                       br_claim_actions_t *outbox)
 {
   br_error_t err;
 
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -3,12 +3,15 @@
 #include <signal.h>
 #include <string.h>
 
+#include "shell/admit_task.h"
 #include "shell/caller_task.h"
 #include "shell/claim_task.h"
 #include "shell/contract_task.h"
 #include "shell/operator_task.h"
 #include "shell/peer_task.h"
 #include "shell/replica_task.h"
+#include "shell/retry_task.h"
+#include "shell/route_task.h"
 #include "shell/upstream_task.h"
 #include "shell/work_task.h"
 
@@ -64,6 +67,9 @@
 {
   switch (message->part)
     {
+    case BR_PART_ORGANISATION:
+      br_admit_task_on_peer (node->admits, message);
+      break;
     case BR_PART_CONTRACT:
       br_contract_task_on_peer (node->contracts, message);
       break;
@@ -77,7 +83,6 @@
     case BR_PART_DOMAIN:
     case BR_PART_LINK:
     case BR_PART_UPSTREAM:
-    case BR_PART_ORGANISATION:
     case BR_PART_ROUTE:
     case BR_PART_COUNT:
       break;
@@ -128,13 +133,14 @@
                            message->kind == BR_NODE_VM_UP);
       break;
     case BR_NODE_CATALOG_CHANGED:
+    case BR_NODE_UPSTREAM_CHANGED:
+      br_route_task_update (node->routes);
+      break;
     case BR_NODE_VM_SUSPECT:
       break;
     case BR_NODE_VM_LEAVING:
       br_contract_task_on_leaving (node->contracts, &message->member.name);
       break;
-    case BR_NODE_UPSTREAM_CHANGED:
-      break;
     case BR_NODE_RECLAIM_NOTICE:
       br_node_drain_by (node, message->leave_by_ms);
       break;
@@ -281,6 +287,9 @@
   node->contracts = br_contract_task_new (node);
   node->works = br_work_task_new (node);
   node->claims = br_claim_task_new (node);
+  node->retries = br_retry_task_new (node);
+  node->admits = br_admit_task_new (node);
+  node->routes = br_route_task_new (node);
   node->callers = br_caller_task_new (node, err);
   if (node->callers == NULL)
     return false;
@@ -386,6 +395,9 @@
   br_operator_task_free (node->operators);
   br_claim_task_free (node->claims);
   br_work_task_free (node->works);
+  br_admit_task_free (node->admits);
+  br_retry_task_free (node->retries);
+  br_route_task_free (node->routes);
   br_contract_task_free (node->contracts);
   br_upstream_task_free (node->upstreams);
   br_peer_task_free (node->peers);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -24,6 +24,9 @@
 typedef struct br_caller_task br_caller_task_t;
 typedef struct br_operator_task br_operator_task_t;
 typedef struct br_replica_task br_replica_task_t;
+typedef struct br_admit_task br_admit_task_t;
+typedef struct br_retry_task br_retry_task_t;
+typedef struct br_route_task br_route_task_t;
 typedef struct br_contract_task br_contract_task_t;
 typedef struct br_claim_task br_claim_task_t;
 
@@ -130,6 +133,9 @@
   br_peer_task_t *peers; /* NULL without peers in the settings */
   br_upstream_task_t *upstreams;
   br_work_task_t *works;
+  br_admit_task_t *admits;
+  br_retry_task_t *retries;
+  br_route_task_t *routes;
   br_caller_task_t *callers;
   br_operator_task_t *operators;
   br_replica_task_t *replica;
--- a/src/state/claim_check.c
+++ b/src/state/claim_check.c
@@ -57,4 +57,3 @@
          && record->body.len <= BR_STATE_CLAIM_BODY_MAX_BYTES
          && (record->body_kept || record->body.len == 0);
 }
-
