--- a/tests/process/claim_owner_frozen.sh
+++ b/tests/process/claim_owner_frozen.sh
@@ -6,7 +6,7 @@
 BASE_PORT=23200
 SEEDS=${2:-4}
 SITE_LEDGER_ARGS="--delay-ms 10"
-SITE_SECONDS=110
+SITE_SECONDS=${SITE_SECONDS:-110}
 . "$(dirname "$0")/../support/site.sh"
 
 runs() { grep -c "\"key\":\"$1\"" "$SITE/ledger-1.out"; }
