--- a/bench/model/run.c
+++ b/bench/model/run.c
@@ -7,7 +7,7 @@
 
 #define MS_PER_HOUR 3600000.0
 #define ENGINE_SLOTS 16
-#define ENGINE_TOKEN_MS 28
+
 #define ENGINE_PREFILL_PER_S 4000
 #define SERVICE_SLOTS 8
 #define PRICE_ON_DEMAND 3.0
@@ -222,6 +222,12 @@
     case EVENT_START:
       upstream_start (world, upstream);
       break;
+    case EVENT_EXPORT:
+      vm_export (world, event->request, event->attempt);
+      break;
+    case EVENT_EXPORTED:
+      vm_exported (world, event->request, event->attempt);
+      break;
     case EVENT_FAULT:
       world_fault (world, event);
       break;
--- a/src/contract/claim.c
+++ b/src/contract/claim.c
@@ -18,6 +18,11 @@
 #define WAIT_BOUND_MS 30000
 #define RETRY_AFTER_MS 1000
 
+/* Nothing is known of the key elsewhere. */
+static const char no_majority_text[]
+    = "no majority of voters can be reached; this request did not run, and an "
+      "earlier one with the same key may have";
+
 static const char *const step_names[] = {
 #define X(id, name) name,
   BR_CLAIM_STEP_TABLE (X)
@@ -160,7 +165,7 @@
 {
   if (claim->no_majority)
     {
-      br_claim_refuse (claim, "no majority of voters can be reached", outbox);
+      br_claim_refuse (claim, no_majority_text, outbox);
       return;
     }
   if (++claim->takes > TAKES_MAX)
@@ -289,7 +294,7 @@
       claim_on_take_verdict (claim, now, input->proposal.result, outbox);
       break;
     case BR_PROPOSAL_REFUSED:
-      br_claim_refuse (claim, "no majority of voters can be reached", outbox);
+      br_claim_refuse (claim, no_majority_text, outbox);
       break;
     case BR_PROPOSAL_UNKNOWN:
       claim_fence_why (claim, now, "no majority of voters answered in time",
@@ -352,7 +357,11 @@
   br_claim_verdict_t verdict
       = committed ? input->proposal.result->verdict : BR_VERDICT_FULL;
 
-  if (verdict == BR_VERDICT_OK || verdict == BR_VERDICT_STALE)
+  if (verdict == BR_VERDICT_STALE && !claim->told
+      && input->proposal.result->claim != NULL
+      && !record_is_own (claim, input->proposal.result->claim))
+    claim_consider (claim, now, input->proposal.result->claim, outbox);
+  else if (verdict == BR_VERDICT_OK || verdict == BR_VERDICT_STALE)
     br_claim_fail (claim, &claim->failure, outbox);
   else
     claim->propose_at_ms = now + PROPOSE_AGAIN_MS;
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -12,6 +12,7 @@
 #include "route/catalog.h"
 #include "shell/settings.h"
 #include "state/state.h"
+#include "upstream/quarantine.h"
 #include "upstream/registry.h"
 #include "wire/frame.h"
 
@@ -27,6 +28,9 @@
 typedef struct br_admit_task br_admit_task_t;
 typedef struct br_retry_task br_retry_task_t;
 typedef struct br_route_task br_route_task_t;
+typedef struct br_domain_task br_domain_task_t;
+typedef struct br_platform_task br_platform_task_t;
+typedef struct br_upstream_watch br_upstream_watch_t;
 typedef struct br_contract_task br_contract_task_t;
 typedef struct br_claim_task br_claim_task_t;
 
@@ -73,6 +77,10 @@
   br_buf_t data;     /* owned by the message */
   br_error_t error;  /* of BR_ATTEMPT_FAILED */
   bool may_have_run; /* of BR_ATTEMPT_FAILED: a byte left this VM */
+
+  /* Of BR_ATTEMPT_FAILED: the connection went silent, but the upstream answers
+   * on a new one, so that the attempt is best repeated there. */
+  bool upstream_answers;
 } br_attempt_message_t;
 
 typedef struct
@@ -128,10 +136,12 @@
   uint64_t incarnation;
   br_catalog_t catalog;
   br_registry_t registry;
+  br_quarantine_t quarantine;
   bool draining; /* takes no new work */
   br_ms_t started_ms;
   br_peer_task_t *peers; /* NULL without peers in the settings */
   br_upstream_task_t *upstreams;
+  br_upstream_watch_t *upstream_watch;
   br_work_task_t *works;
   br_admit_task_t *admits;
   br_retry_task_t *retries;
@@ -139,6 +149,8 @@
   br_caller_task_t *callers;
   br_operator_task_t *operators;
   br_replica_task_t *replica;
+  br_domain_task_t *domain;
+  br_platform_task_t *platform; /* NULL without one in the settings */
   br_contract_task_t *contracts;
   br_claim_task_t *claims;
   br_state_t *state;          /* owned; changed by the replica task alone */
--- a/tests/fakes/fake_service.c
+++ b/tests/fakes/fake_service.c
@@ -21,6 +21,7 @@
   const char *crash_on;
   struct event_base *base;
   int calls;
+  int running;
 } service_t;
 
 typedef struct
@@ -44,6 +45,7 @@
                        "{\"service\":\"%s\",\"call\":%d}\n",
                        call->service->name, call->number);
   evhttp_send_reply (request, HTTP_OK, NULL, NULL);
+  call->service->running--;
   free (call);
 }
 
@@ -76,6 +78,7 @@
   call->service = service;
   call->request = request;
   call->number = ++service->calls;
+  service->running++;
   printf ("{\"event\":\"run\",\"service\":\"%s\",\"key\":\"%s\","
           "\"contract\":\"%s\",\"path\":\"%s\",\"call\":%d}\n",
           service->name, header (request, "Idempotency-Key"),
@@ -94,6 +97,16 @@
   evhttp_send_reply (request, HTTP_OK, NULL, NULL);
 }
 
+static void
+service_on_load (struct evhttp_request *request, void *context)
+{
+  service_t *service = context;
+
+  evbuffer_add_printf (evhttp_request_get_output_buffer (request),
+                       "{\"running\":%d,\"waiting\":0}\n", service->running);
+  evhttp_send_reply (request, HTTP_OK, NULL, NULL);
+}
+
 static const struct argp_option service_options[] = {
   { "port", 'p', "PORT", 0, "Port on 127.0.0.1", 0 },
   { "name", 'n', "NAME", 0, "Name in the log", 0 },
@@ -139,6 +152,7 @@
   service.base = event_base_new ();
   http = evhttp_new (service.base);
   evhttp_set_cb (http, "/health", service_on_health, &service);
+  evhttp_set_cb (http, "/v1/load", service_on_load, &service);
   evhttp_set_gencb (http, service_on_request, &service);
   if (evhttp_bind_socket (http, "127.0.0.1", (uint16_t)service.port) != 0)
     {
