--- a/tests/declaration_test.cc
+++ b/tests/declaration_test.cc
@@ -7,7 +7,8 @@
 #include "route/catalog_match.h"
 #include "state/declaration_text.h"
 
-namespace {
+namespace
+{
 
 std::string
 fault (const std::string &text)
@@ -47,7 +48,8 @@
              "line 1: a declaration, a JSON object, is wanted");
   EXPECT_EQ (fault ("[[{}]]"),
              "line 1: a declaration, a JSON object, is wanted");
-  EXPECT_EQ (fault ("[{\"a\":[[[[[[[[[1]]]]]]]]]}]"), "line 1: nested too deep");
+  EXPECT_EQ (fault ("[{\"a\":[[[[[[[[[1]]]]]]]]]}]"),
+             "line 1: nested too deep");
   EXPECT_EQ (fault ("[{\"a\": 1}\n").substr (0, 7), "line 2:");
   EXPECT_EQ (fault ("[{\"a\":\n,}]").substr (0, 7), "line 2:");
   EXPECT_NE (fault (""), "");
@@ -91,8 +93,7 @@
                      "{\"kind\":\"service\",\"name\":\"m\","
                      "\"selector\":\"a=b\",\"repeatable\":false}",
                      &text));
-  EXPECT_EQ (text,
-             "service/m: repeatable: false wants \"answers\": \"plain\"");
+  EXPECT_EQ (text, "service/m: repeatable: false wants \"answers\": \"plain\"");
   EXPECT_FALSE (add (&catalog,
                      "{\"kind\":\"service\",\"name\":\"m\","
                      "\"selector\":\"a=b\",\"retention_s\":5}",
