--- a/src/shell/claim_task.c
+++ b/src/shell/claim_task.c
@@ -46,6 +46,7 @@
   br_node_t *node;
   entry_t *entries;
   proposal_t *proposals;
+  size_t waiting; /* entries that wait for another contract */
   br_claim_vms_t *vms;
   struct event *poll;
   unsigned polls;
@@ -93,27 +94,42 @@
   br_buf_free (&contract);
 }
 
+static void entry_handle (br_claim_task_t *task,
+                          entry_t *entry,
+                          const br_claim_input_t *input);
+
+static void
+entry_send (br_claim_task_t *task, entry_t *entry, br_ms_t not_after_ms)
+{
+  br_claim_input_t input = { .kind = BR_CLAIM_INPUT_END };
+
+  br_counters_add (&task->node->counters, BR_COUNTER_CLAIMS_SENT, 1);
+  entry_log (task, entry, "may_send");
+  if (br_work_task_may_send (task->node->works, entry->number, not_after_ms))
+    return;
+  input.end.state = BR_CLAIM_NOT_RUN;
+  br_error_set (&input.end.error, BR_ERROR_UNAVAILABLE, "send", "",
+                "the request ended before it was sent");
+  entry_handle (task, entry, &input);
+}
+
 static void
 entry_act (br_claim_task_t *task,
            entry_t *entry,
            const br_claim_action_t *action)
 {
-  br_work_task_t *works = task->node->works;
-
   switch (action->kind)
     {
     case BR_CLAIM_ACTION_PROPOSE:
       task_propose (task, entry->number, action);
       break;
     case BR_CLAIM_ACTION_SEND:
-      br_counters_add (&task->node->counters, BR_COUNTER_CLAIMS_SENT, 1);
-      entry_log (task, entry, "may_send");
-      br_work_task_may_send (works, entry->number, action->not_after_ms);
+      entry_send (task, entry, action->not_after_ms);
       break;
     case BR_CLAIM_ACTION_ANSWER:
       entry_log (task, entry, "answered_from_log");
-      br_work_task_answered (works, entry->number, (int)action->status,
-                             br_buf_str (&action->bytes));
+      br_work_task_answered (task->node->works, entry->number,
+                             (int)action->status, br_buf_str (&action->bytes));
       break;
     case BR_CLAIM_ACTION_FAIL:
       br_counters_add (&task->node->counters,
@@ -122,7 +138,7 @@
                            : BR_COUNTER_CLAIMS_NOT_RUN,
                        1);
       entry_log (task, entry, "failed");
-      br_work_task_failed (works, entry->number, &action->error);
+      br_work_task_failed (task->node->works, entry->number, &action->error);
       break;
     }
 }
@@ -134,7 +150,9 @@
 {
   br_claim_actions_t outbox = { 0 };
 
+  task->waiting -= entry->claim.step == BR_CLAIM_STEP_WAITING;
   br_claim_handle (&entry->claim, br_node_now (task->node), input, &outbox);
+  task->waiting += entry->claim.step == BR_CLAIM_STEP_WAITING;
   for (size_t i = 0; i < outbox.len; i++)
     entry_act (task, entry, &outbox.items[i]);
   br_claim_actions_release (&outbox);
@@ -298,6 +316,8 @@
   entry_t *next;
 
   task_see_tick (task);
+  if (task->waiting == 0)
+    return;
   HASH_ITER (hh, task->entries, entry, next)
   {
     br_claim_input_t input = { .kind = BR_CLAIM_INPUT_RECORD };
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -128,8 +128,10 @@
                               br_attempt_message_t *message);
 
 /* The claim of work that runs once has an outcome: it may be sent before
- * NOT_AFTER_MS, the log holds its answer, or it fails. */
-void br_work_task_may_send (br_work_task_t *task,
+ * NOT_AFTER_MS, the log holds its answer, or it fails.
+ * br_work_task_may_send() returns false when the work has ended, so that it
+ * will not be sent. */
+bool br_work_task_may_send (br_work_task_t *task,
                             uint64_t number,
                             br_ms_t not_after_ms);
 void br_work_task_answered (br_work_task_t *task,
