Process tests wait until a killed VM is gone before they start it again

Cause: process.operator_race failed once in a sanitizer run on a machine with a load average of 19: "conflict: lock ...: another process uses this data folder". kill returns before the process is gone, and the new one found the lock held. Ruled out: a lock that outlives its process. The checks are the same.

--- a/tests/process/claim_owner_killed.sh
+++ b/tests/process/claim_owner_killed.sh
@@ -19,7 +19,7 @@
   site_call 0 "$key" "{\"seed\":$seed}" > "$SITE/first" 2> /dev/null &
   first=$!
   sleep "$after"
-  kill -9 "$(site_pid castillos-1)"
+  site_kill castillos-1
   wait "$first"
   told=$(cat "$SITE/first")
   if grep -q '"outcome":"not_run"' <<< "$told" && [ "$(runs "$key")" != 0 ]; then
--- a/tests/process/claim_resend.sh
+++ b/tests/process/claim_resend.sh
@@ -23,11 +23,11 @@
 [ "$(site_call 1 order-1 '{"amount":999}' -o /dev/null -w '%{http_code}')" = 409 ] ||
   site_fail "another body under the same key was not refused"
 
-kill -9 "$(site_pid castillos-1)"
+site_kill castillos-1
 third=$(site_call 1 order-1 '{"amount":100}')
 [ "$third" = "$second" ] || site_fail "resend after its owner died: $third"
 
-kill -9 "$(site_pid castillos-2)" "$(site_pid lascano-1)"
+site_kill castillos-2 lascano-1
 for i in 0 1 2; do site_start_vm "$i"; done
 for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/healthz"; done
 site_wait_revision 1 || site_fail "no declarations after the restart"
--- a/tests/process/claim_storm.sh
+++ b/tests/process/claim_storm.sh
@@ -45,7 +45,7 @@
     vm=$((RANDOM % 3))
     name=${SITE_VMS[vm]}
     if [ $((RANDOM % 2)) = 0 ]; then
-      kill -9 "$(site_pid "$name")"
+      site_kill "$name"
       sleep 0.$((RANDOM % 9 + 1))
       site_start_vm "$vm"
     else
--- a/tests/process/operator_race.sh
+++ b/tests/process/operator_race.sh
@@ -67,7 +67,7 @@
   site_wait_revision $((revision + i + 1)) || site_fail "change $i lags"
 done
 last=$(site_revision 0)
-for vm in "${SITE_VMS[@]}"; do kill -9 "$(site_pid "$vm")"; done
+site_kill "${SITE_VMS[@]}"
 for i in 0 1 2; do site_start_vm "$i"; done
 for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/healthz"; done
 site_wait_revision "$last" || site_fail "revision $last is lost"
--- a/tests/support/site.sh
+++ b/tests/support/site.sh
@@ -41,6 +41,14 @@
   echo "${!name}"
 }
 
+# Kills the programs named with SIGKILL and waits until they are gone, so that
+# their ports and data folders are free.
+site_kill() {
+  local name
+  for name in "$@"; do kill -9 "$(site_pid "$name")"; done
+  for name in "$@"; do wait "$(site_pid "$name")"; done
+}
+
 # Ends what was started, by process id.
 site_stop() {
   kill "$SITE_WATCHDOG" 2> /dev/null
