--- a/src/state/declaration_text.c
+++ b/src/state/declaration_text.c
@@ -17,6 +17,7 @@
   br_declaration_texts_t *texts;
   br_error_t *err;
   bool failed;
+  bool ended;      /* all of the text was read */
   int depth;       /* open objects and arrays */
   int object_from; /* depth at which declarations start */
   int line;
@@ -26,7 +27,8 @@
 static int
 reader_line (const reader_t *reader)
 {
-  size_t offset = yajl_get_bytes_consumed (reader->handle);
+  size_t offset = reader->ended ? reader->text.len
+                                : yajl_get_bytes_consumed (reader->handle);
   int line = 1;
 
   for (size_t i = 0; i < BR_MIN (offset, reader->text.len); i++)
@@ -261,7 +263,8 @@
   yajl_config (reader.handle, yajl_allow_comments, 1);
   status
       = yajl_parse (reader.handle, (const unsigned char *)text.data, text.len);
-  if (status == yajl_status_ok)
+  reader.ended = status == yajl_status_ok;
+  if (reader.ended)
     status = yajl_complete_parse (reader.handle);
   if (status != yajl_status_ok)
     reader_syntax_fault (&reader);
