--- a/src/route/router.h
+++ b/src/route/router.h
@@ -22,7 +22,7 @@
 
 /* What an upstream that can be reclaimed counts worse for work that will run
  * for this long, in proportion, and in a failure domain with a notice. */
-#define BR_ROUTE_RECLAIM_MS 30
+#define BR_ROUTE_RECLAIM_MS 20
 #define BR_ROUTE_RECLAIM_HOLD_MS 5000
 #define BR_ROUTE_WAVE_COST_MS 30
 
