--- a/src/domain/domain_message.h
+++ b/src/domain/domain_message.h
@@ -11,7 +11,7 @@
 
 /* Bounds on one message, so that its size does not grow with the system. */
 #define BR_DOMAIN_VMS_MAX 6
-#define BR_DOMAIN_NOTICES_MAX 16
+#define BR_DOMAIN_NOTICES_MAX 32
 
 /* X (id, name) */
 #define BR_DOMAIN_MESSAGE_TABLE(X)                                             \
--- a/src/domain/membership.c
+++ b/src/domain/membership.c
@@ -1,9 +1,7 @@
 #include "domain/membership_internal.h"
 
 #include <assert.h>
-
-/* VMs to which a new notice is sent at once. */
-#define NOTICE_FANOUT 3
+#include <string.h>
 
 /* A pause of this VM longer than this makes its own timeouts worthless. */
 #define PAUSE_MS 1000
@@ -59,18 +57,25 @@
 }
 
 static void
-membership_push_notices (br_membership_t *membership)
+membership_push_news (br_membership_t *membership)
 {
-  for (int i = 0; i < NOTICE_FANOUT; i++)
+  for (int i = 0; i < BR_NEWS_FANOUT; i++)
     {
       br_member_t *to = br_membership_random_up (membership);
+      br_notice_t notices[BR_DOMAIN_NOTICES_MAX];
       br_domain_message_t *message;
+      size_t n;
 
       if (to == NULL)
         return;
+      n = br_notices_take (&membership->notices, true, notices,
+                           BR_DOMAIN_NOTICES_MAX);
+      membership->notices_due = n > 0;
+      if (n == 0 && membership->urgent == 0)
+        return;
       message = br_membership_send (membership, to, BR_DOMAIN_NOTICES);
-      message->n_notices = br_notices_take (
-          &membership->notices, message->notices, BR_DOMAIN_NOTICES_MAX);
+      message->n_notices = n;
+      memcpy (message->notices, notices, n * sizeof *notices);
     }
 }
 
@@ -84,8 +89,8 @@
   membership->ticked = true;
   membership->last_tick_ms = now;
   br_notices_expire (&membership->notices, now);
-  if (membership->urgent > 0)
-    membership_push_notices (membership);
+  if (membership->urgent > 0 || membership->notices_due)
+    membership_push_news (membership);
   membership->urgent -= membership->urgent > 0;
   if (probe->running && !probe->acked && !probe->requested
       && now - probe->sent_ms >= BR_MEMBERSHIP_DIRECT_MS)
--- a/src/domain/membership_internal.h
+++ b/src/domain/membership_internal.h
@@ -10,8 +10,10 @@
 /* Probes made on behalf of others at once. */
 #define RELAYS_MAX 64
 
-/* Ticks on which a new notice is sent to others at once. */
-#define BR_NOTICE_PUSHES 2
+/* Ticks on which news is sent to others at once, and the number of others on
+ * each. */
+#define BR_NEWS_PUSHES 2
+#define BR_NEWS_FANOUT 3
 
 /* A probe that waits for its answer. */
 typedef struct
@@ -54,7 +56,9 @@
   br_ms_t last_tick_ms;
   br_ms_t next_probe_ms;
   br_ms_t next_sync_ms;
-  uint32_t urgent; /* ticks on which notices are still to be sent at once */
+  uint32_t urgent;  /* ticks on which news is still to be sent at once */
+  bool notices_due; /* notices are still to be sent at once */
+  size_t sync_from; /* place in the notices at which a transfer goes on */
 };
 
 /* Returns the member NAME, or NULL. */
--- a/src/domain/membership_view.c
+++ b/src/domain/membership_view.c
@@ -5,6 +5,7 @@
 
 /* Least time between two transfers of the whole set of notices. */
 #define SYNC_INTERVAL_MS 500
+#define SYNC_MESSAGES 3
 
 br_member_t *
 br_membership_member (const br_membership_t *membership, const br_name_t *name)
@@ -85,7 +86,7 @@
           || before.incarnation != member->vm.incarnation))
     br_member_start_suspicion (member, now);
   if (before.state == BR_VM_SUSPECT && member->vm.state == BR_VM_UP)
-    membership->urgent = BR_NOTICE_PUSHES;
+    membership->urgent = BR_NEWS_PUSHES;
   if (member->vm.state == BR_VM_DOWN && member->link.kind == BR_LINK_BOTH_WAYS)
     member->link.kind = BR_LINK_SILENT;
   member_changed (membership, member);
@@ -151,13 +152,14 @@
                      br_ms_t now)
 {
   if (!br_notices_add (&membership->notices, notice,
-                       membership_sends (membership), now))
+                       membership_sends (membership),
+                       BR_NEWS_PUSHES * BR_NEWS_FANOUT, now))
     return false;
   if (notice->kind == BR_NOTICE_VM_LEAVING)
     membership_apply_leaving (membership, notice, now);
   br_membership_output (membership, BR_MEMBERSHIP_NOTICE, &notice->name)->notice
       = *notice;
-  membership->urgent = BR_NOTICE_PUSHES;
+  membership->notices_due = true;
   return true;
 }
 
@@ -241,7 +243,7 @@
   message_add_vms (membership, to, message);
   if (kind != BR_DOMAIN_NOTICES)
     message->n_notices = br_notices_take (
-        &membership->notices, message->notices, BR_DOMAIN_NOTICES_MAX);
+        &membership->notices, false, message->notices, BR_DOMAIN_NOTICES_MAX);
   return message;
 }
 
@@ -255,19 +257,24 @@
   ping->sequence = ++membership->last_sequence;
 }
 
-/* Sends all notices, or a part of them from a random place on. */
+/* Sends all notices, or the part of them that is next. */
 static void
 membership_sync (br_membership_t *membership, const br_member_t *to)
 {
   size_t len = membership->notices.entries.len;
-  br_domain_message_t *message;
+  size_t sent = 0;
 
-  if (len == 0)
-    return;
-  message = br_membership_send (membership, to, BR_DOMAIN_NOTICES);
-  message->n_notices = br_notices_copy (
-      &membership->notices, br_random_below (&membership->random, len),
-      message->notices, BR_DOMAIN_NOTICES_MAX);
+  for (int i = 0; i < SYNC_MESSAGES && sent < len; i++)
+    {
+      br_domain_message_t *message
+          = br_membership_send (membership, to, BR_DOMAIN_NOTICES);
+
+      message->n_notices
+          = br_notices_copy (&membership->notices, membership->sync_from,
+                             message->notices, BR_DOMAIN_NOTICES_MAX);
+      membership->sync_from += message->n_notices;
+      sent += message->n_notices;
+    }
 }
 
 void
--- a/src/domain/notice.c
+++ b/src/domain/notice.c
@@ -54,12 +54,14 @@
 br_notices_add (br_notices_t *notices,
                 const br_notice_t *notice,
                 uint32_t sends,
+                uint32_t urgent,
                 br_ms_t now)
 {
   br_notice_entry_t entry = {
     .notice = *notice,
     .id = notice_id (notice),
     .sends_left = sends,
+    .urgent_above = sends - BR_MIN (sends, urgent),
   };
 
   if (notice->expires_ms <= now)
@@ -74,7 +76,7 @@
 }
 
 static br_notice_entry_t *
-notices_least_sent (br_notices_t *notices, const bool *taken)
+notices_least_sent (br_notices_t *notices, bool urgent, const bool *taken)
 {
   br_notice_entry_t *best = NULL;
 
@@ -82,7 +84,7 @@
     {
       br_notice_entry_t *each = &notices->entries.items[i];
 
-      if (taken[i] || each->sends_left == 0)
+      if (taken[i] || each->sends_left <= (urgent ? each->urgent_above : 0))
         continue;
       if (best == NULL || each->sends_left > best->sends_left)
         best = each;
@@ -91,7 +93,10 @@
 }
 
 size_t
-br_notices_take (br_notices_t *notices, br_notice_t *out, size_t max)
+br_notices_take (br_notices_t *notices,
+                 bool urgent,
+                 br_notice_t *out,
+                 size_t max)
 {
   bool taken[BR_NOTICES_MAX];
   size_t n = 0;
@@ -99,7 +104,7 @@
   memset (taken, 0, notices->entries.len * sizeof *taken);
   while (n < max)
     {
-      br_notice_entry_t *best = notices_least_sent (notices, taken);
+      br_notice_entry_t *best = notices_least_sent (notices, urgent, taken);
 
       if (best == NULL)
         break;
--- a/src/domain/notice.h
+++ b/src/domain/notice.h
@@ -47,6 +47,7 @@
   br_notice_t notice;
   uint64_t id;
   uint32_t sends_left;
+  uint32_t urgent_above; /* urgent while more sends than this are left */
 } br_notice_entry_t;
 
 BR_VEC (br_notice_entries, br_notice_entry_t);
@@ -60,16 +61,21 @@
 
 const char *br_notice_kind_name (br_notice_kind_t kind);
 
-/* Adds NOTICE, to be passed on SENDS times.  Returns false when it was there,
- * or has expired. */
+/* Adds NOTICE, to be passed on SENDS times, the first URGENT of them at once.
+ * Returns false when it was there, or has expired. */
 bool br_notices_add (br_notices_t *notices,
                      const br_notice_t *notice,
                      uint32_t sends,
+                     uint32_t urgent,
                      br_ms_t now);
 
-/* Copies up to MAX notices that are still to be passed on, those sent least
- * first, and counts them as sent once.  Returns their number. */
-size_t br_notices_take (br_notices_t *notices, br_notice_t *out, size_t max);
+/* Copies up to MAX notices that are still to be passed on, or to be passed on
+ * at once when URGENT, those sent least first, and counts them as sent once.
+ * Returns their number. */
+size_t br_notices_take (br_notices_t *notices,
+                        bool urgent,
+                        br_notice_t *out,
+                        size_t max);
 
 /* Copies up to MAX notices from position FROM on, around the end. */
 size_t br_notices_copy (const br_notices_t *notices,
--- a/src/shell/operator_task.c
+++ b/src/shell/operator_task.c
@@ -6,6 +6,7 @@
 #include <json-c/json.h>
 #include <string.h>
 
+#include "shell/domain_task.h"
 #include "shell/http_reply.h"
 #include "shell/peer_task.h"
 #include "shell/replica_task.h"
@@ -92,7 +93,9 @@
                  br_work_task_in_progress (node->works));
   if (node->peers != NULL)
     br_peer_task_status (node->peers, &out);
-  br_buf_printf (&out, "],\"replica\":");
+  br_buf_printf (&out, "],\"members\":");
+  br_domain_task_status (node->domain, &out);
+  br_buf_printf (&out, ",\"replica\":");
   br_replica_task_status (node->replica, &out);
   br_buf_printf (&out, "}\n");
   br_http_reply (request, HTTP_OK, "application/json", br_buf_str (&out));
--- a/tests/domain_cut_test.cc
+++ b/tests/domain_cut_test.cc
@@ -1,3 +1,7 @@
+#include <algorithm>
+#include <string>
+#include <vector>
+
 #include "support/domain_fixture.h"
 
 TEST_P (Seeded, OneWayCutOfAPairBringsNobodyDown)
@@ -70,3 +74,51 @@
   bus_run (bus, 10000);
   EXPECT_EQ (vms_that_know_notices (bus), 7);
 }
+
+#define WAVE 300
+
+/* Number of notices that the VM that knows fewest knows. */
+static int
+fewest_notices (const bus_t *bus)
+{
+  std::vector<int> known ((size_t)bus->n);
+
+  for (size_t i = 0; i < bus->events.len; i++)
+    if (bus->events.items[i].output.kind == BR_MEMBERSHIP_NOTICE)
+      known[(size_t)bus->events.items[i].from]++;
+  return *std::min_element (known.begin (), known.end ());
+}
+
+static void
+announce_wave (bus_t *bus, int at)
+{
+  for (int i = 0; i < WAVE; i++)
+    {
+      std::string name = "e" + std::to_string (i);
+      br_notice_t notice = notice_make (name.c_str (), 5, bus->now);
+
+      br_membership_announce (bus->vms[at], &notice, bus->now);
+    }
+  bus_drain (bus, at);
+}
+
+TEST_P (Seeded, WaveOfNoticesIsEverywhereWithinThreeSeconds)
+{
+  bus->loss = 0.05;
+  announce_wave (bus, 4);
+  bus_run (bus, 3000);
+  EXPECT_EQ (fewest_notices (bus), WAVE);
+}
+
+TEST_P (Seeded, WaveOfNoticesCrossesWhenACutHeals)
+{
+  for (int a = 0; a < 2; a++)
+    for (int b = 2; b < 7; b++)
+      bus->cut[a][b] = bus->cut[b][a] = true;
+  announce_wave (bus, 0);
+  bus_run (bus, 30000);
+  EXPECT_EQ (fewest_notices (bus), 0);
+  memset (bus->cut, 0, sizeof bus->cut);
+  bus_run (bus, 15000);
+  EXPECT_EQ (fewest_notices (bus), WAVE);
+}
