--- a/src/shell/admit_task.h
+++ b/src/shell/admit_task.h
@@ -14,13 +14,14 @@
 br_admit_task_t *br_admit_task_new (br_node_t *node);
 void br_admit_task_free (br_admit_task_t *task);
 
-/* Asks for a request of ORGANISATION with BODY.  Returns its ticket, or 0 with
+/* Asks for a request of ORGANISATION that costs about TOKENS prompt and answer
+ * tokens.  Returns its ticket, or 0 with
  * *ERR set (BR_ERROR_LIMITED or BR_ERROR_UNAVAILABLE, and when to come back)
  * when it is refused at once. */
 uint64_t br_admit_task_ask (br_admit_task_t *task,
                             const br_organisation_t *organisation,
                             const br_service_t *service,
-                            br_str_t body,
+                            uint64_t tokens,
                             br_error_t *err);
 
 /* Returns whether the work with TICKET may start now.  Otherwise
@@ -32,6 +33,12 @@
 /* The work of TICKET has ended, or its caller gave up while it waited. */
 void br_admit_task_done (br_admit_task_t *task, uint64_t ticket);
 
+/* Sets how many requests of SERVICE may run from this VM at once; UINT64_MAX
+ * when it is not known. */
+void br_admit_task_set_capacity (br_admit_task_t *task,
+                                 const br_name_t *service,
+                                 uint64_t requests);
+
 /* New declarations are in force. */
 void br_admit_task_on_catalog (br_admit_task_t *task);
 
--- a/src/shell/work_custody.c
+++ b/src/shell/work_custody.c
@@ -1,6 +1,7 @@
 /* Work that changes hands: followed at another VM, taken over, given up. */
 #include <assert.h>
 
+#include "shell/admit_task.h"
 #include "shell/contract_task.h"
 #include "shell/upstream_task.h"
 #include "shell/work_inside.h"
@@ -99,4 +100,5 @@
   br_work_drop_attempt (task, work);
   work->followed = true;
   task->in_progress--;
+  br_admit_task_done (task->node->admits, work->ticket);
 }
--- a/src/shell/work_inside.h
+++ b/src/shell/work_inside.h
@@ -2,6 +2,7 @@
 #ifndef BR_SHELL_WORK_INSIDE_H
 #define BR_SHELL_WORK_INSIDE_H
 
+#include "route/resend.h"
 #include "shell/work_table.h"
 
 BR_BEGIN_DECLS
@@ -10,6 +11,7 @@
 {
   br_node_t *node;
   br_work_table_t *table;
+  br_resends_t *resends;
   uint64_t last_number;
   size_t in_progress;
   struct event *sweep;
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -2,19 +2,23 @@
 
 #include <assert.h>
 
-#include "route/choice.h"
+#include "route/resend.h"
+#include "shell/admit_task.h"
 #include "shell/claim_task.h"
 #include "shell/contract_task.h"
 #include "shell/engine_body.h"
+#include "shell/retry_task.h"
+#include "shell/route_task.h"
 #include "shell/upstream_task.h"
 #include "shell/work_inside.h"
+#include "shell/work_quarantine.h"
 
 /* How long work goes on, and an answer is kept, without a reader. */
 #define UNWATCHED_KEEP_MS 30000
 #define SWEEP_MS 1000
 
-/* Attempts for one piece of work that may be repeated. */
-#define ATTEMPTS_MAX 4
+/* How long work that ran before waits for an upstream to come. */
+#define NO_UPSTREAM_MS 30000
 
 static void
 work_changed (br_work_task_t *task, br_work_t *work)
@@ -44,6 +48,8 @@
           br_field_z ("peer", work->error.peer),
           br_field_z ("text", work->error.text));
   work_changed (task, work);
+  br_resends_drop (task->resends, work->number);
+  br_admit_task_done (task->node->admits, work->ticket);
 }
 
 void
@@ -66,6 +72,8 @@
   if (work->attempt == 0)
     return;
   work->attempt = 0;
+  br_route_task_ended (task->node->routes, work);
+  br_work_note_end (task->node, work);
   if (upstream != NULL && upstream->in_flight > 0)
     upstream->in_flight--;
 }
@@ -86,7 +94,8 @@
     .contract = work->contract_text,
     .idempotency_key = work->idempotency_key.data,
     .stream = is_model,
-    .fresh_connection = !work->repeatable,
+    .content = br_work_content (work),
+    .fresh_connection = !work->repeatable || work->same_upstream,
     .not_after_ms = work->not_after_ms,
   };
 
@@ -95,6 +104,8 @@
   options.body = br_buf_str (is_model ? &body : &work->body);
   work->attempts++;
   work->upstream = upstream->name;
+  work->same_upstream = false;
+  br_work_note_start (task->node, work);
   work->base_offset = work->answer.parts.len;
   work->received = 0;
   if (!is_model)
@@ -113,35 +124,96 @@
 void
 br_work_try (br_work_task_t *task, br_work_t *work)
 {
-  br_node_t *node = task->node;
-  br_choice_query_t query = {
-    .catalog = &node->catalog,
-    .service
-    = br_catalog_service (&node->catalog, br_name_str (&work->service)),
-    .failure_domain = &node->settings.failure_domain,
-    .tried = &work->tried,
-  };
-  br_upstream_t *upstream = NULL;
+  br_upstream_t *upstream;
   br_error_t err;
 
+  if (br_work_is_quarantined (task->node, work, &err))
+    {
+      br_work_fail (task, work, &err);
+      return;
+    }
   if (!work->repeatable && work->not_after_ms == 0)
     {
-      br_claim_task_start (node->claims, work);
+      br_claim_task_start (task->node->claims, work);
       return;
     }
-  if (query.service != NULL)
-    upstream = br_choice_take (&node->registry, &query);
+  upstream = br_work_choose (task->node, work);
   if (upstream != NULL)
     {
       work_send (task, work, upstream);
       return;
     }
+  if ((work->may_have_run || (work->accepted && work->attempts > 0))
+      && br_node_now (task->node) - BR_MAX (work->failed_ms, work->accepted_ms)
+             < NO_UPSTREAM_MS)
+    {
+      br_retry_task_wait (task->node->retries, work->number);
+      return;
+    }
   br_error_set (&err, BR_ERROR_UNAVAILABLE, "choose upstream",
                 work->service.data, "no upstream of the service is live");
   err.retry_after_ms = 1000;
   br_work_fail (task, work, &err);
 }
 
+static void
+work_on_failure (br_work_task_t *task,
+                 br_work_t *work,
+                 br_error_t *err,
+                 bool may_have_run)
+{
+  br_retry_query_t query = {
+    .attempts = work->attempts,
+    .repeatable = work->repeatable,
+    .may_have_run = may_have_run,
+  };
+
+  br_log_error (&task->node->log, "work", "attempt_failed", err);
+  if (!work->same_upstream)
+    br_names_push (&work->tried, work->upstream);
+  work->failed_ms = br_node_now (task->node);
+  if (br_retry_task_failed (task->node->retries, work->number, &query))
+    return;
+  if (may_have_run && !work->repeatable)
+    err->code = BR_ERROR_UNKNOWN_OUTCOME;
+  br_work_fail (task, work, err);
+}
+
+void
+br_work_task_retry (br_work_task_t *task, uint64_t number)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  if (work != NULL && work->state == BR_WORK_RUNNING && !work->followed
+      && work->attempt == 0)
+    br_work_try (task, work);
+}
+
+static void
+work_on_failed_attempt (br_work_task_t *task,
+                        br_work_t *work,
+                        br_attempt_message_t *message)
+{
+  work->may_have_run |= message->may_have_run;
+  work->same_upstream = message->upstream_answers;
+  work_on_failure (task, work, &message->error, message->may_have_run);
+}
+
+/* The engine sent something that is no event: what follows can't be trusted. */
+static void
+work_on_bad_event (br_work_task_t *task, br_work_t *work, br_str_t data)
+{
+  br_attempt_message_t failed = { .may_have_run = true };
+
+  br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
+  br_error_set (&failed.error, BR_ERROR_PROTOCOL, "read event",
+                work->upstream.data,
+                "event of %zu bytes is not JSON in valid UTF-8", data.len);
+  br_upstream_task_cancel (task->node->upstreams, work->attempt);
+  br_work_drop_attempt (task, work);
+  work_on_failed_attempt (task, work, &failed);
+}
+
 static void
 work_on_event (br_work_task_t *task, br_work_t *work, br_str_t data)
 {
@@ -156,46 +228,18 @@
     }
   if (!br_engine_event_read (data, &kind, &text))
     {
-      br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
       br_buf_free (&text);
+      work_on_bad_event (task, work, data);
       return;
     }
-  work->received++;
+  if (work->received++ == 0)
+    br_route_task_first_token (task->node->routes, work);
   if (br_answer_add (&work->answer, offset, kind, br_buf_str (&text))
       == BR_ANSWER_ADDED)
     work_changed (task, work);
   br_buf_free (&text);
 }
 
-static void
-work_on_failure (br_work_task_t *task, br_work_t *work, br_error_t *err)
-{
-  br_log_error (&task->node->log, "work", "attempt_failed", err);
-  br_names_push (&work->tried, work->upstream);
-  if (work->attempts < ATTEMPTS_MAX)
-    br_work_try (task, work);
-  else
-    br_work_fail (task, work, err);
-}
-
-static void
-work_on_failed_attempt (br_work_task_t *task,
-                        br_work_t *work,
-                        br_attempt_message_t *message)
-{
-  br_error_t err;
-
-  work->may_have_run |= message->may_have_run;
-  if (work->repeatable || !message->may_have_run)
-    {
-      work_on_failure (task, work, &message->error);
-      return;
-    }
-  err = message->error;
-  err.code = BR_ERROR_UNKNOWN_OUTCOME;
-  br_work_fail (task, work, &err);
-}
-
 static void
 work_on_done (br_work_task_t *task, br_work_t *work, int status)
 {
@@ -206,13 +250,15 @@
   if (work->kind == BR_SERVICE_PLAIN || work->answer.complete)
     {
       work->answer.complete = true;
+      br_work_note_answered (task->node, work);
       br_claim_task_on_answer (task->node->claims, work);
+      br_retry_task_success (task->node->retries);
       br_work_end (task, work, BR_WORK_DONE);
       return;
     }
   br_error_set (&err, BR_ERROR_UPSTREAM, "read answer", work->upstream.data,
                 "status %d, and no end of the answer", status);
-  work_on_failure (task, work, &err);
+  work_on_failure (task, work, &err, true);
 }
 
 void
@@ -303,17 +349,45 @@
   return work;
 }
 
+static br_resend_query_t
+options_resend (const br_work_options_t *options)
+{
+  return (br_resend_query_t){
+    .workload = br_name_str (&options->workload),
+    .service = br_name_str (&options->service->name),
+    .path = options->path,
+    .idempotency_key = options->idempotency_key,
+    .body = options->body,
+  };
+}
+
+br_work_t *
+br_work_task_find_resend (br_work_task_t *task,
+                          const br_work_options_t *options,
+                          br_error_t *err)
+{
+  br_resend_query_t query = options_resend (options);
+
+  return br_work_task_find (task, br_resends_find (task->resends, &query, err));
+}
+
 br_work_t *
 br_work_task_accept (br_work_task_t *task, const br_work_options_t *options)
 {
-  br_work_t *work = br_work_add (task, NULL);
+  br_resend_query_t resend = options_resend (options);
+  br_work_t *work;
 
+  if (options->resent != NULL)
+    return options->resent;
+  work = br_work_add (task, NULL);
   work->organisation = options->organisation;
   work->service = options->service->name;
   work->kind = options->service->kind;
   work->repeatable
       = options->service->repeatable || options->method == EVHTTP_REQ_GET;
   work->method = options->method;
+  work->ticket = options->ticket;
+  br_resends_put (task->resends, &resend, work->number);
   br_buf_append (&work->path, options->path);
   br_buf_append (&work->body, options->body);
   br_buf_append (&work->content_type, options->content_type);
@@ -324,10 +398,31 @@
           br_field_z ("contract", work->contract_text),
           br_field_str ("service", br_name_str (&work->service)));
   br_contract_task_accept (task->node->contracts, work);
-  br_work_try (task, work);
+  if (br_admit_task_may_start (task->node->admits, work->ticket, work->number))
+    br_work_try (task, work);
   return work;
 }
 
+void
+br_work_task_admitted (br_work_task_t *task, uint64_t number)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  if (work != NULL && work->state == BR_WORK_RUNNING && !work->followed)
+    br_work_try (task, work);
+}
+
+void
+br_work_task_refused (br_work_task_t *task,
+                      uint64_t number,
+                      const br_error_t *err)
+{
+  br_work_t *work = br_work_task_find (task, number);
+
+  if (work != NULL && work->state == BR_WORK_RUNNING)
+    br_work_fail (task, work, err);
+}
+
 br_work_t *
 br_work_task_find (br_work_task_t *task, uint64_t number)
 {
@@ -410,6 +505,7 @@
   struct timeval period = { SWEEP_MS / 1000, 0 };
 
   task->node = node;
+  task->resends = br_resends_new ();
   task->table = br_work_table_new ();
   task->sweep = event_new (node->base, -1, EV_PERSIST, task_on_sweep, task);
   event_add (task->sweep, &period);
@@ -421,6 +517,7 @@
 {
   if (task == NULL)
     return;
+  br_resends_free (task->resends);
   br_work_table_free (task->table);
   event_free (task->sweep);
   free (task);
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -47,11 +47,16 @@
   br_name_t upstream;   /* of that attempt */
   size_t base_offset;   /* parts that were there when it started */
   size_t received;      /* parts it has delivered */
+  bool same_upstream;   /* its connection went silent, but it answers */
   br_names_t tried;     /* upstreams that failed */
   uint32_t watchers;    /* callers that read the answer */
   br_ms_t not_after_ms; /* of work that runs once: no first byte later */
   br_ms_t accepted_ms;
   br_ms_t unwatched_ms; /* since when nobody reads it */
+  uint64_t ticket;      /* of admission, 0 for none */
+  uint64_t uncached;    /* prompt tokens that the attempt has to read */
+  br_ms_t sent_ms;      /* when the attempt was sent */
+  br_ms_t failed_ms;    /* when the last one failed */
 } br_work_t;
 
 /* What a caller asks for.  Views are copied. */
@@ -64,16 +69,35 @@
   br_str_t body;
   br_str_t content_type;
   br_str_t idempotency_key;
+  br_name_t workload;
+  uint64_t tokens;   /* estimated cost */
+  uint64_t ticket;   /* of admission, 0 for none */
+  br_work_t *resent; /* work that runs already, instead of a ticket */
 } br_work_options_t;
 
 br_work_task_t *br_work_task_new (br_node_t *node);
 void br_work_task_free (br_work_task_t *task);
 
-/* Accepts work and starts its first attempt.  Every change is posted as
- * BR_NODE_WORK_CHANGED.  The work belongs to the task. */
+/* Returns the running work that this is a resend of; NULL when there is none,
+ * and with *ERR set to BR_ERROR_CONFLICT when its key runs with another
+ * body. */
+br_work_t *br_work_task_find_resend (br_work_task_t *task,
+                                     const br_work_options_t *options,
+                                     br_error_t *err);
+
+/* Accepts work and starts its first attempt; returns what is resent.  Every
+ * change is posted as BR_NODE_WORK_CHANGED.  The work belongs to the task. */
 br_work_t *br_work_task_accept (br_work_task_t *task,
                                 const br_work_options_t *options);
 
+/* Admission lets the work start, or ends its wait with a refusal. */
+void br_work_task_admitted (br_work_task_t *task, uint64_t number);
+/* The next attempt of work that failed is due. */
+void br_work_task_retry (br_work_task_t *task, uint64_t number);
+void br_work_task_refused (br_work_task_t *task,
+                           uint64_t number,
+                           const br_error_t *err);
+
 /* Returns NULL when there is no such work, or no longer. */
 br_work_t *br_work_task_find (br_work_task_t *task, uint64_t number);
 br_work_t *br_work_task_find_contract (br_work_task_t *task,
