A stray copy is not released while there is no partner

contract_random_test seed 4277, failing before (owners 0, no whole copy) and passing after: the owner took the name of a partner that it had dropped for its present one, and released the only other copy. process.contract_cut failed once under the sanitizers: it compared with a reference stream that had not ended; the reference is waited for now, here and in contract_frozen and contract_handover.

--- a/src/contract/contract.c
+++ b/src/contract/contract.c
@@ -234,18 +234,20 @@
 {
   br_record_t *record = br_contracts_record (contracts, &message->contract);
   bool owned = record != NULL && record->role == BR_RECORD_OWNER;
+  bool is_partner = owned && record->partner_state != BR_PARTNER_NONE
+                    && br_name_equal (&record->partner, from);
 
-  if (owned && message->kind == BR_CONTRACT_UNKNOWN
-      && !br_name_equal (&record->partner, from))
+  if (is_partner)
+    {
+      if (br_contract_epoch_compare (&record->epoch, &message->epoch) == 0)
+        br_owner_on_message (contracts, record, from, message, now);
+      return;
+    }
+  if (owned && message->kind == BR_CONTRACT_UNKNOWN)
     br_record_remove_stale (record, from);
-  if (owned && record->unprotected_ms != BR_MS_NEVER
-      && !br_name_equal (&record->partner, from))
-    return;
-  if (!owned || record->partner_state == BR_PARTNER_NONE
-      || !br_name_equal (&record->partner, from))
+  /* While there is no partner, any copy may be the only one. */
+  if (!owned || record->unprotected_ms == BR_MS_NEVER)
     contracts_release_stray (contracts, from, message);
-  else if (br_contract_epoch_compare (&record->epoch, &message->epoch) == 0)
-    br_owner_on_message (contracts, record, from, message, now);
 }
 
 void
--- a/tests/process/contract_cut.sh
+++ b/tests/process/contract_cut.sh
@@ -41,8 +41,8 @@
 grep -q '^HTTP/1.1 503' <<< "$answer" || site_fail "not 503: $answer"
 grep -q 'without an answer: lascano-1' <<< "$answer" || site_fail "$answer"
 site_cut_off 2 open > /dev/null
-contract_check_rest cut 0 whole
 wait "$other" "$whole"
+contract_check_rest cut 0 whole
 diff <(contract_tokens "$SITE/other-side") <(contract_tokens "$SITE/whole") ||
   site_fail "the other side's answer differs"
 for i in $(seq 300); do
--- a/tests/process/contract_frozen.sh
+++ b/tests/process/contract_frozen.sh
@@ -11,11 +11,13 @@
 contract_wait_links
 
 site_complete 1 "$(contract_body draft 200)" > "$SITE/whole" &
+whole=$!
 contract_stream 0 draft 200 frozen
 contract_wait_tokens frozen 12
 kill -STOP "$(site_pid castillos-1)"
 id=$(contract_id frozen)
 contract_read 1 "$id" "" "$SITE/elsewhere"
+wait "$whole"
 grep -q '"event":"take_over"' "$SITE/lascano-1.log" || site_fail "no take-over"
 diff <(contract_tokens "$SITE/elsewhere") <(contract_tokens "$SITE/whole") ||
   site_fail "read elsewhere differs"
--- a/tests/process/contract_handover.sh
+++ b/tests/process/contract_handover.sh
@@ -29,6 +29,7 @@
 kill -TERM "$owner"
 wait "$owner"
 [ $? = 0 ] || site_fail "exit code of a hand-over"
+wait "$whole"
 contract_check_rest short 1 whole
 grep -q '"event":"take_over"' "$SITE/lascano-1.log" || site_fail "no hand-over"
 
@@ -63,6 +64,5 @@
 sleep 0.3
 kill -9 "$(site_pid e1)"
 contract_check_rest three 1 whole
-wait "$whole"
 contract_check_engines
 echo "hand-over: ok"
