--- /dev/null
+++ b/tests/replica_model_test.cc
@@ -0,0 +1,112 @@
+/* Exhaustive search of a small model of the replica.  BR_MODEL_DEEPER adds to
+ * the depth of each search. */
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "replica_model.h"
+
+static void
+search (const char *name, const model_state &from, model_limits limits)
+{
+  const char *deeper = getenv ("BR_MODEL_DEEPER");
+  model_state start (from);
+  model_search search;
+
+  limits.depth += deeper != nullptr ? strtoull (deeper, nullptr, 10) : 0;
+  start.left = limits;
+  search.visit (start);
+  printf ("%s: %zu VMs, depth %zu, %d timeouts, %d crashes, %d duplicates, "
+          "%d proposals: %zu states, up to %zu leaders, %zu committed\n",
+          name, start.vms.size (), limits.depth, limits.timeouts,
+          limits.crashes, limits.duplicates, limits.proposals, search.states,
+          search.leaders_max, search.committed_max);
+  EXPECT_EQ (search.violation, "");
+  for (const std::string &step : search.trace)
+    printf ("  %s\n", step.c_str ());
+}
+
+TEST (ReplicaModel, TwoVmsFromTheStart)
+{
+  model_state::count_ = 2;
+  search ("start", model_state ({ { 1 }, { 1 } }),
+          { .depth = 11,
+            .timeouts = 3,
+            .crashes = 1,
+            .duplicates = 1,
+            .proposals = 1,
+            .network = 6 });
+}
+
+TEST (ReplicaModel, ThreeVmsFromTheStart)
+{
+  model_state::count_ = 3;
+  search ("start", model_state ({ { 1 }, { 1 }, { 1 } }),
+          { .depth = 8,
+            .timeouts = 2,
+            .crashes = 1,
+            .duplicates = 1,
+            .proposals = 1,
+            .network = 8 });
+}
+
+/* A votes for itself and asks; a crash may come between a vote and its
+ * write. */
+TEST (ReplicaModel, ThreeVmsTwoCandidates)
+{
+  model_state::count_ = 3;
+  model_state start ({ { 1 }, { 1 }, { 1 } });
+
+  for (size_t i : { 0, 1 })
+    {
+      start.forget_messages ();
+      start.timeout (i);
+      for (int m = 0; m < 2; m++)
+        start.deliver (0, false);
+      start.deliver (start.network.size () - 1, false);
+      start.write (i);
+    }
+  search ("two candidates", start,
+          { .depth = 8,
+            .timeouts = 0,
+            .crashes = 2,
+            .duplicates = 1,
+            .proposals = 0,
+            .network = 8 });
+}
+
+/* A new leader with an entry of its own; the others go on as they like. */
+TEST (ReplicaModel, ThreeVmsAfterAnElection)
+{
+  model_state::count_ = 3;
+  model_state start ({ { 1 }, { 1 }, { 1 } });
+
+  start.elect (0, 1);
+  start.drain (0, 1);
+  start.propose (0);
+  search ("after an election", start,
+          { .depth = 6,
+            .timeouts = 2,
+            .crashes = 1,
+            .duplicates = 0,
+            .proposals = 0,
+            .network = 6 });
+}
+
+/* An entry of an earlier term is on a majority only after its leader is
+ * elected again, while a third VM holds a later one. */
+TEST (ReplicaModel, ThreeVmsWithAnOldEntry)
+{
+  model_state::count_ = 3;
+  model_state start ({ { 2, 4 }, { 4 }, { 3, 4 } });
+
+  start.elect (0, 1);
+  start.replicate (0, 1, 2);
+  search ("old entry", start,
+          { .depth = 9,
+            .timeouts = 2,
+            .crashes = 0,
+            .duplicates = 0,
+            .proposals = 0,
+            .network = 5 });
+}
