--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -3,11 +3,15 @@
 #include <signal.h>
 #include <string.h>
 
+#include "shell/admit_task.h"
 #include "shell/caller_task.h"
+#include "shell/claim_task.h"
 #include "shell/contract_task.h"
 #include "shell/operator_task.h"
 #include "shell/peer_task.h"
 #include "shell/replica_task.h"
+#include "shell/retry_task.h"
+#include "shell/route_task.h"
 #include "shell/upstream_task.h"
 #include "shell/work_task.h"
 
@@ -63,6 +67,9 @@
 {
   switch (message->part)
     {
+    case BR_PART_ORGANISATION:
+      br_admit_task_on_peer (node->admits, message);
+      break;
     case BR_PART_CONTRACT:
       br_contract_task_on_peer (node->contracts, message);
       break;
@@ -74,7 +81,6 @@
     case BR_PART_DOMAIN:
     case BR_PART_LINK:
     case BR_PART_UPSTREAM:
-    case BR_PART_ORGANISATION:
     case BR_PART_ROUTE:
     case BR_PART_COUNT:
       break;
@@ -91,6 +97,9 @@
     case BR_NODE_PEER_DOWN:
       br_contract_task_on_link (node->contracts, &message->peer,
                                 message->kind == BR_NODE_PEER_UP);
+      br_claim_task_on_vm (node->claims, &message->peer.vm,
+                           message->peer.incarnation,
+                           message->kind == BR_NODE_PEER_UP);
       break;
     case BR_NODE_PEER_RECEIVED:
       node_on_peer_message (node, &message->peer);
@@ -103,12 +112,18 @@
       br_caller_task_on_work (node->callers, message->work);
       break;
     case BR_NODE_PROPOSAL:
+      br_claim_task_on_proposal (node->claims, &message->proposal);
       if (node->on_proposal != NULL)
         node->on_proposal (node->on_proposal_context, &message->proposal);
       br_buf_free (&message->proposal.result);
       break;
     case BR_NODE_APPLIED:
+      br_claim_task_on_applied (node->claims);
+      break;
     case BR_NODE_CATALOG_CHANGED:
+    case BR_NODE_UPSTREAM_CHANGED:
+      br_route_task_update (node->routes);
+      break;
     case BR_NODE_VM_UP:
     case BR_NODE_VM_SUSPECT:
     case BR_NODE_VM_DOWN:
@@ -116,8 +131,6 @@
     case BR_NODE_VM_LEAVING:
       br_contract_task_on_leaving (node->contracts, &message->member.name);
       break;
-    case BR_NODE_UPSTREAM_CHANGED:
-      break;
     case BR_NODE_RECLAIM_NOTICE:
       br_node_drain_by (node, message->leave_by_ms);
       break;
@@ -157,7 +170,8 @@
   br_ms_t copies_until = BR_MIN (node->queue->drain_from_ms + COPIES_KEEP_MS,
                                  node->queue->leave_by_ms);
 
-  if (br_work_task_in_progress (node->works) > 0)
+  if (br_work_task_in_progress (node->works) > 0
+      || br_claim_task_in_progress (node->claims) > 0)
     return false;
   if (now < copies_until && br_contract_task_needed_here (node->contracts) > 0)
     return false;
@@ -262,6 +276,10 @@
   node->upstreams = br_upstream_task_new (node);
   node->contracts = br_contract_task_new (node);
   node->works = br_work_task_new (node);
+  node->claims = br_claim_task_new (node);
+  node->retries = br_retry_task_new (node);
+  node->admits = br_admit_task_new (node);
+  node->routes = br_route_task_new (node);
   node->callers = br_caller_task_new (node, err);
   if (node->callers == NULL)
     return false;
@@ -365,7 +383,11 @@
 {
   br_caller_task_free (node->callers);
   br_operator_task_free (node->operators);
+  br_claim_task_free (node->claims);
   br_work_task_free (node->works);
+  br_admit_task_free (node->admits);
+  br_retry_task_free (node->retries);
+  br_route_task_free (node->routes);
   br_contract_task_free (node->contracts);
   br_upstream_task_free (node->upstreams);
   br_peer_task_free (node->peers);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -24,7 +24,11 @@
 typedef struct br_caller_task br_caller_task_t;
 typedef struct br_operator_task br_operator_task_t;
 typedef struct br_replica_task br_replica_task_t;
+typedef struct br_admit_task br_admit_task_t;
+typedef struct br_retry_task br_retry_task_t;
+typedef struct br_route_task br_route_task_t;
 typedef struct br_contract_task br_contract_task_t;
+typedef struct br_claim_task br_claim_task_t;
 
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
@@ -79,13 +83,6 @@
   br_buf_t payload; /* owned by the message */
 } br_peer_message_t;
 
-typedef enum
-{
-  BR_PROPOSAL_COMMITTED, /* in force, and RESULT is the state's answer */
-  BR_PROPOSAL_REFUSED,   /* surely not in the log, now or later */
-  BR_PROPOSAL_UNKNOWN,   /* may be or become committed */
-} br_proposal_outcome_t;
-
 typedef struct
 {
   uint64_t ticket;
@@ -136,10 +133,14 @@
   br_peer_task_t *peers; /* NULL without peers in the settings */
   br_upstream_task_t *upstreams;
   br_work_task_t *works;
+  br_admit_task_t *admits;
+  br_retry_task_t *retries;
+  br_route_task_t *routes;
   br_caller_task_t *callers;
   br_operator_task_t *operators;
   br_replica_task_t *replica;
   br_contract_task_t *contracts;
+  br_claim_task_t *claims;
   br_state_t *state;          /* owned; changed by the replica task alone */
   br_proposal_fn on_proposal; /* of a program that embeds the node; or NULL */
   void *on_proposal_context;
