--- a/src/replica/leader.c
+++ b/src/replica/leader.c
@@ -40,24 +40,37 @@
     }
 }
 
-/* Forgets disks that a voter had before the one of the configuration in
- * force. */
-static void
-leader_drop_old_disks (br_replica_t *replica)
+/* Whether the VM votes with another disk, or has joined with another one
+ * since and has no vote: the disk of PROGRESS is lost. */
+static bool
+leader_disk_is_lost (const br_replica_t *replica, const br_progress_t *progress)
 {
-  const br_config_t *config = br_replica_config (replica);
-  br_progresses_t *all = &replica->progresses;
+  const br_member_t *member
+      = br_config_find (br_replica_config (replica), &progress->vm);
 
-  for (size_t i = 0; i < all->len;)
+  if (member != NULL && member->voter)
+    return member->disk != progress->disk;
+  for (size_t i = 0; i < replica->progresses.len; i++)
     {
-      const br_progress_t *progress = &all->items[i];
-      const br_member_t *member = br_config_find (config, &progress->vm);
+      const br_progress_t *other = &replica->progresses.items[i];
 
-      if (member != NULL && member->voter && member->disk != progress->disk)
-        all->items[i] = all->items[--all->len];
-      else
-        i++;
+      if (other->joined > progress->joined
+          && br_name_equal (&other->vm, &progress->vm))
+        return true;
     }
+  return false;
+}
+
+static void
+leader_drop_lost_disks (br_replica_t *replica)
+{
+  br_progresses_t *all = &replica->progresses;
+
+  for (size_t i = 0; i < all->len;)
+    if (leader_disk_is_lost (replica, &all->items[i]))
+      all->items[i] = all->items[--all->len];
+    else
+      i++;
 }
 
 bool
@@ -82,7 +95,7 @@
   br_replica_append_entry (replica, entry);
   if (kind == BR_ENTRY_CONFIG)
     {
-      leader_drop_old_disks (replica);
+      leader_drop_lost_disks (replica);
       leader_add_voters (replica);
     }
   replica->has_news = true;
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -112,10 +112,12 @@
     .disk = disk,
     .next = br_replica_log_last_index (&replica->log) + 1,
     .joined_ms = replica->now,
+    .joined = replica->joins,
   };
 
   if (progress != NULL)
     return progress;
+  replica->joins++;
   return br_progresses_push (&replica->progresses, fresh);
 }
 
--- a/src/shell/replica_outcome.c
+++ b/src/shell/replica_outcome.c
@@ -102,3 +102,12 @@
       break;
     }
 }
+
+void
+br_replica_log_role (br_log_t *log, const br_replica_t *replica)
+{
+  BR_LOG (log, "replica", "role",
+          br_field_z ("role", br_replica_role_name (br_replica_role (replica))),
+          br_field_int ("term", (int64_t)br_replica_term (replica)),
+          br_field_str ("leader", br_name_str (br_replica_leader (replica))));
+}
--- a/src/shell/replica_outcome.h
+++ b/src/shell/replica_outcome.h
@@ -27,6 +27,9 @@
                               const br_replica_event_t *event,
                               br_buf_t *result);
 
+/* Writes role, term and leader into the log of events. */
+void br_replica_log_role (br_log_t *log, const br_replica_t *replica);
+
 BR_END_DECLS
 
 #endif
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -52,17 +52,6 @@
                            ticket, code, why);
 }
 
-static void
-task_log_role (br_replica_task_t *task)
-{
-  const br_replica_t *replica = task->replica;
-
-  BR_LOG (&task->node->log, "replica", "role",
-          br_field_z ("role", br_replica_role_name (br_replica_role (replica))),
-          br_field_int ("term", (int64_t)br_replica_term (replica)),
-          br_field_str ("leader", br_name_str (br_replica_leader (replica))));
-}
-
 static void
 task_fail (br_replica_task_t *task, const br_error_t *err)
 {
@@ -106,7 +95,7 @@
         task_restore (task);
         break;
       case BR_REPLICA_EVENT_ROLE:
-        task_log_role (task);
+        br_replica_log_role (&task->node->log, task->replica);
         break;
       case BR_REPLICA_EVENT_CONFIG:
         BR_LOG (&task->node->log, "replica", "members changed",
@@ -164,13 +153,6 @@
   br_node_post (node, applied);
 }
 
-static void
-task_count_write (br_replica_task_t *task, size_t records)
-{
-  br_counters_add (&task->node->counters, BR_COUNTER_LOG_SYNCS, 1);
-  br_counters_add (&task->node->counters, BR_COUNTER_LOG_RECORDS, records);
-}
-
 static void
 task_write (br_replica_task_t *task)
 {
@@ -191,7 +173,8 @@
   br_replica_pack_writes (task->replica, &writes, &records);
   if (writes.snapshot != NULL)
     br_replica_snapshot_pack (writes.snapshot, &snapshot);
-  task_count_write (task, records.len);
+  br_counters_add (&task->node->counters, BR_COUNTER_LOG_SYNCS, 1);
+  br_counters_add (&task->node->counters, BR_COUNTER_LOG_RECORDS, records.len);
   task->writing = writes.change;
   br_replica_writer_start (task->writer, &records, writes.snapshot != NULL,
                            &snapshot);
@@ -230,7 +213,8 @@
   rest.last = br_replica_log_last_index (br_replica_log (task->replica));
   br_replica_pack_writes (task->replica, &rest, &records);
   task->checkpointing = true;
-  task_count_write (task, records.len);
+  br_counters_add (&task->node->counters, BR_COUNTER_LOG_SYNCS, 1);
+  br_counters_add (&task->node->counters, BR_COUNTER_LOG_RECORDS, records.len);
   br_replica_writer_start (task->writer, &records, true, &snapshot);
 }
 
--- /dev/null
+++ b/tests/process/replica_freeze.sh
@@ -0,0 +1,107 @@
+# The leader is frozen past every bound and woken; a voter is cut off in both
+# directions, then in one; a disk is wiped; a data folder is damaged; a leader
+# is stopped as planned.  Usage: replica_freeze.sh BUILD
+set -u
+BUILD=$1
+BASE_PORT=22100
+. "$(dirname "$0")/../support/replica_site.sh"
+site_init
+
+# All links between voters go through the relay: from I to J by port
+# BASE + 50 + 3 * I + J, link number by the order of the loops.
+RELAY=$((BASE_PORT + 49))
+links=()
+for i in 0 1 2; do
+  for j in 0 1 2; do
+    [ $i = $j ] && continue
+    links+=(--link "$((BASE_PORT + 50 + 3 * i + j)):$((BASE_PORT + 20 + j))")
+    declare "PEER_PORT_${i}_$j=$((BASE_PORT + 50 + 3 * i + j))"
+    declare "LINK_${i}_$j=$((${#links[@]} / 2 - 1))"
+  done
+done
+relay() {
+  local name=LINK_${1}_$2
+  curl -sf --max-time 2 -X POST -o /dev/null \
+    "http://127.0.0.1:$RELAY/links/${!name}/$3" || site_fail "relay $*"
+}
+isolate() {
+  local j
+  for j in 0 1 2; do
+    [ "$j" = "$1" ] && continue
+    relay "$1" "$j" "$2"
+    relay "$j" "$1" "$2"
+  done
+}
+
+site_start relay "$BUILD/fake_relay" --control $RELAY "${links[@]}"
+sleep 0.2
+for i in 0 1 2; do log_start $i; done
+leader=$(log_leader) || site_fail "no first leader"
+log_propose 50 4 first > /dev/null
+grep -q '^committed=50 ' "$SITE/first.txt" || site_fail "first"
+
+# Frozen and woken: it must not lead on in its old term.
+term=$(log_field "$leader" term)
+kill -STOP "$(site_pid "log-$leader")"
+next=$(log_leader "$leader") || site_fail "no leader beside the frozen one"
+log_propose 50 4 frozen > /dev/null
+grep -q '^committed=50 ' "$SITE/frozen.txt" || site_fail "frozen"
+kill -CONT "$(site_pid "log-$leader")"
+log_wait_equal 0 1 2 || site_fail "not equal after the freeze"
+[ "$(log_field "$leader" term)" -gt "$term" ] || site_fail "old term"
+
+# Cut off in both directions: the rest goes on, and the minority does not
+# lead once its bound has passed.
+leader=$(log_leader) || site_fail "no leader before the cut"
+isolate "$leader" cut
+next=$(log_leader "$leader") || site_fail "no leader beside the cut one"
+sleep 1.5
+[ "$(log_role "$leader")" != leader ] || site_fail "the cut VM still leads"
+isolate "$leader" open
+log_wait_equal 0 1 2 || site_fail "not equal after the cut"
+
+# Cut in one direction: what the leader sends to one voter is lost.
+leader=$(log_leader) || site_fail "no leader before the one-way cut"
+other=$(((leader + 1) % 3))
+relay "$leader" "$other" cut-to
+log_propose 50 4 oneway > /dev/null
+grep -q ' committed ' "$SITE/oneway.txt" || site_fail "nothing in a one-way cut"
+relay "$leader" "$other" open
+log_wait_equal 0 1 2 || site_fail "not equal after the one-way cut"
+
+# A wiped disk comes back with another identity and gets a vote again.
+leader=$(log_leader) || site_fail "no leader before the wipe"
+lost=$(((leader + 1) % 3))
+disk=$(log_field "$lost" disk)
+log_kill "$lost" KILL
+rm -rf "$SITE/data-$lost"
+log_start "$lost"
+for _ in $(seq 100); do
+  [ "$(log_role "$lost")" = follower ] && break
+  sleep 0.05
+done
+[ "$(log_role "$lost")" = follower ] || site_fail "no vote after the wipe"
+[ "$(log_field "$lost" disk)" != "$disk" ] || site_fail "the old identity"
+log_wait_equal 0 1 2 || site_fail "not equal after the wipe"
+
+# Damage before the tail stops the process with its own exit code.
+log_kill "$lost" KILL
+segment=$(find "$SITE/data-$lost" -name '*.log' | sort | head -n 1)
+printf 'X' | dd of="$segment" bs=1 seek=60 conv=notrunc status=none
+timeout 5 "$BUILD/briarrack" serve "$SITE/log-$lost.json" \
+  > "$SITE/damaged.out" 2>&1
+code=$?
+if grep -q 'whole frame follows' "$SITE/damaged.out"; then
+  [ $code = 12 ] || site_fail "exit code $code"
+  grep -q "$(basename "$segment")" "$SITE/damaged.out" || site_fail "no name"
+fi
+rm -rf "$SITE/data-$lost"
+log_start "$lost"
+log_wait_equal 0 1 2 || site_fail "not equal after the damage"
+
+# A planned stop hands leadership over before the process ends.
+leader=$(log_leader) || site_fail "no leader before the stop"
+log_kill "$leader" TERM
+grep -q 'handing over' "$SITE/log-$leader.log" || site_fail "not handed over"
+log_leader "$leader" > /dev/null || site_fail "no leader after the stop"
+echo "freeze: ok"
