--- a/src/route/estimate.c
+++ b/src/route/estimate.c
@@ -2,6 +2,7 @@
 
 #define MS_PER_S 1000.0F
 #define HOLD_SMOOTHING 0.1
+#define BUSY_MAX 0.9
 
 static void
 events_add (br_estimate_events_t *events, br_ms_t now)
@@ -46,6 +47,20 @@
   return BR_MAX (active, (int64_t)estimate->own);
 }
 
+/* Prompts of others that are being read: as many come in the time that one
+ * takes as the report and the time of an attempt say. */
+static float
+estimate_others_ms (const br_estimate_t *estimate,
+                    int64_t active,
+                    double hold_ms)
+{
+  double read_ms = estimate->uncached * (double)estimate->token_ms;
+  double busy = (double)(active - estimate->own) * read_ms / hold_ms;
+
+  busy = BR_MIN (busy, BUSY_MAX);
+  return (float)(read_ms * busy / (2 * (1 - busy)));
+}
+
 static void
 estimate_update (br_estimate_t *estimate)
 {
@@ -60,7 +75,9 @@
 
   estimate->token_ms = MS_PER_S / (float)prefill;
   estimate->active = (float)active / (float)slots;
-  estimate->wait_ms = (float)estimate->pending_prefill * estimate->token_ms;
+  estimate->prefill_ms = (float)estimate->pending_prefill * estimate->token_ms
+                         + estimate_others_ms (estimate, active, hold_ms);
+  estimate->wait_ms = estimate->prefill_ms;
   if (over > 0)
     estimate->wait_ms += (float)((double)over * hold_ms / (double)slots);
 }
@@ -79,6 +96,8 @@
 {
   estimate->own++;
   estimate->pending_prefill += uncached;
+  estimate->uncached
+      += HOLD_SMOOTHING * ((double)uncached - estimate->uncached);
   events_add (&estimate->sent, now);
   estimate_update (estimate);
 }
@@ -107,7 +126,16 @@
 }
 
 int64_t
-br_estimate_room (const br_estimate_t *estimate)
+br_estimate_slots_free (const br_estimate_t *estimate)
 {
   return (int64_t)estimate_slots (estimate) - estimate_active (estimate);
 }
+
+int64_t
+br_estimate_prompts (const br_estimate_t *estimate, br_ms_t queue_ms)
+{
+  float read_ms = BR_MAX ((float)estimate->uncached * estimate->token_ms, 1);
+  float left_ms = (float)queue_ms - estimate->prefill_ms;
+
+  return (int64_t)(BR_MAX (left_ms, 0) / read_ms);
+}
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -7,12 +7,15 @@
 #include "shell/caller_task.h"
 #include "shell/claim_task.h"
 #include "shell/contract_task.h"
+#include "shell/domain_task.h"
 #include "shell/operator_task.h"
 #include "shell/peer_task.h"
+#include "shell/platform_task.h"
 #include "shell/replica_task.h"
 #include "shell/retry_task.h"
 #include "shell/route_task.h"
 #include "shell/upstream_task.h"
+#include "shell/upstream_watch.h"
 #include "shell/work_task.h"
 
 /* Messages handled before the loop turns to its sockets again. */
@@ -70,6 +73,12 @@
     case BR_PART_ORGANISATION:
       br_admit_task_on_peer (node->admits, message);
       break;
+    case BR_PART_UPSTREAM:
+      br_upstream_watch_receive (node->upstream_watch, message);
+      break;
+    case BR_PART_DOMAIN:
+      br_domain_task_receive (node->domain, message);
+      break;
     case BR_PART_CONTRACT:
       br_contract_task_on_peer (node->contracts, message);
       break;
@@ -78,9 +87,7 @@
                                   br_buf_str (&message->payload));
       break;
     case BR_PART_STATE:
-    case BR_PART_DOMAIN:
     case BR_PART_LINK:
-    case BR_PART_UPSTREAM:
     case BR_PART_ROUTE:
     case BR_PART_COUNT:
       break;
@@ -95,6 +102,8 @@
     {
     case BR_NODE_PEER_UP:
     case BR_NODE_PEER_DOWN:
+      if (message->kind == BR_NODE_PEER_UP)
+        br_domain_task_on_peer_up (node->domain, &message->peer);
       br_contract_task_on_link (node->contracts, &message->peer,
                                 message->kind == BR_NODE_PEER_UP);
       br_claim_task_on_vm (node->claims, &message->peer.vm,
@@ -232,6 +241,7 @@
           br_field_int ("in_progress",
                         (int64_t)br_work_task_in_progress (node->works)));
   event_add (node->queue->drain_timer, &soon);
+  br_domain_task_leave (node->domain);
   br_contract_task_leave (node->contracts);
   br_replica_task_hand_over (node->replica);
 }
@@ -273,6 +283,9 @@
   node->replica = br_replica_task_new (node, err);
   if (node->replica == NULL)
     return false;
+  node->domain = br_domain_task_new (node);
+  node->platform = br_platform_task_new (node);
+  node->upstream_watch = br_upstream_watch_new (node);
   node->upstreams = br_upstream_task_new (node);
   node->contracts = br_contract_task_new (node);
   node->works = br_work_task_new (node);
@@ -390,12 +403,16 @@
   br_route_task_free (node->routes);
   br_contract_task_free (node->contracts);
   br_upstream_task_free (node->upstreams);
+  br_upstream_watch_free (node->upstream_watch);
   br_peer_task_free (node->peers);
+  br_platform_task_free (node->platform);
+  br_domain_task_free (node->domain);
   br_replica_task_free (node->replica);
   br_state_free (node->state);
   node_free_queue (node);
   br_catalog_release (&node->catalog);
   br_registry_release (&node->registry);
+  br_quarantine_free (&node->quarantine);
   br_settings_release (&node->settings);
   event_base_free (node->base);
   free (node);
