Replica: bounds on numbers from peers, mutated messages; design and proofs

Cause: a term near 2^64 from a peer would end the process at the next election (an assertion on a term that goes down). Conclusion: numbers from peers are below 2^62; a replica fed with mutated messages for 3 s of the chosen clock goes on.

--- a/src/replica/wire.c
+++ b/src/replica/wire.c
@@ -182,6 +182,9 @@
 
 /* --- messages --- */
 
+/* Bound of terms, indexes and rounds from a peer. */
+#define NUMBER_MAX (UINT64_C (1) << 62)
+
 /* What a packed message points to besides the message itself. */
 typedef struct
 {
@@ -372,6 +375,15 @@
          && wire->data.len <= wire->total - wire->offset;
 }
 
+/* Whether sums of the numbers in the message cannot overflow. */
+static bool
+message_is_bounded (const Br__Replica__Message *wire)
+{
+  return wire->term < NUMBER_MAX && wire->index < NUMBER_MAX
+         && wire->log_term < NUMBER_MAX && wire->commit < NUMBER_MAX
+         && wire->round < NUMBER_MAX;
+}
+
 static bool
 message_from_wire (const Br__Replica__Message *wire,
                    br_replica_message_t *message)
@@ -449,7 +461,8 @@
   *message = (br_replica_message_t){ .vm = *peer };
   if (wire == NULL)
     return wire_fail (err, peer->data, "the message does not parse");
-  if (wire->kind < BR_REPLICA_MESSAGE_COUNT)
+  if (wire->kind < BR_REPLICA_MESSAGE_COUNT
+      && (wire->kind == BR_REPLICA_BOOTSTRAP || message_is_bounded (wire)))
     {
       message->kind = (br_replica_message_kind_t)wire->kind;
       message->disk = wire->disk;
--- a/tests/replica_sim.h
+++ b/tests/replica_sim.h
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -317,6 +318,8 @@
     return n;
   }
 
+  /* Sees every message that is sent. */
+  std::function<void (size_t, size_t, br_str_t)> on_send;
   size_t reads_done = 0;
   size_t installs = 0;
 
@@ -498,6 +501,8 @@
         || br_random_unit (&random_) < options_.drop)
       return;
     br_replica_pack (&message, &out);
+    if (on_send)
+      on_send (from, to, br_buf_str (&out));
     int copies = br_random_unit (&random_) < options_.duplicate ? 2 : 1;
     for (int i = 0; i < copies; i++)
       {
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -10,6 +10,27 @@
   return n;
 }
 
+/* A replica that hears of nothing but broken messages. */
+static br_replica_t *
+lone_replica ()
+{
+  br_replica_options_t options = {};
+
+  options.vm = br_name_from ("vm-1");
+  options.disk = 9;
+  options.voter = true;
+  br_replica_peers_push (&options.peers,
+                         br_replica_peer_t{ br_name_from ("vm-0"), true });
+  options.heartbeat_ms = 50;
+  options.election_min_ms = 200;
+  options.election_max_ms = 400;
+  options.append_max_bytes = 512;
+  options.snapshot_chunk_bytes = 64;
+  br_replica_t *victim = br_replica_new (&options, nullptr, 1000);
+  br_replica_peers_free (&options.peers);
+  return victim;
+}
+
 TEST (Replica, AloneCommitsAtOnce)
 {
   sim_options options;
@@ -209,3 +230,49 @@
   EXPECT_EQ (sim.find_leader (), leader);
   EXPECT_EQ (br_replica_term (sim.vm (other).replica), term);
 }
+
+/* What a broken peer sends is refused or does nothing worse than hold the
+ * replica up. */
+TEST (Replica, MutatedMessagesDoNotCrash)
+{
+  sim_options options;
+  size_t refused = 0;
+  size_t taken = 0;
+  br_random_t random;
+
+  options.compact_after = 10;
+  replica_sim sim (options);
+  br_replica_t *victim = lone_replica ();
+  br_name_t peer = br_name_from ("vm-0");
+  br_random_seed (&random, 1);
+  sim.on_send = [&] (size_t, size_t, br_str_t bytes) {
+    for (int round = 0; round < 20; round++)
+      {
+        std::string copy (bytes.data, bytes.len);
+        br_replica_message_t message;
+
+        for (uint64_t n = br_random_below (&random, 3) + 1; n > 0; n--)
+          copy[br_random_below (&random, copy.size ())]
+              ^= (char)(1 + br_random_below (&random, 255));
+        if (!br_replica_unpack (br_str_make (copy.data (), copy.size ()), &peer,
+                                &message, nullptr))
+          {
+            refused++;
+            continue;
+          }
+        message.to_disk = 0;
+        taken++;
+        br_replica_step (victim, 1000 + (br_ms_t)taken, message);
+        br_replica_tick (victim, 1000 + (br_ms_t)taken);
+      }
+  };
+  for (int i = 0; i < 100; i++)
+    {
+      sim.run (30);
+      sim.propose ((size_t)(i % 3));
+    }
+  sim.on_send = nullptr;
+  EXPECT_GT (refused, 100u);
+  EXPECT_GT (taken, 100u);
+  br_replica_free (victim);
+}
