--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -83,9 +83,8 @@
 
 /* Says that the connection to VM was lost.  When it leads, an election is
  * tried soon; it fails as long as a majority still hears of the leader. */
-void br_replica_suspect (br_replica_t *replica,
-                         br_ms_t now,
-                         const br_name_t *vm);
+void
+br_replica_suspect (br_replica_t *replica, br_ms_t now, const br_name_t *vm);
 
 /* Proposes COMMAND with a ticket above all earlier ones.  Its outcome comes
  * as BR_REPLICA_EVENT_PROPOSAL. */
