--- a/src/shell/claim_task.c
+++ b/src/shell/claim_task.c
@@ -3,6 +3,7 @@
 #include <uthash.h>
 
 #include "contract/claim.h"
+#include "shell/claim_vms.h"
 #include "shell/replica_task.h"
 #include "state/command.h"
 
@@ -14,12 +15,11 @@
 #define TICK_EVERY_MS 2000
 #define TICK_SPREAD_MS 2000
 
-/* A VM that is away for this long, and a share of the spread, loses the
- * claims that it has not ended. */
-#define ABANDON_AFTER_MS 5000
-#define ABANDON_SPREAD_MS 3000
 #define ABANDONS_PER_SWEEP 64
 
+/* Without a leader for this long, new claims are refused at once. */
+#define LEADERLESS_MS 1500
+
 /* A planned stop waits this long for the log to learn an end. */
 #define STOP_WAITS_MS 10000
 
@@ -41,24 +41,16 @@
   UT_hash_handle hh;
 } proposal_t;
 
-/* What is known of another entry VM. */
-typedef struct
-{
-  br_name_t name;
-  uint64_t incarnation;
-  bool up;
-  br_ms_t since_ms;
-  UT_hash_handle hh; /* by name.data */
-} vm_t;
-
 struct br_claim_task
 {
   br_node_t *node;
   entry_t *entries;
   proposal_t *proposals;
-  vm_t *vms;
+  size_t waiting; /* entries that wait for another contract */
+  br_claim_vms_t *vms;
   struct event *poll;
   unsigned polls;
+  br_ms_t leader_seen_ms;
   uint64_t tick; /* last one seen, and when */
   br_ms_t tick_seen_ms;
   br_ms_t tick_spread_ms;
@@ -102,27 +94,42 @@
   br_buf_free (&contract);
 }
 
+static void entry_handle (br_claim_task_t *task,
+                          entry_t *entry,
+                          const br_claim_input_t *input);
+
+static void
+entry_send (br_claim_task_t *task, entry_t *entry, br_ms_t not_after_ms)
+{
+  br_claim_input_t input = { .kind = BR_CLAIM_INPUT_END };
+
+  br_counters_add (&task->node->counters, BR_COUNTER_CLAIMS_SENT, 1);
+  entry_log (task, entry, "may_send");
+  if (br_work_task_may_send (task->node->works, entry->number, not_after_ms))
+    return;
+  input.end.state = BR_CLAIM_NOT_RUN;
+  br_error_set (&input.end.error, BR_ERROR_UNAVAILABLE, "send", "",
+                "the request ended before it was sent");
+  entry_handle (task, entry, &input);
+}
+
 static void
 entry_act (br_claim_task_t *task,
            entry_t *entry,
            const br_claim_action_t *action)
 {
-  br_work_task_t *works = task->node->works;
-
   switch (action->kind)
     {
     case BR_CLAIM_ACTION_PROPOSE:
       task_propose (task, entry->number, action);
       break;
     case BR_CLAIM_ACTION_SEND:
-      br_counters_add (&task->node->counters, BR_COUNTER_CLAIMS_SENT, 1);
-      entry_log (task, entry, "may_send");
-      br_work_task_may_send (works, entry->number, action->not_after_ms);
+      entry_send (task, entry, action->not_after_ms);
       break;
     case BR_CLAIM_ACTION_ANSWER:
       entry_log (task, entry, "answered_from_log");
-      br_work_task_answered (works, entry->number, (int)action->status,
-                             br_buf_str (&action->bytes));
+      br_work_task_answered (task->node->works, entry->number,
+                             (int)action->status, br_buf_str (&action->bytes));
       break;
     case BR_CLAIM_ACTION_FAIL:
       br_counters_add (&task->node->counters,
@@ -131,7 +138,7 @@
                            : BR_COUNTER_CLAIMS_NOT_RUN,
                        1);
       entry_log (task, entry, "failed");
-      br_work_task_failed (works, entry->number, &action->error);
+      br_work_task_failed (task->node->works, entry->number, &action->error);
       break;
     }
 }
@@ -143,7 +150,9 @@
 {
   br_claim_actions_t outbox = { 0 };
 
+  task->waiting -= entry->claim.step == BR_CLAIM_STEP_WAITING;
   br_claim_handle (&entry->claim, br_node_now (task->node), input, &outbox);
+  task->waiting += entry->claim.step == BR_CLAIM_STEP_WAITING;
   for (size_t i = 0; i < outbox.len; i++)
     entry_act (task, entry, &outbox.items[i]);
   br_claim_actions_release (&outbox);
@@ -159,6 +168,21 @@
   br_buf_append (out, br_buf_str (&work->body));
 }
 
+static void
+task_see_leader (br_claim_task_t *task)
+{
+  if (br_replica_task_leader (task->node->replica)->len > 0)
+    task->leader_seen_ms = br_node_now (task->node);
+}
+
+/* An election is over sooner than this. */
+static bool
+task_has_no_majority (br_claim_task_t *task)
+{
+  task_see_leader (task);
+  return br_node_now (task->node) - task->leader_seen_ms >= LEADERLESS_MS;
+}
+
 void
 br_claim_task_start (br_claim_task_t *task, br_work_t *work)
 {
@@ -169,7 +193,9 @@
     .organisation = br_name_str (&work->organisation),
     .service = br_name_str (&work->service),
     .key = br_buf_str (&work->idempotency_key),
-    .contract = work->contract,
+    .contract = { .vm = task->node->settings.vm,
+                  .incarnation = task->node->incarnation,
+                  .number = work->number },
     .retention_ms
     = (uint64_t)(service != NULL ? service->retention_s : 86400) * 1000,
   };
@@ -192,6 +218,7 @@
   HASH_ADD (hh, task->entries, number, sizeof entry->number, entry);
   input.record
       = br_state_claim (task->node->state, br_buf_str (&entry->claim.key));
+  input.no_majority = task_has_no_majority (task);
   entry_handle (task, entry, &input);
 }
 
@@ -289,6 +316,8 @@
   entry_t *next;
 
   task_see_tick (task);
+  if (task->waiting == 0)
+    return;
   HASH_ITER (hh, task->entries, entry, next)
   {
     br_claim_input_t input = { .kind = BR_CLAIM_INPUT_RECORD };
@@ -303,23 +332,11 @@
 
 void
 br_claim_task_on_vm (br_claim_task_t *task,
-                     const br_name_t *name,
+                     const br_name_t *vm,
                      uint64_t incarnation,
                      bool up)
 {
-  vm_t *vm;
-
-  HASH_FIND_STR (task->vms, name->data, vm);
-  if (vm == NULL)
-    {
-      vm = br_alloc_zero (sizeof *vm);
-      vm->name = *name;
-      HASH_ADD_KEYPTR (hh, task->vms, vm->name.data, vm->name.len, vm);
-    }
-  vm->incarnation = BR_MAX (vm->incarnation, incarnation);
-  if (vm->up != up || vm->since_ms == 0)
-    vm->since_ms = br_node_now (task->node);
-  vm->up = up;
+  br_claim_vms_see (task->vms, br_node_now (task->node), vm, incarnation, up);
 }
 
 /* Whether the contract that has CLAIM will surely not end it any more, as far
@@ -329,28 +346,13 @@
 {
   const br_claim_owner_t *owner = claim->owner;
   br_node_t *node = task->node;
-  br_ms_t away_ms
-      = ABANDON_AFTER_MS
-        + (br_ms_t)(br_str_hash (br_name_str (&node->settings.vm), 0)
-                    % ABANDON_SPREAD_MS);
-  br_ms_t since_ms = node->started_ms;
-  vm_t *vm;
-
-  if (br_str_equal (br_str_from (owner->vm), br_name_str (&node->settings.vm)))
-    {
-      const entry_t *entry = task_find (task, owner->number);
+  const entry_t *entry;
 
-      return owner->incarnation != node->incarnation || entry == NULL
-             || entry->claim.step == BR_CLAIM_STEP_OVER;
-    }
-  HASH_FIND_STR (task->vms, owner->vm, vm);
-  if (vm != NULL && owner->incarnation < vm->incarnation)
-    return true;
-  if (vm != NULL && vm->up)
-    return false;
-  if (vm != NULL)
-    since_ms = vm->since_ms;
-  return br_node_now (node) - since_ms >= away_ms;
+  if (!br_str_equal (br_str_from (owner->vm), br_name_str (&node->settings.vm)))
+    return br_claim_vms_is_gone (task->vms, br_node_now (node), owner);
+  entry = task_find (task, owner->number);
+  return owner->incarnation != node->incarnation || entry == NULL
+         || entry->claim.step == BR_CLAIM_STEP_OVER;
 }
 
 BR_VEC (commands, br_buf_t);
@@ -374,7 +376,7 @@
   if (sweep->commands.len >= ABANDONS_PER_SWEEP
       || !task_owner_is_gone (sweep->task, claim))
     return;
-  br_command_abandon (claim, &command);
+  br_state_command_abandon (claim, &command);
   commands_push (&sweep->commands, command);
   BR_LOG (&sweep->task->node->log, "claim", "abandon",
           br_field_z ("key", claim->key), br_field_z ("peer", claim->owner->vm),
@@ -409,7 +411,7 @@
   if (br_state_claim_count (task->node->state) == 0
       || elapsed < TICK_EVERY_MS + task->tick_spread_ms)
     return;
-  br_command_tick (task->tick + 1, elapsed, &action.bytes);
+  br_state_command_tick (task->tick + 1, elapsed, &action.bytes);
   task_propose (task, 0, &action);
   br_buf_free (&action.bytes);
   /* Comes back only when the tick is applied, or after another span. */
@@ -426,6 +428,7 @@
 
   (void)fd;
   (void)what;
+  task_see_leader (task);
   HASH_ITER (hh, task->entries, entry, next)
   {
     entry_handle (task, entry, &input);
@@ -462,7 +465,8 @@
   struct timeval period = { 0, POLL_MS * 1000 };
 
   task->node = node;
-  task->tick_seen_ms = br_node_now (node);
+  task->vms = br_claim_vms_new (&node->settings.vm, node->started_ms);
+  task->tick_seen_ms = task->leader_seen_ms = br_node_now (node);
   task->poll = event_new (node->base, -1, EV_PERSIST, task_on_poll, task);
   event_add (task->poll, &period);
   return task;
@@ -475,8 +479,6 @@
   entry_t *next_entry;
   proposal_t *proposal;
   proposal_t *next_proposal;
-  vm_t *vm;
-  vm_t *next_vm;
 
   if (task == NULL)
     return;
@@ -491,11 +493,7 @@
     HASH_DEL (task->proposals, proposal);
     free (proposal);
   }
-  HASH_ITER (hh, task->vms, vm, next_vm)
-  {
-    HASH_DEL (task->vms, vm);
-    free (vm);
-  }
+  br_claim_vms_free (task->vms);
   event_free (task->poll);
   free (task);
 }
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -1,7 +1,5 @@
 #include "shell/work_task.h"
 
-#include <assert.h>
-
 #include "route/resend.h"
 #include "shell/admit_task.h"
 #include "shell/claim_task.h"
@@ -292,16 +290,18 @@
     }
 }
 
-void
+bool
 br_work_task_may_send (br_work_task_t *task,
                        uint64_t number,
                        br_ms_t not_after_ms)
 {
   br_work_t *work = br_work_task_find (task, number);
 
-  assert (work != NULL && work->state == BR_WORK_RUNNING);
+  if (work == NULL || work->state != BR_WORK_RUNNING)
+    return false;
   work->not_after_ms = not_after_ms;
   br_work_try (task, work);
+  return true;
 }
 
 void
@@ -387,6 +387,7 @@
       = options->service->repeatable || options->method == EVHTTP_REQ_GET;
   work->method = options->method;
   work->ticket = options->ticket;
+  work->max_tokens = options->max_tokens;
   br_resends_put (task->resends, &resend, work->number);
   br_buf_append (&work->path, options->path);
   br_buf_append (&work->body, options->body);
--- a/tests/process/platform_notice.sh
+++ b/tests/process/platform_notice.sh
@@ -48,9 +48,13 @@
 site_declarations | sed '$d' > "$SITE/declarations.json"
 echo ', {"kind": "service", "name": "leased-lm",
   "selector": "model=leased-lm"}]' >> "$SITE/declarations.json"
-site_apply "$SITE/declarations.json" > /dev/null || site_fail "apply"
-
 fake vm "$(upstream_json leased $((BASE_PORT + 51)) 1)"
+# A selector that matches nothing is refused, so wait for the VM list.
+for i in $(seq 100); do
+  site_apply "$SITE/declarations.json" > "$SITE/apply.out" 2>&1 && break
+  sleep 0.1
+done
+[ "$i" -lt 100 ] || site_fail "apply: $(cat "$SITE/apply.out")"
 for i in 0 1 2; do ask_until "$i" 200; done
 
 # Only castillos-2 hears the notice; the list goes on showing it as live.
--- a/tests/support/site.sh
+++ b/tests/support/site.sh
@@ -28,8 +28,13 @@
 
 # Starts a program in the background: site_start NAME PROGRAM [ARGUMENT...]
 site_start() {
-  local name=$1
+  local name=$1 before=PID_${1//[-.]/_} i
   shift
+  # A process of that name that was killed may still be ending.
+  for i in $(seq 100); do
+    [ -n "${!before:-}" ] && kill -0 "${!before}" 2> /dev/null || break
+    sleep 0.05
+  done
   "$@" > "$SITE/$name.out" 2> "$SITE/$name.log" &
   SITE_PIDS+=($!)
   eval "PID_${name//[-.]/_}=$!"
@@ -41,6 +46,14 @@
   echo "${!name}"
 }
 
+# Kills the programs named with SIGKILL and waits until they are gone, so that
+# their ports and data folders are free.
+site_kill() {
+  local name
+  for name in "$@"; do kill -9 "$(site_pid "$name")"; done
+  for name in "$@"; do wait "$(site_pid "$name")"; done
+}
+
 # Ends what was started, by process id.
 site_stop() {
   kill "$SITE_WATCHDOG" 2> /dev/null
@@ -173,7 +186,7 @@
   site_start_engine 1 "$@"
   site_start_engine 2 "$@"
   site_start ledger-1 "$BUILD/fake_service" --name ledger-1 \
-    --port $((BASE_PORT + 40))
+    --port $((BASE_PORT + 40)) ${SITE_LEDGER_ARGS:-}
   for i in 0 1 2; do site_start_vm "$i"; done
   for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/healthz"; done
   site_wait "http://127.0.0.1:$((BASE_PORT + 30))/health"
@@ -183,12 +196,36 @@
   site_apply "$SITE/declarations.json"
 }
 
+# Applies the declarations of file $1 through VM number ${2:-0} and waits until
+# every VM that runs has that revision in force.
 site_apply() {
-  local i
-  for i in 0 1 2; do
-    "$BUILD/briarrack" apply --server "127.0.0.1:$((BASE_PORT + 10 + i))" \
-      "$1" || return 1
+  local out revision
+  out=$("$BUILD/briarrack" apply --json \
+    --server "127.0.0.1:$((BASE_PORT + 10 + ${2:-0}))" "$1") || return 1
+  revision=$(grep -o '"revision":[0-9]*' <<< "$out" | cut -d : -f 2)
+  site_wait_revision "$revision"
+}
+
+# Prints the revision that VM number $1 has in force, nothing when it is down.
+site_revision() {
+  curl -sf --max-time 1 "http://127.0.0.1:$((BASE_PORT + 10 + $1))/v1/status" |
+    grep -o '"revision":[0-9]*' | head -n 1 | cut -d : -f 2
+}
+
+# Waits until every VM that runs has revision $1 or a later one in force.
+site_wait_revision() {
+  local i n behind
+  for n in $(seq 200); do
+    behind=
+    for i in 0 1 2; do
+      kill -0 "$(site_pid "${SITE_VMS[i]}")" 2> /dev/null || continue
+      [ "$(site_revision "$i")" -ge "$1" ] 2> /dev/null || behind+=" $i"
+    done
+    [ -z "$behind" ] && return 0
+    sleep 0.05
   done
+  echo "revision $1 is not in force on VMs$behind" >&2
+  return 1
 }
 
 # Asks VM number $1 for a completion with the JSON body $2; more curl options
