--- a/bench/contract_bench.c
+++ b/bench/contract_bench.c
@@ -2,6 +2,7 @@
  * stream answers, one VM is lost at a time, and its work goes on elsewhere.
  * One line for each checkpoint interval; the same losses for all of them.
  * Times of the machine are in the last two columns only. */
+#include <malloc.h>
 #include <time.h>
 
 #include "../tests/support/contract_world.h"
@@ -11,6 +12,7 @@
 #define WORKS_PER_VM 20
 #define TOKENS 400
 #define PROMPT_BYTES 2000
+#define IDLE_TICKS 200
 
 /* Nothing, a partner without parts, or parts every so often. */
 typedef struct
@@ -167,6 +169,46 @@
   world_free (&world);
 }
 
+/* Owner and partner with N protected pieces of work that have nothing to do:
+ * the cost of a tick and the memory of a piece. */
+static void
+bench_idle (int n)
+{
+  static world_t world;
+  br_contract_request_t request = { .streamed = true };
+  br_answer_t answer = { 0 };
+  size_t before = mallinfo2 ().uordblks;
+  size_t after;
+  double cpu;
+
+  memset (&world, 0, sizeof world);
+  bench_start (&world, &arms[BR_N_ELEMENTS (arms) / 2]);
+  for (int i = 1; i <= n; i++)
+    {
+      br_contract_id_t contract = { .vm = world.vms[0].name,
+                                    .incarnation = 1,
+                                    .number = (uint64_t)i };
+
+      br_contracts_accept (world.vms[0].contracts, &contract, &request, &answer,
+                           world.now);
+      world_flush (&world, 0);
+      if (i % 100 == 0)
+        world_step (&world, false);
+    }
+  for (int i = 0; i < 20; i++)
+    world_step (&world, false);
+  after = mallinfo2 ().uordblks;
+  cpu = bench_seconds ();
+  for (int i = 0; i < IDLE_TICKS; i++)
+    for (int vm = 0; vm < world.n_vms; vm++)
+      br_contracts_on_tick (world.vms[vm].contracts,
+                            world.now + i * WORLD_STEP_MS);
+  cpu = bench_seconds () - cpu;
+  printf ("%8d %14.1f %14.1f %16.0f\n", n, cpu * 1e6 / IDLE_TICKS,
+          cpu * 1e9 / IDLE_TICKS / n, (double)(after - before) / n);
+  world_free (&world);
+}
+
 int
 main (void)
 {
@@ -177,5 +219,10 @@
           "recomputed", "% of all", "bytes/s a VM", "bytes/token", "us/token");
   for (size_t i = 0; i < BR_N_ELEMENTS (arms); i++)
     bench_arm (&arms[i]);
+  printf ("\nwork that is protected and has nothing to do, on its owner and "
+          "its partner together\n%8s %14s %14s %16s\n",
+          "pieces", "us/tick", "ns/piece/tick", "bytes/piece");
+  for (int n = 1000; n <= 16000; n *= 4)
+    bench_idle (n);
   return 0;
 }
--- a/src/organisation/fair_queue.c
+++ b/src/organisation/fair_queue.c
@@ -1,5 +1,6 @@
 #include "organisation/fair_queue.h"
 
+#include <assert.h>
 #include <string.h>
 
 /* Virtual time units for one token at weight 1. */
@@ -162,6 +163,7 @@
       if (each == flow || each->running > 0 || !flow_is_empty (each))
         weights += (uint64_t)each->weight;
     }
+  assert (weights > 0);
   return capacity * (uint64_t)flow->weight / weights;
 }
 
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -106,6 +106,8 @@
     case BR_NODE_PEER_DOWN:
       if (message->kind == BR_NODE_PEER_UP)
         br_domain_task_on_peer_up (node->domain, &message->peer);
+      else
+        br_replica_task_on_peer_down (node->replica, &message->peer.vm);
       br_claim_task_on_vm (node->claims, &message->peer.vm,
                            message->peer.incarnation,
                            message->kind == BR_NODE_PEER_UP);
--- a/src/shell/operator_view.c
+++ b/src/shell/operator_view.c
@@ -4,6 +4,7 @@
 #include <inttypes.h>
 #include <json-c/json.h>
 
+#include "shell/domain_task.h"
 #include "shell/http_reply.h"
 #include "shell/peer_task.h"
 #include "shell/replica_task.h"
@@ -217,7 +218,9 @@
   br_buf_printf (&out, "],\"peers\":[");
   if (node->peers != NULL)
     br_peer_task_status (node->peers, &out);
-  br_buf_printf (&out, "],\"replica\":");
+  br_buf_printf (&out, "],\"members\":");
+  br_domain_task_status (node->domain, &out);
+  br_buf_printf (&out, ",\"replica\":");
   br_replica_task_status (node->replica, &out);
   br_buf_printf (&out, "}\n");
   br_http_reply (request, HTTP_OK, "application/json", br_buf_str (&out));
--- a/tests/support/site.sh
+++ b/tests/support/site.sh
@@ -28,8 +28,13 @@
 
 # Starts a program in the background: site_start NAME PROGRAM [ARGUMENT...]
 site_start() {
-  local name=$1
+  local name=$1 before=PID_${1//[-.]/_} i
   shift
+  # A process of that name that was killed may still be ending.
+  for i in $(seq 100); do
+    [ -n "${!before:-}" ] && kill -0 "${!before}" 2> /dev/null || break
+    sleep 0.05
+  done
   "$@" > "$SITE/$name.out" 2> "$SITE/$name.log" &
   SITE_PIDS+=($!)
   eval "PID_${name//[-.]/_}=$!"
