--- a/src/organisation/fair_queue.c
+++ b/src/organisation/fair_queue.c
@@ -162,6 +162,7 @@
       if (each == flow || each->running > 0 || !flow_is_empty (each))
         weights += (uint64_t)each->weight;
     }
+  assert (weights > 0);
   return capacity * (uint64_t)flow->weight / weights;
 }
 
