--- a/src/organisation/fair_queue.c
+++ b/src/organisation/fair_queue.c
@@ -1,5 +1,6 @@
 #include "organisation/fair_queue.h"
 
+#include <assert.h>
 #include <string.h>
 
 /* Virtual time units for one token at weight 1. */
--- a/tests/claim_model_test.cc
+++ b/tests/claim_model_test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <cstring>
 #include <deque>
 #include <string>
 #include <unordered_set>
@@ -41,13 +42,14 @@
   uint32_t attempt;
   std::string bytes; /* command, or packed result of a reply */
   br_proposal_outcome_t outcome;
+  int runs = 0; /* of the key when the command was applied */
 
   std::string
   print () const
   {
     return std::to_string (vm) + "," + std::to_string (kind) + ","
            + std::to_string (attempt) + "," + std::to_string (outcome) + ","
-           + bytes;
+           + std::to_string (runs) + "," + bytes;
   }
 };
 
@@ -179,6 +181,7 @@
   std::deque<World> queue_;
   size_t transitions_ = 0;
   bool failed_ = false;
+  int proof_runs_ = -1; /* what the log's answer in hand says, -1 for none */
 
   std::string
   snapshot ()
@@ -277,6 +280,15 @@
             at.told = TOLD_ANSWER;
             break;
           case BR_CLAIM_ACTION_FAIL:
+            /* What the log proved holds for the key, not only for this
+             * contract. */
+            if (action.error.code == BR_ERROR_UNAVAILABLE
+                && strstr (action.error.text, "can be reached") == nullptr)
+              {
+                EXPECT_EQ (proof_runs_ >= 0 ? proof_runs_ : runs (world), 0)
+                    << "told not run of a key that ran: " << action.error.text
+                    << ", vm " << vm;
+              }
             at.told = action.error.code == BR_ERROR_UNKNOWN_OUTCOME
                           ? TOLD_UNKNOWN
                           : TOLD_NOT_RUN;
@@ -393,6 +405,7 @@
         else
           world.proposals.erase (world.proposals.begin () + (long)i);
         m.bytes = apply (world, m.bytes);
+        m.runs = runs (from);
         if (m.vm >= 0)
           world.replies.push_back (m);
         push (world);
@@ -446,7 +459,9 @@
                 br_str_make (m.bytes.data (), m.bytes.size ()));
             input.proposal.result = result->claim;
           }
+        proof_runs_ = m.outcome == BR_PROPOSAL_COMMITTED ? m.runs : -1;
         handle (world, m.vm, input);
+        proof_runs_ = -1;
         br_result_free (result);
       }
     push (world);
@@ -465,8 +480,8 @@
         br_buf_t command = {};
 
         load (world);
-        br_command_tick (br_state_tick (state_) + 1, BR_STATE_TICK_MAX_MS,
-                         &command);
+        br_state_command_tick (br_state_tick (state_) + 1, BR_STATE_TICK_MAX_MS,
+                               &command);
         apply (world, std::string (command.data, command.len));
         br_buf_free (&command);
       }
@@ -490,7 +505,7 @@
         World world = from;
 
         world.left.abandons--;
-        br_command_abandon (record, &command);
+        br_state_command_abandon (record, &command);
         world.proposals.push_back ({ -1, BR_CLAIM_PROPOSE_END, 0,
                                      std::string (command.data, command.len),
                                      BR_PROPOSAL_COMMITTED });
@@ -506,7 +521,8 @@
         std::string bytes;
 
         world.left.settlements--;
-        br_command_settle (br_str_from ("o/s/k"), BR_CLAIM_NOT_RUN, &command);
+        br_state_command_settle (br_str_from ("o/s/k"), BR_CLAIM_NOT_RUN,
+                                 &command);
         bytes = apply (world, std::string (command.data, command.len));
         result = br_result_unpack (br_str_make (bytes.data (), bytes.size ()));
         world.settled = result->claim->verdict == BR_VERDICT_OK
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -10,6 +10,27 @@
   return n;
 }
 
+/* A replica that hears of nothing but broken messages. */
+static br_replica_t *
+lone_replica ()
+{
+  br_replica_options_t options = {};
+
+  options.vm = br_name_from ("vm-1");
+  options.disk = 9;
+  options.voter = true;
+  br_replica_peers_push (&options.peers,
+                         br_replica_peer_t{ br_name_from ("vm-0"), true });
+  options.heartbeat_ms = 50;
+  options.election_min_ms = 200;
+  options.election_max_ms = 400;
+  options.append_max_bytes = 512;
+  options.snapshot_chunk_bytes = 64;
+  br_replica_t *victim = br_replica_new (&options, nullptr, 1000);
+  br_replica_peers_free (&options.peers);
+  return victim;
+}
+
 TEST (Replica, AloneCommitsAtOnce)
 {
   sim_options options;
@@ -58,6 +79,27 @@
   EXPECT_EQ (count (sim, SIM_COMMITTED), 1u);
 }
 
+TEST (Replica, LostConnectionsBringTheNextLeaderSoon)
+{
+  replica_sim sim (sim_options{});
+  int leader = sim.run_to_leader ();
+
+  ASSERT_GE (leader, 0);
+  size_t a = ((size_t)leader + 1) % 3;
+  size_t b = ((size_t)leader + 2) % 3;
+  sim.run (100);
+  /* Alone it gets no vote. */
+  sim.suspect (a, (size_t)leader);
+  sim.run (100);
+  EXPECT_EQ (sim.find_leader (), leader);
+  sim.crash ((size_t)leader);
+  sim.run (5); /* what is under way arrives */
+  sim.suspect (a, (size_t)leader);
+  sim.suspect (b, (size_t)leader);
+  sim.run (150);
+  EXPECT_GE (sim.find_leader (), 0) << sim.describe ();
+}
+
 TEST (Replica, MinorityRefusesWithinASecond)
 {
   replica_sim sim (sim_options{});
@@ -131,7 +173,7 @@
   EXPECT_EQ (br_replica_role (sim.vm (lost).replica), BR_ROLE_FOLLOWER);
   EXPECT_GE (sim.installs, 1u);
   /* One change to take the vote, one to give it back. */
-  EXPECT_LT (br_replica_commit_index (sim.vm (lost).replica), 60u);
+  EXPECT_EQ (sim.configs (), 3u);
   /* A second VM is lost right after the repair. */
   sim.crash ((size_t)leader);
   sim.run (200);
@@ -193,3 +235,65 @@
   EXPECT_EQ (count (sim, SIM_COMMITTED), 1u);
   sim.check_outcomes ();
 }
+
+TEST (Replica, VoterThatWasCutOffDoesNotDepose)
+{
+  replica_sim sim (sim_options{});
+  int leader = sim.run_to_leader ();
+
+  ASSERT_GE (leader, 0);
+  size_t other = ((size_t)leader + 1) % 3;
+  uint64_t term = br_replica_term (sim.vm ((size_t)leader).replica);
+  sim.isolate (other, true);
+  sim.run (5000);
+  sim.isolate (other, false);
+  sim.run (1000);
+  EXPECT_EQ (sim.find_leader (), leader);
+  EXPECT_EQ (br_replica_term (sim.vm (other).replica), term);
+}
+
+/* What a broken peer sends is refused or does nothing worse than hold the
+ * replica up. */
+TEST (Replica, MutatedMessagesDoNotCrash)
+{
+  sim_options options;
+  size_t refused = 0;
+  size_t taken = 0;
+  br_random_t random;
+
+  options.compact_after = 10;
+  replica_sim sim (options);
+  br_replica_t *victim = lone_replica ();
+  br_name_t peer = br_name_from ("vm-0");
+  br_random_seed (&random, 1);
+  sim.on_send = [&] (size_t, size_t, br_str_t bytes) {
+    for (int round = 0; round < 20; round++)
+      {
+        std::string copy (bytes.data, bytes.len);
+        br_replica_message_t message;
+
+        for (uint64_t n = br_random_below (&random, 3) + 1; n > 0; n--)
+          copy[br_random_below (&random, copy.size ())]
+              ^= (char)(1 + br_random_below (&random, 255));
+        if (!br_replica_unpack (br_str_make (copy.data (), copy.size ()), &peer,
+                                &message, nullptr))
+          {
+            refused++;
+            continue;
+          }
+        message.to_disk = 0;
+        taken++;
+        br_replica_step (victim, 1000 + (br_ms_t)taken, message);
+        br_replica_tick (victim, 1000 + (br_ms_t)taken);
+      }
+  };
+  for (int i = 0; i < 100; i++)
+    {
+      sim.run (30);
+      sim.propose ((size_t)(i % 3));
+    }
+  sim.on_send = nullptr;
+  EXPECT_GT (refused, 100u);
+  EXPECT_GT (taken, 100u);
+  br_replica_free (victim);
+}
