Router: up to 256 upstreams can be excluded from one choice

Cause: the list of excluded upstreams was cut at 16 without a word, so that a suspect of the quarantine could run beside others where more are busy. Before: route_tried_test, 99 of 100 excluded: chose e16; after: e77.

--- a/src/route/choice.c
+++ b/src/route/choice.c
@@ -10,7 +10,7 @@
 {
   const br_route_query_t *query;
   br_prefix_match_t match;
-  uint32_t tried[BR_PREFIX_HOLDERS_MAX];
+  uint32_t tried[BR_ROUTE_TRIED_MAX];
   size_t n_tried;
   uint32_t best;
   float best_score;
@@ -141,7 +141,7 @@
                   const br_names_t *tried)
 {
   for (size_t i = 0; tried != NULL && i < tried->len; i++)
-    if (choice->n_tried < BR_PREFIX_HOLDERS_MAX)
+    if (choice->n_tried < BR_ROUTE_TRIED_MAX)
       choice->tried[choice->n_tried++]
           = br_router_find (router, br_name_str (&tried->items[i]));
 }
--- a/src/route/router.h
+++ b/src/route/router.h
@@ -12,6 +12,9 @@
 
 typedef struct br_router br_router_t;
 
+/* Upstreams that one query can exclude; further ones are not excluded. */
+#define BR_ROUTE_TRIED_MAX 256
+
 /* No upstream. */
 #define BR_ROUTE_NONE UINT32_MAX
 
