--- a/src/contract/claim.c
+++ b/src/contract/claim.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "contract/claim_command.h"
+#include "contract/claim_tell.h"
 
 #define TAKES_MAX 4
 #define SENTS_MAX 3
@@ -17,6 +18,11 @@
 #define WAIT_BOUND_MS 30000
 #define RETRY_AFTER_MS 1000
 
+/* Nothing is known of the key elsewhere. */
+static const char no_majority_text[]
+    = "no majority of voters can be reached; this request did not run, and an "
+      "earlier one with the same key may have";
+
 static const char *const step_names[] = {
 #define X(id, name) name,
   BR_CLAIM_STEP_TABLE (X)
@@ -110,39 +116,6 @@
   br_claim_actions_push (outbox, action);
 }
 
-/* Tells the caller, once. */
-static void
-claim_tell (br_claim_t *claim,
-            const br_error_t *err,
-            br_claim_actions_t *outbox)
-{
-  br_claim_action_t action = { .kind = BR_CLAIM_ACTION_FAIL, .error = *err };
-
-  if (claim->told)
-    return;
-  claim->told = true;
-  br_claim_actions_push (outbox, action);
-}
-
-static void
-claim_fail (br_claim_t *claim,
-            const br_error_t *err,
-            br_claim_actions_t *outbox)
-{
-  claim->step = BR_CLAIM_STEP_OVER;
-  claim_tell (claim, err, outbox);
-}
-
-static void
-claim_refuse (br_claim_t *claim, const char *why, br_claim_actions_t *outbox)
-{
-  br_error_t err;
-
-  br_error_set (&err, BR_ERROR_UNAVAILABLE, "claim key", "", "%s", why);
-  err.retry_after_ms = RETRY_AFTER_MS;
-  claim_fail (claim, &err, outbox);
-}
-
 /* Surely nothing was sent, and from here on nothing will be. */
 static void
 claim_fence (br_claim_t *claim,
@@ -190,9 +163,14 @@
             uint32_t attempt,
             br_claim_actions_t *outbox)
 {
+  if (claim->no_majority)
+    {
+      br_claim_refuse (claim, no_majority_text, outbox);
+      return;
+    }
   if (++claim->takes > TAKES_MAX)
     {
-      claim_refuse (claim, "other contracts keep taking the key", outbox);
+      br_claim_refuse (claim, "other contracts keep taking the key", outbox);
       return;
     }
   claim->step = BR_CLAIM_STEP_TAKING;
@@ -203,52 +181,6 @@
   claim_propose_sent (claim, now, outbox);
 }
 
-static void
-claim_answer (br_claim_t *claim,
-              const br_claim_record_t *record,
-              br_claim_actions_t *outbox)
-{
-  br_claim_action_t action = { .kind = BR_CLAIM_ACTION_ANSWER };
-  br_error_t err;
-
-  if (!record->body_kept)
-    {
-      br_error_set (&err, BR_ERROR_ANSWER_GONE, "read claim", record->owner->vm,
-                    "the work ran once and %s; its answer is not kept",
-                    record->settled ? "was settled as answered" : "ended");
-      claim_fail (claim, &err, outbox);
-      return;
-    }
-  action.status = record->status;
-  br_buf_append (&action.bytes, br_message_str (record->body));
-  claim->step = BR_CLAIM_STEP_OVER;
-  claim->told = true;
-  br_claim_actions_push (outbox, action);
-}
-
-static void
-claim_fail_unknown (br_claim_t *claim,
-                    const char *vm,
-                    const char *why,
-                    br_claim_actions_t *outbox)
-{
-  br_error_t err;
-
-  br_error_set (&err, BR_ERROR_UNKNOWN_OUTCOME, "read claim", vm, "%s", why);
-  err.retry_after_ms = RETRY_AFTER_MS;
-  claim_fail (claim, &err, outbox);
-}
-
-static void
-claim_fail_other_body (br_claim_t *claim, br_claim_actions_t *outbox)
-{
-  br_error_t err;
-
-  br_error_set (&err, BR_ERROR_CONFLICT, "claim key", "",
-                "Idempotency-Key: was used with another method, path or body");
-  claim_fail (claim, &err, outbox);
-}
-
 static void
 claim_wait (br_claim_t *claim, br_ms_t now)
 {
@@ -274,7 +206,7 @@
     }
   if (!br_str_equal (br_message_str (record->digest), digest))
     {
-      claim_fail_other_body (claim, outbox);
+      br_claim_fail_other_body (claim, outbox);
       return;
     }
   switch (record->state)
@@ -284,14 +216,14 @@
       claim_wait (claim, now);
       break;
     case BR_CLAIM_ANSWERED:
-      claim_answer (claim, record, outbox);
+      br_claim_tell_answer (claim, record, outbox);
       break;
     case BR_CLAIM_NOT_RUN:
       claim_take (claim, now, record->attempt + 1, outbox);
       break;
     default:
-      claim_fail_unknown (claim, record->owner->vm,
-                          "the work of this key may have run", outbox);
+      br_claim_fail_unknown (claim, record->owner->vm,
+                             "the work of this key may have run", outbox);
       break;
     }
 }
@@ -334,7 +266,7 @@
   else if (record_is_own (claim, result->claim))
     claim_fence_why (claim, now, "another VM gave this claim up", outbox);
   else if (result->verdict == BR_VERDICT_OTHER_BODY)
-    claim_fail_other_body (claim, outbox);
+    br_claim_fail_other_body (claim, outbox);
   else if (result->verdict == BR_VERDICT_EXISTS
            || result->verdict == BR_VERDICT_STALE)
     claim_consider (claim, now, result->claim, outbox);
@@ -344,7 +276,7 @@
                     "the log refused the claim: %s",
                     br_claim_verdict_name (result->verdict));
       err.retry_after_ms = RETRY_AFTER_MS;
-      claim_fail (claim, &err, outbox);
+      br_claim_fail (claim, &err, outbox);
     }
 }
 
@@ -362,7 +294,7 @@
       claim_on_take_verdict (claim, now, input->proposal.result, outbox);
       break;
     case BR_PROPOSAL_REFUSED:
-      claim_refuse (claim, "no majority of voters can be reached", outbox);
+      br_claim_refuse (claim, no_majority_text, outbox);
       break;
     case BR_PROPOSAL_UNKNOWN:
       claim_fence_why (claim, now, "no majority of voters answered in time",
@@ -425,8 +357,12 @@
   br_claim_verdict_t verdict
       = committed ? input->proposal.result->verdict : BR_VERDICT_FULL;
 
-  if (verdict == BR_VERDICT_OK || verdict == BR_VERDICT_STALE)
-    claim_fail (claim, &claim->failure, outbox);
+  if (verdict == BR_VERDICT_STALE && !claim->told
+      && input->proposal.result->claim != NULL
+      && !record_is_own (claim, input->proposal.result->claim))
+    claim_consider (claim, now, input->proposal.result->claim, outbox);
+  else if (verdict == BR_VERDICT_OK || verdict == BR_VERDICT_STALE)
+    br_claim_fail (claim, &claim->failure, outbox);
   else
     claim->propose_at_ms = now + PROPOSE_AGAIN_MS;
 }
@@ -492,7 +428,7 @@
                      && input->end.body.len <= BR_STATE_CLAIM_BODY_MAX_BYTES;
   claim_propose (claim, BR_CLAIM_PROPOSE_END, outbox);
   if (input->end.state == BR_CLAIM_UNKNOWN)
-    claim_tell (claim, &input->end.error, outbox);
+    br_claim_tell (claim, &input->end.error, outbox);
   claim->told = true;
 }
 
@@ -514,12 +450,12 @@
                     "nothing was sent, but the key may be claimed until a "
                     "majority of voters answers; resend with the same key");
       err.retry_after_ms = RETRY_AFTER_MS;
-      claim_tell (claim, &err, outbox);
+      br_claim_tell (claim, &err, outbox);
     }
   if (claim->step == BR_CLAIM_STEP_WAITING && now >= claim->tell_by_ms)
-    claim_fail_unknown (claim, "",
-                        "the work of this key still runs; resend to wait on",
-                        outbox);
+    br_claim_fail_unknown (claim, "",
+                           "the work of this key still runs; resend to wait on",
+                           outbox);
 }
 
 void
@@ -531,7 +467,9 @@
   switch (input->kind)
     {
     case BR_CLAIM_INPUT_START:
+      claim->no_majority = input->no_majority;
       claim_start (claim, now, input->record, outbox);
+      claim->no_majority = false;
       break;
     case BR_CLAIM_INPUT_PROPOSAL:
       claim_on_proposal (claim, now, input, outbox);
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -87,6 +87,8 @@
                                   br_buf_str (&message->payload));
       break;
     case BR_PART_STATE:
+      br_operator_task_on_report (node->operators, message);
+      break;
     case BR_PART_LINK:
     case BR_PART_ROUTE:
     case BR_PART_COUNT:
@@ -104,11 +106,15 @@
     case BR_NODE_PEER_DOWN:
       if (message->kind == BR_NODE_PEER_UP)
         br_domain_task_on_peer_up (node->domain, &message->peer);
-      br_contract_task_on_link (node->contracts, &message->peer,
-                                message->kind == BR_NODE_PEER_UP);
+      else
+        br_replica_task_on_peer_down (node->replica, &message->peer.vm);
       br_claim_task_on_vm (node->claims, &message->peer.vm,
                            message->peer.incarnation,
                            message->kind == BR_NODE_PEER_UP);
+      if (message->kind == BR_NODE_PEER_UP)
+        br_operator_task_on_peer_up (node->operators, &message->peer.vm);
+      br_contract_task_on_link (node->contracts, &message->peer,
+                                message->kind == BR_NODE_PEER_UP);
       break;
     case BR_NODE_PEER_RECEIVED:
       node_on_peer_message (node, &message->peer);
@@ -121,21 +127,27 @@
       br_caller_task_on_work (node->callers, message->work);
       break;
     case BR_NODE_PROPOSAL:
-      br_claim_task_on_proposal (node->claims, &message->proposal);
+      if (!br_claim_task_on_proposal (node->claims, &message->proposal))
+        br_operator_task_on_proposal (node->operators, &message->proposal);
       if (node->on_proposal != NULL)
         node->on_proposal (node->on_proposal_context, &message->proposal);
       br_buf_free (&message->proposal.result);
       break;
     case BR_NODE_APPLIED:
       br_claim_task_on_applied (node->claims);
+      br_operator_task_on_applied (node->operators);
+      break;
+    case BR_NODE_VM_UP:
+    case BR_NODE_VM_DOWN:
+      br_claim_task_on_vm (node->claims, &message->member.name,
+                           message->member.incarnation,
+                           message->kind == BR_NODE_VM_UP);
       break;
     case BR_NODE_CATALOG_CHANGED:
     case BR_NODE_UPSTREAM_CHANGED:
       br_route_task_update (node->routes);
       break;
-    case BR_NODE_VM_UP:
     case BR_NODE_VM_SUSPECT:
-    case BR_NODE_VM_DOWN:
       break;
     case BR_NODE_VM_LEAVING:
       br_contract_task_on_leaving (node->contracts, &message->member.name);
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -56,6 +56,7 @@
   uint64_t ticket;      /* of admission, 0 for none */
   uint64_t uncached;    /* prompt tokens that the attempt has to read */
   br_ms_t sent_ms;      /* when the attempt was sent */
+  uint64_t max_tokens;  /* of the answer; 0: not said */
   br_ms_t failed_ms;    /* when the last one failed */
 } br_work_t;
 
@@ -70,9 +71,10 @@
   br_str_t content_type;
   br_str_t idempotency_key;
   br_name_t workload;
-  uint64_t tokens;   /* estimated cost */
-  uint64_t ticket;   /* of admission, 0 for none */
-  br_work_t *resent; /* work that runs already, instead of a ticket */
+  uint64_t tokens;     /* estimated cost */
+  uint64_t max_tokens; /* of the answer; 0: not said */
+  uint64_t ticket;     /* of admission, 0 for none */
+  br_work_t *resent;   /* work that runs already, instead of a ticket */
 } br_work_options_t;
 
 br_work_task_t *br_work_task_new (br_node_t *node);
@@ -128,8 +130,10 @@
                               br_attempt_message_t *message);
 
 /* The claim of work that runs once has an outcome: it may be sent before
- * NOT_AFTER_MS, the log holds its answer, or it fails. */
-void br_work_task_may_send (br_work_task_t *task,
+ * NOT_AFTER_MS, the log holds its answer, or it fails.
+ * br_work_task_may_send() returns false when the work has ended, so that it
+ * will not be sent. */
+bool br_work_task_may_send (br_work_task_t *task,
                             uint64_t number,
                             br_ms_t not_after_ms);
 void br_work_task_answered (br_work_task_t *task,
