--- a/src/shell/domain_task.c
+++ b/src/shell/domain_task.c
@@ -95,10 +95,15 @@
   br_node_post (node, message);
 }
 
-/* A crash of an upstream that is known to leave was its reclaim. */
+/* A crash of an upstream that is known to leave, or gone, was its reclaim. */
 static void
 task_on_crash (br_domain_task_t *task, const br_notice_t *notice)
 {
+  const br_upstream_t *upstream
+      = br_registry_find (&task->node->registry, br_name_str (&notice->name));
+
+  if (upstream == NULL || upstream->vanished)
+    return;
   if (br_registry_is_leaving (&task->node->registry,
                               br_name_str (&notice->name), notice->incarnation))
     return;
--- a/src/upstream/quarantine.c
+++ b/src/upstream/quarantine.c
@@ -68,6 +68,19 @@
       i++;
 }
 
+void
+br_quarantine_forgive_all (br_quarantine_t *quarantine,
+                           const br_name_t *upstream)
+{
+  size_t i = 0;
+
+  while (i < quarantine->crashes.len)
+    if (br_name_equal (&quarantine->crashes.items[i].upstream, upstream))
+      quarantine_remove (quarantine, i);
+    else
+      i++;
+}
+
 void
 br_quarantine_clear (br_quarantine_t *quarantine, uint64_t content)
 {
--- a/src/upstream/quarantine.h
+++ b/src/upstream/quarantine.h
@@ -61,6 +61,11 @@
                             const br_name_t *upstream,
                             uint64_t incarnation);
 
+/* The VM of that name is gone from the VM list: it was taken back, with or
+ * without a notice. */
+void br_quarantine_forgive_all (br_quarantine_t *quarantine,
+                                const br_name_t *upstream);
+
 /* CONTENT ran to its end: it crashes nothing. */
 void br_quarantine_clear (br_quarantine_t *quarantine, uint64_t content);
 
--- a/tests/upstream_quarantine_test.cc
+++ b/tests/upstream_quarantine_test.cc
@@ -56,6 +56,15 @@
   EXPECT_FALSE (br_quarantine_holds (&quarantine, 7, 1));
 }
 
+TEST_F (Quarantine, VanishedUpstreamIsForgiven)
+{
+  br_quarantine_report (&quarantine, 7, &e1, 1, 0);
+  br_quarantine_report (&quarantine, 7, &e2, 4, 0);
+  br_quarantine_forgive_all (&quarantine, &e2);
+  EXPECT_FALSE (br_quarantine_holds (&quarantine, 7, 1));
+  EXPECT_TRUE (br_quarantine_is_suspect (&quarantine, 7));
+}
+
 TEST_F (Quarantine, WhatCrashedTogetherTwiceIsToldApartByTheThird)
 {
   br_quarantine_report (&quarantine, 7, &e1, 1, 0);
