--- a/src/shell/settings.c
+++ b/src/shell/settings.c
@@ -6,10 +6,9 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
-#include <yajl/yajl_parse.h>
 
-#define PATH_MAX_LEN 200
-#define DEPTH_MAX 8
+#include "shell/settings_reader.h"
+
 #define FILE_MAX_BYTES (1024 * 1024)
 
 /* X (kind, path, field, required, minimum, maximum, default, help).  For a
@@ -182,262 +181,6 @@
 
 static const char labels_prefix[] = "upstreams[].labels.";
 
-/* One scalar of the file. */
-typedef struct
-{
-  setting_kind_t kind; /* SETTING_STRING, SETTING_INT or SETTING_BOOL */
-  char *path;          /* array positions left out: "peers.vms[].name" */
-  char *shown;         /* with positions: "peers.vms[2].name" */
-  size_t item;         /* position in the outermost array */
-  char *text;
-  int64_t number;
-  int line;
-} scalar_t;
-
-BR_VEC (scalars, scalar_t);
-
-typedef struct
-{
-  bool is_array;
-  size_t position;
-  size_t path_len;
-  size_t shown_len;
-} level_t;
-
-typedef struct
-{
-  br_str_t text;
-  const char *file;
-  br_buf_t *faults;
-  size_t n_faults;
-  yajl_handle handle;
-  br_buf_t path;
-  br_buf_t shown;
-  level_t levels[DEPTH_MAX];
-  size_t depth;
-  scalars_t scalars;
-  size_t last_offset;
-  int last_line;
-} reader_t;
-
-static void
-reader_fault (reader_t *reader, int line, const char *key, const char *what)
-{
-  br_buf_printf (reader->faults, "%s:%d: %s: %s\n", reader->file, line, key,
-                 what);
-  reader->n_faults++;
-}
-
-static int
-reader_line (reader_t *reader)
-{
-  size_t offset = yajl_get_bytes_consumed (reader->handle);
-
-  offset = BR_MIN (offset, reader->text.len);
-  while (reader->last_offset < offset)
-    if (reader->text.data[reader->last_offset++] == '\n')
-      reader->last_line++;
-  return reader->last_line;
-}
-
-static void
-buf_cut (br_buf_t *buf, size_t len)
-{
-  if (buf->data == NULL)
-    return;
-  buf->len = len;
-  buf->data[len] = '\0';
-}
-
-/* Before a value: inside an array, put its position into the path. */
-static void
-reader_begin_value (reader_t *reader)
-{
-  level_t *level;
-
-  if (reader->depth == 0)
-    return;
-  level = &reader->levels[reader->depth - 1];
-  if (!level->is_array)
-    return;
-  buf_cut (&reader->path, level->path_len);
-  buf_cut (&reader->shown, level->shown_len);
-  br_buf_printf (&reader->path, "[]");
-  br_buf_printf (&reader->shown, "[%zu]", level->position++);
-}
-
-static size_t
-reader_outer_position (const reader_t *reader)
-{
-  for (size_t i = 0; i < reader->depth; i++)
-    if (reader->levels[i].is_array)
-      return reader->levels[i].position - 1;
-  return 0;
-}
-
-static bool
-reader_is_known_twice (const reader_t *reader, const char *shown)
-{
-  for (size_t i = 0; i < reader->scalars.len; i++)
-    if (strcmp (reader->scalars.items[i].shown, shown) == 0)
-      return true;
-  return false;
-}
-
-static scalar_t *
-reader_add (reader_t *reader, setting_kind_t kind)
-{
-  scalar_t scalar = { .kind = kind, .line = reader_line (reader) };
-
-  reader_begin_value (reader);
-  if (reader_is_known_twice (reader, reader->shown.data))
-    reader_fault (reader, scalar.line, reader->shown.data,
-                  "this key is given twice");
-  scalar.path = br_str_dup (br_buf_str (&reader->path));
-  scalar.shown = br_str_dup (br_buf_str (&reader->shown));
-  scalar.item = reader_outer_position (reader);
-  return scalars_push (&reader->scalars, scalar);
-}
-
-static int
-on_null (void *context)
-{
-  reader_t *reader = context;
-
-  reader_begin_value (reader);
-  reader_fault (reader, reader_line (reader), reader->shown.data,
-                "null is not a value");
-  return 1;
-}
-
-static int
-on_boolean (void *context, int value)
-{
-  reader_add (context, SETTING_BOOL)->number = value;
-  return 1;
-}
-
-static int
-on_integer (void *context, long long value)
-{
-  reader_add (context, SETTING_INT)->number = value;
-  return 1;
-}
-
-static int
-on_double (void *context, double value)
-{
-  reader_t *reader = context;
-
-  (void)value;
-  reader_begin_value (reader);
-  reader_fault (reader, reader_line (reader), reader->shown.data,
-                "a whole number is wanted");
-  return 1;
-}
-
-static int
-on_string (void *context, const unsigned char *data, size_t len)
-{
-  reader_add (context, SETTING_STRING)->text
-      = br_str_dup (br_str_make ((const char *)data, len));
-  return 1;
-}
-
-static int
-reader_open (reader_t *reader, bool is_array)
-{
-  reader_begin_value (reader);
-  if (reader->depth == DEPTH_MAX)
-    {
-      reader_fault (reader, reader_line (reader), reader->shown.data,
-                    "nested too deeply");
-      return 0;
-    }
-  reader->levels[reader->depth++] = (level_t){
-    .is_array = is_array,
-    .path_len = reader->path.len,
-    .shown_len = reader->shown.len,
-  };
-  return 1;
-}
-
-static int
-on_close (void *context)
-{
-  reader_t *reader = context;
-  level_t *level = &reader->levels[--reader->depth];
-
-  buf_cut (&reader->path, level->path_len);
-  buf_cut (&reader->shown, level->shown_len);
-  return 1;
-}
-
-static int
-on_start_map (void *context)
-{
-  return reader_open (context, false);
-}
-
-static int
-on_start_array (void *context)
-{
-  return reader_open (context, true);
-}
-
-static int
-on_map_key (void *context, const unsigned char *data, size_t len)
-{
-  reader_t *reader = context;
-  level_t *level = &reader->levels[reader->depth - 1];
-  const char *dot = level->path_len > 0 ? "." : "";
-
-  buf_cut (&reader->path, level->path_len);
-  buf_cut (&reader->shown, level->shown_len);
-  br_buf_printf (&reader->path, "%s%.*s", dot, (int)len, data);
-  br_buf_printf (&reader->shown, "%s%.*s", dot, (int)len, data);
-  return 1;
-}
-
-static const yajl_callbacks reader_callbacks = {
-  .yajl_null = on_null,
-  .yajl_boolean = on_boolean,
-  .yajl_integer = on_integer,
-  .yajl_double = on_double,
-  .yajl_string = on_string,
-  .yajl_start_map = on_start_map,
-  .yajl_map_key = on_map_key,
-  .yajl_end_map = on_close,
-  .yajl_start_array = on_start_array,
-  .yajl_end_array = on_close,
-};
-
-static bool
-reader_parse (reader_t *reader)
-{
-  const unsigned char *text = (const unsigned char *)reader->text.data;
-  yajl_status status;
-
-  reader->handle = yajl_alloc (&reader_callbacks, NULL, reader);
-  yajl_config (reader->handle, yajl_allow_comments, 1);
-  status = yajl_parse (reader->handle, text, reader->text.len);
-  if (status == yajl_status_ok)
-    status = yajl_complete_parse (reader->handle);
-  if (status != yajl_status_ok)
-    {
-      unsigned char *why
-          = yajl_get_error (reader->handle, 0, text, reader->text.len);
-      char *end = strchr ((char *)why, '\n');
-
-      if (end != NULL)
-        *end = '\0';
-      reader_fault (reader, reader_line (reader), "syntax", (const char *)why);
-      yajl_free_error (reader->handle, why);
-    }
-  yajl_free (reader->handle);
-  return status == yajl_status_ok;
-}
-
 static bool
 address_is_valid (const char *text)
 {
@@ -448,18 +191,19 @@
 }
 
 static bool
-scalar_has_kind (const scalar_t *scalar, setting_kind_t wanted)
+scalar_has_kind (const br_scalar_t *scalar, setting_kind_t wanted)
 {
   switch (wanted)
     {
     case SETTING_INT:
+      return scalar->kind == BR_SCALAR_INT;
     case SETTING_BOOL:
-      return scalar->kind == wanted;
+      return scalar->kind == BR_SCALAR_BOOL;
     case SETTING_NAME:
     case SETTING_STRING:
     case SETTING_ADDRESS:
     case SETTING_DIGEST:
-      return scalar->kind == SETTING_STRING;
+      return scalar->kind == BR_SCALAR_STRING;
     }
   return false;
 }
@@ -486,21 +230,21 @@
 }
 
 static void
-reader_fault_kind (reader_t *reader,
-                   const scalar_t *scalar,
-                   setting_kind_t kind)
+file_fault_kind (br_settings_file_t *file,
+                 const br_scalar_t *scalar,
+                 setting_kind_t kind)
 {
   char what[80];
 
   snprintf (what, sizeof what, "wants %s", kind_text (kind));
-  reader_fault (reader, scalar->line, scalar->shown, what);
+  br_settings_file_fault (file, scalar->line, scalar->shown, what);
 }
 
 static void
-reader_store_int (reader_t *reader,
-                  const setting_row_t *row,
-                  const scalar_t *scalar,
-                  int64_t *field)
+file_store_int (br_settings_file_t *file,
+                const setting_row_t *row,
+                const br_scalar_t *scalar,
+                int64_t *field)
 {
   char what[96];
 
@@ -510,12 +254,12 @@
   snprintf (what, sizeof what,
             "%" PRId64 " is out of range %" PRId64 " to %" PRId64,
             scalar->number, row->minimum, row->maximum);
-  reader_fault (reader, scalar->line, scalar->shown, what);
+  br_settings_file_fault (file, scalar->line, scalar->shown, what);
 }
 
 static bool
 scalar_store_text (const setting_row_t *row,
-                   const scalar_t *scalar,
+                   const br_scalar_t *scalar,
                    void *field)
 {
   br_str_t text = br_str_from (scalar->text);
@@ -543,21 +287,21 @@
 }
 
 static void
-reader_store (reader_t *reader,
-              const setting_row_t *row,
-              const scalar_t *scalar,
-              void *object)
+file_store (br_settings_file_t *file,
+            const setting_row_t *row,
+            const br_scalar_t *scalar,
+            void *object)
 {
   void *field = (char *)object + row->offset;
 
   bool fits = scalar_has_kind (scalar, row->kind);
 
   if (fits && row->kind == SETTING_INT)
-    reader_store_int (reader, row, scalar, field);
+    file_store_int (file, row, scalar, field);
   else if (fits && row->kind == SETTING_BOOL)
     *(bool *)field = scalar->number != 0;
   else if (!fits || !scalar_store_text (row, scalar, field))
-    reader_fault_kind (reader, scalar, row->kind);
+    file_fault_kind (file, scalar, row->kind);
 }
 
 static const setting_row_t *
@@ -570,21 +314,23 @@
 }
 
 static void
-reader_store_label (reader_t *reader,
-                    br_settings_t *settings,
-                    const scalar_t *scalar)
+file_store_label (br_settings_file_t *file,
+                  br_settings_t *settings,
+                  const br_scalar_t *scalar)
 {
   const char *key = scalar->path + sizeof labels_prefix - 1;
   br_labels_t *labels = &settings->upstreams.items[scalar->item].labels;
 
-  if (scalar->kind != SETTING_STRING
+  if (scalar->kind != BR_SCALAR_STRING
       || !br_labels_set (labels, br_str_from (key), br_str_from (scalar->text)))
-    reader_fault (reader, scalar->line, scalar->shown,
-                  "wants a label value of at most 62 characters");
+    br_settings_file_fault (file, scalar->line, scalar->shown,
+                            "wants a label value of at most 62 characters");
 }
 
 static void
-reader_place (reader_t *reader, br_settings_t *settings, const scalar_t *scalar)
+file_place (br_settings_file_t *file,
+            br_settings_t *settings,
+            const br_scalar_t *scalar)
 {
   const char *path = scalar->path;
   const setting_row_t *row;
@@ -592,7 +338,7 @@
   row = rows_find (setting_rows, BR_N_ELEMENTS (setting_rows), path);
   if (row != NULL)
     {
-      reader_store (reader, row, scalar, settings);
+      file_store (file, row, scalar, settings);
       if (strcmp (path, "operators.key_digest") == 0)
         settings->has_operator_key = true;
       return;
@@ -602,7 +348,7 @@
     {
       while (settings->vms.len <= scalar->item)
         br_peer_settings_list_push (&settings->vms, (br_peer_settings_t){ 0 });
-      reader_store (reader, row, scalar, &settings->vms.items[scalar->item]);
+      file_store (file, row, scalar, &settings->vms.items[scalar->item]);
       return;
     }
   if (strncmp (path, "upstreams[].", 12) == 0)
@@ -611,54 +357,56 @@
                                       (br_upstream_settings_t){ 0 });
   row = rows_find (upstream_rows, BR_N_ELEMENTS (upstream_rows), path);
   if (row != NULL)
-    reader_store (reader, row, scalar,
-                  &settings->upstreams.items[scalar->item]);
+    file_store (file, row, scalar, &settings->upstreams.items[scalar->item]);
   else if (strncmp (path, labels_prefix, sizeof labels_prefix - 1) == 0)
-    reader_store_label (reader, settings, scalar);
+    file_store_label (file, settings, scalar);
   else
-    reader_fault (reader, scalar->line, scalar->shown, "unknown key");
+    br_settings_file_fault (file, scalar->line, scalar->shown, "unknown key");
 }
 
 static bool
-reader_has (const reader_t *reader, const char *path, size_t item)
+file_has (const br_settings_file_t *file, const char *path, size_t item)
 {
-  for (size_t i = 0; i < reader->scalars.len; i++)
-    if (strcmp (reader->scalars.items[i].path, path) == 0
-        && reader->scalars.items[i].item == item)
+  for (size_t i = 0; i < file->scalars.len; i++)
+    if (strcmp (file->scalars.items[i].path, path) == 0
+        && file->scalars.items[i].item == item)
       return true;
   return false;
 }
 
 static void
-reader_check_required (reader_t *reader,
-                       const setting_row_t *rows,
-                       size_t n_rows,
-                       size_t n_items)
+file_check_required (br_settings_file_t *file,
+                     const setting_row_t *rows,
+                     size_t n_rows,
+                     size_t n_items)
 {
   for (size_t item = 0; item < n_items; item++)
     for (size_t i = 0; i < n_rows; i++)
-      if (rows[i].required && !reader_has (reader, rows[i].path, item))
-        reader_fault (reader, reader->last_line, rows[i].path,
-                      "is required and missing");
+      if (rows[i].required && !file_has (file, rows[i].path, item))
+        br_settings_file_fault (file, file->last_line, rows[i].path,
+                                "is required and missing");
 }
 
 static void
-reader_check_together (reader_t *reader, const br_settings_t *settings)
+file_check_together (br_settings_file_t *file, const br_settings_t *settings)
 {
-  int line = reader->last_line;
+  int line = file->last_line;
 
   if (settings->vms.len > 0 && settings->peers.port == 0)
-    reader_fault (reader, line, "peers.port", "is required with peers.vms");
+    br_settings_file_fault (file, line, "peers.port",
+                            "is required with peers.vms");
   if (settings->vms.len > 0 && settings->peers.address[0] == '\0')
-    reader_fault (reader, line, "peers.address", "is required with peers.vms");
+    br_settings_file_fault (file, line, "peers.address",
+                            "is required with peers.vms");
   if (settings->vms.len > 0 && settings->shared_key.len < 16)
-    reader_fault (reader, line, "peers.shared_key",
-                  "of at least 16 characters is required with peers.vms");
+    br_settings_file_fault (
+        file, line, "peers.shared_key",
+        "of at least 16 characters is required with peers.vms");
   if (settings->voter && settings->data_folder.len == 0)
-    reader_fault (reader, line, "vm.voter", "needs data.folder");
+    br_settings_file_fault (file, line, "vm.voter", "needs data.folder");
   if (settings->platform.port != 0 && settings->platform.address[0] == '\0')
-    reader_fault (reader, line, "platform.address",
-                  "is required with platform.port");
+    br_settings_file_fault (file, line, "platform.address",
+                            "is required with platform.port");
 }
 
 static void
@@ -674,57 +422,33 @@
     }
 }
 
-static void
-reader_release (reader_t *reader)
-{
-  for (size_t i = 0; i < reader->scalars.len; i++)
-    {
-      free (reader->scalars.items[i].path);
-      free (reader->scalars.items[i].shown);
-      free (reader->scalars.items[i].text);
-    }
-  scalars_free (&reader->scalars);
-  br_buf_free (&reader->path);
-  br_buf_free (&reader->shown);
-}
-
 bool
 br_settings_parse (br_str_t text,
-                   const char *file,
+                   const char *name,
                    br_settings_t *settings,
                    br_buf_t *faults)
 {
-  reader_t reader = {
-    .text = text,
-    .file = file,
-    .faults = faults,
-    .last_line = 1,
-  };
+  br_settings_file_t file = { .name = name, .faults = faults };
 
   settings_set_defaults (settings);
-  br_buf_reserve (&reader.path, PATH_MAX_LEN);
-  br_buf_reserve (&reader.shown, PATH_MAX_LEN);
-  br_buf_clear (&reader.path);
-  br_buf_clear (&reader.shown);
-  if (reader_parse (&reader))
+  if (br_settings_file_read (&file, text))
     {
-      for (size_t i = 0; i < reader.scalars.len; i++)
-        reader_place (&reader, settings, &reader.scalars.items[i]);
-      reader_check_required (&reader, setting_rows,
-                             BR_N_ELEMENTS (setting_rows), 1);
-      reader_check_required (&reader, peer_rows, BR_N_ELEMENTS (peer_rows),
-                             settings->vms.len);
-      reader_check_required (&reader, upstream_rows,
-                             BR_N_ELEMENTS (upstream_rows),
-                             settings->upstreams.len);
-      reader_check_together (&reader, settings);
+      for (size_t i = 0; i < file.scalars.len; i++)
+        file_place (&file, settings, &file.scalars.items[i]);
+      file_check_required (&file, setting_rows, BR_N_ELEMENTS (setting_rows),
+                           1);
+      file_check_required (&file, peer_rows, BR_N_ELEMENTS (peer_rows),
+                           settings->vms.len);
+      file_check_required (&file, upstream_rows, BR_N_ELEMENTS (upstream_rows),
+                           settings->upstreams.len);
+      file_check_together (&file, settings);
     }
-  reader_release (&reader);
-  return reader.n_faults == 0;
+  br_settings_file_release (&file);
+  return file.n_faults == 0;
 }
 
 static bool
-file_read (const char *path, br_buf_t *text)
+text_read (const char *path, br_buf_t *text)
 {
   FILE *stream = fopen (path, "r");
   char part[4096];
@@ -748,7 +472,7 @@
   bool ok = false;
 
   settings_set_defaults (settings);
-  if (!file_read (path, &text))
+  if (!text_read (path, &text))
     br_buf_printf (faults, "%s:0: cannot be read: %s\n", path,
                    errno != 0 ? strerror (errno) : "over 1 MiB");
   else
