Accepted work is neither cancelled for want of a reader nor refused afterwards

Cause: two ways to lose accepted work. Ruled out: a longer bound before the cancel (the promise has no bound; the answer's length bounds the cost). Queued work whose caller went away is given up within 1 s. Answers are kept 120 s for a caller that comes back. Conclusion: acceptance is told once nothing but a failure can undo it.

--- a/src/base/error.h
+++ b/src/base/error.h
@@ -53,6 +53,7 @@
   br_error_code_t code;
   int64_t retry_after_ms;
   bool may_have_run; /* the work, in part or in whole */
+  bool key_unknown;  /* another request with its idempotency key may have run */
   char step[BR_ERROR_STEP_MAX];
   char peer[BR_NAME_MAX + 1];
   char text[BR_ERROR_TEXT_MAX];
--- a/src/contract/claim.c
+++ b/src/contract/claim.c
@@ -18,11 +18,6 @@
 #define WAIT_BOUND_MS 30000
 #define RETRY_AFTER_MS 1000
 
-/* Nothing is known of the key elsewhere. */
-static const char no_majority_text[]
-    = "no majority of voters can be reached; this request did not run, and an "
-      "earlier one with the same key may have";
-
 static const char *const step_names[] = {
 #define X(id, name) name,
   BR_CLAIM_STEP_TABLE (X)
@@ -165,7 +160,7 @@
 {
   if (claim->no_majority)
     {
-      br_claim_refuse (claim, no_majority_text, outbox);
+      br_claim_refuse_cut_off (claim, outbox);
       return;
     }
   if (++claim->takes > TAKES_MAX)
@@ -294,7 +289,7 @@
       claim_on_take_verdict (claim, now, input->proposal.result, outbox);
       break;
     case BR_PROPOSAL_REFUSED:
-      br_claim_refuse (claim, no_majority_text, outbox);
+      br_claim_refuse_cut_off (claim, outbox);
       break;
     case BR_PROPOSAL_UNKNOWN:
       claim_fence_why (claim, now, "no majority of voters answered in time",
--- a/src/contract/claim_tell.c
+++ b/src/contract/claim_tell.c
@@ -35,6 +35,19 @@
   br_claim_fail (claim, &err, outbox);
 }
 
+void
+br_claim_refuse_cut_off (br_claim_t *claim, br_claim_actions_t *outbox)
+{
+  br_error_t err;
+
+  br_error_set (&err, BR_ERROR_UNAVAILABLE, "claim key", "",
+                "no majority of voters can be reached; this request did not "
+                "run, and an earlier one with the same key may have");
+  err.retry_after_ms = RETRY_AFTER_MS;
+  err.key_unknown = true;
+  br_claim_fail (claim, &err, outbox);
+}
+
 void
 br_claim_tell_answer (br_claim_t *claim,
                       const br_claim_record_t *record,
--- a/src/contract/claim_tell.h
+++ b/src/contract/claim_tell.h
@@ -16,6 +16,9 @@
                     const br_error_t *err,
                     br_claim_actions_t *outbox);
 
+/* Refuses without knowing what became of the key elsewhere. */
+void br_claim_refuse_cut_off (br_claim_t *claim, br_claim_actions_t *outbox);
+
 /* Nothing was sent and nothing of this contract is in the log. */
 void br_claim_refuse (br_claim_t *claim,
                       const char *why,
--- a/src/shell/caller_task.c
+++ b/src/shell/caller_task.c
@@ -212,6 +212,7 @@
   if (options.service == NULL || !options_check_key (&options, &err)
       || !task_let_in (task, request, &options, &err))
     {
+      err.key_unknown = options.idempotency_key.len > 0;
       task_refuse (task, request, &err);
       return;
     }
--- a/src/shell/http_reply.c
+++ b/src/shell/http_reply.c
@@ -40,6 +40,9 @@
       json_object_new_string (err->code == BR_ERROR_ANSWER_GONE ? "answered"
                               : unknown                         ? "unknown"
                                                                 : "not_run"));
+  if (err->key_unknown)
+    json_object_object_add (inner, "key_outcome",
+                            json_object_new_string ("unknown"));
   if (err->retry_after_ms > 0)
     json_object_object_add (inner, "retry_after_ms",
                             json_object_new_int64 (err->retry_after_ms));
--- a/src/shell/reader.c
+++ b/src/shell/reader.c
@@ -316,7 +316,8 @@
   (void)what;
   if (reader->started || work == NULL || work->state != BR_WORK_RUNNING)
     return;
-  if (work->accepted && (reader->resumed || reader->offset == 0))
+  if (work->accepted && !work->queued
+      && (reader->resumed || reader->offset == 0))
     reader_start_stream (reader, work);
   else
     event_add (reader->head, &again);
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -11,8 +11,8 @@
 #include "shell/work_inside.h"
 #include "shell/work_quarantine.h"
 
-/* How long work goes on, and an answer is kept, without a reader. */
-#define UNWATCHED_KEEP_MS 30000
+/* How long an answer is kept for a caller that comes back. */
+#define UNWATCHED_KEEP_MS 120000
 #define SWEEP_MS 1000
 
 /* How long work that ran before waits for an upstream to come. */
@@ -399,7 +399,9 @@
           br_field_z ("contract", work->contract_text),
           br_field_str ("service", br_name_str (&work->service)));
   br_contract_task_accept (task->node->contracts, work);
-  if (br_admit_task_may_start (task->node->admits, work->ticket, work->number))
+  work->queued = !br_admit_task_may_start (task->node->admits, work->ticket,
+                                           work->number);
+  if (!work->queued)
     br_work_try (task, work);
   return work;
 }
@@ -409,8 +411,10 @@
 {
   br_work_t *work = br_work_task_find (task, number);
 
-  if (work != NULL && work->state == BR_WORK_RUNNING && !work->followed)
-    br_work_try (task, work);
+  if (work == NULL || work->state != BR_WORK_RUNNING || work->followed)
+    return;
+  work->queued = false;
+  br_work_try (task, work);
 }
 
 void
@@ -419,9 +423,12 @@
                       const br_error_t *err)
 {
   br_work_t *work = br_work_task_find (task, number);
+  br_error_t why = *err;
 
-  if (work != NULL && work->state == BR_WORK_RUNNING)
-    br_work_fail (task, work, err);
+  if (work == NULL || work->state != BR_WORK_RUNNING)
+    return;
+  why.key_unknown = work->idempotency_key.len > 0;
+  br_work_fail (task, work, &why);
 }
 
 br_work_t *
@@ -456,16 +463,15 @@
   return task->in_progress;
 }
 
+/* The caller of work that waits for admission went away before it heard of
+ * acceptance. */
 static void
-work_cancel (br_work_task_t *task, br_work_t *work)
+work_give_up (br_work_task_t *task, br_work_t *work)
 {
   br_error_t err;
 
-  br_upstream_task_cancel (task->node->upstreams, work->attempt);
-  br_work_drop_attempt (task, work);
-  work->may_have_run = true;
-  br_error_set (&err, BR_ERROR_TIMEOUT, "wait for reader", "",
-                "nobody read the answer for %d ms", UNWATCHED_KEEP_MS);
+  br_error_set (&err, BR_ERROR_UNAVAILABLE, "admit", work->service.data,
+                "the caller went away");
   br_work_fail (task, work, &err);
 }
 
@@ -473,18 +479,20 @@
 work_sweep (br_work_t *work, void *context)
 {
   br_work_task_t *task = context;
-  br_ms_t now = br_node_now (task->node);
+  br_ms_t unwatched_ms = br_node_now (task->node) - work->unwatched_ms;
 
-  /* Work that runs once may not be ended on this side alone. */
-  if (work->state == BR_WORK_RUNNING && !work->repeatable)
-    return;
-  if (work->watchers > 0 || now - work->unwatched_ms < UNWATCHED_KEEP_MS)
+  if (work->watchers > 0)
     return;
-  if (work->state == BR_WORK_RUNNING && !work->followed)
+  if (work->state == BR_WORK_RUNNING && work->queued)
     {
-      work_cancel (task, work);
+      work_give_up (task, work);
       return;
     }
+  /* Accepted work goes on without a reader. */
+  if (work->state == BR_WORK_RUNNING && !work->followed)
+    return;
+  if (unwatched_ms < UNWATCHED_KEEP_MS)
+    return;
   br_contract_task_forget (task->node->contracts, work);
   br_work_table_remove (task->table, work);
 }
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -28,7 +28,8 @@
   br_name_t service;
   br_service_kind_t kind;
   bool repeatable;
-  bool accepted;     /* the caller may hear of it */
+  bool accepted;     /* the caller may hear of it, once it is not queued */
+  bool queued;       /* admission may still refuse it */
   bool may_have_run; /* an attempt that failed may have run */
   bool followed;     /* another VM owns it and sends the answer */
   br_name_t partner; /* that held a copy at acceptance; empty for none */
