--- a/src/shell/peer_link.c
+++ b/src/shell/peer_link.c
@@ -170,7 +170,9 @@
 }
 
 static bool
-link_check_hello (br_peer_link_t *link, const br_hello_t *hello, br_error_t *err)
+link_check_hello (br_peer_link_t *link,
+                  const br_hello_t *hello,
+                  br_error_t *err)
 {
   if (hello->version != BR_WIRE_VERSION)
     return br_error_set (err, BR_ERROR_PROTOCOL, "greet", hello->vm.data,
@@ -251,7 +253,9 @@
 }
 
 static bool
-link_on_envelope (br_peer_link_t *link, const br_envelope_t *envelope, br_error_t *err)
+link_on_envelope (br_peer_link_t *link,
+                  const br_envelope_t *envelope,
+                  br_error_t *err)
 {
   br_node_t *node = link->task->node;
   br_node_message_t message = { .kind = BR_NODE_PEER_RECEIVED };
--- a/src/shell/peer_link.h
+++ b/src/shell/peer_link.h
@@ -1,5 +1,5 @@
-/* One TCP connection with another entry VM: greeting, frames, heartbeat; and the
- * inside of the peer task, which its two files share. */
+/* One TCP connection with another entry VM: greeting, frames, heartbeat; and
+ * the inside of the peer task, which its two files share. */
 #ifndef BR_SHELL_PEER_LINK_H
 #define BR_SHELL_PEER_LINK_H
 
@@ -39,7 +39,7 @@
   br_ms_t backoff_ms;
   br_ms_t dial_at_ms;
   const br_peer_settings_t *settings; /* of a dialled link */
-  struct br_peer_link *next;                  /* of accepted links */
+  struct br_peer_link *next;          /* of accepted links */
 } br_peer_link_t;
 
 struct br_peer_task
