--- a/tests/replica_model_test.cc
+++ b/tests/replica_model_test.cc
@@ -42,7 +42,7 @@
 {
   model_state::count_ = 3;
   search ("start", model_state ({ { 1 }, { 1 }, { 1 } }),
-          { .depth = 7,
+          { .depth = 8,
             .timeouts = 2,
             .crashes = 1,
             .duplicates = 1,
@@ -60,9 +60,9 @@
   start.nominate (0, 2);
   start.nominate (1, 2);
   search ("two candidates", start,
-          { .depth = 7,
+          { .depth = 8,
             .timeouts = 0,
-            .crashes = 1,
+            .crashes = 2,
             .duplicates = 1,
             .proposals = 0,
             .network = 8 });
@@ -78,7 +78,7 @@
   start.drain (0, 1);
   start.propose (0);
   search ("after an election", start,
-          { .depth = 5,
+          { .depth = 6,
             .timeouts = 2,
             .crashes = 1,
             .duplicates = 0,
