--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Entry points for people and CI; CMake does the building.
 JOBS ?= $(shell nproc)
-FORMATTED = $(shell git ls-files -co --exclude-standard 'src/*.[ch]' 'tests/*.[ch]' 'tests/*.cc' 'bench/*.[ch]' | grep -v pb-c)
+FORMATTED = $(shell git ls-files -co --exclude-standard 'src/*.[ch]' 'platform/*.[ch]' 'tests/*.[ch]' 'tests/*.cc' 'bench/*.[ch]' | grep -v pb-c)
 
 .PHONY: all deps build build-sanitize check lint format demo bench clean
 
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -20,6 +20,7 @@
   X (FORBIDDEN, "forbidden", 5, 403)                                           \
   X (NOT_FOUND, "not_found", 6, 404)                                           \
   X (CONFLICT, "conflict", 7, 409)                                             \
+  X (REQUEST_TIMEOUT, "request_timeout", 4, 408)                               \
   X (GONE, "gone", 6, 410)                                                     \
   X (TOO_LARGE, "too_large", 4, 413)                                           \
   X (HEAD_TOO_LARGE, "head_too_large", 4, 431)                                 \
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,7 +1,10 @@
 #include "base/log.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <inttypes.h>
 #include <string.h>
+#include <unistd.h>
 #include <yajl/yajl_gen.h>
 
 br_field_t
@@ -68,6 +71,69 @@
     log_put_field (gen, &head[i]);
 }
 
+static void
+log_put_line (br_log_t *log, br_str_t line)
+{
+  if (log->pending_max == 0)
+    {
+      fwrite (line.data, 1, line.len, log->stream);
+      fputc ('\n', log->stream);
+      fflush (log->stream);
+    }
+  else if (log->pending.len + line.len + 1 > log->pending_max)
+    {
+      log->dropped++;
+      log->dropped_total++;
+    }
+  else
+    {
+      br_buf_append (&log->pending, line);
+      br_buf_append_char (&log->pending, '\n');
+    }
+}
+
+void
+br_log_defer (br_log_t *log, size_t pending_max)
+{
+  int fd = log->stream != NULL ? fileno (log->stream) : -1;
+  int flags = fd >= 0 ? fcntl (fd, F_GETFL) : -1;
+
+  log->pending_max = pending_max;
+  if (flags >= 0)
+    fcntl (fd, F_SETFL, flags | O_NONBLOCK);
+}
+
+void
+br_log_flush (br_log_t *log)
+{
+  ssize_t written;
+
+  if (log->stream == NULL)
+    return;
+  if (log->dropped > 0)
+    {
+      uint64_t dropped = log->dropped;
+
+      log->dropped = 0;
+      BR_LOG (log, "log", "lines dropped",
+              br_field_int ("lines", (int64_t)dropped));
+    }
+  if (log->pending.len == 0)
+    return;
+  written = write (fileno (log->stream), log->pending.data, log->pending.len);
+  if (written > 0)
+    br_buf_consume (&log->pending, (size_t)written);
+  else if (written < 0 && errno != EAGAIN && errno != EINTR)
+    br_buf_clear (&log->pending); /* nobody reads the log any more */
+}
+
+void
+br_log_release (br_log_t *log)
+{
+  br_log_flush (log);
+  br_buf_free (&log->pending);
+}
+
 void
 br_log_event (br_log_t *log,
               const char *part,
@@ -90,9 +156,7 @@
     log_put_field (gen, &fields[i]);
   yajl_gen_map_close (gen);
   yajl_gen_get_buf (gen, &text, &len);
-  fwrite (text, 1, len, log->stream);
-  fputc ('\n', log->stream);
-  fflush (log->stream);
+  log_put_line (log, br_str_make ((const char *)text, len));
   yajl_gen_free (gen);
 }
 
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -35,6 +35,11 @@
   br_name_t vm;
   uint64_t incarnation;
   br_hlc_t hlc;
+  size_t pending_max; /* bytes of lines that wait for br_log_flush(); 0: each
+                       * line is written at once */
+  br_buf_t pending;   /* owned */
+  uint64_t dropped;   /* lines for which there was no room, not yet told */
+  uint64_t dropped_total;
 } br_log_t;
 
 br_field_t br_field_str (const char *key, br_str_t value);
@@ -48,6 +53,15 @@
                    const br_field_t *fields,
                    size_t n_fields);
 
+/* Lines wait from now on, up to PENDING_MAX bytes of them, and the stream's
+ * file never blocks: a line for which there is no room is dropped and
+ * counted. */
+void br_log_defer (br_log_t *log, size_t pending_max);
+
+/* Writes as much of what waits as the stream takes now. */
+void br_log_flush (br_log_t *log);
+void br_log_release (br_log_t *log);
+
 /* Writes an event with step, peer, code and text of ERR. */
 void br_log_error (br_log_t *log,
                    const char *part,
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -1,9 +1,12 @@
 #include <argp.h>
 #include <stdio.h>
+#include <stdlib.h>
 
 #include "cli/command.h"
 #include "shell/node.h"
 
+#define SETTINGS_VARIABLE "BRIARRACK_SETTINGS"
+
 static error_t
 serve_parse (int key, char *arg, struct argp_state *state)
 {
@@ -17,6 +20,8 @@
       *file = arg;
       return 0;
     case ARGP_KEY_END:
+      if (*file == NULL)
+        *file = getenv (SETTINGS_VARIABLE);
       if (*file == NULL)
         argp_usage (state);
       return 0;
@@ -27,10 +32,12 @@
 
 static const struct argp serve_argp = {
   .parser = serve_parse,
-  .args_doc = "SETTINGS",
+  .args_doc = "[SETTINGS]",
   .doc = "Runs this VM's process in the foreground.  SETTINGS is a JSON file "
-         "with comments.  Events go to standard error, one JSON object a "
-         "line.  SIGTERM stops it without cutting a request.",
+         "with comments; when it is left out, the variable " SETTINGS_VARIABLE
+         " names it.  Events go to standard error, at a site that the platform "
+         "runs to standard output, one JSON object a line.  SIGTERM stops it "
+         "without cutting a request.",
 };
 
 int
@@ -41,6 +48,7 @@
   br_buf_t faults = { 0 };
   br_error_t err;
   br_node_t *node;
+  FILE *log_stream;
 
   argp_parse (&serve_argp, argc, argv, 0, NULL, &file);
   if (!br_settings_load (file, &settings, &faults))
@@ -50,7 +58,8 @@
       br_settings_release (&settings);
       return br_error_exit_code (BR_ERROR_SETTINGS);
     }
-  node = br_node_new (&settings, stderr, &err);
+  log_stream = settings.site.role != BR_SITE_NONE ? stdout : stderr;
+  node = br_node_new (&settings, log_stream, &err);
   if (node == NULL)
     return br_command_fail (&err);
   br_node_run (node);
--- /dev/null
+++ b/src/http/http_client.c
@@ -0,0 +1,311 @@
+#include "http/http_client.h"
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http/http_reader.h"
+
+/* Longest response head, in bytes; upstreams send a few hundred. */
+#define HEAD_MAX (32 * 1024)
+
+/* Unacknowledged bytes end a connection after this long, in milliseconds:
+ * above a few retransmissions, well below a request's deadline. */
+#define USER_TIMEOUT_MS 3000
+
+typedef enum
+{
+  CLIENT_IDLE,
+  CLIENT_ASKED, /* a request is under way */
+  CLIENT_DEAD,
+} client_state_t;
+
+struct br_http_client
+{
+  struct bufferevent *bev;
+  br_http_reader_t *reader;
+  client_state_t state;
+  bool connected;
+  bool sent;
+  bool skipping;   /* the response that is being read answers another request */
+  bool keep_alive; /* of the last response */
+  bool framed;     /* the last response had a length or chunks */
+  br_ms_t idle_since_ms;
+  br_ms_t keep_alive_ms;
+  br_client_fn on_event;
+  void *context;
+  int in_callback;
+  bool freed; /* once the callback returns */
+};
+
+static const char *const fault_names[] = {
+#define X(id, name) name,
+  BR_CLIENT_FAULT_TABLE (X)
+#undef X
+};
+
+static const br_clock_t clock_monotonic = { BR_CLOCK_MONOTONIC, 0 };
+
+const char *
+br_client_fault_name (br_client_fault_t fault)
+{
+  return fault_names[fault];
+}
+
+static void
+client_destroy (br_http_client_t *client)
+{
+  bufferevent_free (client->bev);
+  br_http_reader_free (client->reader);
+  free (client);
+}
+
+void
+br_http_client_free (br_http_client_t *client)
+{
+  if (client == NULL)
+    return;
+  client->on_event = NULL;
+  client->state = CLIENT_DEAD;
+  if (client->in_callback > 0)
+    client->freed = true;
+  else
+    client_destroy (client);
+}
+
+/* Tells the owner; false when the client was freed by it. */
+static bool
+client_emit (br_http_client_t *client, br_client_event_t event)
+{
+  if (client->on_event != NULL)
+    {
+      client->in_callback++;
+      client->on_event (client->context, client, &event);
+      client->in_callback--;
+    }
+  return !client->freed;
+}
+
+static bool
+client_fail (br_http_client_t *client, br_client_fault_t fault)
+{
+  br_client_event_t event = { .kind = BR_CLIENT_FAILED, .fault = fault };
+
+  if (client->state == CLIENT_IDLE)
+    event.kind = BR_CLIENT_LOST;
+  else if (client->state == CLIENT_DEAD)
+    return true;
+  client->state = CLIENT_DEAD;
+  return client_emit (client, event);
+}
+
+static br_ms_t
+head_keep_alive_ms (const br_http_head_t *head)
+{
+  static const char key[] = "timeout=";
+  br_str_t value = br_http_head_find (head, "keep-alive");
+  const char *at = value.len > 0
+                       ? memmem (value.data, value.len, key, sizeof key - 1)
+                       : NULL;
+  long seconds;
+
+  if (at == NULL)
+    return 0;
+  seconds = strtol (at + sizeof key - 1, NULL, 10);
+  return seconds > 0 && seconds < 86400 ? (br_ms_t)seconds * 1000 : 0;
+}
+
+static bool
+client_on_head (br_http_client_t *client)
+{
+  const br_http_head_t *head = br_http_reader_head (client->reader);
+  br_client_event_t event = { .kind = BR_CLIENT_HEAD, .head = head };
+
+  client->skipping = head->status < 200;
+  if (client->skipping)
+    return true;
+  client->keep_alive = head->keep_alive;
+  client->framed = head->chunked || head->content_length >= 0;
+  client->keep_alive_ms = head_keep_alive_ms (head);
+  return client_emit (client, event);
+}
+
+static bool
+client_on_end (br_http_client_t *client, bool more_input)
+{
+  br_client_event_t event = { .kind = BR_CLIENT_END };
+  struct evbuffer *out = bufferevent_get_output (client->bev);
+
+  if (client->skipping)
+    {
+      client->skipping = false;
+      return true;
+    }
+  event.reusable = client->keep_alive && client->framed && !more_input
+                   && evbuffer_get_length (out) == 0;
+  client->state = event.reusable ? CLIENT_IDLE : CLIENT_DEAD;
+  client->sent = false;
+  client->idle_since_ms = br_clock_now (&clock_monotonic);
+  return client_emit (client, event);
+}
+
+static void
+client_read (br_http_client_t *client)
+{
+  struct evbuffer *input = bufferevent_get_input (client->bev);
+  br_error_t err;
+  bool alive = true;
+
+  client->in_callback++;
+  while (alive && client->state == CLIENT_ASKED)
+    {
+      size_t len = evbuffer_get_length (input);
+      const char *data = (const char *)evbuffer_pullup (input, -1);
+      br_client_event_t event = { .kind = BR_CLIENT_BODY };
+      size_t used = 0;
+      br_http_step_t step = br_http_reader_next (
+          client->reader, br_str_make (data, len), &used, &err);
+
+      evbuffer_drain (input, used);
+      if (step == BR_HTTP_NEED_MORE)
+        break;
+      event.body = br_http_reader_body (client->reader);
+      if (step == BR_HTTP_HEAD)
+        alive = client_on_head (client);
+      else if (step == BR_HTTP_BODY && !client->skipping)
+        alive = client_emit (client, event);
+      else if (step == BR_HTTP_END)
+        alive = client_on_end (client, evbuffer_get_length (input) > 0);
+      else if (step == BR_HTTP_BAD)
+        alive = client_fail (client, BR_CLIENT_FAULT_GARBLED);
+    }
+  if (alive && client->state == CLIENT_IDLE && evbuffer_get_length (input) > 0)
+    client_fail (client, BR_CLIENT_FAULT_GARBLED);
+  client->in_callback--;
+  if (client->freed && client->in_callback == 0)
+    client_destroy (client);
+}
+
+static void
+on_read (struct bufferevent *bev, void *context)
+{
+  (void)bev;
+  client_read (context);
+}
+
+/* The upstream has closed: that may end a response without a length. */
+static void
+client_on_eof (br_http_client_t *client)
+{
+  client->in_callback++;
+  if (client->state == CLIENT_ASKED && !client->skipping
+      && br_http_reader_finish (client->reader))
+    client_read (client);
+  if (!client->freed && client->state != CLIENT_DEAD)
+    client_fail (client, BR_CLIENT_FAULT_CLOSED);
+  client->in_callback--;
+  if (client->freed && client->in_callback == 0)
+    client_destroy (client);
+}
+
+static void
+client_on_error (br_http_client_t *client)
+{
+  client->in_callback++;
+  client_fail (client, client->connected ? BR_CLIENT_FAULT_RESET
+                                         : BR_CLIENT_FAULT_CONNECT);
+  client->in_callback--;
+  if (client->freed && client->in_callback == 0)
+    client_destroy (client);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *context)
+{
+  br_http_client_t *client = context;
+  unsigned user_timeout_ms = USER_TIMEOUT_MS;
+  int on = 1;
+
+  if (what & BEV_EVENT_CONNECTED)
+    {
+      client->connected = true;
+      setsockopt (bufferevent_getfd (bev), IPPROTO_TCP, TCP_NODELAY, &on,
+                  sizeof on);
+      setsockopt (bufferevent_getfd (bev), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                  &user_timeout_ms, sizeof user_timeout_ms);
+    }
+  else if (what & BEV_EVENT_EOF)
+    client_on_eof (client);
+  else if (what & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
+    client_on_error (client);
+}
+
+br_http_client_t *
+br_http_client_new (struct event_base *base,
+                    const struct sockaddr *address,
+                    int address_len)
+{
+  br_http_client_t *client = br_alloc_zero (sizeof *client);
+
+  client->reader = br_http_reader_new (BR_HTTP_RESPONSES, HEAD_MAX);
+  client->bev = bufferevent_socket_new (
+      base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  bufferevent_setcb (client->bev, on_read, NULL, on_event, client);
+  bufferevent_enable (client->bev, EV_READ | EV_WRITE);
+  /* A failure to start is reported through on_event() as well. */
+  bufferevent_socket_connect (client->bev, (struct sockaddr *)address,
+                              address_len);
+  return client;
+}
+
+void
+br_http_client_set_owner (br_http_client_t *client,
+                          br_client_fn on_event_fn,
+                          void *context)
+{
+  client->on_event = on_event_fn;
+  client->context = context;
+}
+
+void
+br_http_client_send (br_http_client_t *client, br_str_t request)
+{
+  client->state = CLIENT_ASKED;
+  client->sent = true;
+  client->skipping = false;
+  bufferevent_write (client->bev, request.data, request.len);
+}
+
+void
+br_http_client_skip (br_http_client_t *client)
+{
+  client->skipping = true;
+}
+
+bool
+br_http_client_has_sent (const br_http_client_t *client)
+{
+  return client->connected && client->sent;
+}
+
+bool
+br_http_client_is_connected (const br_http_client_t *client)
+{
+  return client->connected;
+}
+
+br_ms_t
+br_http_client_idle_since (const br_http_client_t *client)
+{
+  return client->idle_since_ms;
+}
+
+br_ms_t
+br_http_client_keep_alive_ms (const br_http_client_t *client)
+{
+  return client->keep_alive_ms;
+}
--- /dev/null
+++ b/src/http/http_client.h
@@ -0,0 +1,87 @@
+/* One connection to an upstream, which carries one request after the other. */
+#ifndef BR_HTTP_HTTP_CLIENT_H
+#define BR_HTTP_HTTP_CLIENT_H
+
+#include <event2/event.h>
+#include <sys/socket.h>
+
+#include "base/clock.h"
+#include "http/http_head.h"
+
+BR_BEGIN_DECLS
+
+typedef struct br_http_client br_http_client_t;
+
+typedef enum
+{
+  BR_CLIENT_HEAD,   /* a response head has come */
+  BR_CLIENT_BODY,   /* the next bytes of its body */
+  BR_CLIENT_END,    /* the response is complete */
+  BR_CLIENT_FAILED, /* it will not be completed; free the connection */
+  BR_CLIENT_LOST,   /* the idle connection cannot be used again; free it */
+} br_client_event_kind_t;
+
+/* X (id, name) */
+#define BR_CLIENT_FAULT_TABLE(X)                                               \
+  X (CONNECT, "connect_failed") /* no byte of the request left this VM */      \
+  X (CLOSED, "closed") /* closed in order before the response's end */         \
+  X (RESET, "reset")                                                           \
+  X (GARBLED, "garbled") /* the bytes are no HTTP response */
+
+typedef enum
+{
+#define X(id, name) BR_CLIENT_FAULT_##id,
+  BR_CLIENT_FAULT_TABLE (X)
+#undef X
+} br_client_fault_t;
+
+const char *br_client_fault_name (br_client_fault_t fault);
+
+typedef struct
+{
+  br_client_event_kind_t kind;
+  union
+  {
+    const br_http_head_t *head; /* of BR_CLIENT_HEAD */
+    br_str_t body;              /* of BR_CLIENT_BODY; a view */
+    bool reusable;              /* of BR_CLIENT_END */
+    br_client_fault_t fault;    /* of BR_CLIENT_FAILED */
+  };
+} br_client_event_t;
+
+typedef void (*br_client_fn) (void *context,
+                              br_http_client_t *client,
+                              const br_client_event_t *event);
+
+/* Begins to connect.  ADDRESS is copied. */
+br_http_client_t *br_http_client_new (struct event_base *base,
+                                      const struct sockaddr *address,
+                                      int address_len);
+
+/* May be called from the client's own callback. */
+void br_http_client_free (br_http_client_t *client);
+
+/* Who hears of what happens from now on. */
+void br_http_client_set_owner (br_http_client_t *client,
+                               br_client_fn on_event,
+                               void *context);
+
+/* Sends REQUEST, head and body; no other request may be under way. */
+void br_http_client_send (br_http_client_t *client, br_str_t request);
+
+/* Throws the rest of the response away that has just begun; it answers
+ * another request. */
+void br_http_client_skip (br_http_client_t *client);
+
+/* Whether a byte of the request may have left this VM. */
+bool br_http_client_has_sent (const br_http_client_t *client);
+bool br_http_client_is_connected (const br_http_client_t *client);
+
+/* When the last response ended, and how long the upstream then keeps the
+ * connection by its own word; 0 if it said nothing. */
+br_ms_t br_http_client_idle_since (const br_http_client_t *client);
+br_ms_t br_http_client_keep_alive_ms (const br_http_client_t *client);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/http/http_server.c
@@ -0,0 +1,610 @@
+#include "http/http_server.h"
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "http/http_reader.h"
+
+/* Time between two looks for callers that take too long. */
+#define CHECK_MS 250
+
+/* Answer bytes waiting for one caller; the longest event stream of an answer
+ * stays well below. */
+#define OUTPUT_MAX (4 * 1024 * 1024)
+
+/* After a request that was not read to its end, what still comes is thrown
+ * away for this long, so that the answer is not lost to a reset. */
+#define LINGER_MS 1000
+
+/* Unacknowledged bytes end a connection after this long, in milliseconds; the
+ * system's own bound is many minutes. */
+#define USER_TIMEOUT_MS 8000
+
+/* Connections in the queue of the listener. */
+#define BACKLOG 1024
+
+/* Bytes read ahead while a request is being answered. */
+#define READ_AHEAD_MAX (64 * 1024)
+
+typedef enum
+{
+  CONN_IDLE,     /* no byte of a request yet */
+  CONN_READING,  /* part of a request */
+  CONN_WAITING,  /* the owner has the request */
+  CONN_STREAMS,  /* part of the answer was sent */
+  CONN_LINGERS,  /* the last answer was sent; input is thrown away */
+  CONN_FLUSHING, /* closed once the output is out */
+} conn_state_t;
+
+struct br_http_conn
+{
+  br_http_server_t *server;
+  struct bufferevent *bev;
+  br_http_reader_t *reader;
+  conn_state_t state;
+  br_http_head_t head;
+  br_buf_t body;
+  br_ms_t began_ms;
+  br_ms_t read_ms;
+  br_ms_t since_ms; /* of the state */
+  bool keep_alive;
+  bool chunked; /* of the answer */
+  void *user;
+  br_http_conn_t *prev;
+  br_http_conn_t *next;
+};
+
+struct br_http_server
+{
+  br_http_server_options_t options;
+  struct evconnlistener *listener;
+  struct event *timer;
+  br_http_conn_t *conns;
+  size_t n_conns;
+  bool close_after;
+  bool stopped;
+  br_http_server_stats_t stats;
+};
+
+static const br_clock_t clock_monotonic = { BR_CLOCK_MONOTONIC, 0 };
+
+static br_ms_t
+now_ms (void)
+{
+  return br_clock_now (&clock_monotonic);
+}
+
+static void conn_read (br_http_conn_t *conn);
+
+static void
+conn_set_state (br_http_conn_t *conn, conn_state_t state)
+{
+  conn->state = state;
+  conn->since_ms = now_ms ();
+}
+
+static void
+conn_free (br_http_conn_t *conn)
+{
+  br_http_server_t *server = conn->server;
+
+  if (conn->prev != NULL)
+    conn->prev->next = conn->next;
+  else
+    server->conns = conn->next;
+  if (conn->next != NULL)
+    conn->next->prev = conn->prev;
+  server->n_conns--;
+  bufferevent_free (conn->bev);
+  br_http_reader_free (conn->reader);
+  br_http_head_release (&conn->head);
+  br_buf_free (&conn->body);
+  free (conn);
+}
+
+/* Ends the connection; the owner hears of it if it has the request. */
+static void
+conn_drop (br_http_conn_t *conn)
+{
+  bool owned = conn->state == CONN_WAITING || conn->state == CONN_STREAMS;
+
+  if (owned)
+    conn->server->options.on_gone (conn->server->options.context, conn);
+  conn_free (conn);
+}
+
+/* --- answers --- */
+
+static const char *
+status_text (int status)
+{
+  switch (status)
+    {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+    }
+}
+
+static bool
+conn_closes (const br_http_conn_t *conn)
+{
+  return !conn->keep_alive || conn->server->close_after
+         || conn->server->stopped;
+}
+
+static void
+conn_write_head (br_http_conn_t *conn,
+                 const br_http_answer_t *answer,
+                 const char *framing)
+{
+  struct evbuffer *out = bufferevent_get_output (conn->bev);
+
+  evbuffer_add_printf (out, "HTTP/1.1 %d %s\r\n", answer->status,
+                       status_text (answer->status));
+  for (size_t i = 0; i < answer->n_headers; i++)
+    {
+      const br_http_header_t *header = &answer->headers[i];
+
+      evbuffer_add (out, header->name.data, header->name.len);
+      evbuffer_add (out, ": ", 2);
+      evbuffer_add (out, header->value.data, header->value.len);
+      evbuffer_add (out, "\r\n", 2);
+    }
+  evbuffer_add_printf (out, "%s%s\r\n", framing,
+                       conn_closes (conn) ? "Connection: close\r\n" : "");
+}
+
+/* The answer is complete: the next request, or the end. */
+static void
+conn_answered (br_http_conn_t *conn)
+{
+  bool read_whole = conn->state != CONN_READING;
+
+  br_http_head_release (&conn->head);
+  br_buf_free (&conn->body);
+  conn->user = NULL;
+  conn->chunked = false;
+  if (!conn_closes (conn))
+    {
+      conn_set_state (conn, CONN_IDLE);
+      bufferevent_setwatermark (conn->bev, EV_READ, 0, 0);
+      if (evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0)
+        bufferevent_trigger (conn->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
+      return;
+    }
+  conn_set_state (conn, read_whole ? CONN_FLUSHING : CONN_LINGERS);
+  if (evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0)
+    bufferevent_trigger (conn->bev, EV_WRITE, BEV_OPT_DEFER_CALLBACKS);
+}
+
+void
+br_http_conn_answer (br_http_conn_t *conn,
+                     const br_http_answer_t *answer,
+                     br_str_t body)
+{
+  char framing[48];
+
+  snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", body.len);
+  conn_write_head (conn, answer, framing);
+  evbuffer_add (bufferevent_get_output (conn->bev), body.data, body.len);
+  conn_answered (conn);
+}
+
+void
+br_http_conn_begin (br_http_conn_t *conn, const br_http_answer_t *answer)
+{
+  conn_write_head (conn, answer, "Transfer-Encoding: chunked\r\n");
+  conn->chunked = true;
+  conn_set_state (conn, CONN_STREAMS);
+}
+
+bool
+br_http_conn_has_begun (const br_http_conn_t *conn)
+{
+  return conn->state == CONN_STREAMS;
+}
+
+void
+br_http_conn_write (br_http_conn_t *conn, br_str_t piece)
+{
+  struct evbuffer *out = bufferevent_get_output (conn->bev);
+
+  if (piece.len == 0)
+    return;
+  evbuffer_add_printf (out, "%zx\r\n", piece.len);
+  evbuffer_add (out, piece.data, piece.len);
+  evbuffer_add (out, "\r\n", 2);
+}
+
+void
+br_http_conn_end (br_http_conn_t *conn)
+{
+  bufferevent_write (conn->bev, "0\r\n\r\n", 5);
+  conn_answered (conn);
+}
+
+void
+br_http_conn_abort (br_http_conn_t *conn)
+{
+  conn->user = NULL;
+  conn->keep_alive = false;
+  conn_set_state (conn, CONN_FLUSHING);
+  bufferevent_trigger (conn->bev, EV_WRITE, BEV_OPT_DEFER_CALLBACKS);
+}
+
+/* --- requests --- */
+
+static void
+conn_refuse (br_http_conn_t *conn, const br_error_t *err)
+{
+  br_buf_t body = { 0 };
+  br_http_header_t type
+      = { br_str_from ("Content-Type"), br_str_from ("application/json") };
+  br_http_answer_t answer = {
+    .status = br_error_http_status (err->code),
+    .headers = &type,
+    .n_headers = 1,
+  };
+
+  conn->server->stats.bad_requests++;
+  conn->keep_alive = false;
+  conn_set_state (conn, CONN_READING);
+  br_buf_printf (&body, "{\"error\":{\"code\":\"%s\",\"message\":\"%s\"}}\n",
+                 br_error_name (err->code), err->text);
+  br_http_conn_answer (conn, &answer, br_buf_str (&body));
+  br_buf_free (&body);
+}
+
+static void
+conn_on_head (br_http_conn_t *conn)
+{
+  const br_http_limits_t *limits = &conn->server->options.limits;
+  const br_http_head_t *head = br_http_reader_head (conn->reader);
+  br_error_t err;
+
+  conn->keep_alive = head->keep_alive;
+  if (head->content_length > (int64_t)limits->body_max_bytes)
+    {
+      br_error_set (&err, BR_ERROR_TOO_LARGE, "read body", "",
+                    "the body is over %zu bytes", limits->body_max_bytes);
+      conn_refuse (conn, &err);
+      return;
+    }
+  if (br_http_name_is (br_http_head_find (head, "expect"), "100-continue"))
+    bufferevent_write (conn->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+}
+
+static void
+conn_on_body (br_http_conn_t *conn)
+{
+  size_t max = conn->server->options.limits.body_max_bytes;
+  br_error_t err;
+
+  br_buf_append (&conn->body, br_http_reader_body (conn->reader));
+  if (conn->body.len <= max)
+    return;
+  br_error_set (&err, BR_ERROR_TOO_LARGE, "read body", "",
+                "the body is over %zu bytes", max);
+  conn_refuse (conn, &err);
+}
+
+static void
+conn_on_request (br_http_conn_t *conn)
+{
+  br_http_server_t *server = conn->server;
+
+  conn->head = br_http_reader_take_head (conn->reader);
+  conn->read_ms = now_ms ();
+  conn_set_state (conn, CONN_WAITING);
+  bufferevent_setwatermark (conn->bev, EV_READ, 0, READ_AHEAD_MAX);
+  server->options.on_request (server->options.context, conn);
+}
+
+static void
+conn_begin_reading (br_http_conn_t *conn)
+{
+  if (conn->state != CONN_IDLE)
+    return;
+  conn_set_state (conn, CONN_READING);
+  conn->began_ms = conn->since_ms;
+}
+
+/* Reads until the input is used up or a request is whole.  The handlers may
+ * answer, but never free the connection at once. */
+static void
+conn_read (br_http_conn_t *conn)
+{
+  struct evbuffer *input = bufferevent_get_input (conn->bev);
+  br_error_t err;
+
+  while (conn->state == CONN_IDLE || conn->state == CONN_READING)
+    {
+      size_t len = evbuffer_get_length (input);
+      const char *data = (const char *)evbuffer_pullup (input, -1);
+      size_t used = 0;
+      br_http_step_t step;
+
+      if (len > 0)
+        conn_begin_reading (conn);
+      step = br_http_reader_next (conn->reader, br_str_make (data, len), &used,
+                                  &err);
+      evbuffer_drain (input, used);
+      if (step == BR_HTTP_HEAD)
+        conn_on_head (conn);
+      else if (step == BR_HTTP_BODY)
+        conn_on_body (conn);
+      else if (step == BR_HTTP_END)
+        conn_on_request (conn);
+      else if (step == BR_HTTP_BAD)
+        conn_refuse (conn, &err);
+      else
+        return;
+    }
+  if (conn->state == CONN_LINGERS)
+    evbuffer_drain (input, evbuffer_get_length (input));
+}
+
+static void
+on_read (struct bufferevent *bev, void *context)
+{
+  (void)bev;
+  conn_read (context);
+}
+
+static void
+on_write (struct bufferevent *bev, void *context)
+{
+  br_http_conn_t *conn = context;
+
+  if (evbuffer_get_length (bufferevent_get_output (bev)) > 0)
+    return;
+  if (conn->state == CONN_FLUSHING)
+    conn_free (conn);
+  else if (conn->state == CONN_LINGERS)
+    shutdown (bufferevent_getfd (bev), SHUT_WR);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *context)
+{
+  (void)bev;
+  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
+    conn_drop (context);
+}
+
+/* --- the server --- */
+
+static void
+on_accept (struct evconnlistener *listener,
+           evutil_socket_t fd,
+           struct sockaddr *address,
+           int len,
+           void *context)
+{
+  br_http_server_t *server = context;
+  br_http_conn_t *conn = br_alloc_zero (sizeof *conn);
+  unsigned user_timeout_ms = USER_TIMEOUT_MS;
+  int on = 1;
+
+  (void)listener;
+  (void)address;
+  (void)len;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+              sizeof user_timeout_ms);
+  conn->server = server;
+  conn->reader = br_http_reader_new (BR_HTTP_REQUESTS,
+                                     server->options.limits.head_max_bytes);
+  conn->bev = bufferevent_socket_new (server->options.base, fd,
+                                      BEV_OPT_CLOSE_ON_FREE);
+  conn_set_state (conn, CONN_IDLE);
+  conn->next = server->conns;
+  if (server->conns != NULL)
+    server->conns->prev = conn;
+  server->conns = conn;
+  server->n_conns++;
+  server->stats.accepted++;
+  bufferevent_setcb (conn->bev, on_read, on_write, on_event, conn);
+  bufferevent_enable (conn->bev, EV_READ | EV_WRITE);
+}
+
+static void
+conn_check (br_http_conn_t *conn, br_ms_t now)
+{
+  const br_http_limits_t *limits = &conn->server->options.limits;
+  br_ms_t spent = now - conn->since_ms;
+  br_error_t err;
+
+  switch (conn->state)
+    {
+    case CONN_IDLE:
+      if (spent > limits->idle_ms || conn->server->stopped)
+        conn_free (conn);
+      break;
+    case CONN_READING:
+      if (spent <= limits->head_ms)
+        break;
+      br_error_set (&err, BR_ERROR_REQUEST_TIMEOUT, "read request", "",
+                    "the request took over %d ms to come",
+                    (int)limits->head_ms);
+      conn_refuse (conn, &err);
+      break;
+    case CONN_WAITING:
+    case CONN_STREAMS:
+      if (evbuffer_get_length (bufferevent_get_output (conn->bev))
+          <= OUTPUT_MAX)
+        break;
+      conn->server->stats.slow_readers++;
+      conn_drop (conn);
+      break;
+    case CONN_LINGERS:
+      if (spent > LINGER_MS)
+        conn_free (conn);
+      break;
+    case CONN_FLUSHING:
+      if (spent > USER_TIMEOUT_MS)
+        conn_free (conn);
+      break;
+    }
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *context)
+{
+  br_http_server_t *server = context;
+  br_ms_t now = now_ms ();
+  br_http_conn_t *next;
+
+  (void)fd;
+  (void)what;
+  for (br_http_conn_t *conn = server->conns; conn != NULL; conn = next)
+    {
+      next = conn->next;
+      conn_check (conn, now);
+    }
+}
+
+br_http_server_t *
+br_http_server_new (const br_http_server_options_t *options, br_error_t *err)
+{
+  br_http_server_t *server = br_alloc_zero (sizeof *server);
+  struct timeval period = { 0, CHECK_MS * 1000 };
+
+  server->options = *options;
+  server->options.address = NULL;
+  server->listener = evconnlistener_new_bind (
+      options->base, on_accept, server,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG, options->address,
+      options->address_len);
+  if (server->listener == NULL)
+    {
+      br_error_set (err, BR_ERROR_INTERNAL, "listen for callers", "", "%s",
+                    strerror (errno));
+      free (server);
+      return NULL;
+    }
+  server->timer = event_new (options->base, -1, EV_PERSIST, on_timer, server);
+  event_add (server->timer, &period);
+  return server;
+}
+
+void
+br_http_server_free (br_http_server_t *server)
+{
+  if (server == NULL)
+    return;
+  while (server->conns != NULL)
+    conn_free (server->conns);
+  if (server->listener != NULL)
+    evconnlistener_free (server->listener);
+  event_free (server->timer);
+  free (server);
+}
+
+void
+br_http_server_set_limits (br_http_server_t *server,
+                           const br_http_limits_t *limits)
+{
+  server->options.limits = *limits;
+}
+
+void
+br_http_server_close_after_answers (br_http_server_t *server)
+{
+  server->close_after = true;
+}
+
+void
+br_http_server_stop (br_http_server_t *server)
+{
+  br_http_conn_t *next;
+
+  server->stopped = true;
+  if (server->listener != NULL)
+    evconnlistener_free (server->listener);
+  server->listener = NULL;
+  for (br_http_conn_t *conn = server->conns; conn != NULL; conn = next)
+    {
+      next = conn->next;
+      if (conn->state == CONN_IDLE)
+        conn_free (conn);
+    }
+}
+
+size_t
+br_http_server_connections (const br_http_server_t *server)
+{
+  return server->n_conns;
+}
+
+const br_http_server_stats_t *
+br_http_server_stats (const br_http_server_t *server)
+{
+  return &server->stats;
+}
+
+/* --- one connection --- */
+
+const br_http_head_t *
+br_http_conn_head (const br_http_conn_t *conn)
+{
+  return &conn->head;
+}
+
+br_str_t
+br_http_conn_body (const br_http_conn_t *conn)
+{
+  return br_buf_str (&conn->body);
+}
+
+br_ms_t
+br_http_conn_began_ms (const br_http_conn_t *conn)
+{
+  return conn->began_ms;
+}
+
+br_ms_t
+br_http_conn_read_ms (const br_http_conn_t *conn)
+{
+  return conn->read_ms;
+}
+
+void
+br_http_conn_set_user (br_http_conn_t *conn, void *user)
+{
+  conn->user = user;
+}
+
+void *
+br_http_conn_user (const br_http_conn_t *conn)
+{
+  return conn->user;
+}
--- /dev/null
+++ b/src/http/http_server.h
@@ -0,0 +1,104 @@
+/* The callers' port: connections that carry one request after the other.
+ * Requests are handed out whole; answers go out whole or piece by piece. */
+#ifndef BR_HTTP_HTTP_SERVER_H
+#define BR_HTTP_HTTP_SERVER_H
+
+#include <event2/event.h>
+#include <sys/socket.h>
+
+#include "base/clock.h"
+#include "http/http_head.h"
+
+BR_BEGIN_DECLS
+
+typedef struct br_http_server br_http_server_t;
+typedef struct br_http_conn br_http_conn_t;
+
+/* Bounds on what a caller may send and how long it may take. */
+typedef struct
+{
+  size_t head_max_bytes;
+  size_t body_max_bytes;
+  br_ms_t head_ms; /* from the first byte of a request to its last one */
+  br_ms_t idle_ms; /* without a request */
+} br_http_limits_t;
+
+/* The event counts of a server, for its metrics. */
+typedef struct
+{
+  uint64_t accepted;
+  uint64_t bad_requests; /* not readable, or over a limit */
+  uint64_t slow_readers; /* cut off for not taking their answer */
+} br_http_server_stats_t;
+
+typedef struct
+{
+  struct event_base *base; /* not owned */
+  const struct sockaddr *address;
+  int address_len;
+  br_http_limits_t limits;
+
+  /* A whole request has come; it is answered now or later. */
+  void (*on_request) (void *context, br_http_conn_t *conn);
+
+  /* The caller has gone before its answer was complete.  CONN must not be
+   * used again. */
+  void (*on_gone) (void *context, br_http_conn_t *conn);
+  void *context;
+} br_http_server_options_t;
+
+/* Returns NULL, with *ERR set, when the address cannot be listened on. */
+br_http_server_t *br_http_server_new (const br_http_server_options_t *options,
+                                      br_error_t *err);
+void br_http_server_free (br_http_server_t *server);
+void br_http_server_set_limits (br_http_server_t *server,
+                                const br_http_limits_t *limits);
+
+/* Answers carry "Connection: close" from now on. */
+void br_http_server_close_after_answers (br_http_server_t *server);
+
+/* Takes no new connections, and closes those without a request. */
+void br_http_server_stop (br_http_server_t *server);
+size_t br_http_server_connections (const br_http_server_t *server);
+const br_http_server_stats_t *
+br_http_server_stats (const br_http_server_t *server);
+
+/* --- one connection --- */
+
+const br_http_head_t *br_http_conn_head (const br_http_conn_t *conn);
+br_str_t br_http_conn_body (const br_http_conn_t *conn);
+
+/* When the request began to come and when it was complete. */
+br_ms_t br_http_conn_began_ms (const br_http_conn_t *conn);
+br_ms_t br_http_conn_read_ms (const br_http_conn_t *conn);
+
+/* What the owner keeps with the request; NULL with each new request. */
+void br_http_conn_set_user (br_http_conn_t *conn, void *user);
+void *br_http_conn_user (const br_http_conn_t *conn);
+
+/* A head to send; HEADERS are copied.  Length, transfer coding and Connection
+ * are the server's to add. */
+typedef struct
+{
+  int status;
+  const br_http_header_t *headers;
+  size_t n_headers;
+} br_http_answer_t;
+
+/* Sends a whole answer. */
+void br_http_conn_answer (br_http_conn_t *conn,
+                          const br_http_answer_t *answer,
+                          br_str_t body);
+
+/* Sends an answer of unknown length: its head, its pieces, its end. */
+void br_http_conn_begin (br_http_conn_t *conn, const br_http_answer_t *answer);
+bool br_http_conn_has_begun (const br_http_conn_t *conn);
+void br_http_conn_write (br_http_conn_t *conn, br_str_t piece);
+void br_http_conn_end (br_http_conn_t *conn);
+
+/* Breaks the answer off, so that it does not look complete. */
+void br_http_conn_abort (br_http_conn_t *conn);
+
+BR_END_DECLS
+
+#endif
--- a/src/replica/membership.c
+++ b/src/replica/membership.c
@@ -9,6 +9,9 @@
 /* A learner that was not heard of for this many heartbeats is forgotten. */
 #define LEARNER_SILENCE_HEARTBEATS 100
 
+/* Voters that stay in any case: with fewer, one more loss stops the log. */
+#define VOTERS_KEPT 3
+
 /* --- before the first configuration --- */
 
 static bool
@@ -36,7 +39,7 @@
 {
   const br_replica_options_t *options = &replica->options;
 
-  if (options->voter)
+  if (options->voter && !options->joins)
     br_config_put (config, (br_member_t){ options->vm, options->disk, true });
   for (size_t i = 0; i < options->peers.len; i++)
     if (options->peers.items[i].voter)
@@ -151,6 +154,19 @@
                      replica->change);
 }
 
+void
+br_replica_add_peer (br_replica_t *replica, const br_name_t *vm)
+{
+  br_replica_peers_t *peers = &replica->options.peers;
+
+  if (br_name_equal (vm, &replica->options.vm))
+    return;
+  for (size_t i = 0; i < peers->len; i++)
+    if (br_name_equal (&peers->items[i].vm, vm))
+      return;
+  br_replica_peers_push (peers, (br_replica_peer_t){ .vm = *vm });
+}
+
 void
 br_replica_on_join (br_replica_t *replica, const br_replica_message_t *message)
 {
@@ -211,6 +227,21 @@
                 < replica->options.election_min_ms;
 }
 
+/* A voter that is gone for good would count against every majority. */
+static bool
+membership_is_gone (const br_replica_t *replica,
+                    const br_config_t *config,
+                    const br_progress_t *progress)
+{
+  br_ms_t limit = replica->options.remove_silent_ms;
+  br_ms_t heard = BR_MAX (progress->heard_ms, progress->joined_ms);
+
+  return limit > 0 && br_config_voters (config) > VOTERS_KEPT
+         && !br_name_equal (&progress->vm, &replica->options.vm)
+         && br_config_is_voter (config, &progress->vm, progress->disk)
+         && replica->now - heard > limit;
+}
+
 static void
 membership_forget_silent (br_replica_t *replica)
 {
@@ -246,7 +277,8 @@
       const br_progress_t *progress = &replica->progresses.items[i];
 
       changed = true;
-      if (membership_is_lost (&config, progress))
+      if (membership_is_lost (&config, progress)
+          || membership_is_gone (replica, &config, progress))
         br_config_remove (&config, &progress->vm);
       else if (membership_is_ready (replica, progress))
         br_config_put (&config,
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -202,7 +202,8 @@
   replica->heard_leader_ms = now;
   if (saved != NULL)
     replica_load (replica, saved);
-  if (options->peers.len == 0 && br_replica_log_last_index (&replica->log) == 0)
+  if (options->peers.len == 0 && !options->joins
+      && br_replica_log_last_index (&replica->log) == 0)
     replica_found_alone (replica);
   br_replica_become_follower (replica, replica->hard_state.term, NULL);
   if (br_replica_is_voter (replica)
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -47,6 +47,7 @@
   uint64_t disk;        /* identity of this disk, or of this run without one */
   uint64_t incarnation; /* of this run */
   bool voter;           /* wants a vote */
+  bool joins;           /* not among the first voters, whatever the peers are */
   br_replica_peers_t peers; /* copied; without peers it leads by itself */
   br_ms_t heartbeat_ms;
   br_ms_t election_min_ms; /* several heartbeats */
@@ -55,6 +56,8 @@
   br_ms_t proposal_max_ms;  /* then its outcome is unknown */
   size_t append_max_bytes;
   size_t snapshot_chunk_bytes;
+  br_ms_t remove_silent_ms; /* a voter not heard of for this long loses its
+                             * vote while enough others stay; 0: never */
   uint64_t seed;
 } br_replica_options_t;
 
@@ -100,6 +103,9 @@
 /* Says whether the disk has room.  Without it the leader refuses proposals. */
 void br_replica_set_room (br_replica_t *replica, bool has_room);
 
+/* Names another VM that may lead, to be asked when this one wants to join. */
+void br_replica_add_peer (br_replica_t *replica, const br_name_t *vm);
+
 /* --- changes of the configuration, on the leader --- */
 
 /* Whether the change was started: false when this is not the leader or
--- a/src/shell/claim_task.c
+++ b/src/shell/claim_task.c
@@ -475,6 +475,8 @@
 void
 br_claim_task_free (br_claim_task_t *task)
 {
+  if (task == NULL)
+    return;
   entry_t *entry;
   entry_t *next_entry;
   proposal_t *proposal;
--- /dev/null
+++ b/src/shell/control_inside.h
@@ -0,0 +1,70 @@
+/* The inside of the control task, which its files share. */
+#ifndef BR_SHELL_CONTROL_INSIDE_H
+#define BR_SHELL_CONTROL_INSIDE_H
+
+#include "platform/cloud.h"
+#include "shell/control_task.h"
+#include "shell/site_message.h"
+#include "site/site_clock.h"
+#include "site/usage_ledger.h"
+
+BR_BEGIN_DECLS
+
+/* An entry VM that tells what it does. */
+typedef struct
+{
+  br_name_t vm;
+  uint64_t incarnation;
+  br_ms_t heard_ms;
+  br_site_message_t *told; /* owned; its last report */
+} br_control_entry_t;
+
+BR_VEC (br_control_entries, br_control_entry_t);
+
+/* An operator's request that waits for the log. */
+typedef struct
+{
+  uint64_t ticket;
+  bool is_read;
+  uint64_t version; /* that was put */
+  struct evhttp_request *request;
+} br_control_wait_t;
+
+BR_VEC (br_control_waits, br_control_wait_t);
+
+typedef struct br_control_duties br_control_duties_t;
+
+struct br_control_task
+{
+  br_node_t *node;
+  struct event *timer;
+  br_control_entries_t entries;
+  br_control_waits_t waits;
+  br_site_clock_t clock;
+  br_cloud_t *cloud;
+  br_listings_t listings; /* as last read or told by the leader */
+  uint64_t list_term;
+  uint64_t list_sequence;
+  br_ms_t list_ms;
+  br_ms_t asked_list_ms;
+  bool reading_list;
+  uint64_t leads_term; /* in which this VM leads; 0: it does not */
+  br_ms_t leads_ms;    /* since when */
+  uint64_t pushed_version;
+  br_ms_t beat_ms;
+  br_usage_ledger_t ledger;
+  br_control_duties_t *duties;
+};
+
+/* The duties that the leading control VM has towards the platform. */
+br_control_duties_t *br_control_duties_new (br_control_task_t *task);
+void br_control_duties_free (br_control_duties_t *duties);
+void br_control_duties_tick (br_control_duties_t *duties, br_ms_t now);
+
+/* True when TICKET was one of the duties'. */
+bool br_control_duties_on_proposal (br_control_duties_t *duties,
+                                    const br_proposal_message_t *proposal);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/shell/entry_inside.h
@@ -0,0 +1,76 @@
+/* The inside of the entry task, which its files share. */
+#ifndef BR_SHELL_ENTRY_INSIDE_H
+#define BR_SHELL_ENTRY_INSIDE_H
+
+#include "base/histogram.h"
+#include "http/http_server.h"
+#include "platform/cloud.h"
+#include "shell/entry_task.h"
+#include "site/choice.h"
+#include "site/fleet.h"
+#include "site/quota.h"
+#include "site/repeat_budget.h"
+#include "site/site_clock.h"
+#include "site/usage.h"
+
+BR_BEGIN_DECLS
+
+typedef struct br_exchange br_exchange_t;
+
+/* What callers bring to one service, since the last report. */
+typedef struct
+{
+  br_name_t service;
+  br_repeat_budget_t repeats;
+  double prefill_tokens;
+  double output_tokens;
+  double requests;
+  uint32_t in_flight;
+} br_entry_service_t;
+
+BR_VEC (br_entry_services, br_entry_service_t);
+
+struct br_entry_task
+{
+  br_node_t *node;
+  br_http_server_t *server;
+  br_configuration_t *configuration; /* NULL before the first one */
+  br_fleet_t fleet;
+  br_quotas_t quotas;
+  br_usage_t usage;
+  br_entry_services_t services;
+  br_site_clock_t clock;
+  br_cloud_t *cloud;
+  bool reading_list;
+  br_ms_t read_list_ms; /* when this VM last asked the platform itself */
+  uint32_t entries;     /* entry VMs of the site, this one included */
+  br_name_t leader;     /* control VM that leads, as last heard */
+  uint64_t term;
+  br_ms_t leader_ms; /* when it was last heard */
+  uint64_t asked_version;
+  br_ms_t asked_ms;
+  br_ms_t reported_ms;
+  bool report_due;
+  struct event *timer;
+  br_exchange_t *exchanges;
+  size_t n_exchanges;
+  br_histogram_t first_event_ms;
+  br_histogram_t answer_ms;
+};
+
+br_entry_service_t *br_entry_service (br_entry_task_t *task, br_str_t name);
+br_repeat_limits_t br_entry_repeat_limits (const br_entry_task_t *task);
+
+/* A request of the organisation began to run. */
+void br_entry_count_usage (br_entry_task_t *task, br_str_t organisation);
+
+/* A caller's request has come, or its caller has gone. */
+void br_exchange_begin (br_entry_task_t *task, br_http_conn_t *conn);
+void br_exchange_on_gone (br_http_conn_t *conn);
+
+/* Ends an exchange at once, without an answer. */
+void br_exchange_free (br_exchange_t *exchange);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/shell/entry_task.c
@@ -0,0 +1,679 @@
+#include "shell/entry_task.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "platform/configuration_codec.h"
+#include "shell/entry_inside.h"
+#include "shell/peer_task.h"
+#include "shell/site_message.h"
+#include "shell/upstream_pool.h"
+
+/* Time between two looks at what is due. */
+#define TICK_MS 100
+
+/* Time between two reports to the control VMs. */
+#define REPORT_MS 500
+
+/* Without a word of the leading control VM for this long, this VM reads the
+ * platform's list itself, at this interval: an upstream must be left within
+ * the drain bound. */
+#define LEADER_SILENT_MS 1600
+#define READ_LIST_MS 1000
+
+/* A configuration that was asked for and has not come is asked for again. */
+#define ASK_AGAIN_MS 500
+
+/* Idle connections to upstreams are looked at this often. */
+#define TRIM_MS 1000
+
+/* Share of a site's repeats that is used: counts at different VMs are never of
+ * the same moment. */
+#define REPEAT_SHARE 0.75
+
+/* Site-wide windows of usage that a report repeats. */
+#define REPORT_WINDOWS 3
+
+/* --- what the exchanges ask --- */
+
+br_entry_service_t *
+br_entry_service (br_entry_task_t *task, br_str_t name)
+{
+  br_entry_service_t fresh = { 0 };
+
+  for (size_t i = 0; i < task->services.len; i++)
+    if (br_str_equal (br_name_str (&task->services.items[i].service), name))
+      return &task->services.items[i];
+  br_name_set (&fresh.service, name);
+  return br_entry_services_push (&task->services, fresh);
+}
+
+br_repeat_limits_t
+br_entry_repeat_limits (const br_entry_task_t *task)
+{
+  const br_site_settings_t *site = &task->node->settings.site;
+  br_repeat_limits_t limits = {
+    .ratio = site->retry_ratio * REPEAT_SHARE,
+    .slack = (double)site->retry_slack * REPEAT_SHARE
+             / (double)BR_MAX (task->entries, 1),
+    .window_ms = (br_ms_t)(site->retry_window_s * 1000),
+  };
+
+  return limits;
+}
+
+static br_ms_t
+task_window_ms (const br_entry_task_t *task)
+{
+  return (br_ms_t)(task->node->settings.site.usage_window_s * 1000);
+}
+
+static uint64_t
+task_window (const br_entry_task_t *task)
+{
+  br_ms_t wall = br_site_clock_wall (&task->clock, br_node_now (task->node));
+
+  return br_usage_window_of (wall, task_window_ms (task));
+}
+
+void
+br_entry_count_usage (br_entry_task_t *task, br_str_t organisation)
+{
+  br_usage_add (&task->usage, task_window (task), organisation, 1);
+}
+
+/* --- the configuration --- */
+
+static void
+task_install (br_entry_task_t *task, br_configuration_t *configuration)
+{
+  br_configuration_unref (task->configuration);
+  task->configuration = configuration;
+  br_http_server_set_limits (task->server, &configuration->limits);
+  BR_LOG (&task->node->log, "site", "configuration in force",
+          br_field_int ("version", (int64_t)configuration->version),
+          br_field_int ("routes", (int64_t)configuration->routes.len));
+}
+
+static void
+task_on_text (br_entry_task_t *task, const Br__Site__ConfigurationText *text)
+{
+  br_configuration_t *configuration;
+  br_error_t err;
+
+  if (task->configuration != NULL
+      && text->version <= task->configuration->version)
+    return;
+  configuration = br_platform_read_configuration (
+      br_str_make ((const char *)text->text.data, text->text.len), &err);
+  if (configuration != NULL)
+    task_install (task, configuration);
+  else
+    br_log_error (&task->node->log, "site", "configuration_unreadable", &err);
+}
+
+static void
+task_ask (br_entry_task_t *task, const br_name_t *vm, uint64_t version)
+{
+  Br__Site__ConfigurationAsk ask = BR__SITE__CONFIGURATION_ASK__INIT;
+  br_site_message_t message = BR__SITE__MESSAGE__INIT;
+  br_ms_t now = br_node_now (task->node);
+
+  if (version == task->asked_version && now - task->asked_ms < ASK_AGAIN_MS)
+    return;
+  task->asked_version = version;
+  task->asked_ms = now;
+  ask.version = version;
+  message.body_case = BR__SITE__MESSAGE__BODY_ASK;
+  message.ask = &ask;
+  br_site_send (task->node, vm, &message);
+}
+
+/* --- the list of upstreams --- */
+
+static void
+task_log_list (br_entry_task_t *task, const char *from)
+{
+  size_t draining = 0;
+
+  for (size_t i = 0; i < task->fleet.all.len; i++)
+    draining += task->fleet.all.items[i]->listing.draining ? 1 : 0;
+  BR_LOG (&task->node->log, "site", "upstreams listed",
+          br_field_z ("from", from),
+          br_field_int ("term", (int64_t)task->fleet.term),
+          br_field_int ("sequence", (int64_t)task->fleet.sequence),
+          br_field_int ("upstreams", (int64_t)task->fleet.all.len),
+          br_field_int ("draining", (int64_t)draining));
+}
+
+static void
+task_on_fleet (br_entry_task_t *task, const Br__Site__Fleet *fleet)
+{
+  br_listings_t listings = { 0 };
+  br_ms_t now = br_node_now (task->node);
+
+  if (fleet->term < task->fleet.term
+      || (fleet->term == task->fleet.term
+          && fleet->sequence <= task->fleet.sequence))
+    return;
+  br_site_read_fleet (fleet, &listings);
+  br_fleet_update (&task->fleet, &listings, now);
+  br_listings_free (&listings);
+  task->fleet.term = fleet->term;
+  task->fleet.sequence = fleet->sequence;
+  task->fleet.read_ms = now;
+  task_log_list (task, "control VM");
+}
+
+static void
+task_on_own_list (void *context,
+                  const br_listings_t *listings,
+                  size_t skipped,
+                  const br_error_t *err)
+{
+  br_entry_task_t *task = context;
+  br_ms_t now = br_node_now (task->node);
+
+  task->reading_list = false;
+  if (listings == NULL)
+    {
+      br_log_error (&task->node->log, "site", "list_unreadable", err);
+      return;
+    }
+  if (skipped > 0)
+    BR_LOG (&task->node->log, "site", "list entries skipped",
+            br_field_int ("entries", (int64_t)skipped));
+  /* What the leader tells next is newer, whatever its sequence is. */
+  if (now - task->leader_ms < LEADER_SILENT_MS)
+    return;
+  br_fleet_update (&task->fleet, listings, now);
+  task->fleet.sequence = 0;
+  task->fleet.read_ms = now;
+  task_log_list (task, "platform");
+}
+
+static void
+task_check_list (br_entry_task_t *task, br_ms_t now)
+{
+  if (task->reading_list || now - task->leader_ms < LEADER_SILENT_MS
+      || now - task->read_list_ms < READ_LIST_MS)
+    return;
+  task->read_list_ms = now;
+  task->reading_list = true;
+  br_cloud_read_list (task->cloud, task_on_own_list, task);
+}
+
+/* --- what the control VMs tell --- */
+
+static void
+task_on_loads (br_entry_task_t *task, const Br__Site__ControlBeat *beat)
+{
+  br_ms_t now = br_node_now (task->node);
+
+  for (size_t i = 0; i < beat->n_loads; i++)
+    {
+      const Br__Site__UpstreamLoad *load = beat->loads[i];
+      br_fleet_upstream_t *upstream
+          = br_fleet_find (&task->fleet, br_str_from (load->id));
+
+      if (upstream == NULL)
+        continue;
+      upstream->others_in_flight
+          = load->in_flight - BR_MIN (load->in_flight, upstream->in_flight);
+      upstream->others_prefill_tokens
+          = load->prefill_tokens
+            - BR_MIN (load->prefill_tokens, upstream->prefill_tokens);
+      upstream->others_ms = now;
+    }
+}
+
+static void
+task_on_leader (br_entry_task_t *task,
+                const br_name_t *vm,
+                const Br__Site__ControlBeat *beat)
+{
+  br_ms_t now = br_node_now (task->node);
+
+  if (beat->term < task->term)
+    return;
+  if (!br_name_equal (&task->leader, vm) || beat->term > task->term)
+    BR_LOG (&task->node->log, "site", "leader", br_field_z ("peer", vm->data),
+            br_field_int ("term", (int64_t)beat->term));
+  task->leader = *vm;
+  task->term = beat->term;
+  task->leader_ms = now;
+  task->entries = BR_MAX (beat->entries, 1);
+  task->quotas.default_part = 1.0 / task->entries;
+  br_site_clock_set (&task->clock, (br_ms_t)beat->wall_ms, now);
+  for (size_t i = 0; i < beat->n_shares; i++)
+    br_quotas_set_part (&task->quotas,
+                        br_str_from (beat->shares[i]->organisation),
+                        beat->shares[i]->part);
+  if (beat->term == task->fleet.term
+      && beat->fleet_sequence == task->fleet.sequence && task->fleet.known)
+    task->fleet.read_ms
+        = BR_MAX (task->fleet.read_ms, now - (br_ms_t)beat->fleet_age_ms);
+  task_on_loads (task, beat);
+}
+
+static void
+task_on_beat (br_entry_task_t *task,
+              const br_name_t *vm,
+              const Br__Site__ControlBeat *beat)
+{
+  uint64_t version
+      = task->configuration != NULL ? task->configuration->version : 0;
+
+  if (beat->configuration_version > version)
+    task_ask (task, vm, beat->configuration_version);
+  if (beat->leads)
+    task_on_leader (task, vm, beat);
+}
+
+void
+br_entry_task_on_message (br_entry_task_t *task,
+                          const br_name_t *vm,
+                          br_str_t payload)
+{
+  br_site_message_t *message = br_site_receive (task->node, vm, payload);
+
+  if (message == NULL)
+    return;
+  switch (message->body_case)
+    {
+    case BR__SITE__MESSAGE__BODY_FLEET:
+      task_on_fleet (task, message->fleet);
+      break;
+    case BR__SITE__MESSAGE__BODY_BEAT:
+      task_on_beat (task, vm, message->beat);
+      break;
+    case BR__SITE__MESSAGE__BODY_TEXT:
+      task_on_text (task, message->text);
+      break;
+    case BR__SITE__MESSAGE__BODY_CONTROL_VMS:
+      for (size_t i = 0; i < message->control_vms->n_vms; i++)
+        br_site_dial (task->node, br_str_from (message->control_vms->vms[i]));
+      break;
+    default:
+      break;
+    }
+  br__site__message__free_unpacked (message, NULL);
+}
+
+/* --- reports --- */
+
+typedef struct
+{
+  Br__Site__Demand *wire;
+  Br__Site__Demand **views;
+  size_t n;
+} demands_t;
+
+static void
+demand_add (void *context, const br_name_t *organisation, double units_per_s)
+{
+  demands_t *demands = context;
+  Br__Site__Demand *demand = &demands->wire[demands->n];
+
+  *demand = (Br__Site__Demand)BR__SITE__DEMAND__INIT;
+  demand->organisation = (char *)organisation->data;
+  demand->units_per_s = units_per_s;
+  demands->views[demands->n++] = demand;
+}
+
+static size_t
+report_loads (const br_entry_task_t *task,
+              Br__Site__UpstreamLoad *wire,
+              Br__Site__UpstreamLoad **views)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < task->fleet.all.len; i++)
+    {
+      const br_fleet_upstream_t *upstream = task->fleet.all.items[i];
+
+      if (upstream->in_flight == 0)
+        continue;
+      wire[n] = (Br__Site__UpstreamLoad)BR__SITE__UPSTREAM_LOAD__INIT;
+      wire[n].id = (char *)upstream->listing.id.data;
+      wire[n].in_flight = upstream->in_flight;
+      wire[n].prefill_tokens = upstream->prefill_tokens;
+      views[n] = &wire[n];
+      n++;
+    }
+  return n;
+}
+
+/* Mean speed at which the service's engines read prompts. */
+static double
+service_prefill_per_ms (const br_entry_task_t *task, const br_name_t *service)
+{
+  double sum = 0;
+  size_t n = 0;
+
+  for (size_t i = 0; i < task->fleet.all.len; i++)
+    if (br_name_equal (&task->fleet.all.items[i]->listing.service, service))
+      {
+        sum += task->fleet.all.items[i]->prefill_per_ms;
+        n++;
+      }
+  return n > 0 ? sum / (double)n : 0;
+}
+
+static size_t
+report_services (br_entry_task_t *task,
+                 br_ms_t span_ms,
+                 Br__Site__ServiceDemand *wire,
+                 Br__Site__ServiceDemand **views)
+{
+  double per_s = span_ms > 0 ? 1000.0 / (double)span_ms : 0;
+
+  for (size_t i = 0; i < task->services.len; i++)
+    {
+      br_entry_service_t *service = &task->services.items[i];
+
+      wire[i] = (Br__Site__ServiceDemand)BR__SITE__SERVICE_DEMAND__INIT;
+      wire[i].service = service->service.data;
+      wire[i].prefill_tokens_per_s = service->prefill_tokens * per_s;
+      wire[i].output_tokens_per_s = service->output_tokens * per_s;
+      wire[i].requests_per_s = service->requests * per_s;
+      wire[i].in_flight = service->in_flight;
+      wire[i].prefill_per_ms = service_prefill_per_ms (task, &service->service);
+      views[i] = &wire[i];
+      service->prefill_tokens = 0;
+      service->output_tokens = 0;
+      service->requests = 0;
+    }
+  return task->services.len;
+}
+
+static void
+window_fill (const br_usage_window_t *from,
+             Br__Site__Window *to,
+             Br__Site__Count *wire,
+             Br__Site__Count **views)
+{
+  *to = (Br__Site__Window)BR__SITE__WINDOW__INIT;
+  to->number = from->number;
+  to->n_counts = from->entries.len;
+  to->counts = views;
+  for (size_t i = 0; i < from->entries.len; i++)
+    {
+      wire[i] = (Br__Site__Count)BR__SITE__COUNT__INIT;
+      wire[i].organisation = from->entries.items[i].organisation.data;
+      wire[i].requests = from->entries.items[i].requests;
+      views[i] = &wire[i];
+    }
+}
+
+/* The memory that one report points to. */
+typedef struct
+{
+  Br__Site__UpstreamLoad *loads;
+  Br__Site__UpstreamLoad **load_views;
+  Br__Site__ServiceDemand *services;
+  Br__Site__ServiceDemand **service_views;
+  demands_t demands;
+  Br__Site__Window windows[REPORT_WINDOWS];
+  Br__Site__Window *window_views[REPORT_WINDOWS];
+  Br__Site__Count *counts[REPORT_WINDOWS];
+  Br__Site__Count **count_views[REPORT_WINDOWS];
+} report_t;
+
+static void
+report_alloc (const br_entry_task_t *task, report_t *report)
+{
+  size_t upstreams = task->fleet.all.len + 1;
+  size_t services = task->services.len + 1;
+  size_t organisations = task->quotas.list.len + 1;
+
+  *report = (report_t){ 0 };
+  report->loads = br_alloc (upstreams * sizeof *report->loads);
+  report->load_views = br_alloc (upstreams * sizeof *report->load_views);
+  report->services = br_alloc (services * sizeof *report->services);
+  report->service_views = br_alloc (services * sizeof *report->service_views);
+  report->demands.wire = br_alloc (organisations * sizeof (Br__Site__Demand));
+  report->demands.views
+      = br_alloc (organisations * sizeof (Br__Site__Demand *));
+}
+
+static void
+report_free (report_t *report)
+{
+  free (report->loads);
+  free (report->load_views);
+  free (report->services);
+  free (report->service_views);
+  free (report->demands.wire);
+  free (report->demands.views);
+  for (size_t i = 0; i < REPORT_WINDOWS; i++)
+    {
+      free (report->counts[i]);
+      free (report->count_views[i]);
+    }
+}
+
+static size_t
+report_windows (const br_entry_task_t *task, report_t *report)
+{
+  uint64_t newest = task_window (task);
+  size_t n = 0;
+
+  for (uint64_t back = 0; back < REPORT_WINDOWS && back <= newest; back++)
+    {
+      const br_usage_window_t *window
+          = br_usage_find (&task->usage, newest - back);
+
+      if (window == NULL)
+        continue;
+      report->counts[n]
+          = br_alloc (window->entries.len * sizeof (Br__Site__Count));
+      report->count_views[n]
+          = br_alloc (window->entries.len * sizeof (Br__Site__Count *));
+      window_fill (window, &report->windows[n], report->counts[n],
+                   report->count_views[n]);
+      report->window_views[n] = &report->windows[n];
+      n++;
+    }
+  return n;
+}
+
+typedef struct
+{
+  br_node_t *node;
+  const br_site_message_t *message;
+} send_t;
+
+static void
+send_to (void *context, const br_name_t *vm)
+{
+  send_t *send = context;
+
+  br_site_send (send->node, vm, send->message);
+}
+
+static void
+task_report (br_entry_task_t *task, br_ms_t now)
+{
+  Br__Site__EntryReport body = BR__SITE__ENTRY_REPORT__INIT;
+  br_site_message_t message = BR__SITE__MESSAGE__INIT;
+  send_t send = { task->node, &message };
+  report_t report;
+
+  report_alloc (task, &report);
+  body.n_loads = report_loads (task, report.loads, report.load_views);
+  body.loads = report.load_views;
+  body.n_services = report_services (task, now - task->reported_ms,
+                                     report.services, report.service_views);
+  body.services = report.service_views;
+  br_quotas_demand (&task->quotas, now, demand_add, &report.demands);
+  body.n_demands = report.demands.n;
+  body.demands = report.demands.views;
+  body.n_windows = report_windows (task, &report);
+  body.windows = report.window_views;
+  body.configuration_version
+      = task->configuration != NULL ? task->configuration->version : 0;
+  body.fleet_term = task->fleet.term;
+  body.fleet_sequence = task->fleet.sequence;
+  body.wall_ms = (uint64_t)br_clock_wall ();
+  body.site_wall_ms = (uint64_t)br_site_clock_wall (&task->clock, now);
+  message.body_case = BR__SITE__MESSAGE__BODY_REPORT;
+  message.report = &body;
+  br_peer_task_each (task->node->peers, send_to, &send);
+  report_free (&report);
+  task->reported_ms = now;
+}
+
+/* --- time --- */
+
+static void
+task_on_tick (evutil_socket_t fd, short what, void *context)
+{
+  br_entry_task_t *task = context;
+  br_ms_t now = br_node_now (task->node);
+
+  (void)fd;
+  (void)what;
+  task_check_list (task, now);
+  if (task->report_due || now - task->reported_ms >= REPORT_MS)
+    {
+      task->report_due = false;
+      task_report (task, now);
+      br_fleet_sweep (&task->fleet, br_upstream_pool_free, NULL);
+      for (size_t i = 0; i < task->fleet.all.len; i++)
+        br_upstream_pool_trim (task->fleet.all.items[i], now);
+    }
+}
+
+/* --- start and stop --- */
+
+static void
+task_on_request (void *context, br_http_conn_t *conn)
+{
+  br_exchange_begin (context, conn);
+}
+
+static void
+task_on_gone (void *context, br_http_conn_t *conn)
+{
+  (void)context;
+  br_exchange_on_gone (conn);
+}
+
+static bool
+task_listen (br_entry_task_t *task, br_error_t *err)
+{
+  br_node_t *node = task->node;
+  struct sockaddr_storage address;
+  int len;
+  br_http_server_options_t options = {
+    .base = node->base,
+    .address = (struct sockaddr *)&address,
+    .limits = {
+      .head_max_bytes = (size_t)node->settings.header_max_bytes,
+      .body_max_bytes = (size_t)node->settings.body_max_bytes,
+      .head_ms = node->settings.head_ms,
+      .idle_ms = node->settings.idle_ms,
+    },
+    .on_request = task_on_request,
+    .on_gone = task_on_gone,
+    .context = task,
+  };
+
+  if (!br_endpoint_to_sockaddr (&node->settings.callers, &address, &len))
+    return br_error_set (err, BR_ERROR_SETTINGS, "listen for callers", "",
+                         "callers.address is not valid");
+  options.address_len = len;
+  task->server = br_http_server_new (&options, err);
+  return task->server != NULL;
+}
+
+br_entry_task_t *
+br_entry_task_new (br_node_t *node, br_error_t *err)
+{
+  br_entry_task_t *task = br_alloc_zero (sizeof *task);
+  struct timeval period = { 0, TICK_MS * 1000 };
+
+  task->node = node;
+  task->entries = 1;
+  task->quotas.default_part = 1;
+  if (!task_listen (task, err))
+    {
+      free (task);
+      return NULL;
+    }
+  task->leader_ms = task->quotas.demand_ms = br_node_now (node);
+  task->cloud = br_cloud_new (node->base, &node->settings.platform);
+  task->timer = event_new (node->base, -1, EV_PERSIST, task_on_tick, task);
+  event_add (task->timer, &period);
+  return task;
+}
+
+void
+br_entry_task_free (br_entry_task_t *task)
+{
+  if (task == NULL)
+    return;
+  while (task->exchanges != NULL)
+    br_exchange_free (task->exchanges);
+  br_http_server_free (task->server);
+  br_fleet_release (&task->fleet, br_upstream_pool_free, NULL);
+  br_cloud_free (task->cloud);
+  br_quotas_release (&task->quotas);
+  br_usage_release (&task->usage);
+  br_entry_services_free (&task->services);
+  br_site_clock_release (&task->clock);
+  br_configuration_unref (task->configuration);
+  event_free (task->timer);
+  free (task);
+}
+
+void
+br_entry_task_on_link (br_entry_task_t *task, const br_name_t *vm, bool up)
+{
+  BR_LOG (&task->node->log, "site",
+          up ? "control VM reached" : "control VM lost",
+          br_field_z ("peer", vm->data));
+  if (up)
+    task->report_due = true; /* the other side learns of this VM at once */
+}
+
+bool
+br_entry_task_is_ready (const br_entry_task_t *task)
+{
+  return task->configuration != NULL && task->fleet.known
+         && !task->node->draining;
+}
+
+void
+br_entry_task_stop_keeping (br_entry_task_t *task)
+{
+  br_http_server_close_after_answers (task->server);
+}
+
+void
+br_entry_task_stop_accepting (br_entry_task_t *task)
+{
+  br_http_server_stop (task->server);
+}
+
+size_t
+br_entry_task_in_progress (const br_entry_task_t *task)
+{
+  return task->n_exchanges;
+}
+
+void
+br_entry_task_print_metrics (const br_entry_task_t *task, br_buf_t *out)
+{
+  br_histogram_print (&task->first_event_ms, "first_event_ms",
+                      "Time to the first event of a stream", out);
+  br_histogram_print (&task->answer_ms, "answer_ms",
+                      "Time to the end of an answer", out);
+  br_buf_printf (out, "briarrack_requests_in_progress %zu\n",
+                 task->n_exchanges);
+  br_buf_printf (out, "briarrack_configuration_version %" PRIu64 "\n",
+                 task->configuration != NULL ? task->configuration->version
+                                             : 0);
+  br_buf_printf (out, "briarrack_upstreams_listed %zu\n", task->fleet.all.len);
+}
--- a/src/shell/http_call.c
+++ b/src/shell/http_call.c
@@ -97,6 +97,9 @@
   evhttp_add_header (headers, "Connection", "close");
   if (options->vm != NULL)
     evhttp_add_header (headers, "X-VM", options->vm);
+  for (size_t i = 0; i < options->n_headers; i++)
+    evhttp_add_header (headers, options->headers[i].name,
+                       options->headers[i].value);
   if (options->body.len > 0)
     {
       evhttp_add_header (headers, "Content-Type", "application/json");
--- a/src/shell/http_call.h
+++ b/src/shell/http_call.h
@@ -18,13 +18,21 @@
  * the callback. */
 typedef void (*br_http_call_cb_t) (void *context, int status, br_str_t body);
 
+typedef struct
+{
+  const char *name;
+  const char *value;
+} br_http_call_header_t;
+
 typedef struct
 {
   const char *address;
   uint16_t port;
   enum evhttp_cmd_type method;
   const char *path;
-  const char *vm; /* name of this VM, sent as X-VM */
+  const char *vm; /* name of this VM, sent as X-VM; or NULL */
+  const br_http_call_header_t *headers; /* copied */
+  size_t n_headers;
   br_str_t body;
   br_ms_t bound_ms; /* on the whole call */
   br_http_call_cb_t done;
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -14,6 +14,7 @@
 #include "shell/replica_task.h"
 #include "shell/retry_task.h"
 #include "shell/route_task.h"
+#include "shell/site_task.h"
 #include "shell/upstream_task.h"
 #include "shell/upstream_watch.h"
 #include "shell/work_task.h"
@@ -91,6 +92,7 @@
       break;
     case BR_PART_LINK:
     case BR_PART_ROUTE:
+    case BR_PART_SITE:
     case BR_PART_COUNT:
       break;
     }
@@ -100,6 +102,11 @@
 static void
 node_dispatch (br_node_t *node, br_node_message_t *message)
 {
+  if (node->site != NULL)
+    {
+      br_site_task_on_message (node->site, message);
+      return;
+    }
   switch (message->kind)
     {
     case BR_NODE_PEER_UP:
@@ -246,6 +253,11 @@
   if (node->draining)
     return;
   node->draining = true;
+  if (node->site != NULL)
+    {
+      br_site_task_drain (node->site);
+      return;
+    }
   node->queue->drain_from_ms = br_node_now (node);
   if (node->settings.drain_grace_ms > 0)
     br_node_drain_by (node, br_node_now (node) + node->settings.drain_grace_ms);
@@ -273,7 +285,7 @@
 
   (void)fd;
   (void)what;
-  if (node->draining)
+  if (node->draining && node->site == NULL)
     node_hand_over (node);
   else
     br_node_drain (node);
@@ -348,7 +360,8 @@
   node->started_ms = br_node_now (node);
   node->log = (br_log_t){
     .stream = log_stream,
-    .vm = node->settings.vm,
+    .vm = node->settings.log_name.len > 0 ? node->settings.log_name
+                                          : node->settings.vm,
     .incarnation = node->incarnation,
   };
   br_random_seed (&node->random, br_str_hash (br_name_str (&node->settings.vm),
@@ -362,7 +375,11 @@
   node_add_signal (node, 0, SIGTERM);
   node_add_signal (node, 1, SIGINT);
   node_add_upstreams (node);
-  if (!node_start_tasks (node, err))
+  if (node->settings.site.role != BR_SITE_NONE)
+    node->site = br_site_task_new (node, err);
+  if (node->site == NULL
+      && (node->settings.site.role != BR_SITE_NONE
+          || !node_start_tasks (node, err)))
     {
       br_node_free (node);
       return NULL;
@@ -406,6 +423,7 @@
 void
 br_node_free (br_node_t *node)
 {
+  br_site_task_free (node->site);
   br_caller_task_free (node->callers);
   br_operator_task_free (node->operators);
   br_claim_task_free (node->claims);
@@ -427,5 +445,6 @@
   br_quarantine_free (&node->quarantine);
   br_settings_release (&node->settings);
   event_base_free (node->base);
+  br_log_release (&node->log);
   free (node);
 }
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -33,6 +33,9 @@
 typedef struct br_upstream_watch br_upstream_watch_t;
 typedef struct br_contract_task br_contract_task_t;
 typedef struct br_claim_task br_claim_task_t;
+typedef struct br_entry_task br_entry_task_t;
+typedef struct br_control_task br_control_task_t;
+typedef struct br_site_task br_site_task_t;
 
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
@@ -153,6 +156,7 @@
   br_platform_task_t *platform; /* NULL without one in the settings */
   br_contract_task_t *contracts;
   br_claim_task_t *claims;
+  br_site_task_t *site;       /* of a site that the platform runs, or NULL */
   br_state_t *state;          /* owned; changed by the replica task alone */
   br_proposal_fn on_proposal; /* of a program that embeds the node; or NULL */
   void *on_proposal_context;
--- a/src/shell/peer_link.c
+++ b/src/shell/peer_link.c
@@ -178,13 +178,13 @@
     return br_error_set (err, BR_ERROR_PROTOCOL, "greet", hello->vm.data,
                          "peer speaks version %u, this VM version %d",
                          hello->version, BR_WIRE_VERSION);
-  if (task_find_peer (link->task, &hello->vm) == NULL)
+  if (!link->task->node->settings.open_peers
+      && task_find_peer (link->task, &hello->vm) == NULL)
     return br_error_set (err, BR_ERROR_PEER, "greet", hello->vm.data,
                          "this VM is not among peers.vms");
-  if (link->dialled && !br_name_equal (&link->settings->name, &hello->vm))
+  if (link->dialled && !br_name_equal (&link->peer.name, &hello->vm))
     return br_error_set (err, BR_ERROR_PEER, "greet", hello->vm.data,
-                         "expected %s at this address",
-                         link->settings->name.data);
+                         "expected %s at this address", link->peer.name.data);
   return true;
 }
 
@@ -383,7 +383,7 @@
   struct sockaddr_storage address;
   int len;
 
-  if (!br_endpoint_to_sockaddr (&link->settings->endpoint, &address, &len))
+  if (!br_endpoint_to_sockaddr (&link->peer.endpoint, &address, &len))
     return;
   br_peer_link_start (link, -1);
   if (bufferevent_socket_connect (link->bev, (struct sockaddr *)&address, len)
@@ -439,8 +439,7 @@
   silent_ms = link_silent_ms (link, now);
   if (silent_ms > 0)
     {
-      const char *peer
-          = link->dialled ? link->settings->name.data : link->vm.data;
+      const char *peer = link->dialled ? link->peer.name.data : link->vm.data;
 
       br_error_set (&err, BR_ERROR_TIMEOUT, "heartbeat", peer,
                     "nothing heard for %" PRId64 " ms", silent_ms);
--- a/src/shell/peer_link.h
+++ b/src/shell/peer_link.h
@@ -38,8 +38,8 @@
   br_ms_t delay_ms;
   br_ms_t backoff_ms;
   br_ms_t dial_at_ms;
-  const br_peer_settings_t *settings; /* of a dialled link */
-  struct br_peer_link *next;          /* of accepted links */
+  br_peer_settings_t peer;   /* of a dialled link */
+  struct br_peer_link *next; /* of accepted links */
 } br_peer_link_t;
 
 struct br_peer_task
@@ -47,7 +47,7 @@
   br_node_t *node;
   struct evconnlistener *listener;
   struct event *timer;
-  br_peer_link_t *dialled; /* one for each peer in the settings */
+  br_peer_link_t **dialled; /* one for each known peer */
   size_t n_dialled;
   br_peer_link_t *accepted;
   size_t n_accepted;
--- a/src/shell/peer_task.c
+++ b/src/shell/peer_task.c
@@ -13,9 +13,13 @@
 /* Bytes waiting on one link before messages are dropped. */
 #define LINK_BACKLOG_MAX (8 * 1024 * 1024)
 
-/* Incoming links at once, for each peer in the settings. */
+/* Incoming links at once, for each known peer. */
 #define ACCEPTED_PER_PEER 4
 
+/* Incoming links at once when VMs that nobody named may dial: a few for each
+ * entry VM of a large site. */
+#define ACCEPTED_OPEN_MAX 1600
+
 static void
 task_on_timer (evutil_socket_t fd, short what, void *context)
 {
@@ -25,7 +29,7 @@
   (void)fd;
   (void)what;
   for (size_t i = 0; i < task->n_dialled; i++)
-    br_peer_link_check (&task->dialled[i]);
+    br_peer_link_check (task->dialled[i]);
   for (br_peer_link_t *link = task->accepted; link != NULL; link = next)
     {
       next = link->next;
@@ -43,10 +47,14 @@
   br_peer_task_t *task = context;
   br_peer_link_t *link;
 
+  size_t max = task->node->settings.open_peers
+                   ? ACCEPTED_OPEN_MAX
+                   : task->n_dialled * ACCEPTED_PER_PEER;
+
   (void)listener;
   (void)address;
   (void)len;
-  if (task->n_accepted >= task->n_dialled * ACCEPTED_PER_PEER)
+  if (task->n_accepted >= max)
     {
       evutil_closesocket (fd);
       br_counters_add (&task->node->counters, BR_COUNTER_PEER_ERRORS, 1);
@@ -80,23 +88,61 @@
                        strerror (errno));
 }
 
+static br_peer_link_t *
+task_find_link (const br_peer_task_t *task, const br_name_t *vm)
+{
+  for (size_t i = 0; i < task->n_dialled; i++)
+    if (br_name_equal (&task->dialled[i]->peer.name, vm))
+      return task->dialled[i];
+  return NULL;
+}
+
+void
+br_peer_task_add (br_peer_task_t *task, const br_peer_settings_t *peer)
+{
+  br_peer_link_t *link;
+
+  if (task_find_link (task, &peer->name) != NULL)
+    return;
+  link = br_alloc_zero (sizeof *link);
+  task->dialled
+      = br_realloc (task->dialled, (task->n_dialled + 1) * sizeof link);
+  task->dialled[task->n_dialled++] = link;
+  link->task = task;
+  link->dialled = true;
+  link->peer = *peer;
+  link->backoff_ms = BR_PEER_LINK_BACKOFF_MIN_MS;
+  br_peer_link_dial (link);
+}
+
+static void
+task_free_dialled (br_peer_link_t *link)
+{
+  if (link->bev != NULL)
+    bufferevent_free (link->bev);
+  br_buf_free (&link->input);
+  free (link);
+}
+
+void
+br_peer_task_remove (br_peer_task_t *task, const br_name_t *vm)
+{
+  for (size_t i = 0; i < task->n_dialled; i++)
+    if (br_name_equal (&task->dialled[i]->peer.name, vm))
+      {
+        task_free_dialled (task->dialled[i]);
+        task->dialled[i] = task->dialled[--task->n_dialled];
+        return;
+      }
+}
+
 static void
 task_add_peers (br_peer_task_t *task)
 {
   br_peer_settings_list_t *vms = &task->node->settings.vms;
 
-  task->n_dialled = vms->len;
-  task->dialled = br_alloc_zero (vms->len * sizeof *task->dialled);
   for (size_t i = 0; i < vms->len; i++)
-    {
-      br_peer_link_t *link = &task->dialled[i];
-
-      link->task = task;
-      link->dialled = true;
-      link->settings = &vms->items[i];
-      link->backoff_ms = BR_PEER_LINK_BACKOFF_MIN_MS;
-      br_peer_link_dial (link);
-    }
+    br_peer_task_add (task, &vms->items[i]);
 }
 
 br_peer_task_t *
@@ -123,11 +169,7 @@
   if (task == NULL)
     return;
   for (size_t i = 0; i < task->n_dialled; i++)
-    {
-      if (task->dialled[i].bev != NULL)
-        bufferevent_free (task->dialled[i].bev);
-      br_buf_free (&task->dialled[i].input);
-    }
+    task_free_dialled (task->dialled[i]);
   while (task->accepted != NULL)
     br_peer_link_close (task->accepted);
   free (task->dialled);
@@ -137,11 +179,11 @@
 }
 
 static br_peer_link_t *
-task_find_link (const br_peer_task_t *task, const br_name_t *vm)
+task_find_accepted (const br_peer_task_t *task, const br_name_t *vm)
 {
-  for (size_t i = 0; i < task->n_dialled; i++)
-    if (br_name_equal (&task->dialled[i].settings->name, vm))
-      return &task->dialled[i];
+  for (br_peer_link_t *link = task->accepted; link != NULL; link = link->next)
+    if (link->state == BR_PEER_LINK_READY && br_name_equal (&link->vm, vm))
+      return link;
   return NULL;
 }
 
@@ -153,6 +195,16 @@
   return link != NULL && link->state == BR_PEER_LINK_READY;
 }
 
+void
+br_peer_task_each (const br_peer_task_t *task,
+                   br_peer_visit_fn visit,
+                   void *context)
+{
+  for (size_t i = 0; i < task->n_dialled; i++)
+    if (task->dialled[i]->state == BR_PEER_LINK_READY)
+      visit (context, &task->dialled[i]->peer.name);
+}
+
 bool
 br_peer_task_send (br_peer_task_t *task,
                    const br_name_t *vm,
@@ -162,6 +214,8 @@
   br_peer_link_t *link = task_find_link (task, vm);
 
   if (link == NULL || link->state != BR_PEER_LINK_READY)
+    link = task_find_accepted (task, vm);
+  if (link == NULL)
     return false;
   if (evbuffer_get_length (bufferevent_get_output (link->bev))
       > LINK_BACKLOG_MAX)
@@ -175,13 +229,13 @@
 {
   for (size_t i = 0; i < task->n_dialled; i++)
     {
-      const br_peer_link_t *link = &task->dialled[i];
+      const br_peer_link_t *link = task->dialled[i];
 
       br_buf_printf (out,
                      "%s{\"vm\":\"%s\",\"failure_domain\":\"%s\","
                      "\"up\":%s,\"delay_ms\":%" PRId64 "}",
-                     i > 0 ? "," : "", link->settings->name.data,
-                     link->settings->failure_domain.data,
+                     i > 0 ? "," : "", link->peer.name.data,
+                     link->peer.failure_domain.data,
                      link->state == BR_PEER_LINK_READY ? "true" : "false",
                      link->delay_ms);
     }
--- a/src/shell/replica_outcome.c
+++ b/src/shell/replica_outcome.c
@@ -9,6 +9,10 @@
 #define PROPOSAL_WAIT_MS 900
 #define PROPOSAL_MAX_MS 3000
 
+/* A voter that nobody heard of for this long counts as gone for good: longer
+ * than a restart, a freeze or a cut of a few seconds. */
+#define REMOVE_SILENT_MS 9000
+
 #define APPEND_MAX_BYTES (256 * 1024)
 #define SNAPSHOT_CHUNK_BYTES (256 * 1024)
 
@@ -24,6 +28,8 @@
     .disk = disk,
     .incarnation = node->incarnation,
     .voter = settings->voter || settings->vms.len == 0,
+    .joins = settings->joins,
+    .remove_silent_ms = settings->open_peers ? REMOVE_SILENT_MS : 0,
     .heartbeat_ms = HEARTBEAT_MS,
     .election_min_ms = ELECTION_MIN_MS,
     .election_max_ms = ELECTION_MAX_MS,
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -8,6 +8,7 @@
 #include "shell/replica_outcome.h"
 #include "shell/replica_status.h"
 #include "shell/replica_writer.h"
+#include "shell/site_message.h"
 
 #define TICK_MS 25
 
@@ -37,6 +38,7 @@
   br_ms_t retry_ms; /* when the failed write is tried again, 0 for none */
   uint64_t writing; /* change that is being written, 0 for none */
   bool checkpointing;
+  bool dial_members;                /* those that were loaded */
   br_replica_snapshot_t checkpoint; /* being written */
 };
 
@@ -72,6 +74,19 @@
     task_fail (task, &err);
 }
 
+/* At a site whose settings do not name all VMs, the log does. */
+static void
+task_dial_members (br_replica_task_t *task)
+{
+  char *names[BR_REPLICA_MEMBERS_MAX];
+  size_t n = br_replica_task_members (task, names);
+
+  if (!task->node->settings.open_peers || task->node->peers == NULL)
+    return;
+  for (size_t i = 0; i < n; i++)
+    br_site_dial (task->node, br_str_from (names[i]));
+}
+
 /* RESULT, when not NULL, is what the entry just applied gave. */
 static void
 task_take_events (br_replica_task_t *task, br_buf_t *result)
@@ -98,6 +113,7 @@
       case BR_REPLICA_EVENT_CONFIG:
         BR_LOG (&task->node->log, "replica", "members changed",
                 br_field_int ("index", (int64_t)event.index));
+        task_dial_members (task);
         break;
       }
 }
@@ -316,6 +332,9 @@
   (void)what;
   if (task->failed)
     return;
+  if (task->dial_members)
+    task_dial_members (task);
+  task->dial_members = false;
   br_replica_tick (task->replica, br_node_now (task->node));
   if (task->node->draining)
     br_replica_task_hand_over (task);
@@ -386,6 +405,7 @@
   task->tick = event_new (node->base, -1, EV_PERSIST, task_on_tick, task);
   event_add (task->tick, &period);
   task_schedule (task);
+  task->dial_members = true;
   return task;
 }
 
@@ -496,3 +516,40 @@
 
   br_replica_status_print (&status, out);
 }
+
+uint64_t
+br_replica_task_term (const br_replica_task_t *task)
+{
+  return br_replica_term (task->replica);
+}
+
+size_t
+br_replica_task_members (const br_replica_task_t *task,
+                         char *views[BR_REPLICA_MEMBERS_MAX])
+{
+  const br_config_t *config
+      = br_replica_log_config (br_replica_log (task->replica));
+  size_t n = 0;
+
+  while (n < config->members.len && n < BR_REPLICA_MEMBERS_MAX)
+    {
+      views[n] = config->members.items[n].vm.data;
+      n++;
+    }
+  return n;
+}
+
+void
+br_replica_task_add_members (br_replica_task_t *task,
+                             const Br__Site__ControlVms *members)
+{
+  for (size_t i = 0; i < members->n_vms; i++)
+    {
+      br_name_t name;
+
+      if (!br_name_set (&name, br_str_from (members->vms[i])))
+        continue;
+      br_replica_add_peer (task->replica, &name);
+      br_site_dial (task->node, br_str_from (members->vms[i]));
+    }
+}
--- a/src/shell/replica_task.h
+++ b/src/shell/replica_task.h
@@ -4,11 +4,12 @@
 #define BR_SHELL_REPLICA_TASK_H
 
 #include "shell/node.h"
+#include "site/site.pb-c.h"
 
 BR_BEGIN_DECLS
 
-/* Longest command, in bytes. */
-#define BR_COMMAND_MAX (1024 * 1024)
+/* Longest command, in bytes: a configuration of 4 MiB fits. */
+#define BR_COMMAND_MAX (4 * 1024 * 1024 + 64 * 1024)
 
 /* Opens the data folder, when the settings name one, and loads what is
  * there. */
@@ -42,6 +43,21 @@
 bool br_replica_task_is_leader (const br_replica_task_t *task);
 const br_name_t *br_replica_task_leader (const br_replica_task_t *task);
 
+/* The term in which this VM leads or follows. */
+uint64_t br_replica_task_term (const br_replica_task_t *task);
+
+/* VMs of a site's log that are told at once. */
+#define BR_REPLICA_MEMBERS_MAX 16
+
+/* Fills VIEWS with the names of the members, valid until the next message, and
+ * returns how many. */
+size_t br_replica_task_members (const br_replica_task_t *task,
+                                char *views[BR_REPLICA_MEMBERS_MAX]);
+
+/* Another VM named the members that it knows. */
+void br_replica_task_add_members (br_replica_task_t *task,
+                                  const Br__Site__ControlVms *members);
+
 /* Appends one JSON object: role, term, leader, commit and applied index,
  * members, and on the leader how far each follower is. */
 void br_replica_task_status (const br_replica_task_t *task, br_buf_t *out);
--- a/src/shell/settings.c
+++ b/src/shell/settings.c
@@ -15,6 +15,8 @@
  * kind other than INT the three numbers are 0. */
 #define SETTING_TABLE(X)                                                       \
   X (NAME, "vm.name", vm, true, 0, 0, 0, "name of this VM")                    \
+  X (NAME, "vm.log_name", log_name, false, 0, 0, 0,                            \
+     "name of this VM in its log; its name if left out")                       \
   X (NAME, "vm.failure_domain", failure_domain, true, 0, 0, 0,                 \
      "failure domain of this VM")                                              \
   X (NAME, "vm.region", region, false, 0, 0, 0, "region of this VM")           \
@@ -27,6 +29,10 @@
      4194304, "longest request body")                                          \
   X (INT, "callers.header_max_bytes", header_max_bytes, false, 1024, 1048576,  \
      16384, "longest request head")                                            \
+  X (INT, "callers.request_ms", head_ms, false, 100, 600000, 3000,             \
+     "time for a whole request to come")                                       \
+  X (INT, "callers.idle_ms", idle_ms, false, 100, 3600000, 15000,              \
+     "time that a connection is kept without a request")                       \
   X (INT, "callers.requests_max", requests_max, false, 1, 100000, 12000,       \
      "requests in progress at once")                                           \
   X (INT, "callers.reader_backlog_max_bytes", reader_backlog_max_bytes, false, \
@@ -61,6 +67,32 @@
      "time for the balancer to see that this VM takes no new work")            \
   X (INT, "drain.grace_ms", drain_grace_ms, false, 0, 86400000, 0,             \
      "time for work in progress before it is handed over; 0: no limit")        \
+  X (BOOL, "peers.open", open_peers, false, 0, 0, 0,                           \
+     "whether VMs that peers.vms does not name may join by the shared key")    \
+  X (ROLE, "site.role", site.role, false, 0, 0, 0,                             \
+     "what this process does at a site that the platform runs")                \
+  X (STRING, "site.control_vms", site.control_vms, false, 0, 0, 0,             \
+     "ADDRESS:PORT of control VMs to begin with, joined by commas")            \
+  X (BOOL, "site.founding", site.founding, false, 0, 0, 0,                     \
+     "whether site.control_vms are the first voters of a new site")            \
+  X (STRING, "site.duties", site.duties, false, 0, 0, 0,                       \
+     "calls to the platform that this site makes, joined by commas")           \
+  X (REAL, "site.usage_window_s", site.usage_window_s, false, 0, 86400, 60,    \
+     "length of an accounting window")                                         \
+  X (REAL, "site.usage_late_s", site.usage_late_s, false, 0, 86400, 60,        \
+     "time after a window's end in which its counts are due")                  \
+  X (REAL, "site.grace_s", site.grace_s, false, 0, 86400, 8,                   \
+     "time from the wish to stop to the end by force")                         \
+  X (REAL, "site.retry_ratio", site.retry_ratio, false, 0, 10, 0,              \
+     "repeats allowed for each request to a service")                          \
+  X (REAL, "site.retry_window_s", site.retry_window_s, false, 0, 3600, 10,     \
+     "time over which repeats are counted")                                    \
+  X (INT, "site.retry_slack", site.retry_slack, false, 0, 1000000, 20,         \
+     "repeats allowed beside that, over all entry VMs")                        \
+  X (INT, "site.lease_ms", site.lease_ms, false, 100, 600000, 3000,            \
+     "least time between calls of two holders of a duty")                      \
+  X (INT, "site.drain_ms", site.drain_ms, false, 100, 600000, 3000,            \
+     "time for a leaving upstream to get its last request")                    \
   X (INT, "contract.checkpoint_tokens", checkpoint_tokens, false, 0, 65536, 8, \
      "tokens generated before they go to the backup partner; 0: never")        \
   X (INT, "contract.checkpoint_ms", checkpoint_ms, false, 1, 60000, 100,       \
@@ -73,7 +105,9 @@
   SETTING_ADDRESS,
   SETTING_DIGEST,
   SETTING_INT,
+  SETTING_REAL,
   SETTING_BOOL,
+  SETTING_ROLE,
 } setting_kind_t;
 
 typedef struct
@@ -197,8 +231,11 @@
     {
     case SETTING_INT:
       return scalar->kind == BR_SCALAR_INT;
+    case SETTING_REAL:
+      return scalar->kind == BR_SCALAR_INT || scalar->kind == BR_SCALAR_REAL;
     case SETTING_BOOL:
       return scalar->kind == BR_SCALAR_BOOL;
+    case SETTING_ROLE:
     case SETTING_NAME:
     case SETTING_STRING:
     case SETTING_ADDRESS:
@@ -218,13 +255,17 @@
     case SETTING_STRING:
       return "a string";
     case SETTING_ADDRESS:
-      return "an IP address by number";
+      return "an IP address by number, or with :PORT behind it";
     case SETTING_DIGEST:
       return "sha256: and 64 hexadecimal digits";
     case SETTING_INT:
       return "a whole number";
+    case SETTING_REAL:
+      return "a number";
     case SETTING_BOOL:
       return "true or false";
+    case SETTING_ROLE:
+      return "entry or control";
     }
   return "";
 }
@@ -257,6 +298,58 @@
   br_settings_file_fault (file, scalar->line, scalar->shown, what);
 }
 
+/* Reads "ADDRESS" or "ADDRESS:PORT".  An endpoint begins with its address. */
+static bool
+endpoint_parse (br_str_t text, br_endpoint_t *endpoint)
+{
+  const char *colon = memrchr (text.data, ':', text.len);
+  br_endpoint_t parsed = { .port = endpoint->port };
+  size_t len = text.len;
+  uint64_t port;
+
+  if (colon != NULL && memchr (text.data, ':', text.len) == colon)
+    {
+      len = (size_t)(colon - text.data);
+      if (!br_str_to_u64 (br_str_make (colon + 1, text.len - len - 1), &port)
+          || port == 0 || port > UINT16_MAX)
+        return false;
+      parsed.port = (int64_t)port;
+    }
+  if (len == 0 || len >= sizeof parsed.address)
+    return false;
+  memcpy (parsed.address, text.data, len);
+  if (!address_is_valid (parsed.address))
+    return false;
+  *endpoint = parsed;
+  return true;
+}
+
+static bool
+role_parse (br_str_t text, br_site_role_t *role)
+{
+  *role = br_str_equal (text, br_str_from ("entry"))     ? BR_SITE_ENTRY
+          : br_str_equal (text, br_str_from ("control")) ? BR_SITE_CONTROL
+                                                         : BR_SITE_NONE;
+  return *role != BR_SITE_NONE;
+}
+
+static void
+file_store_real (br_settings_file_t *file,
+                 const setting_row_t *row,
+                 const br_scalar_t *scalar,
+                 double *field)
+{
+  char what[96];
+
+  *field = scalar->real;
+  if (scalar->real >= (double)row->minimum
+      && scalar->real <= (double)row->maximum)
+    return;
+  snprintf (what, sizeof what, "%g is out of range %" PRId64 " to %" PRId64,
+            scalar->real, row->minimum, row->maximum);
+  br_settings_file_fault (file, scalar->line, scalar->shown, what);
+}
+
 static bool
 scalar_store_text (const setting_row_t *row,
                    const br_scalar_t *scalar,
@@ -273,13 +366,13 @@
       br_buf_append (field, text);
       return true;
     case SETTING_ADDRESS:
-      if (!address_is_valid (scalar->text))
-        return false;
-      memcpy (field, scalar->text, text.len + 1);
-      return true;
+      return endpoint_parse (text, field);
     case SETTING_DIGEST:
       return br_digest_parse (text, field);
+    case SETTING_ROLE:
+      return role_parse (text, field);
     case SETTING_INT:
+    case SETTING_REAL:
     case SETTING_BOOL:
       break;
     }
@@ -296,8 +389,13 @@
 
   bool fits = scalar_has_kind (scalar, row->kind);
 
-  if (fits && row->kind == SETTING_INT)
+  if (scalar->kind == BR_SCALAR_REAL && row->kind == SETTING_INT)
+    br_settings_file_fault (file, scalar->line, scalar->shown,
+                            "a whole number is wanted");
+  else if (fits && row->kind == SETTING_INT)
     file_store_int (file, row, scalar, field);
+  else if (fits && row->kind == SETTING_REAL)
+    file_store_real (file, row, scalar, field);
   else if (fits && row->kind == SETTING_BOOL)
     *(bool *)field = scalar->number != 0;
   else if (!fits || !scalar_store_text (row, scalar, field))
@@ -364,6 +462,27 @@
     br_settings_file_fault (file, scalar->line, scalar->shown, "unknown key");
 }
 
+/* Whether the address of the endpoint whose port is PATH names the port. */
+static bool
+address_has_port (const br_settings_file_t *file, const char *path, size_t item)
+{
+  size_t len = strlen (path);
+  char address[64];
+
+  if (len < 5 || strcmp (path + len - 5, ".port") != 0)
+    return false;
+  snprintf (address, sizeof address, "%.*s.address", (int)(len - 5), path);
+  for (size_t i = 0; i < file->scalars.len; i++)
+    {
+      const br_scalar_t *scalar = &file->scalars.items[i];
+
+      if (strcmp (scalar->path, address) == 0 && scalar->item == item
+          && scalar->text != NULL)
+        return strchr (scalar->text, ':') != NULL;
+    }
+  return false;
+}
+
 static bool
 file_has (const br_settings_file_t *file, const char *path, size_t item)
 {
@@ -374,6 +493,19 @@
   return false;
 }
 
+/* A control VM has no callers. */
+static bool
+file_needs_no (const br_settings_file_t *file, const char *path)
+{
+  if (strncmp (path, "callers.", 8) != 0)
+    return false;
+  for (size_t i = 0; i < file->scalars.len; i++)
+    if (strcmp (file->scalars.items[i].path, "site.role") == 0
+        && file->scalars.items[i].text != NULL)
+      return strcmp (file->scalars.items[i].text, "control") == 0;
+  return false;
+}
+
 static void
 file_check_required (br_settings_file_t *file,
                      const setting_row_t *rows,
@@ -382,23 +514,55 @@
 {
   for (size_t item = 0; item < n_items; item++)
     for (size_t i = 0; i < n_rows; i++)
-      if (rows[i].required && !file_has (file, rows[i].path, item))
+      if (rows[i].required && !file_needs_no (file, rows[i].path)
+          && !file_has (file, rows[i].path, item)
+          && !address_has_port (file, rows[i].path, item))
         br_settings_file_fault (file, file->last_line, rows[i].path,
                                 "is required and missing");
 }
 
+/* Makes peers of the control VMs that the settings name.  A VM of such a site
+ * has its address as its name. */
+static void
+file_add_control_vms (br_settings_file_t *file, br_settings_t *settings)
+{
+  br_str_t rest = br_buf_str (&settings->site.control_vms);
+
+  settings->joins = true;
+  while (rest.len > 0)
+    {
+      const char *comma = memchr (rest.data, ',', rest.len);
+      size_t len = comma != NULL ? (size_t)(comma - rest.data) : rest.len;
+      br_peer_settings_t peer = { .voter = settings->site.founding };
+
+      if (!endpoint_parse (br_str_make (rest.data, len), &peer.endpoint))
+        br_settings_file_fault (file, file->last_line, "site.control_vms",
+                                "wants ADDRESS:PORT, joined by commas");
+      peer.endpoint.port = settings->peers.port;
+      peer.name = br_name_from (peer.endpoint.address);
+      if (br_name_equal (&peer.name, &settings->vm))
+        settings->joins = !settings->site.founding;
+      else
+        br_peer_settings_list_push (&settings->vms, peer);
+      len += comma != NULL ? 1 : 0;
+      rest = br_str_make (rest.data + len, rest.len - len);
+    }
+}
+
 static void
 file_check_together (br_settings_file_t *file, const br_settings_t *settings)
 {
   int line = file->last_line;
 
-  if (settings->vms.len > 0 && settings->peers.port == 0)
+  bool has_peers = settings->vms.len > 0 || settings->site.role != BR_SITE_NONE;
+
+  if (has_peers && settings->peers.port == 0)
     br_settings_file_fault (file, line, "peers.port",
                             "is required with peers.vms");
-  if (settings->vms.len > 0 && settings->peers.address[0] == '\0')
+  if (has_peers && settings->peers.address[0] == '\0')
     br_settings_file_fault (file, line, "peers.address",
                             "is required with peers.vms");
-  if (settings->vms.len > 0 && settings->shared_key.len < 16)
+  if (has_peers && settings->shared_key.len < 16)
     br_settings_file_fault (
         file, line, "peers.shared_key",
         "of at least 16 characters is required with peers.vms");
@@ -419,6 +583,8 @@
 
       if (row->kind == SETTING_INT)
         *(int64_t *)((char *)settings + row->offset) = row->fallback;
+      else if (row->kind == SETTING_REAL)
+        *(double *)((char *)settings + row->offset) = (double)row->fallback;
     }
 }
 
@@ -441,6 +607,8 @@
                            settings->vms.len);
       file_check_required (&file, upstream_rows, BR_N_ELEMENTS (upstream_rows),
                            settings->upstreams.len);
+      if (settings->site.role != BR_SITE_NONE)
+        file_add_control_vms (&file, settings);
       file_check_together (&file, settings);
     }
   br_settings_file_release (&file);
@@ -477,6 +645,7 @@
                    errno != 0 ? strerror (errno) : "over 1 MiB");
   else
     ok = br_settings_parse (br_buf_str (&text), path, settings, faults);
+  br_buf_append (&settings->source, br_str_from (path));
   br_buf_free (&text);
   return ok;
 }
@@ -503,8 +672,11 @@
     br_labels_free (&settings->upstreams.items[i].labels);
   br_upstream_settings_list_free (&settings->upstreams);
   br_peer_settings_list_free (&settings->vms);
+  br_buf_free (&settings->source);
   br_buf_free (&settings->shared_key);
   br_buf_free (&settings->data_folder);
+  br_buf_free (&settings->site.control_vms);
+  br_buf_free (&settings->site.duties);
 }
 
 static void
--- a/src/shell/settings.h
+++ b/src/shell/settings.h
@@ -47,9 +47,36 @@
 BR_VEC (br_peer_settings_list, br_peer_settings_t);
 BR_VEC (br_upstream_settings_list, br_upstream_settings_t);
 
+/* What a process does at a site that the platform runs. */
+typedef enum
+{
+  BR_SITE_NONE,    /* no such site: the settings name every VM */
+  BR_SITE_ENTRY,   /* takes requests from callers */
+  BR_SITE_CONTROL, /* keeps the replicated state */
+} br_site_role_t;
+
+/* Bounds and quotas that hold over a whole site. */
+typedef struct
+{
+  br_site_role_t role;
+  br_buf_t control_vms; /* "ADDRESS:PORT,...": VMs to begin with */
+  bool founding;        /* CONTROL_VMS are the first voters */
+  br_buf_t duties;      /* "NAME,...": calls to the platform that are made */
+  double usage_window_s;
+  double usage_late_s; /* after its end a window's counts are due */
+  double grace_s;      /* from the wish to stop to the end by force */
+  double retry_ratio;  /* repeats allowed for each request */
+  double retry_window_s;
+  int64_t retry_slack; /* repeats allowed beside that, over all VMs */
+  br_ms_t lease_ms;    /* between calls of two holders of a duty */
+  br_ms_t drain_ms;    /* for a leaving upstream to get its last request */
+} br_site_settings_t;
+
 typedef struct
 {
+  br_buf_t source; /* path of the file; empty when it was none */
   br_name_t vm;
+  br_name_t log_name; /* of this VM in its log; empty: its name */
   br_name_t failure_domain;
   br_name_t region;
   bool voter;
@@ -58,12 +85,17 @@
   br_endpoint_t peers;
   br_endpoint_t platform; /* port 0: no platform is asked */
   br_ms_t platform_poll_ms;
+  bool open_peers; /* VMs that the settings do not name may join */
+  bool joins;      /* not among the first voters */
+  br_site_settings_t site;
   br_buf_t shared_key;  /* between entry VMs; empty without peers */
   br_buf_t data_folder; /* empty: nothing is kept on disk */
   br_digest_t operator_key_digest;
   bool has_operator_key; /* without one, operators need no key */
   int64_t body_max_bytes;
   int64_t header_max_bytes;
+  br_ms_t head_ms; /* for a whole request to come */
+  br_ms_t idle_ms; /* of a caller's connection without a request */
   int64_t requests_max;
   int64_t reader_backlog_max_bytes;
   br_ms_t connect_ms;
--- a/src/shell/settings_reader.c
+++ b/src/shell/settings_reader.c
@@ -134,19 +134,17 @@
 static int
 on_integer (void *context, long long value)
 {
-  reader_add (context, BR_SCALAR_INT)->number = value;
+  br_scalar_t *scalar = reader_add (context, BR_SCALAR_INT);
+
+  scalar->number = value;
+  scalar->real = (double)value;
   return 1;
 }
 
 static int
 on_double (void *context, double value)
 {
-  reader_t *reader = context;
-
-  (void)value;
-  reader_begin_value (reader);
-  reader_fault (reader, reader_line (reader), reader->shown.data,
-                "a whole number is wanted");
+  reader_add (context, BR_SCALAR_REAL)->real = value;
   return 1;
 }
 
--- a/src/shell/settings_reader.h
+++ b/src/shell/settings_reader.h
@@ -11,6 +11,7 @@
 {
   BR_SCALAR_STRING,
   BR_SCALAR_INT,
+  BR_SCALAR_REAL,
   BR_SCALAR_BOOL,
 } br_scalar_kind_t;
 
@@ -23,6 +24,7 @@
   size_t item;    /* position in the outermost array */
   char *text;     /* of a string */
   int64_t number; /* of a whole number, or 0 and 1 */
+  double real;    /* of a whole number or a fraction */
   int line;
 } br_scalar_t;
 
@@ -43,8 +45,8 @@
                              const char *key,
                              const char *what);
 
-/* Reads all scalars of TEXT.  A syntax error, a null, a fraction and a key
- * that is given twice are faults; false after a syntax error. */
+/* Reads all scalars of TEXT.  A syntax error, a null and a key that is
+ * given twice are faults; false after a syntax error. */
 bool br_settings_file_read (br_settings_file_t *file, br_str_t text);
 void br_settings_file_release (br_settings_file_t *file);
 
--- /dev/null
+++ b/src/shell/site_message.h
@@ -0,0 +1,43 @@
+/* Packs and sends the messages between entry VMs and control VMs. */
+#ifndef BR_SHELL_SITE_MESSAGE_H
+#define BR_SHELL_SITE_MESSAGE_H
+
+#include "shell/node.h"
+#include "site/listing.h"
+#include "site/site.pb-c.h"
+
+BR_BEGIN_DECLS
+
+typedef Br__Site__Message br_site_message_t;
+
+/* Sends MESSAGE to VM; false when no link is ready. */
+bool br_site_send (br_node_t *node,
+                   const br_name_t *vm,
+                   const br_site_message_t *message);
+
+/* Returns NULL, with a log line, when PAYLOAD does not parse.  The caller frees
+ * it with br__site__message__free_unpacked(). */
+br_site_message_t *
+br_site_receive (br_node_t *node, const br_name_t *vm, br_str_t payload);
+
+/* Sends a whole list of upstreams. */
+typedef struct
+{
+  uint64_t term;
+  uint64_t sequence;
+  const br_listings_t *listings;
+} br_site_fleet_t;
+
+bool br_site_send_fleet (br_node_t *node,
+                         const br_name_t *vm,
+                         const br_site_fleet_t *fleet);
+
+/* Fills LISTINGS; an entry whose names do not fit is left out. */
+void br_site_read_fleet (const Br__Site__Fleet *fleet, br_listings_t *listings);
+
+/* Dials a control VM by its address, which is its name. */
+void br_site_dial (br_node_t *node, br_str_t address);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/shell/site_task.c
@@ -0,0 +1,304 @@
+#include "shell/site_task.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/stat.h>
+
+#include "shell/control_task.h"
+#include "shell/entry_task.h"
+#include "shell/peer_task.h"
+#include "shell/replica_task.h"
+#include "shell/site_http.h"
+#include "shell/site_message.h"
+
+/* Time between two writings of the log. */
+#define LOG_FLUSH_MS 100
+
+/* Log lines that wait to be written, in bytes: some seconds of the worst
+ * load. */
+#define LOG_PENDING_MAX (512 * 1024)
+
+/* Time between two looks at the settings file. */
+#define SETTINGS_LOOK_MS 1000
+
+/* The balancer asks once in a second and needs two misses: until then callers
+ * are still sent here, in milliseconds. */
+#define KEEP_MS 2300
+#define ACCEPT_MS 3200
+
+/* What is left of the grace when the process ends by itself. */
+#define GRACE_MARGIN_MS 400
+
+/* A control VM hands leadership over and is gone after this time. */
+#define CONTROL_DRAIN_MS 700
+
+#define DRAIN_LOOK_MS 50
+
+struct br_site_task
+{
+  br_node_t *node;
+  br_entry_task_t *entry;     /* NULL on a control VM */
+  br_control_task_t *control; /* NULL on an entry VM */
+  br_site_http_t *http;
+  struct event *log_timer;
+  struct event *settings_timer;
+  struct event *drain_timer;
+  struct event *reload;
+  br_ms_t drain_ms;
+  struct timespec settings_changed;
+};
+
+/* --- messages --- */
+
+static void
+task_on_peer (br_site_task_t *task, br_peer_message_t *message)
+{
+  if (message->part == BR_PART_REPLICA && task->control != NULL)
+    br_replica_task_on_message (task->node->replica, &message->vm,
+                                br_buf_str (&message->payload));
+  else if (message->part == BR_PART_SITE && task->control != NULL)
+    br_control_task_on_message (task->control, message);
+  else if (message->part == BR_PART_SITE)
+    br_entry_task_on_message (task->entry, &message->vm,
+                              br_buf_str (&message->payload));
+  br_buf_free (&message->payload);
+}
+
+static void
+task_on_link (br_site_task_t *task, const br_peer_message_t *message, bool up)
+{
+  if (task->entry != NULL)
+    br_entry_task_on_link (task->entry, &message->vm, up);
+  else if (up)
+    br_control_task_on_link (task->control, &message->vm);
+  else
+    br_replica_task_on_peer_down (task->node->replica, &message->vm);
+}
+
+void
+br_site_task_on_message (br_site_task_t *task, br_node_message_t *message)
+{
+  switch (message->kind)
+    {
+    case BR_NODE_PEER_UP:
+    case BR_NODE_PEER_DOWN:
+      task_on_link (task, &message->peer, message->kind == BR_NODE_PEER_UP);
+      break;
+    case BR_NODE_PEER_RECEIVED:
+      task_on_peer (task, &message->peer);
+      break;
+    case BR_NODE_PROPOSAL:
+      if (task->control != NULL)
+        br_control_task_on_proposal (task->control, &message->proposal);
+      br_buf_free (&message->proposal.result);
+      break;
+    case BR_NODE_APPLIED:
+      if (task->control != NULL)
+        br_control_task_on_applied (task->control);
+      break;
+    case BR_NODE_STOP:
+      br_node_drain (task->node);
+      break;
+    default:
+      break; /* of the tasks that do not run here */
+    }
+}
+
+/* --- the log and the settings --- */
+
+static void
+task_on_log_timer (evutil_socket_t fd, short what, void *context)
+{
+  br_site_task_t *task = context;
+
+  (void)fd;
+  (void)what;
+  br_log_flush (&task->node->log);
+}
+
+/* Takes over what may change while the process runs: the control VMs to begin
+ * with.  A file with a fault changes nothing. */
+static void
+task_reload (br_site_task_t *task, const char *why)
+{
+  br_node_t *node = task->node;
+  br_settings_t fresh;
+  br_buf_t faults = { 0 };
+
+  if (!br_settings_load (node->settings.source.data, &fresh, &faults))
+    BR_LOG (&node->log, "node", "settings refused", br_field_z ("why", why),
+            br_field_str ("faults", br_buf_str (&faults)));
+  else
+    {
+      for (size_t i = 0; i < fresh.vms.len; i++)
+        br_site_dial (node, br_name_str (&fresh.vms.items[i].name));
+      BR_LOG (
+          &node->log, "node", "settings reloaded", br_field_z ("why", why),
+          br_field_str ("control_vms", br_buf_str (&fresh.site.control_vms)));
+    }
+  br_settings_release (&fresh);
+  br_buf_free (&faults);
+}
+
+static void
+task_on_reload (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  task_reload (context, "signal");
+}
+
+static bool
+task_settings_changed (br_site_task_t *task)
+{
+  struct timespec *known = &task->settings_changed;
+  struct stat now;
+
+  if (task->node->settings.source.len == 0
+      || stat (task->node->settings.source.data, &now) != 0)
+    return false;
+  if (now.st_mtim.tv_sec == known->tv_sec
+      && now.st_mtim.tv_nsec == known->tv_nsec)
+    return false;
+  *known = now.st_mtim;
+  return true;
+}
+
+static void
+task_on_settings_timer (evutil_socket_t fd, short what, void *context)
+{
+  br_site_task_t *task = context;
+
+  (void)fd;
+  (void)what;
+  if (task_settings_changed (task))
+    task_reload (task, "the file changed");
+}
+
+/* --- stopping --- */
+
+static bool
+task_is_idle (const br_site_task_t *task, br_ms_t spent)
+{
+  if (task->control != NULL)
+    return spent >= CONTROL_DRAIN_MS
+           && !br_replica_task_is_leader (task->node->replica);
+  return spent >= ACCEPT_MS && br_entry_task_in_progress (task->entry) == 0;
+}
+
+static void
+task_on_drain_timer (evutil_socket_t fd, short what, void *context)
+{
+  br_site_task_t *task = context;
+  br_node_t *node = task->node;
+  br_ms_t spent = br_node_now (node) - task->drain_ms;
+  br_ms_t grace = (br_ms_t)(node->settings.site.grace_s * 1000);
+
+  (void)fd;
+  (void)what;
+  if (task->entry != NULL && spent >= KEEP_MS)
+    br_entry_task_stop_keeping (task->entry);
+  if (task->entry != NULL && spent >= ACCEPT_MS)
+    br_entry_task_stop_accepting (task->entry);
+  if (!task_is_idle (task, spent) && spent < grace - GRACE_MARGIN_MS)
+    return;
+  BR_LOG (&node->log, "node", "drained", br_field_int ("after_ms", spent));
+  event_base_loopbreak (node->base);
+}
+
+void
+br_site_task_drain (br_site_task_t *task)
+{
+  struct timeval period = { 0, DRAIN_LOOK_MS * 1000 };
+
+  task->drain_ms = br_node_now (task->node);
+  BR_LOG (&task->node->log, "node", "draining",
+          br_field_int ("in_progress",
+                        task->entry != NULL
+                            ? (int64_t)br_entry_task_in_progress (task->entry)
+                            : 0));
+  if (task->control != NULL)
+    br_replica_task_hand_over (task->node->replica);
+  event_add (task->drain_timer, &period);
+}
+
+/* --- start --- */
+
+static bool
+task_start_role (br_site_task_t *task, br_error_t *err)
+{
+  br_node_t *node = task->node;
+
+  node->peers = br_peer_task_new (node, err);
+  if (node->peers == NULL)
+    return false;
+  if (node->settings.site.role == BR_SITE_ENTRY)
+    {
+      task->entry = br_entry_task_new (node, err);
+      return task->entry != NULL;
+    }
+  node->state = br_state_new ();
+  node->replica = br_replica_task_new (node, err);
+  if (node->replica == NULL)
+    return false;
+  task->control = br_control_task_new (node);
+  return true;
+}
+
+static struct event *
+task_add_timer (br_site_task_t *task, event_callback_fn on_timer, br_ms_t ms)
+{
+  struct timeval period = { ms / 1000, ms % 1000 * 1000 };
+  struct event *timer
+      = event_new (task->node->base, -1, EV_PERSIST, on_timer, task);
+
+  event_add (timer, &period);
+  return timer;
+}
+
+br_site_task_t *
+br_site_task_new (br_node_t *node, br_error_t *err)
+{
+  br_site_task_t *task = br_alloc_zero (sizeof *task);
+
+  task->node = node;
+  br_log_defer (&node->log, LOG_PENDING_MAX);
+  if (task_start_role (task, err))
+    task->http = br_site_http_new (node, task->entry, task->control, err);
+  if (task->http == NULL)
+    {
+      br_site_task_free (task);
+      return NULL;
+    }
+  task_settings_changed (task);
+  task->log_timer = task_add_timer (task, task_on_log_timer, LOG_FLUSH_MS);
+  task->settings_timer
+      = task_add_timer (task, task_on_settings_timer, SETTINGS_LOOK_MS);
+  task->drain_timer
+      = event_new (node->base, -1, EV_PERSIST, task_on_drain_timer, task);
+  task->reload = evsignal_new (node->base, SIGHUP, task_on_reload, task);
+  evsignal_add (task->reload, NULL);
+  return task;
+}
+
+static void
+event_release (struct event *event)
+{
+  if (event != NULL)
+    event_free (event);
+}
+
+void
+br_site_task_free (br_site_task_t *task)
+{
+  if (task == NULL)
+    return;
+  br_site_http_free (task->http);
+  br_entry_task_free (task->entry);
+  br_control_task_free (task->control);
+  event_release (task->log_timer);
+  event_release (task->settings_timer);
+  event_release (task->drain_timer);
+  event_release (task->reload);
+  free (task);
+}
--- /dev/null
+++ b/src/shell/upstream_pool.c
@@ -0,0 +1,150 @@
+#include "shell/upstream_pool.h"
+
+#include <event2/util.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/vec.h"
+
+/* Before the end of the time for which an upstream keeps a connection, it is
+ * not used any more, in milliseconds: the request could cross the close. */
+#define KEEP_ALIVE_MARGIN_MS 400
+
+/* An idle connection is kept this long when the upstream names no time. */
+#define IDLE_MS 8000
+
+BR_VEC (clients, br_http_client_t *);
+
+typedef struct
+{
+  clients_t idle; /* the one that was used last at the end */
+} pool_t;
+
+static pool_t *
+pool_of (br_fleet_upstream_t *upstream)
+{
+  if (upstream->pool == NULL)
+    upstream->pool = br_alloc_zero (sizeof (pool_t));
+  return upstream->pool;
+}
+
+static bool
+client_is_fresh (const br_http_client_t *client, br_ms_t max_ms, br_ms_t now)
+{
+  br_ms_t idle_ms = now - br_http_client_idle_since (client);
+  br_ms_t kept_ms = br_http_client_keep_alive_ms (client);
+
+  if (kept_ms > 0 && idle_ms > kept_ms - KEEP_ALIVE_MARGIN_MS)
+    return false;
+  return idle_ms <= BR_MIN (max_ms, IDLE_MS);
+}
+
+/* An idle connection was closed by the upstream. */
+static void
+on_idle_event (void *context,
+               br_http_client_t *client,
+               const br_client_event_t *event)
+{
+  br_fleet_upstream_t *upstream = context;
+  pool_t *pool = pool_of (upstream);
+
+  (void)event;
+  for (size_t i = 0; i < pool->idle.len; i++)
+    if (pool->idle.items[i] == client)
+      {
+        pool->idle.items[i] = pool->idle.items[--pool->idle.len];
+        br_http_client_free (client);
+        return;
+      }
+}
+
+static br_http_client_t *
+pool_connect (struct event_base *base, const br_listing_t *listing)
+{
+  struct sockaddr_storage address;
+  char text[BR_NAME_MAX + 16];
+  int len = sizeof address;
+
+  snprintf (text, sizeof text, "%s:%u", listing->address.data, listing->port);
+  if (evutil_parse_sockaddr_port (text, (struct sockaddr *)&address, &len) != 0)
+    return NULL;
+  return br_http_client_new (base, (struct sockaddr *)&address, len);
+}
+
+br_http_client_t *
+br_upstream_pool_take (struct event_base *base,
+                       br_fleet_upstream_t *upstream,
+                       const br_pool_wish_t *wish,
+                       br_ms_t now,
+                       bool *is_new)
+{
+  pool_t *pool = pool_of (upstream);
+  br_http_client_t *client = NULL;
+
+  for (size_t i = pool->idle.len; i-- > 0 && client == NULL;)
+    if (client_is_fresh (pool->idle.items[i], wish->idle_max_ms, now))
+      {
+        client = pool->idle.items[i];
+        pool->idle.items[i] = pool->idle.items[--pool->idle.len];
+      }
+  *is_new = client == NULL;
+  if (client == NULL)
+    client = pool_connect (base, &upstream->listing);
+  if (client != NULL)
+    br_http_client_set_owner (client, wish->on_event, wish->context);
+  return client;
+}
+
+void
+br_upstream_pool_keep (br_fleet_upstream_t *upstream,
+                       br_http_client_t *client,
+                       size_t keep_max)
+{
+  pool_t *pool = pool_of (upstream);
+
+  if (upstream->gone || pool->idle.len >= keep_max)
+    {
+      br_http_client_free (client);
+      return;
+    }
+  br_http_client_set_owner (client, on_idle_event, upstream);
+  clients_push (&pool->idle, client);
+}
+
+void
+br_upstream_pool_drop (br_fleet_upstream_t *upstream)
+{
+  pool_t *pool = pool_of (upstream);
+
+  while (pool->idle.len > 0)
+    br_http_client_free (pool->idle.items[--pool->idle.len]);
+}
+
+void
+br_upstream_pool_trim (br_fleet_upstream_t *upstream, br_ms_t now)
+{
+  pool_t *pool = upstream->pool;
+
+  if (pool == NULL)
+    return;
+  for (size_t i = pool->idle.len; i-- > 0;)
+    if (!client_is_fresh (pool->idle.items[i], IDLE_MS, now))
+      {
+        br_http_client_free (pool->idle.items[i]);
+        pool->idle.items[i] = pool->idle.items[--pool->idle.len];
+      }
+}
+
+void
+br_upstream_pool_free (void *context, br_fleet_upstream_t *upstream)
+{
+  pool_t *pool = upstream->pool;
+
+  (void)context;
+  if (pool == NULL)
+    return;
+  br_upstream_pool_drop (upstream);
+  clients_free (&pool->idle);
+  free (pool);
+  upstream->pool = NULL;
+}
--- /dev/null
+++ b/src/site/cache_memory.h
@@ -0,0 +1,40 @@
+/* Which prompt parts an upstream probably holds in its cache: those that were
+ * sent there lately.  Memory is fixed. */
+#ifndef BR_SITE_CACHE_MEMORY_H
+#define BR_SITE_CACHE_MEMORY_H
+
+#include "base/clock.h"
+#include "site/inbound.h"
+
+BR_BEGIN_DECLS
+
+/* Parts remembered of one upstream, in sets of BR_CACHE_WAYS. */
+#define BR_CACHE_SETS 256
+#define BR_CACHE_WAYS 4
+
+typedef struct
+{
+  uint64_t part; /* 0: empty */
+  br_ms_t used_ms;
+} br_cache_slot_t;
+
+typedef struct
+{
+  br_cache_slot_t slots[BR_CACHE_SETS][BR_CACHE_WAYS];
+} br_cache_memory_t;
+
+/* Returns how many tokens at the start of the prompt are probably cached: those
+ * of the leading parts that were used since SINCE_MS. */
+uint32_t br_cache_memory_find (const br_cache_memory_t *memory,
+                               const br_inbound_t *inbound,
+                               br_ms_t since_ms);
+
+/* The prompt's parts were read there. */
+void br_cache_memory_add (br_cache_memory_t *memory,
+                          const br_inbound_t *inbound,
+                          br_ms_t now);
+void br_cache_memory_clear (br_cache_memory_t *memory);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/site/choice.c
@@ -0,0 +1,186 @@
+#include "site/choice.h"
+
+/* What an engine has read is taken to be cached for this long, in
+ * milliseconds; the least recently used parts go first, and those in use are
+ * far below an engine's memory for longer than this. */
+#define CACHE_LIFE_MS 60000
+
+/* Worth of staying in the own failure domain, in milliseconds: the way there
+ * and back and a little for the link's price. */
+#define OTHER_DOMAIN_MS 8
+
+/* Worth of the upstream that all VMs prefer for a prompt which none is known
+ * to hold, in milliseconds: about the reading of a shared part. */
+#define PREFERRED_MS 25
+
+/* Time that each running request adds to what a new one waits, in
+ * milliseconds: its share of a step of the batch. */
+#define RUNNING_MS 0.4
+
+/* Expected time of a request to a plain service while another runs there, in
+ * milliseconds, for as long as none was measured. */
+#define PLAIN_MS 15.0
+
+/* Time until a slot of a full engine is free, in milliseconds for each request
+ * that waits: the length of a usual answer over the slots. */
+#define FULL_ENGINE_MS 20.0
+
+/* What a share of failures costs, in milliseconds for all of them. */
+#define FAILING_MS 400.0
+
+typedef struct
+{
+  double cost_ms;
+  br_choice_t choice;
+} candidate_t;
+
+static bool
+query_has_tried (const br_choice_query_t *query,
+                 const br_fleet_upstream_t *upstream)
+{
+  for (size_t i = 0; i < query->n_tried; i++)
+    if (query->tried[i] == upstream)
+      return true;
+  return false;
+}
+
+static bool
+upstream_fits (const br_fleet_upstream_t *upstream,
+               const br_choice_query_t *query)
+{
+  return !upstream->listing.draining
+         && br_name_equal (&upstream->listing.service, &query->service->name)
+         && !query_has_tried (query, upstream);
+}
+
+/* The shared part that tells most about where a prompt is cached: the last one
+ * that is not the request's own. */
+static uint64_t
+inbound_affinity (const br_inbound_t *inbound)
+{
+  if (inbound->n_parts == 0)
+    return 0;
+  return inbound->parts[inbound->n_parts > 1 ? inbound->n_parts - 2 : 0].id;
+}
+
+/* Rendezvous hashing: all VMs rank the upstreams alike. */
+static uint64_t
+upstream_rank (const br_fleet_upstream_t *upstream, uint64_t affinity)
+{
+  return br_str_hash (br_name_str (&upstream->listing.id), affinity);
+}
+
+static const br_fleet_upstream_t *
+fleet_preferred (const br_fleet_t *fleet, const br_choice_query_t *query)
+{
+  uint64_t affinity = inbound_affinity (query->inbound);
+  const br_fleet_upstream_t *best = NULL;
+  uint64_t best_rank = 0;
+
+  if (affinity == 0)
+    return NULL;
+  for (size_t i = 0; i < fleet->all.len; i++)
+    {
+      const br_fleet_upstream_t *upstream = fleet->all.items[i];
+      uint64_t rank = upstream_rank (upstream, affinity);
+
+      if (upstream_fits (upstream, query) && (best == NULL || rank > best_rank))
+        {
+          best = upstream;
+          best_rank = rank;
+        }
+    }
+  return best;
+}
+
+static void
+estimate_engine (candidate_t *candidate,
+                 const br_choice_query_t *query,
+                 br_ms_t now)
+{
+  br_choice_t *choice = &candidate->choice;
+  const br_fleet_upstream_t *upstream = choice->upstream;
+  uint32_t cached = upstream->cache != NULL ? br_cache_memory_find (
+                        upstream->cache, query->inbound, now - CACHE_LIFE_MS)
+                                            : 0;
+  uint32_t prompt = query->inbound->prompt_tokens;
+  uint32_t load = br_fleet_load (upstream, now);
+  uint32_t slots = (uint32_t)query->service->engine.slots;
+  double ms;
+
+  choice->uncached = prompt > cached ? prompt - cached : 0;
+  choice->backlog = br_fleet_backlog (upstream, now) + choice->uncached;
+  choice->full = load >= slots;
+  ms = (double)choice->backlog / upstream->prefill_per_ms + load * RUNNING_MS;
+  if (choice->full)
+    ms += (load - slots + 1) * FULL_ENGINE_MS;
+  candidate->cost_ms = ms;
+}
+
+static void
+estimate_plain (candidate_t *candidate, br_ms_t now)
+{
+  const br_fleet_upstream_t *upstream = candidate->choice.upstream;
+  uint32_t load = br_fleet_load (upstream, now);
+  uint32_t slots = BR_MAX (upstream->listing.slots, 1);
+
+  candidate->choice.full = load >= slots;
+  candidate->cost_ms = PLAIN_MS + load * PLAIN_MS / slots;
+  if (candidate->choice.full)
+    candidate->cost_ms += (load - slots + 1) * PLAIN_MS / slots;
+}
+
+static candidate_t
+candidate_make (br_fleet_upstream_t *upstream,
+                const br_choice_query_t *query,
+                br_ms_t now)
+{
+  candidate_t candidate = { .choice = { .upstream = upstream } };
+
+  if (query->service->has_engine)
+    estimate_engine (&candidate, query, now);
+  else
+    estimate_plain (&candidate, now);
+  candidate.choice.expected_ms = (br_ms_t)candidate.cost_ms;
+  if (!br_name_equal (&upstream->listing.failure_domain,
+                      &query->failure_domain))
+    candidate.cost_ms += OTHER_DOMAIN_MS;
+  candidate.cost_ms += upstream->failing * FAILING_MS;
+  return candidate;
+}
+
+static bool
+upstream_sits_out (const br_fleet_upstream_t *upstream, br_ms_t now)
+{
+  return now < upstream->avoid_until_ms || now < upstream->full_until_ms;
+}
+
+br_choice_t
+br_choice_make (const br_fleet_t *fleet,
+                const br_choice_query_t *query,
+                br_ms_t now)
+{
+  const br_fleet_upstream_t *preferred = fleet_preferred (fleet, query);
+  candidate_t best = { 0 };
+  bool best_sits_out = true;
+
+  for (size_t i = 0; i < fleet->all.len; i++)
+    {
+      br_fleet_upstream_t *upstream = fleet->all.items[i];
+      bool sits_out = upstream_sits_out (upstream, now);
+      candidate_t candidate;
+
+      if (!upstream_fits (upstream, query))
+        continue;
+      candidate = candidate_make (upstream, query, now);
+      if (upstream == preferred)
+        candidate.cost_ms -= PREFERRED_MS;
+      if (best.choice.upstream == NULL || (best_sits_out && !sits_out)
+          || (best_sits_out == sits_out && candidate.cost_ms < best.cost_ms))
+        {
+          best = candidate;
+          best_sits_out = sits_out;
+        }
+    }
+  return best.choice;
+}
--- /dev/null
+++ b/src/site/choice.h
@@ -0,0 +1,41 @@
+/* Which upstream gets a request.  A function of what is known and the clock:
+ * no input, no output, no state of its own. */
+#ifndef BR_SITE_CHOICE_H
+#define BR_SITE_CHOICE_H
+
+#include "site/configuration.h"
+#include "site/fleet.h"
+
+BR_BEGIN_DECLS
+
+/* Upstreams that one request may have tried already. */
+#define BR_CHOICE_TRIED_MAX 8
+
+typedef struct
+{
+  const br_site_service_t *service;
+  const br_inbound_t *inbound;
+  br_name_t failure_domain; /* of this VM */
+  const br_fleet_upstream_t *tried[BR_CHOICE_TRIED_MAX];
+  size_t n_tried;
+} br_choice_query_t;
+
+typedef struct
+{
+  br_fleet_upstream_t *upstream; /* NULL: there is none */
+  uint32_t uncached;             /* prompt tokens that it has to read */
+  uint64_t backlog;              /* prompt tokens ahead, with these */
+  br_ms_t expected_ms; /* until the first event, or the answer of a plain
+                        * service */
+  bool full;           /* all slots are taken: it would wait there */
+} br_choice_t;
+
+/* Finds the upstream with the lowest expected time.  Those that sit out are
+ * used when there are no others. */
+br_choice_t br_choice_make (const br_fleet_t *fleet,
+                            const br_choice_query_t *query,
+                            br_ms_t now);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/site/configuration.h
@@ -0,0 +1,155 @@
+/* A whole configuration of a site as one value: routes, services, limits and
+ * organisations.  The one with the highest version is in force. */
+#ifndef BR_SITE_CONFIGURATION_H
+#define BR_SITE_CONFIGURATION_H
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/str.h"
+#include "base/vec.h"
+#include "http/http_server.h"
+
+BR_BEGIN_DECLS
+
+/* X (id, name): how often a request of a route may run */
+#define BR_ROUTE_KIND_TABLE(X)                                                 \
+  X (IDEMPOTENT, "idempotent")                                                 \
+  X (NON_IDEMPOTENT, "non_idempotent")                                         \
+  X (STREAM, "streaming")
+
+typedef enum
+{
+#define X(id, name) BR_ROUTE_##id,
+  BR_ROUTE_KIND_TABLE (X)
+#undef X
+} br_route_kind_t;
+
+/* A share of a route's requests that goes to one service. */
+typedef struct
+{
+  br_name_t service;
+  uint32_t weight;
+} br_split_t;
+
+BR_VEC (br_splits, br_split_t);
+
+typedef struct
+{
+  br_name_t name;
+  br_buf_t host;   /* owned */
+  br_buf_t prefix; /* owned; begins and ends with a slash */
+  br_route_kind_t kind;
+  br_ms_t timeout_ms;   /* longest time a caller is kept waiting */
+  br_ms_t objective_ms; /* latency objective, up to the first event */
+  br_ms_t max_gap_ms;   /* between events of a stream; 0: not bounded */
+  int priority;         /* 0 is the most urgent */
+  int max_attempts;     /* upstreams that one request may reach */
+  bool open;            /* needs no key */
+  bool resumable;       /* a stream may be continued on another upstream */
+  br_splits_t splits;   /* owned */
+} br_site_route_t;
+
+BR_VEC (br_site_routes, br_site_route_t);
+
+/* What the engines of a service can hold. */
+typedef struct
+{
+  int slots;            /* requests in one batch */
+  int64_t cache_tokens; /* memory for running requests and cached prompts */
+  int event_tokens;     /* generated tokens in one event */
+} br_engine_limits_t;
+
+typedef struct
+{
+  br_name_t failure_domain;
+  double price; /* of an upstream there, relative */
+} br_domain_price_t;
+
+BR_VEC (br_domain_prices, br_domain_price_t);
+
+/* Bounds on the number of upstreams that may be ordered, by failure domain. */
+typedef struct
+{
+  int min;
+  int max;
+  br_ms_t boot_ms;
+  double spot_price;          /* of a reclaimable VM, relative; 0: none */
+  br_domain_prices_t domains; /* owned */
+} br_scaling_limits_t;
+
+typedef struct
+{
+  br_name_t name;
+  int max_connections; /* that one upstream takes from all VMs together */
+  bool has_engine;
+  br_engine_limits_t engine;
+  bool scalable;
+  br_scaling_limits_t scaling;
+} br_site_service_t;
+
+BR_VEC (br_site_services, br_site_service_t);
+
+typedef struct
+{
+  br_name_t name;
+  int priority; /* goes before the route's */
+  bool by_tokens;
+  double plain_tokens; /* that a request without a token count stands for */
+  double rate_per_s;   /* 0: no quota */
+  double burst;
+} br_site_organisation_t;
+
+BR_VEC (br_site_organisations, br_site_organisation_t);
+
+typedef struct
+{
+  br_buf_t key;
+  size_t organisation; /* position */
+} br_site_key_t;
+
+BR_VEC (br_site_keys, br_site_key_t);
+
+typedef struct
+{
+  uint64_t version;
+  br_site_routes_t routes;
+  br_site_services_t services;
+  br_site_organisations_t organisations;
+  br_site_keys_t keys; /* sorted by key once it is checked */
+  br_http_limits_t limits;
+  size_t references;
+} br_configuration_t;
+
+br_configuration_t *br_configuration_new (void);
+br_configuration_t *br_configuration_ref (br_configuration_t *configuration);
+void br_configuration_unref (br_configuration_t *configuration);
+
+/* Sorts what is looked up and checks what must hold between the parts.
+ * False, with the reason in *ERR, when it must not come into force. */
+bool br_configuration_check (br_configuration_t *configuration,
+                             br_error_t *err);
+
+/* Returns the route with the longest prefix of PATH among those of HOST, or
+ * NULL.  A port in HOST and a query in PATH are ignored. */
+const br_site_route_t *
+br_configuration_route (const br_configuration_t *configuration,
+                        br_str_t host,
+                        br_str_t path);
+
+/* Returns NULL when no organisation holds KEY. */
+const br_site_organisation_t *
+br_configuration_key (const br_configuration_t *configuration, br_str_t key);
+
+const br_site_service_t *
+br_configuration_service (const br_configuration_t *configuration,
+                          br_str_t name);
+
+/* Picks the service of a request by weight; DRAW is in [0, 1). */
+const br_name_t *br_site_route_service (const br_site_route_t *route,
+                                        double draw);
+
+const char *br_route_kind_name (br_route_kind_t kind);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/site/fleet.c
@@ -0,0 +1,306 @@
+#include "site/fleet.h"
+
+#include <stdlib.h>
+
+/* Weight of the newest answer in the share of failures. */
+#define FAILING_WEIGHT 0.15
+
+/* Failures in a row after which an upstream sits out. */
+#define FAILURES_TO_AVOID 3
+
+/* First time of sitting out, in milliseconds, doubled by each further failure:
+ * as long as a restart of an engine takes at least. */
+#define AVOID_MS 500
+#define AVOID_MAX_MS 4000
+
+/* Above this share of failures an upstream sits out at each failure. */
+#define FAILING_TOO_MUCH 0.35
+
+/* A full upstream is left alone for this long, in milliseconds: about one
+ * request of a plain service. */
+#define FULL_MS 40
+
+/* Speed that is assumed before any was measured, in tokens per millisecond,
+ * and the bounds of what is believed. */
+#define PREFILL_PER_MS 40.0
+#define PREFILL_PER_MS_MIN 4.0
+#define PREFILL_PER_MS_MAX 400.0
+
+/* Prompts shorter than this tell little about the speed of reading them. */
+#define PREFILL_SAMPLE_TOKENS 1500
+
+/* Weights of a sample above and below the estimate.  The wait also holds other
+ * delays, so that most samples are too low. */
+#define PREFILL_RISE 0.3
+#define PREFILL_FALL 0.04
+
+/* Time of a first event beside the reading of the prompt, in milliseconds: the
+ * engine's first step and the way there and back. */
+#define FIRST_EVENT_MS 14
+
+/* After this time what others told of their requests is not counted. */
+#define OTHERS_LIFE_MS 2500
+
+/* After this time the upstream's own word on its load is not counted. */
+#define REPORT_LIFE_MS 1500
+
+/* --- the list --- */
+
+br_fleet_upstream_t *
+br_fleet_find (const br_fleet_t *fleet, br_str_t id)
+{
+  for (size_t i = 0; i < fleet->all.len; i++)
+    if (br_str_equal (br_name_str (&fleet->all.items[i]->listing.id), id))
+      return fleet->all.items[i];
+  return NULL;
+}
+
+static void
+upstream_restarted (br_fleet_upstream_t *upstream)
+{
+  if (upstream->cache != NULL)
+    br_cache_memory_clear (upstream->cache);
+  upstream->reported = 0;
+  upstream->since_reported = 0;
+  upstream->failing = 0;
+  upstream->failed_in_row = 0;
+  upstream->avoid_until_ms = 0;
+}
+
+static void
+upstream_update (br_fleet_upstream_t *upstream,
+                 const br_listing_t *listing,
+                 br_ms_t now)
+{
+  bool same = upstream->listing.born_ms == listing->born_ms;
+  bool was_draining = upstream->listing.draining;
+
+  if (!same)
+    upstream_restarted (upstream);
+  upstream->listing = *listing;
+  if (same && was_draining)
+    upstream->listing.draining = true;
+  if (upstream->listing.draining && !(same && was_draining))
+    upstream->left_ms = now;
+}
+
+static br_fleet_upstream_t *
+fleet_add (br_fleet_t *fleet, const br_listing_t *listing, br_ms_t now)
+{
+  br_fleet_upstream_t *upstream = br_alloc_zero (sizeof *upstream);
+
+  upstream->listing = *listing;
+  upstream->prefill_per_ms = PREFILL_PER_MS;
+  if (listing->draining)
+    upstream->left_ms = now;
+  return *br_fleet_upstreams_push (&fleet->all, upstream);
+}
+
+static bool
+listings_have (const br_listings_t *listings, const br_name_t *id)
+{
+  for (size_t i = 0; i < listings->len; i++)
+    if (br_name_equal (&listings->items[i].id, id))
+      return true;
+  return false;
+}
+
+void
+br_fleet_update (br_fleet_t *fleet, const br_listings_t *listings, br_ms_t now)
+{
+  fleet->known = true;
+  for (size_t i = 0; i < fleet->all.len;)
+    {
+      br_fleet_upstream_t *upstream = fleet->all.items[i];
+
+      if (listings_have (listings, &upstream->listing.id))
+        {
+          i++;
+          continue;
+        }
+      fleet->all.items[i] = fleet->all.items[--fleet->all.len];
+      upstream->gone = true;
+      upstream->left_ms = now;
+      upstream->next_gone = fleet->gone;
+      fleet->gone = upstream;
+    }
+  for (size_t i = 0; i < listings->len; i++)
+    {
+      const br_listing_t *listing = &listings->items[i];
+      br_fleet_upstream_t *upstream
+          = br_fleet_find (fleet, br_name_str (&listing->id));
+
+      if (upstream != NULL)
+        upstream_update (upstream, listing, now);
+      else
+        fleet_add (fleet, listing, now);
+    }
+}
+
+static void
+upstream_free (br_fleet_upstream_t *upstream,
+               br_fleet_free_fn on_free,
+               void *context)
+{
+  if (on_free != NULL)
+    on_free (context, upstream);
+  free (upstream->cache);
+  free (upstream);
+}
+
+void
+br_fleet_sweep (br_fleet_t *fleet, br_fleet_free_fn on_free, void *context)
+{
+  br_fleet_upstream_t **at = &fleet->gone;
+
+  while (*at != NULL)
+    {
+      br_fleet_upstream_t *upstream = *at;
+
+      if (upstream->in_flight > 0)
+        {
+          at = &upstream->next_gone;
+          continue;
+        }
+      *at = upstream->next_gone;
+      upstream_free (upstream, on_free, context);
+    }
+}
+
+void
+br_fleet_release (br_fleet_t *fleet, br_fleet_free_fn on_free, void *context)
+{
+  while (fleet->gone != NULL)
+    {
+      br_fleet_upstream_t *upstream = fleet->gone;
+
+      fleet->gone = upstream->next_gone;
+      upstream_free (upstream, on_free, context);
+    }
+  for (size_t i = 0; i < fleet->all.len; i++)
+    upstream_free (fleet->all.items[i], on_free, context);
+  br_fleet_upstreams_free (&fleet->all);
+}
+
+/* --- what happened --- */
+
+void
+br_fleet_sent (br_fleet_upstream_t *upstream,
+               const br_inbound_t *inbound,
+               uint32_t uncached,
+               br_ms_t now)
+{
+  upstream->in_flight++;
+  upstream->since_reported++;
+  upstream->prefill_tokens += uncached;
+  if (inbound->n_parts == 0)
+    return;
+  if (upstream->cache == NULL)
+    upstream->cache = br_alloc_zero (sizeof *upstream->cache);
+  br_cache_memory_add (upstream->cache, inbound, now);
+}
+
+void
+br_fleet_first_event (br_fleet_upstream_t *upstream,
+                      uint32_t uncached,
+                      uint64_t backlog,
+                      br_ms_t waited_ms)
+{
+  double sample;
+  double weight;
+
+  upstream->prefill_tokens -= BR_MIN (uncached, upstream->prefill_tokens);
+  if (backlog < PREFILL_SAMPLE_TOKENS || waited_ms <= FIRST_EVENT_MS)
+    return;
+  sample = (double)backlog / (double)(waited_ms - FIRST_EVENT_MS);
+  sample = BR_MIN (BR_MAX (sample, PREFILL_PER_MS_MIN), PREFILL_PER_MS_MAX);
+  weight = sample > upstream->prefill_per_ms ? PREFILL_RISE : PREFILL_FALL;
+  upstream->prefill_per_ms += weight * (sample - upstream->prefill_per_ms);
+}
+
+void
+br_fleet_ended (br_fleet_upstream_t *upstream,
+                uint32_t uncached,
+                bool had_first)
+{
+  upstream->in_flight--;
+  upstream->since_reported--;
+  if (!had_first)
+    upstream->prefill_tokens -= BR_MIN (uncached, upstream->prefill_tokens);
+}
+
+void
+br_fleet_reported (br_fleet_upstream_t *upstream,
+                   uint32_t running,
+                   uint32_t waiting,
+                   br_ms_t now)
+{
+  upstream->reported = running + waiting;
+  upstream->since_reported = 0;
+  upstream->reported_ms = now;
+}
+
+static void
+upstream_avoid (br_fleet_upstream_t *upstream, br_ms_t now)
+{
+  uint32_t doublings = BR_MIN (upstream->failed_in_row / FAILURES_TO_AVOID, 3);
+  br_ms_t for_ms = BR_MIN (AVOID_MS << doublings, AVOID_MAX_MS);
+
+  upstream->avoid_until_ms = BR_MAX (upstream->avoid_until_ms, now + for_ms);
+}
+
+void
+br_fleet_judge (br_fleet_upstream_t *upstream,
+                br_result_kind_t result,
+                br_ms_t now)
+{
+  double outcome = 1;
+
+  switch (result)
+    {
+    case BR_RESULT_GOOD:
+      upstream->failed_in_row = 0;
+      outcome = 0;
+      break;
+    case BR_RESULT_FULL:
+      upstream->full_until_ms = now + FULL_MS;
+      return;
+    case BR_RESULT_MOVED:
+    case BR_RESULT_UNREACHABLE:
+    case BR_RESULT_SILENT:
+      upstream->failed_in_row += FAILURES_TO_AVOID;
+      break;
+    case BR_RESULT_FAILED:
+      upstream->failed_in_row++;
+      break;
+    }
+  upstream->failing += FAILING_WEIGHT * (outcome - upstream->failing);
+  if (outcome > 0
+      && (upstream->failed_in_row >= FAILURES_TO_AVOID
+          || upstream->failing > FAILING_TOO_MUCH))
+    upstream_avoid (upstream, now);
+}
+
+uint32_t
+br_fleet_load (const br_fleet_upstream_t *upstream, br_ms_t now)
+{
+  int64_t others = now - upstream->others_ms < OTHERS_LIFE_MS
+                       ? (int64_t)upstream->others_in_flight
+                       : 0;
+  int64_t known = (int64_t)upstream->in_flight + others;
+  int64_t told = now - upstream->reported_ms < REPORT_LIFE_MS
+                     ? (int64_t)upstream->reported + upstream->since_reported
+                     : 0;
+
+  return (uint32_t)BR_MAX (BR_MAX (known, told), 0);
+}
+
+uint64_t
+br_fleet_backlog (const br_fleet_upstream_t *upstream, br_ms_t now)
+{
+  uint64_t others = now - upstream->others_ms < OTHERS_LIFE_MS
+                        ? upstream->others_prefill_tokens
+                        : 0;
+
+  return upstream->prefill_tokens + others;
+}
--- /dev/null
+++ b/src/site/fleet.h
@@ -0,0 +1,112 @@
+/* The upstreams of a site as one entry VM sees them: what the platform lists,
+ * what was sent there and not answered, and how the answers went. */
+#ifndef BR_SITE_FLEET_H
+#define BR_SITE_FLEET_H
+
+#include "site/cache_memory.h"
+#include "site/listing.h"
+
+BR_BEGIN_DECLS
+
+typedef struct br_fleet_upstream
+{
+  br_listing_t listing;
+  bool gone;               /* no longer listed */
+  br_ms_t left_ms;         /* when it was first seen draining or gone */
+  uint32_t in_flight;      /* requests of this VM there */
+  uint64_t prefill_tokens; /* sent from here, no first event yet */
+  uint32_t reported;       /* running and waiting, by its own last word */
+  int32_t since_reported;  /* change of IN_FLIGHT since that */
+  br_ms_t reported_ms;
+  uint32_t others_in_flight; /* of the other entry VMs, as last heard */
+  uint64_t others_prefill_tokens;
+  br_ms_t others_ms;
+  double prefill_per_ms; /* tokens; measured, see br_fleet_first_event() */
+  double failing;        /* share of failed answers, weighted to the newest */
+  uint32_t failed_in_row;
+  br_ms_t avoid_until_ms;   /* sits out after failures */
+  br_ms_t full_until_ms;    /* it said that it is full */
+  br_cache_memory_t *cache; /* owned; NULL before the first prompt */
+  void *pool;               /* connections; the shell's */
+  struct br_fleet_upstream *next_gone;
+} br_fleet_upstream_t;
+
+BR_VEC (br_fleet_upstreams, br_fleet_upstream_t *);
+
+typedef struct
+{
+  br_fleet_upstreams_t all;  /* owned; listed ones */
+  br_fleet_upstream_t *gone; /* owned; until their last request has ended */
+  uint64_t term;
+  uint64_t sequence;
+  br_ms_t read_ms; /* when the list was last known to be current */
+  bool known;      /* a list was read */
+} br_fleet_t;
+
+/* Told when an upstream is about to be freed. */
+typedef void (*br_fleet_free_fn) (void *context, br_fleet_upstream_t *upstream);
+
+/* Puts a whole list in force.  An upstream that was seen draining stays so;
+ * one that is missing is gone. */
+void
+br_fleet_update (br_fleet_t *fleet, const br_listings_t *listings, br_ms_t now);
+
+/* Frees what is gone and has no request any more. */
+void
+br_fleet_sweep (br_fleet_t *fleet, br_fleet_free_fn on_free, void *context);
+void
+br_fleet_release (br_fleet_t *fleet, br_fleet_free_fn on_free, void *context);
+
+br_fleet_upstream_t *br_fleet_find (const br_fleet_t *fleet, br_str_t id);
+
+/* --- what happened --- */
+
+/* A request with so many uncached prompt tokens was sent. */
+void br_fleet_sent (br_fleet_upstream_t *upstream,
+                    const br_inbound_t *inbound,
+                    uint32_t uncached,
+                    br_ms_t now);
+
+/* Its first event came after WAITED_MS; BACKLOG is the sum of prompt tokens
+ * that were ahead of it when it was sent, its own included. */
+void br_fleet_first_event (br_fleet_upstream_t *upstream,
+                           uint32_t uncached,
+                           uint64_t backlog,
+                           br_ms_t waited_ms);
+
+/* It is no longer under way.  HAD_FIRST says whether br_fleet_first_event()
+ * was called for it. */
+void br_fleet_ended (br_fleet_upstream_t *upstream,
+                     uint32_t uncached,
+                     bool had_first);
+
+/* The upstream told its load. */
+void br_fleet_reported (br_fleet_upstream_t *upstream,
+                        uint32_t running,
+                        uint32_t waiting,
+                        br_ms_t now);
+
+typedef enum
+{
+  BR_RESULT_GOOD,
+  BR_RESULT_FAILED,      /* broke off, unreadable, or an error of its own */
+  BR_RESULT_UNREACHABLE, /* no connection */
+  BR_RESULT_SILENT,      /* no answer in the time that others need */
+  BR_RESULT_FULL,        /* refused for want of room */
+  BR_RESULT_MOVED,       /* another upstream has the address */
+} br_result_kind_t;
+
+/* Judges the upstream by an answer. */
+void br_fleet_judge (br_fleet_upstream_t *upstream,
+                     br_result_kind_t result,
+                     br_ms_t now);
+
+/* Requests there, as far as this VM can tell. */
+uint32_t br_fleet_load (const br_fleet_upstream_t *upstream, br_ms_t now);
+
+/* Prompt tokens that wait there to be read. */
+uint64_t br_fleet_backlog (const br_fleet_upstream_t *upstream, br_ms_t now);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/site/inbound.h
@@ -0,0 +1,39 @@
+/* A caller's request as the platform's headers describe it. */
+#ifndef BR_SITE_INBOUND_H
+#define BR_SITE_INBOUND_H
+
+#include "base/clock.h"
+#include "base/str.h"
+
+BR_BEGIN_DECLS
+
+/* Prompt parts that are looked at; what follows counts as one more part. */
+#define BR_PROMPT_PARTS_MAX 16
+
+/* A part of a prompt that other requests may share. */
+typedef struct
+{
+  uint64_t id;
+  uint32_t tokens;
+} br_prompt_part_t;
+
+/* All strings are views into the request's head. */
+typedef struct
+{
+  br_str_t id;
+  br_str_t host;
+  br_str_t target;
+  br_str_t key;           /* of the caller; empty without one */
+  br_str_t last_event_id; /* where a stream goes on; empty: at its start */
+  br_ms_t deadline_ms;    /* how long the caller waits; 0: not told */
+  bool has_tokens;
+  uint32_t prompt_tokens;
+  uint32_t output_tokens; /* at most */
+  uint32_t length_hint;   /* output tokens that the caller expects; 0: none */
+  size_t n_parts;
+  br_prompt_part_t parts[BR_PROMPT_PARTS_MAX]; /* in the prompt's order */
+} br_inbound_t;
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/site/listing.h
@@ -0,0 +1,29 @@
+/* What the platform's list of VMs says of one upstream. */
+#ifndef BR_SITE_LISTING_H
+#define BR_SITE_LISTING_H
+
+#include "base/clock.h"
+#include "base/str.h"
+#include "base/vec.h"
+
+BR_BEGIN_DECLS
+
+typedef struct
+{
+  br_name_t id; /* of this start of the upstream, mostly */
+  br_name_t service;
+  br_name_t address;
+  uint16_t port;
+  br_name_t failure_domain;
+  bool draining;
+  bool spot;        /* on a reclaimable VM */
+  uint64_t born_ms; /* Unix time of its start; 0 when not told */
+  uint32_t slots;   /* requests at once */
+  br_ms_t cold_ms;  /* how much longer it is slow after its start */
+} br_listing_t;
+
+BR_VEC (br_listings, br_listing_t);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/site/quota.c
@@ -0,0 +1,135 @@
+#include "site/quota.h"
+
+/* Part of a quota that is split evenly, whoever asks. */
+#define EVEN_PART 0.25
+
+static br_quota_t *
+quotas_find (br_quotas_t *quotas, br_str_t organisation)
+{
+  for (size_t i = 0; i < quotas->list.len; i++)
+    if (br_str_equal (br_name_str (&quotas->list.items[i].organisation),
+                      organisation))
+      return &quotas->list.items[i];
+  return NULL;
+}
+
+static br_quota_t *
+quotas_get (br_quotas_t *quotas, br_str_t organisation)
+{
+  br_quota_t *quota = quotas_find (quotas, organisation);
+  br_quota_t fresh = { .part = quotas->default_part, .filled_ms = -1 };
+
+  if (quota != NULL)
+    return quota;
+  br_name_set (&fresh.organisation, organisation);
+  return br_quota_list_push (&quotas->list, fresh);
+}
+
+double
+br_quota_units (const br_site_organisation_t *organisation,
+                const br_inbound_t *inbound)
+{
+  if (!organisation->by_tokens)
+    return 1;
+  return inbound->has_tokens
+             ? (double)inbound->prompt_tokens + (double)inbound->output_tokens
+             : organisation->plain_tokens;
+}
+
+static void
+quota_fill (br_quota_t *quota,
+            const br_site_organisation_t *organisation,
+            br_ms_t now)
+{
+  double burst = organisation->burst * quota->part;
+  double rate = organisation->rate_per_s * quota->part;
+
+  if (quota->filled_ms < 0)
+    quota->level = burst;
+  else
+    quota->level += rate * (double)(now - quota->filled_ms) / 1000;
+  quota->level = BR_MIN (quota->level, burst);
+  quota->filled_ms = now;
+}
+
+bool
+br_quotas_take (br_quotas_t *quotas,
+                const br_site_organisation_t *organisation,
+                double units,
+                br_ms_t now,
+                br_ms_t *wait_ms)
+{
+  br_quota_t *quota = quotas_get (quotas, br_name_str (&organisation->name));
+  double rate = organisation->rate_per_s * quota->part;
+
+  quota->asked += units;
+  if (organisation->rate_per_s <= 0)
+    return true;
+  quota_fill (quota, organisation, now);
+  /* A request that is larger than the share's burst takes it ahead. */
+  if (quota->level > 0)
+    {
+      quota->level -= units;
+      return true;
+    }
+  *wait_ms = rate > 0 ? (br_ms_t)(-quota->level * 1000 / rate) + 1 : 1000;
+  return false;
+}
+
+void
+br_quotas_give_back (br_quotas_t *quotas,
+                     const br_site_organisation_t *organisation,
+                     double units)
+{
+  br_quota_t *quota = quotas_find (quotas, br_name_str (&organisation->name));
+
+  if (quota != NULL)
+    quota->level += units;
+}
+
+void
+br_quotas_set_part (br_quotas_t *quotas, br_str_t organisation, double part)
+{
+  quotas_get (quotas, organisation)->part = part;
+}
+
+void
+br_quotas_demand (br_quotas_t *quotas,
+                  br_ms_t now,
+                  br_quota_demand_fn tell,
+                  void *context)
+{
+  br_ms_t span = now - quotas->demand_ms;
+
+  if (span <= 0)
+    return;
+  for (size_t i = 0; i < quotas->list.len; i++)
+    {
+      br_quota_t *quota = &quotas->list.items[i];
+
+      if (quota->asked > 0)
+        tell (context, &quota->organisation,
+              quota->asked * 1000 / (double)span);
+      quota->asked = 0;
+    }
+  quotas->demand_ms = now;
+}
+
+void
+br_quotas_release (br_quotas_t *quotas)
+{
+  br_quota_list_free (&quotas->list);
+}
+
+void
+br_quota_split (const double *asked, size_t n, double *parts)
+{
+  double total = 0;
+
+  for (size_t i = 0; i < n; i++)
+    total += asked[i];
+  for (size_t i = 0; i < n; i++)
+    parts[i] = total > 0
+                   ? EVEN_PART / (double)n + (1 - EVEN_PART) * asked[i] / total
+                   : 1 / (double)n;
+}
--- /dev/null
+++ b/src/site/quota.h
@@ -0,0 +1,67 @@
+/* The quotas of organisations on one entry VM: its share of what holds over
+ * all entry VMs together. */
+#ifndef BR_SITE_QUOTA_H
+#define BR_SITE_QUOTA_H
+
+#include "site/configuration.h"
+#include "site/inbound.h"
+
+BR_BEGIN_DECLS
+
+typedef struct
+{
+  br_name_t organisation;
+  double level; /* units that may be used now */
+  br_ms_t filled_ms;
+  double part;  /* of the quota that is this VM's, 0 to 1 */
+  double asked; /* units asked for since the last br_quotas_demand() */
+} br_quota_t;
+
+BR_VEC (br_quota_list, br_quota_t);
+
+/* An all-zero value knows no organisation. */
+typedef struct
+{
+  br_quota_list_t list;
+  double default_part; /* of an organisation without one of its own */
+  br_ms_t demand_ms;   /* when the demand was last taken */
+} br_quotas_t;
+
+/* What a request counts against its organisation's quota. */
+double br_quota_units (const br_site_organisation_t *organisation,
+                       const br_inbound_t *inbound);
+
+/* Takes UNITS; false when the share is used up, and *WAIT_MS then says when
+ * there will be enough. */
+bool br_quotas_take (br_quotas_t *quotas,
+                     const br_site_organisation_t *organisation,
+                     double units,
+                     br_ms_t now,
+                     br_ms_t *wait_ms);
+
+/* Gives back what a request took that did not run. */
+void br_quotas_give_back (br_quotas_t *quotas,
+                          const br_site_organisation_t *organisation,
+                          double units);
+void
+br_quotas_set_part (br_quotas_t *quotas, br_str_t organisation, double part);
+
+typedef void (*br_quota_demand_fn) (void *context,
+                                    const br_name_t *organisation,
+                                    double units_per_s);
+
+/* Tells what was asked for since the last call. */
+void br_quotas_demand (br_quotas_t *quotas,
+                       br_ms_t now,
+                       br_quota_demand_fn tell,
+                       void *context);
+void br_quotas_release (br_quotas_t *quotas);
+
+/* The parts of one quota over all entry VMs: half of it in proportion to what
+ * each asks for, half even, so that a VM that begins to ask has some at
+ * once.  PARTS gets N numbers that add up to 1. */
+void br_quota_split (const double *asked, size_t n, double *parts);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/site/repeat_budget.c
@@ -0,0 +1,56 @@
+#include "site/repeat_budget.h"
+
+#include <string.h>
+
+/* Moves to the slice of NOW and clears those that were passed. */
+static size_t
+budget_advance (br_repeat_budget_t *budget,
+                const br_repeat_limits_t *limits,
+                br_ms_t now)
+{
+  br_ms_t slice_ms = limits->window_ms / BR_REPEAT_SLICES;
+  int64_t slice = now / (slice_ms > 0 ? slice_ms : 1);
+
+  if (slice - budget->slice >= BR_REPEAT_SLICES || slice < budget->slice)
+    {
+      memset (budget, 0, sizeof *budget);
+      budget->slice = slice;
+    }
+  while (budget->slice < slice)
+    {
+      budget->slice++;
+      budget->requests[budget->slice % BR_REPEAT_SLICES] = 0;
+      budget->repeats[budget->slice % BR_REPEAT_SLICES] = 0;
+    }
+  return (size_t)(slice % BR_REPEAT_SLICES);
+}
+
+void
+br_repeat_budget_request (br_repeat_budget_t *budget,
+                          const br_repeat_limits_t *limits,
+                          br_ms_t now)
+{
+  size_t at = budget_advance (budget, limits, now);
+
+  budget->requests[at]++;
+}
+
+bool
+br_repeat_budget_take (br_repeat_budget_t *budget,
+                       const br_repeat_limits_t *limits,
+                       br_ms_t now)
+{
+  size_t at = budget_advance (budget, limits, now);
+  double requests = 0;
+  double repeats = 0;
+
+  for (size_t i = 0; i < BR_REPEAT_SLICES; i++)
+    {
+      requests += budget->requests[i];
+      repeats += budget->repeats[i];
+    }
+  if (repeats + 1 > requests * limits->ratio + limits->slack)
+    return false;
+  budget->repeats[at]++;
+  return true;
+}
--- /dev/null
+++ b/src/site/sizing.c
@@ -0,0 +1,151 @@
+#include "site/sizing.h"
+
+#include <math.h>
+
+/* Share of an upstream's reading speed that may be in use: above it, prompts
+ * wait behind each other for longer than objectives allow. */
+#define PREFILL_BUSY 0.45
+
+/* Share of an upstream's slots that may be taken on average. */
+#define SLOTS_BUSY 0.5
+
+/* Failure domains that may lose their reclaimable VMs at about the same
+ * time. */
+#define DOMAINS_LOST 2
+
+int
+br_sizing_needed (const br_sizing_load_t *load)
+{
+  double by_prefill = 0;
+  double by_slots = 0;
+
+  if (load->prefill_per_ms > 0)
+    by_prefill
+        = load->prefill_per_s / (load->prefill_per_ms * 1000 * PREFILL_BUSY);
+  if (load->slots > 0)
+    by_slots = load->in_flight / (load->slots * SLOTS_BUSY);
+  return BR_MAX ((int)ceil (BR_MAX (by_prefill, by_slots)), 1);
+}
+
+int
+br_sizing_without_reserve (int present, int domains)
+{
+  int kept = domains > DOMAINS_LOST ? domains - DOMAINS_LOST : domains;
+
+  if (domains <= 0)
+    return BR_MAX (present, 1);
+  return BR_MAX ((present * kept + domains - 1) / domains, 1);
+}
+
+static int
+clamp (int value, int low, int high)
+{
+  return BR_MIN (BR_MAX (value, low), high);
+}
+
+/* Reclaimable VMs in each domain, so that those that stay when some domains
+ * lose theirs carry the load. */
+static void
+decide_spot (const br_sizing_query_t *query, br_sizing_target_t *targets)
+{
+  int max = query->limits->max;
+  int open = 0;
+  int each;
+
+  for (size_t i = 0; i < query->n_domains; i++)
+    open += query->domains[i].spot_refused ? 0 : 1;
+  each = open > DOMAINS_LOST
+             ? (query->needed + open - DOMAINS_LOST - 1) / (open - DOMAINS_LOST)
+         : open > 0 ? (query->needed + open - 1) / open
+                    : 0;
+  for (size_t i = 0; i < query->n_domains; i++)
+    targets[i].spot = query->domains[i].spot_refused
+                          ? query->domains[i].spot
+                          : clamp (each, query->limits->min, max);
+}
+
+/* VMs that are not reclaimed fill what the reclaimable ones that are ready do
+ * not carry, the cheapest domains first. */
+static void
+decide_steady (const br_sizing_query_t *query, br_sizing_target_t *targets)
+{
+  bool done[BR_SIZING_DOMAINS_MAX] = { false };
+  int missing = query->needed;
+
+  for (size_t i = 0; i < query->n_domains; i++)
+    missing -= BR_MIN (query->domains[i].spot, targets[i].spot);
+  for (size_t round = 0; round < query->n_domains; round++)
+    {
+      size_t best = query->n_domains;
+      int room;
+
+      for (size_t i = 0; i < query->n_domains; i++)
+        if (!done[i]
+            && (best == query->n_domains
+                || query->domains[i].price < query->domains[best].price))
+          best = i;
+      done[best] = true;
+      room = query->limits->max - targets[best].spot;
+      targets[best].steady = clamp (missing, 0, BR_MAX (room, 0));
+      missing -= targets[best].steady;
+    }
+}
+
+/* What runs is kept while it is needed: a VM that boots elsewhere would only
+ * replace it. */
+static void
+keep_running (const br_sizing_query_t *query, br_sizing_target_t *targets)
+{
+  int running = 0;
+  int missing = 0;
+
+  for (size_t i = 0; i < query->n_domains; i++)
+    {
+      running += query->domains[i].steady;
+      missing += targets[i].steady;
+    }
+  if (running == 0 || missing == 0)
+    return;
+  for (size_t i = 0; i < query->n_domains; i++)
+    {
+      int kept = BR_MIN (query->domains[i].steady, missing);
+
+      targets[i].steady = kept;
+      missing -= kept;
+    }
+  for (size_t i = 0; i < query->n_domains && missing > 0; i++)
+    {
+      int room = BR_MAX (
+          query->limits->max - targets[i].spot - targets[i].steady, 0);
+      int more = BR_MIN (room, missing);
+
+      targets[i].steady += more;
+      missing -= more;
+    }
+}
+
+static void
+keep_minimum (const br_sizing_query_t *query, br_sizing_target_t *targets)
+{
+  for (size_t i = 0; i < query->n_domains; i++)
+    {
+      int spot = BR_MIN (query->domains[i].spot, targets[i].spot);
+      int lacking = query->limits->min - spot;
+
+      targets[i].steady
+          = clamp (BR_MAX (targets[i].steady, lacking), 0,
+                   BR_MAX (query->limits->max - targets[i].spot, 0));
+    }
+}
+
+void
+br_sizing_decide (const br_sizing_query_t *query, br_sizing_target_t *targets)
+{
+  for (size_t i = 0; i < query->n_domains; i++)
+    targets[i] = (br_sizing_target_t){ 0 };
+  if (query->limits->spot_price > 0 && query->limits->spot_price < 1)
+    decide_spot (query, targets);
+  decide_steady (query, targets);
+  keep_running (query, targets);
+  keep_minimum (query, targets);
+}
--- /dev/null
+++ b/src/site/sizing.h
@@ -0,0 +1,62 @@
+/* How many upstreams of a service to keep, of which kind and where.  A
+ * function of the load, the prices and what is there: no input, no output. */
+#ifndef BR_SITE_SIZING_H
+#define BR_SITE_SIZING_H
+
+#include "site/configuration.h"
+
+BR_BEGIN_DECLS
+
+/* Failure domains of one service that are considered. */
+#define BR_SIZING_DOMAINS_MAX 16
+
+/* What one failure domain has. */
+typedef struct
+{
+  br_name_t failure_domain;
+  double price;
+  int spot;        /* ready, on reclaimable VMs */
+  int steady;      /* ready, on other VMs */
+  int spot_wanted; /* by the last order; -1: none was given */
+  int steady_wanted;
+  bool spot_refused; /* none are to be had there now */
+} br_sizing_domain_t;
+
+typedef struct
+{
+  const br_scaling_limits_t *limits;
+  int needed; /* upstreams that carry the load with nothing lost */
+  br_sizing_domain_t domains[BR_SIZING_DOMAINS_MAX];
+  size_t n_domains;
+} br_sizing_query_t;
+
+typedef struct
+{
+  int spot;
+  int steady;
+} br_sizing_target_t;
+
+/* Fills TARGETS, one for each domain of QUERY. */
+void br_sizing_decide (const br_sizing_query_t *query,
+                       br_sizing_target_t *targets);
+
+/* What callers bring to a service, and what one upstream can take. */
+typedef struct
+{
+  double prefill_per_s;  /* prompt tokens to be read */
+  double in_flight;      /* requests at once, on average */
+  double prefill_per_ms; /* that one upstream reads */
+  int slots;             /* of one upstream */
+} br_sizing_load_t;
+
+/* Upstreams that carry LOAD with the reserve that latency needs; at least
+ * 1. */
+int br_sizing_needed (const br_sizing_load_t *load);
+
+/* Of PRESENT upstreams in so many failure domains, those that carry the load
+ * when the others are the reserve for lost domains. */
+int br_sizing_without_reserve (int present, int domains);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/site/usage_ledger.c
@@ -0,0 +1,76 @@
+#include "site/usage_ledger.h"
+
+br_ledger_entry_t *
+br_usage_ledger_row (br_usage_ledger_t *ledger,
+                     const br_name_t *vm,
+                     uint64_t incarnation)
+{
+  br_ledger_entry_t fresh = { .vm = *vm, .incarnation = incarnation };
+
+  for (size_t i = 0; i < ledger->entries.len; i++)
+    if (ledger->entries.items[i].incarnation == incarnation
+        && br_name_equal (&ledger->entries.items[i].vm, vm))
+      return &ledger->entries.items[i];
+  return br_ledger_entries_push (&ledger->entries, fresh);
+}
+
+static void
+sum_add (br_usage_entries_t *sum, const br_usage_entry_t *entry)
+{
+  for (size_t i = 0; i < sum->len; i++)
+    if (br_name_equal (&sum->items[i].organisation, &entry->organisation))
+      {
+        sum->items[i].requests += entry->requests;
+        return;
+      }
+  br_usage_entries_push (sum, *entry);
+}
+
+void
+br_usage_ledger_sum (const br_usage_ledger_t *ledger,
+                     uint64_t window,
+                     br_usage_entries_t *sum)
+{
+  br_usage_entries_clear (sum);
+  for (size_t i = 0; i < ledger->entries.len; i++)
+    {
+      const br_usage_window_t *found
+          = br_usage_find (&ledger->entries.items[i].usage, window);
+
+      for (size_t j = 0; found != NULL && j < found->entries.len; j++)
+        sum_add (sum, &found->entries.items[j]);
+    }
+}
+
+bool
+br_usage_ledger_is_complete (const br_usage_ledger_t *ledger,
+                             br_ms_t heard_since_ms,
+                             br_ms_t site_wall_ms)
+{
+  for (size_t i = 0; i < ledger->entries.len; i++)
+    if (ledger->entries.items[i].heard_ms >= heard_since_ms
+        && ledger->entries.items[i].site_wall_ms < site_wall_ms)
+      return false;
+  return true;
+}
+
+void
+br_usage_ledger_trim (br_usage_ledger_t *ledger, br_ms_t heard_since_ms)
+{
+  for (size_t i = 0; i < ledger->entries.len;)
+    if (ledger->entries.items[i].heard_ms < heard_since_ms)
+      {
+        br_usage_release (&ledger->entries.items[i].usage);
+        ledger->entries.items[i] = ledger->entries.items[--ledger->entries.len];
+      }
+    else
+      i++;
+}
+
+void
+br_usage_ledger_release (br_usage_ledger_t *ledger)
+{
+  for (size_t i = 0; i < ledger->entries.len; i++)
+    br_usage_release (&ledger->entries.items[i].usage);
+  br_ledger_entries_free (&ledger->entries);
+}
--- a/src/state/command.c
+++ b/src/state/command.c
@@ -65,3 +65,27 @@
   command.change = (br_change_t *)change;
   br_command_pack (&command, out);
 }
+
+void
+br_state_command_site (uint64_t version, br_str_t text, br_buf_t *out)
+{
+  br_command_t command = BR__STATE__COMMAND__INIT;
+  Br__State__SiteChange change = BR__STATE__SITE_CHANGE__INIT;
+
+  change.version = version;
+  change.text.data = (uint8_t *)text.data;
+  change.text.len = text.len;
+  command.body_case = BR__STATE__COMMAND__BODY_SITE_CHANGE;
+  command.site_change = &change;
+  br_command_pack (&command, out);
+}
+
+void
+br_state_command_usage (const Br__State__UsageDecision *decision, br_buf_t *out)
+{
+  br_command_t command = BR__STATE__COMMAND__INIT;
+
+  command.body_case = BR__STATE__COMMAND__BODY_USAGE_DECISION;
+  command.usage_decision = (Br__State__UsageDecision *)decision;
+  br_command_pack (&command, out);
+}
--- a/src/state/command.h
+++ b/src/state/command.h
@@ -15,6 +15,9 @@
 br_state_command_tick (uint64_t sequence, br_ms_t elapsed_ms, br_buf_t *out);
 void br_state_command_fence (br_str_t resource, br_buf_t *out);
 void br_state_command_change (const br_change_t *change, br_buf_t *out);
+void br_state_command_site (uint64_t version, br_str_t text, br_buf_t *out);
+void br_state_command_usage (const Br__State__UsageDecision *decision,
+                             br_buf_t *out);
 
 BR_END_DECLS
 
--- /dev/null
+++ b/src/state/site_store.c
@@ -0,0 +1,72 @@
+#include "state/site_store.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+bool
+br_site_store_change (br_site_store_t *store,
+                      const Br__State__SiteChange *change)
+{
+  if (change->version <= store->version)
+    return false;
+  store->version = change->version;
+  br_buf_clear (&store->text);
+  br_buf_append (&store->text, br_str_make ((const char *)change->text.data,
+                                            change->text.len));
+  return true;
+}
+
+/* Returns a copy that is packed and unpacked, so that it owns its parts. */
+static br_usage_decision_t *
+decision_copy (const br_usage_decision_t *decision)
+{
+  size_t len = br__state__usage_decision__get_packed_size (decision);
+  uint8_t *packed = br_alloc (len + 1);
+  br_usage_decision_t *copy;
+
+  br__state__usage_decision__pack (decision, packed);
+  copy = br__state__usage_decision__unpack (NULL, len, packed);
+  free (packed);
+  return copy;
+}
+
+const br_usage_decision_t *
+br_site_store_decide (br_site_store_t *store,
+                      const br_usage_decision_t *decision)
+{
+  const br_usage_decision_t *known
+      = br_site_store_usage (store, decision->window);
+  br_usage_decision_t *copy;
+
+  if (known != NULL)
+    return known;
+  copy = decision_copy (decision);
+  if (copy == NULL)
+    return NULL;
+  if (store->usage.len == BR_SITE_WINDOWS_MAX)
+    {
+      br__state__usage_decision__free_unpacked (store->usage.items[0], NULL);
+      store->usage.len--;
+      memmove (store->usage.items, store->usage.items + 1,
+               store->usage.len * sizeof store->usage.items[0]);
+    }
+  return *br_usage_decisions_push (&store->usage, copy);
+}
+
+const br_usage_decision_t *
+br_site_store_usage (const br_site_store_t *store, uint64_t window)
+{
+  for (size_t i = 0; i < store->usage.len; i++)
+    if (store->usage.items[i]->window == window)
+      return store->usage.items[i];
+  return NULL;
+}
+
+void
+br_site_store_release (br_site_store_t *store)
+{
+  for (size_t i = 0; i < store->usage.len; i++)
+    br__state__usage_decision__free_unpacked (store->usage.items[i], NULL);
+  br_usage_decisions_free (&store->usage);
+  br_buf_free (&store->text);
+}
--- a/src/state/state.c
+++ b/src/state/state.c
@@ -7,6 +7,7 @@
 #include "state/claim_store.h"
 #include "state/declaration_store.h"
 #include "state/fence_store.h"
+#include "state/site_store.h"
 
 #define SNAPSHOT_FORMAT 1
 
@@ -22,6 +23,7 @@
   br_declaration_store_t declarations;
   br_claim_store_t claims;
   br_fence_store_t fences;
+  br_site_store_t site;
 };
 
 br_state_t *
@@ -36,6 +38,7 @@
   br_declaration_store_release (&state->declarations);
   br_claim_store_release (&state->claims);
   br_fence_store_release (&state->fences);
+  br_site_store_release (&state->site);
 }
 
 void
@@ -111,6 +114,34 @@
   br_result_pack (&result, out);
 }
 
+static void
+state_on_site_change (br_state_t *state,
+                      const Br__State__SiteChange *change,
+                      br_buf_t *out)
+{
+  br_result_t result = BR__STATE__RESULT__INIT;
+  Br__State__SiteResult body = BR__STATE__SITE_RESULT__INIT;
+
+  body.applied = br_site_store_change (&state->site, change);
+  body.version = state->site.version;
+  result.body_case = BR__STATE__RESULT__BODY_SITE;
+  result.site = &body;
+  br_result_pack (&result, out);
+}
+
+static void
+state_on_usage (br_state_t *state,
+                const br_usage_decision_t *decision,
+                br_buf_t *out)
+{
+  br_result_t result = BR__STATE__RESULT__INIT;
+
+  result.body_case = BR__STATE__RESULT__BODY_USAGE;
+  result.usage
+      = (br_usage_decision_t *)br_site_store_decide (&state->site, decision);
+  br_result_pack (&result, out);
+}
+
 static void
 state_dispatch (br_state_t *state,
                 uint64_t index,
@@ -149,6 +180,12 @@
     case BR__STATE__COMMAND__BODY_FENCE_NEXT:
       state_on_fence (state, command->fence_next, out);
       return;
+    case BR__STATE__COMMAND__BODY_SITE_CHANGE:
+      state_on_site_change (state, command->site_change, out);
+      return;
+    case BR__STATE__COMMAND__BODY_USAGE_DECISION:
+      state_on_usage (state, command->usage_decision, out);
+      return;
     default:
       result_invalid (&invalid, "unknown command");
       br_result_pack (&invalid, out);
@@ -241,6 +278,7 @@
 br_state_snapshot (const br_state_t *state, br_buf_t *out)
 {
   Br__State__Snapshot snapshot = BR__STATE__SNAPSHOT__INIT;
+  Br__State__SiteChange site = BR__STATE__SITE_CHANGE__INIT;
   uint8_t head[HEAD_BYTES];
   lists_t lists;
   size_t start = out->len;
@@ -252,6 +290,15 @@
   snapshot.now_ms = (uint64_t)state->claims.now_ms;
   snapshot.tick = state->claims.tick;
   snapshot_set_lists (state, &snapshot, &lists);
+  if (state->site.version > 0)
+    {
+      site.version = state->site.version;
+      site.text.data = (uint8_t *)state->site.text.data;
+      site.text.len = state->site.text.len;
+      snapshot.site = &site;
+    }
+  snapshot.n_usage = state->site.usage.len;
+  snapshot.usage = state->site.usage.items;
   len = br__state__snapshot__get_packed_size (&snapshot);
   br_buf_reserve (out, HEAD_BYTES + len);
   out->len += HEAD_BYTES + len;
@@ -301,6 +348,11 @@
   for (size_t i = 0; i < snapshot->n_fences; i++)
     if (!br_fence_store_add (&state->fences, snapshot->fences[i]))
       return restore_fault ("a fencing number is not valid", err);
+  if (snapshot->site != NULL)
+    br_site_store_change (&state->site, snapshot->site);
+  for (size_t i = 0; i < snapshot->n_usage; i++)
+    if (br_site_store_decide (&state->site, snapshot->usage[i]) == NULL)
+      return restore_fault ("the counts of a window are not valid", err);
   return true;
 }
 
@@ -422,3 +474,21 @@
 {
   return br_fence_store_last (&state->fences, resource);
 }
+
+uint64_t
+br_state_site_version (const br_state_t *state)
+{
+  return state->site.version;
+}
+
+br_str_t
+br_state_site_text (const br_state_t *state)
+{
+  return br_buf_str (&state->site.text);
+}
+
+const Br__State__UsageDecision *
+br_state_usage (const br_state_t *state, uint64_t window)
+{
+  return br_site_store_usage (&state->site, window);
+}
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -97,6 +97,14 @@
 /* Last fencing number given out for RESOURCE, 0 for none. */
 uint64_t br_state_fence (const br_state_t *state, br_str_t resource);
 
+/* Version and text of the site's configuration in force; 0 without one. */
+uint64_t br_state_site_version (const br_state_t *state);
+br_str_t br_state_site_text (const br_state_t *state);
+
+/* Returns the counts that are fixed for an accounting window, or NULL. */
+const Br__State__UsageDecision *br_state_usage (const br_state_t *state,
+                                                uint64_t window);
+
 BR_END_DECLS
 
 #endif
--- a/src/state/state.pb-c.c
+++ b/src/state/state.pb-c.c
@@ -682,6 +682,186 @@
   assert(message->base.descriptor == &br__state__fence_result__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   br__state__site_change__init
+                     (Br__State__SiteChange         *message)
+{
+  static const Br__State__SiteChange init_value = BR__STATE__SITE_CHANGE__INIT;
+  *message = init_value;
+}
+size_t br__state__site_change__get_packed_size
+                     (const Br__State__SiteChange *message)
+{
+  assert(message->base.descriptor == &br__state__site_change__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__state__site_change__pack
+                     (const Br__State__SiteChange *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__state__site_change__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__state__site_change__pack_to_buffer
+                     (const Br__State__SiteChange *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__state__site_change__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__State__SiteChange *
+       br__state__site_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__State__SiteChange *)
+     protobuf_c_message_unpack (&br__state__site_change__descriptor,
+                                allocator, len, data);
+}
+void   br__state__site_change__free_unpacked
+                     (Br__State__SiteChange *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__state__site_change__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   br__state__site_result__init
+                     (Br__State__SiteResult         *message)
+{
+  static const Br__State__SiteResult init_value = BR__STATE__SITE_RESULT__INIT;
+  *message = init_value;
+}
+size_t br__state__site_result__get_packed_size
+                     (const Br__State__SiteResult *message)
+{
+  assert(message->base.descriptor == &br__state__site_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__state__site_result__pack
+                     (const Br__State__SiteResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__state__site_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__state__site_result__pack_to_buffer
+                     (const Br__State__SiteResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__state__site_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__State__SiteResult *
+       br__state__site_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__State__SiteResult *)
+     protobuf_c_message_unpack (&br__state__site_result__descriptor,
+                                allocator, len, data);
+}
+void   br__state__site_result__free_unpacked
+                     (Br__State__SiteResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__state__site_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   br__state__usage_count__init
+                     (Br__State__UsageCount         *message)
+{
+  static const Br__State__UsageCount init_value = BR__STATE__USAGE_COUNT__INIT;
+  *message = init_value;
+}
+size_t br__state__usage_count__get_packed_size
+                     (const Br__State__UsageCount *message)
+{
+  assert(message->base.descriptor == &br__state__usage_count__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__state__usage_count__pack
+                     (const Br__State__UsageCount *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__state__usage_count__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__state__usage_count__pack_to_buffer
+                     (const Br__State__UsageCount *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__state__usage_count__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__State__UsageCount *
+       br__state__usage_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__State__UsageCount *)
+     protobuf_c_message_unpack (&br__state__usage_count__descriptor,
+                                allocator, len, data);
+}
+void   br__state__usage_count__free_unpacked
+                     (Br__State__UsageCount *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__state__usage_count__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   br__state__usage_decision__init
+                     (Br__State__UsageDecision         *message)
+{
+  static const Br__State__UsageDecision init_value = BR__STATE__USAGE_DECISION__INIT;
+  *message = init_value;
+}
+size_t br__state__usage_decision__get_packed_size
+                     (const Br__State__UsageDecision *message)
+{
+  assert(message->base.descriptor == &br__state__usage_decision__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__state__usage_decision__pack
+                     (const Br__State__UsageDecision *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__state__usage_decision__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__state__usage_decision__pack_to_buffer
+                     (const Br__State__UsageDecision *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__state__usage_decision__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__State__UsageDecision *
+       br__state__usage_decision__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__State__UsageDecision *)
+     protobuf_c_message_unpack (&br__state__usage_decision__descriptor,
+                                allocator, len, data);
+}
+void   br__state__usage_decision__free_unpacked
+                     (Br__State__UsageDecision *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__state__usage_decision__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   br__state__command__init
                      (Br__State__Command         *message)
 {
@@ -2159,7 +2339,211 @@
   (ProtobufCMessageInit) br__state__fence_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__state__command__field_descriptors[8] =
+static const ProtobufCFieldDescriptor br__state__site_change__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__State__SiteChange, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Br__State__SiteChange, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__state__site_change__field_indices_by_name[] = {
+  1,   /* field[1] = text */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange br__state__site_change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__state__site_change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.state.SiteChange",
+  "SiteChange",
+  "Br__State__SiteChange",
+  "br.state",
+  sizeof(Br__State__SiteChange),
+  2,
+  br__state__site_change__field_descriptors,
+  br__state__site_change__field_indices_by_name,
+  1,  br__state__site_change__number_ranges,
+  (ProtobufCMessageInit) br__state__site_change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__state__site_result__field_descriptors[2] =
+{
+  {
+    "applied",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Br__State__SiteResult, applied),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__State__SiteResult, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__state__site_result__field_indices_by_name[] = {
+  0,   /* field[0] = applied */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange br__state__site_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__state__site_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.state.SiteResult",
+  "SiteResult",
+  "Br__State__SiteResult",
+  "br.state",
+  sizeof(Br__State__SiteResult),
+  2,
+  br__state__site_result__field_descriptors,
+  br__state__site_result__field_indices_by_name,
+  1,  br__state__site_result__number_ranges,
+  (ProtobufCMessageInit) br__state__site_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__state__usage_count__field_descriptors[2] =
+{
+  {
+    "organisation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__State__UsageCount, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__State__UsageCount, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__state__usage_count__field_indices_by_name[] = {
+  0,   /* field[0] = organisation */
+  1,   /* field[1] = requests */
+};
+static const ProtobufCIntRange br__state__usage_count__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__state__usage_count__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.state.UsageCount",
+  "UsageCount",
+  "Br__State__UsageCount",
+  "br.state",
+  sizeof(Br__State__UsageCount),
+  2,
+  br__state__usage_count__field_descriptors,
+  br__state__usage_count__field_indices_by_name,
+  1,  br__state__usage_count__number_ranges,
+  (ProtobufCMessageInit) br__state__usage_count__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__state__usage_decision__field_descriptors[2] =
+{
+  {
+    "window",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__State__UsageDecision, window),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counts",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__State__UsageDecision, n_counts),
+    offsetof(Br__State__UsageDecision, counts),
+    &br__state__usage_count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__state__usage_decision__field_indices_by_name[] = {
+  1,   /* field[1] = counts */
+  0,   /* field[0] = window */
+};
+static const ProtobufCIntRange br__state__usage_decision__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__state__usage_decision__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.state.UsageDecision",
+  "UsageDecision",
+  "Br__State__UsageDecision",
+  "br.state",
+  sizeof(Br__State__UsageDecision),
+  2,
+  br__state__usage_decision__field_descriptors,
+  br__state__usage_decision__field_indices_by_name,
+  1,  br__state__usage_decision__number_ranges,
+  (ProtobufCMessageInit) br__state__usage_decision__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__state__command__field_descriptors[10] =
 {
   {
     "change",
@@ -2257,6 +2641,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "site_change",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__State__Command, body_case),
+    offsetof(Br__State__Command, site_change),
+    &br__state__site_change__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage_decision",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__State__Command, body_case),
+    offsetof(Br__State__Command, usage_decision),
+    &br__state__usage_decision__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__state__command__field_indices_by_name[] = {
   0,   /* field[0] = change */
@@ -2266,12 +2674,14 @@
   5,   /* field[5] = claim_settle */
   1,   /* field[1] = claim_take */
   7,   /* field[7] = fence_next */
+  8,   /* field[8] = site_change */
   6,   /* field[6] = tick */
+  9,   /* field[9] = usage_decision */
 };
 static const ProtobufCIntRange br__state__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor br__state__command__descriptor =
 {
@@ -2281,14 +2691,14 @@
   "Br__State__Command",
   "br.state",
   sizeof(Br__State__Command),
-  8,
+  10,
   br__state__command__field_descriptors,
   br__state__command__field_indices_by_name,
   1,  br__state__command__number_ranges,
   (ProtobufCMessageInit) br__state__command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__state__result__field_descriptors[5] =
+static const ProtobufCFieldDescriptor br__state__result__field_descriptors[7] =
 {
   {
     "invalid",
@@ -2350,18 +2760,44 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "site",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__State__Result, body_case),
+    offsetof(Br__State__Result, site),
+    &br__state__site_result__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__State__Result, body_case),
+    offsetof(Br__State__Result, usage),
+    &br__state__usage_decision__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__state__result__field_indices_by_name[] = {
   1,   /* field[1] = change */
   2,   /* field[2] = claim */
   4,   /* field[4] = fence */
   0,   /* field[0] = invalid */
+  5,   /* field[5] = site */
   3,   /* field[3] = tick */
+  6,   /* field[6] = usage */
 };
 static const ProtobufCIntRange br__state__result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor br__state__result__descriptor =
 {
@@ -2371,7 +2807,7 @@
   "Br__State__Result",
   "br.state",
   sizeof(Br__State__Result),
-  5,
+  7,
   br__state__result__field_descriptors,
   br__state__result__field_indices_by_name,
   1,  br__state__result__number_ranges,
@@ -2519,7 +2955,7 @@
   (ProtobufCMessageInit) br__state__fence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__state__snapshot__field_descriptors[9] =
+static const ProtobufCFieldDescriptor br__state__snapshot__field_descriptors[11] =
 {
   {
     "format",
@@ -2629,6 +3065,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "site",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Br__State__Snapshot, site),
+    &br__state__site_change__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__State__Snapshot, n_usage),
+    offsetof(Br__State__Snapshot, usage),
+    &br__state__usage_decision__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__state__snapshot__field_indices_by_name[] = {
   1,   /* field[1] = applied */
@@ -2638,13 +3098,15 @@
   0,   /* field[0] = format */
   3,   /* field[3] = now_ms */
   2,   /* field[2] = revision */
+  9,   /* field[9] = site */
   4,   /* field[4] = tick */
+  10,   /* field[10] = usage */
   6,   /* field[6] = verdicts */
 };
 static const ProtobufCIntRange br__state__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor br__state__snapshot__descriptor =
 {
@@ -2654,7 +3116,7 @@
   "Br__State__Snapshot",
   "br.state",
   sizeof(Br__State__Snapshot),
-  9,
+  11,
   br__state__snapshot__field_descriptors,
   br__state__snapshot__field_indices_by_name,
   1,  br__state__snapshot__number_ranges,
