--- a/src/state/state.pb-c.h
+++ b/src/state/state.pb-c.h
@@ -30,6 +30,10 @@
 typedef struct Br__State__TickResult Br__State__TickResult;
 typedef struct Br__State__FenceNext Br__State__FenceNext;
 typedef struct Br__State__FenceResult Br__State__FenceResult;
+typedef struct Br__State__SiteChange Br__State__SiteChange;
+typedef struct Br__State__SiteResult Br__State__SiteResult;
+typedef struct Br__State__UsageCount Br__State__UsageCount;
+typedef struct Br__State__UsageDecision Br__State__UsageDecision;
 typedef struct Br__State__Command Br__State__Command;
 typedef struct Br__State__Result Br__State__Result;
 typedef struct Br__State__Verdict Br__State__Verdict;
@@ -409,6 +413,67 @@
     , 0 }
 
 
+/*
+ * Replaces a site's whole configuration by one with a higher version.
+ */
+struct  Br__State__SiteChange
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  /*
+   * as its sender wrote it
+   */
+  ProtobufCBinaryData text;
+};
+#define BR__STATE__SITE_CHANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__state__site_change__descriptor) \
+    , 0, {0,NULL} }
+
+
+struct  Br__State__SiteResult
+{
+  ProtobufCMessage base;
+  /*
+   * false: a version as high is in force
+   */
+  protobuf_c_boolean applied;
+  /*
+   * in force after the command
+   */
+  uint64_t version;
+};
+#define BR__STATE__SITE_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__state__site_result__descriptor) \
+    , 0, 0 }
+
+
+struct  Br__State__UsageCount
+{
+  ProtobufCMessage base;
+  char *organisation;
+  uint64_t requests;
+};
+#define BR__STATE__USAGE_COUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__state__usage_count__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Fixes the counts of an accounting window; only the first decision on a
+ * window takes effect.
+ */
+struct  Br__State__UsageDecision
+{
+  ProtobufCMessage base;
+  uint64_t window;
+  size_t n_counts;
+  Br__State__UsageCount **counts;
+};
+#define BR__STATE__USAGE_DECISION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__state__usage_decision__descriptor) \
+    , 0, 0,NULL }
+
+
 typedef enum {
   BR__STATE__COMMAND__BODY__NOT_SET = 0,
   BR__STATE__COMMAND__BODY_CHANGE = 1,
@@ -418,7 +483,9 @@
   BR__STATE__COMMAND__BODY_CLAIM_ABANDON = 5,
   BR__STATE__COMMAND__BODY_CLAIM_SETTLE = 6,
   BR__STATE__COMMAND__BODY_TICK = 7,
-  BR__STATE__COMMAND__BODY_FENCE_NEXT = 8
+  BR__STATE__COMMAND__BODY_FENCE_NEXT = 8,
+  BR__STATE__COMMAND__BODY_SITE_CHANGE = 9,
+  BR__STATE__COMMAND__BODY_USAGE_DECISION = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BR__STATE__COMMAND__BODY__CASE)
 } Br__State__Command__BodyCase;
 
@@ -435,6 +502,8 @@
     Br__State__ClaimSettle *claim_settle;
     Br__State__Tick *tick;
     Br__State__FenceNext *fence_next;
+    Br__State__SiteChange *site_change;
+    Br__State__UsageDecision *usage_decision;
   };
 };
 #define BR__STATE__COMMAND__INIT \
@@ -448,7 +517,9 @@
   BR__STATE__RESULT__BODY_CHANGE = 2,
   BR__STATE__RESULT__BODY_CLAIM = 3,
   BR__STATE__RESULT__BODY_TICK = 4,
-  BR__STATE__RESULT__BODY_FENCE = 5
+  BR__STATE__RESULT__BODY_FENCE = 5,
+  BR__STATE__RESULT__BODY_SITE = 6,
+  BR__STATE__RESULT__BODY_USAGE = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BR__STATE__RESULT__BODY__CASE)
 } Br__State__Result__BodyCase;
 
@@ -465,6 +536,8 @@
     Br__State__ClaimResult *claim;
     Br__State__TickResult *tick;
     Br__State__FenceResult *fence;
+    Br__State__SiteResult *site;
+    Br__State__UsageDecision *usage;
   };
 };
 #define BR__STATE__RESULT__INIT \
@@ -517,10 +590,16 @@
   Br__State__Claim **claims;
   size_t n_fences;
   Br__State__Fence **fences;
+  Br__State__SiteChange *site;
+  /*
+   * the newest windows
+   */
+  size_t n_usage;
+  Br__State__UsageDecision **usage;
 };
 #define BR__STATE__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__state__snapshot__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL }
 
 
 /*
@@ -822,6 +901,82 @@
 void   br__state__fence_result__free_unpacked
                      (Br__State__FenceResult *message,
                       ProtobufCAllocator *allocator);
+/* Br__State__SiteChange methods */
+void   br__state__site_change__init
+                     (Br__State__SiteChange         *message);
+size_t br__state__site_change__get_packed_size
+                     (const Br__State__SiteChange   *message);
+size_t br__state__site_change__pack
+                     (const Br__State__SiteChange   *message,
+                      uint8_t             *out);
+size_t br__state__site_change__pack_to_buffer
+                     (const Br__State__SiteChange   *message,
+                      ProtobufCBuffer     *buffer);
+Br__State__SiteChange *
+       br__state__site_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__state__site_change__free_unpacked
+                     (Br__State__SiteChange *message,
+                      ProtobufCAllocator *allocator);
+/* Br__State__SiteResult methods */
+void   br__state__site_result__init
+                     (Br__State__SiteResult         *message);
+size_t br__state__site_result__get_packed_size
+                     (const Br__State__SiteResult   *message);
+size_t br__state__site_result__pack
+                     (const Br__State__SiteResult   *message,
+                      uint8_t             *out);
+size_t br__state__site_result__pack_to_buffer
+                     (const Br__State__SiteResult   *message,
+                      ProtobufCBuffer     *buffer);
+Br__State__SiteResult *
+       br__state__site_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__state__site_result__free_unpacked
+                     (Br__State__SiteResult *message,
+                      ProtobufCAllocator *allocator);
+/* Br__State__UsageCount methods */
+void   br__state__usage_count__init
+                     (Br__State__UsageCount         *message);
+size_t br__state__usage_count__get_packed_size
+                     (const Br__State__UsageCount   *message);
+size_t br__state__usage_count__pack
+                     (const Br__State__UsageCount   *message,
+                      uint8_t             *out);
+size_t br__state__usage_count__pack_to_buffer
+                     (const Br__State__UsageCount   *message,
+                      ProtobufCBuffer     *buffer);
+Br__State__UsageCount *
+       br__state__usage_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__state__usage_count__free_unpacked
+                     (Br__State__UsageCount *message,
+                      ProtobufCAllocator *allocator);
+/* Br__State__UsageDecision methods */
+void   br__state__usage_decision__init
+                     (Br__State__UsageDecision         *message);
+size_t br__state__usage_decision__get_packed_size
+                     (const Br__State__UsageDecision   *message);
+size_t br__state__usage_decision__pack
+                     (const Br__State__UsageDecision   *message,
+                      uint8_t             *out);
+size_t br__state__usage_decision__pack_to_buffer
+                     (const Br__State__UsageDecision   *message,
+                      ProtobufCBuffer     *buffer);
+Br__State__UsageDecision *
+       br__state__usage_decision__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__state__usage_decision__free_unpacked
+                     (Br__State__UsageDecision *message,
+                      ProtobufCAllocator *allocator);
 /* Br__State__Command methods */
 void   br__state__command__init
                      (Br__State__Command         *message);
@@ -983,6 +1138,18 @@
 typedef void (*Br__State__FenceResult_Closure)
                  (const Br__State__FenceResult *message,
                   void *closure_data);
+typedef void (*Br__State__SiteChange_Closure)
+                 (const Br__State__SiteChange *message,
+                  void *closure_data);
+typedef void (*Br__State__SiteResult_Closure)
+                 (const Br__State__SiteResult *message,
+                  void *closure_data);
+typedef void (*Br__State__UsageCount_Closure)
+                 (const Br__State__UsageCount *message,
+                  void *closure_data);
+typedef void (*Br__State__UsageDecision_Closure)
+                 (const Br__State__UsageDecision *message,
+                  void *closure_data);
 typedef void (*Br__State__Command_Closure)
                  (const Br__State__Command *message,
                   void *closure_data);
@@ -1025,6 +1192,10 @@
 extern const ProtobufCMessageDescriptor br__state__tick_result__descriptor;
 extern const ProtobufCMessageDescriptor br__state__fence_next__descriptor;
 extern const ProtobufCMessageDescriptor br__state__fence_result__descriptor;
+extern const ProtobufCMessageDescriptor br__state__site_change__descriptor;
+extern const ProtobufCMessageDescriptor br__state__site_result__descriptor;
+extern const ProtobufCMessageDescriptor br__state__usage_count__descriptor;
+extern const ProtobufCMessageDescriptor br__state__usage_decision__descriptor;
 extern const ProtobufCMessageDescriptor br__state__command__descriptor;
 extern const ProtobufCMessageDescriptor br__state__result__descriptor;
 extern const ProtobufCMessageDescriptor br__state__verdict__descriptor;
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -13,7 +13,7 @@
 #define BR_WIRE_VERSION 1
 
 /* Longest frame accepted, in bytes. */
-#define BR_FRAME_MAX (4 * 1024 * 1024)
+#define BR_FRAME_MAX (8 * 1024 * 1024)
 
 #define BR_NONCE_BYTES 16
 #define BR_MAC_BYTES 32
@@ -27,7 +27,8 @@
   X (LINK, "link")                                                             \
   X (UPSTREAM, "upstream")                                                     \
   X (ORGANISATION, "organisation")                                             \
-  X (ROUTE, "route")
+  X (ROUTE, "route")                                                           \
+  X (SITE, "site")
 
 typedef enum
 {
