--- a/src/shell/control_duties.c
+++ b/src/shell/control_duties.c
@@ -11,7 +11,7 @@
 #include "state/command.h"
 
 /* Time between two looks at what is due. */
-#define LOOK_MS 250
+#define LOOK_MS 200
 
 /* After the end of a window the entry VMs' last counts are waited for: this
  * long in any case, and at most that long, in milliseconds.  The report is due
@@ -25,6 +25,10 @@
 /* An entry VM that was not heard of for this long is not waited for. */
 #define ENTRY_LIFE_MS 3000
 
+/* A new leader acts after this time, in milliseconds: calls of the one before
+ * are through, and most entry VMs have reported. */
+#define TAKE_OVER_MS 700
+
 /* A call that failed is made again after this time, in milliseconds. */
 #define CALL_AGAIN_MS 600
 
@@ -35,6 +39,14 @@
  * this long, in milliseconds. */
 #define REFUSED_MS 3000
 
+/* After reclaimable VMs were taken back, none are asked for there for this
+ * long, in milliseconds. */
+#define RECLAIMED_MS 4000
+
+/* For this long after an order for fewer, VMs that leave were given up and not
+ * taken back, in milliseconds. */
+#define SHRUNK_MS 8000
+
 /* A lower number of upstreams is ordered only when it was enough for this
  * long, in milliseconds: longer than the usual waves of load. */
 #define SHRINK_MS 12000
@@ -64,6 +76,8 @@
   br_name_t failure_domain;
   order_state_t spot;
   order_state_t steady;
+  br_ms_t shrunk_ms;    /* when fewer reclaimable VMs were last ordered */
+  br_ms_t reclaimed_ms; /* when its reclaimable VMs were last seen leaving */
 } place_t;
 
 BR_VEC (places, place_t);
@@ -93,7 +107,9 @@
   br_control_task_t *task;
   br_ms_t look_ms;
   br_ms_t size_ms;
-  uint64_t term; /* for which the state below holds */
+  uint64_t acted_term; /* in which this VM last made a call */
+  bool has_acted;      /* in a term before this one */
+  uint64_t term;       /* for which the state below holds */
 
   call_state_t usage_state;
   uint64_t usage_ticket;
@@ -207,6 +223,7 @@
     counts[i] = (br_usage_count_t){ decision->counts[i]->organisation,
                                     decision->counts[i]->requests };
   duties->usage_state = CALL_POSTING;
+  duties->acted_term = duties->term;
   br_cloud_report_usage (duties->task->cloud, &holder, duties->usage_window,
                          counts, decision->n_counts, usage_on_posted, duties);
   free (counts);
@@ -369,34 +386,6 @@
   return sum;
 }
 
-/* Upstreams that are ready now. */
-static int
-duties_present (const br_control_duties_t *duties, const br_name_t *service)
-{
-  const br_listings_t *listings = &duties->task->listings;
-  int present = 0;
-
-  for (size_t i = 0; i < listings->len; i++)
-    present += br_name_equal (&listings->items[i].service, service)
-               && !listings->items[i].draining;
-  return present;
-}
-
-/* Before the load is known, what is there is taken to carry it with the
- * reserve for lost failure domains. */
-static void
-load_begin (service_load_t *load,
-            const br_control_duties_t *duties,
-            const br_site_service_t *service,
-            br_ms_t now)
-{
-  int domains = (int)service->scaling.domains.len;
-  int present = duties_present (duties, &service->name);
-
-  load->needed_peak = br_sizing_without_reserve (present, domains);
-  load->peak_ms = now;
-}
-
 static void
 duties_update_load (br_control_duties_t *duties,
                     const br_site_service_t *service,
@@ -407,7 +396,10 @@
   int needed;
 
   if (load->peak_ms == 0)
-    load_begin (load, duties, service, now);
+    {
+      load->needed_peak = br_sizing_begin (&service->scaling);
+      load->peak_ms = now;
+    }
   load->load.slots = sum.slots;
   load->load.prefill_per_ms = sum.prefill_per_ms;
   load->load.prefill_per_s
@@ -419,9 +411,40 @@
       load->needed_peak = needed;
       load->peak_ms = now;
     }
+  if (load->needed != load->needed_peak)
+    BR_LOG (&duties->task->node->log, "duty", "upstreams needed",
+            br_field_z ("service", service->name.data),
+            br_field_int ("needed", load->needed_peak),
+            br_field_int ("now", needed),
+            br_field_int ("prefill_tokens_per_s",
+                          (int64_t)load->load.prefill_per_s),
+            br_field_int ("prefill_tokens_per_ms",
+                          (int64_t)load->load.prefill_per_ms),
+            br_field_int ("in_flight", (int64_t)load->load.in_flight));
   load->needed = load->needed_peak;
 }
 
+/* Whether the place's reclaimable VMs are being taken back, or were lately. */
+static bool
+place_is_reclaimed (const br_control_duties_t *duties,
+                    place_t *place,
+                    br_ms_t now)
+{
+  const br_listings_t *listings = &duties->task->listings;
+
+  for (size_t i = 0; i < listings->len; i++)
+    {
+      const br_listing_t *listing = &listings->items[i];
+
+      if (listing->draining && listing->spot && place->spot.wanted > 0
+          && now - place->shrunk_ms > SHRUNK_MS
+          && br_name_equal (&listing->service, &place->service)
+          && br_name_equal (&listing->failure_domain, &place->failure_domain))
+        place->reclaimed_ms = now;
+    }
+  return place->reclaimed_ms > 0 && now - place->reclaimed_ms < RECLAIMED_MS;
+}
+
 static void
 query_count (br_sizing_query_t *query,
              const br_listings_t *listings,
@@ -455,8 +478,8 @@
   };
   for (size_t i = 0; i < domains->len && i < BR_SIZING_DOMAINS_MAX; i++)
     {
-      const place_t *place = duties_place (duties, &service->name,
-                                           &domains->items[i].failure_domain);
+      place_t *place = duties_place (duties, &service->name,
+                                     &domains->items[i].failure_domain);
       br_sizing_domain_t *domain = &query->domains[query->n_domains++];
 
       *domain = (br_sizing_domain_t){
@@ -464,12 +487,15 @@
         .price = domains->items[i].price,
         .spot_wanted = place->spot.wanted,
         .steady_wanted = place->steady.wanted,
-        .spot_refused = now < place->spot.refused_until_ms,
+        .spot_refused = now < place->spot.refused_until_ms
+                        || place_is_reclaimed (duties, place, now),
       };
     }
   query_count (query, &duties->task->listings, &service->name);
 }
 
+static void size_tick (br_control_duties_t *duties, br_ms_t now);
+
 static order_state_t *
 order_target (br_control_duties_t *duties, const order_t *order)
 {
@@ -495,11 +521,19 @@
       br_field_int ("term", (int64_t)duties->term),
       br_field_int ("status", status));
   duties->order_state = CALL_NONE;
+  if (status == 200 && duties->order.spot
+      && (state->wanted < 0 || duties->order.wanted < state->wanted))
+    duties_place (duties, &duties->order.place.service,
+                  &duties->order.place.failure_domain)
+        ->shrunk_ms
+        = now;
   if (status == 200)
     state->wanted = duties->order.wanted;
   else if (status == 409)
     state->refused_until_ms = now + REFUSED_MS;
   state->retry_ms = status == 200 ? 0 : now + CALL_AGAIN_MS;
+  if (duties_hold (duties))
+    size_tick (duties, now);
 }
 
 static void
@@ -519,6 +553,7 @@
       return;
     }
   duties->order_state = CALL_POSTING;
+  duties->acted_term = duties->term;
   br_cloud_order (duties->task->cloud, &holder, &order, order_on_posted,
                   duties);
 }
@@ -616,6 +651,7 @@
 static void
 duties_begin_term (br_control_duties_t *duties)
 {
+  duties->has_acted = duties->acted_term > 0;
   duties->term = duties->task->leads_term;
   duties->usage_state = CALL_NONE;
   duties->order_state = CALL_NONE;
@@ -648,6 +684,21 @@
   return false;
 }
 
+/* How long a leader waits before it acts.  Calls that the leader before made
+ * have arrived when its term is over; but a VM that acted in an earlier term
+ * must not act again soon after another one, nor one that may have. */
+static br_ms_t
+duties_wait_ms (const br_control_duties_t *duties)
+{
+  const br_node_t *node = duties->task->node;
+  br_ms_t lease_ms = node->settings.site.lease_ms;
+  bool is_young = duties->task->leads_ms - node->started_ms < lease_ms;
+
+  if (is_young && node->settings.site.founding)
+    return TAKE_OVER_MS;
+  return is_young || duties->has_acted ? lease_ms : TAKE_OVER_MS;
+}
+
 void
 br_control_duties_tick (br_control_duties_t *duties, br_ms_t now)
 {
@@ -655,8 +706,7 @@
 
   if (duties->term != task->leads_term)
     duties_begin_term (duties);
-  /* The leader before may have acted just before its term ended. */
-  if (now - task->leads_ms < task->node->settings.site.lease_ms
+  if (now - task->leads_ms < duties_wait_ms (duties)
       || br_state_site_version (task->node->state) == 0
       || now - duties->look_ms < LOOK_MS)
     return;
--- a/src/shell/control_inside.h
+++ b/src/shell/control_inside.h
@@ -16,7 +16,8 @@
   br_name_t vm;
   uint64_t incarnation;
   br_ms_t heard_ms;
-  br_site_message_t *told; /* owned; its last report */
+  br_site_message_t *told;  /* owned; its last report */
+  br_site_message_t *loads; /* owned; its last word on loads; or NULL */
 } br_control_entry_t;
 
 BR_VEC (br_control_entries, br_control_entry_t);
--- a/src/shell/control_task.c
+++ b/src/shell/control_task.c
@@ -237,6 +237,19 @@
   return report->n_demands;
 }
 
+/* What ENTRY told last of its load at the upstreams. */
+static size_t
+entry_loads (const br_control_entry_t *entry, Br__Site__UpstreamLoad ***loads)
+{
+  if (entry->loads != NULL)
+    {
+      *loads = entry->loads->loads->loads;
+      return entry->loads->loads->n_loads;
+    }
+  *loads = entry->told->report->loads;
+  return entry->told->report->n_loads;
+}
+
 /* The work of all entry VMs together at each upstream. */
 static size_t
 beat_loads (const br_control_task_t *task,
@@ -255,15 +268,16 @@
       for (size_t j = 0; j < task->entries.len; j++)
         {
           const br_control_entry_t *entry = &task->entries.items[j];
-          const Br__Site__EntryReport *report = entry->told->report;
+          Br__Site__UpstreamLoad **loads;
+          size_t n_loads = entry_loads (entry, &loads);
 
           if (now - entry->heard_ms >= ENTRY_LIFE_MS)
             continue;
-          for (size_t k = 0; k < report->n_loads; k++)
-            if (strcmp (report->loads[k]->id, load->id) == 0)
+          for (size_t k = 0; k < n_loads; k++)
+            if (strcmp (loads[k]->id, load->id) == 0)
               {
-                load->in_flight += report->loads[k]->in_flight;
-                load->prefill_tokens += report->loads[k]->prefill_tokens;
+                load->in_flight += loads[k]->in_flight;
+                load->prefill_tokens += loads[k]->prefill_tokens;
               }
         }
       views[n] = load;
@@ -310,7 +324,10 @@
   Br__Site__UpstreamLoad *wire = br_alloc (upstreams * sizeof *wire);
   Br__Site__UpstreamLoad **views = br_alloc (upstreams * sizeof *views);
   Br__Site__ControlBeat beat = BR__SITE__CONTROL_BEAT__INIT;
+  char *names[BR_REPLICA_MEMBERS_MAX];
 
+  beat.n_control_vms = br_replica_task_members (task->node->replica, names);
+  beat.control_vms = names;
   beat.configuration_version = br_state_site_version (task->node->state);
   beat.wall_ms = (uint64_t)br_site_clock_wall (&task->clock, now);
   beat.leads = task->leads_term > 0 && task->list_sequence > 0;
@@ -331,15 +348,40 @@
   task->beat_ms = now;
 }
 
+/* Tells all entry VMs the loads alone. */
+static void
+task_tell_loads (br_control_task_t *task, br_ms_t now)
+{
+  size_t upstreams = task->listings.len + 1;
+  Br__Site__UpstreamLoad *wire = br_alloc (upstreams * sizeof *wire);
+  Br__Site__UpstreamLoad **views = br_alloc (upstreams * sizeof *views);
+  Br__Site__Loads body = BR__SITE__LOADS__INIT;
+  br_site_message_t message = BR__SITE__MESSAGE__INIT;
+
+  body.term = task->leads_term;
+  body.n_loads = beat_loads (task, wire, views);
+  body.loads = views;
+  message.body_case = BR__SITE__MESSAGE__BODY_LOADS;
+  message.loads = &body;
+  for (size_t i = 0; i < task->entries.len && body.n_loads > 0; i++)
+    if (now - task->entries.items[i].heard_ms < ENTRY_LIFE_MS)
+      br_site_send (task->node, &task->entries.items[i].vm, &message);
+  free (wire);
+  free (views);
+}
+
 /* Control VMs tell each other the time by their own clocks. */
 static void
 beat_to_peer (void *context, const br_name_t *vm)
 {
   br_control_task_t *task = context;
+  char *names[BR_REPLICA_MEMBERS_MAX];
   Br__Site__ControlBeat beat = BR__SITE__CONTROL_BEAT__INIT;
   br_site_message_t message = BR__SITE__MESSAGE__INIT;
 
   beat.wall_ms = (uint64_t)br_clock_wall ();
+  beat.n_control_vms = br_replica_task_members (task->node->replica, names);
+  beat.control_vms = names;
   message.body_case = BR__SITE__MESSAGE__BODY_BEAT;
   message.beat = &beat;
   br_site_send (task->node, vm, &message);
@@ -454,8 +496,39 @@
       for (size_t j = 0; j < window->n_counts; j++)
         br_usage_add (&row->usage, window->number,
                       br_str_from (window->counts[j]->organisation),
-                      window->counts[j]->requests);
+                      (int64_t)window->counts[j]->requests);
+    }
+}
+
+static void
+entry_forget (br_control_entry_t *entry)
+{
+  if (entry->told != NULL)
+    br__site__message__free_unpacked (entry->told, NULL);
+  if (entry->loads != NULL)
+    br__site__message__free_unpacked (entry->loads, NULL);
+  entry->told = NULL;
+  entry->loads = NULL;
+}
+
+/* Takes MESSAGE over. */
+static void
+task_on_loads (br_control_task_t *task,
+               const br_peer_message_t *from,
+               br_site_message_t *message)
+{
+  for (size_t i = 0; i < task->entries.len; i++)
+    {
+      br_control_entry_t *entry = &task->entries.items[i];
+
+      if (!br_name_equal (&entry->vm, &from->vm))
+        continue;
+      if (entry->loads != NULL)
+        br__site__message__free_unpacked (entry->loads, NULL);
+      entry->loads = message;
+      return;
     }
+  br__site__message__free_unpacked (message, NULL);
 }
 
 /* Takes MESSAGE over. */
@@ -468,8 +541,7 @@
   br_ms_t now = br_node_now (task->node);
   bool is_new = entry->told == NULL || entry->incarnation != from->incarnation;
 
-  if (entry->told != NULL)
-    br__site__message__free_unpacked (entry->told, NULL);
+  entry_forget (entry);
   entry->told = message;
   entry->incarnation = from->incarnation;
   entry->heard_ms = now;
@@ -481,7 +553,6 @@
       BR_LOG (&task->node->log, "site", "entry VM heard",
               br_field_z ("peer", from->vm.data),
               br_field_int ("of_incarnation", (int64_t)from->incarnation));
-      br_control_task_on_link (task, &from->vm);
       task_beat (task, now);
     }
 }
@@ -500,6 +571,9 @@
     case BR__SITE__MESSAGE__BODY_REPORT:
       task_on_report (task, from, message);
       return;
+    case BR__SITE__MESSAGE__BODY_LOADS:
+      task_on_loads (task, from, message);
+      return;
     case BR__SITE__MESSAGE__BODY_ASK:
       task_send_text (task, &from->vm, message->ask->version);
       break;
@@ -507,9 +581,9 @@
       br_site_clock_hear (&task->clock, &from->vm,
                           (br_ms_t)message->beat->wall_ms,
                           br_node_now (task->node));
-      break;
-    case BR__SITE__MESSAGE__BODY_CONTROL_VMS:
-      br_replica_task_add_members (task->node->replica, message->control_vms);
+      br_replica_task_add_members (task->node->replica,
+                                   message->beat->control_vms,
+                                   message->beat->n_control_vms);
       break;
     default:
       break;
@@ -517,20 +591,12 @@
   br__site__message__free_unpacked (message, NULL);
 }
 
-/* A VM has come: it is told who the control VMs are. */
 void
 br_control_task_on_link (br_control_task_t *task, const br_name_t *vm)
 {
-  Br__Site__ControlVms body = BR__SITE__CONTROL_VMS__INIT;
-  br_site_message_t message = BR__SITE__MESSAGE__INIT;
-  char *views[BR_REPLICA_MEMBERS_MAX];
-
-  body.n_vms = br_replica_task_members (task->node->replica, views);
-  body.vms = views;
-  message.body_case = BR__SITE__MESSAGE__BODY_CONTROL_VMS;
-  message.control_vms = &body;
-  if (body.n_vms > 0)
-    br_site_send (task->node, vm, &message);
+  BR_LOG (&task->node->log, "site", "control VM reached",
+          br_field_z ("peer", vm->data));
+  beat_to_peer (task, vm);
 }
 
 /* --- time --- */
@@ -577,6 +643,8 @@
       task_beat (task, now);
       br_peer_task_each (task->node->peers, beat_to_peer, task);
     }
+  else if (task->leads_term > 0)
+    task_tell_loads (task, now);
   if (task->leads_term > 0)
     br_control_duties_tick (task->duties, now);
 }
@@ -601,8 +669,7 @@
   if (task == NULL)
     return;
   for (size_t i = 0; i < task->entries.len; i++)
-    if (task->entries.items[i].told != NULL)
-      br__site__message__free_unpacked (task->entries.items[i].told, NULL);
+    entry_forget (&task->entries.items[i]);
   br_control_entries_free (&task->entries);
   br_control_waits_free (&task->waits);
   br_control_duties_free (task->duties);
--- a/src/shell/entry_inside.h
+++ b/src/shell/entry_inside.h
@@ -61,8 +61,14 @@
 br_entry_service_t *br_entry_service (br_entry_task_t *task, br_str_t name);
 br_repeat_limits_t br_entry_repeat_limits (const br_entry_task_t *task);
 
-/* A request of the organisation began to run. */
-void br_entry_count_usage (br_entry_task_t *task, br_str_t organisation);
+/* A request of the organisation began to run; returns the accounting window
+ * in which it counts. */
+uint64_t br_entry_count_usage (br_entry_task_t *task, br_str_t organisation);
+
+/* It did not run, after all. */
+void br_entry_uncount_usage (br_entry_task_t *task,
+                             uint64_t window,
+                             br_str_t organisation);
 
 /* A caller's request has come, or its caller has gone. */
 void br_exchange_begin (br_entry_task_t *task, br_http_conn_t *conn);
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -9,7 +9,8 @@
 #include "shell/site_message.h"
 #include "shell/upstream_pool.h"
 
-/* Time between two looks at what is due. */
+/* Time between two looks at what is due, and between two words on the loads:
+ * VMs that do not know of each other's long prompts send to the same engine. */
 #define TICK_MS 100
 
 /* Time between two reports to the control VMs. */
@@ -76,10 +77,21 @@
   return br_usage_window_of (wall, task_window_ms (task));
 }
 
-void
+uint64_t
 br_entry_count_usage (br_entry_task_t *task, br_str_t organisation)
 {
-  br_usage_add (&task->usage, task_window (task), organisation, 1);
+  uint64_t window = task_window (task);
+
+  br_usage_add (&task->usage, window, organisation, 1);
+  return window;
+}
+
+void
+br_entry_uncount_usage (br_entry_task_t *task,
+                        uint64_t window,
+                        br_str_t organisation)
+{
+  br_usage_add (&task->usage, window, organisation, -1);
 }
 
 /* --- the configuration --- */
@@ -206,13 +218,15 @@
 /* --- what the control VMs tell --- */
 
 static void
-task_on_loads (br_entry_task_t *task, const Br__Site__ControlBeat *beat)
+task_on_loads (br_entry_task_t *task,
+               Br__Site__UpstreamLoad *const *loads,
+               size_t n_loads)
 {
   br_ms_t now = br_node_now (task->node);
 
-  for (size_t i = 0; i < beat->n_loads; i++)
+  for (size_t i = 0; i < n_loads; i++)
     {
-      const Br__Site__UpstreamLoad *load = beat->loads[i];
+      const Br__Site__UpstreamLoad *load = loads[i];
       br_fleet_upstream_t *upstream
           = br_fleet_find (&task->fleet, br_str_from (load->id));
 
@@ -253,7 +267,7 @@
       && beat->fleet_sequence == task->fleet.sequence && task->fleet.known)
     task->fleet.read_ms
         = BR_MAX (task->fleet.read_ms, now - (br_ms_t)beat->fleet_age_ms);
-  task_on_loads (task, beat);
+  task_on_loads (task, beat->loads, beat->n_loads);
 }
 
 static void
@@ -266,6 +280,8 @@
 
   if (beat->configuration_version > version)
     task_ask (task, vm, beat->configuration_version);
+  for (size_t i = 0; i < beat->n_control_vms; i++)
+    br_site_dial (task->node, br_str_from (beat->control_vms[i]));
   if (beat->leads)
     task_on_leader (task, vm, beat);
 }
@@ -287,13 +303,13 @@
     case BR__SITE__MESSAGE__BODY_BEAT:
       task_on_beat (task, vm, message->beat);
       break;
+    case BR__SITE__MESSAGE__BODY_LOADS:
+      if (message->loads->term == task->term)
+        task_on_loads (task, message->loads->loads, message->loads->n_loads);
+      break;
     case BR__SITE__MESSAGE__BODY_TEXT:
       task_on_text (task, message->text);
       break;
-    case BR__SITE__MESSAGE__BODY_CONTROL_VMS:
-      for (size_t i = 0; i < message->control_vms->n_vms; i++)
-        br_site_dial (task->node, br_str_from (message->control_vms->vms[i]));
-      break;
     default:
       break;
     }
@@ -524,6 +540,26 @@
   task->reported_ms = now;
 }
 
+/* Tells the leader the loads alone. */
+static void
+task_report_loads (br_entry_task_t *task)
+{
+  size_t upstreams = task->fleet.all.len + 1;
+  Br__Site__UpstreamLoad *wire = br_alloc (upstreams * sizeof *wire);
+  Br__Site__UpstreamLoad **views = br_alloc (upstreams * sizeof *views);
+  Br__Site__Loads body = BR__SITE__LOADS__INIT;
+  br_site_message_t message = BR__SITE__MESSAGE__INIT;
+
+  body.n_loads = report_loads (task, wire, views);
+  body.loads = views;
+  message.body_case = BR__SITE__MESSAGE__BODY_LOADS;
+  message.loads = &body;
+  if (task->leader.len > 0)
+    br_site_send (task->node, &task->leader, &message);
+  free (wire);
+  free (views);
+}
+
 /* --- time --- */
 
 static void
@@ -543,6 +579,8 @@
       for (size_t i = 0; i < task->fleet.all.len; i++)
         br_upstream_pool_trim (task->fleet.all.items[i], now);
     }
+  else if (task->n_exchanges > 0)
+    task_report_loads (task);
 }
 
 /* --- start and stop --- */
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -67,6 +67,8 @@
   br_ms_t heard_ms; /* last byte of the answer */
   bool head_seen;
   bool had_first;
+  bool counted;    /* in the usage of its organisation */
+  uint64_t window; /* in which it is counted */
   br_outcome_head_t outcome;
   br_http_head_t answer_head; /* copied */
   br_buf_t answer;            /* of a plain service, or part of an event */
@@ -80,7 +82,6 @@
   bool begun; /* the caller has part of a stream */
   br_ms_t first_ms;
   bool has_repeat;   /* the next attempt is within the budget */
-  bool counted;      /* in the usage of its organisation */
   const char *cause; /* of the last failure */
 
   br_exchange_t *prev;
@@ -319,6 +320,29 @@
 
 /* --- attempts --- */
 
+/* A plain service runs a request at once when it has come; an engine, with its
+ * first event. */
+static void
+exchange_count_usage (br_exchange_t *exchange)
+{
+  if (exchange->counted || exchange->organisation == NULL)
+    return;
+  exchange->counted = true;
+  exchange->window = br_entry_count_usage (
+      exchange->task, br_name_str (&exchange->organisation->name));
+}
+
+/* The attempt did not run. */
+static void
+exchange_uncount_usage (br_exchange_t *exchange)
+{
+  if (!exchange->counted)
+    return;
+  exchange->counted = false;
+  br_entry_uncount_usage (exchange->task, exchange->window,
+                          br_name_str (&exchange->organisation->name));
+}
+
 static void
 exchange_set_timer (br_exchange_t *exchange, br_ms_t at_ms)
 {
@@ -443,6 +467,7 @@
     }
   exchange_drop_head (exchange);
   exchange->has_repeat = false;
+  exchange->counted = false;
   exchange->had_first = false;
   exchange->sent_ms = exchange->heard_ms = now;
   exchange->upstream = exchange->choice.upstream;
@@ -455,6 +480,8 @@
       return;
     }
   exchange_send (exchange);
+  if (!exchange->service->has_engine)
+    exchange_count_usage (exchange);
   exchange_set_timer (exchange, exchange_look_ms (exchange));
 }
 
@@ -492,6 +519,8 @@
   };
   br_attempt_next_t next;
 
+  if (!may_have_run)
+    exchange_uncount_usage (exchange);
   query.ran = exchange->ran += may_have_run ? 1 : 0;
   query.refused = exchange->refused += may_have_run ? 0 : 1;
   next = br_attempt_decide (&query);
@@ -529,16 +558,6 @@
   };
 }
 
-static void
-exchange_count_usage (br_exchange_t *exchange)
-{
-  if (exchange->counted || exchange->organisation == NULL)
-    return;
-  exchange->counted = true;
-  br_entry_count_usage (exchange->task,
-                        br_name_str (&exchange->organisation->name));
-}
-
 /* The engine has begun to generate. */
 static void
 exchange_on_first_event (br_exchange_t *exchange)
@@ -549,7 +568,7 @@
     return;
   exchange->had_first = true;
   br_fleet_first_event (exchange->upstream, exchange->choice.uncached,
-                        exchange->choice.backlog, now - exchange->sent_ms);
+                        now - exchange->sent_ms);
   exchange_count_usage (exchange);
   if (exchange->first_ms > 0)
     return;
@@ -650,7 +669,6 @@
   if (exchange->outcome.status < 400)
     br_fleet_judge (exchange->upstream, BR_RESULT_GOOD,
                     exchange_now (exchange));
-  exchange_count_usage (exchange);
   exchange_pass_head (exchange, &headers, &answer);
   br_http_conn_answer (exchange->conn, &answer, br_buf_str (&exchange->answer));
   br_http_headers_free (&headers);
@@ -879,7 +897,10 @@
       return true;
     }
   br_error_set (err, BR_ERROR_LIMITED, "admit", "",
-                "the organisation's quota is used up");
+                "the organisation's quota is used up: this VM has %.3f of "
+                "%.0f a second",
+                br_quotas_part (&task->quotas, exchange->organisation),
+                exchange->organisation->rate_per_s);
   err->retry_after_ms = wait_ms;
   return false;
 }
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -541,15 +541,16 @@
 
 void
 br_replica_task_add_members (br_replica_task_t *task,
-                             const Br__Site__ControlVms *members)
+                             char *const *names,
+                             size_t n_names)
 {
-  for (size_t i = 0; i < members->n_vms; i++)
+  for (size_t i = 0; i < n_names; i++)
     {
       br_name_t name;
 
-      if (!br_name_set (&name, br_str_from (members->vms[i])))
+      if (!br_name_set (&name, br_str_from (names[i])))
         continue;
       br_replica_add_peer (task->replica, &name);
-      br_site_dial (task->node, br_str_from (members->vms[i]));
+      br_site_dial (task->node, br_str_from (names[i]));
     }
 }
--- a/src/shell/replica_task.h
+++ b/src/shell/replica_task.h
@@ -4,7 +4,6 @@
 #define BR_SHELL_REPLICA_TASK_H
 
 #include "shell/node.h"
-#include "site/site.pb-c.h"
 
 BR_BEGIN_DECLS
 
@@ -56,7 +55,8 @@
 
 /* Another VM named the members that it knows. */
 void br_replica_task_add_members (br_replica_task_t *task,
-                                  const Br__Site__ControlVms *members);
+                                  char *const *names,
+                                  size_t n_names);
 
 /* Appends one JSON object: role, term, leader, commit and applied index,
  * members, and on the leader how far each follower is. */
--- a/src/site/choice.c
+++ b/src/site/choice.c
@@ -13,9 +13,11 @@
  * to hold, in milliseconds: about the reading of a shared part. */
 #define PREFERRED_MS 25
 
-/* Time that each running request adds to what a new one waits, in
- * milliseconds: its share of a step of the batch. */
-#define RUNNING_MS 0.4
+/* What a batch with all slots taken costs a new request, in milliseconds; it
+ * grows with the square of the share that is taken.  Prompts are read between
+ * the tokens of the running requests, so that a crowded engine is slow to
+ * answer and slow to get empty. */
+#define CROWDED_MS 400.0
 
 /* Expected time of a request to a plain service while another runs there, in
  * milliseconds, for as long as none was measured. */
@@ -25,6 +27,10 @@
  * that waits: the length of a usual answer over the slots. */
 #define FULL_ENGINE_MS 20.0
 
+/* Up to so much, in milliseconds, is added by a hash of the request and the
+ * upstream: VMs that know the same do not all send to the same one at once. */
+#define SPREAD_MS 12
+
 /* What a share of failures costs, in milliseconds for all of them. */
 #define FAILING_MS 400.0
 
@@ -106,15 +112,18 @@
   uint32_t prompt = query->inbound->prompt_tokens;
   uint32_t load = br_fleet_load (upstream, now);
   uint32_t slots = (uint32_t)query->service->engine.slots;
+  double taken;
   double ms;
 
   choice->uncached = prompt > cached ? prompt - cached : 0;
   choice->backlog = br_fleet_backlog (upstream, now) + choice->uncached;
   choice->full = load >= slots;
-  ms = (double)choice->backlog / upstream->prefill_per_ms + load * RUNNING_MS;
+  ms = (double)choice->backlog / upstream->prefill_per_ms;
   if (choice->full)
     ms += (load - slots + 1) * FULL_ENGINE_MS;
-  candidate->cost_ms = ms;
+  choice->expected_ms = (br_ms_t)ms;
+  taken = (double)load / BR_MAX (slots, 1);
+  candidate->cost_ms = ms + CROWDED_MS * taken * taken;
 }
 
 static void
@@ -128,6 +137,7 @@
   candidate->cost_ms = PLAIN_MS + load * PLAIN_MS / slots;
   if (candidate->choice.full)
     candidate->cost_ms += (load - slots + 1) * PLAIN_MS / slots;
+  candidate->choice.expected_ms = (br_ms_t)candidate->cost_ms;
 }
 
 static candidate_t
@@ -141,11 +151,15 @@
     estimate_engine (&candidate, query, now);
   else
     estimate_plain (&candidate, now);
-  candidate.choice.expected_ms = (br_ms_t)candidate.cost_ms;
   if (!br_name_equal (&upstream->listing.failure_domain,
                       &query->failure_domain))
     candidate.cost_ms += OTHER_DOMAIN_MS;
   candidate.cost_ms += upstream->failing * FAILING_MS;
+  candidate.cost_ms
+      += (double)(br_str_hash (
+                      query->inbound->id,
+                      br_str_hash (br_name_str (&upstream->listing.id), 0))
+                  % SPREAD_MS);
   return candidate;
 }
 
--- a/src/site/fleet.c
+++ b/src/site/fleet.c
@@ -23,15 +23,15 @@
 /* Speed that is assumed before any was measured, in tokens per millisecond,
  * and the bounds of what is believed. */
 #define PREFILL_PER_MS 40.0
-#define PREFILL_PER_MS_MIN 4.0
-#define PREFILL_PER_MS_MAX 400.0
+#define PREFILL_PER_MS_MIN 8.0
+#define PREFILL_PER_MS_MAX 120.0
 
 /* Prompts shorter than this tell little about the speed of reading them. */
 #define PREFILL_SAMPLE_TOKENS 1500
 
-/* Weights of a sample above and below the estimate.  The wait also holds other
- * delays, so that most samples are too low. */
-#define PREFILL_RISE 0.3
+/* Weights of a sample above and below the estimate.  The wait also holds that
+ * for other prompts, so that most samples are too low. */
+#define PREFILL_RISE 0.2
 #define PREFILL_FALL 0.04
 
 /* Time of a first event beside the reading of the prompt, in milliseconds: the
@@ -203,16 +203,15 @@
 void
 br_fleet_first_event (br_fleet_upstream_t *upstream,
                       uint32_t uncached,
-                      uint64_t backlog,
                       br_ms_t waited_ms)
 {
   double sample;
   double weight;
 
   upstream->prefill_tokens -= BR_MIN (uncached, upstream->prefill_tokens);
-  if (backlog < PREFILL_SAMPLE_TOKENS || waited_ms <= FIRST_EVENT_MS)
+  if (uncached < PREFILL_SAMPLE_TOKENS || waited_ms <= FIRST_EVENT_MS)
     return;
-  sample = (double)backlog / (double)(waited_ms - FIRST_EVENT_MS);
+  sample = (double)uncached / (double)(waited_ms - FIRST_EVENT_MS);
   sample = BR_MIN (BR_MAX (sample, PREFILL_PER_MS_MIN), PREFILL_PER_MS_MAX);
   weight = sample > upstream->prefill_per_ms ? PREFILL_RISE : PREFILL_FALL;
   upstream->prefill_per_ms += weight * (sample - upstream->prefill_per_ms);
--- a/src/site/fleet.h
+++ b/src/site/fleet.h
@@ -67,11 +67,9 @@
                     uint32_t uncached,
                     br_ms_t now);
 
-/* Its first event came after WAITED_MS; BACKLOG is the sum of prompt tokens
- * that were ahead of it when it was sent, its own included. */
+/* Its first event came after WAITED_MS. */
 void br_fleet_first_event (br_fleet_upstream_t *upstream,
                            uint32_t uncached,
-                           uint64_t backlog,
                            br_ms_t waited_ms);
 
 /* It is no longer under way.  HAD_FIRST says whether br_fleet_first_event()
--- a/src/site/quota.c
+++ b/src/site/quota.c
@@ -3,6 +3,16 @@
 /* Part of a quota that is split evenly, whoever asks. */
 #define EVEN_PART 0.25
 
+/* Shares of one quota at several VMs never fit the demand exactly.  What they
+ * may exceed it by together, so that nothing within the quota is refused: a
+ * part of the rate, and an amount at once.  Both are well within what the
+ * platform tolerates (a tenth, and 140,000 tokens). */
+#define RATE_MARGIN 1.04
+#define BURST_MARGIN_TOKENS 70000
+
+/* Weight of the newest demand in what is told. */
+#define ASKED_WEIGHT 0.4
+
 static br_quota_t *
 quotas_find (br_quotas_t *quotas, br_str_t organisation)
 {
@@ -41,8 +51,9 @@
             const br_site_organisation_t *organisation,
             br_ms_t now)
 {
-  double burst = organisation->burst * quota->part;
-  double rate = organisation->rate_per_s * quota->part;
+  double margin = organisation->by_tokens ? BURST_MARGIN_TOKENS : 0;
+  double burst = (organisation->burst + margin) * quota->part;
+  double rate = organisation->rate_per_s * RATE_MARGIN * quota->part;
 
   if (quota->filled_ms < 0)
     quota->level = burst;
@@ -76,6 +87,12 @@
   return false;
 }
 
+double
+br_quotas_part (br_quotas_t *quotas, const br_site_organisation_t *organisation)
+{
+  return quotas_get (quotas, br_name_str (&organisation->name))->part;
+}
+
 void
 br_quotas_give_back (br_quotas_t *quotas,
                      const br_site_organisation_t *organisation,
@@ -107,9 +124,10 @@
     {
       br_quota_t *quota = &quotas->list.items[i];
 
-      if (quota->asked > 0)
-        tell (context, &quota->organisation,
-              quota->asked * 1000 / (double)span);
+      quota->demand += ASKED_WEIGHT
+                       * (quota->asked * 1000 / (double)span - quota->demand);
+      if (quota->demand >= 1)
+        tell (context, &quota->organisation, quota->demand);
       quota->asked = 0;
     }
   quotas->demand_ms = now;
--- a/src/site/quota.h
+++ b/src/site/quota.h
@@ -13,8 +13,9 @@
   br_name_t organisation;
   double level; /* units that may be used now */
   br_ms_t filled_ms;
-  double part;  /* of the quota that is this VM's, 0 to 1 */
-  double asked; /* units asked for since the last br_quotas_demand() */
+  double part;   /* of the quota that is this VM's, 0 to 1 */
+  double demand; /* units asked for in a second, averaged */
+  double asked;  /* units asked for since the last br_quotas_demand() */
 } br_quota_t;
 
 BR_VEC (br_quota_list, br_quota_t);
@@ -39,6 +40,10 @@
                      br_ms_t now,
                      br_ms_t *wait_ms);
 
+/* The part of the organisation's quota that is this VM's now, 0 to 1. */
+double br_quotas_part (br_quotas_t *quotas,
+                       const br_site_organisation_t *organisation);
+
 /* Gives back what a request took that did not run. */
 void br_quotas_give_back (br_quotas_t *quotas,
                           const br_site_organisation_t *organisation,
--- a/src/site/site.pb-c.c
+++ b/src/site/site.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &br__site__upstream_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   br__site__loads__init
+                     (Br__Site__Loads         *message)
+{
+  static const Br__Site__Loads init_value = BR__SITE__LOADS__INIT;
+  *message = init_value;
+}
+size_t br__site__loads__get_packed_size
+                     (const Br__Site__Loads *message)
+{
+  assert(message->base.descriptor == &br__site__loads__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__site__loads__pack
+                     (const Br__Site__Loads *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__site__loads__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__site__loads__pack_to_buffer
+                     (const Br__Site__Loads *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__site__loads__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__Site__Loads *
+       br__site__loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__Site__Loads *)
+     protobuf_c_message_unpack (&br__site__loads__descriptor,
+                                allocator, len, data);
+}
+void   br__site__loads__free_unpacked
+                     (Br__Site__Loads *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__site__loads__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   br__site__service_demand__init
                      (Br__Site__ServiceDemand         *message)
 {
@@ -547,51 +592,6 @@
   assert(message->base.descriptor == &br__site__configuration_text__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   br__site__control_vms__init
-                     (Br__Site__ControlVms         *message)
-{
-  static const Br__Site__ControlVms init_value = BR__SITE__CONTROL_VMS__INIT;
-  *message = init_value;
-}
-size_t br__site__control_vms__get_packed_size
-                     (const Br__Site__ControlVms *message)
-{
-  assert(message->base.descriptor == &br__site__control_vms__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t br__site__control_vms__pack
-                     (const Br__Site__ControlVms *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &br__site__control_vms__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t br__site__control_vms__pack_to_buffer
-                     (const Br__Site__ControlVms *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &br__site__control_vms__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Br__Site__ControlVms *
-       br__site__control_vms__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Br__Site__ControlVms *)
-     protobuf_c_message_unpack (&br__site__control_vms__descriptor,
-                                allocator, len, data);
-}
-void   br__site__control_vms__free_unpacked
-                     (Br__Site__ControlVms *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &br__site__control_vms__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   br__site__message__init
                      (Br__Site__Message         *message)
 {
@@ -1073,6 +1073,57 @@
   (ProtobufCMessageInit) br__site__upstream_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor br__site__loads__field_descriptors[2] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loads, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Loads, n_loads),
+    offsetof(Br__Site__Loads, loads),
+    &br__site__upstream_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__site__loads__field_indices_by_name[] = {
+  1,   /* field[1] = loads */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange br__site__loads__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__site__loads__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.site.Loads",
+  "Loads",
+  "Br__Site__Loads",
+  "br.site",
+  sizeof(Br__Site__Loads),
+  2,
+  br__site__loads__field_descriptors,
+  br__site__loads__field_indices_by_name,
+  1,  br__site__loads__number_ranges,
+  (ProtobufCMessageInit) br__site__loads__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor br__site__service_demand__field_descriptors[6] =
 {
   {
@@ -1369,7 +1420,7 @@
   (ProtobufCMessageInit) br__site__share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__control_beat__field_descriptors[9] =
+static const ProtobufCFieldDescriptor br__site__control_beat__field_descriptors[10] =
 {
   {
     "configuration_version",
@@ -1479,9 +1530,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "control_vms",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Br__Site__ControlBeat, n_control_vms),
+    offsetof(Br__Site__ControlBeat, control_vms),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__control_beat__field_indices_by_name[] = {
   0,   /* field[0] = configuration_version */
+  9,   /* field[9] = control_vms */
   6,   /* field[6] = entries */
   5,   /* field[5] = fleet_age_ms */
   4,   /* field[4] = fleet_sequence */
@@ -1494,7 +1558,7 @@
 static const ProtobufCIntRange br__site__control_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor br__site__control_beat__descriptor =
 {
@@ -1504,7 +1568,7 @@
   "Br__Site__ControlBeat",
   "br.site",
   sizeof(Br__Site__ControlBeat),
-  9,
+  10,
   br__site__control_beat__field_descriptors,
   br__site__control_beat__field_indices_by_name,
   1,  br__site__control_beat__number_ranges,
@@ -1600,44 +1664,6 @@
   (ProtobufCMessageInit) br__site__configuration_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__control_vms__field_descriptors[1] =
-{
-  {
-    "vms",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Br__Site__ControlVms, n_vms),
-    offsetof(Br__Site__ControlVms, vms),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned br__site__control_vms__field_indices_by_name[] = {
-  0,   /* field[0] = vms */
-};
-static const ProtobufCIntRange br__site__control_vms__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor br__site__control_vms__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "br.site.ControlVms",
-  "ControlVms",
-  "Br__Site__ControlVms",
-  "br.site",
-  sizeof(Br__Site__ControlVms),
-  1,
-  br__site__control_vms__field_descriptors,
-  br__site__control_vms__field_indices_by_name,
-  1,  br__site__control_vms__number_ranges,
-  (ProtobufCMessageInit) br__site__control_vms__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
 static const ProtobufCFieldDescriptor br__site__message__field_descriptors[6] =
 {
   {
@@ -1701,13 +1727,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "control_vms",
+    "loads",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Br__Site__Message, body_case),
-    offsetof(Br__Site__Message, control_vms),
-    &br__site__control_vms__descriptor,
+    offsetof(Br__Site__Message, loads),
+    &br__site__loads__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1716,8 +1742,8 @@
 static const unsigned br__site__message__field_indices_by_name[] = {
   3,   /* field[3] = ask */
   2,   /* field[2] = beat */
-  5,   /* field[5] = control_vms */
   0,   /* field[0] = fleet */
+  5,   /* field[5] = loads */
   1,   /* field[1] = report */
   4,   /* field[4] = text */
 };
--- a/src/site/site.pb-c.h
+++ b/src/site/site.pb-c.h
@@ -21,13 +21,13 @@
 typedef struct Br__Site__Window Br__Site__Window;
 typedef struct Br__Site__Demand Br__Site__Demand;
 typedef struct Br__Site__UpstreamLoad Br__Site__UpstreamLoad;
+typedef struct Br__Site__Loads Br__Site__Loads;
 typedef struct Br__Site__ServiceDemand Br__Site__ServiceDemand;
 typedef struct Br__Site__EntryReport Br__Site__EntryReport;
 typedef struct Br__Site__Share Br__Site__Share;
 typedef struct Br__Site__ControlBeat Br__Site__ControlBeat;
 typedef struct Br__Site__ConfigurationAsk Br__Site__ConfigurationAsk;
 typedef struct Br__Site__ConfigurationText Br__Site__ConfigurationText;
-typedef struct Br__Site__ControlVms Br__Site__ControlVms;
 typedef struct Br__Site__Message Br__Site__Message;
 
 
@@ -141,6 +141,22 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * Loads alone, told more often than the rest: from an entry VM its own, from
+ * the control VM that leads those of all entry VMs together.
+ */
+struct  Br__Site__Loads
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  size_t n_loads;
+  Br__Site__UpstreamLoad **loads;
+};
+#define BR__SITE__LOADS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__site__loads__descriptor) \
+    , 0, 0,NULL }
+
+
 /*
  * Work that callers bring to a service, for its sizing.
  */
@@ -234,10 +250,15 @@
    */
   size_t n_loads;
   Br__Site__UpstreamLoad **loads;
+  /*
+   * those that vote, by address
+   */
+  size_t n_control_vms;
+  char **control_vms;
 };
 #define BR__SITE__CONTROL_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__site__control_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Br__Site__ConfigurationAsk
@@ -261,20 +282,6 @@
     , 0, {0,NULL} }
 
 
-/*
- * The control VMs that vote, by address.
- */
-struct  Br__Site__ControlVms
-{
-  ProtobufCMessage base;
-  size_t n_vms;
-  char **vms;
-};
-#define BR__SITE__CONTROL_VMS__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&br__site__control_vms__descriptor) \
-    , 0,NULL }
-
-
 typedef enum {
   BR__SITE__MESSAGE__BODY__NOT_SET = 0,
   BR__SITE__MESSAGE__BODY_FLEET = 1,
@@ -282,7 +289,7 @@
   BR__SITE__MESSAGE__BODY_BEAT = 3,
   BR__SITE__MESSAGE__BODY_ASK = 4,
   BR__SITE__MESSAGE__BODY_TEXT = 5,
-  BR__SITE__MESSAGE__BODY_CONTROL_VMS = 6
+  BR__SITE__MESSAGE__BODY_LOADS = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BR__SITE__MESSAGE__BODY__CASE)
 } Br__Site__Message__BodyCase;
 
@@ -296,7 +303,7 @@
     Br__Site__ControlBeat *beat;
     Br__Site__ConfigurationAsk *ask;
     Br__Site__ConfigurationText *text;
-    Br__Site__ControlVms *control_vms;
+    Br__Site__Loads *loads;
   };
 };
 #define BR__SITE__MESSAGE__INIT \
@@ -418,6 +425,25 @@
 void   br__site__upstream_load__free_unpacked
                      (Br__Site__UpstreamLoad *message,
                       ProtobufCAllocator *allocator);
+/* Br__Site__Loads methods */
+void   br__site__loads__init
+                     (Br__Site__Loads         *message);
+size_t br__site__loads__get_packed_size
+                     (const Br__Site__Loads   *message);
+size_t br__site__loads__pack
+                     (const Br__Site__Loads   *message,
+                      uint8_t             *out);
+size_t br__site__loads__pack_to_buffer
+                     (const Br__Site__Loads   *message,
+                      ProtobufCBuffer     *buffer);
+Br__Site__Loads *
+       br__site__loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__site__loads__free_unpacked
+                     (Br__Site__Loads *message,
+                      ProtobufCAllocator *allocator);
 /* Br__Site__ServiceDemand methods */
 void   br__site__service_demand__init
                      (Br__Site__ServiceDemand         *message);
@@ -532,25 +558,6 @@
 void   br__site__configuration_text__free_unpacked
                      (Br__Site__ConfigurationText *message,
                       ProtobufCAllocator *allocator);
-/* Br__Site__ControlVms methods */
-void   br__site__control_vms__init
-                     (Br__Site__ControlVms         *message);
-size_t br__site__control_vms__get_packed_size
-                     (const Br__Site__ControlVms   *message);
-size_t br__site__control_vms__pack
-                     (const Br__Site__ControlVms   *message,
-                      uint8_t             *out);
-size_t br__site__control_vms__pack_to_buffer
-                     (const Br__Site__ControlVms   *message,
-                      ProtobufCBuffer     *buffer);
-Br__Site__ControlVms *
-       br__site__control_vms__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   br__site__control_vms__free_unpacked
-                     (Br__Site__ControlVms *message,
-                      ProtobufCAllocator *allocator);
 /* Br__Site__Message methods */
 void   br__site__message__init
                      (Br__Site__Message         *message);
@@ -590,6 +597,9 @@
 typedef void (*Br__Site__UpstreamLoad_Closure)
                  (const Br__Site__UpstreamLoad *message,
                   void *closure_data);
+typedef void (*Br__Site__Loads_Closure)
+                 (const Br__Site__Loads *message,
+                  void *closure_data);
 typedef void (*Br__Site__ServiceDemand_Closure)
                  (const Br__Site__ServiceDemand *message,
                   void *closure_data);
@@ -608,9 +618,6 @@
 typedef void (*Br__Site__ConfigurationText_Closure)
                  (const Br__Site__ConfigurationText *message,
                   void *closure_data);
-typedef void (*Br__Site__ControlVms_Closure)
-                 (const Br__Site__ControlVms *message,
-                  void *closure_data);
 typedef void (*Br__Site__Message_Closure)
                  (const Br__Site__Message *message,
                   void *closure_data);
@@ -626,13 +633,13 @@
 extern const ProtobufCMessageDescriptor br__site__window__descriptor;
 extern const ProtobufCMessageDescriptor br__site__demand__descriptor;
 extern const ProtobufCMessageDescriptor br__site__upstream_load__descriptor;
+extern const ProtobufCMessageDescriptor br__site__loads__descriptor;
 extern const ProtobufCMessageDescriptor br__site__service_demand__descriptor;
 extern const ProtobufCMessageDescriptor br__site__entry_report__descriptor;
 extern const ProtobufCMessageDescriptor br__site__share__descriptor;
 extern const ProtobufCMessageDescriptor br__site__control_beat__descriptor;
 extern const ProtobufCMessageDescriptor br__site__configuration_ask__descriptor;
 extern const ProtobufCMessageDescriptor br__site__configuration_text__descriptor;
-extern const ProtobufCMessageDescriptor br__site__control_vms__descriptor;
 extern const ProtobufCMessageDescriptor br__site__message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/site/sizing.c
+++ b/src/site/sizing.c
@@ -28,13 +28,12 @@
 }
 
 int
-br_sizing_without_reserve (int present, int domains)
+br_sizing_begin (const br_scaling_limits_t *limits)
 {
+  int domains = (int)limits->domains.len;
   int kept = domains > DOMAINS_LOST ? domains - DOMAINS_LOST : domains;
 
-  if (domains <= 0)
-    return BR_MAX (present, 1);
-  return BR_MAX ((present * kept + domains - 1) / domains, 1);
+  return BR_MAX (kept * limits->max, 1);
 }
 
 static int
@@ -64,16 +63,44 @@
                           : clamp (each, query->limits->min, max);
 }
 
-/* VMs that are not reclaimed fill what the reclaimable ones that are ready do
- * not carry, the cheapest domains first. */
+/* Reclaimable VMs that can be counted on: those that are ready; while a domain
+ * has lost its own, those that stay when the two largest others lose theirs
+ * too, as reclaims come in waves. */
+static int
+safe_spot (const br_sizing_query_t *query, const br_sizing_target_t *targets)
+{
+  int largest[DOMAINS_LOST] = { 0 };
+  bool wave = false;
+  int total = 0;
+
+  for (size_t i = 0; i < query->n_domains; i++)
+    {
+      int spot = BR_MIN (query->domains[i].spot, targets[i].spot);
+
+      wave = wave || query->domains[i].spot_refused;
+      total += spot;
+      for (size_t j = 0; j < DOMAINS_LOST; j++)
+        if (spot > largest[j])
+          {
+            int smaller = largest[j];
+
+            largest[j] = spot;
+            spot = smaller;
+          }
+    }
+  for (size_t j = 0; wave && j < DOMAINS_LOST; j++)
+    total -= largest[j];
+  return total;
+}
+
+/* VMs that are not reclaimed fill what the reclaimable ones do not carry, the
+ * cheapest domains first. */
 static void
 decide_steady (const br_sizing_query_t *query, br_sizing_target_t *targets)
 {
   bool done[BR_SIZING_DOMAINS_MAX] = { false };
-  int missing = query->needed;
+  int missing = BR_MAX (query->needed - safe_spot (query, targets), 0);
 
-  for (size_t i = 0; i < query->n_domains; i++)
-    missing -= BR_MIN (query->domains[i].spot, targets[i].spot);
   for (size_t round = 0; round < query->n_domains; round++)
     {
       size_t best = query->n_domains;
--- a/src/site/sizing.h
+++ b/src/site/sizing.h
@@ -53,9 +53,9 @@
  * 1. */
 int br_sizing_needed (const br_sizing_load_t *load);
 
-/* Of PRESENT upstreams in so many failure domains, those that carry the load
- * when the others are the reserve for lost domains. */
-int br_sizing_without_reserve (int present, int domains);
+/* What is taken to be needed before the load is known: as many as there may
+ * be, but for the reserve for lost failure domains. */
+int br_sizing_begin (const br_scaling_limits_t *limits);
 
 BR_END_DECLS
 
--- a/src/site/usage.c
+++ b/src/site/usage.c
@@ -16,10 +16,10 @@
 br_usage_add (br_usage_t *usage,
               uint64_t window,
               br_str_t organisation,
-              uint64_t requests)
+              int64_t requests)
 {
   br_usage_window_t *slot = usage_slot (usage, window);
-  br_usage_entry_t fresh = { .requests = requests };
+  br_usage_entry_t fresh = { .requests = (uint64_t)BR_MAX (requests, 0) };
 
   if (window < slot->number)
     return;
@@ -32,7 +32,7 @@
     if (br_str_equal (br_name_str (&slot->entries.items[i].organisation),
                       organisation))
       {
-        slot->entries.items[i].requests += requests;
+        slot->entries.items[i].requests += (uint64_t)requests;
         return;
       }
   br_name_set (&fresh.organisation, organisation);
--- a/src/site/usage.h
+++ b/src/site/usage.h
@@ -35,10 +35,11 @@
 /* Number of the window in which WALL_MS lies. */
 uint64_t br_usage_window_of (br_ms_t wall_ms, br_ms_t window_ms);
 
+/* REQUESTS may be below 0: what was counted and did not run. */
 void br_usage_add (br_usage_t *usage,
                    uint64_t window,
                    br_str_t organisation,
-                   uint64_t requests);
+                   int64_t requests);
 
 /* Forgets what was counted in WINDOW. */
 void br_usage_clear (br_usage_t *usage, uint64_t window);
