Site: quotas kept by the leader, shared parts at their preferred engine, sizing waits for callers

Causes from logs: at 80 entry VMs a share of 1/80 of a quota refuses bursts that the whole quota allows (7,133 refusals of 30,000 requests); each VM took shared prompt parts for uncached that others had just sent, so that it refused 1,333 requests as too late; the number of engines shrank to 1 before callers came, and orders that were turned down cancelled what was booting.

--- a/src/shell/control_duties.c
+++ b/src/shell/control_duties.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "platform/configuration_codec.h"
 #include "shell/control_inside.h"
 #include "shell/replica_task.h"
 #include "site/sizing.h"
@@ -122,7 +121,6 @@
   order_t order;
   places_t places;
   service_loads_t loads;
-  br_configuration_t *configuration; /* as read from the state */
 };
 
 br_control_duties_t *
@@ -141,7 +139,6 @@
     return;
   places_free (&duties->places);
   service_loads_free (&duties->loads);
-  br_configuration_unref (duties->configuration);
   free (duties);
 }
 
@@ -406,6 +403,9 @@
       += LOAD_WEIGHT * (sum.prefill_per_s - load->load.prefill_per_s);
   load->load.in_flight += LOAD_WEIGHT * (sum.in_flight - load->load.in_flight);
   needed = br_sizing_needed (&load->load);
+  /* Until callers come there is nothing to go by. */
+  if (load->load.prefill_per_s < 1 && load->load.in_flight < 1)
+    load->peak_ms = now;
   if (needed >= load->needed_peak || now - load->peak_ms > SHRINK_MS)
     {
       load->needed_peak = needed;
@@ -436,11 +436,15 @@
     {
       const br_listing_t *listing = &listings->items[i];
 
-      if (listing->draining && listing->spot && place->spot.wanted > 0
+      if (listing->draining && listing->spot
           && now - place->shrunk_ms > SHRUNK_MS
           && br_name_equal (&listing->service, &place->service)
           && br_name_equal (&listing->failure_domain, &place->failure_domain))
-        place->reclaimed_ms = now;
+        {
+          /* They are gone from what was ordered. */
+          place->reclaimed_ms = now;
+          place->spot.wanted = 0;
+        }
     }
   return place->reclaimed_ms > 0 && now - place->reclaimed_ms < RECLAIMED_MS;
 }
@@ -605,34 +609,16 @@
   return false;
 }
 
-static void
-duties_read_configuration (br_control_duties_t *duties)
-{
-  const br_state_t *state = duties->task->node->state;
-  br_error_t err;
-
-  if (duties->configuration != NULL
-      && duties->configuration->version == br_state_site_version (state))
-    return;
-  br_configuration_unref (duties->configuration);
-  duties->configuration
-      = br_platform_read_configuration (br_state_site_text (state), &err);
-  if (duties->configuration == NULL)
-    br_log_error (&duties->task->node->log, "duty", "configuration_unreadable",
-                  &err);
-}
-
 static void
 size_tick (br_control_duties_t *duties, br_ms_t now)
 {
   const br_site_services_t *services;
   bool update = now - duties->size_ms >= SIZE_MS;
 
-  duties_read_configuration (duties);
-  if (duties->configuration == NULL
+  if (duties->task->configuration == NULL
       || duties->task->list_term != duties->task->leads_term)
     return;
-  services = &duties->configuration->services;
+  services = &duties->task->configuration->services;
   if (update)
     duties->size_ms = now;
   for (size_t i = 0; i < services->len; i++)
--- a/src/shell/control_inside.h
+++ b/src/shell/control_inside.h
@@ -5,6 +5,7 @@
 #include "platform/cloud.h"
 #include "shell/control_task.h"
 #include "shell/site_message.h"
+#include "site/quota_pool.h"
 #include "site/site_clock.h"
 #include "site/usage_ledger.h"
 
@@ -54,9 +55,14 @@
   uint64_t pushed_version;
   br_ms_t beat_ms;
   br_usage_ledger_t ledger;
+  br_quota_pool_t pool;              /* of the term in which this VM leads */
+  br_configuration_t *configuration; /* as read from the state; or NULL */
   br_control_duties_t *duties;
 };
 
+/* Reads the configuration in force from the state, when it has changed. */
+void br_control_read_configuration (br_control_task_t *task);
+
 /* The duties that the leading control VM has towards the platform. */
 br_control_duties_t *br_control_duties_new (br_control_task_t *task);
 void br_control_duties_free (br_control_duties_t *duties);
--- a/src/shell/control_task.c
+++ b/src/shell/control_task.c
@@ -348,6 +348,33 @@
   task->beat_ms = now;
 }
 
+/* What is left of the quotas. */
+static size_t
+tell_left (br_control_task_t *task,
+           br_ms_t now,
+           Br__Site__Left *wire,
+           Br__Site__Left **views)
+{
+  size_t n = 0;
+
+  if (task->configuration == NULL)
+    return 0;
+  for (size_t i = 0; i < task->configuration->organisations.len; i++)
+    {
+      br_site_organisation_t *organisation
+          = &task->configuration->organisations.items[i];
+
+      if (organisation->rate_per_s <= 0)
+        continue;
+      wire[n] = (Br__Site__Left)BR__SITE__LEFT__INIT;
+      wire[n].organisation = organisation->name.data;
+      wire[n].units = br_quota_pool_level (&task->pool, organisation, now);
+      views[n] = &wire[n];
+      n++;
+    }
+  return n;
+}
+
 /* Tells all entry VMs the loads alone. */
 static void
 task_tell_loads (br_control_task_t *task, br_ms_t now)
@@ -355,19 +382,29 @@
   size_t upstreams = task->listings.len + 1;
   Br__Site__UpstreamLoad *wire = br_alloc (upstreams * sizeof *wire);
   Br__Site__UpstreamLoad **views = br_alloc (upstreams * sizeof *views);
+  size_t organisations = task->configuration != NULL
+                             ? task->configuration->organisations.len
+                             : 0;
+  Br__Site__Left *left = br_alloc ((organisations + 1) * sizeof *left);
+  Br__Site__Left **left_views
+      = br_alloc ((organisations + 1) * sizeof *left_views);
   Br__Site__Loads body = BR__SITE__LOADS__INIT;
   br_site_message_t message = BR__SITE__MESSAGE__INIT;
 
   body.term = task->leads_term;
   body.n_loads = beat_loads (task, wire, views);
   body.loads = views;
+  body.n_left = tell_left (task, now, left, left_views);
+  body.left = left_views;
   message.body_case = BR__SITE__MESSAGE__BODY_LOADS;
   message.loads = &body;
-  for (size_t i = 0; i < task->entries.len && body.n_loads > 0; i++)
+  for (size_t i = 0; i < task->entries.len; i++)
     if (now - task->entries.items[i].heard_ms < ENTRY_LIFE_MS)
       br_site_send (task->node, &task->entries.items[i].vm, &message);
   free (wire);
   free (views);
+  free (left);
+  free (left_views);
 }
 
 /* Control VMs tell each other the time by their own clocks. */
@@ -387,6 +424,22 @@
   br_site_send (task->node, vm, &message);
 }
 
+void
+br_control_read_configuration (br_control_task_t *task)
+{
+  const br_state_t *state = task->node->state;
+  br_error_t err;
+
+  if (task->configuration != NULL
+      && task->configuration->version == br_state_site_version (state))
+    return;
+  br_configuration_unref (task->configuration);
+  task->configuration
+      = br_platform_read_configuration (br_state_site_text (state), &err);
+  if (task->configuration == NULL)
+    br_log_error (&task->node->log, "site", "configuration_unreadable", &err);
+}
+
 void
 br_control_task_on_applied (br_control_task_t *task)
 {
@@ -395,6 +448,7 @@
   if (version == task->pushed_version)
     return;
   task->pushed_version = version;
+  br_control_read_configuration (task);
   BR_LOG (&task->node->log, "site", "configuration in force",
           br_field_int ("version", (int64_t)version));
   task_beat (task, br_node_now (task->node));
@@ -511,6 +565,30 @@
   entry->loads = NULL;
 }
 
+static void
+task_hear_used (br_control_task_t *task,
+                const br_peer_message_t *from,
+                const Br__Site__Loads *loads)
+{
+  br_ms_t now = br_node_now (task->node);
+
+  for (size_t i = 0; task->configuration != NULL && i < loads->n_used; i++)
+    {
+      const Br__Site__Used *used = loads->used[i];
+      br_pool_report_t report = {
+        .vm = &from->vm,
+        .incarnation = from->incarnation,
+        .units = used->units,
+      };
+      const br_site_organisation_t *organisation
+          = br_configuration_organisation (task->configuration,
+                                           br_str_from (used->organisation));
+
+      if (organisation != NULL)
+        br_quota_pool_hear (&task->pool, organisation, &report, now);
+    }
+}
+
 /* Takes MESSAGE over. */
 static void
 task_on_loads (br_control_task_t *task,
@@ -526,6 +604,7 @@
       if (entry->loads != NULL)
         br__site__message__free_unpacked (entry->loads, NULL);
       entry->loads = message;
+      task_hear_used (task, from, message->loads);
       return;
     }
   br__site__message__free_unpacked (message, NULL);
@@ -612,6 +691,8 @@
     return;
   task->leads_term = term;
   task->leads_ms = now;
+  br_quota_pool_release (&task->pool);
+  task->pool = (br_quota_pool_t){ 0 };
   BR_LOG (&task->node->log, "site", term > 0 ? "leads" : "leads no more",
           br_field_int ("term", (int64_t)term));
 }
@@ -625,6 +706,7 @@
   (void)fd;
   (void)what;
   task_follow_role (task, now);
+  br_control_task_on_applied (task);
   if (task->leads_term > 0 && !task->reading_list
       && now - task->asked_list_ms >= READ_LIST_MS
       && br_state_site_version (task->node->state) > 0)
@@ -676,6 +758,8 @@
   br_cloud_free (task->cloud);
   br_listings_free (&task->listings);
   br_usage_ledger_release (&task->ledger);
+  br_quota_pool_release (&task->pool);
+  br_configuration_unref (task->configuration);
   br_site_clock_release (&task->clock);
   event_free (task->timer);
   free (task);
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -304,8 +304,13 @@
       task_on_beat (task, vm, message->beat);
       break;
     case BR__SITE__MESSAGE__BODY_LOADS:
-      if (message->loads->term == task->term)
-        task_on_loads (task, message->loads->loads, message->loads->n_loads);
+      if (message->loads->term != task->term)
+        break;
+      task_on_loads (task, message->loads->loads, message->loads->n_loads);
+      for (size_t i = 0; i < message->loads->n_left; i++)
+        br_quotas_hear (
+            &task->quotas, br_str_from (message->loads->left[i]->organisation),
+            message->loads->left[i]->units, br_node_now (task->node));
       break;
     case BR__SITE__MESSAGE__BODY_TEXT:
       task_on_text (task, message->text);
@@ -540,6 +545,28 @@
   task->reported_ms = now;
 }
 
+static size_t
+report_used (const br_entry_task_t *task,
+             Br__Site__Used *wire,
+             Br__Site__Used **views)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < task->quotas.list.len; i++)
+    {
+      br_quota_t *quota = &task->quotas.list.items[i];
+
+      if (quota->used <= 0)
+        continue;
+      wire[n] = (Br__Site__Used)BR__SITE__USED__INIT;
+      wire[n].organisation = quota->organisation.data;
+      wire[n].units = quota->used;
+      views[n] = &wire[n];
+      n++;
+    }
+  return n;
+}
+
 /* Tells the leader the loads alone. */
 static void
 task_report_loads (br_entry_task_t *task)
@@ -547,17 +574,24 @@
   size_t upstreams = task->fleet.all.len + 1;
   Br__Site__UpstreamLoad *wire = br_alloc (upstreams * sizeof *wire);
   Br__Site__UpstreamLoad **views = br_alloc (upstreams * sizeof *views);
+  size_t quotas = task->quotas.list.len + 1;
+  Br__Site__Used *used = br_alloc (quotas * sizeof *used);
+  Br__Site__Used **used_views = br_alloc (quotas * sizeof *used_views);
   Br__Site__Loads body = BR__SITE__LOADS__INIT;
   br_site_message_t message = BR__SITE__MESSAGE__INIT;
 
   body.n_loads = report_loads (task, wire, views);
   body.loads = views;
+  body.n_used = report_used (task, used, used_views);
+  body.used = used_views;
   message.body_case = BR__SITE__MESSAGE__BODY_LOADS;
   message.loads = &body;
   if (task->leader.len > 0)
     br_site_send (task->node, &task->leader, &message);
   free (wire);
   free (views);
+  free (used);
+  free (used_views);
 }
 
 /* --- time --- */
--- a/src/site/choice.c
+++ b/src/site/choice.c
@@ -9,10 +9,6 @@
  * and back and a little for the link's price. */
 #define OTHER_DOMAIN_MS 8
 
-/* Worth of the upstream that all VMs prefer for a prompt which none is known
- * to hold, in milliseconds: about the reading of a shared part. */
-#define PREFERRED_MS 25
-
 /* What a batch with all slots taken costs a new request, in milliseconds; it
  * grows with the square of the share that is taken.  Prompts are read between
  * the tokens of the running requests, so that a crowded engine is slow to
@@ -99,9 +95,23 @@
   return best;
 }
 
+/* Tokens of the parts that other requests share. */
+static uint32_t
+inbound_shared (const br_inbound_t *inbound)
+{
+  uint32_t tokens = 0;
+
+  for (size_t i = 0; i + 1 < inbound->n_parts; i++)
+    tokens += inbound->parts[i].tokens;
+  return tokens;
+}
+
+/* PREFERRED is the upstream that all VMs send the shared parts to when it has
+ * time: what is not known here is taken to be cached there. */
 static void
 estimate_engine (candidate_t *candidate,
                  const br_choice_query_t *query,
+                 bool preferred,
                  br_ms_t now)
 {
   br_choice_t *choice = &candidate->choice;
@@ -115,6 +125,8 @@
   double taken;
   double ms;
 
+  if (preferred)
+    cached = BR_MAX (cached, inbound_shared (query->inbound));
   choice->uncached = prompt > cached ? prompt - cached : 0;
   choice->backlog = br_fleet_backlog (upstream, now) + choice->uncached;
   choice->full = load >= slots;
@@ -143,12 +155,13 @@
 static candidate_t
 candidate_make (br_fleet_upstream_t *upstream,
                 const br_choice_query_t *query,
+                bool preferred,
                 br_ms_t now)
 {
   candidate_t candidate = { .choice = { .upstream = upstream } };
 
   if (query->service->has_engine)
-    estimate_engine (&candidate, query, now);
+    estimate_engine (&candidate, query, preferred, now);
   else
     estimate_plain (&candidate, now);
   if (!br_name_equal (&upstream->listing.failure_domain,
@@ -186,9 +199,7 @@
 
       if (!upstream_fits (upstream, query))
         continue;
-      candidate = candidate_make (upstream, query, now);
-      if (upstream == preferred)
-        candidate.cost_ms -= PREFERRED_MS;
+      candidate = candidate_make (upstream, query, upstream == preferred, now);
       if (best.choice.upstream == NULL || (best_sits_out && !sits_out)
           || (best_sits_out == sits_out && candidate.cost_ms < best.cost_ms))
         {
--- a/src/site/configuration.c
+++ b/src/site/configuration.c
@@ -203,6 +203,18 @@
              : NULL;
 }
 
+const br_site_organisation_t *
+br_configuration_organisation (const br_configuration_t *configuration,
+                               br_str_t name)
+{
+  const br_site_organisations_t *all = &configuration->organisations;
+
+  for (size_t i = 0; i < all->len; i++)
+    if (br_str_equal (br_name_str (&all->items[i].name), name))
+      return &all->items[i];
+  return NULL;
+}
+
 const br_site_service_t *
 br_configuration_service (const br_configuration_t *configuration,
                           br_str_t name)
--- a/src/site/configuration.h
+++ b/src/site/configuration.h
@@ -140,6 +140,10 @@
 const br_site_organisation_t *
 br_configuration_key (const br_configuration_t *configuration, br_str_t key);
 
+const br_site_organisation_t *
+br_configuration_organisation (const br_configuration_t *configuration,
+                               br_str_t name);
+
 const br_site_service_t *
 br_configuration_service (const br_configuration_t *configuration,
                           br_str_t name);
--- a/src/site/quota.c
+++ b/src/site/quota.c
@@ -13,6 +13,14 @@
 /* Weight of the newest demand in what is told. */
 #define ASKED_WEIGHT 0.4
 
+/* The leader's word on a quota holds for this long, in milliseconds: several
+ * of the intervals at which it tells. */
+#define LEFT_LIFE_MS 1500
+
+/* Up to this age it is used as it was told, in milliseconds: twice the
+ * interval. */
+#define LEFT_FRESH_MS 250
+
 static br_quota_t *
 quotas_find (br_quotas_t *quotas, br_str_t organisation)
 {
@@ -63,6 +71,50 @@
   quota->filled_ms = now;
 }
 
+void
+br_quotas_hear (br_quotas_t *quotas,
+                br_str_t organisation,
+                double left,
+                br_ms_t now)
+{
+  br_quota_t *quota = quotas_get (quotas, organisation);
+
+  quota->left = left;
+  quota->left_ms = now;
+  /* What was let through in the last interval may not be counted yet. */
+  quota->unheard -= quota->unheard_before;
+  quota->unheard_before = quota->unheard;
+}
+
+/* What is left of the whole site's quota, as far as this VM can tell. */
+static double
+quota_left (const br_quota_t *quota,
+            const br_site_organisation_t *organisation,
+            br_ms_t now)
+{
+  br_ms_t age_ms = now - quota->left_ms;
+  double left = quota->left + organisation->rate_per_s * (double)age_ms / 1000;
+
+  /* Others use what is left too: without news, this VM keeps to its part. */
+  if (age_ms > LEFT_FRESH_MS && left > 0)
+    left *= quota->part;
+  return left - quota->unheard;
+}
+
+static bool
+quota_is_heard (const br_quota_t *quota, br_ms_t now)
+{
+  return quota->left_ms > 0 && now - quota->left_ms < LEFT_LIFE_MS;
+}
+
+static void
+quota_use (br_quota_t *quota, double units)
+{
+  quota->used += units;
+  quota->unheard += units;
+  quota->level -= units;
+}
+
 bool
 br_quotas_take (br_quotas_t *quotas,
                 const br_site_organisation_t *organisation,
@@ -72,18 +124,25 @@
 {
   br_quota_t *quota = quotas_get (quotas, br_name_str (&organisation->name));
   double rate = organisation->rate_per_s * quota->part;
+  double level;
 
   quota->asked += units;
   if (organisation->rate_per_s <= 0)
     return true;
   quota_fill (quota, organisation, now);
-  /* A request that is larger than the share's burst takes it ahead. */
-  if (quota->level > 0)
+  level = quota->level;
+  if (quota_is_heard (quota, now))
+    {
+      level = quota_left (quota, organisation, now);
+      rate = organisation->rate_per_s;
+    }
+  /* A request that is larger than what is there takes it ahead. */
+  if (level > 0)
     {
-      quota->level -= units;
+      quota_use (quota, units);
       return true;
     }
-  *wait_ms = rate > 0 ? (br_ms_t)(-quota->level * 1000 / rate) + 1 : 1000;
+  *wait_ms = rate > 0 ? (br_ms_t)(-level * 1000 / rate) + 1 : 1000;
   return false;
 }
 
@@ -101,7 +160,7 @@
   br_quota_t *quota = quotas_find (quotas, br_name_str (&organisation->name));
 
   if (quota != NULL)
-    quota->level += units;
+    quota_use (quota, -units);
 }
 
 void
--- a/src/site/quota.h
+++ b/src/site/quota.h
@@ -1,5 +1,6 @@
-/* The quotas of organisations on one entry VM: its share of what holds over
- * all entry VMs together. */
+/* The quotas of organisations on one entry VM.  While the control VM that leads
+ * tells what is left of a quota over the whole site, that decides; without its
+ * word, this VM keeps to its share. */
 #ifndef BR_SITE_QUOTA_H
 #define BR_SITE_QUOTA_H
 
@@ -13,9 +14,14 @@
   br_name_t organisation;
   double level; /* units that may be used now */
   br_ms_t filled_ms;
-  double part;   /* of the quota that is this VM's, 0 to 1 */
-  double demand; /* units asked for in a second, averaged */
-  double asked;  /* units asked for since the last br_quotas_demand() */
+  double part;           /* of the quota that is this VM's, 0 to 1 */
+  double used;           /* units let through since this VM started */
+  double left;           /* of the whole site's quota, as last heard */
+  br_ms_t left_ms;       /* when it was heard */
+  double unheard;        /* let through here and not in LEFT */
+  double unheard_before; /* of that, before LEFT was heard */
+  double demand;         /* units asked for in a second, averaged */
+  double asked;          /* units asked for since the last br_quotas_demand() */
 } br_quota_t;
 
 BR_VEC (br_quota_list, br_quota_t);
@@ -40,6 +46,12 @@
                      br_ms_t now,
                      br_ms_t *wait_ms);
 
+/* The leader told at NOW what is left of a quota. */
+void br_quotas_hear (br_quotas_t *quotas,
+                     br_str_t organisation,
+                     double left,
+                     br_ms_t now);
+
 /* The part of the organisation's quota that is this VM's now, 0 to 1. */
 double br_quotas_part (br_quotas_t *quotas,
                        const br_site_organisation_t *organisation);
--- /dev/null
+++ b/src/site/quota_pool.h
@@ -0,0 +1,61 @@
+/* The quotas of a whole site, kept by the control VM that leads: each is a
+ * bucket that fills at the organisation's rate and from which goes what the
+ * entry VMs let through. */
+#ifndef BR_SITE_QUOTA_POOL_H
+#define BR_SITE_QUOTA_POOL_H
+
+#include "site/configuration.h"
+
+BR_BEGIN_DECLS
+
+typedef struct
+{
+  br_name_t organisation;
+  double level; /* units; below 0 when too much was let through */
+  br_ms_t filled_ms;
+} br_pool_quota_t;
+
+BR_VEC (br_pool_quotas, br_pool_quota_t);
+
+/* What one run of an entry VM has let through for one organisation. */
+typedef struct
+{
+  br_name_t vm;
+  uint64_t incarnation;
+  br_name_t organisation;
+  double used;
+} br_pool_used_t;
+
+BR_VEC (br_pool_useds, br_pool_used_t);
+
+/* An all-zero value knows nothing: every quota begins without a burst. */
+typedef struct
+{
+  br_pool_quotas_t quotas;
+  br_pool_useds_t useds;
+} br_quota_pool_t;
+
+typedef struct
+{
+  const br_name_t *vm;
+  uint64_t incarnation;
+  double units; /* since the run began */
+} br_pool_report_t;
+
+/* An entry VM told what it let through. */
+void br_quota_pool_hear (br_quota_pool_t *pool,
+                         const br_site_organisation_t *organisation,
+                         const br_pool_report_t *report,
+                         br_ms_t now);
+
+/* Returns what is left of the organisation's quota. */
+double br_quota_pool_level (br_quota_pool_t *pool,
+                            const br_site_organisation_t *organisation,
+                            br_ms_t now);
+
+/* Forgets everything, as a new leader does. */
+void br_quota_pool_release (br_quota_pool_t *pool);
+
+BR_END_DECLS
+
+#endif
--- a/src/site/site.pb-c.c
+++ b/src/site/site.pb-c.c
@@ -277,6 +277,96 @@
   assert(message->base.descriptor == &br__site__upstream_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   br__site__used__init
+                     (Br__Site__Used         *message)
+{
+  static const Br__Site__Used init_value = BR__SITE__USED__INIT;
+  *message = init_value;
+}
+size_t br__site__used__get_packed_size
+                     (const Br__Site__Used *message)
+{
+  assert(message->base.descriptor == &br__site__used__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__site__used__pack
+                     (const Br__Site__Used *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__site__used__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__site__used__pack_to_buffer
+                     (const Br__Site__Used *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__site__used__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__Site__Used *
+       br__site__used__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__Site__Used *)
+     protobuf_c_message_unpack (&br__site__used__descriptor,
+                                allocator, len, data);
+}
+void   br__site__used__free_unpacked
+                     (Br__Site__Used *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__site__used__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   br__site__left__init
+                     (Br__Site__Left         *message)
+{
+  static const Br__Site__Left init_value = BR__SITE__LEFT__INIT;
+  *message = init_value;
+}
+size_t br__site__left__get_packed_size
+                     (const Br__Site__Left *message)
+{
+  assert(message->base.descriptor == &br__site__left__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__site__left__pack
+                     (const Br__Site__Left *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__site__left__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__site__left__pack_to_buffer
+                     (const Br__Site__Left *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__site__left__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__Site__Left *
+       br__site__left__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__Site__Left *)
+     protobuf_c_message_unpack (&br__site__left__descriptor,
+                                allocator, len, data);
+}
+void   br__site__left__free_unpacked
+                     (Br__Site__Left *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__site__left__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   br__site__loads__init
                      (Br__Site__Loads         *message)
 {
@@ -1073,7 +1163,109 @@
   (ProtobufCMessageInit) br__site__upstream_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__loads__field_descriptors[2] =
+static const ProtobufCFieldDescriptor br__site__used__field_descriptors[2] =
+{
+  {
+    "organisation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Used, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "units",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Used, units),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__site__used__field_indices_by_name[] = {
+  0,   /* field[0] = organisation */
+  1,   /* field[1] = units */
+};
+static const ProtobufCIntRange br__site__used__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__site__used__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.site.Used",
+  "Used",
+  "Br__Site__Used",
+  "br.site",
+  sizeof(Br__Site__Used),
+  2,
+  br__site__used__field_descriptors,
+  br__site__used__field_indices_by_name,
+  1,  br__site__used__number_ranges,
+  (ProtobufCMessageInit) br__site__used__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__left__field_descriptors[2] =
+{
+  {
+    "organisation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Left, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "units",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Left, units),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__site__left__field_indices_by_name[] = {
+  0,   /* field[0] = organisation */
+  1,   /* field[1] = units */
+};
+static const ProtobufCIntRange br__site__left__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__site__left__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.site.Left",
+  "Left",
+  "Br__Site__Left",
+  "br.site",
+  sizeof(Br__Site__Left),
+  2,
+  br__site__left__field_descriptors,
+  br__site__left__field_indices_by_name,
+  1,  br__site__left__number_ranges,
+  (ProtobufCMessageInit) br__site__left__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__loads__field_descriptors[4] =
 {
   {
     "term",
@@ -1099,15 +1291,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "used",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Loads, n_used),
+    offsetof(Br__Site__Loads, used),
+    &br__site__used__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Loads, n_left),
+    offsetof(Br__Site__Loads, left),
+    &br__site__left__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__loads__field_indices_by_name[] = {
+  3,   /* field[3] = left */
   1,   /* field[1] = loads */
   0,   /* field[0] = term */
+  2,   /* field[2] = used */
 };
 static const ProtobufCIntRange br__site__loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor br__site__loads__descriptor =
 {
@@ -1117,7 +1335,7 @@
   "Br__Site__Loads",
   "br.site",
   sizeof(Br__Site__Loads),
-  2,
+  4,
   br__site__loads__field_descriptors,
   br__site__loads__field_indices_by_name,
   1,  br__site__loads__number_ranges,
--- a/src/site/site.pb-c.h
+++ b/src/site/site.pb-c.h
@@ -21,6 +21,8 @@
 typedef struct Br__Site__Window Br__Site__Window;
 typedef struct Br__Site__Demand Br__Site__Demand;
 typedef struct Br__Site__UpstreamLoad Br__Site__UpstreamLoad;
+typedef struct Br__Site__Used Br__Site__Used;
+typedef struct Br__Site__Left Br__Site__Left;
 typedef struct Br__Site__Loads Br__Site__Loads;
 typedef struct Br__Site__ServiceDemand Br__Site__ServiceDemand;
 typedef struct Br__Site__EntryReport Br__Site__EntryReport;
@@ -142,8 +144,40 @@
 
 
 /*
- * Loads alone, told more often than the rest: from an entry VM its own, from
- * the control VM that leads those of all entry VMs together.
+ * What an entry VM has let through for an organisation since it started, in
+ * the unit of the quota.
+ */
+struct  Br__Site__Used
+{
+  ProtobufCMessage base;
+  char *organisation;
+  double units;
+};
+#define BR__SITE__USED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__site__used__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * What is left of an organisation's quota, over all entry VMs.
+ */
+struct  Br__Site__Left
+{
+  ProtobufCMessage base;
+  char *organisation;
+  /*
+   * below 0 when too much was let through
+   */
+  double units;
+};
+#define BR__SITE__LEFT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__site__left__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Loads and quotas alone, told more often than the rest: from an entry VM its
+ * own, from the control VM that leads those of all entry VMs together.
  */
 struct  Br__Site__Loads
 {
@@ -151,10 +185,14 @@
   uint64_t term;
   size_t n_loads;
   Br__Site__UpstreamLoad **loads;
+  size_t n_used;
+  Br__Site__Used **used;
+  size_t n_left;
+  Br__Site__Left **left;
 };
 #define BR__SITE__LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__site__loads__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -425,6 +463,44 @@
 void   br__site__upstream_load__free_unpacked
                      (Br__Site__UpstreamLoad *message,
                       ProtobufCAllocator *allocator);
+/* Br__Site__Used methods */
+void   br__site__used__init
+                     (Br__Site__Used         *message);
+size_t br__site__used__get_packed_size
+                     (const Br__Site__Used   *message);
+size_t br__site__used__pack
+                     (const Br__Site__Used   *message,
+                      uint8_t             *out);
+size_t br__site__used__pack_to_buffer
+                     (const Br__Site__Used   *message,
+                      ProtobufCBuffer     *buffer);
+Br__Site__Used *
+       br__site__used__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__site__used__free_unpacked
+                     (Br__Site__Used *message,
+                      ProtobufCAllocator *allocator);
+/* Br__Site__Left methods */
+void   br__site__left__init
+                     (Br__Site__Left         *message);
+size_t br__site__left__get_packed_size
+                     (const Br__Site__Left   *message);
+size_t br__site__left__pack
+                     (const Br__Site__Left   *message,
+                      uint8_t             *out);
+size_t br__site__left__pack_to_buffer
+                     (const Br__Site__Left   *message,
+                      ProtobufCBuffer     *buffer);
+Br__Site__Left *
+       br__site__left__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__site__left__free_unpacked
+                     (Br__Site__Left *message,
+                      ProtobufCAllocator *allocator);
 /* Br__Site__Loads methods */
 void   br__site__loads__init
                      (Br__Site__Loads         *message);
@@ -597,6 +673,12 @@
 typedef void (*Br__Site__UpstreamLoad_Closure)
                  (const Br__Site__UpstreamLoad *message,
                   void *closure_data);
+typedef void (*Br__Site__Used_Closure)
+                 (const Br__Site__Used *message,
+                  void *closure_data);
+typedef void (*Br__Site__Left_Closure)
+                 (const Br__Site__Left *message,
+                  void *closure_data);
 typedef void (*Br__Site__Loads_Closure)
                  (const Br__Site__Loads *message,
                   void *closure_data);
@@ -633,6 +715,8 @@
 extern const ProtobufCMessageDescriptor br__site__window__descriptor;
 extern const ProtobufCMessageDescriptor br__site__demand__descriptor;
 extern const ProtobufCMessageDescriptor br__site__upstream_load__descriptor;
+extern const ProtobufCMessageDescriptor br__site__used__descriptor;
+extern const ProtobufCMessageDescriptor br__site__left__descriptor;
 extern const ProtobufCMessageDescriptor br__site__loads__descriptor;
 extern const ProtobufCMessageDescriptor br__site__service_demand__descriptor;
 extern const ProtobufCMessageDescriptor br__site__entry_report__descriptor;
--- a/src/site/sizing.c
+++ b/src/site/sizing.c
@@ -59,7 +59,7 @@
                     : 0;
   for (size_t i = 0; i < query->n_domains; i++)
     targets[i].spot = query->domains[i].spot_refused
-                          ? query->domains[i].spot
+                          ? BR_MAX (query->domains[i].spot_wanted, 0)
                           : clamp (each, query->limits->min, max);
 }
 
