--- a/src/shell/settings.c
+++ b/src/shell/settings.c
@@ -79,8 +79,6 @@
      "calls to the platform that this site makes, joined by commas")           \
   X (REAL, "site.usage_window_s", site.usage_window_s, false, 0, 86400, 60,    \
      "length of an accounting window")                                         \
-  X (REAL, "site.usage_late_s", site.usage_late_s, false, 0, 86400, 60,        \
-     "time after a window's end in which its counts are due")                  \
   X (REAL, "site.grace_s", site.grace_s, false, 0, 86400, 8,                   \
      "time from the wish to stop to the end by force")                         \
   X (REAL, "site.retry_ratio", site.retry_ratio, false, 0, 10, 0,              \
@@ -91,8 +89,6 @@
      "repeats allowed beside that, over all entry VMs")                        \
   X (INT, "site.lease_ms", site.lease_ms, false, 100, 600000, 3000,            \
      "least time between calls of two holders of a duty")                      \
-  X (INT, "site.drain_ms", site.drain_ms, false, 100, 600000, 3000,            \
-     "time for a leaving upstream to get its last request")                    \
   X (INT, "contract.checkpoint_tokens", checkpoint_tokens, false, 0, 65536, 8, \
      "tokens generated before they go to the backup partner; 0: never")        \
   X (INT, "contract.checkpoint_ms", checkpoint_ms, false, 1, 60000, 100,       \
@@ -685,15 +681,16 @@
   for (size_t i = 0; i < n_rows; i++)
     {
       const setting_row_t *row = &rows[i];
+      bool is_number = row->kind == SETTING_INT || row->kind == SETTING_REAL;
 
       br_buf_printf (out, "%-34s %s; %s", row->path, row->help,
                      kind_text (row->kind));
-      if (row->kind == SETTING_INT)
+      if (is_number)
         br_buf_printf (out, " %" PRId64 " to %" PRId64, row->minimum,
                        row->maximum);
       if (row->required)
         br_buf_printf (out, "; required");
-      else if (row->kind == SETTING_INT && row->fallback != 0)
+      else if (is_number && row->fallback != 0)
         br_buf_printf (out, "; default %" PRId64, row->fallback);
       br_buf_append_char (out, '\n');
     }
--- /dev/null
+++ b/tests/site_session.c
@@ -0,0 +1,476 @@
+/* Drives the decisions of a platform's site by a script on standard input and
+ * prints what each decides.  Lines:
+ *
+ *   now MS
+ *   service NAME engine SLOTS | service NAME plain
+ *   list ID SERVICE DOMAIN [spot] [draining]     one entry of the next list
+ *   apply                                        puts the list in force
+ *   sent ID UNCACHED | first ID UNCACHED MS | ended ID UNCACHED HAD_FIRST
+ *   report ID RUNNING WAITING | others ID IN_FLIGHT TOKENS
+ *   judge ID good|failed|unreachable|silent|full|moved
+ *   choose REQUEST SERVICE DOMAIN PROMPT [PART:TOKENS...] [not ID...]
+ *   need PREFILL_PER_S IN_FLIGHT PREFILL_PER_MS SLOTS
+ *   limits MIN MAX SPOT_PRICE
+ *   domain NAME PRICE SPOT STEADY SPOT_WANTED [refused]
+ *   size NEEDED                                  and forgets the domains
+ *   attempt KIND RESUMABLE MAX RAN REFUSED BEGUN LEFT_MS
+ *   organisation RATE BURST
+ *   part P | left UNITS | take UNITS | pool VM UNITS | level
+ *   split ASKED...
+ *   budget RATIO SLACK WINDOW_MS | request N | repeat N
+ *   hear VM WALL_MS | settle
+ *   events TEXT          \n for line ends; prints what is passed on
+ *   cut | rest
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "site/attempt.h"
+#include "site/choice.h"
+#include "site/event_stream.h"
+#include "site/quota.h"
+#include "site/quota_pool.h"
+#include "site/repeat_budget.h"
+#include "site/site_clock.h"
+#include "site/sizing.h"
+
+#define WORDS_MAX 32
+#define LINE_MAX_BYTES 1024
+
+typedef struct
+{
+  br_ms_t now;
+  br_site_services_t services;
+  br_listings_t listings;
+  br_fleet_t fleet;
+  br_scaling_limits_t limits;
+  br_sizing_query_t sizing;
+  br_site_organisation_t organisation;
+  br_quotas_t quotas;
+  br_quota_pool_t pool;
+  br_repeat_limits_t repeat_limits;
+  br_repeat_budget_t repeats;
+  br_site_clock_t clock;
+  br_event_stream_t events;
+} session_t;
+
+typedef struct
+{
+  char *items[WORDS_MAX];
+  size_t len;
+} words_t;
+
+static const char *
+word (const words_t *words, size_t i)
+{
+  return i < words->len ? words->items[i] : "";
+}
+
+static double
+number (const words_t *words, size_t i)
+{
+  return atof (word (words, i));
+}
+
+static br_fleet_upstream_t *
+upstream (session_t *session, const words_t *words)
+{
+  br_fleet_upstream_t *found
+      = br_fleet_find (&session->fleet, br_str_from (word (words, 1)));
+
+  if (found == NULL)
+    {
+      printf ("there is no upstream %s\n", word (words, 1));
+      exit (1);
+    }
+  return found;
+}
+
+static void
+on_service (session_t *session, const words_t *words)
+{
+  br_site_service_t service = { .name = br_name_from (word (words, 1)) };
+
+  service.has_engine = strcmp (word (words, 2), "engine") == 0;
+  service.engine.slots = (int)number (words, 3);
+  br_site_services_push (&session->services, service);
+}
+
+static void
+on_list (session_t *session, const words_t *words)
+{
+  br_listing_t listing = {
+    .id = br_name_from (word (words, 1)),
+    .service = br_name_from (word (words, 2)),
+    .failure_domain = br_name_from (word (words, 3)),
+    .slots = 4,
+  };
+
+  for (size_t i = 4; i < words->len; i++)
+    {
+      listing.spot |= strcmp (words->items[i], "spot") == 0;
+      listing.draining |= strcmp (words->items[i], "draining") == 0;
+    }
+  br_listings_push (&session->listings, listing);
+}
+
+static void
+on_judge (session_t *session, const words_t *words)
+{
+  static const char *const names[]
+      = { "good", "failed", "unreachable", "silent", "full", "moved" };
+
+  for (size_t i = 0; i < BR_N_ELEMENTS (names); i++)
+    if (strcmp (word (words, 2), names[i]) == 0)
+      br_fleet_judge (upstream (session, words), (br_result_kind_t)i,
+                      session->now);
+}
+
+static void
+on_choose (session_t *session, const words_t *words)
+{
+  br_inbound_t inbound = {
+    .id = br_str_from (word (words, 1)),
+    .prompt_tokens = (uint32_t)number (words, 4),
+  };
+  br_choice_query_t query = {
+    .inbound = &inbound,
+    .failure_domain = br_name_from (word (words, 3)),
+  };
+  br_choice_t choice;
+  bool tried = false;
+
+  for (size_t i = 0; i < session->services.len; i++)
+    if (strcmp (session->services.items[i].name.data, word (words, 2)) == 0)
+      query.service = &session->services.items[i];
+  for (size_t i = 5; i < words->len; i++)
+    {
+      br_prompt_part_t part;
+      unsigned long long id;
+
+      if (strcmp (words->items[i], "not") == 0)
+        tried = true;
+      else if (tried)
+        query.tried[query.n_tried++]
+            = br_fleet_find (&session->fleet, br_str_from (words->items[i]));
+      else if (sscanf (words->items[i], "%llx:%u", &id, &part.tokens) == 2)
+        {
+          part.id = id;
+          inbound.parts[inbound.n_parts++] = part;
+        }
+    }
+  choice = br_choice_make (&session->fleet, &query, session->now);
+  if (choice.upstream == NULL)
+    printf ("%s: none\n", word (words, 1));
+  else
+    printf ("%s: %s, %u tokens to read, %lld ms%s\n", word (words, 1),
+            choice.upstream->listing.id.data, choice.uncached,
+            (long long)choice.expected_ms, choice.full ? ", full" : "");
+}
+
+static void
+on_domain (session_t *session, const words_t *words)
+{
+  session->sizing.domains[session->sizing.n_domains++] = (br_sizing_domain_t){
+    .failure_domain = br_name_from (word (words, 1)),
+    .price = number (words, 2),
+    .spot = (int)number (words, 3),
+    .steady = (int)number (words, 4),
+    .spot_wanted = (int)number (words, 5),
+    .spot_refused = strcmp (word (words, 6), "refused") == 0,
+  };
+}
+
+static void
+on_size (session_t *session, const words_t *words)
+{
+  br_sizing_target_t targets[BR_SIZING_DOMAINS_MAX];
+
+  session->sizing.limits = &session->limits;
+  session->sizing.needed = (int)number (words, 1);
+  br_sizing_decide (&session->sizing, targets);
+  printf ("needed %d:", session->sizing.needed);
+  for (size_t i = 0; i < session->sizing.n_domains; i++)
+    printf (" %s %d spot %d steady",
+            session->sizing.domains[i].failure_domain.data, targets[i].spot,
+            targets[i].steady);
+  printf ("\n");
+  session->sizing = (br_sizing_query_t){ 0 };
+}
+
+static void
+on_attempt (const words_t *words)
+{
+  br_attempt_query_t query = {
+    .resumable = number (words, 2) != 0,
+    .max_attempts = (int)number (words, 3),
+    .ran = (int)number (words, 4),
+    .refused = (int)number (words, 5),
+    .begun = number (words, 6) != 0,
+    .left_ms = (br_ms_t)number (words, 7),
+  };
+
+  for (int i = BR_ROUTE_IDEMPOTENT; i <= BR_ROUTE_STREAM; i++)
+    if (strcmp (word (words, 1), br_route_kind_name ((br_route_kind_t)i)) == 0)
+      query.kind = (br_route_kind_t)i;
+  printf ("%s; without a repeat: %s\n",
+          br_attempt_next_name (br_attempt_decide (&query)),
+          br_attempt_next_name (br_attempt_give_up (&query)));
+}
+
+static void
+on_take (session_t *session, const words_t *words)
+{
+  br_ms_t wait_ms = 0;
+
+  if (br_quotas_take (&session->quotas, &session->organisation,
+                      number (words, 1), session->now, &wait_ms))
+    printf ("taken\n");
+  else
+    printf ("refused, come back in %lld ms\n", (long long)wait_ms);
+}
+
+static void
+on_pool (session_t *session, const words_t *words)
+{
+  br_name_t vm = br_name_from (word (words, 1));
+  br_pool_report_t report
+      = { .vm = &vm, .incarnation = 1, .units = number (words, 2) };
+
+  br_quota_pool_hear (&session->pool, &session->organisation, &report,
+                      session->now);
+}
+
+static void
+on_split (const words_t *words)
+{
+  double asked[WORDS_MAX];
+  double parts[WORDS_MAX];
+  size_t n = words->len - 1;
+
+  for (size_t i = 0; i < n; i++)
+    asked[i] = number (words, i + 1);
+  br_quota_split (asked, n, parts);
+  for (size_t i = 0; i < n; i++)
+    printf ("%s%.3f", i > 0 ? " " : "", parts[i]);
+  printf ("\n");
+}
+
+static void
+on_repeat (session_t *session, const words_t *words)
+{
+  int granted = 0;
+
+  for (int i = 0; i < (int)number (words, 1); i++)
+    granted += br_repeat_budget_take (&session->repeats,
+                                      &session->repeat_limits, session->now);
+  printf ("%d of %d repeats\n", granted, (int)number (words, 1));
+}
+
+static void
+print_events (br_str_t events, const br_event_stream_t *stream)
+{
+  br_str_t last = br_event_stream_last (stream);
+
+  printf ("passes \"");
+  for (size_t i = 0; i < events.len; i++)
+    if (events.data[i] == '\n')
+      printf ("\\n");
+    else
+      putchar (events.data[i]);
+  printf ("\", last id %.*s\n", (int)last.len,
+          last.data != NULL ? last.data : "");
+}
+
+static void
+on_events (session_t *session, const char *text)
+{
+  br_buf_t bytes = { 0 };
+
+  for (const char *at = text; *at != '\0'; at++)
+    if (at[0] == '\\' && at[1] == 'n')
+      {
+        br_buf_append_char (&bytes, '\n');
+        at++;
+      }
+    else
+      br_buf_append_char (&bytes, *at);
+  print_events (br_event_stream_take (&session->events, br_buf_str (&bytes)),
+                &session->events);
+  br_buf_free (&bytes);
+}
+
+static bool
+on_fleet_line (session_t *session, const words_t *words)
+{
+  const char *verb = word (words, 0);
+  static const br_inbound_t none;
+
+  if (strcmp (verb, "list") == 0)
+    on_list (session, words);
+  else if (strcmp (verb, "apply") == 0)
+    {
+      br_fleet_update (&session->fleet, &session->listings, session->now);
+      br_fleet_sweep (&session->fleet, NULL, NULL);
+      br_listings_clear (&session->listings);
+    }
+  else if (strcmp (verb, "sent") == 0)
+    br_fleet_sent (upstream (session, words), &none,
+                   (uint32_t)number (words, 2), session->now);
+  else if (strcmp (verb, "first") == 0)
+    br_fleet_first_event (upstream (session, words),
+                          (uint32_t)number (words, 2),
+                          (br_ms_t)number (words, 3));
+  else if (strcmp (verb, "ended") == 0)
+    br_fleet_ended (upstream (session, words), (uint32_t)number (words, 2),
+                    number (words, 3) != 0);
+  else if (strcmp (verb, "report") == 0)
+    br_fleet_reported (upstream (session, words), (uint32_t)number (words, 2),
+                       (uint32_t)number (words, 3), session->now);
+  else if (strcmp (verb, "others") == 0)
+    {
+      br_fleet_upstream_t *found = upstream (session, words);
+
+      found->others_in_flight = (uint32_t)number (words, 2);
+      found->others_prefill_tokens = (uint64_t)number (words, 3);
+      found->others_ms = session->now;
+    }
+  else if (strcmp (verb, "judge") == 0)
+    on_judge (session, words);
+  else if (strcmp (verb, "choose") == 0)
+    on_choose (session, words);
+  else
+    return false;
+  return true;
+}
+
+static bool
+on_limit_line (session_t *session, const words_t *words)
+{
+  const char *verb = word (words, 0);
+  br_name_t vm = br_name_from (word (words, 1));
+
+  if (strcmp (verb, "organisation") == 0)
+    session->organisation = (br_site_organisation_t){
+      .name = br_name_from ("alcornocales"),
+      .rate_per_s = number (words, 1),
+      .burst = number (words, 2),
+    };
+  else if (strcmp (verb, "part") == 0)
+    br_quotas_set_part (&session->quotas, br_str_from ("alcornocales"),
+                        number (words, 1));
+  else if (strcmp (verb, "left") == 0)
+    br_quotas_hear (&session->quotas, br_str_from ("alcornocales"),
+                    number (words, 1), session->now);
+  else if (strcmp (verb, "take") == 0)
+    on_take (session, words);
+  else if (strcmp (verb, "pool") == 0)
+    on_pool (session, words);
+  else if (strcmp (verb, "level") == 0)
+    printf ("level %.0f\n",
+            br_quota_pool_level (&session->pool, &session->organisation,
+                                 session->now));
+  else if (strcmp (verb, "split") == 0)
+    on_split (words);
+  else if (strcmp (verb, "budget") == 0)
+    session->repeat_limits
+        = (br_repeat_limits_t){ number (words, 1), number (words, 2),
+                                (br_ms_t)number (words, 3) };
+  else if (strcmp (verb, "request") == 0)
+    for (int i = 0; i < (int)number (words, 1); i++)
+      br_repeat_budget_request (&session->repeats, &session->repeat_limits,
+                                session->now);
+  else if (strcmp (verb, "repeat") == 0)
+    on_repeat (session, words);
+  else if (strcmp (verb, "hear") == 0)
+    br_site_clock_hear (&session->clock, &vm, (br_ms_t)number (words, 2),
+                        session->now);
+  else if (strcmp (verb, "settle") == 0)
+    {
+      br_site_clock_settle (&session->clock, session->now);
+      printf ("wall %lld\n",
+              (long long)br_site_clock_wall (&session->clock, session->now));
+    }
+  else
+    return false;
+  return true;
+}
+
+static bool
+on_other_line (session_t *session, const words_t *words, const char *rest)
+{
+  const char *verb = word (words, 0);
+
+  if (strcmp (verb, "now") == 0)
+    session->now = (br_ms_t)number (words, 1);
+  else if (strcmp (verb, "service") == 0)
+    on_service (session, words);
+  else if (strcmp (verb, "need") == 0)
+    {
+      br_sizing_load_t load = { number (words, 1), number (words, 2),
+                                number (words, 3), (int)number (words, 4) };
+
+      printf ("needs %d\n", br_sizing_needed (&load));
+    }
+  else if (strcmp (verb, "limits") == 0)
+    session->limits = (br_scaling_limits_t){
+      .min = (int)number (words, 1),
+      .max = (int)number (words, 2),
+      .spot_price = number (words, 3),
+    };
+  else if (strcmp (verb, "domain") == 0)
+    on_domain (session, words);
+  else if (strcmp (verb, "size") == 0)
+    on_size (session, words);
+  else if (strcmp (verb, "attempt") == 0)
+    on_attempt (words);
+  else if (strcmp (verb, "events") == 0)
+    on_events (session, rest);
+  else if (strcmp (verb, "cut") == 0)
+    br_event_stream_cut (&session->events);
+  else if (strcmp (verb, "rest") == 0)
+    print_events (br_event_stream_rest (&session->events), &session->events);
+  else
+    return false;
+  return true;
+}
+
+int
+main (void)
+{
+  session_t session = { 0 };
+  char line[LINE_MAX_BYTES];
+
+  session.quotas.default_part = 1;
+  while (fgets (line, sizeof line, stdin) != NULL)
+    {
+      char copy[LINE_MAX_BYTES];
+      words_t words = { 0 };
+      const char *rest;
+
+      line[strcspn (line, "\n")] = '\0';
+      if (line[0] == '\0' || line[0] == '#')
+        continue;
+      rest = strchr (line, ' ') != NULL ? strchr (line, ' ') + 1 : "";
+      memcpy (copy, line, sizeof copy);
+      for (char *at = strtok (copy, " "); at != NULL && words.len < WORDS_MAX;
+           at = strtok (NULL, " "))
+        words.items[words.len++] = at;
+      printf ("> %s\n", line);
+      if (!on_fleet_line (&session, &words) && !on_limit_line (&session, &words)
+          && !on_other_line (&session, &words, rest))
+        {
+          printf ("unknown line\n");
+          return 1;
+        }
+    }
+  br_fleet_release (&session.fleet, NULL, NULL);
+  br_site_services_free (&session.services);
+  br_listings_free (&session.listings);
+  br_quotas_release (&session.quotas);
+  br_quota_pool_release (&session.pool);
+  br_site_clock_release (&session.clock);
+  br_event_stream_release (&session.events);
+  return 0;
+}
