--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -23,8 +23,12 @@
 /* A stream that may be resumed is resumed elsewhere after a silence of the
  * expected time and this, in milliseconds, or of this many longest gaps. */
 #define SILENT_FIRST_MS 1200
-#define SILENT_GAPS 2
-#define SILENT_GAP_MIN_MS 800
+#define SILENT_GAPS 3
+#define SILENT_GAP_MIN_MS 1800
+
+/* Wait before a stream that was refused elsewhere is tried again, in
+ * milliseconds: a crowded engine frees a slot in about this time. */
+#define LATER_MS 100
 
 /* The upstream gives up this much before the caller does, in milliseconds: an
  * answer has to travel. */
@@ -95,6 +99,7 @@
                                 br_http_client_t *client,
                                 const br_client_event_t *event);
 static void exchange_attempt (br_exchange_t *exchange);
+static void exchange_set_timer (br_exchange_t *exchange, br_ms_t at_ms);
 static void exchange_failed (br_exchange_t *exchange,
                              const char *cause,
                              bool may_have_run,
@@ -287,6 +292,10 @@
     case BR_ATTEMPT_AGAIN:
       exchange_attempt (exchange);
       return;
+    case BR_ATTEMPT_LATER:
+      exchange->n_tried = 0;
+      exchange_set_timer (exchange, exchange_now (exchange) + LATER_MS);
+      return;
     case BR_ATTEMPT_REFUSE:
       exchange_refuse (exchange, why, COME_BACK_MS);
       return;
@@ -457,7 +466,9 @@
         .left_ms = exchange->until_ms - now,
       };
 
-      exchange_end (exchange, br_attempt_give_up (&end),
+      exchange_end (exchange,
+                    exchange->begun ? br_attempt_decide (&end)
+                                    : br_attempt_give_up (&end),
                     "no upstream of the service can take it");
       return;
     }
@@ -531,7 +542,7 @@
   /* A connection that failed did not reach the upstream: no repeat there. */
   if (next == BR_ATTEMPT_AGAIN && result != BR_RESULT_UNREACHABLE
       && !exchange_take_repeat (exchange))
-    next = br_attempt_give_up (&query);
+    next = exchange->begun ? BR_ATTEMPT_LATER : br_attempt_give_up (&query);
   exchange_log_attempt (exchange, cause, may_have_run,
                         br_attempt_next_name (next));
   br_counters_add (&task->node->counters, BR_COUNTER_ATTEMPTS_FAILED, 1);
@@ -809,6 +820,11 @@
       exchange_on_timeout (exchange);
       return;
     }
+  if (exchange->upstream == NULL)
+    {
+      exchange_attempt (exchange);
+      return;
+    }
   look_ms = exchange_look_ms (exchange);
   if (now < look_ms)
     {
--- a/src/site/attempt.c
+++ b/src/site/attempt.c
@@ -43,6 +43,9 @@
 {
   if (query->left_ms < BR_ATTEMPT_LEFT_MIN_MS)
     return br_attempt_give_up (query);
+  /* The caller has the start of the stream: no refusal ends it. */
+  if (query->begun && !query->may_have_run)
+    return BR_ATTEMPT_LATER;
   if (query->ran >= query->max_attempts
       || query->refused > BR_ATTEMPT_REFUSALS_MAX)
     return br_attempt_give_up (query);
--- a/src/site/attempt.h
+++ b/src/site/attempt.h
@@ -29,6 +29,7 @@
 /* X (id, name) */
 #define BR_ATTEMPT_NEXT_TABLE(X)                                               \
   X (AGAIN, "again")         /* send it to another upstream */                 \
+  X (LATER, "later")         /* the same after a short wait */                 \
   X (REFUSE, "refuse")       /* 503: no attempt ran */                         \
   X (FAIL, "fail")           /* 502: an attempt may have run */                \
   X (TIME_OUT, "time_out")   /* 504 */                                         \
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -209,6 +209,7 @@
     .refused = (int)number (words, 5),
     .begun = number (words, 6) != 0,
     .left_ms = (br_ms_t)number (words, 7),
+    .may_have_run = number (words, 5) == 0,
   };
 
   for (int i = BR_ROUTE_IDEMPOTENT; i <= BR_ROUTE_STREAM; i++)
