--- a/src/shell/control_duties.c
+++ b/src/shell/control_duties.c
@@ -13,17 +13,21 @@
 #define LOOK_MS 200
 
 /* After the end of a window the entry VMs' last counts are waited for: this
- * long in any case, and at most that long, in milliseconds.  The report is due
- * several seconds later. */
+ * long in any case, in milliseconds, and at most this share of the time in
+ * which the report is due, so that a second holder can still make it. */
 #define SETTLE_MIN_MS 900
-#define SETTLE_MAX_MS 4500
+#define SETTLE_SHARE 0.65
 
 /* Windows back to which a new leader reports. */
 #define WINDOWS_BACK 3
 
-/* An entry VM that was not heard of for this long is not waited for. */
+/* What an entry VM told of its load is used for this long, in milliseconds. */
 #define ENTRY_LIFE_MS 3000
 
+/* An entry VM that was cut off may still have counts to tell for this long, in
+ * milliseconds. */
+#define ENTRY_AWAITED_MS 30000
+
 /* A new leader acts after this time, in milliseconds: calls of the one before
  * are through, and most entry VMs have reported. */
 #define TAKE_OVER_MS 700
@@ -274,12 +278,14 @@
                   br_ms_t now)
 {
   br_ms_t end = (br_ms_t)(window + 1) * duties_window_ms (duties);
+  br_ms_t late_ms
+      = (br_ms_t)(duties->task->node->settings.site.usage_late_s * 1000);
 
   if (wall < end + SETTLE_MIN_MS)
     return false;
-  return wall >= end + SETTLE_MAX_MS
+  return wall >= end + (br_ms_t)((double)late_ms * SETTLE_SHARE)
          || br_usage_ledger_is_complete (&duties->task->ledger,
-                                         now - ENTRY_LIFE_MS, end);
+                                         now - ENTRY_AWAITED_MS, end);
 }
 
 static void
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -196,7 +196,7 @@
     BR_LOG (&task->node->log, "site", "list entries skipped",
             br_field_int ("entries", (int64_t)skipped));
   /* What the leader tells next is newer, whatever its sequence is. */
-  if (now - task->leader_ms < LEADER_SILENT_MS)
+  if (task->fleet.known && now - task->leader_ms < LEADER_SILENT_MS)
     return;
   br_fleet_update (&task->fleet, listings, now);
   task->fleet.sequence = 0;
@@ -207,8 +207,9 @@
 static void
 task_check_list (br_entry_task_t *task, br_ms_t now)
 {
-  if (task->reading_list || now - task->leader_ms < LEADER_SILENT_MS
-      || now - task->read_list_ms < READ_LIST_MS)
+  bool led = task->fleet.known && now - task->leader_ms < LEADER_SILENT_MS;
+
+  if (task->reading_list || led || now - task->read_list_ms < READ_LIST_MS)
     return;
   task->read_list_ms = now;
   task->reading_list = true;
@@ -675,6 +676,7 @@
       return NULL;
     }
   task->leader_ms = task->quotas.demand_ms = br_node_now (node);
+  task->read_list_ms = task->leader_ms - READ_LIST_MS;
   task->cloud = br_cloud_new (node->base, &node->settings.platform);
   task->timer = event_new (node->base, -1, EV_PERSIST, task_on_tick, task);
   event_add (task->timer, &period);
--- a/src/shell/peer_link.c
+++ b/src/shell/peer_link.c
@@ -11,6 +11,10 @@
 /* A link that has not answered for this long is dropped. */
 #define LINK_SILENCE_MS 1500
 
+/* A link that is not greeted for this long is dialled anew: the packet that
+ * opens it is sent again only after a second, and its VM may be back before. */
+#define LINK_GREETING_MS 600
+
 /* An idle link is pinged once in this time for each peer in the settings, so
  * that all the links together cost the same however many there are. */
 #define LINK_IDLE_PER_PEER_MS 50
@@ -416,7 +420,9 @@
   br_ms_t bound_ms = LINK_SILENCE_MS;
   br_ms_t since_ms = link->heard_ms;
 
-  if (link->state == BR_PEER_LINK_READY && !link->dialled)
+  if (link->state == BR_PEER_LINK_GREETING && link->dialled)
+    bound_ms = LINK_GREETING_MS;
+  else if (link->state == BR_PEER_LINK_READY && !link->dialled)
     bound_ms = link_idle_ms (link) * ACCEPTED_IDLE_TIMES;
   else if (link->state == BR_PEER_LINK_READY)
     since_ms = link->owes_answer ? link->owed_ms : now;
--- a/src/shell/peer_task.c
+++ b/src/shell/peer_task.c
@@ -8,7 +8,7 @@
 #include "shell/peer_link.h"
 
 /* Time between two looks at the links; one that owes an answer is pinged. */
-#define LINK_CHECK_MS 250
+#define LINK_CHECK_MS 100
 
 /* Bytes waiting on one link before messages are dropped. */
 #define LINK_BACKLOG_MAX (8 * 1024 * 1024)
--- a/src/shell/replica_outcome.c
+++ b/src/shell/replica_outcome.c
@@ -4,6 +4,12 @@
 #define ELECTION_MIN_MS 600
 #define ELECTION_MAX_MS 1200
 
+/* At a site that the platform runs all voters are a few milliseconds apart, and
+ * callers wait for the new leader after a loss of power. */
+#define SITE_HEARTBEAT_MS 80
+#define SITE_ELECTION_MIN_MS 320
+#define SITE_ELECTION_MAX_MS 640
+
 /* A proposal that finds no leader is refused after this long; one that was
  * sent has an unknown outcome after the second bound. */
 #define PROPOSAL_WAIT_MS 900
@@ -30,9 +36,11 @@
     .voter = settings->voter || settings->vms.len == 0,
     .joins = settings->joins,
     .remove_silent_ms = settings->open_peers ? REMOVE_SILENT_MS : 0,
-    .heartbeat_ms = HEARTBEAT_MS,
-    .election_min_ms = ELECTION_MIN_MS,
-    .election_max_ms = ELECTION_MAX_MS,
+    .heartbeat_ms = settings->open_peers ? SITE_HEARTBEAT_MS : HEARTBEAT_MS,
+    .election_min_ms
+    = settings->open_peers ? SITE_ELECTION_MIN_MS : ELECTION_MIN_MS,
+    .election_max_ms
+    = settings->open_peers ? SITE_ELECTION_MAX_MS : ELECTION_MAX_MS,
     .proposal_wait_ms = PROPOSAL_WAIT_MS,
     .proposal_max_ms = PROPOSAL_MAX_MS,
     .append_max_bytes = APPEND_MAX_BYTES,
--- a/src/shell/settings.c
+++ b/src/shell/settings.c
@@ -79,6 +79,8 @@
      "calls to the platform that this site makes, joined by commas")           \
   X (REAL, "site.usage_window_s", site.usage_window_s, false, 0, 86400, 60,    \
      "length of an accounting window")                                         \
+  X (REAL, "site.usage_late_s", site.usage_late_s, false, 0, 86400, 60,        \
+     "time after a window's end in which its counts are due")                  \
   X (REAL, "site.grace_s", site.grace_s, false, 0, 86400, 8,                   \
      "time from the wish to stop to the end by force")                         \
   X (REAL, "site.retry_ratio", site.retry_ratio, false, 0, 10, 0,              \
--- a/src/shell/settings.h
+++ b/src/shell/settings.h
@@ -63,8 +63,9 @@
   bool founding;        /* CONTROL_VMS are the first voters */
   br_buf_t duties;      /* "NAME,...": calls to the platform that are made */
   double usage_window_s;
-  double grace_s;     /* from the wish to stop to the end by force */
-  double retry_ratio; /* repeats allowed for each request */
+  double usage_late_s; /* after a window's end its counts are due */
+  double grace_s;      /* from the wish to stop to the end by force */
+  double retry_ratio;  /* repeats allowed for each request */
   double retry_window_s;
   int64_t retry_slack; /* repeats allowed beside that, over all VMs */
   br_ms_t lease_ms;    /* between calls of two holders of a duty */
--- a/src/site/usage_ledger.c
+++ b/src/site/usage_ledger.c
@@ -42,15 +42,31 @@
     }
 }
 
+/* Whether the VM of ROW was started again since: what it had not told then is
+ * lost. */
+static bool
+row_is_over (const br_usage_ledger_t *ledger, const br_ledger_entry_t *row)
+{
+  for (size_t i = 0; i < ledger->entries.len; i++)
+    if (ledger->entries.items[i].incarnation > row->incarnation
+        && br_name_equal (&ledger->entries.items[i].vm, &row->vm))
+      return true;
+  return false;
+}
+
 bool
 br_usage_ledger_is_complete (const br_usage_ledger_t *ledger,
                              br_ms_t heard_since_ms,
                              br_ms_t site_wall_ms)
 {
   for (size_t i = 0; i < ledger->entries.len; i++)
-    if (ledger->entries.items[i].heard_ms >= heard_since_ms
-        && ledger->entries.items[i].site_wall_ms < site_wall_ms)
-      return false;
+    {
+      const br_ledger_entry_t *row = &ledger->entries.items[i];
+
+      if (row->heard_ms >= heard_since_ms && row->site_wall_ms < site_wall_ms
+          && !row_is_over (ledger, row))
+        return false;
+    }
   return true;
 }
 
