A restarted entry VM is not ready, and answers 503, until it knows what is in force

Cause: readiness looked at draining alone, and the catalog of a new process is empty until the log has told it.

--- a/src/shell/caller_task.c
+++ b/src/shell/caller_task.c
@@ -19,6 +19,11 @@
 
 #define IDLE_CONNECTION_S 60
 
+/* A VM that has just started knows what is in force after some tenths of a
+ * second; when to come back, in milliseconds. */
+#define NOT_CAUGHT_UP "this VM does not know yet what is in force"
+#define CATCHING_UP_MS 500
+
 /* Connections that wait to be accepted: a surge must not wait for the first
  * retransmission of a connect, one second. */
 #define LISTEN_BACKLOG 4096
@@ -313,13 +318,14 @@
 {
   br_error_t err;
 
-  if (!task->node->draining)
+  if (!task->node->draining && task->node->caught_up)
     {
       br_http_reply (request, HTTP_OK, "text/plain", br_str_from ("ready\n"));
       return;
     }
-  br_error_set (&err, BR_ERROR_UNAVAILABLE, "ready",
-                task->node->settings.vm.data, "this VM takes no new work");
+  br_error_set (
+      &err, BR_ERROR_UNAVAILABLE, "ready", task->node->settings.vm.data,
+      task->node->draining ? "this VM takes no new work" : NOT_CAUGHT_UP);
   br_http_reply_error (request, &err);
 }
 
@@ -419,6 +425,13 @@
     br_http_reply (request, HTTP_OK, "text/plain", br_str_from ("alive\n"));
   else if (path_is (request, "/readyz"))
     task_on_ready (task, request);
+  else if (!task->node->caught_up)
+    {
+      br_error_set (&err, BR_ERROR_UNAVAILABLE, "read request",
+                    task->node->settings.vm.data, NOT_CAUGHT_UP);
+      err.retry_after_ms = CATCHING_UP_MS;
+      task_refuse (task, request, &err);
+    }
   else if (path_is (request, "/v1/models")
            && is_method (request, EVHTTP_REQ_GET))
     task_on_models (task, request);
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -23,6 +23,10 @@
 #define QUEUE_BATCH 256
 #define DRAIN_POLL_MS 50
 
+/* A VM that starts asks the log again after this time, until a majority has
+ * told it what is in force. */
+#define CATCH_UP_MS 100
+
 /* Before the end of a drain's grace, work that is left is handed over. */
 #define HAND_OVER_MARGIN_MS 1500
 
@@ -38,6 +42,8 @@
   struct event *wake;
   struct event *signals[2];
   struct event *drain_timer;
+  struct event *catch_up_timer;
+  uint64_t catch_up_ticket; /* of the read under way, or 0 */
   br_ms_t drain_from_ms;
   br_ms_t leave_by_ms; /* of a drain, or never */
   bool handing_over;
@@ -99,6 +105,39 @@
   br_buf_free (&message->payload);
 }
 
+static void
+node_catch_up (br_node_t *node)
+{
+  node->queue->catch_up_ticket = br_replica_task_read (node->replica);
+}
+
+static void
+node_on_catch_up_timer (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  node_catch_up (context);
+}
+
+/* True when the outcome is of the read that was asked for at the start. */
+static bool
+node_on_caught_up (br_node_t *node, const br_proposal_message_t *proposal)
+{
+  struct timeval again = { 0, CATCH_UP_MS * 1000 };
+
+  if (proposal->ticket != node->queue->catch_up_ticket)
+    return false;
+  node->queue->catch_up_ticket = 0;
+  node->caught_up = proposal->outcome == BR_PROPOSAL_COMMITTED;
+  if (!node->caught_up)
+    event_add (node->queue->catch_up_timer, &again);
+  else
+    BR_LOG (&node->log, "node", "caught_up",
+            br_field_int ("revision", (int64_t)br_state_revision (node->state)),
+            br_field_int ("after_ms", br_node_now (node) - node->started_ms));
+  return true;
+}
+
 static void
 node_dispatch (br_node_t *node, br_node_message_t *message)
 {
@@ -134,7 +173,8 @@
       br_caller_task_on_work (node->callers, message->work);
       break;
     case BR_NODE_PROPOSAL:
-      if (!br_claim_task_on_proposal (node->claims, &message->proposal))
+      if (!node_on_caught_up (node, &message->proposal)
+          && !br_claim_task_on_proposal (node->claims, &message->proposal))
         br_operator_task_on_proposal (node->operators, &message->proposal);
       if (node->on_proposal != NULL)
         node->on_proposal (node->on_proposal_context, &message->proposal);
@@ -323,10 +363,14 @@
   node->operators = br_operator_task_new (node, err);
   if (node->operators == NULL)
     return false;
-  if (node->settings.vms.len == 0)
-    return true;
-  node->peers = br_peer_task_new (node, err);
-  return node->peers != NULL;
+  if (node->settings.vms.len > 0)
+    {
+      node->peers = br_peer_task_new (node, err);
+      if (node->peers == NULL)
+        return false;
+    }
+  node_catch_up (node);
+  return true;
 }
 
 static void
@@ -371,6 +415,8 @@
   node->queue->wake = event_new (node->base, -1, 0, node_on_wake, node);
   node->queue->drain_timer
       = evtimer_new (node->base, node_on_drain_timer, node);
+  node->queue->catch_up_timer
+      = evtimer_new (node->base, node_on_catch_up_timer, node);
   signal (SIGPIPE, SIG_IGN);
   node_add_signal (node, 0, SIGTERM);
   node_add_signal (node, 1, SIGINT);
@@ -415,6 +461,7 @@
   messages_free (&queue->pending);
   event_free (queue->wake);
   event_free (queue->drain_timer);
+  event_free (queue->catch_up_timer);
   event_free (queue->signals[0]);
   event_free (queue->signals[1]);
   free (queue);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -140,7 +140,8 @@
   br_catalog_t catalog;
   br_registry_t registry;
   br_quarantine_t quarantine;
-  bool draining; /* takes no new work */
+  bool draining;  /* takes no new work */
+  bool caught_up; /* knows all declarations that were in force at its start */
   br_ms_t started_ms;
   br_peer_task_t *peers; /* NULL without peers in the settings */
   br_upstream_task_t *upstreams;
--- a/tests/support/site.sh
+++ b/tests/support/site.sh
@@ -188,7 +188,7 @@
   site_start ledger-1 "$BUILD/fake_service" --name ledger-1 \
     --port $((BASE_PORT + 40)) ${SITE_LEDGER_ARGS:-}
   for i in 0 1 2; do site_start_vm "$i"; done
-  for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/healthz"; done
+  for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/readyz"; done
   site_wait "http://127.0.0.1:$((BASE_PORT + 30))/health"
   site_wait "http://127.0.0.1:$((BASE_PORT + 31))/health"
   site_wait "http://127.0.0.1:$((BASE_PORT + 40))/health"
