Callers' port on http-parser for all sites; quotas let through the share that fits

It now shares the server, the reader and the JSON errors of the platform's sites; golden files change in the status text, in the order of two fields, and a head of any length gets the JSON error.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "http/error_body.h"
 #include "http/http_reader.h"
 
 /* Time between two looks for callers that take too long. */
@@ -26,8 +27,9 @@
  * system's own bound is many minutes. */
 #define USER_TIMEOUT_MS 8000
 
-/* Connections in the queue of the listener. */
-#define BACKLOG 1024
+/* Connections that wait to be accepted: a surge must not wait for the first
+ * retransmission of a connect, one second. */
+#define BACKLOG 4096
 
 /* Bytes read ahead while a request is being answered. */
 #define READ_AHEAD_MAX (64 * 1024)
@@ -142,6 +144,22 @@
       return "Too Many Requests";
     case 431:
       return "Request Header Fields Too Large";
+    case 403:
+      return "Forbidden";
+    case 409:
+      return "Conflict";
+    case 410:
+      return "Gone";
+    case 422:
+      return "Unprocessable Content";
+    case 500:
+      return "Internal Server Error";
+    case 201:
+      return "Created";
+    case 202:
+      return "Accepted";
+    case 204:
+      return "No Content";
     case 502:
       return "Bad Gateway";
     case 503:
@@ -277,8 +295,7 @@
   conn->server->stats.bad_requests++;
   conn->keep_alive = false;
   conn_set_state (conn, CONN_READING);
-  br_buf_printf (&body, "{\"error\":{\"code\":\"%s\",\"message\":\"%s\"}}\n",
-                 br_error_name (err->code), err->text);
+  br_http_error_json (err, &body);
   br_http_conn_answer (conn, &answer, br_buf_str (&body));
   br_buf_free (&body);
 }
@@ -542,15 +559,21 @@
   server->close_after = true;
 }
 
+void
+br_http_server_stop_listening (br_http_server_t *server)
+{
+  if (server->listener != NULL)
+    evconnlistener_free (server->listener);
+  server->listener = NULL;
+}
+
 void
 br_http_server_stop (br_http_server_t *server)
 {
   br_http_conn_t *next;
 
   server->stopped = true;
-  if (server->listener != NULL)
-    evconnlistener_free (server->listener);
-  server->listener = NULL;
+  br_http_server_stop_listening (server);
   for (br_http_conn_t *conn = server->conns; conn != NULL; conn = next)
     {
       next = conn->next;
@@ -573,6 +596,12 @@
 
 /* --- one connection --- */
 
+size_t
+br_http_conn_unsent (const br_http_conn_t *conn)
+{
+  return evbuffer_get_length (bufferevent_get_output (conn->bev));
+}
+
 const br_http_head_t *
 br_http_conn_head (const br_http_conn_t *conn)
 {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -57,6 +57,9 @@
 /* Answers carry "Connection: close" from now on. */
 void br_http_server_close_after_answers (br_http_server_t *server);
 
+/* Takes no new connections; those that are there go on. */
+void br_http_server_stop_listening (br_http_server_t *server);
+
 /* Takes no new connections, and closes those without a request. */
 void br_http_server_stop (br_http_server_t *server);
 size_t br_http_server_connections (const br_http_server_t *server);
@@ -68,6 +71,9 @@
 const br_http_head_t *br_http_conn_head (const br_http_conn_t *conn);
 br_str_t br_http_conn_body (const br_http_conn_t *conn);
 
+/* Bytes of answers that the caller has not taken yet. */
+size_t br_http_conn_unsent (const br_http_conn_t *conn);
+
 /* When the request began to come and when it was complete. */
 br_ms_t br_http_conn_began_ms (const br_http_conn_t *conn);
 br_ms_t br_http_conn_read_ms (const br_http_conn_t *conn);
--- a/src/shell/caller_task.c
+++ b/src/shell/caller_task.c
@@ -1,40 +1,27 @@
 #include "shell/caller_task.h"
 
-#include <errno.h>
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
-#include <event2/listener.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/queue.h>
 
 #include "shell/admit_task.h"
+#include "shell/caller_reply.h"
 #include "shell/engine_body.h"
-#include "shell/http_reply.h"
 #include "shell/reader.h"
 #include "shell/work_task.h"
 
-#define IDLE_CONNECTION_S 60
-
 /* A VM that has just started knows what is in force after some tenths of a
  * second; when to come back, in milliseconds. */
 #define NOT_CAUGHT_UP "this VM does not know yet what is in force"
 #define CATCHING_UP_MS 500
 
-/* Connections that wait to be accepted: a surge must not wait for the first
- * retransmission of a connect, one second. */
-#define LISTEN_BACKLOG 4096
-
 /* ": " and the line's end. */
 #define HEADER_PUNCTUATION 4
 
-/* evhttp closes a connection over its own limits with a plain page, so they
- * are this many times those of the settings, which are answered in JSON. */
+/* The server ends a connection over its own limits, so they are this many times
+ * those of the settings, which are answered with the size that came. */
 #define HTTP_LIMIT_FACTOR 2
 
+#define HTTP_STATUS_OK 200
+
 static const char chat_path[] = "/v1/chat/completions";
 static const char services_prefix[] = "/services/";
 static const char contracts_prefix[] = "/v1/contracts/";
@@ -42,28 +29,27 @@
 struct br_caller_task
 {
   br_node_t *node;
-  struct evhttp *http;
-  struct evhttp_bound_socket *socket;
+  br_http_server_t *server;
   br_readers_t *readers;
 };
 
 static void
 task_refuse (br_caller_task_t *task,
-             struct evhttp_request *request,
+             br_http_conn_t *conn,
              const br_error_t *err)
 {
   br_counters_add (&task->node->counters, BR_COUNTER_REQUESTS_REFUSED, 1);
   br_log_error (&task->node->log, "caller", "refused", err);
-  br_http_reply_error (request, err);
+  br_caller_reply_error (conn, NULL, 0, err);
 }
 
 static const br_workload_t *
 task_authenticate (br_caller_task_t *task,
-                   struct evhttp_request *request,
+                   br_http_conn_t *conn,
                    br_error_t *err)
 {
   const br_workload_t *workload = br_catalog_workload_by_key (
-      &task->node->catalog, br_http_bearer_key (request));
+      &task->node->catalog, br_caller_bearer_key (conn));
 
   if (workload != NULL)
     return workload;
@@ -77,13 +63,13 @@
  * and some of this organisation's. */
 static bool
 task_let_in (br_caller_task_t *task,
-             struct evhttp_request *request,
+             br_http_conn_t *conn,
              br_work_options_t *options,
              br_error_t *err)
 {
   br_node_t *node = task->node;
   const br_service_t *service = options->service;
-  const br_workload_t *workload = task_authenticate (task, request, err);
+  const br_workload_t *workload = task_authenticate (task, conn, err);
   const br_organisation_t *organisation;
 
   if (workload == NULL)
@@ -114,11 +100,40 @@
   return false;
 }
 
+static void
+reply_ok (br_http_conn_t *conn, const char *content_type, br_str_t body)
+{
+  br_caller_reply_t reply
+      = { .status = HTTP_STATUS_OK, .content_type = content_type };
+
+  br_caller_reply (conn, &reply, body);
+}
+
+/* 0 for a method that nothing here takes. */
+static enum evhttp_cmd_type
+request_method (const br_http_conn_t *conn)
+{
+  static const struct
+  {
+    const char *name;
+    enum evhttp_cmd_type method;
+  } methods[] = {
+    { "GET", EVHTTP_REQ_GET },     { "POST", EVHTTP_REQ_POST },
+    { "PUT", EVHTTP_REQ_PUT },     { "DELETE", EVHTTP_REQ_DELETE },
+    { "PATCH", EVHTTP_REQ_PATCH },
+  };
+
+  for (size_t i = 0; i < BR_N_ELEMENTS (methods); i++)
+    if (br_str_equal (br_http_conn_head (conn)->method,
+                      br_str_from (methods[i].name)))
+      return methods[i].method;
+  return (enum evhttp_cmd_type)0;
+}
+
 static br_str_t
-request_header (struct evhttp_request *request, const char *name)
+request_header (br_http_conn_t *conn, const char *name)
 {
-  return br_str_from (
-      evhttp_find_header (evhttp_request_get_input_headers (request), name));
+  return br_http_head_find (br_http_conn_head (conn), name);
 }
 
 /* Finds the model service by the name in the body. */
@@ -138,52 +153,69 @@
 }
 
 static void
-task_on_completion (br_caller_task_t *task,
-                    struct evhttp_request *request,
-                    bool chat)
+task_on_completion (br_caller_task_t *task, br_http_conn_t *conn, bool chat)
 {
   br_work_options_t options = {
     .method = EVHTTP_REQ_POST,
     .path = br_str_from (chat ? chat_path : "/v1/completions"),
-    .body = br_http_body (request),
+    .body = br_http_conn_body (conn),
     .content_type = br_str_from ("application/json"),
   };
   br_completion_head_t head;
   br_error_t err;
 
-  if (task_authenticate (task, request, &err) == NULL
+  if (task_authenticate (task, conn, &err) == NULL
       || !br_completion_read (options.body, chat, &head, &err))
     goto refuse;
   options.service = task_model_service (task, &head, &err);
   options.tokens = br_completion_tokens (options.body, &head);
   options.max_tokens = (uint64_t)head.max_tokens;
-  if (options.service == NULL || !task_let_in (task, request, &options, &err))
+  if (options.service == NULL || !task_let_in (task, conn, &options, &err))
     goto refuse;
-  br_readers_add (task->readers, request,
+  br_readers_add (task->readers, conn,
                   br_work_task_accept (task->node->works, &options), &head,
                   NULL);
   return;
 refuse:
-  task_refuse (task, request, &err);
+  task_refuse (task, conn, &err);
+}
+
+/* Length of the start of TEXT up to one of the characters in STOPS. */
+static size_t
+str_span (br_str_t text, const char *stops)
+{
+  size_t len = 0;
+
+  while (len < text.len && strchr (stops, text.data[len]) == NULL)
+    len++;
+  return len;
+}
+
+static br_str_t
+str_behind (br_str_t text, size_t len)
+{
+  return br_str_make (text.data + len, text.len - len);
 }
 
 /* Splits "/services/NAME/REST" into the service and "/REST". */
 static const br_service_t *
 task_plain_service (br_caller_task_t *task,
-                    const char *uri,
+                    br_str_t target,
                     br_str_t *rest,
                     br_error_t *err)
 {
-  const char *name = uri + sizeof services_prefix - 1;
-  size_t len = strcspn (name, "/?");
+  br_str_t name = str_behind (target, sizeof services_prefix - 1);
+  size_t len = str_span (name, "/?");
   const br_service_t *service
-      = br_catalog_service (&task->node->catalog, br_str_make (name, len));
+      = br_catalog_service (&task->node->catalog, br_str_make (name.data, len));
 
-  *rest = br_str_from (name[len] == '/' ? name + len : "/");
+  *rest = len < name.len && name.data[len] == '/' ? str_behind (name, len)
+                                                  : br_str_from ("/");
   if (service != NULL && service->kind == BR_SERVICE_PLAIN)
     return service;
   br_error_set (err, BR_ERROR_NOT_FOUND, "find service", "",
-                "there is no plain service %.*s", (int)BR_MIN (len, 62), name);
+                "there is no plain service %.*s", (int)BR_MIN (len, 62),
+                name.data);
   return NULL;
 }
 
@@ -200,28 +232,28 @@
 }
 
 static void
-task_on_service (br_caller_task_t *task, struct evhttp_request *request)
+task_on_service (br_caller_task_t *task, br_http_conn_t *conn)
 {
   br_work_options_t options = {
-    .method = evhttp_request_get_command (request),
-    .body = br_http_body (request),
-    .content_type = request_header (request, "Content-Type"),
-    .idempotency_key = request_header (request, "Idempotency-Key"),
+    .method = request_method (conn),
+    .body = br_http_conn_body (conn),
+    .content_type = request_header (conn, "Content-Type"),
+    .idempotency_key = request_header (conn, "Idempotency-Key"),
     .tokens = 1,
   };
   br_completion_head_t head = { 0 };
   br_error_t err;
 
-  options.service = task_plain_service (task, evhttp_request_get_uri (request),
+  options.service = task_plain_service (task, br_http_conn_head (conn)->target,
                                         &options.path, &err);
   if (options.service == NULL || !options_check_key (&options, &err)
-      || !task_let_in (task, request, &options, &err))
+      || !task_let_in (task, conn, &options, &err))
     {
       err.key_unknown = options.idempotency_key.len > 0;
-      task_refuse (task, request, &err);
+      task_refuse (task, conn, &err);
       return;
     }
-  br_readers_add (task->readers, request,
+  br_readers_add (task->readers, conn,
                   br_work_task_accept (task->node->works, &options), &head,
                   NULL);
 }
@@ -253,13 +285,13 @@
 }
 
 static void
-task_on_contract (br_caller_task_t *task, struct evhttp_request *request)
+task_on_contract (br_caller_task_t *task, br_http_conn_t *conn)
 {
-  const char *text
-      = evhttp_request_get_uri (request) + sizeof contracts_prefix - 1;
+  br_str_t text = str_behind (br_http_conn_head (conn)->target,
+                              sizeof contracts_prefix - 1);
   br_completion_head_t head = { .stream = true };
   br_error_t err;
-  const br_workload_t *workload = task_authenticate (task, request, &err);
+  const br_workload_t *workload = task_authenticate (task, conn, &err);
   const br_organisation_t *organisation;
   br_event_id_t resume;
   br_work_t *work;
@@ -270,33 +302,34 @@
       = br_catalog_organisation_of (&task->node->catalog, workload, &err);
   if (organisation == NULL)
     goto refuse;
-  if (!br_event_id_parse (request_header (request, "Last-Event-ID"), &resume))
+  if (!br_event_id_parse (request_header (conn, "Last-Event-ID"), &resume))
     {
       br_error_set (&err, BR_ERROR_INVALID, "read request", "",
                     "Last-Event-ID: the id of an event is wanted");
       goto refuse;
     }
-  work = task_find_contract (task, br_str_make (text, strcspn (text, "?")),
-                             &organisation->name, &err);
+  work
+      = task_find_contract (task, br_str_make (text.data, str_span (text, "?")),
+                            &organisation->name, &err);
   if (work == NULL)
     goto refuse;
-  br_readers_add (task->readers, request, work, &head, &resume);
+  br_readers_add (task->readers, conn, work, &head, &resume);
   return;
 refuse:
-  task_refuse (task, request, &err);
+  task_refuse (task, conn, &err);
 }
 
 static void
-task_on_models (br_caller_task_t *task, struct evhttp_request *request)
+task_on_models (br_caller_task_t *task, br_http_conn_t *conn)
 {
   const br_services_t *services = &task->node->catalog.services;
   br_buf_t out = { 0 };
   br_error_t err;
   bool first = true;
 
-  if (task_authenticate (task, request, &err) == NULL)
+  if (task_authenticate (task, conn, &err) == NULL)
     {
-      task_refuse (task, request, &err);
+      task_refuse (task, conn, &err);
       return;
     }
   br_buf_printf (&out, "{\"object\":\"list\",\"data\":[");
@@ -309,91 +342,78 @@
       first = false;
     }
   br_buf_printf (&out, "]}\n");
-  br_http_reply (request, HTTP_OK, "application/json", br_buf_str (&out));
+  reply_ok (conn, "application/json", br_buf_str (&out));
   br_buf_free (&out);
 }
 
 static void
-task_on_ready (br_caller_task_t *task, struct evhttp_request *request)
+task_on_ready (br_caller_task_t *task, br_http_conn_t *conn)
 {
   br_error_t err;
 
   if (!task->node->draining && task->node->caught_up)
     {
-      br_http_reply (request, HTTP_OK, "text/plain", br_str_from ("ready\n"));
+      reply_ok (conn, "text/plain", br_str_from ("ready\n"));
       return;
     }
   br_error_set (
       &err, BR_ERROR_UNAVAILABLE, "ready", task->node->settings.vm.data,
       task->node->draining ? "this VM takes no new work" : NOT_CAUGHT_UP);
-  br_http_reply_error (request, &err);
+  br_caller_reply_error (conn, NULL, 0, &err);
 }
 
 static bool
-path_is (struct evhttp_request *request, const char *path)
+path_is (const br_http_conn_t *conn, const char *path)
 {
-  const char *uri = evhttp_request_get_uri (request);
+  br_str_t target = br_http_conn_head (conn)->target;
 
-  return strcspn (uri, "?") == strlen (path)
-         && strncmp (uri, path, strlen (path)) == 0;
+  return br_str_equal (br_str_make (target.data, str_span (target, "?")),
+                       br_str_from (path));
 }
 
 static bool
-path_starts (struct evhttp_request *request, const char *prefix)
+path_starts (const br_http_conn_t *conn, const char *prefix)
 {
-  return strncmp (evhttp_request_get_uri (request), prefix, strlen (prefix))
-         == 0;
+  return br_str_starts_with (br_http_conn_head (conn)->target,
+                             br_str_from (prefix));
 }
 
 static bool
-is_method (struct evhttp_request *request, enum evhttp_cmd_type method)
+is_method (const br_http_conn_t *conn, enum evhttp_cmd_type method)
 {
-  return evhttp_request_get_command (request) == method;
+  return request_method (conn) == method;
 }
 
 static void
-task_on_unknown (br_caller_task_t *task, struct evhttp_request *request)
+task_on_unknown (br_caller_task_t *task, br_http_conn_t *conn)
 {
   br_error_t err;
 
   br_error_set (&err, BR_ERROR_NOT_FOUND, "read request", "",
                 "there is nothing at this path for this method");
-  task_refuse (task, request, &err);
-}
-
-/* The head of a streamed reply and its first event are two writes; without
- * this the second waits for the caller's delayed acknowledgement. */
-static void
-request_send_at_once (struct evhttp_request *request)
-{
-  struct evhttp_connection *connection
-      = evhttp_request_get_connection (request);
-  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
-  int on = 1;
-
-  setsockopt (bufferevent_getfd (bev), IPPROTO_TCP, TCP_NODELAY, &on,
-              sizeof on);
+  task_refuse (task, conn, &err);
 }
 
 static size_t
-request_head_bytes (struct evhttp_request *request)
+request_head_bytes (const br_http_conn_t *conn)
 {
-  size_t sum = strlen (evhttp_request_get_uri (request));
-  struct evkeyval *header;
+  const br_http_head_t *head = br_http_conn_head (conn);
+  size_t sum = head->target.len;
 
-  TAILQ_FOREACH (header, evhttp_request_get_input_headers (request), next)
-  sum += strlen (header->key) + strlen (header->value) + HEADER_PUNCTUATION;
+  for (size_t i = 0; i < head->headers.len; i++)
+    sum += head->headers.items[i].name.len + head->headers.items[i].value.len
+           + HEADER_PUNCTUATION;
   return sum;
 }
 
 static bool
 task_check_limits (br_caller_task_t *task,
-                   struct evhttp_request *request,
+                   br_http_conn_t *conn,
                    br_error_t *err)
 {
   const br_settings_t *settings = &task->node->settings;
-  size_t head = request_head_bytes (request);
-  size_t body = br_http_body (request).len;
+  size_t head = request_head_bytes (conn);
+  size_t body = br_http_conn_body (conn).len;
 
   if (head > (size_t)settings->header_max_bytes)
     return br_error_set (err, BR_ERROR_HEAD_TOO_LARGE, "read request", "",
@@ -409,63 +429,52 @@
 }
 
 static void
-task_on_request (struct evhttp_request *request, void *context)
+task_on_request (void *context, br_http_conn_t *conn)
 {
   br_caller_task_t *task = context;
   br_error_t err;
 
   br_counters_add (&task->node->counters, BR_COUNTER_REQUESTS, 1);
-  request_send_at_once (request);
-  if (!task_check_limits (task, request, &err))
+  if (!task_check_limits (task, conn, &err))
     {
-      task_refuse (task, request, &err);
+      task_refuse (task, conn, &err);
       return;
     }
-  if (path_is (request, "/healthz"))
-    br_http_reply (request, HTTP_OK, "text/plain", br_str_from ("alive\n"));
-  else if (path_is (request, "/readyz"))
-    task_on_ready (task, request);
+  if (path_is (conn, "/healthz"))
+    reply_ok (conn, "text/plain", br_str_from ("alive\n"));
+  else if (path_is (conn, "/readyz"))
+    task_on_ready (task, conn);
   else if (!task->node->caught_up)
     {
       br_error_set (&err, BR_ERROR_UNAVAILABLE, "read request",
                     task->node->settings.vm.data, NOT_CAUGHT_UP);
       err.retry_after_ms = CATCHING_UP_MS;
-      task_refuse (task, request, &err);
+      task_refuse (task, conn, &err);
     }
-  else if (path_is (request, "/v1/models")
-           && is_method (request, EVHTTP_REQ_GET))
-    task_on_models (task, request);
-  else if (path_is (request, "/v1/chat/completions")
-           && is_method (request, EVHTTP_REQ_POST))
-    task_on_completion (task, request, true);
-  else if (path_is (request, "/v1/completions")
-           && is_method (request, EVHTTP_REQ_POST))
-    task_on_completion (task, request, false);
-  else if (path_starts (request, contracts_prefix)
-           && is_method (request, EVHTTP_REQ_GET))
-    task_on_contract (task, request);
-  else if (path_starts (request, services_prefix))
-    task_on_service (task, request);
+  else if (path_is (conn, "/v1/models") && is_method (conn, EVHTTP_REQ_GET))
+    task_on_models (task, conn);
+  else if (path_is (conn, "/v1/chat/completions")
+           && is_method (conn, EVHTTP_REQ_POST))
+    task_on_completion (task, conn, true);
+  else if (path_is (conn, "/v1/completions")
+           && is_method (conn, EVHTTP_REQ_POST))
+    task_on_completion (task, conn, false);
+  else if (path_starts (conn, contracts_prefix)
+           && is_method (conn, EVHTTP_REQ_GET))
+    task_on_contract (task, conn);
+  else if (request_method (conn) == 0)
+    task_on_unknown (task, conn);
+  else if (path_starts (conn, services_prefix))
+    task_on_service (task, conn);
   else
-    task_on_unknown (task, request);
+    task_on_unknown (task, conn);
 }
 
-static struct evhttp_bound_socket *
-task_listen (br_caller_task_t *task)
+static void
+task_on_gone (void *context, br_http_conn_t *conn)
 {
-  const br_endpoint_t *endpoint = &task->node->settings.callers;
-  struct sockaddr_storage address;
-  int len;
-  struct evconnlistener *listener;
-
-  if (!br_endpoint_to_sockaddr (endpoint, &address, &len))
-    return NULL;
-  listener = evconnlistener_new_bind (
-      task->node->base, NULL, NULL, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-      LISTEN_BACKLOG, (struct sockaddr *)&address, len);
-  if (listener == NULL)
-    return NULL;
-  return evhttp_bind_listener (task->http, listener);
+  (void)context;
+  br_readers_on_gone (conn);
 }
 
 br_caller_task_t *
@@ -473,25 +482,31 @@
 {
   br_caller_task_t *task = br_alloc_zero (sizeof *task);
   const br_settings_t *settings = &node->settings;
+  struct sockaddr_storage address;
+  br_http_server_options_t options = {
+    .base = node->base,
+    .address = (struct sockaddr *)&address,
+    .limits = {
+      .head_max_bytes = (size_t)settings->header_max_bytes * HTTP_LIMIT_FACTOR,
+      .body_max_bytes = (size_t)settings->body_max_bytes * HTTP_LIMIT_FACTOR,
+      .head_ms = settings->head_ms,
+      .idle_ms = settings->idle_ms,
+    },
+    .on_request = task_on_request,
+    .on_gone = task_on_gone,
+    .context = task,
+  };
 
   task->node = node;
   task->readers = br_readers_new (node);
-  task->http = evhttp_new (node->base);
-  evhttp_set_max_headers_size (task->http,
-                               settings->header_max_bytes * HTTP_LIMIT_FACTOR);
-  evhttp_set_max_body_size (task->http,
-                            settings->body_max_bytes * HTTP_LIMIT_FACTOR);
-  evhttp_set_timeout (task->http, IDLE_CONNECTION_S);
-  evhttp_set_allowed_methods (task->http,
-                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT
-                                  | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH);
-  evhttp_set_gencb (task->http, task_on_request, task);
-  task->socket = task_listen (task);
-  if (task->socket != NULL)
+  if (br_endpoint_to_sockaddr (&settings->callers, &address,
+                               &options.address_len))
+    task->server = br_http_server_new (&options, err);
+  else
+    br_error_set (err, BR_ERROR_SETTINGS, "listen for callers", "",
+                  "callers.address is not valid");
+  if (task->server != NULL)
     return task;
-  br_error_set (err, BR_ERROR_INTERNAL, "listen for callers", "",
-                "%s port %d: %s", settings->callers.address,
-                (int)settings->callers.port, strerror (errno));
   br_caller_task_free (task);
   return NULL;
 }
@@ -505,10 +520,7 @@
 void
 br_caller_task_stop_accepting (br_caller_task_t *task)
 {
-  if (task->socket == NULL)
-    return;
-  evhttp_del_accept_socket (task->http, task->socket);
-  task->socket = NULL;
+  br_http_server_stop_listening (task->server);
 }
 
 size_t
@@ -523,6 +535,6 @@
   if (task == NULL)
     return;
   br_readers_free (task->readers);
-  evhttp_free (task->http);
+  br_http_server_free (task->server);
   free (task);
 }
--- a/src/shell/control_task.c
+++ b/src/shell/control_task.c
@@ -369,6 +369,8 @@
       wire[n] = (Br__Site__Left)BR__SITE__LEFT__INIT;
       wire[n].organisation = organisation->name.data;
       wire[n].units = br_quota_pool_level (&task->pool, organisation, now);
+      wire[n].asked_per_s
+          = br_quota_pool_asked (&task->pool, organisation, now);
       views[n] = &wire[n];
       n++;
     }
@@ -579,6 +581,7 @@
         .vm = &from->vm,
         .incarnation = from->incarnation,
         .units = used->units,
+        .asked = used->asked,
       };
       const br_site_organisation_t *organisation
           = br_configuration_organisation (task->configuration,
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -242,6 +242,16 @@
     }
 }
 
+static void
+task_on_left (br_entry_task_t *task, const Br__Site__Left *left)
+{
+  br_quota_news_t news
+      = { .left = left->units, .asked_per_s = left->asked_per_s };
+
+  br_quotas_hear (&task->quotas, br_str_from (left->organisation), &news,
+                  br_node_now (task->node));
+}
+
 static void
 task_on_leader (br_entry_task_t *task,
                 const br_name_t *vm,
@@ -309,9 +319,7 @@
         break;
       task_on_loads (task, message->loads->loads, message->loads->n_loads);
       for (size_t i = 0; i < message->loads->n_left; i++)
-        br_quotas_hear (
-            &task->quotas, br_str_from (message->loads->left[i]->organisation),
-            message->loads->left[i]->units, br_node_now (task->node));
+        task_on_left (task, message->loads->left[i]);
       break;
     case BR__SITE__MESSAGE__BODY_TEXT:
       task_on_text (task, message->text);
@@ -557,11 +565,12 @@
     {
       br_quota_t *quota = &task->quotas.list.items[i];
 
-      if (quota->used <= 0)
+      if (quota->asked_total <= 0)
         continue;
       wire[n] = (Br__Site__Used)BR__SITE__USED__INIT;
       wire[n].organisation = quota->organisation.data;
       wire[n].units = quota->used;
+      wire[n].asked = quota->asked_total;
       views[n] = &wire[n];
       n++;
     }
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "http/error_body.h"
 #include "platform/request_codec.h"
 #include "shell/entry_inside.h"
 #include "shell/upstream_pool.h"
@@ -264,8 +265,7 @@
                    status == 503 || status == 429 ? BR_COUNTER_REQUESTS_REFUSED
                                                   : BR_COUNTER_REQUESTS_FAILED,
                    1);
-  br_buf_printf (&body, "{\"error\":{\"code\":\"%s\",\"message\":\"%s\"}}\n",
-                 br_error_name (err->code), err->text);
+  br_http_error_json (err, &body);
   br_http_conn_answer (exchange->conn, &answer, br_buf_str (&body));
   br_buf_free (&body);
   exchange_return_units (exchange);
@@ -914,6 +914,7 @@
     return true;
   units = br_quota_units (exchange->organisation, &exchange->inbound);
   if (br_quotas_take (&task->quotas, exchange->organisation, units,
+                      br_random_unit (&task->node->random),
                       exchange_now (exchange), &wait_ms))
     {
       exchange->units = units;
--- a/src/shell/http_reply.h
+++ b/src/shell/http_reply.h
@@ -4,7 +4,7 @@
 
 #include <event2/http.h>
 
-#include "base/error.h"
+#include "http/error_body.h"
 
 BR_BEGIN_DECLS
 
@@ -20,9 +20,6 @@
 void br_http_reply_error (struct evhttp_request *request,
                           const br_error_t *err);
 
-/* Appends the "error" object of ERR. */
-void br_http_error_json (const br_error_t *err, br_buf_t *out);
-
 /* Returns the whole body; valid until the request ends. */
 br_str_t br_http_body (struct evhttp_request *request);
 
--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -173,8 +173,9 @@
       br_caller_task_on_work (node->callers, message->work);
       break;
     case BR_NODE_PROPOSAL:
-      if (!node_on_caught_up (node, &message->proposal)
-          && !br_claim_task_on_proposal (node->claims, &message->proposal))
+      if (node_on_caught_up (node, &message->proposal))
+        break; /* a read has no result */
+      if (!br_claim_task_on_proposal (node->claims, &message->proposal))
         br_operator_task_on_proposal (node->operators, &message->proposal);
       if (node->on_proposal != NULL)
         node->on_proposal (node->on_proposal_context, &message->proposal);
--- a/src/shell/reader.c
+++ b/src/shell/reader.c
@@ -1,11 +1,10 @@
 #include "shell/reader.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
+#include <event2/event.h>
+#include <stdio.h>
 
-#include "shell/http_reply.h"
+#include "http/error_body.h"
+#include "shell/caller_reply.h"
 
 /* Buckets in which readers are found by their work. */
 #define READER_BUCKETS 4096
@@ -13,14 +12,18 @@
 /* A caller that waits for its first token hears of acceptance by then. */
 #define HEAD_DELAY_MS 200
 
+/* Fields that a reply may have of the contract. */
+#define HEADERS_MAX 3
+
+#define HTTP_STATUS_OK 200
+
 static const char chat_path[] = "/v1/chat/completions";
 
 /* One caller that reads the answer of one piece of work. */
 typedef struct reader
 {
   br_readers_t *readers;
-  struct evhttp_request *request;
-  struct event *closed; /* fires when the caller's connection ends */
+  br_http_conn_t *conn;
   uint64_t work;
   size_t offset;        /* parts written, or read by the caller elsewhere */
   uint64_t digest;      /* of these parts, once it is known */
@@ -31,6 +34,7 @@
   bool chat;
   bool started; /* the head of a streamed reply is sent */
   br_name_t model;
+  char contract[BR_NAME_MAX + 40];
   struct reader *next;
 } reader_t;
 
@@ -60,74 +64,71 @@
   readers->n--;
   if (work != NULL)
     br_work_unwatch (readers->node->works, work);
-  event_free (reader->closed);
   event_free (reader->head);
   free (reader);
 }
 
-/* The caller went away: the work goes on without it. */
-static void
-reader_on_closed (evutil_socket_t fd, short what, void *context)
+void
+br_readers_on_gone (br_http_conn_t *conn)
 {
-  reader_t *reader = context;
-  struct evhttp_request *request = reader->request;
-  struct evhttp_connection *connection
-      = evhttp_request_get_connection (request);
+  reader_t *reader = br_http_conn_user (conn);
 
-  (void)fd;
-  (void)what;
-  reader_free (reader);
-  /* Frees the request as well. */
-  if (connection != NULL)
-    evhttp_connection_free (connection);
+  if (reader != NULL)
+    reader_free (reader);
 }
 
 static bool
 reader_is_too_slow (const reader_t *reader)
 {
-  struct evhttp_connection *connection
-      = evhttp_request_get_connection (reader->request);
-  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
-  size_t waiting = evbuffer_get_length (bufferevent_get_output (bev));
-
-  return waiting
+  return br_http_conn_unsent (reader->conn)
          > (size_t)reader->readers->node->settings.reader_backlog_max_bytes;
 }
 
 static void
 reader_send (reader_t *reader, br_str_t bytes)
 {
-  struct evbuffer *chunk = evbuffer_new ();
-
-  evbuffer_add (chunk, bytes.data, bytes.len);
-  evhttp_send_reply_chunk (reader->request, chunk);
-  evbuffer_free (chunk);
+  br_http_conn_write (reader->conn, bytes);
   br_counters_add (&reader->readers->node->counters, BR_COUNTER_BYTES_STREAMED,
                    bytes.len);
 }
 
-static void
-reader_add_partner (reader_t *reader, const br_work_t *work)
+/* Fills what a reply tells of the contract; the views last as long as WORK. */
+static size_t
+reader_headers (const reader_t *reader,
+                const br_work_t *work,
+                br_http_header_t headers[HEADERS_MAX])
 {
+  size_t n = 0;
+
+  headers[n++] = (br_http_header_t){ br_str_from ("X-Contract-Id"),
+                                     br_str_from (reader->contract) };
   if (work->repeatable && !work->followed)
-    evhttp_add_header (evhttp_request_get_output_headers (reader->request),
-                       "X-Contract-Partner",
-                       work->partner.len > 0 ? work->partner.data : "none");
+    headers[n++] = (br_http_header_t){
+      br_str_from ("X-Contract-Partner"),
+      work->partner.len > 0 ? br_name_str (&work->partner)
+                            : br_str_from ("none"),
+    };
+  return n;
 }
 
 static void
 reader_start_stream (reader_t *reader, const br_work_t *work)
 {
-  struct evkeyvalq *headers
-      = evhttp_request_get_output_headers (reader->request);
+  br_http_header_t headers[HEADERS_MAX];
+  br_caller_reply_t reply = {
+    .status = HTTP_STATUS_OK,
+    .content_type = "text/event-stream",
+    .headers = headers,
+  };
 
   if (reader->started)
     return;
   reader->started = true;
-  reader_add_partner (reader, work);
-  evhttp_add_header (headers, "Content-Type", "text/event-stream");
-  evhttp_add_header (headers, "Cache-Control", "no-store");
-  evhttp_send_reply_start (reader->request, HTTP_OK, NULL);
+  reply.n_headers = reader_headers (reader, work, headers);
+  headers[reply.n_headers++]
+      = (br_http_header_t){ br_str_from ("Cache-Control"),
+                            br_str_from ("no-store") };
+  br_caller_reply_begin (reader->conn, &reply);
 }
 
 static void
@@ -153,6 +154,17 @@
   br_buf_free (&out);
 }
 
+static void
+reader_reply_error (reader_t *reader,
+                    const br_work_t *work,
+                    const br_error_t *err)
+{
+  br_http_header_t headers[HEADERS_MAX];
+  size_t n = reader_headers (reader, work, headers);
+
+  br_caller_reply_error (reader->conn, headers, n, err);
+}
+
 static void
 reader_end_stream (reader_t *reader, const br_work_t *work)
 {
@@ -160,7 +172,7 @@
 
   if (work->state == BR_WORK_FAILED && !reader->started)
     {
-      br_http_reply_error (reader->request, &work->error);
+      reader_reply_error (reader, work, &work->error);
       return;
     }
   reader_start_stream (reader, work);
@@ -173,28 +185,36 @@
   else
     br_buf_printf (&out, "data: [DONE]\n\n");
   reader_send (reader, br_buf_str (&out));
-  evhttp_send_reply_end (reader->request);
+  br_http_conn_end (reader->conn);
   br_buf_free (&out);
 }
 
 static void
 reader_reply_whole (reader_t *reader, const br_work_t *work)
 {
+  br_http_header_t headers[HEADERS_MAX];
+  br_caller_reply_t reply = {
+    .status = HTTP_STATUS_OK,
+    .content_type = "application/json",
+    .headers = headers,
+  };
   br_buf_t out = { 0 };
 
-  reader_add_partner (reader, work);
   if (work->state == BR_WORK_FAILED)
-    br_http_reply_error (reader->request, &work->error);
-  else if (work->kind == BR_SERVICE_PLAIN)
-    br_http_reply (reader->request, work->status, "application/json",
-                   br_buf_str (&work->answer.bytes));
-  else
     {
-      br_completion_write (&work->answer, work->contract_text, &reader->model,
-                           reader->chat, &out);
-      br_http_reply (reader->request, HTTP_OK, "application/json",
-                     br_buf_str (&out));
+      reader_reply_error (reader, work, &work->error);
+      return;
     }
+  reply.n_headers = reader_headers (reader, work, headers);
+  if (work->kind == BR_SERVICE_PLAIN)
+    {
+      reply.status = work->status;
+      br_caller_reply (reader->conn, &reply, br_buf_str (&work->answer.bytes));
+      return;
+    }
+  br_completion_write (&work->answer, work->contract_text, &reader->model,
+                       reader->chat, &out);
+  br_caller_reply (reader->conn, &reply, br_buf_str (&out));
   br_buf_free (&out);
 }
 
@@ -204,7 +224,8 @@
   BR_LOG (&reader->readers->node->log, "caller", "slow_reader",
           br_field_z ("contract", work->contract_text),
           br_field_int ("offset", (int64_t)reader->offset));
-  reader_on_closed (-1, 0, reader);
+  br_http_conn_abort (reader->conn);
+  reader_free (reader);
 }
 
 /* Refuses a caller whose parts are not those of the answer. */
@@ -221,7 +242,7 @@
     br_error_set (&err, BR_ERROR_CONFLICT, "resume answer", "",
                   "Last-Event-ID: the answer was generated again and differs "
                   "before this event; read it from the start");
-  br_http_reply_error (reader->request, &err);
+  reader_reply_error (reader, work, &err);
   reader_free (reader);
 }
 
@@ -325,20 +346,20 @@
 
 void
 br_readers_add (br_readers_t *readers,
-                struct evhttp_request *request,
+                br_http_conn_t *conn,
                 br_work_t *work,
                 const br_completion_head_t *head,
                 const br_event_id_t *resume)
 {
   struct timeval head_delay = { 0, HEAD_DELAY_MS * 1000 };
   reader_t *reader = br_alloc_zero (sizeof *reader);
-  struct evhttp_connection *connection
-      = evhttp_request_get_connection (request);
-  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
   br_node_message_t message = { .kind = BR_NODE_WORK_CHANGED };
 
   reader->readers = readers;
-  reader->request = request;
+  reader->conn = conn;
+  br_http_conn_set_user (conn, reader);
+  snprintf (reader->contract, sizeof reader->contract, "%s",
+            work->contract_text);
   reader->work = work->number;
   if (resume != NULL)
     reader->resume = *resume;
@@ -346,9 +367,6 @@
   reader->stream = head->stream;
   reader->chat = head->chat;
   reader->model = head->model;
-  reader->closed = event_new (readers->node->base, bufferevent_getfd (bev),
-                              EV_CLOSED, reader_on_closed, reader);
-  event_add (reader->closed, NULL);
   reader->head = evtimer_new (readers->node->base, reader_on_head, reader);
   if (reader->stream)
     event_add (reader->head, &head_delay);
@@ -356,8 +374,6 @@
   *readers_bucket (readers, work->number) = reader;
   readers->n++;
   br_work_watch (work);
-  evhttp_add_header (evhttp_request_get_output_headers (request),
-                     "X-Contract-Id", work->contract_text);
   message.work = work->number;
   br_node_post (readers->node, message);
 }
@@ -370,7 +386,6 @@
       reader_t *reader = *bucket;
 
       *bucket = reader->next;
-      event_free (reader->closed);
       event_free (reader->head);
       free (reader);
     }
--- a/src/site/quota.c
+++ b/src/site/quota.c
@@ -10,6 +10,9 @@
 #define RATE_MARGIN 1.04
 #define BURST_MARGIN_TOKENS 70000
 
+/* A refused caller does not come back sooner, in milliseconds. */
+#define COME_BACK_MIN_MS 200
+
 /* Weight of the newest demand in what is told. */
 #define ASKED_WEIGHT 0.4
 
@@ -21,6 +24,10 @@
  * interval. */
 #define LEFT_FRESH_MS 250
 
+/* Until what VMs let through now is known to all, in milliseconds, several
+ * times over. */
+#define HORIZON_MS 500
+
 static br_quota_t *
 quotas_find (br_quotas_t *quotas, br_str_t organisation)
 {
@@ -74,12 +81,13 @@
 void
 br_quotas_hear (br_quotas_t *quotas,
                 br_str_t organisation,
-                double left,
+                const br_quota_news_t *news,
                 br_ms_t now)
 {
   br_quota_t *quota = quotas_get (quotas, organisation);
 
-  quota->left = left;
+  quota->left = news->left;
+  quota->asked_per_s = news->asked_per_s;
   quota->left_ms = now;
   /* What was let through in the last interval may not be counted yet. */
   quota->unheard -= quota->unheard_before;
@@ -107,6 +115,17 @@
   return quota->left_ms > 0 && now - quota->left_ms < LEFT_LIFE_MS;
 }
 
+/* The share of what is asked for that can be let through: so much that all VMs
+ * together use up what is left over the next HORIZON_MS, and no more. */
+static double
+quota_share (double left, const br_quota_t *quota, double rate)
+{
+  double asked = quota->asked_per_s * HORIZON_MS / 1000;
+  double there = left + rate * HORIZON_MS / 1000;
+
+  return asked > 0 ? there / asked : 1;
+}
+
 static void
 quota_use (br_quota_t *quota, double units)
 {
@@ -119,6 +138,7 @@
 br_quotas_take (br_quotas_t *quotas,
                 const br_site_organisation_t *organisation,
                 double units,
+                double draw,
                 br_ms_t now,
                 br_ms_t *wait_ms)
 {
@@ -127,6 +147,7 @@
   double level;
 
   quota->asked += units;
+  quota->asked_total += units;
   if (organisation->rate_per_s <= 0)
     return true;
   quota_fill (quota, organisation, now);
@@ -135,6 +156,13 @@
     {
       level = quota_left (quota, organisation, now);
       rate = organisation->rate_per_s;
+      if (draw >= quota_share (level, quota, rate))
+        {
+          *wait_ms = BR_MAX ((br_ms_t)(-level * 1000 / rate), 0)
+                     + (br_ms_t)(units * 1000 / rate) + COME_BACK_MIN_MS;
+          return false;
+        }
+      level = units;
     }
   /* A request that is larger than what is there takes it ahead. */
   if (level > 0)
--- a/src/site/quota.h
+++ b/src/site/quota.h
@@ -16,7 +16,9 @@
   br_ms_t filled_ms;
   double part;           /* of the quota that is this VM's, 0 to 1 */
   double used;           /* units let through since this VM started */
+  double asked_total;    /* units asked for since this VM started */
   double left;           /* of the whole site's quota, as last heard */
+  double asked_per_s;    /* at the whole site, as last heard */
   br_ms_t left_ms;       /* when it was heard */
   double unheard;        /* let through here and not in LEFT */
   double unheard_before; /* of that, before LEFT was heard */
@@ -38,18 +40,27 @@
 double br_quota_units (const br_site_organisation_t *organisation,
                        const br_inbound_t *inbound);
 
-/* Takes UNITS; false when the share is used up, and *WAIT_MS then says when
- * there will be enough. */
+/* Takes UNITS; DRAW is in [0, 1) and decides when only part of what is asked
+ * for can be let through.  False when the share is used up, and *WAIT_MS then
+ * says when there will be enough. */
 bool br_quotas_take (br_quotas_t *quotas,
                      const br_site_organisation_t *organisation,
                      double units,
+                     double draw,
                      br_ms_t now,
                      br_ms_t *wait_ms);
 
+/* What the leader tells of a quota. */
+typedef struct
+{
+  double left;        /* units */
+  double asked_per_s; /* by all callers */
+} br_quota_news_t;
+
 /* The leader told at NOW what is left of a quota. */
 void br_quotas_hear (br_quotas_t *quotas,
                      br_str_t organisation,
-                     double left,
+                     const br_quota_news_t *news,
                      br_ms_t now);
 
 /* The part of the organisation's quota that is this VM's now, 0 to 1. */
--- a/src/site/quota_pool.c
+++ b/src/site/quota_pool.c
@@ -1,5 +1,15 @@
 #include "site/quota_pool.h"
 
+/* All entry VMs that have let anything through have told a new leader by then,
+ * in milliseconds: a few of the intervals at which they do. */
+#define FIRST_REPORTS_MS 300
+
+/* What is asked for is measured over this time, in milliseconds, and averaged
+ * with this weight of the newest: a tenant that begins to send several times
+ * its usual is seen within half a second. */
+#define ASKED_SPAN_MS 100
+#define ASKED_WEIGHT 0.35
+
 static br_pool_quota_t *
 pool_quota (br_quota_pool_t *pool,
             const br_site_organisation_t *organisation,
@@ -9,6 +19,7 @@
   br_pool_quota_t fresh = {
     .organisation = organisation->name,
     .filled_ms = now,
+    .asked_ms = now,
   };
 
   for (size_t i = 0; i < pool->quotas.len; i++)
@@ -29,6 +40,7 @@
     .incarnation = report->incarnation,
     .organisation = *organisation,
     .used = report->units,
+    .asked = report->asked,
   };
 
   *is_new = false;
@@ -69,11 +81,38 @@
   br_pool_used_t *used = pool_used (pool, &organisation->name, report, &is_new);
 
   br_quota_pool_level (pool, organisation, now);
-  /* What a run let through before it was first heard of is long filled up, or
-   * was counted by the leader before. */
-  if (!is_new && report->units > used->used)
+  if (pool->began_ms == 0)
+    pool->began_ms = now;
+  /* What VMs that were there before this leader had let through until then was
+   * counted by another one. */
+  if (is_new && now - pool->began_ms < FIRST_REPORTS_MS)
+    return;
+  if (is_new)
+    used->used = used->asked = 0;
+  if (report->units > used->used)
     pool_quota (pool, organisation, now)->level -= report->units - used->used;
+  if (report->asked > used->asked)
+    pool_quota (pool, organisation, now)->asked += report->asked - used->asked;
   used->used = report->units;
+  used->asked = report->asked;
+}
+
+double
+br_quota_pool_asked (br_quota_pool_t *pool,
+                     const br_site_organisation_t *organisation,
+                     br_ms_t now)
+{
+  br_pool_quota_t *quota = pool_quota (pool, organisation, now);
+  br_ms_t span = now - quota->asked_ms;
+
+  if (span < ASKED_SPAN_MS)
+    return quota->asked_per_s;
+  quota->asked_per_s
+      += ASKED_WEIGHT
+         * (quota->asked * 1000 / (double)span - quota->asked_per_s);
+  quota->asked = 0;
+  quota->asked_ms = now;
+  return quota->asked_per_s;
 }
 
 void
--- a/src/site/quota_pool.h
+++ b/src/site/quota_pool.h
@@ -11,7 +11,10 @@
 typedef struct
 {
   br_name_t organisation;
-  double level; /* units; below 0 when too much was let through */
+  double level;       /* units; below 0 when too much was let through */
+  double asked;       /* units since ASKED_MS */
+  double asked_per_s; /* averaged */
+  br_ms_t asked_ms;
   br_ms_t filled_ms;
 } br_pool_quota_t;
 
@@ -24,6 +27,7 @@
   uint64_t incarnation;
   br_name_t organisation;
   double used;
+  double asked;
 } br_pool_used_t;
 
 BR_VEC (br_pool_useds, br_pool_used_t);
@@ -33,13 +37,15 @@
 {
   br_pool_quotas_t quotas;
   br_pool_useds_t useds;
+  br_ms_t began_ms; /* when it was first told anything */
 } br_quota_pool_t;
 
 typedef struct
 {
   const br_name_t *vm;
   uint64_t incarnation;
-  double units; /* since the run began */
+  double units; /* let through since the run began */
+  double asked; /* asked for since then */
 } br_pool_report_t;
 
 /* An entry VM told what it let through. */
@@ -53,6 +59,11 @@
                             const br_site_organisation_t *organisation,
                             br_ms_t now);
 
+/* Returns what is asked for in a second over all entry VMs. */
+double br_quota_pool_asked (br_quota_pool_t *pool,
+                            const br_site_organisation_t *organisation,
+                            br_ms_t now);
+
 /* Forgets everything, as a new leader does. */
 void br_quota_pool_release (br_quota_pool_t *pool);
 
--- a/src/site/site.pb-c.c
+++ b/src/site/site.pb-c.c
@@ -1163,7 +1163,7 @@
   (ProtobufCMessageInit) br__site__upstream_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__used__field_descriptors[2] =
+static const ProtobufCFieldDescriptor br__site__used__field_descriptors[3] =
 {
   {
     "organisation",
@@ -1189,15 +1189,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Used, asked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__used__field_indices_by_name[] = {
+  2,   /* field[2] = asked */
   0,   /* field[0] = organisation */
   1,   /* field[1] = units */
 };
 static const ProtobufCIntRange br__site__used__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor br__site__used__descriptor =
 {
@@ -1207,14 +1220,14 @@
   "Br__Site__Used",
   "br.site",
   sizeof(Br__Site__Used),
-  2,
+  3,
   br__site__used__field_descriptors,
   br__site__used__field_indices_by_name,
   1,  br__site__used__number_ranges,
   (ProtobufCMessageInit) br__site__used__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__left__field_descriptors[2] =
+static const ProtobufCFieldDescriptor br__site__left__field_descriptors[3] =
 {
   {
     "organisation",
@@ -1240,15 +1253,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked_per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Left, asked_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__left__field_indices_by_name[] = {
+  2,   /* field[2] = asked_per_s */
   0,   /* field[0] = organisation */
   1,   /* field[1] = units */
 };
 static const ProtobufCIntRange br__site__left__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor br__site__left__descriptor =
 {
@@ -1258,7 +1284,7 @@
   "Br__Site__Left",
   "br.site",
   sizeof(Br__Site__Left),
-  2,
+  3,
   br__site__left__field_descriptors,
   br__site__left__field_indices_by_name,
   1,  br__site__left__number_ranges,
--- a/src/site/site.pb-c.h
+++ b/src/site/site.pb-c.h
@@ -144,18 +144,22 @@
 
 
 /*
- * What an entry VM has let through for an organisation since it started, in
- * the unit of the quota.
+ * What callers of an organisation asked an entry VM for since it started, and
+ * what it let through, in the unit of the quota.
  */
 struct  Br__Site__Used
 {
   ProtobufCMessage base;
   char *organisation;
+  /*
+   * let through
+   */
   double units;
+  double asked;
 };
 #define BR__SITE__USED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__site__used__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -169,10 +173,14 @@
    * below 0 when too much was let through
    */
   double units;
+  /*
+   * of all entry VMs, lately
+   */
+  double asked_per_s;
 };
 #define BR__SITE__LEFT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__site__left__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -15,7 +15,8 @@
  *   size NEEDED                                  and forgets the domains
  *   attempt KIND RESUMABLE MAX RAN REFUSED BEGUN LEFT_MS
  *   organisation RATE BURST
- *   part P | left UNITS | take UNITS | pool VM UNITS | level
+ *   part P | left UNITS ASKED_PER_S | take UNITS DRAW | pool VM USED ASKED
+ *   level
  *   split ASKED...
  *   budget RATIO SLACK WINDOW_MS | request N | repeat N
  *   hear VM WALL_MS | settle
@@ -220,13 +221,24 @@
           br_attempt_next_name (br_attempt_give_up (&query)));
 }
 
+static void
+on_left (session_t *session, const words_t *words)
+{
+  br_quota_news_t news
+      = { .left = number (words, 1), .asked_per_s = number (words, 2) };
+
+  br_quotas_hear (&session->quotas, br_str_from ("alcornocales"), &news,
+                  session->now);
+}
+
 static void
 on_take (session_t *session, const words_t *words)
 {
   br_ms_t wait_ms = 0;
 
   if (br_quotas_take (&session->quotas, &session->organisation,
-                      number (words, 1), session->now, &wait_ms))
+                      number (words, 1), number (words, 2), session->now,
+                      &wait_ms))
     printf ("taken\n");
   else
     printf ("refused, come back in %lld ms\n", (long long)wait_ms);
@@ -236,8 +248,12 @@
 on_pool (session_t *session, const words_t *words)
 {
   br_name_t vm = br_name_from (word (words, 1));
-  br_pool_report_t report
-      = { .vm = &vm, .incarnation = 1, .units = number (words, 2) };
+  br_pool_report_t report = {
+    .vm = &vm,
+    .incarnation = 1,
+    .units = number (words, 2),
+    .asked = number (words, 3),
+  };
 
   br_quota_pool_hear (&session->pool, &session->organisation, &report,
                       session->now);
@@ -362,15 +378,16 @@
     br_quotas_set_part (&session->quotas, br_str_from ("alcornocales"),
                         number (words, 1));
   else if (strcmp (verb, "left") == 0)
-    br_quotas_hear (&session->quotas, br_str_from ("alcornocales"),
-                    number (words, 1), session->now);
+    on_left (session, words);
   else if (strcmp (verb, "take") == 0)
     on_take (session, words);
   else if (strcmp (verb, "pool") == 0)
     on_pool (session, words);
   else if (strcmp (verb, "level") == 0)
-    printf ("level %.0f\n",
+    printf ("level %.0f, asked %.0f a second\n",
             br_quota_pool_level (&session->pool, &session->organisation,
+                                 session->now),
+            br_quota_pool_asked (&session->pool, &session->organisation,
                                  session->now));
   else if (strcmp (verb, "split") == 0)
     on_split (words);
