--- a/src/contract/contract.c
+++ b/src/contract/contract.c
@@ -208,24 +208,37 @@
 {
   br_record_t *record = br_contracts_record (contracts, &message->contract);
 
-  if (record == NULL || record->role != BR_RECORD_OWNER
+  if (record == NULL || record->role == BR_RECORD_ENDED
       || record_is_newer (contracts, record, from, message)
       || br_contract_epoch_compare (&message->epoch, &record->epoch) == 0)
     return;
-  br_owner_on_superseded (contracts, record, &message->epoch, now);
+  if (record->role == BR_RECORD_OWNER)
+    br_owner_on_superseded (contracts, record, &message->epoch, now);
+  /* Others speak of owners that the copy's own may have replaced since. */
+  else if (br_name_equal (&record->epoch.owner, from))
+    br_partner_on_superseded (contracts, record, &message->epoch, now);
 }
 
-/* FROM holds a copy that this process, which is its owner, does not need. */
+/* FROM holds a copy that this process, which is its owner, does not need.  When
+ * it has stopped for another owner, that one decides: with it lost, the copy
+ * may be the only one. */
 static void
 contracts_release_stray (br_contracts_t *contracts,
                          const br_name_t *from,
                          const br_contract_message_t *message)
 {
+  br_record_t *record = br_contracts_record (contracts, &message->contract);
+
   if (message->kind != BR_CONTRACT_HELD
       || !br_name_equal (&message->epoch.owner, &contracts->options.vm)
       || message->epoch.owner_incarnation != contracts->options.incarnation)
     return;
-  br_contracts_reply (contracts, from, BR_CONTRACT_RELEASE, message);
+  if (record != NULL && record->role == BR_RECORD_ENDED
+      && !br_name_equal (&record->epoch.owner, &contracts->options.vm)
+      && br_contract_epoch_compare (&record->epoch, &message->epoch) > 0)
+    br_record_send (contracts, record, from, BR_CONTRACT_SUPERSEDED);
+  else
+    br_contracts_reply (contracts, from, BR_CONTRACT_RELEASE, message);
 }
 
 static void
--- a/src/contract/partner.c
+++ b/src/contract/partner.c
@@ -156,6 +156,22 @@
   br_record_send (contracts, record, &record->former, BR_CONTRACT_SUPERSEDED);
 }
 
+void
+br_partner_on_superseded (br_contracts_t *contracts,
+                          br_record_t *record,
+                          const br_contract_epoch_t *epoch,
+                          br_ms_t now)
+{
+  /* The new owner may generate other text. */
+  br_answer_free (&record->copy->answer);
+  record->copy->answer = (br_answer_t){ 0 };
+  record->epoch = *epoch;
+  record->guards = false;
+  record->whole_ms = BR_MS_NEVER;
+  record->progress_ms = now;
+  partner_confirm (contracts, record, &record->epoch.owner, BR_CONTRACT_HELD);
+}
+
 void
 br_partner_on_hand_over (br_contracts_t *contracts,
                          const br_contract_message_t *message,
--- a/src/contract/record.h
+++ b/src/contract/record.h
@@ -164,6 +164,13 @@
                              const br_contract_epoch_t *epoch,
                              br_ms_t now);
 
+/* The owner of the copy has stopped for the owner of EPOCH, which may be lost
+ * already: the copy is kept for that one until it says that it has others. */
+void br_partner_on_superseded (br_contracts_t *contracts,
+                               br_record_t *record,
+                               const br_contract_epoch_t *epoch,
+                               br_ms_t now);
+
 /* The partner's side (partner.c). */
 void br_partner_on_keep (br_contracts_t *contracts,
                          const br_name_t *from,
--- a/src/shell/control_inside.h
+++ b/src/shell/control_inside.h
@@ -60,6 +60,18 @@
   br_control_duties_t *duties;
 };
 
+/* Tells the entry VMs that were heard of lately what is in force and, on the
+ * leader, all that it knows of the upstreams and quotas; or these alone. */
+void br_control_beat (br_control_task_t *task, br_ms_t now);
+void br_control_tell_loads (br_control_task_t *task, br_ms_t now);
+
+/* Tells another control VM the time and the members; a br_peer_visit_fn, whose
+ * CONTEXT is the task. */
+void br_control_beat_to_peer (void *context, const br_name_t *vm);
+
+/* Entry VMs that were heard of lately. */
+size_t br_control_live_entries (const br_control_task_t *task, br_ms_t now);
+
 /* Reads the configuration in force from the state, when it has changed. */
 void br_control_read_configuration (br_control_task_t *task);
 
--- a/src/shell/entry_inside.h
+++ b/src/shell/entry_inside.h
@@ -71,6 +71,14 @@
                              uint64_t window,
                              br_str_t organisation);
 
+/* Number of the accounting window that it is now. */
+uint64_t br_entry_window (const br_entry_task_t *task);
+
+/* Tells all control VMs what this one does, or the leader the loads and quotas
+ * alone. */
+void br_entry_report (br_entry_task_t *task, br_ms_t now);
+void br_entry_report_loads (br_entry_task_t *task);
+
 /* A caller's request has come, or its caller has gone. */
 void br_exchange_begin (br_entry_task_t *task, br_http_conn_t *conn);
 void br_exchange_on_gone (br_http_conn_t *conn);
--- /dev/null
+++ b/src/shell/entry_report.c
@@ -0,0 +1,281 @@
+/* What an entry VM tells the control VMs. */
+#include <string.h>
+
+#include "shell/entry_inside.h"
+#include "shell/peer_task.h"
+#include "shell/site_message.h"
+
+/* Site-wide windows of usage that a report repeats. */
+#define REPORT_WINDOWS 3
+
+typedef struct
+{
+  Br__Site__Demand *wire;
+  Br__Site__Demand **views;
+  size_t n;
+} demands_t;
+
+static void
+demand_add (void *context, const br_name_t *organisation, double units_per_s)
+{
+  demands_t *demands = context;
+  Br__Site__Demand *demand = &demands->wire[demands->n];
+
+  *demand = (Br__Site__Demand)BR__SITE__DEMAND__INIT;
+  demand->organisation = (char *)organisation->data;
+  demand->units_per_s = units_per_s;
+  demands->views[demands->n++] = demand;
+}
+
+static size_t
+report_loads (const br_entry_task_t *task,
+              Br__Site__UpstreamLoad *wire,
+              Br__Site__UpstreamLoad **views)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < task->fleet.all.len; i++)
+    {
+      const br_fleet_upstream_t *upstream = task->fleet.all.items[i];
+
+      if (upstream->in_flight == 0)
+        continue;
+      wire[n] = (Br__Site__UpstreamLoad)BR__SITE__UPSTREAM_LOAD__INIT;
+      wire[n].id = (char *)upstream->listing.id.data;
+      wire[n].in_flight = upstream->in_flight;
+      wire[n].prefill_tokens = upstream->prefill_tokens;
+      views[n] = &wire[n];
+      n++;
+    }
+  return n;
+}
+
+/* Mean speed at which the service's engines read prompts. */
+static double
+service_prefill_per_ms (const br_entry_task_t *task, const br_name_t *service)
+{
+  double sum = 0;
+  size_t n = 0;
+
+  for (size_t i = 0; i < task->fleet.all.len; i++)
+    if (br_name_equal (&task->fleet.all.items[i]->listing.service, service))
+      {
+        sum += task->fleet.all.items[i]->prefill_per_ms;
+        n++;
+      }
+  return n > 0 ? sum / (double)n : 0;
+}
+
+static size_t
+report_services (br_entry_task_t *task,
+                 br_ms_t span_ms,
+                 Br__Site__ServiceDemand *wire,
+                 Br__Site__ServiceDemand **views)
+{
+  double per_s = span_ms > 0 ? 1000.0 / (double)span_ms : 0;
+
+  for (size_t i = 0; i < task->services.len; i++)
+    {
+      br_entry_service_t *service = &task->services.items[i];
+
+      wire[i] = (Br__Site__ServiceDemand)BR__SITE__SERVICE_DEMAND__INIT;
+      wire[i].service = service->service.data;
+      wire[i].prefill_tokens_per_s = service->prefill_tokens * per_s;
+      wire[i].output_tokens_per_s = service->output_tokens * per_s;
+      wire[i].requests_per_s = service->requests * per_s;
+      wire[i].in_flight = service->in_flight;
+      wire[i].prefill_per_ms = service_prefill_per_ms (task, &service->service);
+      views[i] = &wire[i];
+      service->prefill_tokens = 0;
+      service->output_tokens = 0;
+      service->requests = 0;
+    }
+  return task->services.len;
+}
+
+static void
+window_fill (const br_usage_window_t *from,
+             Br__Site__Window *to,
+             Br__Site__Count *wire,
+             Br__Site__Count **views)
+{
+  *to = (Br__Site__Window)BR__SITE__WINDOW__INIT;
+  to->number = from->number;
+  to->n_counts = from->entries.len;
+  to->counts = views;
+  for (size_t i = 0; i < from->entries.len; i++)
+    {
+      wire[i] = (Br__Site__Count)BR__SITE__COUNT__INIT;
+      wire[i].organisation = from->entries.items[i].organisation.data;
+      wire[i].requests = from->entries.items[i].requests;
+      views[i] = &wire[i];
+    }
+}
+
+/* The memory that one report points to. */
+typedef struct
+{
+  Br__Site__UpstreamLoad *loads;
+  Br__Site__UpstreamLoad **load_views;
+  Br__Site__ServiceDemand *services;
+  Br__Site__ServiceDemand **service_views;
+  demands_t demands;
+  Br__Site__Window windows[REPORT_WINDOWS];
+  Br__Site__Window *window_views[REPORT_WINDOWS];
+  Br__Site__Count *counts[REPORT_WINDOWS];
+  Br__Site__Count **count_views[REPORT_WINDOWS];
+} report_t;
+
+static void
+report_alloc (const br_entry_task_t *task, report_t *report)
+{
+  size_t upstreams = task->fleet.all.len + 1;
+  size_t services = task->services.len + 1;
+  size_t organisations = task->quotas.list.len + 1;
+
+  *report = (report_t){ 0 };
+  report->loads = br_alloc (upstreams * sizeof *report->loads);
+  report->load_views = br_alloc (upstreams * sizeof *report->load_views);
+  report->services = br_alloc (services * sizeof *report->services);
+  report->service_views = br_alloc (services * sizeof *report->service_views);
+  report->demands.wire = br_alloc (organisations * sizeof (Br__Site__Demand));
+  report->demands.views
+      = br_alloc (organisations * sizeof (Br__Site__Demand *));
+}
+
+static void
+report_free (report_t *report)
+{
+  free (report->loads);
+  free (report->load_views);
+  free (report->services);
+  free (report->service_views);
+  free (report->demands.wire);
+  free (report->demands.views);
+  for (size_t i = 0; i < REPORT_WINDOWS; i++)
+    {
+      free (report->counts[i]);
+      free (report->count_views[i]);
+    }
+}
+
+static size_t
+report_windows (const br_entry_task_t *task, report_t *report)
+{
+  uint64_t newest = br_entry_window (task);
+  size_t n = 0;
+
+  for (uint64_t back = 0; back < REPORT_WINDOWS && back <= newest; back++)
+    {
+      const br_usage_window_t *window
+          = br_usage_find (&task->usage, newest - back);
+
+      if (window == NULL)
+        continue;
+      report->counts[n]
+          = br_alloc (window->entries.len * sizeof (Br__Site__Count));
+      report->count_views[n]
+          = br_alloc (window->entries.len * sizeof (Br__Site__Count *));
+      window_fill (window, &report->windows[n], report->counts[n],
+                   report->count_views[n]);
+      report->window_views[n] = &report->windows[n];
+      n++;
+    }
+  return n;
+}
+
+typedef struct
+{
+  br_node_t *node;
+  const br_site_message_t *message;
+} send_t;
+
+static void
+send_to (void *context, const br_name_t *vm)
+{
+  send_t *send = context;
+
+  br_site_send (send->node, vm, send->message);
+}
+
+void
+br_entry_report (br_entry_task_t *task, br_ms_t now)
+{
+  Br__Site__EntryReport body = BR__SITE__ENTRY_REPORT__INIT;
+  br_site_message_t message = BR__SITE__MESSAGE__INIT;
+  send_t send = { task->node, &message };
+  report_t report;
+
+  report_alloc (task, &report);
+  body.n_loads = report_loads (task, report.loads, report.load_views);
+  body.loads = report.load_views;
+  body.n_services = report_services (task, now - task->reported_ms,
+                                     report.services, report.service_views);
+  body.services = report.service_views;
+  br_quotas_demand (&task->quotas, now, demand_add, &report.demands);
+  body.n_demands = report.demands.n;
+  body.demands = report.demands.views;
+  body.n_windows = report_windows (task, &report);
+  body.windows = report.window_views;
+  body.configuration_version
+      = task->configuration != NULL ? task->configuration->version : 0;
+  body.fleet_term = task->fleet.term;
+  body.fleet_sequence = task->fleet.sequence;
+  body.wall_ms = (uint64_t)br_clock_wall ();
+  body.site_wall_ms = (uint64_t)br_site_clock_wall (&task->clock, now);
+  message.body_case = BR__SITE__MESSAGE__BODY_REPORT;
+  message.report = &body;
+  br_peer_task_each (task->node->peers, send_to, &send);
+  report_free (&report);
+  task->reported_ms = now;
+}
+
+static size_t
+report_used (const br_entry_task_t *task,
+             Br__Site__Used *wire,
+             Br__Site__Used **views)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < task->quotas.list.len; i++)
+    {
+      br_quota_t *quota = &task->quotas.list.items[i];
+
+      if (quota->asked_total <= 0)
+        continue;
+      wire[n] = (Br__Site__Used)BR__SITE__USED__INIT;
+      wire[n].organisation = quota->organisation.data;
+      wire[n].units = quota->used;
+      wire[n].asked = quota->asked_total;
+      views[n] = &wire[n];
+      n++;
+    }
+  return n;
+}
+
+/* Tells the leader the loads alone. */
+void
+br_entry_report_loads (br_entry_task_t *task)
+{
+  size_t upstreams = task->fleet.all.len + 1;
+  Br__Site__UpstreamLoad *wire = br_alloc (upstreams * sizeof *wire);
+  Br__Site__UpstreamLoad **views = br_alloc (upstreams * sizeof *views);
+  size_t quotas = task->quotas.list.len + 1;
+  Br__Site__Used *used = br_alloc (quotas * sizeof *used);
+  Br__Site__Used **used_views = br_alloc (quotas * sizeof *used_views);
+  Br__Site__Loads body = BR__SITE__LOADS__INIT;
+  br_site_message_t message = BR__SITE__MESSAGE__INIT;
+
+  body.n_loads = report_loads (task, wire, views);
+  body.loads = views;
+  body.n_used = report_used (task, used, used_views);
+  body.used = used_views;
+  message.body_case = BR__SITE__MESSAGE__BODY_LOADS;
+  message.loads = &body;
+  if (task->leader.len > 0)
+    br_site_send (task->node, &task->leader, &message);
+  free (wire);
+  free (views);
+  free (used);
+  free (used_views);
+}
--- /dev/null
+++ b/src/shell/exchange_answer.c
@@ -0,0 +1,241 @@
+#include "shell/exchange_inside.h"
+
+#include <string.h>
+
+/* Longest plain answer, in bytes. */
+#define PLAIN_ANSWER_MAX (16 * 1024 * 1024)
+
+static void
+exchange_pass_head (br_exchange_t *exchange,
+                    br_http_headers_t *headers,
+                    br_http_answer_t *answer)
+{
+  const br_http_head_t *head = &exchange->answer_head;
+
+  for (size_t i = 0; i < head->headers.len; i++)
+    if (br_platform_passes_on (head, head->headers.items[i].name))
+      br_http_headers_push (headers, head->headers.items[i]);
+  *answer = (br_http_answer_t){
+    .status = head->status,
+    .headers = headers->items,
+    .n_headers = headers->len,
+  };
+}
+
+/* The engine has begun to generate. */
+static void
+exchange_on_first_event (br_exchange_t *exchange)
+{
+  br_ms_t now = br_exchange_now (exchange);
+
+  if (exchange->had_first)
+    return;
+  exchange->had_first = true;
+  br_fleet_first_event (exchange->upstream, exchange->choice.uncached,
+                        now - exchange->sent_ms);
+  br_exchange_count_usage (exchange);
+  if (exchange->first_ms > 0)
+    return;
+  exchange->first_ms = now;
+  br_histogram_add (&exchange->task->first_event_ms, now - exchange->began_ms);
+}
+
+/* Passes the events on that are whole. */
+static void
+exchange_pass_events (br_exchange_t *exchange, br_str_t events)
+{
+  br_http_headers_t headers = { 0 };
+  br_http_answer_t answer;
+
+  if (events.len == 0)
+    return;
+  exchange_on_first_event (exchange);
+  if (!exchange->begun)
+    {
+      exchange_pass_head (exchange, &headers, &answer);
+      br_http_conn_begin (exchange->conn, &answer);
+      br_http_headers_free (&headers);
+      exchange->begun = true;
+    }
+  br_http_conn_write (exchange->conn, events);
+  br_counters_add (&exchange->task->node->counters, BR_COUNTER_BYTES_STREAMED,
+                   events.len);
+}
+
+static bool
+exchange_streams (const br_exchange_t *exchange)
+{
+  return exchange->route->kind == BR_ROUTE_STREAM
+         && exchange->outcome.status == 200;
+}
+
+/* The answer is whole.  What the log tells of the request lives in the
+ * connection until it is answered. */
+static void
+exchange_done (br_exchange_t *exchange, const char *outcome, bool reusable)
+{
+  br_ms_t now = br_exchange_now (exchange);
+
+  br_histogram_add (&exchange->task->answer_ms, now - exchange->began_ms);
+  exchange->ran++;
+  br_exchange_log (exchange, outcome, exchange->outcome.status);
+  br_exchange_leave_upstream (exchange, reusable);
+}
+
+static void
+exchange_on_stream_end (br_exchange_t *exchange, bool reusable)
+{
+  exchange_pass_events (exchange, br_event_stream_rest (&exchange->events));
+  if (!exchange->begun)
+    {
+      br_exchange_failed (exchange, "empty_stream", true, BR_RESULT_FAILED);
+      return;
+    }
+  br_fleet_judge (exchange->upstream, BR_RESULT_GOOD,
+                  br_exchange_now (exchange));
+  exchange_done (exchange, "answered", reusable);
+  br_http_conn_end (exchange->conn);
+  br_exchange_free (exchange);
+}
+
+/* Whether an upstream's own failure is worth another attempt. */
+static bool
+exchange_on_error_status (br_exchange_t *exchange)
+{
+  if (exchange->outcome.not_executed)
+    {
+      br_exchange_failed (
+          exchange, exchange->outcome.status == 421 ? "moved" : "full", false,
+          exchange->outcome.status == 421 ? BR_RESULT_MOVED : BR_RESULT_FULL);
+      return true;
+    }
+  if (exchange->outcome.status < 500)
+    return false;
+  br_fleet_judge (exchange->upstream, BR_RESULT_FAILED,
+                  br_exchange_now (exchange));
+  if (!br_exchange_may_repeat (exchange)
+      || exchange->ran + 1 >= exchange->route->max_attempts || exchange->begun)
+    return false;
+  br_exchange_failed (exchange, "upstream_error", true, BR_RESULT_FAILED);
+  return true;
+}
+
+static void
+exchange_on_plain_end (br_exchange_t *exchange, bool reusable)
+{
+  br_http_headers_t headers = { 0 };
+  br_http_answer_t answer;
+
+  if (exchange->outcome.status >= 400 && exchange_on_error_status (exchange))
+    return;
+  if (exchange->begun)
+    {
+      br_exchange_failed (exchange, "upstream_error", true, BR_RESULT_FAILED);
+      return;
+    }
+  if (exchange->outcome.status < 400)
+    br_fleet_judge (exchange->upstream, BR_RESULT_GOOD,
+                    br_exchange_now (exchange));
+  exchange_done (exchange, "answered", reusable);
+  exchange_pass_head (exchange, &headers, &answer);
+  br_http_conn_answer (exchange->conn, &answer, br_buf_str (&exchange->answer));
+  br_http_headers_free (&headers);
+  br_exchange_free (exchange);
+}
+
+/* Copies what the answer needs of a head that lives in the connection. */
+static void
+exchange_keep_head (br_exchange_t *exchange, const br_http_head_t *head)
+{
+  br_http_head_t *copy = &exchange->answer_head;
+
+  br_http_head_release (copy);
+  copy->status = head->status;
+  br_buf_append (&copy->bytes, br_buf_str (&head->bytes));
+  for (size_t i = 0; i < head->headers.len; i++)
+    {
+      br_http_header_t header = head->headers.items[i];
+
+      header.name.data
+          = copy->bytes.data + (header.name.data - head->bytes.data);
+      if (header.value.len > 0)
+        header.value.data
+            = copy->bytes.data + (header.value.data - head->bytes.data);
+      br_http_headers_push (&copy->headers, header);
+    }
+}
+
+static void
+exchange_on_head (br_exchange_t *exchange,
+                  br_http_client_t *client,
+                  const br_http_head_t *head)
+{
+  br_outcome_head_t outcome;
+  br_ms_t now = br_exchange_now (exchange);
+
+  br_platform_read_response (head, &outcome);
+  if (outcome.request_id.len > 0
+      && !br_str_equal (outcome.request_id, exchange->inbound.id))
+    {
+      /* The late answer to another request on this connection. */
+      br_http_client_skip (client);
+      return;
+    }
+  if (outcome.has_load)
+    br_fleet_reported (exchange->upstream, outcome.running, outcome.waiting,
+                       now);
+  if (outcome.status < 300 && !outcome.has_signature)
+    {
+      br_exchange_failed (exchange, "unsigned_answer", true, BR_RESULT_FAILED);
+      return;
+    }
+  exchange->outcome = outcome;
+  exchange->outcome.request_id = (br_str_t){ 0 };
+  exchange->head_seen = true;
+  exchange_keep_head (exchange, head);
+}
+
+static void
+exchange_on_body (br_exchange_t *exchange, br_str_t body)
+{
+  if (exchange_streams (exchange))
+    exchange_pass_events (exchange,
+                          br_event_stream_take (&exchange->events, body));
+  else if (exchange->answer.len + body.len <= PLAIN_ANSWER_MAX)
+    br_buf_append (&exchange->answer, body);
+  else
+    br_exchange_failed (exchange, "answer_too_long", true, BR_RESULT_FAILED);
+}
+
+void
+br_exchange_on_client (void *context,
+                       br_http_client_t *client,
+                       const br_client_event_t *event)
+{
+  br_exchange_t *exchange = context;
+
+  exchange->heard_ms = br_exchange_now (exchange);
+  switch (event->kind)
+    {
+    case BR_CLIENT_HEAD:
+      exchange_on_head (exchange, client, event->head);
+      break;
+    case BR_CLIENT_BODY:
+      exchange_on_body (exchange, event->body);
+      break;
+    case BR_CLIENT_END:
+      if (exchange_streams (exchange))
+        exchange_on_stream_end (exchange, event->reusable);
+      else
+        exchange_on_plain_end (exchange, event->reusable);
+      break;
+    case BR_CLIENT_FAILED:
+    case BR_CLIENT_LOST:
+      br_exchange_failed (exchange, br_client_fault_name (event->fault),
+                          br_http_client_has_sent (client),
+                          event->fault == BR_CLIENT_FAULT_CONNECT
+                              ? BR_RESULT_UNREACHABLE
+                              : BR_RESULT_FAILED);
+      break;
+    }
+}
--- /dev/null
+++ b/src/shell/exchange_end.c
@@ -0,0 +1,241 @@
+#include "shell/exchange_inside.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "http/error_body.h"
+#include "shell/upstream_pool.h"
+
+/* Wait before a stream that was refused elsewhere is tried again, in
+ * milliseconds: a crowded engine frees a slot in about this time. */
+#define LATER_MS 100
+
+br_ms_t
+br_exchange_now (const br_exchange_t *exchange)
+{
+  return br_node_now (exchange->task->node);
+}
+
+/* --- the log --- */
+
+/* One line for each request, with what decided it. */
+void
+br_exchange_log (const br_exchange_t *exchange, const char *outcome, int status)
+{
+  br_entry_task_t *task = exchange->task;
+  br_ms_t now = br_exchange_now (exchange);
+  br_str_t upstream = exchange->upstream != NULL
+                          ? br_name_str (&exchange->upstream->listing.id)
+                          : (br_str_t){ 0 };
+
+  BR_LOG (
+      &task->node->log, "request", outcome,
+      br_field_str ("id", exchange->inbound.id),
+      br_field_z ("route",
+                  exchange->route != NULL ? exchange->route->name.data : ""),
+      br_field_z ("organisation", exchange->organisation != NULL
+                                      ? exchange->organisation->name.data
+                                      : ""),
+      br_field_int ("status", status),
+      br_field_z ("cause", exchange->cause != NULL ? exchange->cause : ""),
+      br_field_int ("after_ms", now - exchange->began_ms),
+      br_field_int ("first_ms", exchange->first_ms > 0
+                                    ? exchange->first_ms - exchange->began_ms
+                                    : -1),
+      br_field_int ("attempts", exchange->ran + exchange->refused),
+      br_field_int ("ran", exchange->ran), br_field_str ("upstream", upstream),
+      br_field_int ("expected_ms", exchange->choice.expected_ms),
+      br_field_int ("configuration",
+                    exchange->configuration != NULL
+                        ? (int64_t)exchange->configuration->version
+                        : 0),
+      br_field_int ("list_age_ms", now - task->fleet.read_ms));
+}
+
+/* One line for each attempt that did not end in an answer. */
+void
+br_exchange_log_attempt (const br_exchange_t *exchange,
+                         const char *cause,
+                         bool may_have_run,
+                         const char *next)
+{
+  const br_fleet_upstream_t *upstream = exchange->upstream;
+  br_ms_t now = br_exchange_now (exchange);
+
+  BR_LOG (&exchange->task->node->log, "request", "attempt_failed",
+          br_field_str ("id", exchange->inbound.id),
+          br_field_str ("upstream", br_name_str (&upstream->listing.id)),
+          br_field_z ("peer", upstream->listing.address.data),
+          br_field_z ("cause", cause),
+          br_field_int ("may_have_run", may_have_run),
+          br_field_z ("next", next),
+          br_field_int ("attempt_ms", now - exchange->sent_ms),
+          br_field_int ("events", (int64_t)exchange->events.passed),
+          br_field_int ("load", br_fleet_load (upstream, now)),
+          br_field_int ("left_ms", exchange->until_ms - now));
+}
+
+/* --- ends --- */
+
+void
+br_exchange_drop_head (br_exchange_t *exchange)
+{
+  br_http_head_release (&exchange->answer_head);
+  br_buf_clear (&exchange->answer);
+  exchange->head_seen = false;
+}
+
+/* The attempt is over; its connection is kept, or closed. */
+void
+br_exchange_leave_upstream (br_exchange_t *exchange, bool keep)
+{
+  br_entry_task_t *task = exchange->task;
+  size_t keep_max;
+
+  if (exchange->upstream == NULL)
+    return;
+  keep_max = (size_t)BR_MAX (
+      exchange->service->max_connections / (int)BR_MAX (task->entries, 1), 1);
+  br_fleet_ended (exchange->upstream, exchange->choice.uncached,
+                  exchange->had_first);
+  br_entry_service (task, br_name_str (&exchange->service->name))->in_flight--;
+  if (keep)
+    br_upstream_pool_keep (exchange->upstream, exchange->client, keep_max);
+  else
+    br_http_client_free (exchange->client);
+  exchange->client = NULL;
+  exchange->upstream = NULL;
+}
+
+void
+br_exchange_free (br_exchange_t *exchange)
+{
+  br_entry_task_t *task = exchange->task;
+
+  br_exchange_leave_upstream (exchange, false);
+  if (exchange->prev != NULL)
+    exchange->prev->next = exchange->next;
+  else
+    task->exchanges = exchange->next;
+  if (exchange->next != NULL)
+    exchange->next->prev = exchange->prev;
+  task->n_exchanges--;
+  if (exchange->timer != NULL)
+    event_free (exchange->timer);
+  br_http_head_release (&exchange->answer_head);
+  br_buf_free (&exchange->answer);
+  br_event_stream_release (&exchange->events);
+  br_configuration_unref (exchange->configuration);
+  free (exchange);
+}
+
+/* What did not run counts against no quota. */
+static void
+exchange_return_units (br_exchange_t *exchange)
+{
+  if (exchange->organisation != NULL && exchange->units > 0
+      && exchange->ran == 0)
+    br_quotas_give_back (&exchange->task->quotas, exchange->organisation,
+                         exchange->units);
+  exchange->units = 0;
+}
+
+/* Answers with an error of this VM's own and ends the exchange. */
+void
+br_exchange_answer_error (br_exchange_t *exchange, const br_error_t *err)
+{
+  br_entry_task_t *task = exchange->task;
+  int status = br_error_http_status (err->code);
+  br_buf_t body = { 0 };
+  char seconds[24];
+  br_http_header_t headers[] = {
+    { br_str_from ("Content-Type"), br_str_from ("application/json") },
+    { br_str_from ("Retry-After"), { 0 } },
+  };
+  br_http_answer_t answer
+      = { .status = status, .headers = headers, .n_headers = 1 };
+
+  if (err->retry_after_ms > 0)
+    {
+      snprintf (seconds, sizeof seconds, "%.3f",
+                (double)err->retry_after_ms / 1000);
+      headers[1].value = br_str_from (seconds);
+      answer.n_headers = 2;
+    }
+  exchange->cause = err->text;
+  br_exchange_log (
+      exchange, status == 503 || status == 429 ? "refused" : "failed", status);
+  br_counters_add (&task->node->counters,
+                   status == 503 || status == 429 ? BR_COUNTER_REQUESTS_REFUSED
+                                                  : BR_COUNTER_REQUESTS_FAILED,
+                   1);
+  br_http_error_json (err, &body);
+  br_http_conn_answer (exchange->conn, &answer, br_buf_str (&body));
+  br_buf_free (&body);
+  exchange_return_units (exchange);
+  br_exchange_free (exchange);
+}
+
+void
+br_exchange_refuse (br_exchange_t *exchange,
+                    const char *why,
+                    br_ms_t come_back_ms)
+{
+  br_error_t err;
+
+  br_error_set (&err, BR_ERROR_UNAVAILABLE, "serve", "", "%s", why);
+  err.retry_after_ms = come_back_ms;
+  br_exchange_answer_error (exchange, &err);
+}
+
+void
+br_exchange_end (br_exchange_t *exchange,
+                 br_attempt_next_t next,
+                 const char *why)
+{
+  br_error_t err;
+
+  switch (next)
+    {
+    case BR_ATTEMPT_AGAIN:
+      br_exchange_attempt (exchange);
+      return;
+    case BR_ATTEMPT_LATER:
+      exchange->n_tried = 0;
+      br_exchange_set_timer (exchange, br_exchange_now (exchange) + LATER_MS);
+      return;
+    case BR_ATTEMPT_REFUSE:
+      br_exchange_refuse (exchange, why, BR_EXCHANGE_COME_BACK_MS);
+      return;
+    case BR_ATTEMPT_FAIL:
+      br_error_set (&err, BR_ERROR_UPSTREAM, "serve", "", "%s", why);
+      br_exchange_answer_error (exchange, &err);
+      return;
+    case BR_ATTEMPT_TIME_OUT:
+      br_error_set (&err, BR_ERROR_TIMEOUT, "serve", "", "%s", why);
+      br_exchange_answer_error (exchange, &err);
+      return;
+    case BR_ATTEMPT_BREAK_OFF:
+      exchange->cause = why;
+      br_exchange_log (exchange, "broken_off", 0);
+      br_counters_add (&exchange->task->node->counters,
+                       BR_COUNTER_REQUESTS_FAILED, 1);
+      br_http_conn_abort (exchange->conn);
+      br_exchange_free (exchange);
+      return;
+    }
+}
+
+void
+br_exchange_on_gone (br_http_conn_t *conn)
+{
+  br_exchange_t *exchange = br_http_conn_user (conn);
+
+  if (exchange == NULL)
+    return;
+  exchange->cause = "the caller has gone";
+  br_exchange_log (exchange, "abandoned", 0);
+  exchange_return_units (exchange);
+  br_exchange_free (exchange);
+}
--- a/src/site/quota_pool.c
+++ b/src/site/quota_pool.c
@@ -5,8 +5,8 @@
 #define FIRST_REPORTS_MS 300
 
 /* What is asked for is measured over this time, in milliseconds, and averaged
- * with this weight of the newest: a tenant that begins to send several times
- * its usual is seen within half a second. */
+ * with this weight of the newest: an organisation that begins to send several
+ * times its usual is seen within half a second. */
 #define ASKED_SPAN_MS 100
 #define ASKED_WEIGHT 0.35
 
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -20,6 +20,8 @@
  *   split ASKED...
  *   budget RATIO SLACK WINDOW_MS | request N | repeat N
  *   hear VM WALL_MS | settle
+ *   ran VM INCARNATION WINDOW REQUESTS SITE_WALL_MS   an entry VM tells
+ *   complete SITE_WALL_MS | sum WINDOW
  *   events TEXT          \n for line ends; prints what is passed on
  *   cut | rest
  */
@@ -35,6 +37,7 @@
 #include "site/repeat_budget.h"
 #include "site/site_clock.h"
 #include "site/sizing.h"
+#include "site/usage_ledger.h"
 
 #define WORDS_MAX 32
 #define LINE_MAX_BYTES 1024
@@ -54,6 +57,7 @@
   br_repeat_budget_t repeats;
   br_site_clock_t clock;
   br_event_stream_t events;
+  br_usage_ledger_t ledger;
 } session_t;
 
 typedef struct
@@ -285,6 +289,48 @@
   printf ("%d of %d repeats\n", granted, (int)number (words, 1));
 }
 
+/* Entry VMs are waited for this long. */
+#define AWAITED_MS 30000
+
+static void
+on_ran (session_t *session, const words_t *words)
+{
+  br_name_t vm = br_name_from (word (words, 1));
+  br_ledger_entry_t *row = br_usage_ledger_row (&session->ledger, &vm,
+                                                (uint64_t)number (words, 2));
+  uint64_t window = (uint64_t)number (words, 3);
+
+  row->heard_ms = session->now;
+  row->site_wall_ms = (br_ms_t)number (words, 5);
+  br_usage_clear (&row->usage, window);
+  br_usage_add (&row->usage, window, br_str_from ("alcornocales"),
+                (int64_t)number (words, 4));
+}
+
+static bool
+on_usage_line (session_t *session, const words_t *words)
+{
+  br_usage_entries_t sum = { 0 };
+
+  if (strcmp (word (words, 0), "ran") == 0)
+    on_ran (session, words);
+  else if (strcmp (word (words, 0), "complete") == 0)
+    printf ("%s\n", br_usage_ledger_is_complete (&session->ledger,
+                                                 session->now - AWAITED_MS,
+                                                 (br_ms_t)number (words, 1))
+                        ? "complete"
+                        : "not yet");
+  else if (strcmp (word (words, 0), "sum") == 0)
+    {
+      br_usage_ledger_sum (&session->ledger, (uint64_t)number (words, 1), &sum);
+      printf ("%d requests\n", sum.len > 0 ? (int)sum.items[0].requests : 0);
+      br_usage_entries_free (&sum);
+    }
+  else
+    return false;
+  return true;
+}
+
 static void
 print_events (br_str_t events, const br_event_stream_t *stream)
 {
@@ -476,7 +522,8 @@
            at = strtok (NULL, " "))
         words.items[words.len++] = at;
       printf ("> %s\n", line);
-      if (!on_fleet_line (&session, &words) && !on_limit_line (&session, &words)
+      if (!on_fleet_line (&session, &words) && !on_usage_line (&session, &words)
+          && !on_limit_line (&session, &words)
           && !on_other_line (&session, &words, rest))
         {
           printf ("unknown line\n");
@@ -490,5 +537,6 @@
   br_quota_pool_release (&session.pool);
   br_site_clock_release (&session.clock);
   br_event_stream_release (&session.events);
+  br_usage_ledger_release (&session.ledger);
   return 0;
 }
