--- a/src/shell/caller_task.c
+++ b/src/shell/caller_task.c
@@ -462,9 +462,7 @@
   else if (path_starts (conn, contracts_prefix)
            && is_method (conn, EVHTTP_REQ_GET))
     task_on_contract (task, conn);
-  else if (request_method (conn) == 0)
-    task_on_unknown (task, conn);
-  else if (path_starts (conn, services_prefix))
+  else if (path_starts (conn, services_prefix) && request_method (conn) != 0)
     task_on_service (task, conn);
   else
     task_on_unknown (task, conn);
--- a/src/shell/settings.c
+++ b/src/shell/settings.c
@@ -571,6 +571,12 @@
                             "is required with platform.port");
 }
 
+static void *
+settings_field (br_settings_t *settings, const setting_row_t *row)
+{
+  return (char *)settings + row->offset;
+}
+
 static void
 settings_set_defaults (br_settings_t *settings)
 {
@@ -580,9 +586,9 @@
       const setting_row_t *row = &setting_rows[i];
 
       if (row->kind == SETTING_INT)
-        *(int64_t *)((char *)settings + row->offset) = row->fallback;
+        *(int64_t *)settings_field (settings, row) = row->fallback;
       else if (row->kind == SETTING_REAL)
-        *(double *)((char *)settings + row->offset) = (double)row->fallback;
+        *(double *)settings_field (settings, row) = (double)row->fallback;
     }
 }
 
