--- a/src/shell/settings.c
+++ b/src/shell/settings.c
@@ -43,6 +43,10 @@
      "port for operators")                                                     \
   X (DIGEST, "operators.key_digest", operator_key_digest, false, 0, 0, 0,      \
      "sha256:HEX of the operators' key")                                       \
+  X (ADDRESS, "metrics.address", metrics.address, false, 0, 0, 0,              \
+     "IP address for the metrics, at a site that the platform runs")           \
+  X (INT, "metrics.port", metrics.port, false, 1, 65535, 0,                    \
+     "port for the metrics")                                                   \
   X (ADDRESS, "peers.address", peers.address, false, 0, 0, 0,                  \
      "IP address for other entry VMs")                                         \
   X (INT, "peers.port", peers.port, false, 1, 65535, 0,                        \
--- a/src/shell/settings.h
+++ b/src/shell/settings.h
@@ -82,6 +82,7 @@
   br_endpoint_t callers;
   br_endpoint_t operators;
   br_endpoint_t peers;
+  br_endpoint_t metrics;  /* port 0: served to operators only */
   br_endpoint_t platform; /* port 0: no platform is asked */
   br_ms_t platform_poll_ms;
   bool open_peers; /* VMs that the settings do not name may join */
--- a/src/shell/site_http.c
+++ b/src/shell/site_http.c
@@ -107,6 +107,14 @@
     }
 }
 
+static bool
+http_bind (br_site_http_t *http, const br_endpoint_t *endpoint)
+{
+  return evhttp_bind_socket (http->http, endpoint->address,
+                             (uint16_t)endpoint->port)
+         == 0;
+}
+
 br_site_http_t *
 br_site_http_new (br_node_t *node,
                   br_entry_task_t *entry,
@@ -124,9 +132,14 @@
   evhttp_set_max_body_size (http->http, BODY_MAX_BYTES);
   evhttp_set_allowed_methods (http->http, EVHTTP_REQ_GET | EVHTTP_REQ_PUT);
   evhttp_set_gencb (http->http, on_request, http);
-  if (evhttp_bind_socket (http->http, endpoint->address,
-                          (uint16_t)endpoint->port)
-      == 0)
+  /* A site without its metrics still serves callers. */
+  if (node->settings.metrics.port != 0
+      && !http_bind (http, &node->settings.metrics))
+    BR_LOG (&node->log, "site", "no metrics address",
+            br_field_z ("address", node->settings.metrics.address),
+            br_field_int ("port", node->settings.metrics.port),
+            br_field_z ("cause", strerror (errno)));
+  if (http_bind (http, endpoint))
     return http;
   br_error_set (err, BR_ERROR_INTERNAL, "listen for operators", "",
                 "%s port %d: %s", endpoint->address, (int)endpoint->port,
--- a/tests/process/platform_duties.sh
+++ b/tests/process/platform_duties.sh
@@ -25,7 +25,7 @@
 
 leader=
 for i in 1 2 3; do
-  curl -s -m 1 "http://127.0.11.$i:$((BASE_PORT + 1))/metrics" | grep -q 'briarrack_leads 1' &&
+  curl -s -m 1 "http://127.0.11.$i:$((BASE_PORT + 8))/metrics" | grep -q 'briarrack_leads 1' &&
     leader=$i
 done
 [ -n "$leader" ] || site_fail "no leader"
--- a/tests/support/platform_site.sh
+++ b/tests/support/platform_site.sh
@@ -26,6 +26,7 @@
         $([ "$role" = control ] && echo ', "voter": true')},
  $callers $data
  "operators": {"address": "$ip:$((BASE_PORT + 1))"},
+ "metrics": {"address": "$ip:$((BASE_PORT + 8))"},
  "peers": {"address": "$ip", "port": $((BASE_PORT + 2)), "open": true,
            "shared_key": "platform-site-key"},
  "platform": {"address": "127.0.0.1:$((BASE_PORT + 3))"},
