Sizing: what runs is given up when its successors are ready; quota by size; speed of a service

Quota: when an organisation asks for more than its quota, what was let through was drawn alike for all sizes; a request of 200 tokens was refused as often as one of 12,000.

Demand counts first attempts only: the engines needed rose to 405 of 224 possible when attempts were repeated.

Request lines tell the longest gap, the deadline, the prompt and the upstream's load.

--- a/src/shell/control_duties.c
+++ b/src/shell/control_duties.c
@@ -408,7 +408,8 @@
   load->load.prefill_per_s
       += LOAD_WEIGHT * (sum.prefill_per_s - load->load.prefill_per_s);
   load->load.in_flight += LOAD_WEIGHT * (sum.in_flight - load->load.in_flight);
-  needed = br_sizing_needed (&load->load);
+  needed = BR_MIN (br_sizing_needed (&load->load),
+                   br_sizing_most (&service->scaling));
   /* Until callers come there is nothing to go by. */
   if (load->load.prefill_per_s < 1 && load->load.in_flight < 1)
     load->peak_ms = now;
--- a/src/shell/entry_report.c
+++ b/src/shell/entry_report.c
@@ -50,22 +50,6 @@
   return n;
 }
 
-/* Mean speed at which the service's engines read prompts. */
-static double
-service_prefill_per_ms (const br_entry_task_t *task, const br_name_t *service)
-{
-  double sum = 0;
-  size_t n = 0;
-
-  for (size_t i = 0; i < task->fleet.all.len; i++)
-    if (br_name_equal (&task->fleet.all.items[i]->listing.service, service))
-      {
-        sum += task->fleet.all.items[i]->prefill_per_ms;
-        n++;
-      }
-  return n > 0 ? sum / (double)n : 0;
-}
-
 static size_t
 report_services (br_entry_task_t *task,
                  br_ms_t span_ms,
@@ -84,7 +68,8 @@
       wire[i].output_tokens_per_s = service->output_tokens * per_s;
       wire[i].requests_per_s = service->requests * per_s;
       wire[i].in_flight = service->in_flight;
-      wire[i].prefill_per_ms = service_prefill_per_ms (task, &service->service);
+      wire[i].prefill_per_ms
+          = br_fleet_service_speed (&task->fleet, &service->service);
       views[i] = &wire[i];
       service->prefill_tokens = 0;
       service->output_tokens = 0;
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -140,7 +140,10 @@
   if (exchange->n_tried < BR_CHOICE_TRIED_MAX)
     exchange->tried[exchange->n_tried++] = exchange->upstream;
   service->in_flight++;
-  service->prefill_tokens += exchange->choice.uncached;
+  /* What is sent once more is no more demand: engines that fail would raise it
+   * without end. */
+  if (exchange->ran + exchange->refused == 0)
+    service->prefill_tokens += exchange->choice.uncached;
   br_counters_add (&task->node->counters, BR_COUNTER_ATTEMPTS, 1);
 }
 
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -31,8 +31,8 @@
   if (exchange->had_first)
     return;
   exchange->had_first = true;
-  br_fleet_first_event (exchange->upstream, exchange->choice.uncached,
-                        now - exchange->sent_ms);
+  br_fleet_first_event (&exchange->task->fleet, exchange->upstream,
+                        exchange->choice.uncached, now - exchange->sent_ms);
   br_exchange_count_usage (exchange);
   if (exchange->first_ms > 0)
     return;
@@ -40,6 +40,17 @@
   br_histogram_add (&exchange->task->first_event_ms, now - exchange->began_ms);
 }
 
+static void
+exchange_note_gap (br_exchange_t *exchange)
+{
+  br_ms_t now = br_exchange_now (exchange);
+
+  if (exchange->passed_ms > 0)
+    exchange->longest_gap_ms
+        = BR_MAX (exchange->longest_gap_ms, now - exchange->passed_ms);
+  exchange->passed_ms = now;
+}
+
 /* Passes the events on that are whole. */
 static void
 exchange_pass_events (br_exchange_t *exchange, br_str_t events)
@@ -58,6 +69,7 @@
       exchange->begun = true;
     }
   br_http_conn_write (exchange->conn, events);
+  exchange_note_gap (exchange);
   br_counters_add (&exchange->task->node->counters, BR_COUNTER_BYTES_STREAMED,
                    events.len);
 }
--- a/src/shell/exchange_end.c
+++ b/src/shell/exchange_end.c
@@ -39,13 +39,19 @@
                                       : ""),
       br_field_int ("status", status),
       br_field_z ("cause", exchange->cause != NULL ? exchange->cause : ""),
+      br_field_int ("deadline_ms", exchange->inbound.deadline_ms),
       br_field_int ("after_ms", now - exchange->began_ms),
       br_field_int ("first_ms", exchange->first_ms > 0
                                     ? exchange->first_ms - exchange->began_ms
                                     : -1),
+      br_field_int ("longest_gap_ms", exchange->longest_gap_ms),
       br_field_int ("attempts", exchange->ran + exchange->refused),
       br_field_int ("ran", exchange->ran), br_field_str ("upstream", upstream),
       br_field_int ("expected_ms", exchange->choice.expected_ms),
+      br_field_int ("prompt", exchange->inbound.prompt_tokens),
+      br_field_int ("output", exchange->inbound.output_tokens),
+      br_field_int ("uncached", exchange->choice.uncached),
+      br_field_int ("upstream_load", exchange->choice.load),
       br_field_int ("configuration",
                     exchange->configuration != NULL
                         ? (int64_t)exchange->configuration->version
--- a/src/shell/exchange_inside.h
+++ b/src/shell/exchange_inside.h
@@ -51,8 +51,10 @@
   br_event_stream_t events;
   bool begun; /* the caller has part of a stream */
   br_ms_t first_ms;
-  bool has_repeat;   /* the next attempt is within the budget */
-  const char *cause; /* of the last failure */
+  br_ms_t passed_ms;      /* when events were last passed on */
+  br_ms_t longest_gap_ms; /* between two events that the caller got */
+  bool has_repeat;        /* the next attempt is within the budget */
+  const char *cause;      /* of the last failure */
 
   br_exchange_t *prev;
   br_exchange_t *next;
--- a/src/site/choice.c
+++ b/src/site/choice.c
@@ -110,6 +110,7 @@
  * time: what is not known here is taken to be cached there. */
 static void
 estimate_engine (candidate_t *candidate,
+                 const br_fleet_t *fleet,
                  const br_choice_query_t *query,
                  bool preferred,
                  br_ms_t now)
@@ -129,8 +130,9 @@
     cached = BR_MAX (cached, inbound_shared (query->inbound));
   choice->uncached = prompt > cached ? prompt - cached : 0;
   choice->backlog = br_fleet_backlog (upstream, now) + choice->uncached;
+  choice->load = load;
   choice->full = load >= slots;
-  ms = (double)choice->backlog / upstream->prefill_per_ms;
+  ms = (double)choice->backlog / br_fleet_prefill_per_ms (fleet, upstream);
   if (choice->full)
     ms += (load - slots + 1) * FULL_ENGINE_MS;
   choice->expected_ms = (br_ms_t)ms;
@@ -145,6 +147,7 @@
   uint32_t load = br_fleet_load (upstream, now);
   uint32_t slots = BR_MAX (upstream->listing.slots, 1);
 
+  candidate->choice.load = load;
   candidate->choice.full = load >= slots;
   candidate->cost_ms = PLAIN_MS + load * PLAIN_MS / slots;
   if (candidate->choice.full)
@@ -153,7 +156,8 @@
 }
 
 static candidate_t
-candidate_make (br_fleet_upstream_t *upstream,
+candidate_make (const br_fleet_t *fleet,
+                br_fleet_upstream_t *upstream,
                 const br_choice_query_t *query,
                 bool preferred,
                 br_ms_t now)
@@ -161,7 +165,7 @@
   candidate_t candidate = { .choice = { .upstream = upstream } };
 
   if (query->service->has_engine)
-    estimate_engine (&candidate, query, preferred, now);
+    estimate_engine (&candidate, fleet, query, preferred, now);
   else
     estimate_plain (&candidate, now);
   if (!br_name_equal (&upstream->listing.failure_domain,
@@ -199,7 +203,8 @@
 
       if (!upstream_fits (upstream, query))
         continue;
-      candidate = candidate_make (upstream, query, upstream == preferred, now);
+      candidate
+          = candidate_make (fleet, upstream, query, upstream == preferred, now);
       if (best.choice.upstream == NULL || (best_sits_out && !sits_out)
           || (best_sits_out == sits_out && candidate.cost_ms < best.cost_ms))
         {
--- a/src/site/choice.h
+++ b/src/site/choice.h
@@ -24,6 +24,7 @@
 {
   br_fleet_upstream_t *upstream; /* NULL: there is none */
   uint32_t uncached;             /* prompt tokens that it has to read */
+  uint32_t load;                 /* requests known there */
   uint64_t backlog;              /* prompt tokens ahead, with these */
   br_ms_t expected_ms; /* until the first event, or the answer of a plain
                         * service */
--- a/src/site/fleet.c
+++ b/src/site/fleet.c
@@ -90,7 +90,6 @@
   br_fleet_upstream_t *upstream = br_alloc_zero (sizeof *upstream);
 
   upstream->listing = *listing;
-  upstream->prefill_per_ms = PREFILL_PER_MS;
   if (listing->draining)
     upstream->left_ms = now;
   return *br_fleet_upstreams_push (&fleet->all, upstream);
@@ -180,6 +179,7 @@
   for (size_t i = 0; i < fleet->all.len; i++)
     upstream_free (fleet->all.items[i], on_free, context);
   br_fleet_upstreams_free (&fleet->all);
+  br_fleet_speeds_free (&fleet->speeds);
 }
 
 /* --- what happened --- */
@@ -200,21 +200,67 @@
   br_cache_memory_add (upstream->cache, inbound, now);
 }
 
+double
+br_fleet_service_speed (const br_fleet_t *fleet, const br_name_t *service)
+{
+  for (size_t i = 0; i < fleet->speeds.len; i++)
+    if (br_name_equal (&fleet->speeds.items[i].service, service))
+      return fleet->speeds.items[i].prefill_per_ms;
+  return PREFILL_PER_MS;
+}
+
+double
+br_fleet_prefill_per_ms (const br_fleet_t *fleet,
+                         const br_fleet_upstream_t *upstream)
+{
+  return upstream->prefill_per_ms > 0
+             ? upstream->prefill_per_ms
+             : br_fleet_service_speed (fleet, &upstream->listing.service);
+}
+
+static double
+speed_after (double speed, double sample)
+{
+  double weight = sample > speed ? PREFILL_RISE : PREFILL_FALL;
+
+  return speed + weight * (sample - speed);
+}
+
+static void
+fleet_note_speed (br_fleet_t *fleet, const br_name_t *service, double sample)
+{
+  br_fleet_speed_t fresh = { .service = *service };
+
+  for (size_t i = 0; i < fleet->speeds.len; i++)
+    {
+      br_fleet_speed_t *speed = &fleet->speeds.items[i];
+
+      if (br_name_equal (&speed->service, service))
+        {
+          speed->prefill_per_ms = speed_after (speed->prefill_per_ms, sample);
+          return;
+        }
+    }
+  fresh.prefill_per_ms = speed_after (PREFILL_PER_MS, sample);
+  br_fleet_speeds_push (&fleet->speeds, fresh);
+}
+
 void
-br_fleet_first_event (br_fleet_upstream_t *upstream,
+br_fleet_first_event (br_fleet_t *fleet,
+                      br_fleet_upstream_t *upstream,
                       uint32_t uncached,
                       br_ms_t waited_ms)
 {
   double sample;
-  double weight;
 
   upstream->prefill_tokens -= BR_MIN (uncached, upstream->prefill_tokens);
   if (uncached < PREFILL_SAMPLE_TOKENS || waited_ms <= FIRST_EVENT_MS)
     return;
   sample = (double)uncached / (double)(waited_ms - FIRST_EVENT_MS);
   sample = BR_MIN (BR_MAX (sample, PREFILL_PER_MS_MIN), PREFILL_PER_MS_MAX);
-  weight = sample > upstream->prefill_per_ms ? PREFILL_RISE : PREFILL_FALL;
-  upstream->prefill_per_ms += weight * (sample - upstream->prefill_per_ms);
+  upstream->prefill_per_ms
+      = speed_after (br_fleet_prefill_per_ms (fleet, upstream), sample);
+  fleet_note_speed (fleet, &upstream->listing.service, sample);
 }
 
 void
--- a/src/site/fleet.h
+++ b/src/site/fleet.h
@@ -21,7 +21,8 @@
   uint32_t others_in_flight; /* of the other entry VMs, as last heard */
   uint64_t others_prefill_tokens;
   br_ms_t others_ms;
-  double prefill_per_ms; /* tokens; measured, see br_fleet_first_event() */
+  double prefill_per_ms; /* tokens; 0 until one was measured, see
+                          * br_fleet_prefill_per_ms() */
   double failing;        /* share of failed answers, weighted to the newest */
   uint32_t failed_in_row;
   br_ms_t avoid_until_ms;   /* sits out after failures */
@@ -33,8 +34,18 @@
 
 BR_VEC (br_fleet_upstreams, br_fleet_upstream_t *);
 
+/* How fast the engines of one service read prompts. */
 typedef struct
 {
+  br_name_t service;
+  double prefill_per_ms; /* tokens */
+} br_fleet_speed_t;
+
+BR_VEC (br_fleet_speeds, br_fleet_speed_t);
+
+typedef struct
+{
+  br_fleet_speeds_t speeds;  /* owned; of services with a measurement */
   br_fleet_upstreams_t all;  /* owned; listed ones */
   br_fleet_upstream_t *gone; /* owned; until their last request has ended */
   uint64_t term;
@@ -68,10 +79,20 @@
                     br_ms_t now);
 
 /* Its first event came after WAITED_MS. */
-void br_fleet_first_event (br_fleet_upstream_t *upstream,
+void br_fleet_first_event (br_fleet_t *fleet,
+                           br_fleet_upstream_t *upstream,
                            uint32_t uncached,
                            br_ms_t waited_ms);
 
+/* Tokens that the upstream reads in a millisecond: its own figure, or before
+ * there is one that of its service. */
+double br_fleet_prefill_per_ms (const br_fleet_t *fleet,
+                                const br_fleet_upstream_t *upstream);
+
+/* The same for a service as a whole. */
+double br_fleet_service_speed (const br_fleet_t *fleet,
+                               const br_name_t *service);
+
 /* It is no longer under way.  HAD_FIRST says whether br_fleet_first_event()
  * was called for it. */
 void br_fleet_ended (br_fleet_upstream_t *upstream,
--- a/src/site/quota.c
+++ b/src/site/quota.c
@@ -1,5 +1,7 @@
 #include "site/quota.h"
 
+#include <math.h>
+
 /* Part of a quota that is split evenly, whoever asks. */
 #define EVEN_PART 0.25
 
@@ -32,6 +34,13 @@
  * measured. */
 #define SHARE_MARGIN 0.96
 
+/* Weight of a request in the typical size, at most. */
+#define SIZE_WEIGHT 0.1
+
+/* What a request of any size keeps of the share at least: none of a kind's
+ * largest requests is served less than half as often as the others. */
+#define LARGE_SHARE_MIN 0.85
+
 static br_quota_t *
 quotas_find (br_quotas_t *quotas, br_str_t organisation)
 {
@@ -132,6 +141,29 @@
   return there * SHARE_MARGIN / asked;
 }
 
+/* The share for a request of UNITS.  Small requests take little of the quota,
+ * so that more callers are served when they go first. */
+static double
+quota_share_of_size (const br_quota_t *quota, double share, double units)
+{
+  if (share >= 1 || share <= 0 || quota->typical_units <= 0)
+    return share;
+  return BR_MAX (pow (share, units / quota->typical_units),
+                 share * LARGE_SHARE_MIN);
+}
+
+static void
+quota_note_size (br_quota_t *quota, double units)
+{
+  double both = quota->typical_units + units;
+
+  if (quota->typical_units <= 0)
+    quota->typical_units = units;
+  else
+    quota->typical_units
+        += SIZE_WEIGHT * units / both * (units - quota->typical_units);
+}
+
 static void
 quota_use (br_quota_t *quota, double units)
 {
@@ -151,9 +183,11 @@
   br_quota_t *quota = quotas_get (quotas, br_name_str (&organisation->name));
   double rate = organisation->rate_per_s * quota->part;
   double level;
+  double share;
 
   quota->asked += units;
   quota->asked_total += units;
+  quota_note_size (quota, units);
   if (organisation->rate_per_s <= 0)
     return true;
   quota_fill (quota, organisation, now);
@@ -162,7 +196,11 @@
     {
       level = quota_left (quota, organisation, now);
       rate = organisation->rate_per_s;
-      if (draw >= quota_share (level, quota, rate))
+      /* If the leader falls silent now, this VM goes on with its part of what
+       * is left, and not with a share of its own that was never used. */
+      quota->level = BR_MIN (quota->level, BR_MAX (level, 0) * quota->part);
+      share = quota_share (level, quota, rate);
+      if (draw >= quota_share_of_size (quota, share, units))
         {
           *wait_ms = BR_MAX ((br_ms_t)(-level * 1000 / rate), 0)
                      + (br_ms_t)(units * 1000 / rate) + COME_BACK_MIN_MS;
--- a/src/site/quota.h
+++ b/src/site/quota.h
@@ -23,6 +23,7 @@
   double unheard;        /* let through here and not in LEFT */
   double unheard_before; /* of that, before LEFT was heard */
   double demand;         /* units asked for in a second, averaged */
+  double typical_units;  /* of a request; large ones count more */
   double asked;          /* units asked for since the last br_quotas_demand() */
 } br_quota_t;
 
--- a/src/site/sizing.c
+++ b/src/site/sizing.c
@@ -27,6 +27,12 @@
   return BR_MAX ((int)ceil (BR_MAX (by_prefill, by_slots)), 1);
 }
 
+int
+br_sizing_most (const br_scaling_limits_t *limits)
+{
+  return BR_MAX ((int)limits->domains.len * limits->max, 1);
+}
+
 int
 br_sizing_begin (const br_scaling_limits_t *limits)
 {
@@ -165,6 +171,57 @@
     }
 }
 
+static int
+ready_after (const br_sizing_query_t *query, const br_sizing_target_t *targets)
+{
+  int ready = 0;
+
+  for (size_t i = 0; i < query->n_domains; i++)
+    ready += BR_MIN (query->domains[i].spot, targets[i].spot)
+             + BR_MIN (query->domains[i].steady, targets[i].steady);
+  return ready;
+}
+
+/* The cheapest domain in which VMs that run would be given up. */
+static size_t
+cheapest_given_up (const br_sizing_query_t *query,
+                   const br_sizing_target_t *targets)
+{
+  size_t found = query->n_domains;
+
+  for (size_t i = 0; i < query->n_domains; i++)
+    if (query->domains[i].steady > targets[i].steady
+        && (found == query->n_domains
+            || query->domains[i].price < query->domains[found].price))
+      found = i;
+  return found;
+}
+
+/* VMs that run are given up when others are ready, not when these are ordered:
+ * those take their time to boot.  Both kinds share a domain's limit, so that
+ * fewer reclaimable ones may be ordered there until then. */
+static void
+keep_until_replaced (const br_sizing_query_t *query,
+                     br_sizing_target_t *targets)
+{
+  int missing = query->needed - ready_after (query, targets);
+
+  while (missing > 0)
+    {
+      size_t i = cheapest_given_up (query, targets);
+      int kept;
+
+      if (i == query->n_domains)
+        return;
+      kept = BR_MIN (query->domains[i].steady - targets[i].steady, missing);
+      targets[i].steady += kept;
+      missing -= kept;
+      targets[i].spot = BR_MAX (
+          BR_MIN (targets[i].spot, query->limits->max - targets[i].steady),
+          query->domains[i].spot);
+    }
+}
+
 void
 br_sizing_decide (const br_sizing_query_t *query, br_sizing_target_t *targets)
 {
@@ -175,4 +232,5 @@
   decide_steady (query, targets);
   keep_running (query, targets);
   keep_minimum (query, targets);
+  keep_until_replaced (query, targets);
 }
--- a/src/site/sizing.h
+++ b/src/site/sizing.h
@@ -53,6 +53,9 @@
  * 1. */
 int br_sizing_needed (const br_sizing_load_t *load);
 
+/* As many upstreams as all failure domains together may have. */
+int br_sizing_most (const br_scaling_limits_t *limits);
+
 /* What is taken to be needed before the load is known: as many as there may
  * be, but for the reserve for lost failure domains. */
 int br_sizing_begin (const br_scaling_limits_t *limits);
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -382,7 +382,7 @@
     br_fleet_sent (upstream (session, words), &none,
                    (uint32_t)number (words, 2), session->now);
   else if (strcmp (verb, "first") == 0)
-    br_fleet_first_event (upstream (session, words),
+    br_fleet_first_event (&session->fleet, upstream (session, words),
                           (uint32_t)number (words, 2),
                           (br_ms_t)number (words, 3));
   else if (strcmp (verb, "ended") == 0)
