Fault soak; quotas after a restart; loads of idle engines; links dialled sooner

Fault soak: tests/soak starts three control VMs, three entry VMs, four upstreams and the platform's API as processes, relays the links between them, and strikes with kills, stops, pauses, reloads, cut, silent, slow and reset links, lost and torn disks, slow and full disks and shifted clocks. It checks what callers, upstreams and the platform saw.

What fills up is let through now; quota_sizes replays it. An entry VM that starts while nobody leads learns the number of entry VMs from the other control VMs (process.platform_no_leader).

Loads: an engine without requests was not in the leader's sum, so that its last load counted for 2.5 s more; now the sum replaces all that was known (session shared_loads).

--- a/src/shell/control_beat.c
+++ b/src/shell/control_beat.c
@@ -162,11 +162,11 @@
   beat.wall_ms = (uint64_t)br_site_clock_wall (&task->clock, now);
   beat.leads = task->leads_term > 0 && task->list_sequence > 0;
   beat.term = task->leads_term;
+  beat.entries = (uint32_t)br_control_live_entries (task, now);
   if (beat.leads)
     {
       beat.fleet_sequence = task->list_sequence;
       beat.fleet_age_ms = (uint64_t)(now - task->list_ms);
-      beat.entries = (uint32_t)br_control_live_entries (task, now);
       beat.n_loads = beat_loads (task, wire, views);
       beat.loads = views;
     }
--- a/src/shell/control_duties.c
+++ b/src/shell/control_duties.c
@@ -91,6 +91,7 @@
   br_name_t service;
   br_sizing_load_t load;
   int needed;
+  int needed_now;  /* without foresight */
   int needed_peak; /* of the time since PEAK_MS */
   br_ms_t peak_ms;
 } service_load_t;
@@ -429,6 +430,7 @@
                           (int64_t)load->load.prefill_per_ms),
             br_field_int ("in_flight", (int64_t)load->load.in_flight));
   load->needed = load->needed_peak;
+  load->needed_now = needed;
 }
 
 /* Whether the place's reclaimable VMs are being taken back, or were lately. */
@@ -486,6 +488,7 @@
   *query = (br_sizing_query_t){
     .limits = &service->scaling,
     .needed = duties_load (duties, &service->name)->needed,
+    .needed_now = duties_load (duties, &service->name)->needed_now,
   };
   for (size_t i = 0; i < domains->len && i < BR_SIZING_DOMAINS_MAX; i++)
     {
--- a/src/shell/entry_report.c
+++ b/src/shell/entry_report.c
@@ -36,8 +36,9 @@
 
   for (size_t i = 0; i < task->fleet.all.len; i++)
     {
-      const br_fleet_upstream_t *upstream = task->fleet.all.items[i];
+      br_fleet_upstream_t *upstream = task->fleet.all.items[i];
 
+      br_fleet_tell (upstream);
       if (upstream->in_flight == 0)
         continue;
       wire[n] = (Br__Site__UpstreamLoad)BR__SITE__UPSTREAM_LOAD__INIT;
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -222,6 +222,7 @@
 {
   br_ms_t now = br_node_now (task->node);
 
+  br_fleet_hear_idle (&task->fleet, now);
   for (size_t i = 0; i < n_loads; i++)
     {
       const Br__Site__UpstreamLoad *load = loads[i];
@@ -230,12 +231,7 @@
 
       if (upstream == NULL)
         continue;
-      upstream->others_in_flight
-          = load->in_flight - BR_MIN (load->in_flight, upstream->in_flight);
-      upstream->others_prefill_tokens
-          = load->prefill_tokens
-            - BR_MIN (load->prefill_tokens, upstream->prefill_tokens);
-      upstream->others_ms = now;
+      br_fleet_hear_load (upstream, load->in_flight, load->prefill_tokens, now);
     }
 }
 
@@ -249,6 +245,13 @@
                   br_node_now (task->node));
 }
 
+static void
+task_set_entries (br_entry_task_t *task, uint32_t entries)
+{
+  task->entries = BR_MAX (entries, 1);
+  task->quotas.default_part = 1.0 / task->entries;
+}
+
 static void
 task_on_leader (br_entry_task_t *task,
                 const br_name_t *vm,
@@ -264,8 +267,7 @@
   task->leader = *vm;
   task->term = beat->term;
   task->leader_ms = now;
-  task->entries = BR_MAX (beat->entries, 1);
-  task->quotas.default_part = 1.0 / task->entries;
+  task_set_entries (task, beat->entries);
   br_site_clock_set (&task->clock, (br_ms_t)beat->wall_ms, now);
   for (size_t i = 0; i < beat->n_shares; i++)
     br_quotas_set_part (&task->quotas,
@@ -292,6 +294,8 @@
     br_site_dial (task->node, br_str_from (beat->control_vms[i]));
   if (beat->leads)
     task_on_leader (task, vm, beat);
+  else if (beat->entries > task->entries)
+    task_set_entries (task, beat->entries);
 }
 
 void
@@ -487,5 +491,6 @@
   br_buf_printf (out, "briarrack_configuration_version %" PRIu64 "\n",
                  task->configuration != NULL ? task->configuration->version
                                              : 0);
+  br_buf_printf (out, "briarrack_entry_vms %" PRIu32 "\n", task->entries);
   br_buf_printf (out, "briarrack_upstreams_listed %zu\n", task->fleet.all.len);
 }
--- a/src/shell/peer_link.c
+++ b/src/shell/peer_link.c
@@ -11,8 +11,12 @@
 /* A link that has not answered for this long is dropped. */
 #define LINK_SILENCE_MS 1500
 
-/* A link that is not greeted for this long is dialled anew: the packet that
- * opens it is sent again only after a second, and its VM may be back before. */
+/* A dialled link on which nothing was heard for this long is dialled anew: the
+ * packet that opens it is sent again only after a second, and its VM may be
+ * back before.  Ten times the way there and back between regions. */
+#define LINK_CONNECT_MS 250
+
+/* The greeting that has begun may take this long. */
 #define LINK_GREETING_MS 600
 
 /* An idle link is pinged once in this time for each peer in the settings, so
@@ -421,7 +425,7 @@
   br_ms_t since_ms = link->heard_ms;
 
   if (link->state == BR_PEER_LINK_GREETING && link->dialled)
-    bound_ms = LINK_GREETING_MS;
+    bound_ms = link->vm.len == 0 ? LINK_CONNECT_MS : LINK_GREETING_MS;
   else if (link->state == BR_PEER_LINK_READY && !link->dialled)
     bound_ms = link_idle_ms (link) * ACCEPTED_IDLE_TIMES;
   else if (link->state == BR_PEER_LINK_READY)
--- a/src/site/fleet.c
+++ b/src/site/fleet.c
@@ -285,6 +285,38 @@
   upstream->reported_ms = now;
 }
 
+void
+br_fleet_tell (br_fleet_upstream_t *upstream)
+{
+  upstream->told_in_flight = upstream->in_flight;
+  upstream->told_prefill_tokens = upstream->prefill_tokens;
+}
+
+void
+br_fleet_hear_idle (br_fleet_t *fleet, br_ms_t now)
+{
+  for (size_t i = 0; i < fleet->all.len; i++)
+    {
+      fleet->all.items[i]->others_in_flight = 0;
+      fleet->all.items[i]->others_prefill_tokens = 0;
+      fleet->all.items[i]->others_ms = now;
+    }
+}
+
+/* The sum holds what this VM told, and not what it has sent since. */
+void
+br_fleet_hear_load (br_fleet_upstream_t *upstream,
+                    uint32_t in_flight,
+                    uint64_t prefill_tokens,
+                    br_ms_t now)
+{
+  upstream->others_in_flight
+      = in_flight - BR_MIN (in_flight, upstream->told_in_flight);
+  upstream->others_prefill_tokens
+      = prefill_tokens - BR_MIN (prefill_tokens, upstream->told_prefill_tokens);
+  upstream->others_ms = now;
+}
+
 static void
 upstream_avoid (br_fleet_upstream_t *upstream, br_ms_t now)
 {
--- a/src/site/fleet.h
+++ b/src/site/fleet.h
@@ -18,6 +18,8 @@
   uint32_t reported;       /* running and waiting, by its own last word */
   int32_t since_reported;  /* change of IN_FLIGHT since that */
   br_ms_t reported_ms;
+  uint32_t told_in_flight; /* of this VM, as it last told the leader */
+  uint64_t told_prefill_tokens;
   uint32_t others_in_flight; /* of the other entry VMs, as last heard */
   uint64_t others_prefill_tokens;
   br_ms_t others_ms;
@@ -105,6 +107,17 @@
                         uint32_t waiting,
                         br_ms_t now);
 
+/* This VM tells the leader of the upstream's load. */
+void br_fleet_tell (br_fleet_upstream_t *upstream);
+
+/* The leader tells of the loads of all VMs together: first that there are
+ * none, then each upstream that has some. */
+void br_fleet_hear_idle (br_fleet_t *fleet, br_ms_t now);
+void br_fleet_hear_load (br_fleet_upstream_t *upstream,
+                         uint32_t in_flight,
+                         uint64_t prefill_tokens,
+                         br_ms_t now);
+
 typedef enum
 {
   BR_RESULT_GOOD,
--- a/src/site/quota.c
+++ b/src/site/quota.c
@@ -136,8 +136,9 @@
   double asked = quota->asked_per_s * HORIZON_MS / 1000;
   double there = left + rate * HORIZON_MS / 1000;
 
+  /* A new leader has not heard what is asked for. */
   if (asked <= 0)
-    return left > 0 ? 1 : 0;
+    return there > 0 ? 1 : 0;
   return there * SHARE_MARGIN / asked;
 }
 
--- a/src/site/sizing.c
+++ b/src/site/sizing.c
@@ -204,7 +204,8 @@
 keep_until_replaced (const br_sizing_query_t *query,
                      br_sizing_target_t *targets)
 {
-  int missing = query->needed - ready_after (query, targets);
+  int missing = BR_MIN (query->needed, query->needed_now)
+                - ready_after (query, targets);
 
   while (missing > 0)
     {
--- a/src/site/sizing.h
+++ b/src/site/sizing.h
@@ -25,7 +25,9 @@
 typedef struct
 {
   const br_scaling_limits_t *limits;
-  int needed; /* upstreams that carry the load with nothing lost */
+  int needed;     /* upstreams that carry the load with nothing lost, with some
+                   * foresight */
+  int needed_now; /* that carry the load of this moment */
   br_sizing_domain_t domains[BR_SIZING_DOMAINS_MAX];
   size_t n_domains;
 } br_sizing_query_t;
--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -19,6 +19,10 @@
 /* Time between two events of a stream, in milliseconds. */
 #define EVENT_MS 30
 
+/* Time of a named answer, in milliseconds, and its events. */
+#define NAMED_MS 20
+#define NAMED_EVENTS 12
+
 /* X (id, path part) */
 #define MODE_TABLE(X)                                                          \
   X (GOOD, "good")                                                             \
@@ -35,7 +39,9 @@
   X (ERROR, "error")                                                           \
   X (UNSIGNED, "unsigned")                                                     \
   X (NOISE, "noise") /* no HTTP at all */                                      \
-  X (SILENT, "silent")
+  X (SILENT, "silent")                                                         \
+  X (NAMED, "named")               /* names the request, after 20 ms */        \
+  X (NAMED_STREAM, "named-stream") /* twelve events that name it */
 
 typedef enum
 {
@@ -155,11 +161,14 @@
 conn_event (conn_t *conn)
 {
   struct evbuffer *out = bufferevent_get_output (conn->bev);
-  char event[96];
+  br_str_t id = br_http_head_find (&conn->head, "X-Request-Id");
+  bool named = conn->mode == MODE_NAMED_STREAM;
+  char event[160];
 
   conn->next_event++;
-  snprintf (event, sizeof event, "id: %d\ndata: part %d\n\n", conn->next_event,
-            conn->next_event);
+  snprintf (event, sizeof event, "id: %d\ndata: %.*s%spart %d\n\n",
+            conn->next_event, named ? (int)id.len : 0, id.data,
+            named ? " " : "", conn->next_event);
   if (conn->mode == MODE_CRASH && conn->next_event == 4)
     event[9] = '\0'; /* the start of the event only */
   evbuffer_add_printf (out, "%zx\r\n%s\r\n", strlen (event), event);
@@ -169,6 +178,16 @@
     conn_set_timer (conn, EVENT_MS);
 }
 
+static void
+conn_answer_named (conn_t *conn)
+{
+  br_str_t id = br_http_head_find (&conn->head, "X-Request-Id");
+  char body[128];
+
+  snprintf (body, sizeof body, "answer to %.*s\n", (int)id.len, id.data);
+  conn_answer (conn, 200, "X-Server-Stamp: s\r\n", body);
+}
+
 static void
 on_timer (evutil_socket_t fd, short what, void *context)
 {
@@ -176,7 +195,9 @@
 
   (void)fd;
   (void)what;
-  if (conn->mode == MODE_SLOW)
+  if (conn->mode == MODE_NAMED)
+    conn_answer_named (conn);
+  else if (conn->mode == MODE_SLOW)
     conn_answer (conn, 200, "X-Server-Stamp: s\r\n", "slow answer\n");
   else if (conn->mode == MODE_TRUNCATED
            || (conn->mode == MODE_CRASH && conn->next_event == 4))
@@ -193,9 +214,9 @@
   br_str_t last = br_http_head_find (&conn->head, "Last-Event-Id");
 
   conn->next_event = last.len > 0 ? atoi (last.data) : 0;
-  conn->last_event = 6;
+  conn->last_event = conn->mode == MODE_NAMED_STREAM ? NAMED_EVENTS : 6;
   /* Only the first attempt breaks off. */
-  if (conn->next_event > 0)
+  if (conn->mode == MODE_CRASH && conn->next_event > 0)
     conn->mode = MODE_STREAM;
   conn_head (conn, 200,
              "X-Server-Stamp: s\r\n"
@@ -217,8 +238,12 @@
     case MODE_SLOW:
       conn_set_timer (conn, 400);
       break;
+    case MODE_NAMED:
+      conn_set_timer (conn, NAMED_MS);
+      break;
     case MODE_STREAM:
     case MODE_CRASH:
+    case MODE_NAMED_STREAM:
       conn_stream (conn);
       break;
     case MODE_TRUNCATED:
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -7,6 +7,7 @@
  *   apply                                        puts the list in force
  *   sent ID UNCACHED | first ID UNCACHED MS | ended ID UNCACHED HAD_FIRST
  *   report ID RUNNING WAITING | others ID IN_FLIGHT TOKENS
+ *   tell ID | loads [ID IN_FLIGHT TOKENS...]
  *   judge ID good|failed|unreachable|silent|full|moved
  *   choose REQUEST SERVICE DOMAIN PROMPT [PART:TOKENS...] [not ID...]
  *   need PREFILL_PER_S IN_FLIGHT PREFILL_PER_MS SLOTS
@@ -132,6 +133,21 @@
                       session->now);
 }
 
+static void
+on_loads (session_t *session, const words_t *words)
+{
+  br_fleet_hear_idle (&session->fleet, session->now);
+  for (size_t i = 1; i + 2 < words->len; i += 3)
+    {
+      br_fleet_upstream_t *found
+          = br_fleet_find (&session->fleet, br_str_from (word (words, i)));
+
+      if (found != NULL)
+        br_fleet_hear_load (found, (uint32_t)number (words, i + 1),
+                            (uint64_t)number (words, i + 2), session->now);
+    }
+}
+
 static void
 on_choose (session_t *session, const words_t *words)
 {
@@ -194,6 +210,8 @@
 
   session->sizing.limits = &session->limits;
   session->sizing.needed = (int)number (words, 1);
+  session->sizing.needed_now
+      = words->len > 2 ? (int)number (words, 2) : session->sizing.needed;
   br_sizing_decide (&session->sizing, targets);
   printf ("needed %d:", session->sizing.needed);
   for (size_t i = 0; i < session->sizing.n_domains; i++)
@@ -401,6 +419,10 @@
     }
   else if (strcmp (verb, "judge") == 0)
     on_judge (session, words);
+  else if (strcmp (verb, "tell") == 0)
+    br_fleet_tell (upstream (session, words));
+  else if (strcmp (verb, "loads") == 0)
+    on_loads (session, words);
   else if (strcmp (verb, "choose") == 0)
     on_choose (session, words);
   else
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,336 @@
+/* Runs the soak: soak --build FOLDER [--seed N] [--seeds COUNT] ...  Exit
+ * codes: 0 all seeds kept the promises, 1 some did not, 64 bad usage. */
+#include "soak.h"
+
+#include <argp.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+/* The site is looked at this often, in milliseconds. */
+#define TICK_MS 20
+
+/* The site has so long to be up, and to recover after the last fault, in
+ * milliseconds: the recovery bound of the platform's sites is 12 s and more. */
+#define START_MS 15000
+#define RECOVERY_MS 15000
+
+/* Traffic goes on for so long after the recovery, in milliseconds. */
+#define AFTER_MS 1500
+
+#define EXIT_USAGE 64
+
+typedef struct
+{
+  const char *build;
+  const char *folder;
+  const char *regressions;
+  uint64_t seed;
+  int seeds;
+  int seconds;
+  int callers;
+  int port;
+} options_t;
+
+br_ms_t
+soak_now (void)
+{
+  static const br_clock_t clock = { BR_CLOCK_MONOTONIC, 0 };
+
+  return br_clock_now (&clock);
+}
+
+br_ms_t
+soak_between (soak_t *soak, br_ms_t low, br_ms_t high)
+{
+  return low
+         + (br_ms_t)br_random_below (&soak->random, (uint64_t)(high - low + 1));
+}
+
+static void
+log_line (soak_t *soak, const char *kind, const char *format, va_list args)
+{
+  fprintf (soak->log, "%8.3f %s", (double)(soak_now () - soak->began_ms) / 1000,
+           kind);
+  vfprintf (soak->log, format, args);
+  fputc ('\n', soak->log);
+}
+
+void
+soak_log (soak_t *soak, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  log_line (soak, "", format, args);
+  va_end (args);
+}
+
+void
+soak_fail (soak_t *soak, const char *format, ...)
+{
+  va_list args;
+  va_list again;
+
+  soak->failures++;
+  va_start (args, format);
+  va_copy (again, args);
+  log_line (soak, "FAILED ", format, args);
+  fprintf (stderr, "seed %" PRIu64 ": ", soak->seed);
+  vfprintf (stderr, format, again);
+  fputc ('\n', stderr);
+  va_end (again);
+  va_end (args);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *context)
+{
+  soak_t *soak = context;
+
+  (void)fd;
+  (void)what;
+  soak_site_tick (soak);
+  if (soak->next_fault_ms > 0)
+    soak_fault_tick (soak);
+}
+
+static bool
+has_time_over (const soak_t *soak)
+{
+  (void)soak;
+  return false;
+}
+
+/* Runs until IS_DONE says so or the time is over; true in the first case. */
+static bool
+run_until (soak_t *soak, bool (*is_done) (const soak_t *), br_ms_t for_ms)
+{
+  br_ms_t end_ms = soak_now () + for_ms;
+
+  while (soak_now () < end_ms)
+    {
+      event_base_loop (soak->base, EVLOOP_ONCE);
+      if (is_done (soak))
+        return true;
+    }
+  return false;
+}
+
+static void
+soak_play (soak_t *soak)
+{
+  if (!run_until (soak, soak_operator_recovered, START_MS))
+    {
+      soak_fail (soak, "the site is not up after %d ms", START_MS);
+      return;
+    }
+  soak->began_ms = soak_now ();
+  soak_callers_start (soak);
+  soak->next_fault_ms = soak->began_ms + 1;
+  run_until (soak, has_time_over, soak->seconds * 1000);
+  soak_operator_settle (soak);
+  soak_fault_heal_all (soak);
+  soak_log (soak, "all faults are over");
+  if (!run_until (soak, soak_operator_recovered, RECOVERY_MS))
+    soak_fail (soak,
+               "an entry VM is not ready, or has not the newest "
+               "configuration, %d ms after the last fault",
+               RECOVERY_MS);
+  memset (soak->counts, 0, sizeof soak->counts);
+  run_until (soak, has_time_over, AFTER_MS);
+  soak->callers_stop = true;
+  run_until (soak, soak_callers_idle, RECOVERY_MS);
+  for (int kind = 0; kind < SOAK_KINDS; kind++)
+    if (soak->counts[kind][1] * 2 < soak->counts[kind][0])
+      soak_fail (soak, "after the recovery %d of %d requests to %s were served",
+                 soak->counts[kind][1], soak->counts[kind][0],
+                 soak_kind_paths[kind]);
+}
+
+static bool
+soak_run (const options_t *options, uint64_t seed)
+{
+  soak_t *soak = br_alloc_zero (sizeof *soak);
+  struct timeval period = { 0, TICK_MS * 1000 };
+  br_buf_t folder = { 0 };
+  br_buf_t log = { 0 };
+  struct event *tick;
+  bool ok;
+
+  br_buf_printf (&folder, "%s/seed-%" PRIu64 "-%d", options->folder, seed,
+                 (int)getpid ());
+  br_buf_printf (&log, "%s.log", folder.data);
+  mkdir (folder.data, 0755);
+  soak->build = options->build;
+  soak->folder = folder.data;
+  soak->seed = seed;
+  soak->seconds = options->seconds;
+  soak->callers = options->callers;
+  soak->port = options->port;
+  soak->log = fopen (log.data, "w");
+  if (soak->log == NULL)
+    {
+      perror (log.data);
+      exit (1);
+    }
+  soak->base = event_base_new ();
+  soak->began_ms = soak_now ();
+  br_random_seed (&soak->random, seed);
+  tick = event_new (soak->base, -1, EV_PERSIST, on_tick, soak);
+  event_add (tick, &period);
+  if (soak_site_start (soak))
+    {
+      soak_operator_start (soak);
+      soak_play (soak);
+    }
+  soak_callers_free (soak);
+  soak_operator_free (soak);
+  soak_site_stop (soak);
+  soak_check_logs (soak);
+  ok = soak->failures == 0;
+  printf ("seed %" PRIu64 ": %zu requests, %d faults, %s\n", seed,
+          soak->requests.len, soak->faults, ok ? "ok" : "FAILED");
+  fflush (stdout);
+  event_free (tick);
+  fclose (soak->log);
+  soak_requests_free (&soak->requests);
+  free (soak);
+  br_buf_free (&folder);
+  br_buf_free (&log);
+  return ok;
+}
+
+/* Each seed has a process of its own, so that nothing of it is left behind. */
+static bool
+run_apart (const options_t *options, uint64_t seed)
+{
+  pid_t pid = fork ();
+  int status = 1;
+
+  if (pid == 0)
+    _exit (soak_run (options, seed) ? 0 : 1);
+  if (pid < 0 || waitpid (pid, &status, 0) < 0)
+    perror ("fork");
+  else if (WIFSIGNALED (status))
+    fprintf (stderr, "seed %" PRIu64 ": the soak ended by signal %d\n", seed,
+             WTERMSIG (status));
+  return status == 0;
+}
+
+static const struct argp_option option_list[] = {
+  { "build", 'b', "FOLDER", 0, "Where the programs are", 0 },
+  { "folder", 'f', "FOLDER", 0, "Where logs and disks go", 0 },
+  { "seed", 's', "N", 0, "First seed (the time)", 0 },
+  { "seeds", 'n', "COUNT", 0, "Seeds to run, one after the other (1)", 0 },
+  { "regressions", 'r', "FILE", 0, "Seeds to run first, one a line", 0 },
+  { "seconds", 't', "SECONDS", 0, "How long faults go on (8)", 0 },
+  { "callers", 'c', "COUNT", 0, "Callers at once (12)", 0 },
+  { "port", 'p', "PORT", 0, "First of the ports (27000)", 0 },
+  { 0 },
+};
+
+static int
+number_of (const char *arg, int low, int high, struct argp_state *state)
+{
+  char *end;
+  long number = strtol (arg, &end, 10);
+
+  if (*end != '\0' || number < low || number > high)
+    argp_error (state, "%s is not a number from %d to %d", arg, low, high);
+  return (int)number;
+}
+
+static error_t
+parse (int key, char *arg, struct argp_state *state)
+{
+  options_t *options = state->input;
+
+  switch (key)
+    {
+    case 'b':
+      options->build = arg;
+      return 0;
+    case 'f':
+      options->folder = arg;
+      return 0;
+    case 'r':
+      options->regressions = arg;
+      return 0;
+    case 's':
+      options->seed = strtoull (arg, NULL, 10);
+      return 0;
+    case 'n':
+      options->seeds = number_of (arg, 0, 10000, state);
+      return 0;
+    case 't':
+      options->seconds = number_of (arg, 1, 3600, state);
+      return 0;
+    case 'c':
+      options->callers = number_of (arg, 1, SOAK_CALLERS_MAX, state);
+      return 0;
+    case 'p':
+      options->port = number_of (arg, 1024, 65535 - SOAK_PORTS, state);
+      return 0;
+    case ARGP_KEY_END:
+      if (options->build == NULL || options->folder == NULL)
+        argp_error (state, "--build and --folder are required");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+/* Runs the seeds that FILE names; what follows a seed on its line is a note. */
+static int
+run_regressions (const options_t *options)
+{
+  FILE *file = fopen (options->regressions, "r");
+  char line[512];
+  uint64_t seed;
+  int failed = 0;
+
+  if (file == NULL)
+    {
+      perror (options->regressions);
+      return 1;
+    }
+  while (fgets (line, sizeof line, file) != NULL)
+    if (sscanf (line, "%" SCNu64, &seed) == 1)
+      failed += run_apart (options, seed) ? 0 : 1;
+  fclose (file);
+  return failed;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp argp = { .options = option_list, .parser = parse };
+  options_t options = {
+    .seed = (uint64_t)time (NULL),
+    .seeds = 1,
+    .seconds = 8,
+    .callers = 12,
+    .port = 27000,
+  };
+  int failed = 0;
+
+  argp_err_exit_status = EXIT_USAGE;
+  argp_parse (&argp, argc, argv, 0, NULL, &options);
+  signal (SIGPIPE, SIG_IGN);
+  if (mkdir (options.folder, 0755) != 0 && errno != EEXIST)
+    {
+      perror (options.folder);
+      return 1;
+    }
+  if (options.regressions != NULL)
+    failed += run_regressions (&options);
+  for (int i = 0; i < options.seeds; i++)
+    failed += run_apart (&options, options.seed + (uint64_t)i) ? 0 : 1;
+  return failed > 0 ? 1 : 0;
+}
--- /dev/null
+++ b/tests/soak/soak_call.h
@@ -0,0 +1,34 @@
+/* One HTTP call on a connection of its own. */
+#ifndef BR_TESTS_SOAK_CALL_H
+#define BR_TESTS_SOAK_CALL_H
+
+#include "soak.h"
+
+BR_BEGIN_DECLS
+
+typedef struct soak_call soak_call_t;
+
+/* Told once; STATUS is 0 without a complete answer. */
+typedef void (*soak_call_fn) (void *context, int status, br_str_t body);
+
+typedef struct
+{
+  struct event_base *base;
+  struct sockaddr_in address;
+  const char *method;
+  const char *path;
+  br_str_t body;
+  br_ms_t timeout_ms;
+  soak_call_fn on_done;
+  void *context;
+} soak_call_options_t;
+
+/* Frees itself after ON_DONE. */
+soak_call_t *soak_call_new (const soak_call_options_t *options);
+
+/* Forgets a call that is under way; ON_DONE is not told. */
+void soak_call_cancel (soak_call_t *call);
+
+BR_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_check.c
@@ -0,0 +1,188 @@
+/* What the upstreams and the platform saw, against what callers were told. */
+#include <inttypes.h>
+#include <string.h>
+
+#include "soak.h"
+
+#define LINE_MAX_BYTES 4096
+
+/* An accounting window's first report. */
+typedef struct
+{
+  uint64_t window;
+  br_buf_t counts;
+} report_t;
+
+BR_VEC (reports, report_t);
+
+static FILE *
+open_output (soak_t *soak, const soak_process_t *process)
+{
+  br_buf_t path = { 0 };
+  FILE *file;
+
+  soak_process_path (soak, process, ".out", &path);
+  file = fopen (path.data, "r");
+  if (file == NULL)
+    soak_fail (soak, "%s: no output", path.data);
+  br_buf_free (&path);
+  return file;
+}
+
+static void
+check_run (soak_t *soak, const soak_process_t *runner, const char *line)
+{
+  char id[64];
+  char target[64];
+  char tenant[64];
+  long number;
+  soak_request_t *request;
+
+  if (sscanf (line,
+              "{\"run\":\"%63[^\"]\",\"at\":\"%*[^\"]\",\"method\":\"%*[^\"]\","
+              "\"target\":\"%63[^\"]\",\"tenant\":\"%63[^\"]\"",
+              id, target, tenant)
+      != 3)
+    {
+      soak_fail (soak, "%s ran something unreadable: %s", runner->name, line);
+      return;
+    }
+  number = soak_request_number (id);
+  if (number < 0 || number >= (long)soak->requests.len)
+    {
+      soak_fail (soak, "%s ran %s, which nobody sent", runner->name, id);
+      return;
+    }
+  request = &soak->requests.items[number];
+  request->runs++;
+  if (strcmp (target, soak_kind_paths[request->kind]) != 0
+      || strcmp (tenant, "alcornocales") != 0
+      || strstr (line, "\"key\":true") != NULL)
+    soak_fail (soak, "%s ran %s changed: %s", runner->name, id, line);
+}
+
+static void
+check_runs (soak_t *soak, const soak_process_t *runner)
+{
+  char line[LINE_MAX_BYTES];
+  FILE *file = open_output (soak, runner);
+
+  if (file == NULL)
+    return;
+  while (fgets (line, sizeof line, file) != NULL)
+    if (strchr (line, '\n') != NULL)
+      check_run (soak, runner, line);
+  fclose (file);
+}
+
+static bool
+is_promise (int status)
+{
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+static void
+check_request (soak_t *soak, size_t number)
+{
+  const soak_request_t *request = &soak->requests.items[number];
+
+  if (soak_kind_once[request->kind] && request->runs > 1)
+    soak_fail (soak, "s-%zu (%s) ran %d times", number,
+               soak_kind_paths[request->kind], request->runs);
+  if (request->complete && is_promise (request->status) && request->runs > 0)
+    soak_fail (soak, "s-%zu (%s) was told not to have run, status %d, and ran",
+               number, soak_kind_paths[request->kind], request->status);
+  if (request->complete && request->status == 200 && request->runs == 0)
+    soak_fail (soak, "s-%zu was answered and never ran", number);
+  if (!request->complete && request->runs > 0 && request->planned_only)
+    soak_fail (soak, "s-%zu (%s) was cut by planned work", number,
+               soak_kind_paths[request->kind]);
+}
+
+static void
+check_report (soak_t *soak, reports_t *reports, const char *line)
+{
+  const char *body = strstr (line, "\"body\":");
+  uint64_t window;
+  report_t fresh = { 0 };
+
+  if (body == NULL
+      || sscanf (strstr (body, "\"Window\"") != NULL
+                     ? strstr (body, "\"Window\"")
+                     : "",
+                 "\"Window\": %" SCNu64, &window)
+             != 1)
+    {
+      soak_fail (soak, "a usage report that cannot be read: %s", line);
+      return;
+    }
+  for (size_t i = 0; i < reports->len; i++)
+    if (reports->items[i].window == window)
+      {
+        if (strcmp (reports->items[i].counts.data, body) != 0)
+          soak_fail (soak, "window %" PRIu64 " was reported as %s and as %s",
+                     window, reports->items[i].counts.data, body);
+        return;
+      }
+  fresh.window = window;
+  br_buf_printf (&fresh.counts, "%s", body);
+  reports_push (reports, fresh);
+}
+
+/* One holder acts at a time, and its numbers grow. */
+static void
+check_holder (soak_t *soak, const char *line, uint64_t *fencing, char *holder)
+{
+  char name[64];
+  uint64_t number;
+
+  if (sscanf (
+          line,
+          "{\"duty\":\"%*[^\"]\",\"holder\":\"%63[^\"]\",\"fencing\":%" SCNu64,
+          name, &number)
+      != 2)
+    return;
+  if (number < *fencing)
+    soak_fail (soak, "a fencing number went back to %" PRIu64 " from %" PRIu64,
+               number, *fencing);
+  if (number == *fencing && strcmp (name, holder) != 0)
+    soak_fail (soak, "%s and %s hold the number %" PRIu64, holder, name,
+               number);
+  *fencing = number;
+  snprintf (holder, 64, "%s", name);
+}
+
+static void
+check_duties (soak_t *soak)
+{
+  FILE *file = open_output (soak, soak_process (soak, SOAK_CLOUD, 1));
+  char line[LINE_MAX_BYTES];
+  char holder[64] = "";
+  uint64_t fencing = 0;
+  reports_t reports = { 0 };
+
+  if (file == NULL)
+    return;
+  while (fgets (line, sizeof line, file) != NULL)
+    if (strncmp (line, "{\"duty\":\"usage\"", 15) == 0)
+      {
+        check_holder (soak, line, &fencing, holder);
+        check_report (soak, &reports, line);
+      }
+  if (reports.len == 0)
+    soak_fail (soak, "no usage was reported");
+  fclose (file);
+  for (size_t i = 0; i < reports.len; i++)
+    br_buf_free (&reports.items[i].counts);
+  reports_free (&reports);
+}
+
+void
+soak_check_logs (soak_t *soak)
+{
+  for (int i = 1; i <= SOAK_RUNNERS; i++)
+    check_runs (soak, soak_process (soak, SOAK_RUNNER, i));
+  for (size_t i = 0; i < soak->requests.len; i++)
+    check_request (soak, i);
+  check_duties (soak);
+}
--- /dev/null
+++ b/tests/soak/soak_site.c
@@ -0,0 +1,375 @@
+/* The processes of the site and the relay between them. */
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "soak.h"
+
+/* Ports of a VM, on its own address; the platform's API and the upstreams are
+ * on 127.0.0.1, and RELAYED on from them is the relay's port for each. */
+#define PORT_CALLERS 0
+#define PORT_OPERATORS 1
+#define PORT_PEERS 2
+#define PORT_CLOUD 3
+#define PORT_RUNNERS 4
+#define PORT_METRICS 8
+#define RELAYED 10
+
+/* A process that ended by itself is started again after this time, in
+ * milliseconds, as the platform does. */
+#define RESTART_MS 200
+
+static const char *const role_names[]
+    = { "control", "entry", "runner", "cloud" };
+
+soak_process_t *
+soak_process (soak_t *soak, soak_role_t role, int number)
+{
+  static const int first[]
+      = { 0, SOAK_CONTROLS, SOAK_VMS, SOAK_VMS + SOAK_RUNNERS };
+
+  return &soak->processes[first[role] + number - 1];
+}
+
+/* VMs are known by 127.0.11.N and 127.0.12.N, where the relay listens for their
+ * peers; they themselves listen for these at 127.1.11.N and 127.1.12.N. */
+static struct sockaddr_in
+vm_address (const soak_t *soak, soak_role_t role, int number, int net, int port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  address.sin_addr.s_addr
+      = htonl (0x7f000000u + ((uint32_t)net << 16)
+               + ((role == SOAK_CONTROL ? 11u : 12u) << 8) + (uint32_t)number);
+  address.sin_port = htons ((uint16_t)(soak->port + port));
+  return address;
+}
+
+struct sockaddr_in
+soak_address (const soak_t *soak, soak_role_t role, int number, int port)
+{
+  struct sockaddr_in address = vm_address (soak, role, number, 0, port);
+
+  if (role == SOAK_RUNNER || role == SOAK_CLOUD)
+    address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  return address;
+}
+
+void
+soak_process_path (const soak_t *soak,
+                   const soak_process_t *process,
+                   const char *suffix,
+                   br_buf_t *path)
+{
+  br_buf_clear (path);
+  br_buf_printf (path, "%s/%s%s", soak->folder, process->name, suffix);
+}
+
+static void
+write_file (const char *path, const br_buf_t *text)
+{
+  FILE *file = fopen (path, "w");
+
+  if (file == NULL)
+    {
+      perror (path);
+      exit (1);
+    }
+  fwrite (text->data, 1, text->len, file);
+  fclose (file);
+}
+
+void
+soak_process_shim (soak_t *soak,
+                   const soak_process_t *process,
+                   int shift_ms,
+                   int sync_ms,
+                   bool full)
+{
+  br_buf_t path = { 0 };
+  br_buf_t text = { 0 };
+
+  soak_process_path (soak, process, ".shim", &path);
+  br_buf_printf (&text, "%d %d %d\n", shift_ms, sync_ms, full ? 1 : 0);
+  write_file (path.data, &text);
+  br_buf_free (&path);
+  br_buf_free (&text);
+}
+
+static void
+settings_write (soak_t *soak, const soak_process_t *process)
+{
+  bool control = process->role == SOAK_CONTROL;
+  int net = control ? 11 : 12;
+  int n = process->number;
+  br_buf_t path = { 0 };
+  br_buf_t text = { 0 };
+
+  br_buf_printf (&text,
+                 "{\"vm\": {\"name\": \"127.0.%d.%d\", \"log_name\": \"%s\", "
+                 "\"failure_domain\": \"d%d\"%s},\n",
+                 net, n, process->name, n, control ? ", \"voter\": true" : "");
+  if (control)
+    br_buf_printf (&text, "\"data\": {\"folder\": \"%s/%s.disk\"},\n",
+                   soak->folder, process->name);
+  else
+    br_buf_printf (&text, "\"callers\": {\"address\": \"127.0.%d.%d:%d\"},\n",
+                   net, n, soak->port + PORT_CALLERS);
+  br_buf_printf (&text,
+                 "\"operators\": {\"address\": \"127.0.%d.%d:%d\"},\n"
+                 "\"metrics\": {\"address\": \"127.0.%d.%d:%d\"},\n"
+                 "\"peers\": {\"address\": \"127.1.%d.%d\", \"port\": %d, "
+                 "\"open\": true, \"shared_key\": \"soak-site-shared-key\"},\n"
+                 "\"platform\": {\"address\": \"127.0.0.1:%d\"},\n",
+                 net, n, soak->port + PORT_OPERATORS, net, n,
+                 soak->port + PORT_METRICS, net, n, soak->port + PORT_PEERS,
+                 soak->port + PORT_CLOUD + RELAYED);
+  br_buf_printf (
+      &text,
+      "\"site\": {\"role\": \"%s\", \"founding\": %s, "
+      "\"usage_window_s\": 1, \"usage_late_s\": 6, \"grace_s\": 6, "
+      "\"retry_ratio\": 0.2, \"retry_slack\": 50, \"lease_ms\": 500, "
+      "\"duties\": \"usage,scaling\", \"control_vms\": \"",
+      role_names[process->role], process->founding ? "true" : "false");
+  for (int i = 1; i <= SOAK_CONTROLS; i++)
+    br_buf_printf (&text, "%s127.0.11.%d:%d", i > 1 ? "," : "", i,
+                   soak->port + PORT_OPERATORS);
+  br_buf_printf (&text, "\"}}\n");
+  soak_process_path (soak, process, ".json", &path);
+  write_file (path.data, &text);
+  br_buf_free (&path);
+  br_buf_free (&text);
+}
+
+/* The words of the process's command line; they live until the next call. */
+static char **
+command_of (soak_t *soak, const soak_process_t *process)
+{
+  static char words[16][192];
+  static char *argv[17];
+  size_t n = 0;
+
+#define WORD(...) snprintf (words[n++], sizeof words[0], __VA_ARGS__)
+  switch (process->role)
+    {
+    case SOAK_CONTROL:
+    case SOAK_ENTRY:
+      WORD ("%s/briarrack", soak->build);
+      WORD ("serve");
+      WORD ("%s/%s.json", soak->folder, process->name);
+      break;
+    case SOAK_RUNNER:
+      WORD ("%s/fake_runner", soak->build);
+      WORD ("--port");
+      WORD ("%d", soak->port + PORT_RUNNERS + process->number - 1);
+      WORD ("--id");
+      WORD ("%s", process->name);
+      break;
+    case SOAK_CLOUD:
+      WORD ("%s/fake_cloud", soak->build);
+      WORD ("--port");
+      WORD ("%d", soak->port + PORT_CLOUD);
+      for (int i = 1; i <= SOAK_RUNNERS; i++)
+        {
+          WORD ("--runner");
+          WORD ("runner-%d,%s,d%d,%d", i,
+                i <= SOAK_RUNNERS / 2 ? "llm" : "ledger", i,
+                soak->port + PORT_RUNNERS + RELAYED + i - 1);
+        }
+      break;
+    }
+#undef WORD
+  for (size_t i = 0; i < n; i++)
+    argv[i] = words[i];
+  argv[n] = NULL;
+  return argv;
+}
+
+static void
+child_run (soak_t *soak, const soak_process_t *process)
+{
+  br_buf_t path = { 0 };
+  int fd;
+
+  /* Nothing outlives the soak, however that ends. */
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  soak_process_path (soak, process, ".out", &path);
+  fd = open (path.data, O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2 (fd, STDOUT_FILENO);
+  soak_process_path (soak, process, ".err", &path);
+  fd = open (path.data, O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2 (fd, STDERR_FILENO);
+  if (process->role == SOAK_CONTROL)
+    {
+      soak_process_path (soak, process, ".shim", &path);
+      setenv ("SOAK_SHIM", path.data, 1);
+      br_buf_clear (&path);
+      br_buf_printf (&path, "%s/libsoak_shim.so", soak->build);
+      setenv ("LD_PRELOAD", path.data, 1);
+      setenv ("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+    }
+  close_range (STDERR_FILENO + 1, ~0u, 0);
+  execv (command_of (soak, process)[0], command_of (soak, process));
+  _exit (127);
+}
+
+static void
+process_start (soak_t *soak, soak_process_t *process)
+{
+  if (process->role == SOAK_CONTROL || process->role == SOAK_ENTRY)
+    settings_write (soak, process);
+  process->start_ms = BR_MS_NEVER;
+  process->ending = false;
+  process->paused = false;
+  process->starts++;
+  process->pid = fork ();
+  if (process->pid == 0)
+    child_run (soak, process);
+  if (process->pid < 0)
+    {
+      perror ("fork");
+      exit (1);
+    }
+}
+
+static void
+process_reap (soak_t *soak, soak_process_t *process)
+{
+  int status;
+
+  if (process->pid == 0 || waitpid (process->pid, &status, WNOHANG) == 0)
+    return;
+  if (!process->ending && soak_now () > process->full_ms)
+    soak_fail (soak, "%s ended by itself, %s %d", process->name,
+               WIFSIGNALED (status) ? "signal" : "status",
+               WIFSIGNALED (status) ? WTERMSIG (status) : WEXITSTATUS (status));
+  process->pid = 0;
+  if (process->start_ms == BR_MS_NEVER)
+    process->start_ms = soak_now () + RESTART_MS;
+}
+
+void
+soak_site_tick (soak_t *soak)
+{
+  br_ms_t now = soak_now ();
+
+  for (size_t i = 0; i < SOAK_PROCESSES; i++)
+    {
+      soak_process_t *process = &soak->processes[i];
+
+      process_reap (soak, process);
+      if (process->pid == 0 && now >= process->start_ms)
+        process_start (soak, process);
+      if (process->pid > 0 && process->paused && now >= process->resume_ms)
+        {
+          kill (process->pid, SIGCONT);
+          process->paused = false;
+        }
+      if (now >= process->disk_back_ms)
+        {
+          soak_process_shim (soak, process, 0, 0, false);
+          process->disk_back_ms = BR_MS_NEVER;
+        }
+    }
+}
+
+void
+soak_process_signal (soak_t *soak, soak_process_t *process, int signal)
+{
+  if (process->pid == 0)
+    return;
+  soak_log (soak, "%s gets signal %d", process->name, signal);
+  kill (process->pid, signal);
+}
+
+void
+soak_process_kill (soak_t *soak, soak_process_t *process, br_ms_t wait_ms)
+{
+  process->start_ms = soak_now () + wait_ms;
+  if (process->pid == 0)
+    return;
+  soak_process_signal (soak, process, SIGKILL);
+  waitpid (process->pid, NULL, 0);
+  process->pid = 0;
+}
+
+static bool
+links_start (soak_t *soak)
+{
+  for (int i = 0; i < SOAK_LINKS; i++)
+    {
+      const soak_process_t *process = &soak->processes[i];
+      soak_link_t *link = &soak->links[i];
+      int port = process->role == SOAK_CLOUD
+                     ? PORT_CLOUD
+                     : PORT_RUNNERS + process->number - 1;
+      bool is_vm = i < SOAK_VMS;
+      struct sockaddr_in from
+          = is_vm ? vm_address (soak, process->role, process->number, 0,
+                                PORT_PEERS)
+                  : soak_address (soak, process->role, 1, port + RELAYED);
+      struct sockaddr_in to = is_vm
+                                  ? vm_address (soak, process->role,
+                                                process->number, 1, PORT_PEERS)
+                                  : soak_address (soak, process->role, 1, port);
+
+      memcpy (link->name, process->name, sizeof link->name);
+      link->heal_ms = BR_MS_NEVER;
+      link->link = br_relay_link_new (soak->base, &from, &to);
+      if (link->link == NULL)
+        {
+          soak_fail (soak, "the relay cannot listen for %s: %s", link->name,
+                     strerror (errno));
+          return false;
+        }
+    }
+  return true;
+}
+
+bool
+soak_site_start (soak_t *soak)
+{
+  static const int numbers[] = { SOAK_CONTROLS, SOAK_ENTRIES, SOAK_RUNNERS, 1 };
+  br_buf_t path = { 0 };
+
+  for (int role = SOAK_CONTROL; role <= SOAK_CLOUD; role++)
+    for (int n = 1; n <= numbers[role]; n++)
+      {
+        soak_process_t *process = soak_process (soak, (soak_role_t)role, n);
+
+        *process = (soak_process_t){ .role = (soak_role_t)role,
+                                     .number = n,
+                                     .founding = true,
+                                     .start_ms = soak_now (),
+                                     .disk_back_ms = BR_MS_NEVER };
+        snprintf (process->name, sizeof process->name, "%s-%d",
+                  role_names[role], n);
+        if (role == SOAK_CONTROL)
+          {
+            soak_process_path (soak, process, ".disk", &path);
+            mkdir (path.data, 0755);
+            soak_process_shim (soak, process, 0, 0, false);
+          }
+      }
+  br_buf_free (&path);
+  if (!links_start (soak))
+    return false;
+  soak_site_tick (soak);
+  return true;
+}
+
+void
+soak_site_stop (soak_t *soak)
+{
+  for (size_t i = 0; i < SOAK_PROCESSES; i++)
+    if (soak->processes[i].pid > 0)
+      kill (soak->processes[i].pid, SIGKILL);
+  for (size_t i = 0; i < SOAK_PROCESSES; i++)
+    if (soak->processes[i].pid > 0)
+      waitpid (soak->processes[i].pid, NULL, 0);
+}
