Quotas at a new leader; counts of usage told every 100 ms

The next leader began at nothing used and nothing asked for, and what was let through during the election was in nobody's count.

--- a/src/shell/control_task.c
+++ b/src/shell/control_task.c
@@ -283,19 +283,19 @@
   return br_control_entries_push (&task->entries, fresh);
 }
 
-static void
+static br_ledger_entry_t *
 task_count_usage (br_control_task_t *task,
                   const br_peer_message_t *from,
-                  const Br__Site__EntryReport *report)
+                  Br__Site__Window *const *windows,
+                  size_t n_windows)
 {
   br_ledger_entry_t *row
       = br_usage_ledger_row (&task->ledger, &from->vm, from->incarnation);
 
   row->heard_ms = br_node_now (task->node);
-  row->site_wall_ms = (br_ms_t)report->site_wall_ms;
-  for (size_t i = 0; i < report->n_windows; i++)
+  for (size_t i = 0; i < n_windows; i++)
     {
-      const Br__Site__Window *window = report->windows[i];
+      const Br__Site__Window *window = windows[i];
 
       br_usage_clear (&row->usage, window->number);
       for (size_t j = 0; j < window->n_counts; j++)
@@ -303,6 +303,7 @@
                       br_str_from (window->counts[j]->organisation),
                       (int64_t)window->counts[j]->requests);
     }
+  return row;
 }
 
 static void
@@ -357,6 +358,8 @@
         br__site__message__free_unpacked (entry->loads, NULL);
       entry->loads = message;
       task_hear_used (task, from, message->loads);
+      task_count_usage (task, from, message->loads->windows,
+                        message->loads->n_windows);
       return;
     }
   br__site__message__free_unpacked (message, NULL);
@@ -371,6 +374,7 @@
   br_control_entry_t *entry = task_entry (task, &from->vm);
   br_ms_t now = br_node_now (task->node);
   bool is_new = entry->told == NULL || entry->incarnation != from->incarnation;
+  br_ledger_entry_t *row;
 
   entry_forget (entry);
   entry->told = message;
@@ -378,7 +382,9 @@
   entry->heard_ms = now;
   br_site_clock_hear (&task->clock, &from->vm,
                       (br_ms_t)message->report->wall_ms, now);
-  task_count_usage (task, from, message->report);
+  row = task_count_usage (task, from, message->report->windows,
+                          message->report->n_windows);
+  row->site_wall_ms = (br_ms_t)message->report->site_wall_ms;
   if (is_new)
     {
       BR_LOG (&task->node->log, "site", "entry VM heard",
@@ -432,6 +438,39 @@
 
 /* --- time --- */
 
+/* What all entry VMs were asked for by the organisation, as they told all
+ * control VMs. */
+static double
+task_demand (const br_control_task_t *task, const char *organisation)
+{
+  double sum = 0;
+
+  for (size_t i = 0; i < task->entries.len; i++)
+    {
+      const Br__Site__EntryReport *report = task->entries.items[i].told->report;
+
+      for (size_t j = 0; j < report->n_demands; j++)
+        if (strcmp (report->demands[j]->organisation, organisation) == 0)
+          sum += report->demands[j]->units_per_s;
+    }
+  return sum;
+}
+
+static void
+task_begin_quotas (br_control_task_t *task, br_ms_t now)
+{
+  const br_site_organisations_t *organisations;
+
+  br_control_read_configuration (task);
+  if (task->configuration == NULL)
+    return;
+  organisations = &task->configuration->organisations;
+  for (size_t i = 0; i < organisations->len; i++)
+    br_quota_pool_begin (&task->pool, &organisations->items[i],
+                         task_demand (task, organisations->items[i].name.data),
+                         now);
+}
+
 static void
 task_follow_role (br_control_task_t *task, br_ms_t now)
 {
@@ -445,6 +484,8 @@
   task->leads_ms = now;
   br_quota_pool_release (&task->pool);
   task->pool = (br_quota_pool_t){ 0 };
+  if (term > 0)
+    task_begin_quotas (task, now);
   BR_LOG (&task->node->log, "site", term > 0 ? "leads" : "leads no more",
           br_field_int ("term", (int64_t)term));
 }
--- a/src/shell/entry_report.c
+++ b/src/shell/entry_report.c
@@ -145,13 +145,14 @@
     }
 }
 
+/* The newest windows, MOST of them. */
 static size_t
-report_windows (const br_entry_task_t *task, report_t *report)
+report_windows (const br_entry_task_t *task, report_t *report, uint64_t most)
 {
   uint64_t newest = br_entry_window (task);
   size_t n = 0;
 
-  for (uint64_t back = 0; back < REPORT_WINDOWS && back <= newest; back++)
+  for (uint64_t back = 0; back < most && back <= newest; back++)
     {
       const br_usage_window_t *window
           = br_usage_find (&task->usage, newest - back);
@@ -201,7 +202,7 @@
   br_quotas_demand (&task->quotas, now, demand_add, &report.demands);
   body.n_demands = report.demands.n;
   body.demands = report.demands.views;
-  body.n_windows = report_windows (task, &report);
+  body.n_windows = report_windows (task, &report, REPORT_WINDOWS);
   body.windows = report.window_views;
   body.configuration_version
       = task->configuration != NULL ? task->configuration->version : 0;
@@ -239,29 +240,30 @@
   return n;
 }
 
-/* Tells the leader the loads alone. */
+/* Tells the leader the loads, the quotas and the newest counts alone: a VM that
+ * dies takes little of its counts with it. */
 void
 br_entry_report_loads (br_entry_task_t *task)
 {
-  size_t upstreams = task->fleet.all.len + 1;
-  Br__Site__UpstreamLoad *wire = br_alloc (upstreams * sizeof *wire);
-  Br__Site__UpstreamLoad **views = br_alloc (upstreams * sizeof *views);
   size_t quotas = task->quotas.list.len + 1;
   Br__Site__Used *used = br_alloc (quotas * sizeof *used);
   Br__Site__Used **used_views = br_alloc (quotas * sizeof *used_views);
   Br__Site__Loads body = BR__SITE__LOADS__INIT;
   br_site_message_t message = BR__SITE__MESSAGE__INIT;
+  report_t report;
 
-  body.n_loads = report_loads (task, wire, views);
-  body.loads = views;
+  report_alloc (task, &report);
+  body.n_loads = report_loads (task, report.loads, report.load_views);
+  body.loads = report.load_views;
   body.n_used = report_used (task, used, used_views);
   body.used = used_views;
+  body.n_windows = report_windows (task, &report, 1);
+  body.windows = report.window_views;
   message.body_case = BR__SITE__MESSAGE__BODY_LOADS;
   message.loads = &body;
   if (task->leader.len > 0)
     br_site_send (task->node, &task->leader, &message);
-  free (wire);
-  free (views);
+  report_free (&report);
   free (used);
   free (used_views);
 }
--- a/src/site/quota_pool.c
+++ b/src/site/quota_pool.c
@@ -4,6 +4,11 @@
  * in milliseconds: a few of the intervals at which they do. */
 #define FIRST_REPORTS_MS 300
 
+/* What was let through in this time before a new leader, in milliseconds, was
+ * told to nobody: the silence after which one is elected, and the interval at
+ * which VMs tell. */
+#define UNCOUNTED_MS 600
+
 /* What is asked for is measured over this time, in milliseconds, and averaged
  * with this weight of the newest: an organisation that begins to send several
  * times its usual is seen within half a second. */
@@ -29,6 +34,21 @@
   return br_pool_quotas_push (&pool->quotas, fresh);
 }
 
+void
+br_quota_pool_begin (br_quota_pool_t *pool,
+                     const br_site_organisation_t *organisation,
+                     double asked_per_s,
+                     br_ms_t now)
+{
+  br_pool_quota_t *quota = pool_quota (pool, organisation, now);
+  double excess = asked_per_s - organisation->rate_per_s;
+
+  quota->asked_per_s = asked_per_s;
+  if (excess > 0)
+    quota->level
+        = -BR_MIN (excess, organisation->rate_per_s) * UNCOUNTED_MS / 1000;
+}
+
 static br_pool_used_t *
 pool_used (br_quota_pool_t *pool,
            const br_name_t *organisation,
--- a/src/site/quota_pool.h
+++ b/src/site/quota_pool.h
@@ -48,6 +48,13 @@
   double asked; /* asked for since then */
 } br_pool_report_t;
 
+/* A leader begins.  ASKED_PER_S is what all entry VMs together were last known
+ * to be asked for. */
+void br_quota_pool_begin (br_quota_pool_t *pool,
+                          const br_site_organisation_t *organisation,
+                          double asked_per_s,
+                          br_ms_t now);
+
 /* An entry VM told what it let through. */
 void br_quota_pool_hear (br_quota_pool_t *pool,
                          const br_site_organisation_t *organisation,
--- a/src/site/site.pb-c.c
+++ b/src/site/site.pb-c.c
@@ -1128,7 +1128,7 @@
   NULL,
   NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__loads__field_descriptors[4] = {
+static const ProtobufCFieldDescriptor br__site__loads__field_descriptors[5] = {
   {
       "term", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
       0,                                               /* quantifier_offset */
@@ -1153,15 +1153,23 @@
       &br__site__left__descriptor, NULL, 0, /* flags */
       0, NULL, NULL                         /* reserved1,reserved2, etc */
   },
+  {
+      "windows", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Br__Site__Loads, n_windows),
+      offsetof (Br__Site__Loads, windows), &br__site__window__descriptor, NULL,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__loads__field_indices_by_name[] = {
   3, /* field[3] = left */
   1, /* field[1] = loads */
   0, /* field[0] = term */
   2, /* field[2] = used */
+  4, /* field[4] = windows */
 };
 static const ProtobufCIntRange br__site__loads__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 4 } };
+    = { { 1, 0 }, { 0, 5 } };
 const ProtobufCMessageDescriptor br__site__loads__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Loads",
@@ -1169,7 +1177,7 @@
   "Br__Site__Loads",
   "br.site",
   sizeof (Br__Site__Loads),
-  4,
+  5,
   br__site__loads__field_descriptors,
   br__site__loads__field_indices_by_name,
   1,
--- a/src/site/site.pb-c.h
+++ b/src/site/site.pb-c.h
@@ -204,11 +204,16 @@
   Br__Site__Used **used;
   size_t n_left;
   Br__Site__Left **left;
+  /*
+   * of an entry VM: the newest one
+   */
+  size_t n_windows;
+  Br__Site__Window **windows;
 };
 #define BR__SITE__LOADS__INIT                                                  \
   {                                                                            \
     PROTOBUF_C_MESSAGE_INIT (&br__site__loads__descriptor)                     \
-    , 0, 0, NULL, 0, NULL, 0, NULL                                             \
+    , 0, 0, NULL, 0, NULL, 0, NULL, 0, NULL                                    \
   }
 
 /*
--- /dev/null
+++ b/tests/process/platform_usage_kill.sh
@@ -0,0 +1,31 @@
+# An entry VM that is killed takes none of its counts with it that are older
+# than a quarter of a second.
+# Usage: platform_usage_kill.sh BUILD
+set -u
+BUILD=$1
+BASE_PORT=26700
+. "$(dirname "$0")/../support/platform_site.sh"
+
+platform_up 3 2
+sent=0
+for round in 1 2 3 4 5; do
+  for i in 1 2 3 4 5 6; do
+    [ "$(platform_ask 2 "k$round-$i" /look/good | tail -n 1)" = 200 ] || site_fail "k$round-$i"
+    sent=$((sent + 1))
+  done
+  # Stream requests keep the entry VM telling what it does.
+  platform_ask 2 "s$round" /chat/stream -X POST -d x > /dev/null &
+  sleep 0.35
+  site_kill entry-2
+  sent=$((sent + 1))
+  platform_vm entry 2 3
+  platform_wait platform_entry_ready 2 || site_fail "entry VM 2 is not ready again"
+done
+counted() {
+  grep '"duty":"usage"' "$SITE/cloud.out" | sed 's/.*"Window": *\([0-9]*\).*/\1 &/' |
+    sort -k1,1 -u | grep -o '"alcornocales": *[0-9]*' | grep -o '[0-9]*' |
+    awk "{ sum += \$1 } END { print sum + 0 }"
+}
+all_counted() { [ "$(counted)" = "$sent" ]; }
+platform_wait all_counted || site_fail "counted $(counted) of $sent"
+echo "killed five times: $sent requests counted"
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -7,6 +7,7 @@
  *   apply                                        puts the list in force
  *   sent ID UNCACHED | first ID UNCACHED MS | ended ID UNCACHED HAD_FIRST
  *   report ID RUNNING WAITING | others ID IN_FLIGHT TOKENS
+ *   lead ASKED
  *   tell ID | loads [ID IN_FLIGHT TOKENS...]
  *   judge ID good|failed|unreachable|silent|full|moved
  *   choose REQUEST SERVICE DOMAIN PROMPT [PART:TOKENS...] [not ID...]
@@ -451,6 +452,13 @@
     on_take (session, words);
   else if (strcmp (verb, "pool") == 0)
     on_pool (session, words);
+  else if (strcmp (verb, "lead") == 0)
+    {
+      br_quota_pool_release (&session->pool);
+      session->pool = (br_quota_pool_t){ 0 };
+      br_quota_pool_begin (&session->pool, &session->organisation,
+                           number (words, 1), session->now);
+    }
   else if (strcmp (verb, "level") == 0)
     printf ("level %.0f, asked %.0f a second\n",
             br_quota_pool_level (&session->pool, &session->organisation,
