Failure domains that are cut off are left alone after two upstreams

Two engines that do not take a connection now stand for the domain, and what may be repeated is tried elsewhere after 350 ms of silence. An engine that is late with its first event no longer counts like a silent one: it may be crowded.

--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -22,6 +22,11 @@
 #define SILENT_GAPS 3
 #define SILENT_GAP_MIN_MS 1800
 
+/* When its failure domain cannot be reached, a request that may be repeated is
+ * tried elsewhere after a silence of the expected time and this, in
+ * milliseconds: several of the usual pauses between events. */
+#define CUT_SILENT_MS 350
+
 /* The upstream gives up this much before the caller does, in milliseconds: an
  * answer has to travel. */
 #define DEADLINE_MARGIN_MS 10
@@ -92,6 +97,11 @@
     return exchange->sent_ms + CONNECT_MS;
   if (!br_exchange_may_repeat (exchange))
     return exchange->until_ms;
+  if (br_domain_health_is_cut (&exchange->task->fleet.domains,
+                               &exchange->upstream->listing.failure_domain,
+                               br_exchange_now (exchange)))
+    return exchange->heard_ms + CUT_SILENT_MS
+           + (exchange->had_first ? 0 : exchange->choice.expected_ms);
   if (route->kind == BR_ROUTE_IDEMPOTENT)
     {
       slow_ms = (br_ms_t)((double)route->objective_ms * SLOW_SHARE);
@@ -227,6 +237,24 @@
   return exchange->has_repeat;
 }
 
+/* The failure domain of the exchange's upstream cannot be reached: all that is
+ * under way there is looked at sooner. */
+static void
+exchange_on_cut (const br_exchange_t *exchange)
+{
+  br_entry_task_t *task = exchange->task;
+  const br_name_t *cut = &exchange->upstream->listing.failure_domain;
+
+  BR_LOG (&task->node->log, "site", "failure domain cut off",
+          br_field_z ("failure_domain", cut->data),
+          br_field_str ("id", exchange->inbound.id));
+  for (br_exchange_t *other = task->exchanges; other != NULL;
+       other = other->next)
+    if (other != exchange && other->upstream != NULL
+        && br_name_equal (&other->upstream->listing.failure_domain, cut))
+      br_exchange_set_timer (other, exchange_look_ms (other));
+}
+
 /* The attempt has failed; decides what follows. */
 void
 br_exchange_failed (br_exchange_t *exchange,
@@ -253,13 +281,14 @@
   next = br_attempt_decide (&query);
   /* A connection that failed did not reach the upstream: no repeat there. */
   if (next == BR_ATTEMPT_AGAIN && result != BR_RESULT_UNREACHABLE
-      && !exchange_take_repeat (exchange))
+      && result != BR_RESULT_TIMED_OUT && !exchange_take_repeat (exchange))
     next = exchange->begun ? BR_ATTEMPT_LATER : br_attempt_give_up (&query);
   br_exchange_log_attempt (exchange, cause, may_have_run,
                            br_attempt_next_name (next));
   br_counters_add (&task->node->counters, BR_COUNTER_ATTEMPTS_FAILED, 1);
-  br_fleet_judge (exchange->upstream, result, now);
-  if (result == BR_RESULT_SILENT)
+  if (br_fleet_judge (&task->fleet, exchange->upstream, result, now))
+    exchange_on_cut (exchange);
+  if (result == BR_RESULT_SILENT || result == BR_RESULT_LATE)
     br_upstream_pool_drop (exchange->upstream);
   br_exchange_leave_upstream (exchange, false);
   br_event_stream_cut (&exchange->events);
@@ -282,6 +311,14 @@
                    "the request's time is over");
 }
 
+static br_result_kind_t
+exchange_silence (const br_exchange_t *exchange)
+{
+  if (exchange->route->kind != BR_ROUTE_STREAM)
+    return BR_RESULT_FAILED;
+  return exchange->had_first ? BR_RESULT_SILENT : BR_RESULT_LATE;
+}
+
 static void
 exchange_on_timer (evutil_socket_t fd, short what, void *context)
 {
@@ -309,13 +346,10 @@
     }
   if (!br_http_client_is_connected (exchange->client))
     br_exchange_failed (exchange, "connect_timeout", false,
-                        BR_RESULT_UNREACHABLE);
+                        BR_RESULT_TIMED_OUT);
   else if (exchange->ran + 1 < exchange->route->max_attempts
            && exchange_take_repeat (exchange))
-    br_exchange_failed (exchange, "silent", true,
-                        exchange->route->kind == BR_ROUTE_STREAM
-                            ? BR_RESULT_SILENT
-                            : BR_RESULT_FAILED);
+    br_exchange_failed (exchange, "silent", true, exchange_silence (exchange));
   else
     br_exchange_set_timer (exchange, exchange->until_ms);
 }
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -103,7 +103,7 @@
       br_exchange_failed (exchange, "empty_stream", true, BR_RESULT_FAILED);
       return;
     }
-  br_fleet_judge (exchange->upstream, BR_RESULT_GOOD,
+  br_fleet_judge (&exchange->task->fleet, exchange->upstream, BR_RESULT_GOOD,
                   br_exchange_now (exchange));
   exchange_done (exchange, "answered", reusable);
   br_http_conn_end (exchange->conn);
@@ -123,7 +123,7 @@
     }
   if (exchange->outcome.status < 500)
     return false;
-  br_fleet_judge (exchange->upstream, BR_RESULT_FAILED,
+  br_fleet_judge (&exchange->task->fleet, exchange->upstream, BR_RESULT_FAILED,
                   br_exchange_now (exchange));
   if (!br_exchange_may_repeat (exchange)
       || exchange->ran + 1 >= exchange->route->max_attempts || exchange->begun)
@@ -146,7 +146,7 @@
       return;
     }
   if (exchange->outcome.status < 400)
-    br_fleet_judge (exchange->upstream, BR_RESULT_GOOD,
+    br_fleet_judge (&exchange->task->fleet, exchange->upstream, BR_RESULT_GOOD,
                     br_exchange_now (exchange));
   exchange_done (exchange, "answered", reusable);
   exchange_pass_head (exchange, &headers, &answer);
--- a/src/site/choice.c
+++ b/src/site/choice.c
@@ -181,9 +181,13 @@
 }
 
 static bool
-upstream_sits_out (const br_fleet_upstream_t *upstream, br_ms_t now)
+upstream_sits_out (const br_fleet_t *fleet,
+                   const br_fleet_upstream_t *upstream,
+                   br_ms_t now)
 {
-  return now < upstream->avoid_until_ms || now < upstream->full_until_ms;
+  return now < upstream->avoid_until_ms || now < upstream->full_until_ms
+         || br_domain_health_is_cut (&fleet->domains,
+                                     &upstream->listing.failure_domain, now);
 }
 
 br_choice_t
@@ -198,7 +202,7 @@
   for (size_t i = 0; i < fleet->all.len; i++)
     {
       br_fleet_upstream_t *upstream = fleet->all.items[i];
-      bool sits_out = upstream_sits_out (upstream, now);
+      bool sits_out = upstream_sits_out (fleet, upstream, now);
       candidate_t candidate;
 
       if (!upstream_fits (upstream, query))
--- /dev/null
+++ b/src/site/domain_health.c
@@ -0,0 +1,74 @@
+#include "site/domain_health.h"
+
+/* Upstreams without an answer, and none with one between, that tell a cut from
+ * the failure of one. */
+#define SILENT_UPSTREAMS 2
+
+/* Silence that is older than this says nothing, in milliseconds. */
+#define SILENT_LIFE_MS 3000
+
+/* First time for which a domain is left alone, in milliseconds, doubled by each
+ * further silence: some requests more than one connect bound apart. */
+#define CUT_MS 400
+#define CUT_MAX_MS 2000
+#define CUT_DOUBLINGS_MAX 3
+
+static br_domain_health_t *
+healths_find (const br_domain_healths_t *healths,
+              const br_name_t *failure_domain)
+{
+  for (size_t i = 0; i < healths->len; i++)
+    if (br_name_equal (&healths->items[i].failure_domain, failure_domain))
+      return &healths->items[i];
+  return NULL;
+}
+
+bool
+br_domain_health_silent (br_domain_healths_t *healths,
+                         const br_name_t *failure_domain,
+                         const br_name_t *upstream,
+                         br_ms_t now)
+{
+  br_domain_health_t *health = healths_find (healths, failure_domain);
+  br_domain_health_t fresh = { .failure_domain = *failure_domain };
+  bool was_cut;
+  uint32_t doublings;
+
+  if (health == NULL)
+    health = br_domain_healths_push (healths, fresh);
+  was_cut = now < health->cut_until_ms;
+  if (now - health->silent_ms > SILENT_LIFE_MS)
+    health->in_row = 0;
+  if (health->in_row == 0 || !br_name_equal (&health->silent, upstream))
+    health->in_row++;
+  health->silent = *upstream;
+  health->silent_ms = now;
+  if (health->in_row < SILENT_UPSTREAMS)
+    return false;
+  doublings = BR_MIN (health->in_row - SILENT_UPSTREAMS, CUT_DOUBLINGS_MAX);
+  health->cut_until_ms = BR_MAX (
+      health->cut_until_ms, now + BR_MIN (CUT_MS << doublings, CUT_MAX_MS));
+  return !was_cut;
+}
+
+void
+br_domain_health_answered (br_domain_healths_t *healths,
+                           const br_name_t *failure_domain)
+{
+  br_domain_health_t *health = healths_find (healths, failure_domain);
+
+  if (health == NULL)
+    return;
+  health->in_row = 0;
+  health->cut_until_ms = 0;
+}
+
+bool
+br_domain_health_is_cut (const br_domain_healths_t *healths,
+                         const br_name_t *failure_domain,
+                         br_ms_t now)
+{
+  const br_domain_health_t *health = healths_find (healths, failure_domain);
+
+  return health != NULL && now < health->cut_until_ms;
+}
--- a/src/site/fleet.c
+++ b/src/site/fleet.c
@@ -180,6 +180,7 @@
     upstream_free (fleet->all.items[i], on_free, context);
   br_fleet_upstreams_free (&fleet->all);
   br_fleet_speeds_free (&fleet->speeds);
+  br_domain_healths_free (&fleet->domains);
 }
 
 /* --- what happened --- */
@@ -326,8 +327,8 @@
   upstream->avoid_until_ms = BR_MAX (upstream->avoid_until_ms, now + for_ms);
 }
 
-void
-br_fleet_judge (br_fleet_upstream_t *upstream,
+static void
+upstream_judge (br_fleet_upstream_t *upstream,
                 br_result_kind_t result,
                 br_ms_t now)
 {
@@ -344,6 +345,8 @@
       return;
     case BR_RESULT_MOVED:
     case BR_RESULT_UNREACHABLE:
+    case BR_RESULT_TIMED_OUT:
+    case BR_RESULT_LATE:
     case BR_RESULT_SILENT:
       upstream->failed_in_row += FAILURES_TO_AVOID;
       break;
@@ -358,6 +361,34 @@
     upstream_avoid (upstream, now);
 }
 
+bool
+br_fleet_judge (br_fleet_t *fleet,
+                br_fleet_upstream_t *upstream,
+                br_result_kind_t result,
+                br_ms_t now)
+{
+  const br_listing_t *listing = &upstream->listing;
+
+  upstream_judge (upstream, result, now);
+  switch (result)
+    {
+    case BR_RESULT_GOOD:
+    case BR_RESULT_FULL:
+    case BR_RESULT_MOVED:
+      br_domain_health_answered (&fleet->domains, &listing->failure_domain);
+      break;
+    case BR_RESULT_SILENT:
+    case BR_RESULT_TIMED_OUT:
+      return br_domain_health_silent (&fleet->domains, &listing->failure_domain,
+                                      &listing->id, now);
+    case BR_RESULT_FAILED:
+    case BR_RESULT_UNREACHABLE:
+    case BR_RESULT_LATE:
+      break; /* says nothing of the way there: a crowded engine is late */
+    }
+  return false;
+}
+
 uint32_t
 br_fleet_load (const br_fleet_upstream_t *upstream, br_ms_t now)
 {
--- a/src/site/fleet.h
+++ b/src/site/fleet.h
@@ -4,6 +4,7 @@
 #define BR_SITE_FLEET_H
 
 #include "site/cache_memory.h"
+#include "site/domain_health.h"
 #include "site/listing.h"
 
 BR_BEGIN_DECLS
@@ -47,9 +48,10 @@
 
 typedef struct
 {
-  br_fleet_speeds_t speeds;  /* owned; of services with a measurement */
-  br_fleet_upstreams_t all;  /* owned; listed ones */
-  br_fleet_upstream_t *gone; /* owned; until their last request has ended */
+  br_domain_healths_t domains; /* owned */
+  br_fleet_speeds_t speeds;    /* owned; of services with a measurement */
+  br_fleet_upstreams_t all;    /* owned; listed ones */
+  br_fleet_upstream_t *gone;   /* owned; until their last request has ended */
   uint64_t term;
   uint64_t sequence;
   br_ms_t read_ms; /* when the list was last known to be current */
@@ -122,14 +124,18 @@
 {
   BR_RESULT_GOOD,
   BR_RESULT_FAILED,      /* broke off, unreadable, or an error of its own */
-  BR_RESULT_UNREACHABLE, /* no connection */
-  BR_RESULT_SILENT,      /* no answer in the time that others need */
+  BR_RESULT_UNREACHABLE, /* no connection: refused */
+  BR_RESULT_TIMED_OUT,   /* no connection in the time that one takes */
+  BR_RESULT_LATE,        /* no first event in the time that others need */
+  BR_RESULT_SILENT,      /* an answer that had begun stopped */
   BR_RESULT_FULL,        /* refused for want of room */
   BR_RESULT_MOVED,       /* another upstream has the address */
 } br_result_kind_t;
 
-/* Judges the upstream by an answer. */
-void br_fleet_judge (br_fleet_upstream_t *upstream,
+/* Judges the upstream by an answer.  Returns true when its failure domain is
+ * taken to be cut off from now on. */
+bool br_fleet_judge (br_fleet_t *fleet,
+                     br_fleet_upstream_t *upstream,
                      br_result_kind_t result,
                      br_ms_t now);
 
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -126,12 +126,18 @@
 on_judge (session_t *session, const words_t *words)
 {
   static const char *const names[]
-      = { "good", "failed", "unreachable", "silent", "full", "moved" };
+      = { "good", "failed", "unreachable", "timed_out",
+          "late", "silent", "full",        "moved" };
 
   for (size_t i = 0; i < BR_N_ELEMENTS (names); i++)
     if (strcmp (word (words, 2), names[i]) == 0)
-      br_fleet_judge (upstream (session, words), (br_result_kind_t)i,
-                      session->now);
+      {
+        br_fleet_upstream_t *judged = upstream (session, words);
+
+        if (br_fleet_judge (&session->fleet, judged, (br_result_kind_t)i,
+                            session->now))
+          printf ("%s is cut off\n", judged->listing.failure_domain.data);
+      }
 }
 
 static void
