Short prompts first at an engine; shared parts weigh twice in the choice

Urgency now follows the size of the prompt, and the route's rank among alike ones (session urgency).

--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -39,10 +39,6 @@
 /* When to come back to another VM, in milliseconds. */
 #define ELSEWHERE_MS 20
 
-/* Most urgent value of the engines' priority field, and the number of values
- * that priorities of routes use. */
-#define URGENCY_MAX 9
-
 /* --- attempts --- */
 
 /* A plain service runs a request at once when it has come; an engine, with its
@@ -131,7 +127,8 @@
   if (exchange->organisation != NULL)
     outbound.organisation = br_name_str (&exchange->organisation->name);
   if (exchange->service->has_engine)
-    outbound.urgency = BR_MIN (exchange->route->priority, URGENCY_MAX);
+    outbound.urgency = br_choice_urgency (exchange->route->priority,
+                                          exchange->choice.uncached);
   br_platform_write_request (head, br_http_conn_body (exchange->conn),
                              &outbound, &request);
   br_http_client_send (exchange->client, br_buf_str (&request));
--- a/src/site/choice.c
+++ b/src/site/choice.c
@@ -30,6 +30,14 @@
 /* What a share of failures costs, in milliseconds for all of them. */
 #define FAILING_MS 400.0
 
+/* Uncached tokens up to which a prompt belongs to one step of urgency: half a
+ * chunk that engines read between two tokens, one and a half, and four. */
+static const uint32_t urgency_steps[] = { 1024, 3072, 8192 };
+
+/* What reading a shared part again costs beside its time, as a share of it:
+ * it is read twice for nothing. */
+#define SHARED_AGAIN_SHARE 1.0
+
 typedef struct
 {
   double cost_ms;
@@ -123,21 +131,26 @@
   uint32_t prompt = query->inbound->prompt_tokens;
   uint32_t load = br_fleet_load (upstream, now);
   uint32_t slots = (uint32_t)query->service->engine.slots;
+  double per_ms = br_fleet_prefill_per_ms (fleet, upstream);
+  uint32_t shared = inbound_shared (query->inbound);
   double taken;
   double ms;
 
   if (preferred)
-    cached = BR_MAX (cached, inbound_shared (query->inbound));
+    cached = BR_MAX (cached, shared);
   choice->uncached = prompt > cached ? prompt - cached : 0;
   choice->backlog = br_fleet_backlog (upstream, now) + choice->uncached;
   choice->load = load;
   choice->full = load >= slots;
-  ms = (double)choice->backlog / br_fleet_prefill_per_ms (fleet, upstream);
+  ms = (double)choice->backlog / per_ms;
   if (choice->full)
     ms += (load - slots + 1) * FULL_ENGINE_MS;
   choice->expected_ms = (br_ms_t)ms;
   taken = (double)load / BR_MAX (slots, 1);
-  candidate->cost_ms = ms + CROWDED_MS * taken * taken;
+  candidate->cost_ms = ms + CROWDED_MS * taken * taken
+                       + SHARED_AGAIN_SHARE
+                             * (double)(shared - BR_MIN (cached, shared))
+                             / per_ms;
 }
 
 static void
@@ -218,3 +231,14 @@
     }
   return best.choice;
 }
+
+int
+br_choice_urgency (int priority, uint32_t uncached)
+{
+  int step = 0;
+
+  while (step < (int)BR_N_ELEMENTS (urgency_steps)
+         && uncached > urgency_steps[step])
+    step++;
+  return 2 * step + (priority > 0 ? 1 : 0);
+}
--- a/src/site/choice.h
+++ b/src/site/choice.h
@@ -37,6 +37,11 @@
                             const br_choice_query_t *query,
                             br_ms_t now);
 
+/* How urgent a request is at an engine, 0 most: short prompts first, as they
+ * hold up nobody for long, and among alike ones by the route's PRIORITY, where
+ * 0 is the highest. */
+int br_choice_urgency (int priority, uint32_t uncached);
+
 BR_END_DECLS
 
 #endif
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -7,7 +7,7 @@
  *   apply                                        puts the list in force
  *   sent ID UNCACHED | first ID UNCACHED MS | ended ID UNCACHED HAD_FIRST
  *   report ID RUNNING WAITING | others ID IN_FLIGHT TOKENS
- *   lead ASKED
+ *   lead ASKED | urgency PRIORITY UNCACHED
  *   tell ID | loads [ID IN_FLIGHT TOKENS...]
  *   judge ID good|failed|unreachable|silent|full|moved
  *   choose REQUEST SERVICE DOMAIN PROMPT [PART:TOKENS...] [not ID...]
@@ -426,6 +426,9 @@
     }
   else if (strcmp (verb, "judge") == 0)
     on_judge (session, words);
+  else if (strcmp (verb, "urgency") == 0)
+    printf ("urgency %d\n", br_choice_urgency ((int)number (words, 1),
+                                               (uint32_t)number (words, 2)));
   else if (strcmp (verb, "tell") == 0)
     br_fleet_tell (upstream (session, words));
   else if (strcmp (verb, "loads") == 0)
