--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -42,7 +42,7 @@
 /* --- attempts --- */
 
 /* A plain service runs a request at once when it has come; an engine, with its
- * first event. */
+ * first event.  However often it runs, a request counts once. */
 void
 br_exchange_count_usage (br_exchange_t *exchange)
 {
@@ -200,7 +200,6 @@
     }
   br_exchange_drop_head (exchange);
   exchange->has_repeat = false;
-  exchange->counted = false;
   exchange->had_first = false;
   exchange->sent_ms = exchange->heard_ms = now;
   exchange->upstream = exchange->choice.upstream;
--- a/tests/process/platform_duties.sh
+++ b/tests/process/platform_duties.sh
@@ -13,6 +13,11 @@
   [ "$(platform_ask $((i % 2 + 1)) "u$i" /look/good | tail -n 1)" = 200 ] || site_fail "u$i"
   sent=$((sent + 1))
 done
+# A stream that goes on at a second upstream counts once.
+for i in 1 2 3; do
+  platform_ask 1 "c$i" /draft/crash -X POST -d x | grep -q 'part 6' || site_fail "c$i"
+  sent=$((sent + 1))
+done
 # counted: sums the reports of one holder's number each, the first of each window
 counted() {
   grep '"duty":"usage"' "$SITE/cloud.out" | sed 's/.*"Window": *\([0-9]*\).*/\1 &/' |
