--- a/src/shell/control_task.c
+++ b/src/shell/control_task.c
@@ -330,6 +330,7 @@
       br_pool_report_t report = {
         .vm = &from->vm,
         .incarnation = from->incarnation,
+        .up_ms = (br_ms_t)loads->up_ms,
         .units = used->units,
         .asked = used->asked,
       };
--- a/src/shell/entry_report.c
+++ b/src/shell/entry_report.c
@@ -259,6 +259,7 @@
   body.used = used_views;
   body.n_windows = report_windows (task, &report, 1);
   body.windows = report.window_views;
+  body.up_ms = (uint64_t)(br_node_now (task->node) - task->node->started_ms);
   message.body_case = BR__SITE__MESSAGE__BODY_LOADS;
   message.loads = &body;
   if (task->leader.len > 0)
--- a/src/site/quota_pool.c
+++ b/src/site/quota_pool.c
@@ -1,9 +1,5 @@
 #include "site/quota_pool.h"
 
-/* All entry VMs that have let anything through have told a new leader by then,
- * in milliseconds: a few of the intervals at which they do. */
-#define FIRST_REPORTS_MS 300
-
 /* What was let through in this time before a new leader, in milliseconds, was
  * told to nobody: the silence after which one is elected, and the interval at
  * which VMs tell. */
@@ -43,6 +39,8 @@
   br_pool_quota_t *quota = pool_quota (pool, organisation, now);
   double excess = asked_per_s - organisation->rate_per_s;
 
+  if (pool->began_ms == 0)
+    pool->began_ms = now;
   quota->asked_per_s = asked_per_s;
   if (excess > 0)
     quota->level
@@ -103,9 +101,9 @@
   br_quota_pool_level (pool, organisation, now);
   if (pool->began_ms == 0)
     pool->began_ms = now;
-  /* What VMs that were there before this leader had let through until then was
-   * counted by another one. */
-  if (is_new && now - pool->began_ms < FIRST_REPORTS_MS)
+  /* What a VM that was there before this leader had let through until now was
+   * counted by another one, whenever it is heard first. */
+  if (is_new && report->up_ms >= now - pool->began_ms)
     return;
   if (is_new)
     used->used = used->asked = 0;
--- a/src/site/quota_pool.h
+++ b/src/site/quota_pool.h
@@ -44,7 +44,8 @@
 {
   const br_name_t *vm;
   uint64_t incarnation;
-  double units; /* let through since the run began */
+  br_ms_t up_ms; /* since the run began */
+  double units;  /* let through since the run began */
   double asked; /* asked for since then */
 } br_pool_report_t;
 
--- a/src/site/site.pb-c.c
+++ b/src/site/site.pb-c.c
@@ -1128,7 +1128,7 @@
   NULL,
   NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__loads__field_descriptors[5] = {
+static const ProtobufCFieldDescriptor br__site__loads__field_descriptors[6] = {
   {
       "term", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
       0,                                               /* quantifier_offset */
@@ -1160,16 +1160,23 @@
       0,            /* flags */
       0, NULL, NULL /* reserved1,reserved2, etc */
   },
+  {
+      "up_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+      0,                                                /* quantifier_offset */
+      offsetof (Br__Site__Loads, up_ms), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__loads__field_indices_by_name[] = {
   3, /* field[3] = left */
   1, /* field[1] = loads */
   0, /* field[0] = term */
+  5, /* field[5] = up_ms */
   2, /* field[2] = used */
   4, /* field[4] = windows */
 };
 static const ProtobufCIntRange br__site__loads__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 5 } };
+    = { { 1, 0 }, { 0, 6 } };
 const ProtobufCMessageDescriptor br__site__loads__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Loads",
@@ -1177,7 +1184,7 @@
   "Br__Site__Loads",
   "br.site",
   sizeof (Br__Site__Loads),
-  5,
+  6,
   br__site__loads__field_descriptors,
   br__site__loads__field_indices_by_name,
   1,
--- a/src/site/site.pb-c.h
+++ b/src/site/site.pb-c.h
@@ -209,11 +209,15 @@
    */
   size_t n_windows;
   Br__Site__Window **windows;
+  /*
+   * since an entry VM's process started
+   */
+  uint64_t up_ms;
 };
 #define BR__SITE__LOADS__INIT                                                  \
   {                                                                            \
     PROTOBUF_C_MESSAGE_INIT (&br__site__loads__descriptor)                     \
-    , 0, 0, NULL, 0, NULL, 0, NULL, 0, NULL                                    \
+    , 0, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0                                 \
   }
 
 /*
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -18,14 +18,10 @@
  *   attempt KIND RESUMABLE MAX RAN REFUSED BEGUN LEFT_MS
  *   organisation RATE BURST
  *   part P | left UNITS ASKED_PER_S | take UNITS DRAW | pool VM USED ASKED
- *   level
- *   split ASKED...
- *   budget RATIO SLACK WINDOW_MS | request N | repeat N
- *   hear VM WALL_MS | settle
- *   ran VM INCARNATION WINDOW REQUESTS SITE_WALL_MS   an entry VM tells
- *   complete SITE_WALL_MS | sum WINDOW
- *   events TEXT          \n for line ends; prints what is passed on
- *   cut | rest
+ * [UP_MS] level split ASKED... budget RATIO SLACK WINDOW_MS | request N |
+ * repeat N hear VM WALL_MS | settle ran VM INCARNATION WINDOW REQUESTS
+ * SITE_WALL_MS   an entry VM tells complete SITE_WALL_MS | sum WINDOW events
+ * TEXT          \n for line ends; prints what is passed on cut | rest
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -280,6 +276,7 @@
   br_pool_report_t report = {
     .vm = &vm,
     .incarnation = 1,
+    .up_ms = words->len > 4 ? (br_ms_t)number (words, 4) : BR_MS_NEVER,
     .units = number (words, 2),
     .asked = number (words, 3),
   };
