--- a/src/shell/control_task.c
+++ b/src/shell/control_task.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "base/deflate.h"
 #include "platform/configuration_codec.h"
 #include "shell/control_inside.h"
 #include "shell/http_reply.h"
@@ -156,18 +157,40 @@
     }
 }
 
+/* Compresses the text in force, once for all entry VMs. */
+static bool
+task_pack_text (br_control_task_t *task)
+{
+  const br_state_t *state = task->node->state;
+  br_str_t text = br_state_site_text (state);
+  br_error_t err;
+
+  if (task->packed_version == br_state_site_version (state))
+    return true;
+  br_buf_clear (&task->packed);
+  if (!br_deflate (text, &task->packed, &err))
+    {
+      br_log_error (&task->node->log, "site", "configuration_not_packed", &err);
+      return false;
+    }
+  task->packed_version = br_state_site_version (state);
+  task->packed_len = text.len;
+  return true;
+}
+
 static void
 task_send_text (br_control_task_t *task, const br_name_t *vm, uint64_t version)
 {
-  const br_state_t *state = task->node->state;
   Br__Site__ConfigurationText text = BR__SITE__CONFIGURATION_TEXT__INIT;
   br_site_message_t message = BR__SITE__MESSAGE__INIT;
 
-  if (br_state_site_version (state) < version)
+  if (br_state_site_version (task->node->state) < version
+      || !task_pack_text (task))
     return;
-  text.version = br_state_site_version (state);
-  text.text.data = (uint8_t *)br_state_site_text (state).data;
-  text.text.len = br_state_site_text (state).len;
+  text.version = task->packed_version;
+  text.packed.data = (uint8_t *)task->packed.data;
+  text.packed.len = task->packed.len;
+  text.len = task->packed_len;
   message.body_case = BR__SITE__MESSAGE__BODY_TEXT;
   message.text = &text;
   br_site_send (task->node, vm, &message);
@@ -553,6 +576,7 @@
   br_listings_free (&task->listings);
   br_usage_ledger_release (&task->ledger);
   br_quota_pool_release (&task->pool);
+  br_buf_free (&task->packed);
   br_configuration_unref (task->configuration);
   br_site_clock_release (&task->clock);
   event_free (task->timer);
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "base/deflate.h"
 #include "platform/configuration_codec.h"
 #include "shell/entry_inside.h"
 #include "shell/peer_task.h"
@@ -28,6 +29,10 @@
 /* Idle connections to upstreams are looked at this often. */
 #define TRIM_MS 1000
 
+/* Longest text of a configuration, in bytes: what one frame between VMs may
+ * hold. */
+#define TEXT_MAX BR_FRAME_MAX
+
 /* Share of a site's repeats that is used: counts at different VMs are never of
  * the same moment. */
 #define REPEAT_SHARE 0.75
@@ -107,18 +112,25 @@
 static void
 task_on_text (br_entry_task_t *task, const Br__Site__ConfigurationText *text)
 {
-  br_configuration_t *configuration;
+  br_configuration_t *configuration = NULL;
+  br_str_t packed
+      = br_str_make ((const char *)text->packed.data, text->packed.len);
+  br_buf_t plain = { 0 };
   br_error_t err;
 
   if (task->configuration != NULL
       && text->version <= task->configuration->version)
     return;
-  configuration = br_platform_read_configuration (
-      br_str_make ((const char *)text->text.data, text->text.len), &err);
+  if (text->len > TEXT_MAX)
+    br_error_set (&err, BR_ERROR_INVALID, "read configuration", "",
+                  "%" PRIu64 " bytes are too many", text->len);
+  else if (br_inflate (packed, text->len, &plain, &err))
+    configuration = br_platform_read_configuration (br_buf_str (&plain), &err);
   if (configuration != NULL)
     task_install (task, configuration);
   else
     br_log_error (&task->node->log, "site", "configuration_unreadable", &err);
+  br_buf_free (&plain);
 }
 
 static void
--- a/src/site/configuration.c
+++ b/src/site/configuration.c
@@ -105,16 +105,46 @@
   return br_str_equal (br_buf_str (a), br_buf_str (b));
 }
 
+/* A route's place, and its number in the configuration. */
+typedef struct
+{
+  const br_site_route_t *route;
+  size_t number;
+} place_t;
+
+static int
+place_compare (const void *a, const void *b)
+{
+  const place_t *left = a;
+  const place_t *right = b;
+  int order = br_str_compare (br_buf_str (&left->route->prefix),
+                              br_buf_str (&right->route->prefix));
+
+  if (order == 0)
+    order = br_str_compare (br_buf_str (&left->route->host),
+                            br_buf_str (&right->route->host));
+  if (order != 0)
+    return order;
+  return left->number < right->number ? -1 : 1;
+}
+
 static bool
 routes_check_places (const br_site_routes_t *routes, br_error_t *err)
 {
+  place_t *places = br_alloc ((routes->len + 1) * sizeof *places);
+  bool ok = true;
+
   for (size_t i = 0; i < routes->len; i++)
-    for (size_t j = 0; j < i; j++)
-      if (buf_equal (&routes->items[i].prefix, &routes->items[j].prefix)
-          && buf_equal (&routes->items[i].host, &routes->items[j].host))
-        return fault (err, "two routes share a host and a path prefix",
-                      routes->items[i].name.data);
-  return true;
+    places[i] = (place_t){ &routes->items[i], i };
+  if (routes->len > 1)
+    qsort (places, routes->len, sizeof *places, place_compare);
+  for (size_t i = 1; ok && i < routes->len; i++)
+    if (buf_equal (&places[i].route->prefix, &places[i - 1].route->prefix)
+        && buf_equal (&places[i].route->host, &places[i - 1].route->host))
+      ok = fault (err, "two routes share a host and a path prefix",
+                  places[i].route->name.data);
+  free (places);
+  return ok;
 }
 
 static int
--- a/src/site/site.pb-c.c
+++ b/src/site/site.pb-c.c
@@ -1540,7 +1540,7 @@
   NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor
-    br__site__configuration_text__field_descriptors[2]
+    br__site__configuration_text__field_descriptors[3]
     = {
         {
             "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
@@ -1550,20 +1550,28 @@
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
         {
-            "text", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+            "packed", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
             0, /* quantifier_offset */
-            offsetof (Br__Site__ConfigurationText, text), NULL, NULL,
+            offsetof (Br__Site__ConfigurationText, packed), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "len", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof (Br__Site__ConfigurationText, len), NULL, NULL,
             0,            /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
       };
 static const unsigned br__site__configuration_text__field_indices_by_name[] = {
-  1, /* field[1] = text */
+  2, /* field[2] = len */
+  1, /* field[1] = packed */
   0, /* field[0] = version */
 };
 static const ProtobufCIntRange
     br__site__configuration_text__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
+    = { { 1, 0 }, { 0, 3 } };
 const ProtobufCMessageDescriptor br__site__configuration_text__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.ConfigurationText",
@@ -1571,7 +1579,7 @@
   "Br__Site__ConfigurationText",
   "br.site",
   sizeof (Br__Site__ConfigurationText),
-  2,
+  3,
   br__site__configuration_text__field_descriptors,
   br__site__configuration_text__field_indices_by_name,
   1,
--- a/src/site/site.pb-c.h
+++ b/src/site/site.pb-c.h
@@ -343,12 +343,19 @@
 {
   ProtobufCMessage base;
   uint64_t version;
-  ProtobufCBinaryData text;
+  /*
+   * the text, compressed
+   */
+  ProtobufCBinaryData packed;
+  /*
+   * of the text
+   */
+  uint64_t len;
 };
 #define BR__SITE__CONFIGURATION_TEXT__INIT                                     \
   {                                                                            \
     PROTOBUF_C_MESSAGE_INIT (&br__site__configuration_text__descriptor)        \
-    , 0, { 0, NULL }                                                           \
+    , 0, { 0, NULL }, 0                                                        \
   }
 
 typedef enum
--- a/src/site/sizing.c
+++ b/src/site/sizing.c
@@ -27,6 +27,12 @@
   return BR_MAX ((int)ceil (BR_MAX (by_prefill, by_slots)), 1);
 }
 
+bool
+br_sizing_is_reclaim (size_t draining, size_t all)
+{
+  return draining > 0 && draining * 2 > all;
+}
+
 int
 br_sizing_most (const br_scaling_limits_t *limits)
 {
--- a/src/site/sizing.h
+++ b/src/site/sizing.h
@@ -38,6 +38,11 @@
   int steady;
 } br_sizing_target_t;
 
+/* Whether DRAINING of ALL reclaimable VMs of one domain mean that the platform
+ * takes them back: it takes all at once, while a release replaces a few at a
+ * time. */
+bool br_sizing_is_reclaim (size_t draining, size_t all);
+
 /* Fills TARGETS, one for each domain of QUERY. */
 void br_sizing_decide (const br_sizing_query_t *query,
                        br_sizing_target_t *targets);
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "base/clock.h"
+#include "base/deflate.h"
 #include "base/error.h"
 #include "base/hlc.h"
 #include "base/random.h"
@@ -93,3 +94,41 @@
   EXPECT_EQ (vec.items[99], 99);
   int_vec_free (&vec);
 }
+
+TEST (Deflate, ComesBackAndIsSmall)
+{
+  br_buf_t text = {};
+  br_buf_t packed = {};
+  br_buf_t back = {};
+  br_error_t err;
+
+  for (int i = 0; i < 1400; i++)
+    br_buf_printf (&text, "{\"Name\": \"route-%d\", \"TimeoutMs\": 15000}", i);
+  ASSERT_TRUE (br_deflate (br_buf_str (&text), &packed, &err));
+  EXPECT_LT (packed.len * 4, text.len);
+  ASSERT_TRUE (br_inflate (br_buf_str (&packed), text.len, &back, &err));
+  EXPECT_TRUE (br_str_equal (br_buf_str (&text), br_buf_str (&back)));
+  br_buf_free (&text);
+  br_buf_free (&packed);
+  br_buf_free (&back);
+}
+
+TEST (Deflate, RefusesWhatIsDamagedOrOfAnotherLength)
+{
+  br_str_t text = br_str_from ("one text, one text, one text, one text");
+  br_buf_t packed = {};
+  br_buf_t back = {};
+  br_error_t err;
+
+  ASSERT_TRUE (br_deflate (text, &packed, &err));
+  EXPECT_FALSE (br_inflate (br_buf_str (&packed), text.len - 1, &back, &err));
+  EXPECT_FALSE (br_inflate (br_buf_str (&packed), text.len + 1, &back, &err));
+  EXPECT_FALSE (br_inflate (br_str_make (packed.data, packed.len - 1), text.len,
+                            &back, &err));
+  packed.data[4] = (char)(packed.data[4] ^ 0x55);
+  EXPECT_FALSE (br_inflate (br_buf_str (&packed), text.len, &back, &err));
+  EXPECT_EQ (back.len, 0u);
+  EXPECT_STREQ (err.step, "decompress");
+  br_buf_free (&packed);
+  br_buf_free (&back);
+}
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -7,7 +7,7 @@
  *   apply                                        puts the list in force
  *   sent ID UNCACHED | first ID UNCACHED MS | ended ID UNCACHED HAD_FIRST
  *   report ID RUNNING WAITING | others ID IN_FLIGHT TOKENS
- *   lead ASKED | urgency PRIORITY UNCACHED
+ *   draining N ALL | lead ASKED | urgency PRIORITY UNCACHED
  *   tell ID | loads [ID IN_FLIGHT TOKENS...]
  *   judge ID good|failed|unreachable|silent|full|moved
  *   choose REQUEST SERVICE DOMAIN PROMPT [PART:TOKENS...] [not ID...]
@@ -513,6 +513,11 @@
 
       printf ("needs %d\n", br_sizing_needed (&load));
     }
+  else if (strcmp (verb, "draining") == 0)
+    printf ("%s\n", br_sizing_is_reclaim ((size_t)number (words, 1),
+                                          (size_t)number (words, 2))
+                        ? "reclaimed"
+                        : "replaced");
   else if (strcmp (verb, "limits") == 0)
     session->limits = (br_scaling_limits_t){
       .min = (int)number (words, 1),
