--- a/src/shell/control_inside.h
+++ b/src/shell/control_inside.h
@@ -57,7 +57,7 @@
   br_usage_ledger_t ledger;
   br_quota_pool_t pool;              /* of the term in which this VM leads */
   br_configuration_t *configuration; /* as read from the state; or NULL */
-  br_buf_t packed;                   /* the text of PACKED_VERSION, compressed */
+  br_buf_t packed; /* the text of PACKED_VERSION, compressed */
   uint64_t packed_version;
   size_t packed_len; /* of the text */
   br_control_duties_t *duties;
--- a/src/site/quota_pool.h
+++ b/src/site/quota_pool.h
@@ -46,7 +46,7 @@
   uint64_t incarnation;
   br_ms_t up_ms; /* since the run began */
   double units;  /* let through since the run began */
-  double asked; /* asked for since then */
+  double asked;  /* asked for since then */
 } br_pool_report_t;
 
 /* A leader begins.  ASKED_PER_S is what all entry VMs together were last known
