Usage: an engine's own error counts as a run

A request is counted with its first event, which such an answer never has. process.platform_duties counted 33 of 36 before.

--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -123,6 +123,8 @@
     }
   if (exchange->outcome.status < 500)
     return false;
+  /* An engine that answers with an error has begun to run the request. */
+  br_exchange_count_usage (exchange);
   br_fleet_judge (&exchange->task->fleet, exchange->upstream, BR_RESULT_FAILED,
                   br_exchange_now (exchange));
   if (!br_exchange_may_repeat (exchange)
--- a/tests/process/platform_duties.sh
+++ b/tests/process/platform_duties.sh
@@ -18,6 +18,11 @@
   platform_ask 1 "c$i" /draft/crash -X POST -d x | grep -q 'part 6' || site_fail "c$i"
   sent=$((sent + 1))
 done
+# An engine's own error counts as a run.
+for i in 1 2 3; do
+  platform_ask 1 "e$i" /chat/error -X POST -d x | grep -q 500 || site_fail "e$i"
+  sent=$((sent + 1))
+done
 # counted: sums the reports of one holder's number each, the first of each window
 counted() {
   grep '"duty":"usage"' "$SITE/cloud.out" | sed 's/.*"Window": *\([0-9]*\).*/\1 &/' |
