--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -200,6 +200,7 @@
   event_free (tick);
   fclose (soak->log);
   soak_requests_free (&soak->requests);
+  soak_spans_free (&soak->held_up);
   free (soak);
   br_buf_free (&folder);
   br_buf_free (&log);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -92,6 +92,20 @@
 typedef struct soak_caller soak_caller_t;
 typedef struct soak_operator soak_operator_t;
 
+/* --- the platform's API --- */
+
+/* Bytes of its output that were written while it could not be reached well, or
+ * just after a sender was paused: calls that were held up until then may come
+ * after those of the next holder. */
+typedef struct
+{
+  long from;
+  long to;        /* LONG_MAX: until further notice */
+  br_ms_t end_ms; /* when TO is fixed */
+} soak_span_t;
+
+BR_VEC (soak_spans, soak_span_t);
+
 /* --- links --- */
 
 typedef struct
@@ -122,6 +136,7 @@
 
   soak_process_t processes[SOAK_PROCESSES];
   soak_link_t links[SOAK_LINKS];
+  soak_spans_t held_up; /* in the output of the platform's API */
   br_ms_t next_fault_ms;
   br_ms_t unplanned_ms; /* until when an unplanned fault has its effects */
   int faults;
@@ -161,6 +176,9 @@
                         const char *suffix,
                         br_buf_t *path);
 
+/* Calls to the platform's API may be held up for the next SPAN_MS. */
+void soak_cloud_held_up (soak_t *soak, br_ms_t span_ms);
+
 /* The process of ROLE with NUMBER, from 1. */
 soak_process_t *soak_process (soak_t *soak, soak_role_t role, int number);
 
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -104,6 +104,8 @@
   soak_log (soak, "the link to %s: %s for %d ms", link->name, order, (int)span);
   br_relay_link_order (link->link, order);
   link->heal_ms = soak_now () + span;
+  if (link == &soak->links[SOAK_LINKS - 1])
+    soak_cloud_held_up (soak, span);
   return span;
 }
 
--- a/tests/soak/soak_site.c
+++ b/tests/soak/soak_site.c
@@ -1,6 +1,7 @@
 /* The processes of the site and the relay between them. */
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/prctl.h>
@@ -20,6 +21,10 @@
 #define PORT_METRICS 8
 #define RELAYED 10
 
+/* Calls that arrive this much after their way or their sender is back count as
+ * held up, in milliseconds: the platform's bound ThawSlackMs. */
+#define THAW_SLACK_MS 300
+
 /* A process that ended by itself is started again after this time, in
  * milliseconds, as the platform does. */
 #define RESTART_MS 200
@@ -253,11 +258,47 @@
     process->start_ms = soak_now () + RESTART_MS;
 }
 
+static long
+cloud_output_size (soak_t *soak)
+{
+  br_buf_t path = { 0 };
+  struct stat what;
+  long size;
+
+  soak_process_path (soak, soak_process (soak, SOAK_CLOUD, 1), ".out", &path);
+  size = stat (path.data, &what) == 0 ? (long)what.st_size : 0;
+  br_buf_free (&path);
+  return size;
+}
+
+void
+soak_cloud_held_up (soak_t *soak, br_ms_t span_ms)
+{
+  soak_span_t span = {
+    .from = cloud_output_size (soak),
+    .to = LONG_MAX,
+    .end_ms = soak_now () + span_ms + THAW_SLACK_MS,
+  };
+
+  soak_spans_push (&soak->held_up, span);
+}
+
+static void
+spans_tick (soak_t *soak, br_ms_t now)
+{
+  for (size_t i = 0; i < soak->held_up.len; i++)
+    if (soak->held_up.items[i].to == LONG_MAX
+        && now >= soak->held_up.items[i].end_ms)
+      soak->held_up.items[i].to = cloud_output_size (soak);
+}
+
 void
 soak_site_tick (soak_t *soak)
 {
   br_ms_t now = soak_now ();
 
+  spans_tick (soak, now);
+
   for (size_t i = 0; i < SOAK_PROCESSES; i++)
     {
       soak_process_t *process = &soak->processes[i];
@@ -269,6 +310,8 @@
         {
           kill (process->pid, SIGCONT);
           process->paused = false;
+          if (process->role == SOAK_CONTROL)
+            soak_cloud_held_up (soak, 0);
         }
       if (now >= process->disk_back_ms)
         {
