Test of domain cuts: the links that are to go silent are open before

Trace: lascano-1's link to castillos-1 had been closed in the one-way cut (last at 75.8 s) and was between two dials when all open links went silent, so that its next one worked at once and there was nothing to find. The test waited for castillos-1's links alone; it now waits for all six, and asks as much of each. Not caused by load itself: the pause between dials is up to a second, with or without it.

--- a/tests/process/domain_cuts.sh
+++ b/tests/process/domain_cuts.sh
@@ -40,6 +40,17 @@
 site_relay 6 open
 wait_log castillos-1 '"peer":"lascano-1","kind":"both_ways"' "$lines"
 
+# Links are dialled again with growing pauses: each VM's own are awaited, as only
+# those that are open now can go silent.
+links_up() {
+  [ "$(curl -s -m 1 "http://127.0.0.1:$((BASE_PORT + 10 + $1))/v1/status" |
+    grep -o '"up":true' | wc -l)" = 2 ]
+}
+for i in 0 1 2; do
+  for _ in $(seq 50); do links_up $i && break; sleep 0.1; done
+  links_up $i || site_fail "VM $i: a link is not up again"
+done
+
 # Silence of all open connections; new ones work.
 before=$(count '"step":"heartbeat"')
 site_relay all silence
@@ -52,8 +63,7 @@
 sleep 3
 [ "$(count '"state":"down"')" = 0 ] || site_fail "silent links: a VM is down"
 for i in 0 1 2; do
-  [ "$(curl -s "http://127.0.0.1:$((BASE_PORT + 10 + i))/v1/status" |
-    grep -o '"up":true' | wc -l)" = 2 ] || site_fail "VM $i has links down"
+  links_up $i || site_fail "VM $i has links down"
 done
 
 # A VM that is cut off from all is down, and up once the cut heals.
