Test of counts: the entry VM knows the leader before it is asked

An entry VM is ready once it knows a configuration and the list, which it reads itself; the leader, to which it tells its counts every 100 ms, it knows with that VM's next beat, up to 400 ms later. The test asked and killed within 350 ms of readiness. It now waits for the leader, and asks the same.

--- a/tests/process/platform_usage_kill.sh
+++ b/tests/process/platform_usage_kill.sh
@@ -7,8 +7,11 @@
 . "$(dirname "$0")/../support/platform_site.sh"
 
 platform_up 3 2
+# The counts go to the leader: a VM that has just started learns of it first.
+knows_leader() { grep -q '"event":"leader"' "$SITE/entry-2.out"; }
 sent=0
 for round in 1 2 3 4 5; do
+  platform_wait knows_leader || site_fail "round $round: no leader is known"
   for i in 1 2 3 4 5 6; do
     [ "$(platform_ask 2 "k$round-$i" /look/good | tail -n 1)" = 200 ] || site_fail "k$round-$i"
     sent=$((sent + 1))
