Quarantine: suspects that were always together are told apart by one more run

Change: at three crashes a request is held only when one of them had no other request that was at as many; six hold in any case.

--- a/src/upstream/quarantine.c
+++ b/src/upstream/quarantine.c
@@ -101,11 +101,12 @@
     quarantine_remove (quarantine, 0);
 }
 
-/* Whether CONTENT is the only one at the crash that was at another as well. */
+/* Whether no other content at the crash was at MOST crashes or more. */
 static bool
 quarantine_explains (const br_quarantine_t *quarantine,
                      uint64_t content,
-                     const br_crash_t *crash)
+                     const br_crash_t *crash,
+                     int most)
 {
   for (size_t i = 0; i < quarantine->crashes.len; i++)
     {
@@ -113,7 +114,7 @@
 
       if (each->content != content
           && crash_is_at (each, &crash->upstream, crash->incarnation)
-          && quarantine_count (quarantine, each->content) > 1)
+          && quarantine_count (quarantine, each->content) >= most)
         return false;
     }
   return true;
@@ -123,15 +124,17 @@
 br_quarantine_holds (br_quarantine_t *quarantine, uint64_t content, br_ms_t now)
 {
   int n;
+  int most;
 
   quarantine_expire (quarantine, now);
   n = quarantine_count (quarantine, content);
-  if (n < 2 || n >= BR_CRASHES_CERTAIN)
-    return n >= BR_CRASHES_CERTAIN;
+  if (n < 2 || n >= BR_CRASHES_MOST)
+    return n >= BR_CRASHES_MOST;
+  most = n >= BR_CRASHES_CERTAIN ? n : 2;
   for (size_t i = 0; i < quarantine->crashes.len; i++)
     if (quarantine->crashes.items[i].content == content
         && quarantine_explains (quarantine, content,
-                                &quarantine->crashes.items[i]))
+                                &quarantine->crashes.items[i], most))
       return true;
   return false;
 }
--- a/src/upstream/quarantine.h
+++ b/src/upstream/quarantine.h
@@ -1,8 +1,8 @@
 /* Requests that crash upstreams.  A request is named by a digest of its
  * content, so that its resend has the same name.  It is a suspect after one
  * crash, and quarantined after two distinct ones when it alone explains one of
- * them; what crashed together twice is told apart by running suspects on
- * different upstreams. */
+ * them; what crashed together is told apart by running suspects on different
+ * upstreams. */
 #ifndef BR_UPSTREAM_QUARANTINE_H
 #define BR_UPSTREAM_QUARANTINE_H
 
@@ -19,9 +19,14 @@
 /* Crashes remembered, one for each request that ran; the oldest goes first. */
 #define BR_CRASHES_MAX 2048
 
-/* Crashes after which a request is quarantined in any case. */
+/* Crashes after which a request is quarantined, unless each of them had another
+ * request that was at as many. */
 #define BR_CRASHES_CERTAIN 3
 
+/* Crashes after which a request is quarantined in any case.  Twice the number
+ * above, which bounds what suspects cost that never run apart. */
+#define BR_CRASHES_MOST 6
+
 /* One request that ran on an upstream when that crashed. */
 typedef struct
 {
--- a/tests/upstream_quarantine_test.cc
+++ b/tests/upstream_quarantine_test.cc
@@ -78,6 +78,29 @@
   EXPECT_FALSE (br_quarantine_holds (&quarantine, 8, 1));
 }
 
+TEST_F (Quarantine, WhatCrashedTogetherThreeTimesIsToldApartByTheFourth)
+{
+  const br_name_t *upstreams[] = { &e1, &e2, &e3 };
+
+  for (const br_name_t *upstream : upstreams)
+    for (uint64_t content = 7; content <= 8; content++)
+      br_quarantine_report (&quarantine, content, upstream, 1, 0);
+  EXPECT_FALSE (br_quarantine_holds (&quarantine, 7, 1));
+  EXPECT_FALSE (br_quarantine_holds (&quarantine, 8, 1));
+  br_quarantine_report (&quarantine, 7, &e1, 2, 0);
+  EXPECT_TRUE (br_quarantine_holds (&quarantine, 7, 1));
+  EXPECT_FALSE (br_quarantine_holds (&quarantine, 8, 1));
+}
+
+TEST_F (Quarantine, WhatAlwaysCrashesTogetherIsHeldInTheEnd)
+{
+  for (uint64_t incarnation = 1; incarnation <= BR_CRASHES_MOST; incarnation++)
+    for (uint64_t content = 7; content <= 8; content++)
+      br_quarantine_report (&quarantine, content, &e1, incarnation, 0);
+  EXPECT_TRUE (br_quarantine_holds (&quarantine, 7, 1));
+  EXPECT_TRUE (br_quarantine_holds (&quarantine, 8, 1));
+}
+
 TEST_F (Quarantine, SuspectsRunApart)
 {
   br_names_t avoid = {};
