Tests: contract_cut waits for the take-over that it means; restarted VMs are ready before they are called

What runs here show: a restarted VM can know the revision and refuse calls for up to 95 ms (36 restarts: 7 with the revision first, most by 1 to 5 ms, one by 95 ms), since the read that proves it is asked again each 100 ms, and the test called right after the revision. So that is the likely cause, not a proven one: 48 runs of the whole test beside 12 and 16 busy loops passed, and 40 rounds of its restart.

--- a/tests/process/claim_owner_killed.sh
+++ b/tests/process/claim_owner_killed.sh
@@ -41,7 +41,7 @@
   fi
   echo "seed $seed: killed after $after s, ran $ran, resend got $outcome"
   site_start_vm 0
-  site_wait "http://127.0.0.1:$BASE_PORT/healthz" || site_fail "no restart"
+  site_wait "http://127.0.0.1:$BASE_PORT/readyz" || site_fail "no restart"
   site_wait_revision 1 || site_fail "seed $seed: not back"
 done
 for seed in $(seq "$SEEDS"); do
--- a/tests/process/claim_resend.sh
+++ b/tests/process/claim_resend.sh
@@ -29,7 +29,11 @@
 
 site_kill castillos-2 lascano-1
 for i in 0 1 2; do site_start_vm "$i"; done
-for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/healthz"; done
+# A VM that has the revision may still refuse for some ms: it is not ready.
+for i in 0 1 2; do
+  site_wait "http://127.0.0.1:$((BASE_PORT + i))/readyz" ||
+    site_fail "VM $i is not ready after the restart"
+done
 site_wait_revision 1 || site_fail "no declarations after the restart"
 for i in 0 1 2; do
   again=$(site_call "$i" order-1 '{"amount":100}')
--- a/tests/process/contract_cut.sh
+++ b/tests/process/contract_cut.sh
@@ -21,11 +21,15 @@
 # The other side took over, and serves it there.
 contract_read 2 "$id" "" "$SITE/other-side" &
 other=$!
+# VM 1's contract has the same partner, and may be taken over earlier.
+taken_over() {
+  grep '"event":"take_over"' "$SITE/lascano-1.log" | grep -q "$id"
+}
 for i in $(seq 500); do
-  grep -q '"event":"take_over"' "$SITE/lascano-1.log" && break
+  taken_over && break
   sleep 0.01
 done
-grep -q '"event":"take_over"' "$SITE/lascano-1.log" || site_fail "no take-over"
+taken_over || site_fail "no take-over"
 # This side found another partner.
 # Each side finds out by itself, in any order.
 for i in $(seq 300); do
--- a/tests/process/contract_handover.sh
+++ b/tests/process/contract_handover.sh
@@ -16,7 +16,7 @@
 restart() {
   kill -9 "$(site_pid "${SITE_VMS[$1]}")" 2> /dev/null
   SITE_GRACE_MS=$2 site_start_vm "$1"
-  site_wait "http://127.0.0.1:$((BASE_PORT + $1))/healthz"
+  site_wait "http://127.0.0.1:$((BASE_PORT + $1))/readyz"
   site_apply "$SITE/declarations.json" > /dev/null
   contract_wait_links
 }
--- a/tests/process/contract_owner_killed.sh
+++ b/tests/process/contract_owner_killed.sh
@@ -29,7 +29,7 @@
   diff <(contract_tokens "$SITE/again") <(contract_tokens "$SITE/whole") ||
     site_fail "read again differs"
   site_start_vm 0
-  site_wait "http://127.0.0.1:$BASE_PORT/healthz"
+  site_wait "http://127.0.0.1:$BASE_PORT/readyz"
   site_apply "$SITE/declarations.json" > /dev/null
   contract_wait_links
 done
--- a/tests/process/operator_race.sh
+++ b/tests/process/operator_race.sh
@@ -70,7 +70,7 @@
 last=$(site_revision 0)
 site_kill "${SITE_VMS[@]}"
 for i in 0 1 2; do site_start_vm "$i"; done
-for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/healthz"; done
+for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/readyz"; done
 site_wait_revision "$last" || site_fail "revision $last is lost"
 for i in 0 1 2; do
   [ "$(site_revision "$i")" = "$last" ] || site_fail "VM $i: $(site_revision "$i")"
--- a/tests/process/platform_notice.sh
+++ b/tests/process/platform_notice.sh
@@ -44,7 +44,7 @@
 site_start_engine 2
 site_start leased "$BUILD/fake_engine" --name leased --port $((BASE_PORT + 51))
 for i in 0 1 2; do site_start_vm "$i" "$platform_settings"; done
-for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/healthz"; done
+for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/readyz"; done
 site_declarations | sed '$d' > "$SITE/declarations.json"
 echo ', {"kind": "service", "name": "leased-lm",
   "selector": "model=leased-lm"}]' >> "$SITE/declarations.json"
--- a/tests/process/upstream_bad_answer.sh
+++ b/tests/process/upstream_bad_answer.sh
@@ -49,7 +49,7 @@
 site_start platform "$BUILD/fake_platform" --port "$PLATFORM"
 site_start_engine 2
 for i in 0 1 2; do site_start_vm "$i" "$more"; done
-for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/healthz"; done
+for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/readyz"; done
 site_declarations > "$SITE/declarations.json"
 site_apply "$SITE/declarations.json" > /dev/null || site_fail "apply"
 check_fault chunk "first token" attempts_failed_total
--- a/tests/process/upstream_quarantine.sh
+++ b/tests/process/upstream_quarantine.sh
@@ -34,7 +34,7 @@
   --vms "$SITE/vms.json"
 for i in 1 2 3 4; do start_engine "$i" 30; done
 for i in 0 1 2; do site_start_vm "$i" "$more"; done
-for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/healthz"; done
+for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/readyz"; done
 site_declarations > "$SITE/declarations.json"
 site_apply "$SITE/declarations.json" > /dev/null || site_fail "apply"
 
--- a/tests/process/upstream_silence.sh
+++ b/tests/process/upstream_silence.sh
@@ -28,7 +28,7 @@
 site_start_engine 1 --token-ms 30
 site_start_engine 2 --token-ms 30
 for i in 0 1 2; do site_start_vm "$i" "$bounds"; done
-for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/healthz"; done
+for i in 0 1 2; do site_wait "http://127.0.0.1:$((BASE_PORT + i))/readyz"; done
 site_declarations > "$SITE/declarations.json"
 site_apply "$SITE/declarations.json" > /dev/null || site_fail "apply"
 site_complete 0 "$body" > "$SITE/first" || site_fail "first answer"
