Log: what is committed is on the disk, so that a restart knows it without a leader

Change: the commit index is written beside term and vote, with the next write or after 0.1 s. Test: RestartKnowsWhatWasCommitted; the model search and the random runs cover it, since they write and load the hard state.

--- a/src/replica/record.c
+++ b/src/replica/record.c
@@ -18,6 +18,7 @@
       br__replica__hard_state__init (&hard_state);
       hard_state.term = record->hard_state.term;
       hard_state.vote = (char *)record->hard_state.vote.data;
+      hard_state.commit = record->hard_state.commit;
       wire.body_case = BR__REPLICA__RECORD__BODY_HARD_STATE;
       wire.hard_state = &hard_state;
       break;
@@ -38,6 +39,7 @@
     case BR__REPLICA__RECORD__BODY_HARD_STATE:
       record->kind = BR_RECORD_HARD_STATE;
       record->hard_state.term = wire->hard_state->term;
+      record->hard_state.commit = wire->hard_state->commit;
       return br_name_set (&record->hard_state.vote,
                           br_str_from (wire->hard_state->vote));
     case BR__REPLICA__RECORD__BODY_ENTRY:
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -164,8 +164,11 @@
     br_replica_log_append (&replica->log, saved->entries.items[i]);
   br_entries_free (&saved->entries);
   *saved = (br_replica_saved_t){ 0 };
-  replica->commit = replica->applied = replica->snapshot.index;
   replica->written = br_replica_log_last_index (&replica->log);
+  replica->applied = replica->snapshot.index;
+  /* Of a leader's log the others may have had more than this disk. */
+  replica->commit = BR_MAX (
+      replica->applied, BR_MIN (replica->hard_state.commit, replica->written));
   replica->writing = replica->persisted = replica->written;
 }
 
@@ -393,6 +396,14 @@
   return replica->change != replica->persisted_change;
 }
 
+void
+br_replica_save_commit (br_replica_t *replica)
+{
+  if (replica->commit > replica->hard_state.commit
+      && !br_replica_has_writes (replica))
+    replica->change++;
+}
+
 bool
 br_replica_take_writes (br_replica_t *replica, br_replica_writes_t *writes)
 {
@@ -401,6 +412,11 @@
 
   if (!br_replica_has_writes (replica))
     return false;
+  if (replica->commit > replica->hard_state.commit)
+    {
+      replica->hard_state.commit = replica->commit;
+      replica->write_hard_state = true;
+    }
   *writes = (br_replica_writes_t){
     .change = replica->change,
     .has_hard_state = replica->write_hard_state || whole,
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -145,6 +145,10 @@
                              br_replica_writes_t *writes);
 void br_replica_persisted (br_replica_t *replica, br_ms_t now, uint64_t change);
 
+/* What is known to be committed goes to the disk with the next write; this asks
+ * for one when there is none. */
+void br_replica_save_commit (br_replica_t *replica);
+
 /* Gives a message that may be sent now; the caller releases it. */
 bool br_replica_take_message (br_replica_t *replica,
                               br_replica_message_t *message);
--- a/src/replica/replica.pb-c.c
+++ b/src/replica/replica.pb-c.c
@@ -882,7 +882,7 @@
   (ProtobufCMessageInit) br__replica__message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__replica__hard_state__field_descriptors[2] =
+static const ProtobufCFieldDescriptor br__replica__hard_state__field_descriptors[3] =
 {
   {
     "term",
@@ -908,15 +908,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "commit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Replica__HardState, commit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__replica__hard_state__field_indices_by_name[] = {
+  2,   /* field[2] = commit */
   0,   /* field[0] = term */
   1,   /* field[1] = vote */
 };
 static const ProtobufCIntRange br__replica__hard_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor br__replica__hard_state__descriptor =
 {
@@ -926,7 +939,7 @@
   "Br__Replica__HardState",
   "br.replica",
   sizeof(Br__Replica__HardState),
-  2,
+  3,
   br__replica__hard_state__field_descriptors,
   br__replica__hard_state__field_indices_by_name,
   1,  br__replica__hard_state__number_ranges,
--- a/src/replica/replica.pb-c.h
+++ b/src/replica/replica.pb-c.h
@@ -118,10 +118,11 @@
   ProtobufCMessage base;
   uint64_t term;
   char *vote;
+  uint64_t commit;
 };
 #define BR__REPLICA__HARD_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__replica__hard_state__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0 }
 
 
 typedef enum {
--- a/src/replica/wire.h
+++ b/src/replica/wire.h
@@ -25,11 +25,13 @@
   BR_RECORD_ENTRY,
 } br_record_kind_t;
 
-/* The term, and whom this VM voted for in it. */
+/* The term, whom this VM voted for in it, and an index up to which the log is
+ * known to be committed: what was in force is known before a leader is. */
 typedef struct
 {
   uint64_t term;
   br_name_t vote;
+  uint64_t commit;
 } br_hard_state_t;
 
 typedef struct
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -20,6 +20,10 @@
  * tried. */
 #define ROOM_RETRY_MS 200
 
+/* What is committed goes to the disk when nothing has followed for this long:
+ * with the next entry it is written anyway. */
+#define COMMIT_SAVE_MS 100
+
 #define DISK_FAILED "this VM's data folder cannot be written"
 
 struct br_replica_task
@@ -32,6 +36,8 @@
   uint64_t last_ticket;
   uint64_t posted_index; /* of the last BR_NODE_APPLIED */
   uint64_t log_bytes;
+  uint64_t commit; /* as last seen, and when it came */
+  br_ms_t commit_ms;
   uint64_t disk;
   bool failed;      /* takes no part any more */
   bool has_room;    /* on this disk */
@@ -323,6 +329,22 @@
     br_replica_writer_start (task->writer, &none, false, NULL);
 }
 
+/* After some time without a commit the last one goes to the disk. */
+static void
+task_save_commit (br_replica_task_t *task)
+{
+  br_ms_t now = br_node_now (task->node);
+  uint64_t commit = br_replica_commit_index (task->replica);
+
+  if (commit != task->commit)
+    {
+      task->commit = commit;
+      task->commit_ms = now;
+    }
+  else if (now - task->commit_ms >= COMMIT_SAVE_MS)
+    br_replica_save_commit (task->replica);
+}
+
 static void
 task_on_tick (evutil_socket_t fd, short what, void *context)
 {
@@ -338,6 +360,7 @@
   br_replica_tick (task->replica, br_node_now (task->node));
   if (task->node->draining)
     br_replica_task_hand_over (task);
+  task_save_commit (task);
   task_retry (task);
   task_run (task);
 }
--- a/tests/replica_model.h
+++ b/tests/replica_model.h
@@ -468,7 +468,8 @@
   {
     const br_replica_t *r = vm.replica;
 
-    put (out, { vm.disk.hard_state.term, vm.disk.entries.size () });
+    put (out, { vm.disk.hard_state.term, vm.disk.hard_state.commit,
+                vm.disk.entries.size () });
     *out += vm.disk.hard_state.vote.data;
     for (const br_entry_t &entry : vm.disk.entries)
       put (out, { entry.term });
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -79,6 +79,45 @@
   EXPECT_EQ (count (sim, SIM_COMMITTED), 1u);
 }
 
+/* What was committed before a restart is known after it, without a leader. */
+TEST (Replica, RestartKnowsWhatWasCommitted)
+{
+  br_replica_options_t options = {};
+  br_replica_saved_t saved = {};
+  br_replica_writes_t writes;
+
+  options.vm = br_name_from ("vm-0");
+  options.disk = 7;
+  options.voter = true;
+  options.election_min_ms = 200;
+  options.election_max_ms = 400;
+  br_replica_t *replica = br_replica_new (&options, nullptr, 1000);
+  ASSERT_TRUE (br_replica_take_writes (replica, &writes));
+  br_replica_persisted (replica, 1000, writes.change);
+  ASSERT_EQ (br_replica_commit_index (replica), writes.last);
+  EXPECT_FALSE (br_replica_has_writes (replica));
+  br_replica_save_commit (replica);
+  ASSERT_TRUE (br_replica_take_writes (replica, &writes));
+  ASSERT_TRUE (writes.has_hard_state);
+  EXPECT_EQ (writes.hard_state.commit, writes.last);
+
+  saved.hard_state = writes.hard_state;
+  for (uint64_t i = 1; i <= writes.last; i++)
+    br_entries_push (&saved.entries, br_entry_copy (br_replica_log_entry (
+                                         br_replica_log (replica), i)));
+  /* The others have more of the log than this disk. */
+  saved.hard_state.commit++;
+  br_replica_peers_push (&options.peers,
+                         br_replica_peer_t{ br_name_from ("vm-1"), true });
+  br_replica_t *again = br_replica_new (&options, &saved, 2000);
+  EXPECT_EQ (br_replica_commit_index (again), writes.last);
+  EXPECT_EQ (br_replica_applied_index (again), 0u);
+  EXPECT_NE (br_replica_next_committed (again), nullptr);
+  br_replica_free (again);
+  br_replica_free (replica);
+  br_replica_peers_free (&options.peers);
+}
+
 TEST (Replica, LostConnectionsBringTheNextLeaderSoon)
 {
   sim_options options;
