Entry VM: requests wait while it starts, for half a second at most

Load: all VMs are killed or lose power at once and come back; callers ask at once. Change: in its first 1.2 s requests wait up to 0.5 s, and half of their time, for the configuration and the list; later ones are refused at once. The configuration is asked for when a control VM is reached, and links that are not answered are dialled anew after 0.15 instead of 0.25 s.

--- a/src/shell/entry_inside.h
+++ b/src/shell/entry_inside.h
@@ -55,6 +55,7 @@
   struct event *timer;
   br_exchange_t *exchanges;
   size_t n_exchanges;
+  size_t n_waiting; /* of them, until this VM knows what is in force */
   br_histogram_t first_event_ms;
   br_histogram_t answer_ms;
 };
@@ -83,6 +84,10 @@
 void br_exchange_begin (br_entry_task_t *task, br_http_conn_t *conn);
 void br_exchange_on_gone (br_http_conn_t *conn);
 
+/* The configuration or the list of upstreams has come: requests that waited for
+ * both go on. */
+void br_exchanges_admit_waiting (br_entry_task_t *task);
+
 /* Ends an exchange at once, without an answer. */
 void br_exchange_free (br_exchange_t *exchange);
 
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -106,7 +106,9 @@
   br_http_server_set_limits (task->server, &configuration->limits);
   BR_LOG (&task->node->log, "site", "configuration in force",
           br_field_int ("version", (int64_t)configuration->version),
-          br_field_int ("routes", (int64_t)configuration->routes.len));
+          br_field_int ("routes", (int64_t)configuration->routes.len),
+          br_field_int ("waiting", (int64_t)task->n_waiting));
+  br_exchanges_admit_waiting (task);
 }
 
 static void
@@ -184,6 +186,7 @@
   task->fleet.sequence = fleet->sequence;
   task->fleet.read_ms = now;
   task_log_list (task, "control VM");
+  br_exchanges_admit_waiting (task);
 }
 
 static void
@@ -211,6 +214,7 @@
   task->fleet.sequence = 0;
   task->fleet.read_ms = now;
   task_log_list (task, "platform");
+  br_exchanges_admit_waiting (task);
 }
 
 static void
@@ -456,8 +460,13 @@
   BR_LOG (&task->node->log, "site",
           up ? "control VM reached" : "control VM lost",
           br_field_z ("peer", vm->data));
-  if (up)
-    task->report_due = true; /* the other side learns of this VM at once */
+  if (!up)
+    return;
+  if (task->configuration == NULL)
+    task_ask (task, vm, 1);
+  /* The other side learns of this VM at once. */
+  task->report_due = true;
+  event_active (task->timer, EV_TIMEOUT, 0);
 }
 
 bool
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -39,6 +39,16 @@
 /* When to come back to another VM, in milliseconds. */
 #define ELSEWHERE_MS 20
 
+/* A VM that starts knows what is in force after some 0.5 s when all VMs start
+ * at once, and far sooner alone (measured).  Until it has run this long,
+ * requests wait for that, each at most so long and half of its time, both in
+ * milliseconds; later ones are refused at once. */
+#define START_MS 1200
+#define START_WAIT_MS 500
+
+/* Requests that wait so on one VM: what its memory holds of full size. */
+#define START_WAITING_MAX 256
+
 /* --- attempts --- */
 
 /* A plain service runs a request at once when it has come; an engine, with its
@@ -315,6 +325,13 @@
   return exchange->had_first ? BR_RESULT_SILENT : BR_RESULT_LATE;
 }
 
+static void
+exchange_refuse_unknowing (br_exchange_t *exchange)
+{
+  br_exchange_refuse (exchange, "this VM knows no configuration yet",
+                      BR_EXCHANGE_COME_BACK_MS);
+}
+
 static void
 exchange_on_timer (evutil_socket_t fd, short what, void *context)
 {
@@ -324,6 +341,11 @@
 
   (void)fd;
   (void)what;
+  if (exchange->waits_for_start)
+    {
+      exchange_refuse_unknowing (exchange);
+      return;
+    }
   if (now >= exchange->until_ms)
     {
       exchange_on_timeout (exchange);
@@ -450,24 +472,12 @@
                             br_exchange_now (exchange));
 }
 
-void
-br_exchange_begin (br_entry_task_t *task, br_http_conn_t *conn)
+static void
+exchange_admit (br_exchange_t *exchange)
 {
-  br_exchange_t *exchange = exchange_new (task, conn);
+  br_entry_task_t *task = exchange->task;
   br_error_t err;
 
-  if (!br_platform_read_request (br_http_conn_head (conn), &exchange->inbound,
-                                 &err))
-    {
-      br_exchange_answer_error (exchange, &err);
-      return;
-    }
-  if (task->configuration == NULL || !task->fleet.known)
-    {
-      br_exchange_refuse (exchange, "this VM knows no configuration yet",
-                          BR_EXCHANGE_COME_BACK_MS);
-      return;
-    }
   if (task->refusing)
     {
       br_exchange_refuse (exchange, "this VM is about to stop", ELSEWHERE_MS);
@@ -484,3 +494,67 @@
   exchange_note_demand (exchange);
   br_exchange_attempt (exchange);
 }
+
+/* --- requests that come before the VM knows what is in force --- */
+
+static bool
+task_knows_all (const br_entry_task_t *task)
+{
+  return task->configuration != NULL && task->fleet.known;
+}
+
+static void
+exchange_wait_for_start (br_exchange_t *exchange)
+{
+  br_entry_task_t *task = exchange->task;
+  br_ms_t wait_ms = START_WAIT_MS;
+  br_ms_t up_ms = br_node_now (task->node) - task->node->started_ms;
+
+  if (up_ms >= START_MS || task->n_waiting >= START_WAITING_MAX)
+    {
+      exchange_refuse_unknowing (exchange);
+      return;
+    }
+  if (exchange->inbound.deadline_ms > 0)
+    wait_ms = BR_MIN (wait_ms, exchange->inbound.deadline_ms / 2);
+  exchange->waits_for_start = true;
+  task->n_waiting++;
+  exchange->until_ms = exchange->began_ms + wait_ms;
+  br_exchange_set_timer (exchange, exchange->until_ms);
+}
+
+void
+br_exchanges_admit_waiting (br_entry_task_t *task)
+{
+  br_exchange_t *oldest = task->exchanges;
+  br_exchange_t *newer;
+
+  if (task->n_waiting == 0 || !task_knows_all (task))
+    return;
+  while (oldest->next != NULL)
+    oldest = oldest->next;
+  for (; oldest != NULL; oldest = newer)
+    {
+      newer = oldest->prev;
+      if (!oldest->waits_for_start)
+        continue;
+      oldest->waits_for_start = false;
+      task->n_waiting--;
+      exchange_admit (oldest);
+    }
+}
+
+void
+br_exchange_begin (br_entry_task_t *task, br_http_conn_t *conn)
+{
+  br_exchange_t *exchange = exchange_new (task, conn);
+  br_error_t err;
+
+  if (!br_platform_read_request (br_http_conn_head (conn), &exchange->inbound,
+                                 &err))
+    br_exchange_answer_error (exchange, &err);
+  else if (!task_knows_all (task))
+    exchange_wait_for_start (exchange);
+  else
+    exchange_admit (exchange);
+}
--- a/src/shell/exchange_end.c
+++ b/src/shell/exchange_end.c
@@ -127,6 +127,7 @@
   if (exchange->next != NULL)
     exchange->next->prev = exchange->prev;
   task->n_exchanges--;
+  task->n_waiting -= exchange->waits_for_start ? 1 : 0;
   if (exchange->timer != NULL)
     event_free (exchange->timer);
   br_http_head_release (&exchange->answer_head);
--- a/src/shell/exchange_inside.h
+++ b/src/shell/exchange_inside.h
@@ -27,6 +27,7 @@
   br_ms_t began_ms;
   br_ms_t until_ms; /* end of the caller's patience or the route's timeout */
   double units;     /* taken from the quota */
+  bool waits_for_start; /* nothing below is known yet */
   struct event *timer;
 
   /* the attempt under way */
--- a/src/shell/peer_link.c
+++ b/src/shell/peer_link.c
@@ -13,8 +13,8 @@
 
 /* A dialled link on which nothing was heard for this long is dialled anew: the
  * packet that opens it is sent again only after a second, and its VM may be
- * back before.  Ten times the way there and back between regions. */
-#define LINK_CONNECT_MS 250
+ * back before.  Six times the way there and back between regions. */
+#define LINK_CONNECT_MS 150
 
 /* The greeting that has begun may take this long. */
 #define LINK_GREETING_MS 600
