Usage: an engine whose connection breaks had begun to run the request

Change: a request that was sent whole and whose connection then broke counts, once. Test: process.platform_duties (36 of 39 counted before).

--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -52,7 +52,8 @@
 /* --- attempts --- */
 
 /* A plain service runs a request at once when it has come; an engine, with its
- * first event.  However often it runs, a request counts once. */
+ * first event, an error, or a connection that breaks.  However often it runs, a
+ * request counts once. */
 void
 br_exchange_count_usage (br_exchange_t *exchange)
 {
@@ -282,6 +283,8 @@
 
   if (!may_have_run)
     exchange_uncount_usage (exchange);
+  else if (result == BR_RESULT_FAILED)
+    br_exchange_count_usage (exchange);
   query.ran = exchange->ran += may_have_run ? 1 : 0;
   query.refused = exchange->refused += may_have_run ? 0 : 1;
   next = br_attempt_decide (&query);
--- a/tests/process/platform_duties.sh
+++ b/tests/process/platform_duties.sh
@@ -23,6 +23,11 @@
   platform_ask 1 "e$i" /chat/error -X POST -d x | grep -q 500 || site_fail "e$i"
   sent=$((sent + 1))
 done
+# An engine whose connection breaks before its first event had begun to run.
+for i in 1 2 3; do
+  platform_ask 1 "r$i" /chat/reset -X POST -d x | grep -q 502 || site_fail "r$i"
+  sent=$((sent + 1))
+done
 # counted: sums the reports of one holder's number each, the first of each window
 counted() {
   grep '"duty":"usage"' "$SITE/cloud.out" | sed 's/.*"Window": *\([0-9]*\).*/\1 &/' |
