--- a/src/site/choice.c
+++ b/src/site/choice.c
@@ -35,8 +35,8 @@
 static const uint32_t urgency_steps[] = { 1024, 3072, 8192 };
 
 /* What reading a shared part again costs beside its time, as a share of it:
- * it is read twice for nothing. */
-#define SHARED_AGAIN_SHARE 1.0
+ * every token that is read again keeps others waiting. */
+#define SHARED_AGAIN_SHARE 3.0
 
 /* A request looks at so many engines, drawn by its id, and at those that have
  * part of its prompt cached: many VMs that know the same, some 0.15 s late,
