HTTP server and settings: two files of one job each; one count of reported usage

What goes out to a caller is in http_answer.c, the table of settings in settings_table.c; both are moved unchanged but for names. The test function that sums reported usage stood twice. Ruled out: a change of what runs; lint and the tests of settings, HTTP and the platform pass as before.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -1,8 +1,7 @@
-#include "http/http_server.h"
+#include "http/http_server_inside.h"
 
 #include <errno.h>
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -10,7 +9,6 @@
 #include <string.h>
 
 #include "http/error_body.h"
-#include "http/http_reader.h"
 
 /* Time between two looks for callers that take too long. */
 #define CHECK_MS 250
@@ -34,63 +32,6 @@
 /* Bytes read ahead while a request is being answered. */
 #define READ_AHEAD_MAX (64 * 1024)
 
-typedef enum
-{
-  CONN_IDLE,     /* no byte of a request yet */
-  CONN_READING,  /* part of a request */
-  CONN_WAITING,  /* the owner has the request */
-  CONN_STREAMS,  /* part of the answer was sent */
-  CONN_LINGERS,  /* the last answer was sent; input is thrown away */
-  CONN_FLUSHING, /* closed once the output is out */
-} conn_state_t;
-
-struct br_http_conn
-{
-  br_http_server_t *server;
-  struct bufferevent *bev;
-  br_http_reader_t *reader;
-  conn_state_t state;
-  br_http_head_t head;
-  br_buf_t body;
-  br_ms_t began_ms;
-  br_ms_t read_ms;
-  br_ms_t since_ms; /* of the state */
-  bool keep_alive;
-  bool chunked; /* of the answer */
-  void *user;
-  br_http_conn_t *prev;
-  br_http_conn_t *next;
-};
-
-struct br_http_server
-{
-  br_http_server_options_t options;
-  struct evconnlistener *listener;
-  struct event *timer;
-  br_http_conn_t *conns;
-  size_t n_conns;
-  bool close_after;
-  bool stopped;
-  br_http_server_stats_t stats;
-};
-
-static const br_clock_t clock_monotonic = { BR_CLOCK_MONOTONIC, 0 };
-
-static br_ms_t
-now_ms (void)
-{
-  return br_clock_now (&clock_monotonic);
-}
-
-static void conn_read (br_http_conn_t *conn);
-
-static void
-conn_set_state (br_http_conn_t *conn, conn_state_t state)
-{
-  conn->state = state;
-  conn->since_ms = now_ms ();
-}
-
 static void
 conn_free (br_http_conn_t *conn)
 {
@@ -114,170 +55,14 @@
 static void
 conn_drop (br_http_conn_t *conn)
 {
-  bool owned = conn->state == CONN_WAITING || conn->state == CONN_STREAMS;
+  bool owned = conn->state == BR_HTTP_CONN_WAITING
+               || conn->state == BR_HTTP_CONN_STREAMS;
 
   if (owned)
     conn->server->options.on_gone (conn->server->options.context, conn);
   conn_free (conn);
 }
 
-/* --- answers --- */
-
-static const char *
-status_text (int status)
-{
-  switch (status)
-    {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 404:
-      return "Not Found";
-    case 408:
-      return "Request Timeout";
-    case 413:
-      return "Content Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 431:
-      return "Request Header Fields Too Large";
-    case 403:
-      return "Forbidden";
-    case 409:
-      return "Conflict";
-    case 410:
-      return "Gone";
-    case 422:
-      return "Unprocessable Content";
-    case 500:
-      return "Internal Server Error";
-    case 201:
-      return "Created";
-    case 202:
-      return "Accepted";
-    case 204:
-      return "No Content";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Status";
-    }
-}
-
-static bool
-conn_closes (const br_http_conn_t *conn)
-{
-  return !conn->keep_alive || conn->server->close_after
-         || conn->server->stopped;
-}
-
-static void
-conn_write_head (br_http_conn_t *conn,
-                 const br_http_answer_t *answer,
-                 const char *framing)
-{
-  struct evbuffer *out = bufferevent_get_output (conn->bev);
-
-  evbuffer_add_printf (out, "HTTP/1.1 %d %s\r\n", answer->status,
-                       status_text (answer->status));
-  for (size_t i = 0; i < answer->n_headers; i++)
-    {
-      const br_http_header_t *header = &answer->headers[i];
-
-      evbuffer_add (out, header->name.data, header->name.len);
-      evbuffer_add (out, ": ", 2);
-      evbuffer_add (out, header->value.data, header->value.len);
-      evbuffer_add (out, "\r\n", 2);
-    }
-  evbuffer_add_printf (out, "%s%s\r\n", framing,
-                       conn_closes (conn) ? "Connection: close\r\n" : "");
-}
-
-/* The answer is complete: the next request, or the end. */
-static void
-conn_answered (br_http_conn_t *conn)
-{
-  bool read_whole = conn->state != CONN_READING;
-
-  br_http_head_release (&conn->head);
-  br_buf_free (&conn->body);
-  conn->user = NULL;
-  conn->chunked = false;
-  if (!conn_closes (conn))
-    {
-      conn_set_state (conn, CONN_IDLE);
-      bufferevent_setwatermark (conn->bev, EV_READ, 0, 0);
-      if (evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0)
-        bufferevent_trigger (conn->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
-      return;
-    }
-  conn_set_state (conn, read_whole ? CONN_FLUSHING : CONN_LINGERS);
-  if (evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0)
-    bufferevent_trigger (conn->bev, EV_WRITE, BEV_OPT_DEFER_CALLBACKS);
-}
-
-void
-br_http_conn_answer (br_http_conn_t *conn,
-                     const br_http_answer_t *answer,
-                     br_str_t body)
-{
-  char framing[48];
-
-  snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", body.len);
-  conn_write_head (conn, answer, framing);
-  evbuffer_add (bufferevent_get_output (conn->bev), body.data, body.len);
-  conn_answered (conn);
-}
-
-void
-br_http_conn_begin (br_http_conn_t *conn, const br_http_answer_t *answer)
-{
-  conn_write_head (conn, answer, "Transfer-Encoding: chunked\r\n");
-  conn->chunked = true;
-  conn_set_state (conn, CONN_STREAMS);
-}
-
-bool
-br_http_conn_has_begun (const br_http_conn_t *conn)
-{
-  return conn->state == CONN_STREAMS;
-}
-
-void
-br_http_conn_write (br_http_conn_t *conn, br_str_t piece)
-{
-  struct evbuffer *out = bufferevent_get_output (conn->bev);
-
-  if (piece.len == 0)
-    return;
-  evbuffer_add_printf (out, "%zx\r\n", piece.len);
-  evbuffer_add (out, piece.data, piece.len);
-  evbuffer_add (out, "\r\n", 2);
-}
-
-void
-br_http_conn_end (br_http_conn_t *conn)
-{
-  bufferevent_write (conn->bev, "0\r\n\r\n", 5);
-  conn_answered (conn);
-}
-
-void
-br_http_conn_abort (br_http_conn_t *conn)
-{
-  conn->user = NULL;
-  conn->keep_alive = false;
-  conn_set_state (conn, CONN_FLUSHING);
-  bufferevent_trigger (conn->bev, EV_WRITE, BEV_OPT_DEFER_CALLBACKS);
-}
-
 /* --- requests --- */
 
 static void
@@ -294,7 +79,7 @@
 
   conn->server->stats.bad_requests++;
   conn->keep_alive = false;
-  conn_set_state (conn, CONN_READING);
+  br_http_conn_set_state (conn, BR_HTTP_CONN_READING);
   br_http_error_json (err, &body);
   br_http_conn_answer (conn, &answer, br_buf_str (&body));
   br_buf_free (&body);
@@ -339,8 +124,8 @@
   br_http_server_t *server = conn->server;
 
   conn->head = br_http_reader_take_head (conn->reader);
-  conn->read_ms = now_ms ();
-  conn_set_state (conn, CONN_WAITING);
+  conn->read_ms = br_http_now ();
+  br_http_conn_set_state (conn, BR_HTTP_CONN_WAITING);
   bufferevent_setwatermark (conn->bev, EV_READ, 0, READ_AHEAD_MAX);
   server->options.on_request (server->options.context, conn);
 }
@@ -348,9 +133,9 @@
 static void
 conn_begin_reading (br_http_conn_t *conn)
 {
-  if (conn->state != CONN_IDLE)
+  if (conn->state != BR_HTTP_CONN_IDLE)
     return;
-  conn_set_state (conn, CONN_READING);
+  br_http_conn_set_state (conn, BR_HTTP_CONN_READING);
   conn->began_ms = conn->since_ms;
 }
 
@@ -362,7 +147,8 @@
   struct evbuffer *input = bufferevent_get_input (conn->bev);
   br_error_t err;
 
-  while (conn->state == CONN_IDLE || conn->state == CONN_READING)
+  while (conn->state == BR_HTTP_CONN_IDLE
+         || conn->state == BR_HTTP_CONN_READING)
     {
       size_t len = evbuffer_get_length (input);
       const char *data = (const char *)evbuffer_pullup (input, -1);
@@ -385,7 +171,7 @@
       else
         return;
     }
-  if (conn->state == CONN_LINGERS)
+  if (conn->state == BR_HTTP_CONN_LINGERS)
     evbuffer_drain (input, evbuffer_get_length (input));
 }
 
@@ -403,9 +189,9 @@
 
   if (evbuffer_get_length (bufferevent_get_output (bev)) > 0)
     return;
-  if (conn->state == CONN_FLUSHING)
+  if (conn->state == BR_HTTP_CONN_FLUSHING)
     conn_free (conn);
-  else if (conn->state == CONN_LINGERS)
+  else if (conn->state == BR_HTTP_CONN_LINGERS)
     shutdown (bufferevent_getfd (bev), SHUT_WR);
 }
 
@@ -442,7 +228,7 @@
                                      server->options.limits.head_max_bytes);
   conn->bev = bufferevent_socket_new (server->options.base, fd,
                                       BEV_OPT_CLOSE_ON_FREE);
-  conn_set_state (conn, CONN_IDLE);
+  br_http_conn_set_state (conn, BR_HTTP_CONN_IDLE);
   conn->next = server->conns;
   if (server->conns != NULL)
     server->conns->prev = conn;
@@ -462,11 +248,11 @@
 
   switch (conn->state)
     {
-    case CONN_IDLE:
+    case BR_HTTP_CONN_IDLE:
       if (spent > limits->idle_ms || conn->server->stopped)
         conn_free (conn);
       break;
-    case CONN_READING:
+    case BR_HTTP_CONN_READING:
       if (spent <= limits->head_ms)
         break;
       br_error_set (&err, BR_ERROR_REQUEST_TIMEOUT, "read request", "",
@@ -474,19 +260,19 @@
                     (int)limits->head_ms);
       conn_refuse (conn, &err);
       break;
-    case CONN_WAITING:
-    case CONN_STREAMS:
+    case BR_HTTP_CONN_WAITING:
+    case BR_HTTP_CONN_STREAMS:
       if (evbuffer_get_length (bufferevent_get_output (conn->bev))
           <= OUTPUT_MAX)
         break;
       conn->server->stats.slow_readers++;
       conn_drop (conn);
       break;
-    case CONN_LINGERS:
+    case BR_HTTP_CONN_LINGERS:
       if (spent > LINGER_MS)
         conn_free (conn);
       break;
-    case CONN_FLUSHING:
+    case BR_HTTP_CONN_FLUSHING:
       if (spent > USER_TIMEOUT_MS)
         conn_free (conn);
       break;
@@ -497,7 +283,7 @@
 on_timer (evutil_socket_t fd, short what, void *context)
 {
   br_http_server_t *server = context;
-  br_ms_t now = now_ms ();
+  br_ms_t now = br_http_now ();
   br_http_conn_t *next;
 
   (void)fd;
@@ -577,7 +363,7 @@
   for (br_http_conn_t *conn = server->conns; conn != NULL; conn = next)
     {
       next = conn->next;
-      if (conn->state == CONN_IDLE)
+      if (conn->state == BR_HTTP_CONN_IDLE)
         conn_free (conn);
     }
 }
@@ -593,47 +379,3 @@
 {
   return &server->stats;
 }
-
-/* --- one connection --- */
-
-size_t
-br_http_conn_unsent (const br_http_conn_t *conn)
-{
-  return evbuffer_get_length (bufferevent_get_output (conn->bev));
-}
-
-const br_http_head_t *
-br_http_conn_head (const br_http_conn_t *conn)
-{
-  return &conn->head;
-}
-
-br_str_t
-br_http_conn_body (const br_http_conn_t *conn)
-{
-  return br_buf_str (&conn->body);
-}
-
-br_ms_t
-br_http_conn_began_ms (const br_http_conn_t *conn)
-{
-  return conn->began_ms;
-}
-
-br_ms_t
-br_http_conn_read_ms (const br_http_conn_t *conn)
-{
-  return conn->read_ms;
-}
-
-void
-br_http_conn_set_user (br_http_conn_t *conn, void *user)
-{
-  conn->user = user;
-}
-
-void *
-br_http_conn_user (const br_http_conn_t *conn)
-{
-  return conn->user;
-}
--- a/src/shell/settings.c
+++ b/src/shell/settings.c
@@ -8,215 +8,12 @@
 #include <string.h>
 
 #include "shell/settings_reader.h"
+#include "shell/settings_table.h"
 
+/* Longest settings file, in bytes: far above any, so that a wrong path does not
+ * fill the memory. */
 #define FILE_MAX_BYTES (1024 * 1024)
 
-/* X (kind, path, field, required, minimum, maximum, default, help).  For a
- * kind other than INT the three numbers are 0. */
-#define SETTING_TABLE(X)                                                       \
-  X (NAME, "vm.name", vm, true, 0, 0, 0, "name of this VM")                    \
-  X (NAME, "vm.log_name", log_name, false, 0, 0, 0,                            \
-     "name of this VM in its log; its name if left out")                       \
-  X (NAME, "vm.failure_domain", failure_domain, true, 0, 0, 0,                 \
-     "failure domain of this VM")                                              \
-  X (NAME, "vm.region", region, false, 0, 0, 0, "region of this VM")           \
-  X (BOOL, "vm.voter", voter, false, 0, 0, 0,                                  \
-     "whether this VM votes on the replicated state; needs data.folder")       \
-  X (ADDRESS, "callers.address", callers.address, true, 0, 0, 0,               \
-     "IP address for callers")                                                 \
-  X (INT, "callers.port", callers.port, true, 1, 65535, 0, "port for callers") \
-  X (INT, "callers.body_max_bytes", body_max_bytes, false, 1024, 67108864,     \
-     4194304, "longest request body")                                          \
-  X (INT, "callers.header_max_bytes", header_max_bytes, false, 1024, 1048576,  \
-     16384, "longest request head")                                            \
-  X (INT, "callers.request_ms", head_ms, false, 100, 600000, 3000,             \
-     "time for a whole request to come")                                       \
-  X (INT, "callers.idle_ms", idle_ms, false, 100, 3600000, 15000,              \
-     "time that a connection is kept without a request")                       \
-  X (INT, "callers.requests_max", requests_max, false, 1, 100000, 12000,       \
-     "requests in progress at once")                                           \
-  X (INT, "callers.reader_backlog_max_bytes", reader_backlog_max_bytes, false, \
-     4096, 67108864, 1048576, "answer bytes held for a slow reader")           \
-  X (ADDRESS, "operators.address", operators.address, true, 0, 0, 0,           \
-     "IP address for operators")                                               \
-  X (INT, "operators.port", operators.port, true, 1, 65535, 0,                 \
-     "port for operators")                                                     \
-  X (DIGEST, "operators.key_digest", operator_key_digest, false, 0, 0, 0,      \
-     "sha256:HEX of the operators' key")                                       \
-  X (ADDRESS, "metrics.address", metrics.address, false, 0, 0, 0,              \
-     "IP address for the metrics, at a site that the platform runs")           \
-  X (INT, "metrics.port", metrics.port, false, 1, 65535, 0,                    \
-     "port for the metrics")                                                   \
-  X (ADDRESS, "peers.address", peers.address, false, 0, 0, 0,                  \
-     "IP address for other entry VMs")                                         \
-  X (INT, "peers.port", peers.port, false, 1, 65535, 0,                        \
-     "port for other entry VMs")                                               \
-  X (STRING, "peers.shared_key", shared_key, false, 0, 0, 0,                   \
-     "key that all entry VMs share")                                           \
-  X (ADDRESS, "platform.address", platform.address, false, 0, 0, 0,            \
-     "IP address of the cloud API and VM list")                                \
-  X (INT, "platform.port", platform.port, false, 1, 65535, 0,                  \
-     "port of the cloud API and VM list")                                      \
-  X (INT, "platform.poll_ms", platform_poll_ms, false, 100, 60000, 1000,       \
-     "time between two readings of the VM list")                               \
-  X (STRING, "data.folder", data_folder, false, 0, 0, 0,                       \
-     "folder for the state that must survive")                                 \
-  X (INT, "upstream.connect_ms", connect_ms, false, 10, 60000, 1000,           \
-     "bound on connecting to an upstream")                                     \
-  X (INT, "upstream.first_token_ms", first_token_ms, false, 10, 600000, 10000, \
-     "bound on the first byte of an answer")                                   \
-  X (INT, "upstream.token_gap_ms", token_gap_ms, false, 10, 600000, 2000,      \
-     "bound on the time between two parts of an answer")                       \
-  X (INT, "drain.notice_ms", drain_notice_ms, false, 0, 600000, 1000,          \
-     "time for the balancer to see that this VM takes no new work")            \
-  X (INT, "drain.grace_ms", drain_grace_ms, false, 0, 86400000, 0,             \
-     "time for work in progress before it is handed over; 0: no limit")        \
-  X (BOOL, "peers.open", open_peers, false, 0, 0, 0,                           \
-     "whether VMs that peers.vms does not name may join by the shared key")    \
-  X (ROLE, "site.role", site.role, false, 0, 0, 0,                             \
-     "what this process does at a site that the platform runs")                \
-  X (STRING, "site.control_vms", site.control_vms, false, 0, 0, 0,             \
-     "ADDRESS:PORT of control VMs to begin with, joined by commas")            \
-  X (BOOL, "site.founding", site.founding, false, 0, 0, 0,                     \
-     "whether site.control_vms are the first voters of a new site")            \
-  X (STRING, "site.duties", site.duties, false, 0, 0, 0,                       \
-     "calls to the platform that this site makes, joined by commas")           \
-  X (REAL, "site.usage_window_s", site.usage_window_s, false, 0, 86400, 60,    \
-     "length of an accounting window")                                         \
-  X (REAL, "site.usage_late_s", site.usage_late_s, false, 0, 86400, 60,        \
-     "time after a window's end in which its counts are due")                  \
-  X (REAL, "site.grace_s", site.grace_s, false, 0, 86400, 8,                   \
-     "time from the wish to stop to the end by force")                         \
-  X (REAL, "site.retry_ratio", site.retry_ratio, false, 0, 10, 0,              \
-     "repeats allowed for each request to a service")                          \
-  X (REAL, "site.retry_window_s", site.retry_window_s, false, 0, 3600, 10,     \
-     "time over which repeats are counted")                                    \
-  X (INT, "site.retry_slack", site.retry_slack, false, 0, 1000000, 20,         \
-     "repeats allowed beside that, over all entry VMs")                        \
-  X (INT, "site.lease_ms", site.lease_ms, false, 100, 600000, 3000,            \
-     "least time between calls of two holders of a duty")                      \
-  X (INT, "contract.checkpoint_tokens", checkpoint_tokens, false, 0, 65536, 8, \
-     "tokens generated before they go to the backup partner; 0: never")        \
-  X (INT, "contract.checkpoint_ms", checkpoint_ms, false, 1, 60000, 100,       \
-     "longest wait of a token before it goes to the backup partner")
-
-typedef enum
-{
-  SETTING_NAME,
-  SETTING_STRING,
-  SETTING_ADDRESS,
-  SETTING_DIGEST,
-  SETTING_INT,
-  SETTING_REAL,
-  SETTING_BOOL,
-  SETTING_ROLE,
-} setting_kind_t;
-
-typedef struct
-{
-  setting_kind_t kind;
-  const char *path;
-  size_t offset;
-  bool required;
-  int64_t minimum;
-  int64_t maximum;
-  int64_t fallback;
-  const char *help;
-} setting_row_t;
-
-#define X(kind, path, field, required, minimum, maximum, fallback, help)       \
-  { SETTING_##kind, path,    offsetof (br_settings_t, field),                  \
-    required,       minimum, maximum,                                          \
-    fallback,       help },
-static const setting_row_t setting_rows[] = { SETTING_TABLE (X) };
-#undef X
-
-#define ROW(kind, path, type, field, required, minimum, maximum, help)         \
-  {                                                                            \
-    SETTING_##kind, path, offsetof (type, field), required, minimum, maximum,  \
-        0, help                                                                \
-  }
-
-static const setting_row_t peer_rows[] = {
-  ROW (NAME,
-       "peers.vms[].name",
-       br_peer_settings_t,
-       name,
-       true,
-       0,
-       0,
-       "name of the other VM"),
-  ROW (NAME,
-       "peers.vms[].failure_domain",
-       br_peer_settings_t,
-       failure_domain,
-       true,
-       0,
-       0,
-       "its failure domain"),
-  ROW (ADDRESS,
-       "peers.vms[].address",
-       br_peer_settings_t,
-       endpoint.address,
-       true,
-       0,
-       0,
-       "its IP address"),
-  ROW (INT,
-       "peers.vms[].port",
-       br_peer_settings_t,
-       endpoint.port,
-       true,
-       1,
-       65535,
-       "its port for entry VMs"),
-  ROW (BOOL,
-       "peers.vms[].voter",
-       br_peer_settings_t,
-       voter,
-       false,
-       0,
-       0,
-       "whether it votes"),
-};
-
-static const setting_row_t upstream_rows[] = {
-  ROW (NAME,
-       "upstreams[].name",
-       br_upstream_settings_t,
-       name,
-       true,
-       0,
-       0,
-       "name of the upstream"),
-  ROW (NAME,
-       "upstreams[].failure_domain",
-       br_upstream_settings_t,
-       failure_domain,
-       true,
-       0,
-       0,
-       "its failure domain"),
-  ROW (ADDRESS,
-       "upstreams[].address",
-       br_upstream_settings_t,
-       endpoint.address,
-       true,
-       0,
-       0,
-       "its IP address"),
-  ROW (INT,
-       "upstreams[].port",
-       br_upstream_settings_t,
-       endpoint.port,
-       true,
-       1,
-       65535,
-       "its port"),
-};
-
-static const char labels_prefix[] = "upstreams[].labels.";
-
 static bool
 address_is_valid (const char *text)
 {
@@ -227,65 +24,40 @@
 }
 
 static bool
-scalar_has_kind (const br_scalar_t *scalar, setting_kind_t wanted)
+scalar_has_kind (const br_scalar_t *scalar, br_setting_kind_t wanted)
 {
   switch (wanted)
     {
-    case SETTING_INT:
+    case BR_SETTING_INT:
       return scalar->kind == BR_SCALAR_INT;
-    case SETTING_REAL:
+    case BR_SETTING_REAL:
       return scalar->kind == BR_SCALAR_INT || scalar->kind == BR_SCALAR_REAL;
-    case SETTING_BOOL:
+    case BR_SETTING_BOOL:
       return scalar->kind == BR_SCALAR_BOOL;
-    case SETTING_ROLE:
-    case SETTING_NAME:
-    case SETTING_STRING:
-    case SETTING_ADDRESS:
-    case SETTING_DIGEST:
+    case BR_SETTING_ROLE:
+    case BR_SETTING_NAME:
+    case BR_SETTING_STRING:
+    case BR_SETTING_ADDRESS:
+    case BR_SETTING_DIGEST:
       return scalar->kind == BR_SCALAR_STRING;
     }
   return false;
 }
 
-static const char *
-kind_text (setting_kind_t kind)
-{
-  switch (kind)
-    {
-    case SETTING_NAME:
-      return "a name of 1 to 62 characters";
-    case SETTING_STRING:
-      return "a string";
-    case SETTING_ADDRESS:
-      return "an IP address by number, or with :PORT behind it";
-    case SETTING_DIGEST:
-      return "sha256: and 64 hexadecimal digits";
-    case SETTING_INT:
-      return "a whole number";
-    case SETTING_REAL:
-      return "a number";
-    case SETTING_BOOL:
-      return "true or false";
-    case SETTING_ROLE:
-      return "entry or control";
-    }
-  return "";
-}
-
 static void
 file_fault_kind (br_settings_file_t *file,
                  const br_scalar_t *scalar,
-                 setting_kind_t kind)
+                 br_setting_kind_t kind)
 {
   char what[80];
 
-  snprintf (what, sizeof what, "wants %s", kind_text (kind));
+  snprintf (what, sizeof what, "wants %s", br_setting_kind_text (kind));
   br_settings_file_fault (file, scalar->line, scalar->shown, what);
 }
 
 static void
 file_store_int (br_settings_file_t *file,
-                const setting_row_t *row,
+                const br_setting_row_t *row,
                 const br_scalar_t *scalar,
                 int64_t *field)
 {
@@ -337,7 +109,7 @@
 
 static void
 file_store_real (br_settings_file_t *file,
-                 const setting_row_t *row,
+                 const br_setting_row_t *row,
                  const br_scalar_t *scalar,
                  double *field)
 {
@@ -353,7 +125,7 @@
 }
 
 static bool
-scalar_store_text (const setting_row_t *row,
+scalar_store_text (const br_setting_row_t *row,
                    const br_scalar_t *scalar,
                    void *field)
 {
@@ -361,21 +133,21 @@
 
   switch (row->kind)
     {
-    case SETTING_NAME:
+    case BR_SETTING_NAME:
       return text.len > 0 && br_name_set (field, text);
-    case SETTING_STRING:
+    case BR_SETTING_STRING:
       br_buf_clear (field);
       br_buf_append (field, text);
       return true;
-    case SETTING_ADDRESS:
+    case BR_SETTING_ADDRESS:
       return endpoint_parse (text, field);
-    case SETTING_DIGEST:
+    case BR_SETTING_DIGEST:
       return br_digest_parse (text, field);
-    case SETTING_ROLE:
+    case BR_SETTING_ROLE:
       return role_parse (text, field);
-    case SETTING_INT:
-    case SETTING_REAL:
-    case SETTING_BOOL:
+    case BR_SETTING_INT:
+    case BR_SETTING_REAL:
+    case BR_SETTING_BOOL:
       break;
     }
   return false;
@@ -383,7 +155,7 @@
 
 static void
 file_store (br_settings_file_t *file,
-            const setting_row_t *row,
+            const br_setting_row_t *row,
             const br_scalar_t *scalar,
             void *object)
 {
@@ -391,34 +163,25 @@
 
   bool fits = scalar_has_kind (scalar, row->kind);
 
-  if (scalar->kind == BR_SCALAR_REAL && row->kind == SETTING_INT)
+  if (scalar->kind == BR_SCALAR_REAL && row->kind == BR_SETTING_INT)
     br_settings_file_fault (file, scalar->line, scalar->shown,
                             "a whole number is wanted");
-  else if (fits && row->kind == SETTING_INT)
+  else if (fits && row->kind == BR_SETTING_INT)
     file_store_int (file, row, scalar, field);
-  else if (fits && row->kind == SETTING_REAL)
+  else if (fits && row->kind == BR_SETTING_REAL)
     file_store_real (file, row, scalar, field);
-  else if (fits && row->kind == SETTING_BOOL)
+  else if (fits && row->kind == BR_SETTING_BOOL)
     *(bool *)field = scalar->number != 0;
   else if (!fits || !scalar_store_text (row, scalar, field))
     file_fault_kind (file, scalar, row->kind);
 }
 
-static const setting_row_t *
-rows_find (const setting_row_t *rows, size_t n_rows, const char *path)
-{
-  for (size_t i = 0; i < n_rows; i++)
-    if (strcmp (rows[i].path, path) == 0)
-      return &rows[i];
-  return NULL;
-}
-
 static void
 file_store_label (br_settings_file_t *file,
                   br_settings_t *settings,
                   const br_scalar_t *scalar)
 {
-  const char *key = scalar->path + sizeof labels_prefix - 1;
+  const char *key = scalar->path + sizeof BR_SETTING_LABELS - 1;
   br_labels_t *labels = &settings->upstreams.items[scalar->item].labels;
 
   if (scalar->kind != BR_SCALAR_STRING
@@ -433,9 +196,9 @@
             const br_scalar_t *scalar)
 {
   const char *path = scalar->path;
-  const setting_row_t *row;
+  const br_setting_row_t *row;
 
-  row = rows_find (setting_rows, BR_N_ELEMENTS (setting_rows), path);
+  row = br_setting_find (&br_setting_rows, path);
   if (row != NULL)
     {
       file_store (file, row, scalar, settings);
@@ -443,7 +206,7 @@
         settings->has_operator_key = true;
       return;
     }
-  row = rows_find (peer_rows, BR_N_ELEMENTS (peer_rows), path);
+  row = br_setting_find (&br_setting_peer_rows, path);
   if (row != NULL)
     {
       while (settings->vms.len <= scalar->item)
@@ -455,10 +218,10 @@
     while (settings->upstreams.len <= scalar->item)
       br_upstream_settings_list_push (&settings->upstreams,
                                       (br_upstream_settings_t){ 0 });
-  row = rows_find (upstream_rows, BR_N_ELEMENTS (upstream_rows), path);
+  row = br_setting_find (&br_setting_upstream_rows, path);
   if (row != NULL)
     file_store (file, row, scalar, &settings->upstreams.items[scalar->item]);
-  else if (strncmp (path, labels_prefix, sizeof labels_prefix - 1) == 0)
+  else if (strncmp (path, BR_SETTING_LABELS, sizeof BR_SETTING_LABELS - 1) == 0)
     file_store_label (file, settings, scalar);
   else
     br_settings_file_fault (file, scalar->line, scalar->shown, "unknown key");
@@ -510,17 +273,20 @@
 
 static void
 file_check_required (br_settings_file_t *file,
-                     const setting_row_t *rows,
-                     size_t n_rows,
+                     const br_setting_rows_t *rows,
                      size_t n_items)
 {
   for (size_t item = 0; item < n_items; item++)
-    for (size_t i = 0; i < n_rows; i++)
-      if (rows[i].required && !file_needs_no (file, rows[i].path)
-          && !file_has (file, rows[i].path, item)
-          && !address_has_port (file, rows[i].path, item))
-        br_settings_file_fault (file, file->last_line, rows[i].path,
-                                "is required and missing");
+    for (size_t i = 0; i < rows->len; i++)
+      {
+        const br_setting_row_t *row = &rows->items[i];
+
+        if (row->required && !file_needs_no (file, row->path)
+            && !file_has (file, row->path, item)
+            && !address_has_port (file, row->path, item))
+          br_settings_file_fault (file, file->last_line, row->path,
+                                  "is required and missing");
+      }
 }
 
 /* Makes peers of the control VMs that the settings name.  A VM of such a site
@@ -576,7 +342,7 @@
 }
 
 static void *
-settings_field (br_settings_t *settings, const setting_row_t *row)
+settings_field (br_settings_t *settings, const br_setting_row_t *row)
 {
   return (char *)settings + row->offset;
 }
@@ -585,13 +351,13 @@
 settings_set_defaults (br_settings_t *settings)
 {
   *settings = (br_settings_t){ 0 };
-  for (size_t i = 0; i < BR_N_ELEMENTS (setting_rows); i++)
+  for (size_t i = 0; i < br_setting_rows.len; i++)
     {
-      const setting_row_t *row = &setting_rows[i];
+      const br_setting_row_t *row = &br_setting_rows.items[i];
 
-      if (row->kind == SETTING_INT)
+      if (row->kind == BR_SETTING_INT)
         *(int64_t *)settings_field (settings, row) = row->fallback;
-      else if (row->kind == SETTING_REAL)
+      else if (row->kind == BR_SETTING_REAL)
         *(double *)settings_field (settings, row) = (double)row->fallback;
     }
 }
@@ -609,11 +375,9 @@
     {
       for (size_t i = 0; i < file.scalars.len; i++)
         file_place (&file, settings, &file.scalars.items[i]);
-      file_check_required (&file, setting_rows, BR_N_ELEMENTS (setting_rows),
-                           1);
-      file_check_required (&file, peer_rows, BR_N_ELEMENTS (peer_rows),
-                           settings->vms.len);
-      file_check_required (&file, upstream_rows, BR_N_ELEMENTS (upstream_rows),
+      file_check_required (&file, &br_setting_rows, 1);
+      file_check_required (&file, &br_setting_peer_rows, settings->vms.len);
+      file_check_required (&file, &br_setting_upstream_rows,
                            settings->upstreams.len);
       if (settings->site.role != BR_SITE_NONE)
         file_add_control_vms (&file, settings);
@@ -686,34 +450,3 @@
   br_buf_free (&settings->site.control_vms);
   br_buf_free (&settings->site.duties);
 }
-
-static void
-rows_describe (const setting_row_t *rows, size_t n_rows, br_buf_t *out)
-{
-  for (size_t i = 0; i < n_rows; i++)
-    {
-      const setting_row_t *row = &rows[i];
-      bool is_number = row->kind == SETTING_INT || row->kind == SETTING_REAL;
-
-      br_buf_printf (out, "%-34s %s; %s", row->path, row->help,
-                     kind_text (row->kind));
-      if (is_number)
-        br_buf_printf (out, " %" PRId64 " to %" PRId64, row->minimum,
-                       row->maximum);
-      if (row->required)
-        br_buf_printf (out, "; required");
-      else if (is_number && row->fallback != 0)
-        br_buf_printf (out, "; default %" PRId64, row->fallback);
-      br_buf_append_char (out, '\n');
-    }
-}
-
-void
-br_settings_describe (br_buf_t *out)
-{
-  rows_describe (setting_rows, BR_N_ELEMENTS (setting_rows), out);
-  rows_describe (peer_rows, BR_N_ELEMENTS (peer_rows), out);
-  rows_describe (upstream_rows, BR_N_ELEMENTS (upstream_rows), out);
-  br_buf_printf (out, "%-34s %s\n", "upstreams[].labels.KEY",
-                 "label KEY of the upstream; a string");
-}
--- a/tests/process/platform_duties.sh
+++ b/tests/process/platform_duties.sh
@@ -28,14 +28,8 @@
   platform_ask 1 "r$i" /chat/reset -X POST -d x | grep -q 502 || site_fail "r$i"
   sent=$((sent + 1))
 done
-# counted: sums the reports of one holder's number each, the first of each window
-counted() {
-  grep '"duty":"usage"' "$SITE/cloud.out" | sed 's/.*"Window": *\([0-9]*\).*/\1 &/' |
-    sort -k1,1 -u | grep -o '"alcornocales": *[0-9]*' | grep -o '[0-9]*' |
-    awk "{ sum += \$1 } END { print sum + 0 }"
-}
-all_counted() { [ "$(counted)" = "$sent" ]; }
-platform_wait all_counted || site_fail "counted $(counted) of $sent: $(cat "$SITE/cloud.out")"
+all_counted() { [ "$(platform_counted)" = "$sent" ]; }
+platform_wait all_counted || site_fail "counted $(platform_counted) of $sent: $(cat "$SITE/cloud.out")"
 echo "usage: $sent requests counted"
 
 leader=
@@ -49,7 +43,7 @@
   [ "$(platform_ask $((i % 2 + 1)) "w$i" /look/good | tail -n 1)" = 200 ] || site_fail "w$i"
   sent=$((sent + 1))
 done
-platform_wait all_counted || site_fail "after the kill: counted $(counted) of $sent"
+platform_wait all_counted || site_fail "after the kill: counted $(platform_counted) of $sent"
 grep '"duty"' "$SITE/cloud.out" | grep -o '"fencing":[0-9]*' | grep -o '[0-9]*' > "$SITE/fencing"
 sort -n -c "$SITE/fencing" || site_fail "a fencing number went back"
 [ "$(sort -u "$SITE/fencing" | wc -l)" -ge 2 ] || site_fail "the new holder has no number of its own"
--- a/tests/process/platform_usage_kill.sh
+++ b/tests/process/platform_usage_kill.sh
@@ -26,11 +26,6 @@
   platform_vm entry 2 3
   platform_wait platform_entry_ready 2 || site_fail "entry VM 2 is not ready again"
 done
-counted() {
-  grep '"duty":"usage"' "$SITE/cloud.out" | sed 's/.*"Window": *\([0-9]*\).*/\1 &/' |
-    sort -k1,1 -u | grep -o '"alcornocales": *[0-9]*' | grep -o '[0-9]*' |
-    awk "{ sum += \$1 } END { print sum + 0 }"
-}
-all_counted() { [ "$(counted)" = "$sent" ]; }
-platform_wait all_counted || site_fail "counted $(counted) of $sent"
+all_counted() { [ "$(platform_counted)" = "$sent" ]; }
+platform_wait all_counted || site_fail "counted $(platform_counted) of $sent"
 echo "killed eight times: $sent requests counted"
--- a/tests/support/platform_site.sh
+++ b/tests/support/platform_site.sh
@@ -113,6 +113,14 @@
     "$@" "http://127.0.12.$entry:$BASE_PORT$path"
 }
 
+# Prints how many requests of the organisation were reported: the sum of the first
+# report of each window.
+platform_counted() {
+  grep '"duty":"usage"' "$SITE/cloud.out" | sed 's/.*"Window": *\([0-9]*\).*/\1 &/' |
+    sort -k1,1 -u | grep -o '"alcornocales": *[0-9]*' | grep -o '[0-9]*' |
+    awk "{ sum += \$1 } END { print sum + 0 }"
+}
+
 # Starts the platform, CONTROLS control VMs and ENTRIES entry VMs, and puts
 # configuration 1 in force.
 platform_up() {
