Quarantine: a run that is lost without an answer is evidence of its own

A request that ends its upstreams and is sent again through two entry VMs each 0.7 s, 60 times, with upstreams whose new start the list never shows. Late: sent later than ContactMs (3 s) after the third crash, three allowed.

Cause: a crash counted when a connection was refused or the list showed a new start. Where neither came, nothing counted, and in a trial the next one was let through. A second crash of the same incarnation was taken for the first one, reported again.

Ruled out: reports that are lost (each loss is in the entry VM's log and reaches the leader), bans that end early.

Now each run that breaks off, or is given up without a byte of an answer, is reported with a name of its own. Four without an answer between hold the content for a trial (a caller that tries twice at two upstreams does not come to more); one in a trial holds it for ten minutes, one at a time and without a repeat. What leaves, or was cut off with its failure domain, is no loss.

--- a/src/shell/control_quarantine.c
+++ b/src/shell/control_quarantine.c
@@ -42,6 +42,32 @@
           br_field_int ("answered_ms", (int64_t)answered->age_ms));
 }
 
+static void
+hear_losses (br_control_task_t *task,
+             const Br__Site__EntryReport *report,
+             br_ms_t now)
+{
+  br_quarantine_t *quarantine = &task->node->quarantine;
+
+  for (size_t i = 0; i < report->n_losses; i++)
+    {
+      const Br__Site__Loss *told = report->losses[i];
+      br_loss_t loss = {
+        .run = told->run,
+        .content = told->content,
+        .incarnation = told->incarnation,
+        .at_ms = now - (br_ms_t)told->age_ms,
+      };
+
+      if (told->answered_before)
+        br_quarantine_note_good (quarantine, told->content);
+      if (br_name_set (&loss.upstream, br_str_from (told->upstream))
+          && br_quarantine_report_loss (quarantine, &loss)
+          && br_quarantine_holds (quarantine, loss.content, now))
+        task->bans_due = true;
+    }
+}
+
 void
 br_control_hear_crashes (br_control_task_t *task,
                          const Br__Site__EntryReport *report,
@@ -55,6 +81,7 @@
       br_quarantine_answered (quarantine, report->answered[i]->content,
                               now - (br_ms_t)report->answered[i]->age_ms);
     }
+  hear_losses (task, report, now);
   for (size_t i = 0; i < report->n_crashes; i++)
     {
       const Br__Site__Crash *crash = report->crashes[i];
@@ -83,16 +110,6 @@
                              task->listings.items[i].born_ms);
 }
 
-/* Whether an earlier crash has the content of the one at AT. */
-static bool
-crash_is_repeated (const br_crashes_t *crashes, size_t at)
-{
-  for (size_t i = 0; i < at; i++)
-    if (crashes->items[i].content == crashes->items[at].content)
-      return true;
-  return false;
-}
-
 void
 br_control_read_bans (br_control_task_t *task, br_ms_t now)
 {
@@ -138,32 +155,59 @@
   BR_LOG (&node->log, "site", "ban proposed", br_field_z ("content", name),
           br_field_int ("crashes",
                         br_quarantine_count (&node->quarantine, content)),
+          br_field_int ("losses",
+                        br_quarantine_losses (&node->quarantine, content)),
           br_field_int ("certain", certain), br_field_int ("for_ms", for_ms));
 }
 
+/* The contents whose bans were proposed at one look. */
+typedef struct
+{
+  uint64_t contents[PROPOSED_MAX];
+  size_t n;
+} proposed_t;
+
+static bool
+proposed_has (const proposed_t *proposed, uint64_t content)
+{
+  for (size_t i = 0; i < proposed->n; i++)
+    if (proposed->contents[i] == content)
+      return true;
+  return false;
+}
+
+static void
+task_consider_ban (br_control_task_t *task,
+                   uint64_t content,
+                   br_ms_t now,
+                   proposed_t *proposed)
+{
+  br_ms_t wall = br_site_clock_wall (&task->clock, now);
+
+  if (proposed->n == PROPOSED_MAX || proposed_has (proposed, content)
+      || task_has_banned (task, content, wall)
+      || !br_quarantine_holds (&task->node->quarantine, content, now))
+    return;
+  task_propose_ban (task, content, wall, now);
+  proposed->contents[proposed->n++] = content;
+}
+
 void
 br_control_quarantine_tick (br_control_task_t *task, br_ms_t now)
 {
   br_quarantine_t *quarantine = &task->node->quarantine;
-  br_ms_t wall = br_site_clock_wall (&task->clock, now);
-  int proposed = 0;
+  proposed_t proposed = { 0 };
 
   if (!task->bans_due || now - task->ban_look_ms < LOOK_MS)
     return;
   task->ban_look_ms = now;
-  for (size_t i = 0; i < quarantine->crashes.len && proposed < PROPOSED_MAX;
-       i++)
-    {
-      uint64_t content = quarantine->crashes.items[i].content;
-
-      if (crash_is_repeated (&quarantine->crashes, i)
-          || task_has_banned (task, content, wall)
-          || !br_quarantine_holds (quarantine, content, now))
-        continue;
-      task_propose_ban (task, content, wall, now);
-      proposed++;
-    }
-  task->bans_due = proposed > 0;
+  for (size_t i = 0; i < quarantine->crashes.len; i++)
+    task_consider_ban (task, quarantine->crashes.items[i].content, now,
+                       &proposed);
+  for (size_t i = 0; i < quarantine->losses.len; i++)
+    task_consider_ban (task, quarantine->losses.items[i].content, now,
+                       &proposed);
+  task->bans_due = proposed.n > 0;
 }
 
 void
--- a/src/shell/entry_inside.h
+++ b/src/shell/entry_inside.h
@@ -115,7 +115,13 @@
                         uint64_t content,
                         br_ms_t sent_ms);
 
-/* The same from a new list of upstreams. */
+/* Notes the lost run alone: it explains no crash, but a request that is never
+ * answered is held for a while. */
+void br_entry_note_loss (br_entry_task_t *task,
+                         const br_fleet_upstream_t *upstream,
+                         uint64_t content);
+
+/* Finds the same out from a new list of upstreams. */
 void br_entry_settle_lost (br_entry_task_t *task);
 void br_entry_free_checks (br_entry_task_t *task);
 
@@ -123,6 +129,9 @@
 size_t br_entry_report_crashes (const br_entry_task_t *task,
                                 Br__Site__Crash *wire,
                                 Br__Site__Crash **views);
+size_t br_entry_report_losses (const br_entry_task_t *task,
+                               Br__Site__Loss *wire,
+                               Br__Site__Loss **views);
 size_t br_entry_report_answered (const br_entry_task_t *task,
                                  Br__Site__Answered *wire,
                                  Br__Site__Answered **views);
--- a/src/shell/entry_quarantine.c
+++ b/src/shell/entry_quarantine.c
@@ -154,6 +154,34 @@
   event_add (check->timer, &wait);
 }
 
+void
+br_entry_note_loss (br_entry_task_t *task,
+                    const br_fleet_upstream_t *upstream,
+                    uint64_t content)
+{
+  br_node_t *node = task->node;
+  br_ms_t now = br_node_now (node);
+  br_loss_t loss = {
+    .run = br_random_below (&node->random, UINT64_MAX) + 1,
+    .content = content,
+    .upstream = upstream->listing.id,
+    .incarnation = upstream->listing.born_ms,
+    .at_ms = now,
+  };
+
+  /* What broke with its whole failure domain, or was expected to end, tells
+   * nothing of the request. */
+  if (upstream->listing.draining
+      || br_domain_health_is_cut (&task->fleet.domains,
+                                  &upstream->listing.failure_domain, now))
+    return;
+  if (!br_quarantine_report_loss (&node->quarantine, &loss))
+    return;
+  if (br_quarantine_losses (&node->quarantine, content) > 1
+      || br_quarantine_is_on_trial (&node->quarantine, content, now))
+    task->report_due = true;
+}
+
 void
 br_entry_run_lost (br_entry_task_t *task,
                    br_fleet_upstream_t *upstream,
@@ -222,6 +250,35 @@
   return n;
 }
 
+size_t
+br_entry_report_losses (const br_entry_task_t *task,
+                        Br__Site__Loss *wire,
+                        Br__Site__Loss **views)
+{
+  const br_losses_t *losses = &task->node->quarantine.losses;
+  br_ms_t now = br_node_now (task->node);
+  size_t n = 0;
+
+  for (size_t i = losses->len; i-- > 0 && n < BR_ENTRY_CRASHES_MAX;)
+    {
+      const br_loss_t *loss = &losses->items[i];
+
+      if (now - loss->at_ms > TELL_MS)
+        break;
+      wire[n] = (Br__Site__Loss)BR__SITE__LOSS__INIT;
+      wire[n].run = loss->run;
+      wire[n].content = loss->content;
+      wire[n].upstream = (char *)loss->upstream.data;
+      wire[n].incarnation = loss->incarnation;
+      wire[n].age_ms = (uint64_t)(now - loss->at_ms);
+      wire[n].answered_before
+          = br_quarantine_is_good (&task->node->quarantine, loss->content);
+      views[n] = &wire[n];
+      n++;
+    }
+  return n;
+}
+
 size_t
 br_entry_report_answered (const br_entry_task_t *task,
                           Br__Site__Answered *wire,
--- a/src/shell/entry_report.c
+++ b/src/shell/entry_report.c
@@ -120,6 +120,8 @@
   Br__Site__Count **count_views[REPORT_WINDOWS];
   Br__Site__Crash crashes[BR_ENTRY_CRASHES_MAX];
   Br__Site__Crash *crash_views[BR_ENTRY_CRASHES_MAX];
+  Br__Site__Loss losses[BR_ENTRY_CRASHES_MAX];
+  Br__Site__Loss *loss_views[BR_ENTRY_CRASHES_MAX];
   Br__Site__Answered answered[BR_ENTRY_CRASHES_MAX];
   Br__Site__Answered *answered_views[BR_ENTRY_CRASHES_MAX];
 } report_t;
@@ -250,6 +252,9 @@
   body.n_crashes
       = br_entry_report_crashes (task, report.crashes, report.crash_views);
   body.crashes = report.crash_views;
+  body.n_losses
+      = br_entry_report_losses (task, report.losses, report.loss_views);
+  body.losses = report.loss_views;
   body.n_answered
       = br_entry_report_answered (task, report.answered, report.answered_views);
   body.answered = report.answered_views;
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -41,6 +41,11 @@
  * it crashed. */
 #define SUSPECT_WAIT_MS 60
 
+/* An upstream that has said nothing for so long, in milliseconds, to a request
+ * that was given up may have crashed with it: several times what a request to a
+ * plain service takes. */
+#define UNANSWERED_MS 300
+
 /* --- attempts --- */
 
 /* A plain service runs a request at once when it has come; an engine, with its
@@ -177,9 +182,11 @@
 {
   const br_quarantine_t *quarantine = &exchange->task->node->quarantine;
 
-  return quarantine->crashes.len > 0
-         && br_quarantine_is_suspect (quarantine,
-                                      br_exchange_content (exchange));
+  return quarantine->crashes.len + quarantine->bans.len > 0
+         && (br_quarantine_is_suspect (quarantine,
+                                       br_exchange_content (exchange))
+             || br_quarantine_is_on_trial (quarantine, exchange->content,
+                                           br_exchange_now (exchange)));
 }
 
 static bool
@@ -188,8 +195,10 @@
   br_quarantine_t *quarantine = &exchange->task->node->quarantine;
 
   return !br_quarantine_is_empty (quarantine)
-         && br_quarantine_holds (quarantine, br_exchange_content (exchange),
-                                 br_exchange_now (exchange));
+         && (br_quarantine_holds (quarantine, br_exchange_content (exchange),
+                                  br_exchange_now (exchange))
+             || br_quarantine_tries (quarantine, exchange->content,
+                                     br_exchange_now (exchange)));
 }
 
 void
@@ -202,7 +211,7 @@
   br_fleet_is_alive (exchange->upstream, exchange->sent_ms);
   br_quarantine_note_good (quarantine, content);
   if (exchange_is_suspect (exchange)
-      || br_quarantine_is_on_trial (quarantine, content, now))
+      || br_quarantine_losses (quarantine, content) > 0)
     br_quarantine_answered (quarantine, content, now);
 }
 
@@ -225,8 +234,10 @@
   else
     br_exchange_refuse (
         exchange, why,
-        br_quarantine_until (&node->quarantine, br_exchange_content (exchange))
-            - now);
+        BR_MAX (br_quarantine_until (&node->quarantine,
+                                     br_exchange_content (exchange))
+                    - now,
+                BR_EXCHANGE_COME_BACK_MS));
 }
 
 /* What follows when no repeat is left: a stream that the caller has part of
@@ -312,6 +323,7 @@
       task->node->base, exchange->upstream, &wish, now, &is_new);
   exchange_note_sent (exchange);
   exchange->suspect = suspect;
+  exchange->is_loss = false;
   if (suspect)
     br_quarantine_start (&task->node->quarantine, exchange->content,
                          &exchange->upstream->listing.id);
@@ -345,6 +357,14 @@
       br_exchange_set_timer (other, exchange_look_ms (other));
 }
 
+/* Whether the upstream may have crashed under the attempt. */
+static bool
+exchange_loses_run (br_result_kind_t result)
+{
+  return result == BR_RESULT_BROKEN || result == BR_RESULT_SILENT
+         || result == BR_RESULT_LATE;
+}
+
 /* The attempt has failed; decides what follows. */
 void
 br_exchange_failed (br_exchange_t *exchange,
@@ -380,7 +400,7 @@
       && !exchange_take_repeat (exchange))
     next = exchange->begun ? BR_ATTEMPT_LATER : br_attempt_give_up (&query);
   /* One more crash is all that a trial may cost. */
-  if (next == BR_ATTEMPT_AGAIN && result == BR_RESULT_BROKEN
+  if (next == BR_ATTEMPT_AGAIN && may_have_run
       && br_quarantine_is_on_trial (&task->node->quarantine,
                                     br_exchange_content (exchange), now))
     next = br_attempt_give_up (&query);
@@ -391,11 +411,14 @@
     exchange_on_cut (exchange);
   if (result == BR_RESULT_SILENT || result == BR_RESULT_LATE)
     br_upstream_pool_drop (exchange->upstream);
-  if (may_have_run
-      && (result == BR_RESULT_BROKEN || result == BR_RESULT_SILENT
-          || result == BR_RESULT_LATE))
+  if (may_have_run && exchange_loses_run (result) && !exchange->is_loss)
+    br_entry_note_loss (task, exchange->upstream,
+                        br_exchange_content (exchange));
+  if (may_have_run && exchange_loses_run (result))
     br_entry_run_lost (task, exchange->upstream, br_exchange_content (exchange),
                        exchange->sent_ms);
+  else if (may_have_run)
+    br_exchange_note_unanswered (exchange);
   br_exchange_leave_upstream (exchange, false);
   br_event_stream_cut (&exchange->events);
   if (next == BR_ATTEMPT_AGAIN && result == BR_RESULT_BROKEN
@@ -409,6 +432,24 @@
 
 /* --- time --- */
 
+void
+br_exchange_note_unanswered (br_exchange_t *exchange)
+{
+  br_ms_t now = br_exchange_now (exchange);
+
+  if (exchange->is_loss || exchange->upstream == NULL
+      || !br_http_client_has_sent (exchange->client)
+      || exchange->heard_ms > exchange->sent_ms)
+    return;
+  if (now - exchange->sent_ms < UNANSWERED_MS
+      && !br_quarantine_is_on_trial (&exchange->task->node->quarantine,
+                                     br_exchange_content (exchange), now))
+    return;
+  exchange->is_loss = true;
+  br_entry_note_loss (exchange->task, exchange->upstream,
+                      br_exchange_content (exchange));
+}
+
 static void
 exchange_on_timeout (br_exchange_t *exchange)
 {
@@ -417,6 +458,7 @@
     .begun = exchange->begun,
   };
 
+  br_exchange_note_unanswered (exchange);
   if (exchange->upstream != NULL)
     query.ran += br_http_client_has_sent (exchange->client) ? 1 : 0;
   br_exchange_end (exchange, br_attempt_give_up (&query),
@@ -468,5 +510,8 @@
            && exchange_take_repeat (exchange))
     br_exchange_failed (exchange, "silent", true, exchange_silence (exchange));
   else
-    br_exchange_set_timer (exchange, exchange->until_ms);
+    {
+      br_exchange_note_unanswered (exchange);
+      br_exchange_set_timer (exchange, exchange->until_ms);
+    }
 }
--- a/src/shell/exchange_end.c
+++ b/src/shell/exchange_end.c
@@ -289,6 +289,7 @@
 
   if (exchange == NULL)
     return;
+  br_exchange_note_unanswered (exchange);
   exchange->cause = "the caller has gone";
   br_exchange_log (exchange, "abandoned", 0);
   exchange_return_units (exchange);
--- a/src/shell/exchange_inside.h
+++ b/src/shell/exchange_inside.h
@@ -36,6 +36,7 @@
   br_http_client_t *client;
   br_choice_t choice;
   bool suspect; /* the attempt is told to the quarantine */
+  bool is_loss; /* it counts as lost, unless an answer comes */
   br_ms_t sent_ms;
   br_ms_t heard_ms; /* last byte of the answer */
   bool head_seen;
@@ -99,6 +100,10 @@
 /* The attempt ran to its end: the request crashes nothing. */
 void br_exchange_note_answered (br_exchange_t *exchange);
 
+/* The attempt is given up.  When its upstream has not answered it by a byte, it
+ * may have crashed without a sign. */
+void br_exchange_note_unanswered (br_exchange_t *exchange);
+
 /* The attempt has begun to run: it counts in its organisation's usage. */
 void br_exchange_count_usage (br_exchange_t *exchange);
 
--- a/src/site/site.pb-c.c
+++ b/src/site/site.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &br__site__leaving__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   br__site__loss__init
+                     (Br__Site__Loss         *message)
+{
+  static const Br__Site__Loss init_value = BR__SITE__LOSS__INIT;
+  *message = init_value;
+}
+size_t br__site__loss__get_packed_size
+                     (const Br__Site__Loss *message)
+{
+  assert(message->base.descriptor == &br__site__loss__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__site__loss__pack
+                     (const Br__Site__Loss *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__site__loss__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__site__loss__pack_to_buffer
+                     (const Br__Site__Loss *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__site__loss__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__Site__Loss *
+       br__site__loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__Site__Loss *)
+     protobuf_c_message_unpack (&br__site__loss__descriptor,
+                                allocator, len, data);
+}
+void   br__site__loss__free_unpacked
+                     (Br__Site__Loss *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__site__loss__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   br__site__crash__init
                      (Br__Site__Crash         *message)
 {
@@ -1735,7 +1780,7 @@
   (ProtobufCMessageInit) br__site__service_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__entry_report__field_descriptors[15] =
+static const ProtobufCFieldDescriptor br__site__entry_report__field_descriptors[16] =
 {
   {
     "windows",
@@ -1917,6 +1962,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "losses",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__EntryReport, n_losses),
+    offsetof(Br__Site__EntryReport, losses),
+    &br__site__loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__entry_report__field_indices_by_name[] = {
   10,   /* field[10] = answered */
@@ -1928,6 +1985,7 @@
   5,   /* field[5] = fleet_term */
   12,   /* field[12] = leaving */
   2,   /* field[2] = loads */
+  15,   /* field[15] = losses */
   3,   /* field[3] = services */
   8,   /* field[8] = site_wall_ms */
   14,   /* field[14] = up_ms */
@@ -1938,7 +1996,7 @@
 static const ProtobufCIntRange br__site__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor br__site__entry_report__descriptor =
 {
@@ -1948,7 +2006,7 @@
   "Br__Site__EntryReport",
   "br.site",
   sizeof(Br__Site__EntryReport),
-  15,
+  16,
   br__site__entry_report__field_descriptors,
   br__site__entry_report__field_indices_by_name,
   1,  br__site__entry_report__number_ranges,
@@ -2006,6 +2064,109 @@
   (ProtobufCMessageInit) br__site__leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor br__site__loss__field_descriptors[6] =
+{
+  {
+    "run",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loss, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loss, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loss, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loss, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loss, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered_before",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loss, answered_before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__site__loss__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  5,   /* field[5] = answered_before */
+  1,   /* field[1] = content */
+  3,   /* field[3] = incarnation */
+  0,   /* field[0] = run */
+  2,   /* field[2] = upstream */
+};
+static const ProtobufCIntRange br__site__loss__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor br__site__loss__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.site.Loss",
+  "Loss",
+  "Br__Site__Loss",
+  "br.site",
+  sizeof(Br__Site__Loss),
+  6,
+  br__site__loss__field_descriptors,
+  br__site__loss__field_indices_by_name,
+  1,  br__site__loss__number_ranges,
+  (ProtobufCMessageInit) br__site__loss__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor br__site__crash__field_descriptors[5] =
 {
   {
--- a/src/site/site.pb-c.h
+++ b/src/site/site.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Br__Site__ServiceDemand Br__Site__ServiceDemand;
 typedef struct Br__Site__EntryReport Br__Site__EntryReport;
 typedef struct Br__Site__Leaving Br__Site__Leaving;
+typedef struct Br__Site__Loss Br__Site__Loss;
 typedef struct Br__Site__Crash Br__Site__Crash;
 typedef struct Br__Site__Answered Br__Site__Answered;
 typedef struct Br__Site__Ban Br__Site__Ban;
@@ -292,10 +293,15 @@
    * since this VM's process started
    */
   uint64_t up_ms;
+  /*
+   * lately
+   */
+  size_t n_losses;
+  Br__Site__Loss **losses;
 };
 #define BR__SITE__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__site__entry_report__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -312,6 +318,27 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A run of a request that was not answered, whatever became of its upstream.
+ */
+struct  Br__Site__Loss
+{
+  ProtobufCMessage base;
+  /*
+   * the same in each report
+   */
+  uint64_t run;
+  uint64_t content;
+  char *upstream;
+  uint64_t incarnation;
+  uint64_t age_ms;
+  protobuf_c_boolean answered_before;
+};
+#define BR__SITE__LOSS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__site__loss__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 /*
  * A request ran on an upstream when that crashed.
  */
@@ -717,6 +744,25 @@
 void   br__site__leaving__free_unpacked
                      (Br__Site__Leaving *message,
                       ProtobufCAllocator *allocator);
+/* Br__Site__Loss methods */
+void   br__site__loss__init
+                     (Br__Site__Loss         *message);
+size_t br__site__loss__get_packed_size
+                     (const Br__Site__Loss   *message);
+size_t br__site__loss__pack
+                     (const Br__Site__Loss   *message,
+                      uint8_t             *out);
+size_t br__site__loss__pack_to_buffer
+                     (const Br__Site__Loss   *message,
+                      ProtobufCBuffer     *buffer);
+Br__Site__Loss *
+       br__site__loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__site__loss__free_unpacked
+                     (Br__Site__Loss *message,
+                      ProtobufCAllocator *allocator);
 /* Br__Site__Crash methods */
 void   br__site__crash__init
                      (Br__Site__Crash         *message);
@@ -926,6 +972,9 @@
 typedef void (*Br__Site__Leaving_Closure)
                  (const Br__Site__Leaving *message,
                   void *closure_data);
+typedef void (*Br__Site__Loss_Closure)
+                 (const Br__Site__Loss *message,
+                  void *closure_data);
 typedef void (*Br__Site__Crash_Closure)
                  (const Br__Site__Crash *message,
                   void *closure_data);
@@ -971,6 +1020,7 @@
 extern const ProtobufCMessageDescriptor br__site__service_demand__descriptor;
 extern const ProtobufCMessageDescriptor br__site__entry_report__descriptor;
 extern const ProtobufCMessageDescriptor br__site__leaving__descriptor;
+extern const ProtobufCMessageDescriptor br__site__loss__descriptor;
 extern const ProtobufCMessageDescriptor br__site__crash__descriptor;
 extern const ProtobufCMessageDescriptor br__site__answered__descriptor;
 extern const ProtobufCMessageDescriptor br__site__ban__descriptor;
--- a/src/upstream/quarantine.c
+++ b/src/upstream/quarantine.c
@@ -89,6 +89,71 @@
   return true;
 }
 
+static void
+quarantine_remove_loss (br_quarantine_t *quarantine, size_t at)
+{
+  br_losses_t *losses = &quarantine->losses;
+
+  losses->len--;
+  memmove (&losses->items[at], &losses->items[at + 1],
+           (losses->len - at) * sizeof *losses->items);
+}
+
+bool
+br_quarantine_report_loss (br_quarantine_t *quarantine, const br_loss_t *loss)
+{
+  for (size_t i = 0; i < quarantine->losses.len; i++)
+    if (quarantine->losses.items[i].run == loss->run)
+      return false;
+  if (quarantine_has_answered (quarantine, loss->content, loss->at_ms))
+    return false;
+  if (quarantine->losses.len == BR_LOSSES_MAX)
+    quarantine_remove_loss (quarantine, 0);
+  br_losses_push (&quarantine->losses, *loss);
+  return true;
+}
+
+int
+br_quarantine_losses (const br_quarantine_t *quarantine, uint64_t content)
+{
+  int n = 0;
+
+  for (size_t i = 0; i < quarantine->losses.len; i++)
+    n += quarantine->losses.items[i].content == content;
+  return n;
+}
+
+/* When the newest lost run of CONTENT ended, or 0. */
+static br_ms_t
+quarantine_last_loss (const br_quarantine_t *quarantine, uint64_t content)
+{
+  br_ms_t last_ms = 0;
+
+  for (size_t i = 0; i < quarantine->losses.len; i++)
+    if (quarantine->losses.items[i].content == content)
+      last_ms = BR_MAX (last_ms, quarantine->losses.items[i].at_ms);
+  return last_ms;
+}
+
+/* Forgets the losses at an upstream, in all its incarnations when INCARNATION
+ * is NULL. */
+static void
+quarantine_forgive_losses (br_quarantine_t *quarantine,
+                           const br_name_t *upstream,
+                           const uint64_t *incarnation)
+{
+  br_losses_t *losses = &quarantine->losses;
+  size_t i = 0;
+
+  while (i < losses->len)
+    if (br_name_equal (&losses->items[i].upstream, upstream)
+        && (incarnation == NULL
+            || losses->items[i].incarnation == *incarnation))
+      quarantine_remove_loss (quarantine, i);
+    else
+      i++;
+}
+
 void
 br_quarantine_forgive (br_quarantine_t *quarantine,
                        const br_name_t *upstream,
@@ -96,6 +161,8 @@
 {
   size_t i = 0;
 
+  quarantine_forgive_losses (quarantine, upstream, &incarnation);
+
   while (i < quarantine->crashes.len)
     if (crash_is_at (&quarantine->crashes.items[i], upstream, incarnation))
       quarantine_remove (quarantine, i);
@@ -109,6 +176,7 @@
 {
   size_t i = 0;
 
+  quarantine_forgive_losses (quarantine, upstream, NULL);
   while (i < quarantine->crashes.len)
     if (br_name_equal (&quarantine->crashes.items[i].upstream, upstream))
       quarantine_remove (quarantine, i);
@@ -126,6 +194,12 @@
       quarantine_remove (quarantine, i);
     else
       i++;
+  i = 0;
+  while (i < quarantine->losses.len)
+    if (quarantine->losses.items[i].content == content)
+      quarantine_remove_loss (quarantine, i);
+    else
+      i++;
 }
 
 static void
@@ -201,7 +275,8 @@
 bool
 br_quarantine_is_empty (const br_quarantine_t *quarantine)
 {
-  return quarantine->crashes.len == 0 && quarantine->bans.len == 0;
+  return quarantine->crashes.len == 0 && quarantine->losses.len == 0
+         && quarantine->bans.len == 0;
 }
 
 static const br_ban_t *
@@ -229,6 +304,9 @@
   while (quarantine->crashes.len > 0
          && quarantine->crashes.items[0].expires_ms <= now)
     quarantine_remove (quarantine, 0);
+  while (quarantine->losses.len > 0
+         && quarantine->losses.items[0].at_ms + BR_QUARANTINE_LIFE_MS <= now)
+    quarantine_remove_loss (quarantine, 0);
 }
 
 /* Whether no other content at the crash was at MOST crashes or more.  One that
@@ -275,7 +353,8 @@
 
 /* Whether CONTENT crashed an upstream after its ban had ended. */
 static bool
-quarantine_failed_trial (const br_quarantine_t *quarantine, uint64_t content)
+quarantine_crashed_in_trial (const br_quarantine_t *quarantine,
+                             uint64_t content)
 {
   const br_ban_t *ban = quarantine_ban (quarantine, content);
   br_ms_t first_ms;
@@ -285,13 +364,26 @@
   return ban != NULL && last_ms >= ban->until_ms && last_ms > 0;
 }
 
+/* Whether it was lost then, or crashed an upstream: an answer clears it, not
+ * the lack of a proof. */
+static bool
+quarantine_failed_trial (const br_quarantine_t *quarantine, uint64_t content)
+{
+  const br_ban_t *ban = quarantine_ban (quarantine, content);
+  br_ms_t last_ms = quarantine_last_loss (quarantine, content);
+
+  return quarantine_crashed_in_trial (quarantine, content)
+         || (ban != NULL && last_ms >= ban->until_ms && last_ms > 0
+             && !br_quarantine_is_good (quarantine, content));
+}
+
 bool
 br_quarantine_is_certain (const br_quarantine_t *quarantine, uint64_t content)
 {
   br_ms_t first_ms;
   br_ms_t last_ms;
 
-  if (quarantine_failed_trial (quarantine, content))
+  if (quarantine_crashed_in_trial (quarantine, content))
     return true;
   quarantine_span (quarantine, content, &first_ms, &last_ms);
   return br_quarantine_count (quarantine, content) >= BR_CRASHES_CERTAIN
@@ -306,13 +398,51 @@
   br_ms_t last_ms;
 
   quarantine_span (quarantine, content, &first_ms, &last_ms);
+  last_ms = BR_MAX (last_ms, quarantine_last_loss (quarantine, content));
   return last_ms
          + (!quarantine->tries_again
                     || br_quarantine_is_certain (quarantine, content)
+                    || quarantine_failed_trial (quarantine, content)
                 ? BR_QUARANTINE_LIFE_MS
                 : BR_QUARANTINE_TRIAL_MS);
 }
 
+/* Whether another content was lost more often at the upstream of a loss. */
+static bool
+quarantine_loses_more (const br_quarantine_t *quarantine,
+                       const br_loss_t *loss,
+                       int than)
+{
+  for (size_t i = 0; i < quarantine->losses.len; i++)
+    {
+      const br_loss_t *each = &quarantine->losses.items[i];
+
+      if (each->content != loss->content
+          && br_name_equal (&each->upstream, &loss->upstream)
+          && !br_quarantine_is_good (quarantine, each->content)
+          && br_quarantine_losses (quarantine, each->content) > than)
+        return true;
+    }
+  return false;
+}
+
+/* Whether CONTENT is taken to end its runs, whether or not an upstream was seen
+ * to crash.  One that was answered before is not: what is lost without a proof
+ * has many causes, and callers who send the same are lost together. */
+static bool
+quarantine_blames_losses (const br_quarantine_t *quarantine, uint64_t content)
+{
+  int n = br_quarantine_losses (quarantine, content);
+
+  if (n < BR_LOSSES_CERTAIN || br_quarantine_is_good (quarantine, content))
+    return false;
+  for (size_t i = 0; i < quarantine->losses.len; i++)
+    if (quarantine->losses.items[i].content == content
+        && !quarantine_loses_more (quarantine, &quarantine->losses.items[i], n))
+      return true;
+  return false;
+}
+
 /* Whether CONTENT is taken to have caused one of its crashes. */
 static bool
 quarantine_blames (const br_quarantine_t *quarantine, uint64_t content)
@@ -339,10 +469,16 @@
   if (ban != NULL && now < ban->until_ms)
     return true;
   quarantine_expire (quarantine, now);
-  if (!quarantine_failed_trial (quarantine, content)
-      && (quarantine->is_led || !quarantine_blames (quarantine, content)))
-    return false;
-  return now < quarantine_held_until (quarantine, content);
+  if (quarantine_crashed_in_trial (quarantine, content))
+    return now < quarantine_held_until (quarantine, content);
+  if (quarantine->is_led)
+    return quarantine_failed_trial (quarantine, content)
+           && now < quarantine_last_loss (quarantine, content)
+                        + BR_QUARANTINE_VERDICT_MS;
+  return (quarantine_failed_trial (quarantine, content)
+          || quarantine_blames (quarantine, content)
+          || quarantine_blames_losses (quarantine, content))
+         && now < quarantine_held_until (quarantine, content);
 }
 
 br_ms_t
@@ -351,7 +487,8 @@
   const br_ban_t *ban = quarantine_ban (quarantine, content);
   br_ms_t until_ms = ban != NULL ? ban->until_ms : 0;
 
-  if (br_quarantine_count (quarantine, content) > 0)
+  if (br_quarantine_count (quarantine, content) > 0
+      || br_quarantine_losses (quarantine, content) > 0)
     until_ms = BR_MAX (until_ms, quarantine_held_until (quarantine, content));
   return until_ms;
 }
@@ -369,10 +506,24 @@
 {
   br_suspect_run_t run = { .content = content, .upstream = *upstream };
 
-  if (br_quarantine_is_suspect (quarantine, content))
+  if (br_quarantine_is_suspect (quarantine, content)
+      || quarantine_ban (quarantine, content) != NULL)
     br_suspect_runs_push (&quarantine->runs, run);
 }
 
+bool
+br_quarantine_tries (const br_quarantine_t *quarantine,
+                     uint64_t content,
+                     br_ms_t now)
+{
+  if (!br_quarantine_is_on_trial (quarantine, content, now))
+    return false;
+  for (size_t i = 0; i < quarantine->runs.len; i++)
+    if (quarantine->runs.items[i].content == content)
+      return true;
+  return false;
+}
+
 void
 br_quarantine_end (br_quarantine_t *quarantine, uint64_t content)
 {
@@ -412,6 +563,7 @@
 br_quarantine_free (br_quarantine_t *quarantine)
 {
   br_crashes_free (&quarantine->crashes);
+  br_losses_free (&quarantine->losses);
   br_suspect_runs_free (&quarantine->runs);
   br_bans_free (&quarantine->bans);
   br_answereds_free (&quarantine->answered);
--- a/src/upstream/quarantine.h
+++ b/src/upstream/quarantine.h
@@ -45,6 +45,18 @@
 #define BR_BANS_MAX 256
 #define BR_ANSWERED_MAX 256
 
+/* Runs that were lost, without a proof that the upstream crashed, after which a
+ * request is held for a trial: a caller that tries twice, at two upstreams each
+ * time, does not come to more. */
+#define BR_LOSSES_CERTAIN 4
+
+/* After a run was lost in a trial, a VM that is led holds the request for so
+ * long, in milliseconds: the leader has decided by then. */
+#define BR_QUARANTINE_VERDICT_MS 2000
+
+/* Lost runs remembered that no crash explains yet; the oldest goes first. */
+#define BR_LOSSES_MAX 512
+
 /* An answer makes reports of earlier crashes void for this long, in
  * milliseconds: VMs repeat their reports for a shorter time. */
 #define BR_ANSWERED_LIFE_MS 30000
@@ -58,6 +70,16 @@
   br_ms_t expires_ms;
 } br_crash_t;
 
+/* One run that broke off, or went silent, before its answer. */
+typedef struct
+{
+  uint64_t run; /* names it on all VMs */
+  uint64_t content;
+  br_name_t upstream;
+  uint64_t incarnation;
+  br_ms_t at_ms;
+} br_loss_t;
+
 /* A suspect that runs now. */
 typedef struct
 {
@@ -82,12 +104,14 @@
 BR_VEC (br_bans, br_ban_t);
 BR_VEC (br_answereds, br_answered_t);
 BR_VEC (br_crashes, br_crash_t);
+BR_VEC (br_losses, br_loss_t);
 BR_VEC (br_suspect_runs, br_suspect_run_t);
 
 /* An all-zero value is an empty quarantine. */
 typedef struct
 {
   br_crashes_t crashes;
+  br_losses_t losses; /* also those that a crash explains by now */
   br_suspect_runs_t runs;
   br_bans_t bans;
   br_answereds_t answered; /* in the order in which they were told */
@@ -113,6 +137,15 @@
                            uint64_t incarnation,
                            br_ms_t now);
 
+/* Notes that a run of a content was lost, whatever became of its upstream.  A
+ * report that came before, or of a time before the content was answered,
+ * changes nothing.  Returns whether it is new. */
+bool br_quarantine_report_loss (br_quarantine_t *quarantine,
+                                const br_loss_t *loss);
+
+/* Lost runs of CONTENT since it was last answered. */
+int br_quarantine_losses (const br_quarantine_t *quarantine, uint64_t content);
+
 /* The upstream did not crash: its VM was reclaimed in this incarnation. */
 void br_quarantine_forgive (br_quarantine_t *quarantine,
                             const br_name_t *upstream,
@@ -167,7 +200,8 @@
                                 uint64_t content,
                                 br_ms_t now);
 
-/* Whether it crashed upstreams again after it had been held for a trial. */
+/* Whether it surely crashed upstreams again after it had been held for a trial:
+ * a run that was lost in a trial holds it for BR_QUARANTINE_LIFE_MS only. */
 bool br_quarantine_is_certain (const br_quarantine_t *quarantine,
                                uint64_t content);
 
@@ -175,12 +209,17 @@
 bool br_quarantine_is_suspect (const br_quarantine_t *quarantine,
                                uint64_t content);
 
-/* A suspect starts to run, or its run has ended. */
+/* A suspect, or a request on trial, starts to run, or its run has ended. */
 void br_quarantine_start (br_quarantine_t *quarantine,
                           uint64_t content,
                           const br_name_t *upstream);
 void br_quarantine_end (br_quarantine_t *quarantine, uint64_t content);
 
+/* Whether a trial of CONTENT is under way: the rest waits for its end. */
+bool br_quarantine_tries (const br_quarantine_t *quarantine,
+                          uint64_t content,
+                          br_ms_t now);
+
 /* Whether other suspects run on the upstream. */
 bool br_quarantine_runs_at (const br_quarantine_t *quarantine,
                             uint64_t content,
--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -54,7 +54,9 @@
   X (HOLD_BADLY, "hold-badly") /* the same, with a time that is no number */   \
   X (LEAVE_NOW, "leave-now")   /* a command: leaves by its word */             \
   X (HOLD_NOW, "hold-now") /* a command: wants no requests for so many ms */   \
-  X (FATAL, "fatal")       /* ends all connections, and listens again later */
+  X (FATAL, "fatal") /* resets all connections, and listens again later */     \
+  X (FATAL_CLOSE, "fatal-close")   /* the same, without a reset */             \
+  X (FATAL_SILENT, "fatal-silent") /* the same, with no end of connections */
 
 typedef enum
 {
@@ -84,6 +86,7 @@
   struct evconnlistener *listener;
   struct event *start;
   conn_t *conns;
+  conn_t *dead; /* silent since a crash */
 } runner_t;
 
 struct conn
@@ -101,13 +104,21 @@
 };
 
 static void
-conn_free (conn_t *conn)
+conn_unlink (conn_t *conn, conn_t **list)
 {
-  conn_t **at = &conn->runner->conns;
+  conn_t **at = list;
 
-  while (*at != conn)
+  while (*at != NULL && *at != conn)
     at = &(*at)->next;
-  *at = conn->next;
+  if (*at != NULL)
+    *at = conn->next;
+}
+
+static void
+conn_free (conn_t *conn)
+{
+  conn_unlink (conn, &conn->runner->conns);
+  conn_unlink (conn, &conn->runner->dead);
   bufferevent_free (conn->bev);
   br_http_reader_free (conn->reader);
   br_http_head_release (&conn->head);
@@ -189,9 +200,32 @@
   return (long long)now.tv_sec * 1000 + now.tv_usec / 1000;
 }
 
-/* What a process that ends and is started again looks like from outside. */
+/* The other side of the connection hears nothing any more. */
+static void
+conn_fall_silent (conn_t *conn)
+{
+  conn_unlink (conn, &conn->runner->conns);
+  conn->next = conn->runner->dead;
+  conn->runner->dead = conn;
+  event_del (conn->timer);
+  bufferevent_disable (conn->bev, EV_READ | EV_WRITE);
+}
+
 static void
-runner_crash (runner_t *runner, br_str_t request)
+conn_end (conn_t *conn, run_mode_t how)
+{
+  if (how == MODE_FATAL_SILENT)
+    conn_fall_silent (conn);
+  else if (how == MODE_FATAL_CLOSE)
+    conn_free (conn);
+  else
+    conn_reset (conn);
+}
+
+/* What a process that ends and is started again looks like from outside.  With
+ * DOWN_MS 0 no connection is refused meanwhile. */
+static void
+runner_crash (runner_t *runner, br_str_t request, run_mode_t how)
 {
   struct timeval wait
       = { runner->down_ms / 1000, runner->down_ms % 1000 * 1000 };
@@ -201,10 +235,12 @@
   fflush (stdout);
   runner->leaving = false;
   runner->held_ms = 0;
+  while (runner->conns != NULL)
+    conn_end (runner->conns, how);
+  if (runner->down_ms == 0)
+    return;
   evconnlistener_free (runner->listener);
   runner->listener = NULL;
-  while (runner->conns != NULL)
-    conn_reset (runner->conns);
   event_add (runner->start, &wait);
 }
 
@@ -418,8 +454,11 @@
       conn_answer (conn, 200, "", "holds off\n");
       break;
     case MODE_FATAL:
+    case MODE_FATAL_CLOSE:
+    case MODE_FATAL_SILENT:
       runner_crash (conn->runner,
-                    br_http_head_find (&conn->head, "X-Request-Id"));
+                    br_http_head_find (&conn->head, "X-Request-Id"),
+                    conn->mode);
       break;
     }
 }
--- a/tests/upstream_quarantine_test.cc
+++ b/tests/upstream_quarantine_test.cc
@@ -398,6 +398,120 @@
   return rate;
 }
 
+static br_loss_t
+loss_of (uint64_t content, const br_name_t &upstream, br_ms_t at_ms)
+{
+  static uint64_t runs;
+
+  return { ++runs, content, upstream, 1, at_ms };
+}
+
+/* A caller that tries twice, at two upstreams each time. */
+TEST_F (Quarantine, LossesWithoutAnAnswerHoldForATrial)
+{
+  quarantine.tries_again = true;
+  for (br_ms_t at = 0; at < BR_LOSSES_CERTAIN; at++)
+    {
+      br_loss_t loss = loss_of (7, at % 2 == 0 ? e1 : e2, at);
+
+      EXPECT_FALSE (br_quarantine_holds (&quarantine, 7, at));
+      EXPECT_TRUE (br_quarantine_report_loss (&quarantine, &loss));
+      EXPECT_FALSE (br_quarantine_report_loss (&quarantine, &loss));
+    }
+  EXPECT_TRUE (br_quarantine_holds (&quarantine, 7, 10));
+  EXPECT_EQ (br_quarantine_until (&quarantine, 7),
+             BR_LOSSES_CERTAIN - 1 + BR_QUARANTINE_TRIAL_MS);
+}
+
+/* The list shows no new start, and no connection is refused. */
+TEST_F (Quarantine, LossInATrialHoldsWithoutAProof)
+{
+  const br_ms_t until_ms = 10000;
+  br_loss_t loss = loss_of (7, e1, until_ms + 5);
+
+  quarantine.tries_again = true;
+  br_quarantine_ban (&quarantine, 7, until_ms);
+  EXPECT_FALSE (br_quarantine_holds (&quarantine, 7, until_ms));
+  br_quarantine_report_loss (&quarantine, &loss);
+  EXPECT_TRUE (br_quarantine_holds (&quarantine, 7, until_ms + 5));
+  EXPECT_FALSE (br_quarantine_is_certain (&quarantine, 7));
+  EXPECT_EQ (br_quarantine_until (&quarantine, 7),
+             loss.at_ms + BR_QUARANTINE_LIFE_MS);
+  quarantine.is_led = true;
+  EXPECT_TRUE (br_quarantine_holds (&quarantine, 7, until_ms + 6));
+  EXPECT_FALSE (br_quarantine_holds (&quarantine, 7,
+                                     loss.at_ms + BR_QUARANTINE_VERDICT_MS));
+}
+
+/* Found by the soak, seeds 9409, 9607 and 9717: callers who all send the same
+ * were held for ten minutes. */
+TEST_F (Quarantine, LossesHoldNothingThatWasAnswered)
+{
+  quarantine.tries_again = true;
+  br_quarantine_note_good (&quarantine, 7);
+  br_quarantine_ban (&quarantine, 7, 0);
+  for (br_ms_t at = 0; at < 4 * BR_LOSSES_CERTAIN; at++)
+    {
+      br_loss_t loss = loss_of (7, e1, at);
+
+      br_quarantine_report_loss (&quarantine, &loss);
+    }
+  EXPECT_FALSE (br_quarantine_holds (&quarantine, 7, 100));
+}
+
+TEST_F (Quarantine, OneTrialAtATime)
+{
+  br_quarantine_ban (&quarantine, 7, 10000);
+  EXPECT_FALSE (br_quarantine_tries (&quarantine, 7, 10000));
+  br_quarantine_start (&quarantine, 7, &e1);
+  EXPECT_TRUE (br_quarantine_tries (&quarantine, 7, 10001));
+  br_quarantine_end (&quarantine, 7);
+  EXPECT_FALSE (br_quarantine_tries (&quarantine, 7, 10002));
+}
+
+TEST_F (Quarantine, AnswerClearsLosses)
+{
+  for (br_ms_t at = 0; at < BR_LOSSES_CERTAIN; at++)
+    {
+      br_loss_t loss = loss_of (7, e1, at);
+
+      br_quarantine_report_loss (&quarantine, &loss);
+    }
+  br_quarantine_answered (&quarantine, 7, 20);
+  EXPECT_FALSE (br_quarantine_holds (&quarantine, 7, 20));
+  EXPECT_TRUE (br_quarantine_is_empty (&quarantine));
+}
+
+/* What is sent again beside a request that ends its upstreams is lost with
+ * it. */
+TEST_F (Quarantine, LossesBesideWorseOnesHoldNobody)
+{
+  for (br_ms_t at = 0; at <= BR_LOSSES_CERTAIN; at++)
+    {
+      br_loss_t worst = loss_of (7, e1, at);
+      br_loss_t beside = loss_of (8, e1, at);
+
+      br_quarantine_report_loss (&quarantine, &worst);
+      if (at > 0)
+        br_quarantine_report_loss (&quarantine, &beside);
+    }
+  EXPECT_TRUE (br_quarantine_holds (&quarantine, 7, 10));
+  EXPECT_FALSE (br_quarantine_holds (&quarantine, 8, 10));
+}
+
+TEST_F (Quarantine, LeavingExplainsLosses)
+{
+  for (br_ms_t at = 0; at < BR_LOSSES_CERTAIN; at++)
+    {
+      br_loss_t loss = loss_of (7, at == 0 ? e2 : e1, at);
+
+      br_quarantine_report_loss (&quarantine, &loss);
+    }
+  br_quarantine_forgive (&quarantine, &e1, 1);
+  EXPECT_EQ (br_quarantine_losses (&quarantine, 7), 1);
+  EXPECT_FALSE (br_quarantine_holds (&quarantine, 7, 10));
+}
+
 TEST (QuarantineRate, OneCrasherNeverCondemnsAnInnocent)
 {
   rate_t rate = run_seeds (1, true);
