Control VMs: one sum and one packed message for all entry VMs

The sum of the loads compared each upstream with each load of each entry VM ten times a second. Each of 294 messages was packed anew. And each entry VM that was heard first made a beat to all. The leader stood still for longer than an election.

Ruled out: links that are too slow (control VMs have 1,000 Mbit/s), whole reports as such (their cost is linear and stays), elections that are too short (a trial of the lead with longer ones still lost leaders).

Now the sums are made once, by name; the beat is the same for all entry VMs, each of which takes its part of a quota from the sum; it is packed once, as are the loads and the list. A new entry VM is told at once, alone and without sums, and all others at the next tick. Words on the loads tell only what changed.

process.platform_no_leader looks 0.3 s after the start instead of at once: VMs that are there already hear of a new one with one beat for all that came.

--- a/src/shell/control_beat.c
+++ b/src/shell/control_beat.c
@@ -3,7 +3,6 @@
 
 #include "shell/control_inside.h"
 #include "shell/replica_task.h"
-#include "site/quota.h"
 
 /* An entry VM that was not heard of for this long counts as gone. */
 #define ENTRY_LIFE_MS 3000
@@ -18,53 +17,33 @@
   return n;
 }
 
-static double
-entry_demand (const br_control_entry_t *entry, const char *organisation)
+static bool
+entry_is_live (const br_control_entry_t *entry, br_ms_t now)
 {
-  const Br__Site__EntryReport *report = entry->told->report;
-
-  for (size_t i = 0; i < report->n_demands; i++)
-    if (strcmp (report->demands[i]->organisation, organisation) == 0)
-      return report->demands[i]->units_per_s;
-  return 0;
+  return now - entry->heard_ms < ENTRY_LIFE_MS;
 }
 
-/* The share of each quota that ENTRY may use. */
-static size_t
-beat_shares (const br_control_task_t *task,
-             const br_control_entry_t *entry,
-             Br__Site__Share *wire,
-             Br__Site__Share **views)
+void
+br_control_sum_demands (const br_control_task_t *task,
+                        br_ms_t now,
+                        br_demand_sums_t *sums)
 {
-  const Br__Site__EntryReport *report = entry->told->report;
-  double *asked = br_alloc ((task->entries.len + 1) * sizeof *asked);
-  double *parts = br_alloc ((task->entries.len + 1) * sizeof *parts);
-  br_ms_t now = br_node_now (task->node);
-
-  for (size_t i = 0; i < report->n_demands; i++)
+  for (size_t i = 0; i < task->entries.len; i++)
     {
-      size_t n = 0;
-      size_t own = 0;
+      const br_control_entry_t *entry = &task->entries.items[i];
+      const Br__Site__EntryReport *report = entry->told->report;
 
-      for (size_t j = 0; j < task->entries.len; j++)
+      for (size_t j = 0; entry_is_live (entry, now) && j < report->n_demands;
+           j++)
         {
-          const br_control_entry_t *other = &task->entries.items[j];
+          br_demand_sum_t demand
+              = { .units_per_s = report->demands[j]->units_per_s };
 
-          if (now - other->heard_ms >= ENTRY_LIFE_MS)
-            continue;
-          if (other == entry)
-            own = n;
-          asked[n++] = entry_demand (other, report->demands[i]->organisation);
+          if (br_name_set (&demand.organisation,
+                           br_str_from (report->demands[j]->organisation)))
+            br_demand_sums_add (sums, &demand);
         }
-      br_quota_split (asked, n, parts);
-      wire[i] = (Br__Site__Share)BR__SITE__SHARE__INIT;
-      wire[i].organisation = report->demands[i]->organisation;
-      wire[i].part = parts[own];
-      views[i] = &wire[i];
     }
-  free (asked);
-  free (parts);
-  return report->n_demands;
 }
 
 /* What ENTRY told last of its load at the upstreams. */
@@ -81,83 +60,81 @@
 }
 
 /* The work of all entry VMs together at each upstream. */
-static size_t
-beat_loads (const br_control_task_t *task,
-            Br__Site__UpstreamLoad *wire,
-            Br__Site__UpstreamLoad **views)
+static void
+beat_sum_loads (const br_control_task_t *task,
+                br_ms_t now,
+                br_load_sums_t *sums)
 {
-  br_ms_t now = br_node_now (task->node);
-  size_t n = 0;
-
-  for (size_t i = 0; i < task->listings.len; i++)
+  for (size_t i = 0; i < task->entries.len; i++)
     {
-      Br__Site__UpstreamLoad *load = &wire[n];
+      const br_control_entry_t *entry = &task->entries.items[i];
+      Br__Site__UpstreamLoad **loads;
+      size_t n_loads = entry_loads (entry, &loads);
 
-      *load = (Br__Site__UpstreamLoad)BR__SITE__UPSTREAM_LOAD__INIT;
-      load->id = task->listings.items[i].id.data;
-      for (size_t j = 0; j < task->entries.len; j++)
+      for (size_t j = 0; entry_is_live (entry, now) && j < n_loads; j++)
         {
-          const br_control_entry_t *entry = &task->entries.items[j];
-          Br__Site__UpstreamLoad **loads;
-          size_t n_loads = entry_loads (entry, &loads);
-
-          if (now - entry->heard_ms >= ENTRY_LIFE_MS)
-            continue;
-          for (size_t k = 0; k < n_loads; k++)
-            if (strcmp (loads[k]->id, load->id) == 0)
-              {
-                load->in_flight += loads[k]->in_flight;
-                load->prefill_tokens += loads[k]->prefill_tokens;
-                load->unreachable += loads[k]->unreachable;
-              }
+          br_load_sum_t load = {
+            .in_flight = loads[j]->in_flight,
+            .prefill_tokens = loads[j]->prefill_tokens,
+            .unreachable = loads[j]->unreachable,
+          };
+
+          if (br_name_set (&load.upstream, br_str_from (loads[j]->id)))
+            br_load_sums_add (sums, &load);
         }
-      views[n] = load;
-      n += load->in_flight > 0 || load->unreachable > 0 ? 1 : 0;
     }
-  return n;
 }
 
-static void
-task_beat_entry (br_control_task_t *task,
-                 const br_control_entry_t *entry,
-                 Br__Site__ControlBeat *beat)
+/* The same on the wire; the views are the caller's to free, and point into
+ * SUMS. */
+static Br__Site__UpstreamLoad **
+beat_pack_loads (const br_load_sums_t *sums, Br__Site__UpstreamLoad **wire)
 {
-  const Br__Site__EntryReport *report = entry->told->report;
-  Br__Site__Share *wire = br_alloc ((report->n_demands + 1) * sizeof *wire);
-  Br__Site__Share **views = br_alloc ((report->n_demands + 1) * sizeof *views);
-  br_site_message_t message = BR__SITE__MESSAGE__INIT;
-  br_site_fleet_t fleet = {
-    .term = task->list_term,
-    .sequence = task->list_sequence,
-    .listings = &task->listings,
-  };
+  Br__Site__UpstreamLoad **views
+      = br_alloc ((sums->list.len + 1) * sizeof *views);
 
-  if (beat->leads)
+  *wire = br_alloc ((sums->list.len + 1) * sizeof **wire);
+  for (size_t i = 0; i < sums->list.len; i++)
     {
-      beat->n_shares = beat_shares (task, entry, wire, views);
-      beat->shares = views;
+      const br_load_sum_t *sum = &sums->list.items[i];
+
+      (*wire)[i] = (Br__Site__UpstreamLoad)BR__SITE__UPSTREAM_LOAD__INIT;
+      (*wire)[i].id = (char *)sum->upstream.data;
+      (*wire)[i].in_flight = sum->in_flight;
+      (*wire)[i].prefill_tokens = sum->prefill_tokens;
+      (*wire)[i].unreachable = sum->unreachable;
+      views[i] = &(*wire)[i];
     }
-  message.body_case = BR__SITE__MESSAGE__BODY_BEAT;
-  message.beat = beat;
-  br_site_send (task->node, &entry->vm, &message);
-  if (report->bans_made < br_state_bans_made (task->node->state))
-    br_control_tell_bans (task, &entry->vm, br_node_now (task->node));
-  if (beat->leads && task->list_sequence > 0
-      && (report->fleet_term != task->list_term
-          || report->fleet_sequence != task->list_sequence))
-    br_site_send_fleet (task->node, &entry->vm, &fleet);
-  free (wire);
-  free (views);
+  return views;
 }
 
-void
-br_control_beat (br_control_task_t *task, br_ms_t now)
+static Br__Site__Demand **
+beat_pack_demands (const br_demand_sums_t *sums, Br__Site__Demand **wire)
+{
+  Br__Site__Demand **views = br_alloc ((sums->list.len + 1) * sizeof *views);
+
+  *wire = br_alloc ((sums->list.len + 1) * sizeof **wire);
+  for (size_t i = 0; i < sums->list.len; i++)
+    {
+      (*wire)[i] = (Br__Site__Demand)BR__SITE__DEMAND__INIT;
+      (*wire)[i].organisation = (char *)sums->list.items[i].organisation.data;
+      (*wire)[i].units_per_s = sums->list.items[i].units_per_s;
+      views[i] = &(*wire)[i];
+    }
+  return views;
+}
+
+/* The beat, packed into OUT.  The sums cost time for each entry VM. */
+static void
+beat_pack (br_control_task_t *task, bool with_sums, br_ms_t now, br_buf_t *out)
 {
-  size_t upstreams = task->listings.len + 1;
-  Br__Site__UpstreamLoad *wire = br_alloc (upstreams * sizeof *wire);
-  Br__Site__UpstreamLoad **views = br_alloc (upstreams * sizeof *views);
   Br__Site__ControlBeat beat = BR__SITE__CONTROL_BEAT__INIT;
+  br_site_message_t message = BR__SITE__MESSAGE__INIT;
   char *names[BR_REPLICA_MEMBERS_MAX];
+  br_load_sums_t loads = { 0 };
+  br_demand_sums_t demands = { 0 };
+  Br__Site__UpstreamLoad *wire_loads = NULL;
+  Br__Site__Demand *wire_demands = NULL;
 
   beat.n_control_vms = br_replica_task_members (task->node->replica, names);
   beat.control_vms = names;
@@ -170,15 +147,93 @@
     {
       beat.fleet_sequence = task->list_sequence;
       beat.fleet_age_ms = (uint64_t)(now - task->list_ms);
-      beat.n_loads = beat_loads (task, wire, views);
-      beat.loads = views;
     }
+  beat.has_sums = beat.leads && with_sums;
+  if (beat.has_sums)
+    {
+      beat_sum_loads (task, now, &loads);
+      br_control_sum_demands (task, now, &demands);
+      beat.n_loads = loads.list.len;
+      beat.loads = beat_pack_loads (&loads, &wire_loads);
+      beat.n_demands = demands.list.len;
+      beat.demands = beat_pack_demands (&demands, &wire_demands);
+    }
+  message.body_case = BR__SITE__MESSAGE__BODY_BEAT;
+  message.beat = &beat;
+  br_site_pack (&message, out);
+  if (beat.has_sums)
+    {
+      free (beat.loads);
+      free (beat.demands);
+    }
+  free (wire_loads);
+  free (wire_demands);
+  br_load_sums_release (&loads);
+  br_demand_sums_release (&demands);
+}
+
+/* The list of upstreams, packed once for all entry VMs. */
+static br_str_t
+beat_pack_fleet (br_control_task_t *task)
+{
+  br_site_fleet_t fleet = {
+    .term = task->list_term,
+    .sequence = task->list_sequence,
+    .listings = &task->listings,
+  };
+
+  if (task->packed_list_term != task->list_term
+      || task->packed_list_sequence != task->list_sequence)
+    {
+      br_buf_clear (&task->packed_list);
+      br_site_pack_fleet (&fleet, &task->packed_list);
+      task->packed_list_term = task->list_term;
+      task->packed_list_sequence = task->list_sequence;
+    }
+  return br_buf_str (&task->packed_list);
+}
+
+/* Sends a packed beat, and what ENTRY told that it does not have. */
+static void
+beat_send (br_control_task_t *task,
+           const br_control_entry_t *entry,
+           br_str_t beat)
+{
+  const Br__Site__EntryReport *report = entry->told->report;
+
+  br_node_send (task->node, &entry->vm, BR_PART_SITE, beat);
+  if (report->bans_made < br_state_bans_made (task->node->state))
+    br_control_tell_bans (task, &entry->vm, br_node_now (task->node));
+  if (task->leads_term > 0 && task->list_sequence > 0
+      && (report->fleet_term != task->list_term
+          || report->fleet_sequence != task->list_sequence))
+    br_node_send (task->node, &entry->vm, BR_PART_SITE, beat_pack_fleet (task));
+}
+
+void
+br_control_beat (br_control_task_t *task, br_ms_t now)
+{
+  br_buf_t beat = { 0 };
+
+  beat_pack (task, true, now, &beat);
   for (size_t i = 0; i < task->entries.len; i++)
-    if (now - task->entries.items[i].heard_ms < ENTRY_LIFE_MS)
-      task_beat_entry (task, &task->entries.items[i], &beat);
-  free (wire);
-  free (views);
+    if (entry_is_live (&task->entries.items[i], now))
+      beat_send (task, &task->entries.items[i], br_buf_str (&beat));
+  br_buf_free (&beat);
   task->beat_ms = now;
+  task->entries_changed = false;
+}
+
+void
+br_control_beat_to_entry (br_control_task_t *task,
+                          const br_control_entry_t *entry,
+                          br_ms_t now)
+{
+  br_buf_t beat = { 0 };
+
+  beat_pack (task, false, now, &beat);
+  beat_send (task, entry, br_buf_str (&beat));
+  br_buf_free (&beat);
 }
 
 /* What is left of the quotas. */
@@ -214,9 +269,8 @@
 void
 br_control_tell_loads (br_control_task_t *task, br_ms_t now)
 {
-  size_t upstreams = task->listings.len + 1;
-  Br__Site__UpstreamLoad *wire = br_alloc (upstreams * sizeof *wire);
-  Br__Site__UpstreamLoad **views = br_alloc (upstreams * sizeof *views);
+  br_load_sums_t sums = { 0 };
+  Br__Site__UpstreamLoad *wire;
   size_t organisations = task->configuration != NULL
                              ? task->configuration->organisations.len
                              : 0;
@@ -225,21 +279,27 @@
       = br_alloc ((organisations + 1) * sizeof *left_views);
   Br__Site__Loads body = BR__SITE__LOADS__INIT;
   br_site_message_t message = BR__SITE__MESSAGE__INIT;
+  br_buf_t packed = { 0 };
 
+  beat_sum_loads (task, now, &sums);
   body.term = task->leads_term;
-  body.n_loads = beat_loads (task, wire, views);
-  body.loads = views;
+  body.n_loads = sums.list.len;
+  body.loads = beat_pack_loads (&sums, &wire);
   body.n_left = tell_left (task, now, left, left_views);
   body.left = left_views;
   message.body_case = BR__SITE__MESSAGE__BODY_LOADS;
   message.loads = &body;
+  br_site_pack (&message, &packed);
   for (size_t i = 0; i < task->entries.len; i++)
-    if (now - task->entries.items[i].heard_ms < ENTRY_LIFE_MS)
-      br_site_send (task->node, &task->entries.items[i].vm, &message);
+    if (entry_is_live (&task->entries.items[i], now))
+      br_node_send (task->node, &task->entries.items[i].vm, BR_PART_SITE,
+                    br_buf_str (&packed));
+  br_buf_free (&packed);
+  free (body.loads);
   free (wire);
-  free (views);
   free (left);
   free (left_views);
+  br_load_sums_release (&sums);
 }
 
 /* Control VMs tell each other the time by their own clocks. */
--- a/src/shell/control_inside.h
+++ b/src/shell/control_inside.h
@@ -2,11 +2,13 @@
 #ifndef BR_SHELL_CONTROL_INSIDE_H
 #define BR_SHELL_CONTROL_INSIDE_H
 
+#include "base/name_index.h"
 #include "platform/cloud.h"
 #include "shell/control_task.h"
 #include "shell/site_message.h"
 #include "site/quota_pool.h"
 #include "site/site_clock.h"
+#include "site/site_sums.h"
 #include "site/usage_ledger.h"
 
 BR_BEGIN_DECLS
@@ -50,12 +52,17 @@
   br_node_t *node;
   struct event *timer;
   br_control_entries_t entries;
+  br_name_index_t entry_index; /* of ENTRIES, by VM */
+  bool entries_changed;        /* since the last beat */
   br_control_waits_t waits;
   br_site_clock_t clock;
   br_cloud_t *cloud;
   br_listings_t listings; /* as last read or told by the leader */
   uint64_t list_term;
   uint64_t list_sequence;
+  br_buf_t packed_list; /* for entry VMs, of the term and sequence below */
+  uint64_t packed_list_term;
+  uint64_t packed_list_sequence;
   br_ms_t list_ms;
   br_ms_t asked_list_ms;
   bool reading_list;
@@ -81,6 +88,16 @@
 void br_control_beat (br_control_task_t *task, br_ms_t now);
 void br_control_tell_loads (br_control_task_t *task, br_ms_t now);
 
+/* Adds up what all entry VMs that were heard of lately are asked for. */
+void br_control_sum_demands (const br_control_task_t *task,
+                             br_ms_t now,
+                             br_demand_sums_t *sums);
+
+/* Tells one entry VM, which was heard of first, all but the sums. */
+void br_control_beat_to_entry (br_control_task_t *task,
+                               const br_control_entry_t *entry,
+                               br_ms_t now);
+
 /* Tells another control VM the time and the members; a br_peer_visit_fn, whose
  * CONTEXT is the task. */
 void br_control_beat_to_peer (void *context, const br_name_t *vm);
--- a/src/shell/control_task.c
+++ b/src/shell/control_task.c
@@ -237,14 +237,26 @@
 
 /* --- entry VMs --- */
 
+/* Returns NULL when the VM has not reported yet. */
+static br_control_entry_t *
+task_find_entry (const br_control_task_t *task, const br_name_t *vm)
+{
+  size_t at;
+
+  if (!br_name_index_find (&task->entry_index, br_name_str (vm), &at))
+    return NULL;
+  return &task->entries.items[at];
+}
+
 static br_control_entry_t *
 task_entry (br_control_task_t *task, const br_name_t *vm)
 {
+  br_control_entry_t *entry = task_find_entry (task, vm);
   br_control_entry_t fresh = { .vm = *vm };
 
-  for (size_t i = 0; i < task->entries.len; i++)
-    if (br_name_equal (&task->entries.items[i].vm, vm))
-      return &task->entries.items[i];
+  if (entry != NULL)
+    return entry;
+  br_name_index_set (&task->entry_index, vm, task->entries.len);
   return br_control_entries_push (&task->entries, fresh);
 }
 
@@ -316,22 +328,20 @@
                const br_peer_message_t *from,
                br_site_message_t *message)
 {
-  for (size_t i = 0; i < task->entries.len; i++)
-    {
-      br_control_entry_t *entry = &task->entries.items[i];
+  br_control_entry_t *entry = task_find_entry (task, &from->vm);
 
-      if (!br_name_equal (&entry->vm, &from->vm))
-        continue;
-      if (entry->loads != NULL)
-        br__site__message__free_unpacked (entry->loads, NULL);
-      entry->loads = message;
-      task_hear_used (task, from, message->loads->used, message->loads->n_used,
-                      message->loads->up_ms);
-      task_count_usage (task, from, message->loads->windows,
-                        message->loads->n_windows);
+  if (entry == NULL)
+    {
+      br__site__message__free_unpacked (message, NULL);
       return;
     }
-  br__site__message__free_unpacked (message, NULL);
+  if (entry->loads != NULL)
+    br__site__message__free_unpacked (entry->loads, NULL);
+  entry->loads = message;
+  task_hear_used (task, from, message->loads->used, message->loads->n_used,
+                  message->loads->up_ms);
+  task_count_usage (task, from, message->loads->windows,
+                    message->loads->n_windows);
 }
 
 /* Takes MESSAGE over. */
@@ -363,7 +373,8 @@
       BR_LOG (&task->node->log, "site", "entry VM heard",
               br_field_z ("peer", from->vm.data),
               br_field_int ("of_incarnation", (int64_t)from->incarnation));
-      br_control_beat (task, now);
+      br_control_beat_to_entry (task, entry, now);
+      task->entries_changed = true;
     }
 }
 
@@ -411,37 +422,24 @@
 
 /* --- time --- */
 
-/* What all entry VMs were asked for by the organisation, as they told all
- * control VMs. */
-static double
-task_demand (const br_control_task_t *task, const char *organisation)
-{
-  double sum = 0;
-
-  for (size_t i = 0; i < task->entries.len; i++)
-    {
-      const Br__Site__EntryReport *report = task->entries.items[i].told->report;
-
-      for (size_t j = 0; j < report->n_demands; j++)
-        if (strcmp (report->demands[j]->organisation, organisation) == 0)
-          sum += report->demands[j]->units_per_s;
-    }
-  return sum;
-}
-
 static void
 task_begin_quotas (br_control_task_t *task, br_ms_t now)
 {
   const br_site_organisations_t *organisations;
+  br_demand_sums_t demands = { 0 };
 
   br_control_read_configuration (task);
   if (task->configuration == NULL)
     return;
   organisations = &task->configuration->organisations;
+  br_control_sum_demands (task, now, &demands);
   for (size_t i = 0; i < organisations->len; i++)
-    br_quota_pool_begin (&task->pool, &organisations->items[i],
-                         task_demand (task, organisations->items[i].name.data),
-                         now);
+    br_quota_pool_begin (
+        &task->pool, &organisations->items[i],
+        br_demand_sums_find (&demands,
+                             br_name_str (&organisations->items[i].name)),
+        now);
+  br_demand_sums_release (&demands);
 }
 
 static void
@@ -485,6 +483,9 @@
       task->reading_list = true;
       br_cloud_read_list (task->cloud, br_control_on_list, task);
     }
+  /* All hear soon that they are more, once for all that came. */
+  if (task->entries_changed)
+    br_control_beat (task, now);
   if (now - task->beat_ms >= BEAT_MS)
     {
       br_name_t self = task->node->settings.vm;
@@ -526,6 +527,7 @@
   for (size_t i = 0; i < task->entries.len; i++)
     entry_forget (&task->entries.items[i]);
   br_control_entries_free (&task->entries);
+  br_name_index_clear (&task->entry_index);
   br_control_waits_free (&task->waits);
   br_control_duties_free (task->duties);
   br_cloud_free (task->cloud);
@@ -534,6 +536,7 @@
   br_usage_ledger_release (&task->ledger);
   br_quota_pool_release (&task->pool);
   br_buf_free (&task->packed);
+  br_buf_free (&task->packed_list);
   br_configuration_unref (task->configuration);
   br_site_clock_release (&task->clock);
   event_free (task->timer);
--- a/src/shell/entry_report.c
+++ b/src/shell/entry_report.c
@@ -207,8 +207,11 @@
   br_site_send (send->node, vm, send->message);
 }
 
+/* What was let through and asked for: all of it, or what changed since it was
+ * last told. */
 static size_t
-report_used (const br_entry_task_t *task,
+report_used (br_entry_task_t *task,
+             bool changed,
              Br__Site__Used *wire,
              Br__Site__Used **views)
 {
@@ -218,8 +221,10 @@
     {
       br_quota_t *quota = &task->quotas.list.items[i];
 
-      if (quota->asked_total <= 0)
+      if (quota->asked_total <= 0
+          || (changed && quota->asked_total <= quota->told_asked))
         continue;
+      quota->told_asked = quota->asked_total;
       wire[n] = (Br__Site__Used)BR__SITE__USED__INIT;
       wire[n].organisation = quota->organisation.data;
       wire[n].units = quota->used;
@@ -259,7 +264,7 @@
       = br_entry_report_answered (task, report.answered, report.answered_views);
   body.answered = report.answered_views;
   body.bans_made = task->bans_made;
-  body.n_used = report_used (task, report.used, report.used_views);
+  body.n_used = report_used (task, false, report.used, report.used_views);
   body.used = report.used_views;
   body.up_ms = (uint64_t)(now - task->node->started_ms);
   body.n_leaving
@@ -292,7 +297,7 @@
   report_alloc (task, &report);
   body.n_loads = report_loads (task, report.loads, report.load_views);
   body.loads = report.load_views;
-  body.n_used = report_used (task, report.used, report.used_views);
+  body.n_used = report_used (task, true, report.used, report.used_views);
   body.used = report.used_views;
   body.n_windows = report_windows (task, &report, true);
   body.windows = report.window_views;
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -288,15 +288,16 @@
   task->leader_ms = now;
   task_set_entries (task, beat->entries);
   br_site_clock_set (&task->clock, (br_ms_t)beat->wall_ms, now);
-  for (size_t i = 0; i < beat->n_shares; i++)
-    br_quotas_set_part (&task->quotas,
-                        br_str_from (beat->shares[i]->organisation),
-                        beat->shares[i]->part);
+  for (size_t i = 0; i < beat->n_demands; i++)
+    br_quotas_hear_total (&task->quotas,
+                          br_str_from (beat->demands[i]->organisation),
+                          beat->demands[i]->units_per_s, task->entries);
   if (beat->term == task->fleet.term
       && beat->fleet_sequence == task->fleet.sequence && task->fleet.known)
     task->fleet.read_ms
         = BR_MAX (task->fleet.read_ms, now - (br_ms_t)beat->fleet_age_ms);
-  task_on_loads (task, beat->loads, beat->n_loads);
+  if (beat->has_sums)
+    task_on_loads (task, beat->loads, beat->n_loads);
 }
 
 static void
--- a/src/shell/site_message.c
+++ b/src/shell/site_message.c
@@ -5,18 +5,25 @@
 
 #include "shell/peer_task.h"
 
+void
+br_site_pack (const br_site_message_t *message, br_buf_t *out)
+{
+  size_t len = br__site__message__get_packed_size (message);
+
+  br_buf_reserve (out, len);
+  br__site__message__pack (message, (uint8_t *)out->data + out->len);
+  out->len += len;
+}
+
 bool
 br_site_send (br_node_t *node,
               const br_name_t *vm,
               const br_site_message_t *message)
 {
-  size_t len = br__site__message__get_packed_size (message);
   br_buf_t payload = { 0 };
   bool sent;
 
-  br_buf_reserve (&payload, len);
-  br__site__message__pack (message, (uint8_t *)payload.data);
-  payload.len = len;
+  br_site_pack (message, &payload);
   sent = br_node_send (node, vm, BR_PART_SITE, br_buf_str (&payload));
   br_buf_free (&payload);
   return sent;
@@ -54,17 +61,14 @@
   to->cold_ms = (uint32_t)from->cold_ms;
 }
 
-bool
-br_site_send_fleet (br_node_t *node,
-                    const br_name_t *vm,
-                    const br_site_fleet_t *fleet)
+void
+br_site_pack_fleet (const br_site_fleet_t *fleet, br_buf_t *out)
 {
   size_t n = fleet->listings->len;
   Br__Site__Listing *wire = br_alloc_zero ((n + 1) * sizeof *wire);
   Br__Site__Listing **views = br_alloc_zero ((n + 1) * sizeof *views);
   Br__Site__Fleet body = BR__SITE__FLEET__INIT;
   br_site_message_t message = BR__SITE__MESSAGE__INIT;
-  bool sent;
 
   for (size_t i = 0; i < n; i++)
     {
@@ -77,10 +81,9 @@
   body.upstreams = views;
   message.body_case = BR__SITE__MESSAGE__BODY_FLEET;
   message.fleet = &body;
-  sent = br_site_send (node, vm, &message);
+  br_site_pack (&message, out);
   free (wire);
   free (views);
-  return sent;
 }
 
 static bool
--- a/src/shell/site_message.h
+++ b/src/shell/site_message.h
@@ -10,6 +10,10 @@
 
 typedef Br__Site__Message br_site_message_t;
 
+/* Appends MESSAGE to OUT, for br_node_send() with BR_PART_SITE: what goes to
+ * many VMs is packed once. */
+void br_site_pack (const br_site_message_t *message, br_buf_t *out);
+
 /* Sends MESSAGE to VM; false when no link is ready. */
 bool br_site_send (br_node_t *node,
                    const br_name_t *vm,
@@ -20,7 +24,7 @@
 br_site_message_t *
 br_site_receive (br_node_t *node, const br_name_t *vm, br_str_t payload);
 
-/* Sends a whole list of upstreams. */
+/* A whole list of upstreams. */
 typedef struct
 {
   uint64_t term;
@@ -28,9 +32,7 @@
   const br_listings_t *listings;
 } br_site_fleet_t;
 
-bool br_site_send_fleet (br_node_t *node,
-                         const br_name_t *vm,
-                         const br_site_fleet_t *fleet);
+void br_site_pack_fleet (const br_site_fleet_t *fleet, br_buf_t *out);
 
 /* Fills LISTINGS; an entry whose names do not fit is left out. */
 void br_site_read_fleet (const Br__Site__Fleet *fleet, br_listings_t *listings);
--- a/src/site/quota.c
+++ b/src/site/quota.c
@@ -15,6 +15,9 @@
 /* A refused caller does not come back sooner, in milliseconds. */
 #define COME_BACK_MIN_MS 200
 
+/* Less demand than this is not told, in units a second. */
+#define TOLD_MIN 1
+
 /* Weight of the newest demand in what is told. */
 #define ASKED_WEIGHT 0.4
 
@@ -278,7 +281,7 @@
 
       quota->demand += ASKED_WEIGHT
                        * (quota->asked * 1000 / (double)span - quota->demand);
-      if (quota->demand >= 1)
+      if (quota->demand >= TOLD_MIN)
         tell (context, &quota->organisation, quota->demand);
       quota->asked = 0;
     }
@@ -291,15 +294,23 @@
   br_quota_list_free (&quotas->list);
 }
 
+double
+br_quota_part (double asked, double total, size_t n)
+{
+  if (total <= 0)
+    return 1 / (double)n;
+  return EVEN_PART / (double)n + (1 - EVEN_PART) * asked / total;
+}
+
 void
-br_quota_split (const double *asked, size_t n, double *parts)
+br_quotas_hear_total (br_quotas_t *quotas,
+                      br_str_t organisation,
+                      double total_per_s,
+                      size_t entries)
 {
-  double total = 0;
-
-  for (size_t i = 0; i < n; i++)
-    total += asked[i];
-  for (size_t i = 0; i < n; i++)
-    parts[i] = total > 0
-                   ? EVEN_PART / (double)n + (1 - EVEN_PART) * asked[i] / total
-                   : 1 / (double)n;
+  br_quota_t *quota = quotas_find (quotas, organisation);
+
+  if (quota != NULL && quota->demand >= TOLD_MIN)
+    quota->part = br_quota_part (quota->demand,
+                                 BR_MAX (total_per_s, quota->demand), entries);
 }
--- a/src/site/quota.h
+++ b/src/site/quota.h
@@ -20,6 +20,7 @@
   double left;           /* of the whole site's quota, as last heard */
   double asked_per_s;    /* at the whole site, as last heard */
   br_ms_t left_ms;       /* when it was heard */
+  double told_asked;     /* ASKED_TOTAL as the leader was last told */
   double unheard;        /* let through here and not in LEFT */
   double unheard_before; /* of that, before LEFT was heard */
   double demand;         /* units asked for in a second, averaged */
@@ -86,10 +87,18 @@
                        void *context);
 void br_quotas_release (br_quotas_t *quotas);
 
-/* The parts of one quota over all entry VMs: half of it in proportion to what
- * each asks for, half even, so that a VM that begins to ask has some at
- * once.  PARTS gets N numbers that add up to 1. */
-void br_quota_split (const double *asked, size_t n, double *parts);
+/* The part of one quota that is one of N entry VMs': mostly in proportion to
+ * what it is ASKED for of the TOTAL, the rest even, so that a VM that begins to
+ * ask has some at once.  The parts of all add up to 1. */
+double br_quota_part (double asked, double total, size_t n);
+
+/* Takes the part that follows from what all entry VMs, ENTRIES of them, are
+ * asked for by the organisation, TOTAL_PER_S.  One that was not asked for here
+ * keeps the default. */
+void br_quotas_hear_total (br_quotas_t *quotas,
+                           br_str_t organisation,
+                           double total_per_s,
+                           size_t entries);
 
 BR_END_DECLS
 
--- a/src/site/quota_pool.c
+++ b/src/site/quota_pool.c
@@ -80,6 +80,13 @@
   pool->vms.len = kept;
 }
 
+static bool
+pool_vm_is (const br_pool_vm_t *vm, const br_pool_report_t *report)
+{
+  return vm->incarnation == report->incarnation
+         && br_name_equal (&vm->vm, report->vm);
+}
+
 static br_pool_vm_t *
 pool_vm (br_quota_pool_t *pool, const br_pool_report_t *report, br_ms_t now)
 {
@@ -89,10 +96,15 @@
     .heard_ms = now,
   };
 
+  if (pool->last_vm < pool->vms.len
+      && pool_vm_is (&pool->vms.items[pool->last_vm], report))
+    return &pool->vms.items[pool->last_vm];
   for (size_t i = 0; i < pool->vms.len; i++)
-    if (pool->vms.items[i].incarnation == report->incarnation
-        && br_name_equal (&pool->vms.items[i].vm, report->vm))
-      return &pool->vms.items[i];
+    if (pool_vm_is (&pool->vms.items[i], report))
+      {
+        pool->last_vm = i;
+        return &pool->vms.items[i];
+      }
   pool_forget_old (pool, now);
   return br_pool_vms_push (&pool->vms, fresh);
 }
--- a/src/site/quota_pool.h
+++ b/src/site/quota_pool.h
@@ -46,6 +46,7 @@
 {
   br_pool_quotas_t quotas;
   br_pool_vms_t vms;
+  size_t last_vm;   /* in VMS: the one that told last tells on */
   br_ms_t began_ms; /* when it was first told anything */
   br_ms_t heard_ms; /* when it was last told anything */
 } br_quota_pool_t;
--- a/src/site/site.pb-c.c
+++ b/src/site/site.pb-c.c
@@ -772,51 +772,6 @@
   assert(message->base.descriptor == &br__site__bans__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   br__site__share__init
-                     (Br__Site__Share         *message)
-{
-  static const Br__Site__Share init_value = BR__SITE__SHARE__INIT;
-  *message = init_value;
-}
-size_t br__site__share__get_packed_size
-                     (const Br__Site__Share *message)
-{
-  assert(message->base.descriptor == &br__site__share__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t br__site__share__pack
-                     (const Br__Site__Share *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &br__site__share__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t br__site__share__pack_to_buffer
-                     (const Br__Site__Share *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &br__site__share__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Br__Site__Share *
-       br__site__share__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Br__Site__Share *)
-     protobuf_c_message_unpack (&br__site__share__descriptor,
-                                allocator, len, data);
-}
-void   br__site__share__free_unpacked
-                     (Br__Site__Share *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &br__site__share__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   br__site__control_beat__init
                      (Br__Site__ControlBeat         *message)
 {
@@ -2410,58 +2365,7 @@
   (ProtobufCMessageInit) br__site__bans__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__share__field_descriptors[2] =
-{
-  {
-    "organisation",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Br__Site__Share, organisation),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "part",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
-    offsetof(Br__Site__Share, part),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned br__site__share__field_indices_by_name[] = {
-  0,   /* field[0] = organisation */
-  1,   /* field[1] = part */
-};
-static const ProtobufCIntRange br__site__share__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor br__site__share__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "br.site.Share",
-  "Share",
-  "Br__Site__Share",
-  "br.site",
-  sizeof(Br__Site__Share),
-  2,
-  br__site__share__field_descriptors,
-  br__site__share__field_indices_by_name,
-  1,  br__site__share__number_ranges,
-  (ProtobufCMessageInit) br__site__share__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor br__site__control_beat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor br__site__control_beat__field_descriptors[11] =
 {
   {
     "configuration_version",
@@ -2547,18 +2451,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "shares",
-    8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Br__Site__ControlBeat, n_shares),
-    offsetof(Br__Site__ControlBeat, shares),
-    &br__site__share__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "loads",
     9,
@@ -2583,23 +2475,49 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demands",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__ControlBeat, n_demands),
+    offsetof(Br__Site__ControlBeat, demands),
+    &br__site__demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_sums",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ControlBeat, has_sums),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__control_beat__field_indices_by_name[] = {
   0,   /* field[0] = configuration_version */
-  9,   /* field[9] = control_vms */
+  8,   /* field[8] = control_vms */
+  9,   /* field[9] = demands */
   6,   /* field[6] = entries */
   5,   /* field[5] = fleet_age_ms */
   4,   /* field[4] = fleet_sequence */
+  10,   /* field[10] = has_sums */
   2,   /* field[2] = leads */
-  8,   /* field[8] = loads */
-  7,   /* field[7] = shares */
+  7,   /* field[7] = loads */
   3,   /* field[3] = term */
   1,   /* field[1] = wall_ms */
 };
-static const ProtobufCIntRange br__site__control_beat__number_ranges[1 + 1] =
+static const ProtobufCIntRange br__site__control_beat__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 9, 7 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor br__site__control_beat__descriptor =
 {
@@ -2609,10 +2527,10 @@
   "Br__Site__ControlBeat",
   "br.site",
   sizeof(Br__Site__ControlBeat),
-  10,
+  11,
   br__site__control_beat__field_descriptors,
   br__site__control_beat__field_indices_by_name,
-  1,  br__site__control_beat__number_ranges,
+  2,  br__site__control_beat__number_ranges,
   (ProtobufCMessageInit) br__site__control_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/site/site.pb-c.h
+++ b/src/site/site.pb-c.h
@@ -32,7 +32,6 @@
 typedef struct Br__Site__Answered Br__Site__Answered;
 typedef struct Br__Site__Ban Br__Site__Ban;
 typedef struct Br__Site__Bans Br__Site__Bans;
-typedef struct Br__Site__Share Br__Site__Share;
 typedef struct Br__Site__ControlBeat Br__Site__ControlBeat;
 typedef struct Br__Site__ConfigurationAsk Br__Site__ConfigurationAsk;
 typedef struct Br__Site__ConfigurationText Br__Site__ConfigurationText;
@@ -405,23 +404,9 @@
     , 0, 0,NULL }
 
 
-struct  Br__Site__Share
-{
-  ProtobufCMessage base;
-  char *organisation;
-  /*
-   * of the quota, 0 to 1
-   */
-  double part;
-};
-#define BR__SITE__SHARE__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&br__site__share__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
-
-
 /*
- * From a control VM to an entry VM.  All but the first three come from the
- * one that leads.
+ * From a control VM to its entry VMs, the same to all.  All but the first three
+ * come from the one that leads.
  */
 struct  Br__Site__ControlBeat
 {
@@ -439,8 +424,6 @@
    * entry VMs heard of lately
    */
   uint32_t entries;
-  size_t n_shares;
-  Br__Site__Share **shares;
   /*
    * of all entry VMs together
    */
@@ -451,10 +434,19 @@
    */
   size_t n_control_vms;
   char **control_vms;
+  /*
+   * of all entry VMs together
+   */
+  size_t n_demands;
+  Br__Site__Demand **demands;
+  /*
+   * LOADS and DEMANDS are told
+   */
+  protobuf_c_boolean has_sums;
 };
 #define BR__SITE__CONTROL_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__site__control_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Br__Site__ConfigurationAsk
@@ -839,25 +831,6 @@
 void   br__site__bans__free_unpacked
                      (Br__Site__Bans *message,
                       ProtobufCAllocator *allocator);
-/* Br__Site__Share methods */
-void   br__site__share__init
-                     (Br__Site__Share         *message);
-size_t br__site__share__get_packed_size
-                     (const Br__Site__Share   *message);
-size_t br__site__share__pack
-                     (const Br__Site__Share   *message,
-                      uint8_t             *out);
-size_t br__site__share__pack_to_buffer
-                     (const Br__Site__Share   *message,
-                      ProtobufCBuffer     *buffer);
-Br__Site__Share *
-       br__site__share__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   br__site__share__free_unpacked
-                     (Br__Site__Share *message,
-                      ProtobufCAllocator *allocator);
 /* Br__Site__ControlBeat methods */
 void   br__site__control_beat__init
                      (Br__Site__ControlBeat         *message);
@@ -987,9 +960,6 @@
 typedef void (*Br__Site__Bans_Closure)
                  (const Br__Site__Bans *message,
                   void *closure_data);
-typedef void (*Br__Site__Share_Closure)
-                 (const Br__Site__Share *message,
-                  void *closure_data);
 typedef void (*Br__Site__ControlBeat_Closure)
                  (const Br__Site__ControlBeat *message,
                   void *closure_data);
@@ -1025,7 +995,6 @@
 extern const ProtobufCMessageDescriptor br__site__answered__descriptor;
 extern const ProtobufCMessageDescriptor br__site__ban__descriptor;
 extern const ProtobufCMessageDescriptor br__site__bans__descriptor;
-extern const ProtobufCMessageDescriptor br__site__share__descriptor;
 extern const ProtobufCMessageDescriptor br__site__control_beat__descriptor;
 extern const ProtobufCMessageDescriptor br__site__configuration_ask__descriptor;
 extern const ProtobufCMessageDescriptor br__site__configuration_text__descriptor;
--- a/tests/process/platform_no_leader.sh
+++ b/tests/process/platform_no_leader.sh
@@ -11,6 +11,7 @@
   curl -s -m 1 "http://127.0.12.1:$((BASE_PORT + 8))/metrics" |
     sed -n 's/^briarrack_entry_vms //p'
 }
+sleep 0.3 # three ticks: one beat tells all of those that came
 [ "$(entry_vms)" = 2 ] || site_fail "before: $(entry_vms) entry VMs"
 kill -STOP "$(site_pid control-2)" "$(site_pid control-3)"
 site_kill entry-1
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -363,15 +363,14 @@
 static void
 on_split (const words_t *words)
 {
-  double asked[WORDS_MAX];
-  double parts[WORDS_MAX];
   size_t n = words->len - 1;
+  double total = 0;
 
   for (size_t i = 0; i < n; i++)
-    asked[i] = number (words, i + 1);
-  br_quota_split (asked, n, parts);
+    total += number (words, i + 1);
   for (size_t i = 0; i < n; i++)
-    printf ("%s%.3f", i > 0 ? " " : "", parts[i]);
+    printf ("%s%.3f", i > 0 ? " " : "",
+            br_quota_part (number (words, i + 1), total, n));
   printf ("\n");
 }
 
