Control VMs: what the log needs goes before what entry VMs tell

A leader that hears more than it can handle lost its place: its heartbeats and the answers to them waited behind hundreds of links in one queue.

On a control VM the links between control VMs, the log's timers and its disk have a priority of their own in the loop, and the log's messages a queue of their own; the loop looks for them after 16 callbacks of the others.

--- a/src/shell/node.c
+++ b/src/shell/node.c
@@ -21,6 +21,11 @@
 
 /* Messages handled before the loop turns to its sockets again. */
 #define QUEUE_BATCH 256
+
+/* On a control VM: callbacks, and messages of the queue, after which it looks
+ * whether the log has something to do.  Each takes some ten microseconds, of a
+ * share of a core. */
+#define URGENT_LOOK_BATCH 16
 #define DRAIN_POLL_MS 50
 
 /* A VM that starts asks the log again after this time, until a majority has
@@ -35,11 +40,19 @@
 
 BR_VEC (messages, br_node_message_t);
 
-struct br_node_queue
+/* Messages in the order in which they came. */
+typedef struct
 {
+  br_node_t *node;
   messages_t pending;
   size_t head;
   struct event *wake;
+} lane_t;
+
+struct br_node_queue
+{
+  lane_t lanes[BR_PRIORITIES];
+  int batch; /* messages of one lane handled at once */
   struct event *signals[2];
   struct event *drain_timer;
   struct event *catch_up_timer;
@@ -55,11 +68,23 @@
   return br_clock_now (&node->clock);
 }
 
+/* What keeps the log's leader is not behind what others tell. */
+static int
+message_priority (const br_node_message_t *message)
+{
+  return message->kind == BR_NODE_PEER_RECEIVED
+                 && message->peer.part == BR_PART_REPLICA
+             ? BR_PRIORITY_LOG
+             : BR_PRIORITY_USUAL;
+}
+
 void
 br_node_post (br_node_t *node, br_node_message_t message)
 {
-  messages_push (&node->queue->pending, message);
-  event_active (node->queue->wake, EV_TIMEOUT, 0);
+  lane_t *lane = &node->queue->lanes[message_priority (&message)];
+
+  messages_push (&lane->pending, message);
+  event_active (lane->wake, EV_TIMEOUT, 0);
 }
 
 bool
@@ -212,24 +237,24 @@
 static void
 node_on_wake (evutil_socket_t fd, short what, void *context)
 {
-  br_node_t *node = context;
-  struct br_node_queue *queue = node->queue;
+  lane_t *lane = context;
 
   (void)fd;
   (void)what;
-  for (int i = 0; i < QUEUE_BATCH && queue->head < queue->pending.len; i++)
+  for (int i = 0;
+       i < lane->node->queue->batch && lane->head < lane->pending.len; i++)
     {
-      br_node_message_t message = queue->pending.items[queue->head++];
+      br_node_message_t message = lane->pending.items[lane->head++];
 
-      node_dispatch (node, &message);
+      node_dispatch (lane->node, &message);
     }
-  if (queue->head == queue->pending.len)
+  if (lane->head == lane->pending.len)
     {
-      messages_clear (&queue->pending);
-      queue->head = 0;
+      messages_clear (&lane->pending);
+      lane->head = 0;
     }
   else
-    event_active (queue->wake, EV_TIMEOUT, 0);
+    event_active (lane->wake, EV_TIMEOUT, 0);
 }
 
 static bool
@@ -393,6 +418,38 @@
     }
 }
 
+/* A control VM of a platform's site hears hundreds of VMs. */
+static bool
+node_serves_log (const br_node_t *node)
+{
+  return node->settings.site.role == BR_SITE_CONTROL;
+}
+
+static struct event_base *
+node_new_base (const br_node_t *node)
+{
+  struct event_config *config = event_config_new ();
+  struct event_base *base;
+
+  if (node_serves_log (node))
+    event_config_set_max_dispatch_interval (config, NULL, URGENT_LOOK_BATCH,
+                                            BR_PRIORITY_USUAL);
+  base = event_base_new_with_config (config);
+  event_config_free (config);
+  event_base_priority_init (base, BR_PRIORITIES);
+  return base;
+}
+
+static void
+node_add_lane (br_node_t *node, int priority)
+{
+  lane_t *lane = &node->queue->lanes[priority];
+
+  lane->node = node;
+  lane->wake = event_new (node->base, -1, 0, node_on_wake, lane);
+  event_priority_set (lane->wake, priority);
+}
+
 br_node_t *
 br_node_new (br_settings_t *settings, FILE *log_stream, br_error_t *err)
 {
@@ -400,7 +457,7 @@
 
   node->settings = *settings;
   *settings = (br_settings_t){ 0 };
-  node->base = event_base_new ();
+  node->base = node_new_base (node);
   node->incarnation = (uint64_t)br_clock_wall ();
   node->started_ms = br_node_now (node);
   node->log = (br_log_t){
@@ -413,7 +470,9 @@
                                               node->incarnation));
   node->queue = br_alloc_zero (sizeof *node->queue);
   node->queue->leave_by_ms = BR_MS_NEVER;
-  node->queue->wake = event_new (node->base, -1, 0, node_on_wake, node);
+  node->queue->batch = node_serves_log (node) ? URGENT_LOOK_BATCH : QUEUE_BATCH;
+  for (int i = 0; i < BR_PRIORITIES; i++)
+    node_add_lane (node, i);
   node->queue->drain_timer
       = evtimer_new (node->base, node_on_drain_timer, node);
   node->queue->catch_up_timer
@@ -445,13 +504,11 @@
 }
 
 static void
-node_free_queue (br_node_t *node)
+lane_free (lane_t *lane)
 {
-  struct br_node_queue *queue = node->queue;
-
-  while (queue->head < queue->pending.len)
+  while (lane->head < lane->pending.len)
     {
-      br_node_message_t *message = &queue->pending.items[queue->head++];
+      br_node_message_t *message = &lane->pending.items[lane->head++];
 
       if (message->kind == BR_NODE_ATTEMPT)
         br_buf_free (&message->attempt.data);
@@ -460,8 +517,17 @@
       else if (message->kind == BR_NODE_PROPOSAL)
         br_buf_free (&message->proposal.result);
     }
-  messages_free (&queue->pending);
-  event_free (queue->wake);
+  messages_free (&lane->pending);
+  event_free (lane->wake);
+}
+
+static void
+node_free_queue (br_node_t *node)
+{
+  struct br_node_queue *queue = node->queue;
+
+  for (int i = 0; i < BR_PRIORITIES; i++)
+    lane_free (&queue->lanes[i]);
   event_free (queue->drain_timer);
   event_free (queue->catch_up_timer);
   event_free (queue->signals[0]);
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -37,6 +37,12 @@
 typedef struct br_control_task br_control_task_t;
 typedef struct br_site_task br_site_task_t;
 
+/* Priorities of the loop's events, the highest first: what the replicated log
+ * needs to keep its leader, and all else. */
+#define BR_PRIORITY_LOG 0
+#define BR_PRIORITY_USUAL 1
+#define BR_PRIORITIES 2
+
 /* X (id, task that handles it) */
 #define BR_NODE_MESSAGE_TABLE(X)                                               \
   X (PEER_UP, "a link to a peer is ready")                                     \
--- a/src/shell/peer_link.c
+++ b/src/shell/peer_link.c
@@ -8,6 +8,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "shell/peer_task.h"
+
 /* A link that has not answered for this long is dropped. */
 #define LINK_SILENCE_MS 1500
 
@@ -240,6 +242,9 @@
   if (!br_digest_equal (&got, &wanted))
     return br_error_set (err, BR_ERROR_UNAUTHORIZED, "greet", link->vm.data,
                          "wrong shared key");
+  if (link->task->node->settings.site.role == BR_SITE_CONTROL
+      && (link->dialled || br_peer_task_dials (link->task, &link->vm)))
+    bufferevent_priority_set (link->bev, BR_PRIORITY_LOG);
   link->state = BR_PEER_LINK_READY;
   link->backoff_ms = BR_PEER_LINK_BACKOFF_MIN_MS;
   if (link->dialled)
--- a/src/shell/peer_task.c
+++ b/src/shell/peer_task.c
@@ -97,6 +97,12 @@
   return NULL;
 }
 
+bool
+br_peer_task_dials (const br_peer_task_t *task, const br_name_t *vm)
+{
+  return task_find_link (task, vm) != NULL;
+}
+
 void
 br_peer_task_add (br_peer_task_t *task, const br_peer_settings_t *peer)
 {
--- a/src/shell/peer_task.h
+++ b/src/shell/peer_task.h
@@ -16,6 +16,9 @@
  * known. */
 void br_peer_task_add (br_peer_task_t *task, const br_peer_settings_t *peer);
 
+/* Whether this VM dials VM. */
+bool br_peer_task_dials (const br_peer_task_t *task, const br_name_t *vm);
+
 /* Stops dialling a peer and closes the link. */
 void br_peer_task_remove (br_peer_task_t *task, const br_name_t *vm);
 
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -426,6 +426,8 @@
   br_replica_peers_free (&options.peers);
   task->flush = event_new (node->base, -1, 0, task_on_flush, task);
   task->tick = event_new (node->base, -1, EV_PERSIST, task_on_tick, task);
+  event_priority_set (task->flush, BR_PRIORITY_LOG);
+  event_priority_set (task->tick, BR_PRIORITY_LOG);
   event_add (task->tick, &period);
   task_schedule (task);
   task->dial_members = true;
--- a/src/shell/replica_writer.c
+++ b/src/shell/replica_writer.c
@@ -4,6 +4,8 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include "shell/node.h"
+
 /* Room that must be left after a write for more proposals to be taken. */
 #define ROOM_BYTES (512 * 1024)
 
@@ -130,6 +132,7 @@
   writer->done_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
   writer->done = event_new (base, writer->done_fd, EV_READ | EV_PERSIST,
                             writer_on_done, writer);
+  event_priority_set (writer->done, BR_PRIORITY_LOG);
   event_add (writer->done, NULL);
   pthread_mutex_init (&writer->mutex, NULL);
   pthread_cond_init (&writer->wake, NULL);
