--- a/src/shell/control_duties.c
+++ b/src/shell/control_duties.c
@@ -2,6 +2,7 @@
  * in control_sizing.c orders for upstreams.  Each call carries the term of the
  * leader as its fencing number, and follows a round of the log that confirms
  * the term. */
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -262,7 +263,7 @@
 duties_wait_ms (const br_control_duties_t *duties)
 {
   const br_node_t *node = duties->task->node;
-  br_ms_t lease_ms = node->settings.site.lease_ms;
+  br_ms_t lease_ms = (br_ms_t)ceil (node->settings.site.lease_ms);
   bool is_young = duties->task->leads_ms - node->started_ms < lease_ms;
 
   if (is_young && node->settings.site.founding)
--- a/src/shell/settings.h
+++ b/src/shell/settings.h
@@ -67,8 +67,8 @@
   double grace_s;      /* from the wish to stop to the end by force */
   double retry_ratio;  /* repeats allowed for each request */
   double retry_window_s;
-  int64_t retry_slack; /* repeats allowed beside that, over all VMs */
-  br_ms_t lease_ms;    /* between calls of two holders of a duty */
+  double retry_slack; /* repeats allowed beside that, over all VMs */
+  double lease_ms;    /* between calls of two holders of a duty */
 } br_site_settings_t;
 
 typedef struct
--- a/src/shell/settings_table.c
+++ b/src/shell/settings_table.c
@@ -84,9 +84,9 @@
      "repeats allowed for each request to a service")                          \
   X (REAL, "site.retry_window_s", site.retry_window_s, false, 0, 3600, 10,     \
      "time over which repeats are counted")                                    \
-  X (INT, "site.retry_slack", site.retry_slack, false, 0, 1000000, 20,         \
+  X (REAL, "site.retry_slack", site.retry_slack, false, 0, 1000000, 20,        \
      "repeats allowed beside that, over all entry VMs")                        \
-  X (INT, "site.lease_ms", site.lease_ms, false, 100, 600000, 3000,            \
+  X (REAL, "site.lease_ms", site.lease_ms, false, 100, 600000, 3000,           \
      "least time between calls of two holders of a duty")                      \
   X (INT, "contract.checkpoint_tokens", checkpoint_tokens, false, 0, 65536, 8, \
      "tokens generated before they go to the backup partner; 0: never")        \
