Own path: heads and bodies of upstreams' answers have a limit

What callers and operators saw: a plain service that sends without end was read on after its caller had left; one such upstream is enough to end an entry VM.

Cause: evhttp was given no limits for the heads and bodies of answers to attempts, and none for the heads of health and load answers. Ruled out: the platform's path, whose reader has both.

Now 64 KB of head and 4 MB of body; beyond it the connection is closed and the attempt has failed.

--- a/src/shell/http_call.c
+++ b/src/shell/http_call.c
@@ -5,6 +5,9 @@
 #include <event2/keyvalq_struct.h>
 #include <stdio.h>
 
+/* Longest head of an answer, in bytes. */
+#define HEAD_MAX_BYTES 65536
+
 typedef struct call
 {
   br_http_calls_t *calls;
@@ -122,6 +125,7 @@
   call->timer = evtimer_new (calls->base, call_on_timer, call);
   call->connection = evhttp_connection_base_new (
       calls->base, NULL, options->address, options->port);
+  evhttp_connection_set_max_headers_size (call->connection, HEAD_MAX_BYTES);
   evhttp_connection_set_max_body_size (call->connection, BR_HTTP_CALL_BODY_MAX);
   call_set_timer (call, options->bound_ms);
   call->request = call_new_request (call, options);
--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -26,6 +26,11 @@
 /* Bound on evhttp's own timer; the attempt's timers are shorter. */
 #define HTTP_TIMEOUT_S 3600
 
+/* Longest head and body of an answer, in bytes.  The whole answer is kept until
+ * its caller has it; an engine's longest is some 100 KB. */
+#define ANSWER_HEAD_MAX_BYTES 65536
+#define ANSWER_BODY_MAX_BYTES (4 * 1024 * 1024)
+
 typedef struct
 {
   uint64_t number;
@@ -466,6 +471,10 @@
     attempt->connection = evhttp_connection_base_new (
         task->node->base, NULL, attempt->address, attempt->port);
   evhttp_connection_set_timeout (attempt->connection, HTTP_TIMEOUT_S);
+  evhttp_connection_set_max_headers_size (attempt->connection,
+                                          ANSWER_HEAD_MAX_BYTES);
+  evhttp_connection_set_max_body_size (attempt->connection,
+                                       ANSWER_BODY_MAX_BYTES);
 }
 
 uint64_t
--- a/tests/fakes/fake_broken.c
+++ b/tests/fakes/fake_broken.c
@@ -1,11 +1,13 @@
-/* An engine that answers health and load, and breaks each completion in one
- * way: a chunk that is cut short, invalid UTF-8, or an event that is not
- * JSON.  Prints one line for each completion. */
+/* An upstream that answers health and load, and breaks each completion or order
+ * in one way: a chunk that is cut short, invalid UTF-8, an event that is not
+ * JSON, or bytes without end.  Prints one line for each, and one when an
+ * endless one was closed. */
 #include <argp.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -17,13 +19,29 @@
   const char *fault;
   const char *event; /* what it sends */
   int length;        /* that its chunk claims; 0: the true one */
+  const char *head;  /* of an endless answer, or NULL */
+  const char *again; /* what it sends then, until it is closed */
 } fault_t;
 
+#define FILLER_16 "0123456789abcdef"
+#define FILLER_64 FILLER_16 FILLER_16 FILLER_16 FILLER_16
+#define FILLER_256 FILLER_64 FILLER_64 FILLER_64 FILLER_64
+#define OK "HTTP/1.1 200 OK\r\n"
+#define EVENTS OK "Content-Type: text/event-stream\r\n"
+
+/* Bytes of an endless answer that wait to be sent, at most. */
+#define AHEAD_MAX (256 * 1024)
+
 static const fault_t faults[] = {
-  { "chunk", "data: {\"choices\"", 4000 },
-  { "utf8", "data: {\"choices\":[{\"index\":0,\"text\":\"\xff\xfe\"}]}\n\n",
-    0 },
-  { "json", "data: this is not JSON\n\n", 0 },
+  { "chunk", "data: {\"choices\"", 4000, NULL, NULL },
+  { "utf8", "data: {\"choices\":[{\"index\":0,\"text\":\"\xff\xfe\"}]}\n\n", 0,
+    NULL, NULL },
+  { "json", "data: this is not JSON\n\n", 0, NULL, NULL },
+  { "endless-line", NULL, 0, OK "X-Line: ", FILLER_256 },
+  { "endless-headers", NULL, 0, OK, "X-Filler: " FILLER_256 "\r\n" },
+  { "endless-chunks", NULL, 0, EVENTS "Transfer-Encoding: chunked\r\n\r\n",
+    "100\r\n" FILLER_256 "\r\n" },
+  { "endless-body", NULL, 0, EVENTS "Connection: close\r\n\r\n", FILLER_256 },
 };
 
 typedef struct
@@ -50,6 +68,37 @@
     evbuffer_add_printf (out, "\r\n");
 }
 
+static void
+broken_on_room (struct bufferevent *bev, void *context)
+{
+  const broken_t *broken = context;
+  struct evbuffer *out = bufferevent_get_output (bev);
+
+  while (evbuffer_get_length (out) < AHEAD_MAX)
+    evbuffer_add (out, broken->fault->again, strlen (broken->fault->again));
+}
+
+static void
+broken_on_closed (struct bufferevent *bev, short what, void *context)
+{
+  (void)what;
+  (void)context;
+  printf ("{\"event\":\"closed\"}\n");
+  fflush (stdout);
+  bufferevent_free (bev);
+}
+
+static void
+broken_begin_endless (const broken_t *broken, struct bufferevent *bev)
+{
+  printf ("{\"event\":\"broken\",\"fault\":\"%s\"}\n", broken->fault->fault);
+  fflush (stdout);
+  bufferevent_setcb (bev, NULL, broken_on_room, broken_on_closed,
+                     (void *)broken);
+  evbuffer_add (bufferevent_get_output (bev), broken->fault->head,
+                strlen (broken->fault->head));
+}
+
 static void
 broken_on_written (struct bufferevent *bev, void *context)
 {
@@ -78,6 +127,12 @@
     return;
   evbuffer_copyout (input, method, 4);
   evbuffer_drain (input, len);
+  if (strncmp (method, "POST", 4) == 0
+      && ((broken_t *)context)->fault->head != NULL)
+    {
+      broken_begin_endless (context, bev);
+      return;
+    }
   if (strncmp (method, "POST", 4) == 0)
     broken_complete (context, out);
   else
@@ -104,7 +159,7 @@
 
 static const struct argp_option broken_options[] = {
   { "port", 'p', "PORT", 0, "Port on 127.0.0.1", 0 },
-  { "fault", 'f', "FAULT", 0, "chunk, utf8 or json", 0 },
+  { "fault", 'f', "FAULT", 0, "One of the table above", 0 },
   { 0 },
 };
 
@@ -137,6 +192,7 @@
   struct sockaddr_in address = { .sin_family = AF_INET };
   struct event_base *base = event_base_new ();
 
+  signal (SIGPIPE, SIG_IGN);
   argp_parse (&argp, argc, argv, 0, NULL, &broken);
   address.sin_port = htons ((uint16_t)broken.port);
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
