Quotas: the first use of an organisation on a VM that was heard before counts

Cause: what a VM tells of an organisation first is the baseline of a control VM that begins to count, as another leader may have counted it. A VM that was heard all along, and had not been asked by that organisation, was treated the same: its first 0.1 to 0.5 s went uncounted.

--- a/src/shell/control_task.c
+++ b/src/shell/control_task.c
@@ -366,6 +366,10 @@
   row->site_wall_ms = (br_ms_t)message->report->site_wall_ms;
   task_hear_used (task, from, message->report->used, message->report->n_used,
                   message->report->up_ms);
+  br_quota_pool_heard_all (
+      &task->pool,
+      &(br_pool_report_t){ .vm = &from->vm, .incarnation = from->incarnation },
+      now);
   br_control_hear_crashes (task, message->report, now);
   br_control_hear_leaving (task, message->report, now);
   if (is_new)
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -57,8 +57,8 @@
   const br_site_settings_t *site = &task->node->settings.site;
   br_repeat_limits_t limits = {
     .ratio = site->retry_ratio * REPEAT_SHARE,
-    .slack = site->retry_slack * REPEAT_SHARE
-             / (double)BR_MAX (task->entries, 1),
+    .slack
+    = site->retry_slack * REPEAT_SHARE / (double)BR_MAX (task->entries, 1),
     .window_ms = (br_ms_t)(site->retry_window_s * 1000),
   };
 
--- a/src/site/quota_pool.c
+++ b/src/site/quota_pool.c
@@ -114,7 +114,7 @@
            const br_name_t *organisation,
            const br_pool_report_t *report,
            br_ms_t now,
-           bool *is_new)
+           bool *is_first)
 {
   br_pool_vm_t *vm = pool_vm (pool, report, now);
   br_pool_used_t fresh = {
@@ -124,11 +124,13 @@
   };
 
   vm->heard_ms = now;
-  *is_new = false;
+  *is_first = false;
   for (size_t i = 0; i < vm->useds.len; i++)
     if (br_name_equal (&vm->useds.items[i].organisation, organisation))
       return &vm->useds.items[i];
-  *is_new = true;
+  *is_first = !vm->told_all;
+  if (vm->told_all)
+    fresh.used = fresh.asked = 0;
   return br_pool_useds_push (&vm->useds, fresh);
 }
 
@@ -152,7 +154,7 @@
                     const br_pool_report_t *report,
                     br_ms_t now)
 {
-  bool is_new;
+  bool is_first;
   br_pool_used_t *used;
 
   if (pool->heard_ms > 0 && now - pool->heard_ms >= SILENT_MS)
@@ -160,16 +162,16 @@
       br_quota_pool_release (pool);
       *pool = (br_quota_pool_t){ 0 };
     }
-  used = pool_used (pool, &organisation->name, report, now, &is_new);
+  used = pool_used (pool, &organisation->name, report, now, &is_first);
   pool->heard_ms = now;
   br_quota_pool_level (pool, organisation, now);
   if (pool->began_ms == 0)
     pool->began_ms = now;
   /* What a VM that was there before this leader had let through until now was
    * counted by another one, whenever it is heard first. */
-  if (is_new && report->up_ms >= now - pool->began_ms)
+  if (is_first && report->up_ms >= now - pool->began_ms)
     return;
-  if (is_new)
+  if (is_first)
     used->used = used->asked = 0;
   if (report->units > used->used)
     pool_quota (pool, organisation, now)->level -= report->units - used->used;
@@ -179,6 +181,17 @@
   used->asked = report->asked;
 }
 
+void
+br_quota_pool_heard_all (br_quota_pool_t *pool,
+                         const br_pool_report_t *report,
+                         br_ms_t now)
+{
+  br_pool_vm_t *vm = pool_vm (pool, report, now);
+
+  vm->heard_ms = now;
+  vm->told_all = true;
+}
+
 double
 br_quota_pool_asked (br_quota_pool_t *pool,
                      const br_site_organisation_t *organisation,
--- a/src/site/quota_pool.h
+++ b/src/site/quota_pool.h
@@ -36,6 +36,7 @@
   br_name_t vm;
   uint64_t incarnation;
   br_ms_t heard_ms;
+  bool told_all;         /* what is not in USEDS was 0 */
   br_pool_useds_t useds; /* owned */
 } br_pool_vm_t;
 
@@ -76,6 +77,12 @@
                          const br_pool_report_t *report,
                          br_ms_t now);
 
+/* That was all that the run has let through, for any organisation: what it
+ * tells of another one later was let through since. */
+void br_quota_pool_heard_all (br_quota_pool_t *pool,
+                              const br_pool_report_t *report,
+                              br_ms_t now);
+
 /* Returns what is left of the organisation's quota. */
 double br_quota_pool_level (br_quota_pool_t *pool,
                             const br_site_organisation_t *organisation,
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -21,11 +21,12 @@
  *   attempt KIND RESUMABLE MAX RAN REFUSED BEGUN LEFT_MS
  *   organisation RATE BURST
  *   part P | left UNITS ASKED_PER_S | take UNITS DRAW | pool VM USED ASKED
- * [UP_MS] level split ASKED... budget RATIO SLACK WINDOW_MS | request N |
- * repeat N hear VM WALL_MS | settle ran VM INCARNATION WINDOW REQUESTS
- * SITE_WALL_MS   an entry VM tells complete SITE_WALL_MS | sum WINDOW count
- * WINDOW REQUESTS | changed | told               the entry VM's own counts
- * events TEXT          \n for line ends; prints what is passed on cut | rest
+ * [UP_MS] level | heard VM | split ASKED... budget RATIO SLACK WINDOW_MS |
+ * request N | repeat N hear VM WALL_MS | settle ran VM INCARNATION WINDOW
+ * REQUESTS SITE_WALL_MS   an entry VM tells complete SITE_WALL_MS | sum WINDOW
+ * count WINDOW REQUESTS | changed | told               the entry VM's own
+ * counts events TEXT          \n for line ends; prints what is passed on cut |
+ * rest
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -360,6 +361,15 @@
                       session->now);
 }
 
+static void
+on_heard (session_t *session, const words_t *words)
+{
+  br_name_t vm = br_name_from (word (words, 1));
+  br_pool_report_t report = { .vm = &vm, .incarnation = 1 };
+
+  br_quota_pool_heard_all (&session->pool, &report, session->now);
+}
+
 static void
 on_split (const words_t *words)
 {
@@ -592,6 +602,8 @@
                                  session->now),
             br_quota_pool_asked (&session->pool, &session->organisation,
                                  session->now));
+  else if (strcmp (verb, "heard") == 0)
+    on_heard (session, words);
   else if (strcmp (verb, "split") == 0)
     on_split (words);
   else if (strcmp (verb, "budget") == 0)
