Own path: a stream that sends bytes and no event is stalled; a second stall leaves the upstream

What operators of similar systems met can happen here: a stream that sent a byte now and then never ended. Cause: any bytes of an event stream restarted the bound between two tokens. And an upstream that stalls, but answers a check, was given the request again and again, as if only its connection had gone silent.

Now whole events are progress, and a request is given once more to an upstream that stalls; then another one takes it.

--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -311,6 +311,15 @@
                 attempt_message (attempt, BR_ATTEMPT_OPENED));
 }
 
+/* The answer goes on: the next part has its time again. */
+static void
+attempt_progress (attempt_t *attempt)
+{
+  attempt_set_timer (attempt, "token gap",
+                     attempt->task->node->settings.token_gap_ms);
+}
+
+/* Whole events are progress; a byte now and then is not. */
 static bool
 attempt_take_events (attempt_t *attempt, br_str_t bytes)
 {
@@ -319,7 +328,10 @@
   if (!br_sse_feed (&attempt->sse, bytes))
     return false;
   while (br_sse_next (&attempt->sse, &data))
-    attempt_post_data (attempt, BR_ATTEMPT_EVENT, data);
+    {
+      attempt_progress (attempt);
+      attempt_post_data (attempt, BR_ATTEMPT_EVENT, data);
+    }
   return true;
 }
 
@@ -339,10 +351,11 @@
   br_str_t bytes = br_str_make ((const char *)evbuffer_pullup (input, -1), len);
 
   attempt_open (attempt);
-  attempt_set_timer (attempt, "token gap",
-                     attempt->task->node->settings.token_gap_ms);
   if (!attempt_is_event_stream (attempt))
-    attempt_post_data (attempt, BR_ATTEMPT_BODY, bytes);
+    {
+      attempt_progress (attempt);
+      attempt_post_data (attempt, BR_ATTEMPT_BODY, bytes);
+    }
   else if (!attempt_take_events (attempt, bytes))
     attempt->http_error = EVREQ_HTTP_DATA_TOO_LONG;
   evbuffer_drain (input, len);
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -167,8 +167,14 @@
   };
 
   br_log_error (&task->node->log, "work", "attempt_failed", err);
+  /* A connection that went silent is replaced once; an upstream that answers
+   * checks and stalls again is left. */
+  work->same_upstream = work->same_upstream
+                        && !br_name_equal (&work->stalled_at, &work->upstream);
   if (!work->same_upstream)
     br_names_push (&work->tried, work->upstream);
+  else
+    work->stalled_at = work->upstream;
   work->failed_ms = br_node_now (task->node);
   if (br_retry_task_failed (task->node->retries, work->number, &query))
     return;
--- a/src/shell/work_task.h
+++ b/src/shell/work_task.h
@@ -50,6 +50,7 @@
   size_t received;      /* parts it has delivered */
   bool same_upstream;   /* its connection went silent, but it answers */
   br_names_t tried;     /* upstreams that failed */
+  br_name_t stalled_at; /* answered a check, and was given another attempt */
   uint32_t watchers;    /* callers that read the answer */
   br_ms_t not_after_ms; /* of work that runs once: no first byte later */
   br_ms_t accepted_ms;
--- a/tests/fakes/fake_broken.c
+++ b/tests/fakes/fake_broken.c
@@ -21,6 +21,7 @@
   int length;        /* that its chunk claims; 0: the true one */
   const char *head;  /* of an endless answer, or NULL */
   const char *again; /* what it sends then, until it is closed */
+  int again_ms;      /* time between two of those; 0: as fast as it goes */
 } fault_t;
 
 #define FILLER_16 "0123456789abcdef"
@@ -33,15 +34,24 @@
 #define AHEAD_MAX (256 * 1024)
 
 static const fault_t faults[] = {
-  { "chunk", "data: {\"choices\"", 4000, NULL, NULL },
-  { "utf8", "data: {\"choices\":[{\"index\":0,\"text\":\"\xff\xfe\"}]}\n\n", 0,
-    NULL, NULL },
-  { "json", "data: this is not JSON\n\n", 0, NULL, NULL },
-  { "endless-line", NULL, 0, OK "X-Line: ", FILLER_256 },
-  { "endless-headers", NULL, 0, OK, "X-Filler: " FILLER_256 "\r\n" },
-  { "endless-chunks", NULL, 0, EVENTS "Transfer-Encoding: chunked\r\n\r\n",
-    "100\r\n" FILLER_256 "\r\n" },
-  { "endless-body", NULL, 0, EVENTS "Connection: close\r\n\r\n", FILLER_256 },
+  { .fault = "chunk", .event = "data: {\"choices\"", .length = 4000 },
+  { .fault = "utf8",
+    .event = "data: {\"choices\":[{\"index\":0,\"text\":\"\xff\xfe\"}]}\n\n" },
+  { .fault = "json", .event = "data: this is not JSON\n\n" },
+  { .fault = "endless-line", .head = OK "X-Line: ", .again = FILLER_256 },
+  { .fault = "endless-headers",
+    .head = OK,
+    .again = "X-Filler: " FILLER_256 "\r\n" },
+  { .fault = "endless-chunks",
+    .head = EVENTS "Transfer-Encoding: chunked\r\n\r\n",
+    .again = "100\r\n" FILLER_256 "\r\n" },
+  { .fault = "endless-body",
+    .head = EVENTS "Connection: close\r\n\r\n",
+    .again = FILLER_256 },
+  { .fault = "trickle",
+    .head = EVENTS "Transfer-Encoding: chunked\r\n\r\n6\r\ndata: \r\n",
+    .again = "1\r\nx\r\n",
+    .again_ms = 200 },
 };
 
 typedef struct
@@ -78,14 +88,38 @@
     evbuffer_add (out, broken->fault->again, strlen (broken->fault->again));
 }
 
+/* One for each connection; the test is over before they add up. */
+static void
+broken_on_trickle (evutil_socket_t fd, short what, void *context)
+{
+  struct bufferevent *bev = context;
+  const broken_t *broken;
+
+  (void)fd;
+  (void)what;
+  bufferevent_getcb (bev, NULL, NULL, NULL, (void **)&broken);
+  evbuffer_add (bufferevent_get_output (bev), broken->fault->again,
+                strlen (broken->fault->again));
+}
+
+static void
+broken_begin_trickle (const broken_t *broken, struct bufferevent *bev)
+{
+  struct timeval period = { 0, broken->fault->again_ms * 1000 };
+  struct event *timer = event_new (bufferevent_get_base (bev), -1, EV_PERSIST,
+                                   broken_on_trickle, bev);
+
+  event_add (timer, &period);
+}
+
 static void
 broken_on_closed (struct bufferevent *bev, short what, void *context)
 {
   (void)what;
-  (void)context;
   printf ("{\"event\":\"closed\"}\n");
   fflush (stdout);
-  bufferevent_free (bev);
+  if (((broken_t *)context)->fault->again_ms == 0)
+    bufferevent_free (bev); /* a trickle's timer still has it */
 }
 
 static void
@@ -93,8 +127,11 @@
 {
   printf ("{\"event\":\"broken\",\"fault\":\"%s\"}\n", broken->fault->fault);
   fflush (stdout);
-  bufferevent_setcb (bev, NULL, broken_on_room, broken_on_closed,
-                     (void *)broken);
+  bufferevent_setcb (bev, NULL,
+                     broken->fault->again_ms > 0 ? NULL : broken_on_room,
+                     broken_on_closed, (void *)broken);
+  if (broken->fault->again_ms > 0)
+    broken_begin_trickle (broken, bev);
   evbuffer_add (bufferevent_get_output (bev), broken->fault->head,
                 strlen (broken->fault->head));
 }
