--- a/src/upstream/load.pb-c.c
+++ b/src/upstream/load.pb-c.c
@@ -7,237 +7,286 @@
 #endif
 
 #include "upstream/load.pb-c.h"
-void
-br__upstream__load_report__init (Br__Upstream__LoadReport *message)
+void   br__upstream__load_report__init
+                     (Br__Upstream__LoadReport         *message)
 {
-  static const Br__Upstream__LoadReport init_value
-      = BR__UPSTREAM__LOAD_REPORT__INIT;
+  static const Br__Upstream__LoadReport init_value = BR__UPSTREAM__LOAD_REPORT__INIT;
   *message = init_value;
 }
-size_t
-br__upstream__load_report__get_packed_size (
-    const Br__Upstream__LoadReport *message)
+size_t br__upstream__load_report__get_packed_size
+                     (const Br__Upstream__LoadReport *message)
 {
-  assert (message->base.descriptor == &br__upstream__load_report__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__upstream__load_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__upstream__load_report__pack (const Br__Upstream__LoadReport *message,
-                                 uint8_t *out)
+size_t br__upstream__load_report__pack
+                     (const Br__Upstream__LoadReport *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__upstream__load_report__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__upstream__load_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__upstream__load_report__pack_to_buffer (
-    const Br__Upstream__LoadReport *message,
-    ProtobufCBuffer *buffer)
-{
-  assert (message->base.descriptor == &br__upstream__load_report__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+size_t br__upstream__load_report__pack_to_buffer
+                     (const Br__Upstream__LoadReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__upstream__load_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Upstream__LoadReport *
-br__upstream__load_report__unpack (ProtobufCAllocator *allocator,
-                                   size_t len,
-                                   const uint8_t *data)
+       br__upstream__load_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Upstream__LoadReport *)protobuf_c_message_unpack (
-      &br__upstream__load_report__descriptor, allocator, len, data);
+  return (Br__Upstream__LoadReport *)
+     protobuf_c_message_unpack (&br__upstream__load_report__descriptor,
+                                allocator, len, data);
 }
-void
-br__upstream__load_report__free_unpacked (Br__Upstream__LoadReport *message,
-                                          ProtobufCAllocator *allocator)
+void   br__upstream__load_report__free_unpacked
+                     (Br__Upstream__LoadReport *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__upstream__load_report__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__upstream__load_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__upstream__load_digest__init (Br__Upstream__LoadDigest *message)
+void   br__upstream__load_digest__init
+                     (Br__Upstream__LoadDigest         *message)
 {
-  static const Br__Upstream__LoadDigest init_value
-      = BR__UPSTREAM__LOAD_DIGEST__INIT;
+  static const Br__Upstream__LoadDigest init_value = BR__UPSTREAM__LOAD_DIGEST__INIT;
   *message = init_value;
 }
-size_t
-br__upstream__load_digest__get_packed_size (
-    const Br__Upstream__LoadDigest *message)
+size_t br__upstream__load_digest__get_packed_size
+                     (const Br__Upstream__LoadDigest *message)
 {
-  assert (message->base.descriptor == &br__upstream__load_digest__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__upstream__load_digest__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__upstream__load_digest__pack (const Br__Upstream__LoadDigest *message,
-                                 uint8_t *out)
+size_t br__upstream__load_digest__pack
+                     (const Br__Upstream__LoadDigest *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__upstream__load_digest__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__upstream__load_digest__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__upstream__load_digest__pack_to_buffer (
-    const Br__Upstream__LoadDigest *message,
-    ProtobufCBuffer *buffer)
-{
-  assert (message->base.descriptor == &br__upstream__load_digest__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+size_t br__upstream__load_digest__pack_to_buffer
+                     (const Br__Upstream__LoadDigest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__upstream__load_digest__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Upstream__LoadDigest *
-br__upstream__load_digest__unpack (ProtobufCAllocator *allocator,
-                                   size_t len,
-                                   const uint8_t *data)
+       br__upstream__load_digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Upstream__LoadDigest *)protobuf_c_message_unpack (
-      &br__upstream__load_digest__descriptor, allocator, len, data);
+  return (Br__Upstream__LoadDigest *)
+     protobuf_c_message_unpack (&br__upstream__load_digest__descriptor,
+                                allocator, len, data);
 }
-void
-br__upstream__load_digest__free_unpacked (Br__Upstream__LoadDigest *message,
-                                          ProtobufCAllocator *allocator)
+void   br__upstream__load_digest__free_unpacked
+                     (Br__Upstream__LoadDigest *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__upstream__load_digest__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__upstream__load_digest__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor
-    br__upstream__load_report__field_descriptors[10]
-    = {
-        {
-            "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (Br__Upstream__LoadReport, name), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Upstream__LoadReport, incarnation), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "down", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (Br__Upstream__LoadReport, down), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "known", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (Br__Upstream__LoadReport, known), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "age_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Br__Upstream__LoadReport, age_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "running", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Br__Upstream__LoadReport, running), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "waiting", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Br__Upstream__LoadReport, waiting), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "slots", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Br__Upstream__LoadReport, slots), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "token_ms", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Br__Upstream__LoadReport, token_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "prefill_per_s", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Br__Upstream__LoadReport, prefill_per_s), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+static const ProtobufCFieldDescriptor br__upstream__load_report__field_descriptors[10] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Upstream__LoadReport, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Upstream__LoadReport, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "down",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Br__Upstream__LoadReport, down),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Br__Upstream__LoadReport, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Upstream__LoadReport, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Upstream__LoadReport, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Upstream__LoadReport, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Upstream__LoadReport, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Upstream__LoadReport, token_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefill_per_s",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Upstream__LoadReport, prefill_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__upstream__load_report__field_indices_by_name[] = {
-  4, /* field[4] = age_ms */
-  2, /* field[2] = down */
-  1, /* field[1] = incarnation */
-  3, /* field[3] = known */
-  0, /* field[0] = name */
-  9, /* field[9] = prefill_per_s */
-  5, /* field[5] = running */
-  7, /* field[7] = slots */
-  8, /* field[8] = token_ms */
-  6, /* field[6] = waiting */
+  4,   /* field[4] = age_ms */
+  2,   /* field[2] = down */
+  1,   /* field[1] = incarnation */
+  3,   /* field[3] = known */
+  0,   /* field[0] = name */
+  9,   /* field[9] = prefill_per_s */
+  5,   /* field[5] = running */
+  7,   /* field[7] = slots */
+  8,   /* field[8] = token_ms */
+  6,   /* field[6] = waiting */
 };
-static const ProtobufCIntRange br__upstream__load_report__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 10 } };
-const ProtobufCMessageDescriptor br__upstream__load_report__descriptor = {
+static const ProtobufCIntRange br__upstream__load_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor br__upstream__load_report__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.upstream.LoadReport",
   "LoadReport",
   "Br__Upstream__LoadReport",
   "br.upstream",
-  sizeof (Br__Upstream__LoadReport),
+  sizeof(Br__Upstream__LoadReport),
   10,
   br__upstream__load_report__field_descriptors,
   br__upstream__load_report__field_indices_by_name,
-  1,
-  br__upstream__load_report__number_ranges,
-  (ProtobufCMessageInit)br__upstream__load_report__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__upstream__load_report__number_ranges,
+  (ProtobufCMessageInit) br__upstream__load_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__upstream__load_digest__field_descriptors[1] =
+{
+  {
+    "reports",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Upstream__LoadDigest, n_reports),
+    offsetof(Br__Upstream__LoadDigest, reports),
+    &br__upstream__load_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor
-    br__upstream__load_digest__field_descriptors[1]
-    = {
-        {
-            "reports", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Upstream__LoadDigest, n_reports),
-            offsetof (Br__Upstream__LoadDigest, reports),
-            &br__upstream__load_report__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
 static const unsigned br__upstream__load_digest__field_indices_by_name[] = {
-  0, /* field[0] = reports */
+  0,   /* field[0] = reports */
 };
-static const ProtobufCIntRange br__upstream__load_digest__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor br__upstream__load_digest__descriptor = {
+static const ProtobufCIntRange br__upstream__load_digest__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor br__upstream__load_digest__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.upstream.LoadDigest",
   "LoadDigest",
   "Br__Upstream__LoadDigest",
   "br.upstream",
-  sizeof (Br__Upstream__LoadDigest),
+  sizeof(Br__Upstream__LoadDigest),
   1,
   br__upstream__load_digest__field_descriptors,
   br__upstream__load_digest__field_indices_by_name,
-  1,
-  br__upstream__load_digest__number_ranges,
-  (ProtobufCMessageInit)br__upstream__load_digest__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__upstream__load_digest__number_ranges,
+  (ProtobufCMessageInit) br__upstream__load_digest__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
