Quarantine: losses at once count as one

Cause, from its logs: 1.1 s after the start one fault broke the runs of all callers, who send the same, before the first answer; the content counted as lost 14 times and was banned ("ban proposed", crashes 0, losses 14), and again when its trial met the next fault.

Now losses of one content within 0.5 s count once, at whichever upstreams.

--- a/src/upstream/quarantine.c
+++ b/src/upstream/quarantine.c
@@ -116,10 +116,19 @@
 int
 br_quarantine_losses (const br_quarantine_t *quarantine, uint64_t content)
 {
+  br_ms_t last_ms = -BR_LOSSES_APART_MS;
   int n = 0;
 
   for (size_t i = 0; i < quarantine->losses.len; i++)
-    n += quarantine->losses.items[i].content == content;
+    {
+      const br_loss_t *loss = &quarantine->losses.items[i];
+
+      if (loss->content != content
+          || loss->at_ms < last_ms + BR_LOSSES_APART_MS)
+        continue;
+      last_ms = loss->at_ms;
+      n++;
+    }
   return n;
 }
 
--- a/src/upstream/quarantine.h
+++ b/src/upstream/quarantine.h
@@ -45,11 +45,15 @@
 #define BR_BANS_MAX 256
 #define BR_ANSWERED_MAX 256
 
-/* Runs that were lost, without a proof that the upstream crashed, after which a
- * request is held for a trial: a caller that tries twice, at two upstreams each
- * time, does not come to more. */
+/* Times at which runs were lost, without a proof that the upstream crashed,
+ * after which a request is held for a trial: a caller that tries twice, at two
+ * upstreams each time, does not come to more. */
 #define BR_LOSSES_CERTAIN 4
 
+/* Losses of one request within this time, in milliseconds, count as one: a
+ * fault takes all that is under way, and many callers may send the same. */
+#define BR_LOSSES_APART_MS 500
+
 /* After a run was lost in a trial, a VM that is led holds the request for so
  * long, in milliseconds: the leader has decided by then. */
 #define BR_QUARANTINE_VERDICT_MS 2000
@@ -143,7 +147,8 @@
 bool br_quarantine_report_loss (br_quarantine_t *quarantine,
                                 const br_loss_t *loss);
 
-/* Lost runs of CONTENT since it was last answered. */
+/* How often CONTENT was lost since it was last answered, at times that lie
+ * apart. */
 int br_quarantine_losses (const br_quarantine_t *quarantine, uint64_t content);
 
 /* The upstream did not crash: its VM was reclaimed in this incarnation. */
