--- a/src/shell/exchange_end.c
+++ b/src/shell/exchange_end.c
@@ -43,6 +43,23 @@
   return text;
 }
 
+/* Size of the text of all parts that other requests may share. */
+#define PARTS_TEXT_MAX (BR_PROMPT_PARTS_MAX * 17)
+
+/* Writes the ids of the shared parts of the prompt to TEXT, separated by
+ * commas; returns TEXT. */
+static const char *
+parts_text (const br_inbound_t *inbound, char text[PARTS_TEXT_MAX])
+{
+  size_t len = 0;
+
+  text[0] = '\0';
+  for (size_t i = 0; i + 1 < inbound->n_parts; i++)
+    len += (size_t)snprintf (text + len, PARTS_TEXT_MAX - len, "%s%" PRIx64,
+                             i > 0 ? "," : "", inbound->parts[i].id);
+  return text;
+}
+
 void
 br_exchange_log (const br_exchange_t *exchange, const char *outcome, int status)
 {
@@ -96,12 +113,14 @@
       exchange->task, br_name_str (&exchange->service->name));
   br_repeat_limits_t limits = br_entry_repeat_limits (exchange->task);
   char content[BR_CONTENT_DIGITS];
+  char parts[PARTS_TEXT_MAX];
 
   BR_LOG (
       &exchange->task->node->log, "request", "attempt_failed",
       br_field_str ("id", exchange->inbound.id),
       br_field_z ("content",
                   br_content_text (br_exchange_content (exchange), content)),
+      br_field_z ("parts", parts_text (&exchange->inbound, parts)),
       br_field_str ("upstream", br_name_str (&upstream->listing.id)),
       br_field_int ("born", (int64_t)upstream->listing.started_ms),
       br_field_z ("peer", upstream->listing.address.data),
@@ -109,6 +128,7 @@
       br_field_z ("next", next),
       br_field_int ("attempt_ms", now - exchange->sent_ms),
       br_field_int ("events", (int64_t)exchange->events.passed),
+      br_field_int ("answering", exchange->had_first_event),
       br_field_int ("load", br_fleet_load (upstream, now)),
       br_field_int ("repeats_left", (int64_t)br_repeat_budget_remaining (
                                         &service->repeats, &limits, now)),
