--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -24,6 +24,10 @@
  * platform's bound DrainMs. */
 #define LEAVING_UPDATE_MS 3000
 
+/* A request with a shared prompt part whose id begins with this is run in the
+ * mode FATAL_PART. */
+#define FATAL_PART_ID "dead"
+
 #define SLOW_MS 400
 #define NAMED_MS 20
 #define STREAM_EVENTS 6
@@ -61,7 +65,8 @@
   X (HOLD_NOW, "hold-now") /* command: Retry-After for the body's ms */        \
   X (FATAL, "fatal")       /* crash: resets all connections, restarts later */ \
   X (FATAL_CLOSE, "fatal-close")   /* the same, but closes them */             \
-  X (FATAL_SILENT, "fatal-silent") /* the same, but stalls them */
+  X (FATAL_SILENT, "fatal-silent") /* the same, but stalls them */             \
+  X (FATAL_PART, "fatal-part")     /* crash instead of the first event */
 
 typedef enum
 {
@@ -171,6 +176,22 @@
   return (long long)now.tv_sec * 1000 + now.tv_usec / 1000;
 }
 
+/* Returns whether any but the last part of the prompt has an id that begins
+ * with FATAL_PART_ID. */
+static bool
+conn_has_fatal_part (const conn_t *conn)
+{
+  br_str_t parts = br_http_head_find (&conn->head, "X-Prompt-Prefix");
+  size_t len = sizeof FATAL_PART_ID - 1;
+
+  for (size_t i = 0; i + len <= parts.len; i++)
+    if ((i == 0 || parts.data[i - 1] == ',')
+        && memcmp (parts.data + i, FATAL_PART_ID, len) == 0
+        && memchr (parts.data + i, ',', parts.len - i) != NULL)
+      return true;
+  return false;
+}
+
 static void
 conn_print_run (const conn_t *conn)
 {
@@ -324,7 +345,10 @@
 
   (void)fd;
   (void)what;
-  if (conn->mode == MODE_NAMED)
+  if (conn->mode == MODE_FATAL_PART)
+    runner_crash (conn->runner, br_http_head_find (&conn->head, "X-Request-Id"),
+                  MODE_FATAL);
+  else if (conn->mode == MODE_NAMED)
     conn_send_named (conn);
   else if (conn->mode == MODE_SLOW)
     conn_send_answer (conn, 200, "X-Server-Stamp: s\r\n", "slow answer\n");
@@ -457,6 +481,7 @@
       conn_set_timer (conn, SLOW_MS);
       break;
     case MODE_NAMED:
+    case MODE_FATAL_PART:
       conn_set_timer (conn, NAMED_MS);
       break;
     case MODE_STREAM:
@@ -549,6 +574,8 @@
 {
   conn->head = br_http_reader_take_head (conn->reader);
   conn->mode = mode_from_target (conn->head.target);
+  if (conn_has_fatal_part (conn))
+    conn->mode = MODE_FATAL_PART;
   if (conn_send_retry_after (conn))
     return;
   conn_print_late (conn);
