Block a prompt part that crashes upstreams, whatever else a request holds

Cause: the quarantine knew a request by one digest of caller, path and body, and no two of these are alike. In the logs of 37 crashes one part was in a run without an event each time and in none with one; 20 contents had it, two crashes each.

Change: each shared part of a prompt is a thing that may be at fault. The suspects of a crash are the shared parts of the runs there that had not begun to answer (upstream/part_suspects). Entry VMs report them to all control VMs. Once a part is a suspect of two crashes that are not of one moment, the leader asks all entry VMs when an answer last began on it: an answer that began since the crash clears it. A part on which no answer ever began is blamed after two crashes, one that was answered before after four, the likeliest first, whose crashes then speak against nobody else; parts that explain the same crashes need two more. Only the tried part is condemned by a trial; requests with two parts to be tried wait for those with one. Attempts that have not begun to be answered end when their part is blocked.

--- a/src/shell/control_private.h
+++ b/src/shell/control_private.h
@@ -11,6 +11,7 @@
 #include "site/site_clock.h"
 #include "site/site_sums.h"
 #include "site/usage_ledger.h"
+#include "upstream/part_suspects.h"
 
 BR_BEGIN_DECLS
 
@@ -48,6 +49,18 @@
 
 BR_VEC (br_control_leavings, br_control_leaving_t);
 
+/* The leader's question when answers last began on suspected prompt parts. */
+typedef struct
+{
+  bool is_due;     /* new crashes were reported since the last one */
+  bool is_open;    /* entry VMs may still answer */
+  uint64_t number; /* of the last one */
+  br_ms_t begun_ms;
+  size_t asked;    /* entry VMs */
+  size_t answered; /* of them */
+  br_part_candidates_t candidates;
+} br_control_inquiry_t;
+
 typedef struct br_control_duties br_control_duties_t;
 
 struct br_control_task
@@ -78,6 +91,8 @@
   br_ms_t bans_last_check_ms;
   uint64_t trial_content; /* whose trial was proposed last; 0: none */
   br_ms_t trial_proposed_ms;
+  br_part_suspects_t part_suspects; /* crashes that entry VMs reported */
+  br_control_inquiry_t part_inquiry;
   br_limit_pools_t limits; /* kept while leading */
   br_ms_t last_heartbeat_ms;
   br_usage_ledger_t ledger;
@@ -162,6 +177,25 @@
                            const br_name_t *vm,
                            br_ms_t now);
 
+/* On the leader: bans a request or prompt part for a short time, after which it
+ * is tried. */
+void br_control_ban_for_trial (br_control_task_t *task, uint64_t subject);
+
+/* --- control_parts.c --- */
+
+/* Handles the crashes by prompt parts in an entry VM's report. */
+void br_control_receive_part_crashes (br_control_task_t *task,
+                                      const Br__Site__EntryReport *report,
+                                      br_ms_t now);
+
+/* On the leader: handles an answer to the inquiry. */
+void br_control_receive_begun_parts (br_control_task_t *task,
+                                     const Br__Site__BegunParts *begun);
+
+/* On the leader: begins an inquiry that is due, and ends one that is open for
+ * too long. */
+void br_control_parts_tick (br_control_task_t *task, br_ms_t now);
+
 /* --- control_limits.c --- */
 
 /* Takes an entry VM's limits and its requests for permits. */
--- a/src/shell/control_quarantine.c
+++ b/src/shell/control_quarantine.c
@@ -121,12 +121,18 @@
 {
   br_quarantine_t *quarantine = &task->node->quarantine;
 
-  if (quarantine->crashes.len == 0)
+  if (quarantine->crashes.len + task->part_suspects.crashes.len == 0)
     return;
   for (size_t i = 0; i < task->listings.len; i++)
-    if (task->listings.items[i].draining)
-      br_quarantine_discard (quarantine, &task->listings.items[i].id,
-                             task->listings.items[i].started_ms);
+    {
+      const br_listing_t *listing = &task->listings.items[i];
+
+      if (!listing->draining)
+        continue;
+      br_quarantine_discard (quarantine, &listing->id, listing->started_ms);
+      br_part_suspects_discard (&task->part_suspects, &listing->id,
+                                &listing->started_ms);
+    }
 }
 
 void
@@ -181,6 +187,19 @@
           br_field_int ("certain", certain), br_field_int ("for_ms", for_ms));
 }
 
+void
+br_control_ban_for_trial (br_control_task_t *task, uint64_t subject)
+{
+  br_ms_t wall = br_site_clock_wall (&task->clock, br_node_now (task->node));
+  br_buf_t command = { 0 };
+
+  if (br_state_find_ban (task->node->state, subject) != NULL)
+    return;
+  br_state_command_ban (subject, wall + BAN_BEFORE_TRIAL_MS, &command);
+  br_replica_task_propose (task->node->replica, br_buf_str (&command));
+  br_buf_free (&command);
+}
+
 /* The contents whose bans were proposed in one check. */
 typedef struct
 {
--- a/src/shell/control_task.c
+++ b/src/shell/control_task.c
@@ -372,6 +372,7 @@
       &(br_pool_report_t){ .vm = &from->vm, .incarnation = from->incarnation },
       now);
   br_control_receive_crashes (task, message->report, now);
+  br_control_receive_part_crashes (task, message->report, now);
   br_control_receive_leaving (task, message->report, now);
   if (is_new)
     {
@@ -417,6 +418,9 @@
     case BR__SITE__MESSAGE__BODY_LIMITS:
       task_on_limits (task, &from->vm, message->limits);
       break;
+    case BR__SITE__MESSAGE__BODY_BEGUN_PARTS:
+      br_control_receive_begun_parts (task, message->begun_parts);
+      break;
     case BR__SITE__MESSAGE__BODY_TRIAL_ASK:
       br_control_receive_trial_ask (task, &from->vm, message->trial_ask);
       break;
@@ -484,6 +488,8 @@
   if (term > 0)
     task_begin_quotas (task, now);
   task->bans_due = true;
+  task->part_inquiry.is_due = true;
+  task->part_inquiry.is_open = false;
   BR_LOG (&task->node->log, "site", term > 0 ? "leads" : "no longer leads",
           br_field_int ("term", (int64_t)term));
 }
@@ -527,6 +533,7 @@
     {
       br_control_limits_tick (task, now);
       br_control_quarantine_tick (task, now);
+      br_control_parts_tick (task, now);
       br_control_duties_tick (task->duties, now);
     }
 }
@@ -560,6 +567,7 @@
   br_listings_free (&task->listings);
   br_control_leavings_free (&task->leaving);
   br_limit_pools_release (&task->limits);
+  br_part_suspects_free (&task->part_suspects);
   br_usage_ledger_release (&task->ledger);
   br_quota_pool_release (&task->pool);
   br_buf_free (&task->packed);
--- a/src/shell/entry_private.h
+++ b/src/shell/entry_private.h
@@ -14,6 +14,7 @@
 #include "site/site.pb-c.h"
 #include "site/site_clock.h"
 #include "site/usage.h"
+#include "upstream/part_suspects.h"
 #include "upstream/trial.h"
 
 BR_BEGIN_DECLS
@@ -68,9 +69,11 @@
   bool report_due;
   bool refusing; /* about to stop: new requests could not be finished */
   struct event *timer;
-  br_crash_check_t *checks;  /* owned */
-  uint64_t bans_made;        /* bans ever made, as of the last update */
-  br_trials_t trials;        /* requested by this VM */
+  br_crash_check_t *checks;         /* owned */
+  uint64_t bans_made;               /* bans ever made, as of the last update */
+  br_trials_t trials;               /* requested by this VM */
+  br_part_suspects_t part_suspects; /* crashes that this VM saw */
+  br_begun_parts_t begun_parts;
   br_ms_t limits_sent_ms;    /* when the leader last got the limits */
   bool limits_changed;       /* since then */
   br_ms_t leader_since_ms;   /* when the leader was first seen again */
@@ -146,7 +149,7 @@
  * upstream crashed. */
 void br_entry_record_lost_run (br_entry_task_t *task,
                                br_fleet_upstream_t *upstream,
-                               uint64_t content,
+                               const br_lost_run_t *run,
                                br_ms_t sent_ms);
 
 /* Records the loss alone.  It proves no crash, but a request that is never
@@ -183,6 +186,25 @@
  * HAS_LEADER says whether it is now. */
 void br_entry_quarantine_tick (br_entry_task_t *task, bool has_leader);
 
+/* --- entry_parts.c --- */
+
+/* Records the prompt parts of a run that was lost in the crash of an upstream
+ * before it began to answer. */
+void br_entry_record_part_crash (br_entry_task_t *task,
+                                 const br_name_t *upstream,
+                                 const br_lost_run_t *run);
+
+/* Fills up to BR_PART_CRASHES_MAX entries of a report with recent crashes;
+ * returns their number. */
+size_t br_entry_report_part_crashes (const br_entry_task_t *task,
+                                     Br__Site__PartCrash *wire,
+                                     Br__Site__PartCrash **views);
+
+/* Answers the leading control VM's inquiry. */
+void br_entry_on_part_inquiry (br_entry_task_t *task,
+                               const br_name_t *vm,
+                               const Br__Site__PartInquiry *inquiry);
+
 /* --- exchange.c --- */
 
 /* Handle a new request, and the disconnect of its caller. */
@@ -201,6 +223,10 @@
  * refuses those that waited for a trial that another VM has now. */
 void br_exchanges_resume_trials (br_entry_task_t *task);
 
+/* Ends the attempts that have not begun to be answered and whose prompts have a
+ * part that is blocked now. */
+void br_exchanges_end_blocked (br_entry_task_t *task);
+
 /* Ends an exchange without an answer and frees it. */
 void br_exchange_free (br_exchange_t *exchange);
 
--- a/src/shell/entry_quarantine.c
+++ b/src/shell/entry_quarantine.c
@@ -47,6 +47,10 @@
 
   br_quarantine_report (&node->quarantine, run->content, &upstream->listing.id,
                         run->started_ms, run->lost_ms);
+  if (run->on_part_trial)
+    br_quarantine_report (&node->quarantine, br_part_subject (run->trial_part),
+                          &upstream->listing.id, run->started_ms, run->lost_ms);
+  br_entry_record_part_crash (source->task, &upstream->listing.id, run);
   source->task->report_due = true;
   if (source->upstream == upstream)
     return;
@@ -188,10 +192,10 @@
 void
 br_entry_record_lost_run (br_entry_task_t *task,
                           br_fleet_upstream_t *upstream,
-                          uint64_t content,
+                          const br_lost_run_t *run,
                           br_ms_t sent_ms)
 {
-  br_fleet_run_lost (upstream, content, sent_ms, br_node_now (task->node));
+  br_fleet_run_lost (upstream, run, sent_ms);
   if (!upstream->checking && upstream->lost.len > 0)
     check_begin (task, upstream);
 }
@@ -211,14 +215,17 @@
 
   br_fleet_resolve_lost_runs (&task->fleet, entry_on_crash, &source,
                               br_node_now (task->node));
-  if (quarantine->crashes.len == 0)
+  if (quarantine->crashes.len + task->part_suspects.crashes.len == 0)
     return;
   for (size_t i = 0; i < task->fleet.all.len; i++)
     {
       const br_listing_t *listing = &task->fleet.all.items[i]->listing;
 
-      if (listing->draining)
-        br_quarantine_discard (quarantine, &listing->id, listing->started_ms);
+      if (!listing->draining)
+        continue;
+      br_quarantine_discard (quarantine, &listing->id, listing->started_ms);
+      br_part_suspects_discard (&task->part_suspects, &listing->id,
+                                &listing->started_ms);
     }
 }
 
@@ -335,6 +342,7 @@
     br_trials_grant (&task->trials, bans->bans[i]->content,
                      bans->bans[i]->ticket, now);
   br_exchanges_resume_trials (task);
+  br_exchanges_end_blocked (task);
 }
 
 bool
--- a/src/shell/entry_report.c
+++ b/src/shell/entry_report.c
@@ -124,6 +124,8 @@
   Br__Site__Loss *loss_views[BR_ENTRY_CRASHES_MAX];
   Br__Site__Answered answered[BR_ENTRY_CRASHES_MAX];
   Br__Site__Answered *answered_views[BR_ENTRY_CRASHES_MAX];
+  Br__Site__PartCrash part_crashes[BR_PART_CRASHES_MAX];
+  Br__Site__PartCrash *part_crash_views[BR_PART_CRASHES_MAX];
 } report_t;
 
 static void
@@ -264,6 +266,9 @@
   body.n_answered
       = br_entry_report_answered (task, report.answered, report.answered_views);
   body.answered = report.answered_views;
+  body.n_part_crashes = br_entry_report_part_crashes (task, report.part_crashes,
+                                                      report.part_crash_views);
+  body.part_crashes = report.part_crash_views;
   body.bans_made = task->bans_made;
   body.n_used = report_used (task, false, report.used, report.used_views);
   body.used = report.used_views;
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -348,6 +348,9 @@
     case BR__SITE__MESSAGE__BODY_BANS:
       br_entry_on_bans (task, message->bans);
       break;
+    case BR__SITE__MESSAGE__BODY_PART_INQUIRY:
+      br_entry_on_part_inquiry (task, vm, message->part_inquiry);
+      break;
     case BR__SITE__MESSAGE__BODY_LIMITS:
       if (message->limits->term == task->term)
         br_entry_on_limits (task, message->limits);
@@ -466,6 +469,7 @@
   br_usage_release (&task->usage);
   br_entry_services_free (&task->services);
   br_trials_free (&task->trials);
+  br_part_suspects_free (&task->part_suspects);
   br_site_clock_release (&task->clock);
   br_configuration_unref (task->configuration);
   event_free (task->timer);
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -303,12 +303,10 @@
   exchange_record_sent (exchange);
   exchange->suspect = suspect;
   exchange->loss_recorded = false;
+  br_exchange_log_trial (exchange);
   if (suspect)
-    {
-      br_exchange_log_trial (exchange);
-      br_quarantine_start (&task->node->quarantine, exchange->content,
-                           &exchange->upstream->listing.id);
-    }
+    br_quarantine_start (&task->node->quarantine, exchange->content,
+                         &exchange->upstream->listing.id);
   if (exchange->client == NULL)
     {
       br_exchange_fail_attempt (exchange, "bad_address", false,
@@ -394,9 +392,12 @@
     br_entry_record_loss (task, exchange->upstream,
                           br_exchange_content (exchange));
   if (may_have_run && result_may_be_crash (result))
-    br_entry_record_lost_run (task, exchange->upstream,
-                              br_exchange_content (exchange),
-                              exchange->sent_ms);
+    {
+      br_lost_run_t run = br_exchange_lost_run (exchange);
+
+      br_entry_record_lost_run (task, exchange->upstream, &run,
+                                exchange->sent_ms);
+    }
   else if (may_have_run)
     br_exchange_record_unanswered (exchange);
   br_exchange_end_attempt (exchange, false);
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -36,6 +36,7 @@
   br_fleet_first_event (&exchange->task->fleet, exchange->upstream,
                         exchange->choice.uncached, now - exchange->sent_ms);
   br_exchange_count_usage (exchange);
+  br_exchange_record_begun (exchange);
   if (exchange->first_ms > 0)
     return;
   exchange->first_ms = now;
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -16,6 +16,15 @@
 /* Retry-After where no better estimate exists, in milliseconds. */
 #define BR_EXCHANGE_RETRY_AFTER_MS 250
 
+/* What the quarantine knows a request by: its content, or a part of its prompt
+ * that other requests share. */
+typedef struct
+{
+  uint64_t subject; /* digest of the content or part; 0: nothing */
+  bool is_part;
+  uint64_t part; /* id of the part */
+} br_blocked_t;
+
 /* One caller's request until it is answered. */
 struct br_exchange
 {
@@ -63,6 +72,7 @@
   bool repeat_granted;     /* the budget allows the next attempt */
   br_ms_t permit_until_ms; /* it waits for a permit until then; 0: not yet */
   bool asked_trial;        /* it waits, or has waited, for a trial */
+  br_blocked_t trial;      /* what the trial is of */
   bool on_trial; /* it has the right to a trial until TRIAL_UNTIL_MS */
   br_ms_t trial_until_ms;
   const char *cause; /* of the last failure */
@@ -129,6 +139,12 @@
 /* Answers a request that the quarantine blocks, and frees the exchange. */
 void br_exchange_end_quarantined (br_exchange_t *exchange);
 
+/* Records that an answer has begun, which clears the parts of the prompt. */
+void br_exchange_record_begun (br_exchange_t *exchange);
+
+/* Describes the current attempt, which was lost, to the fleet. */
+br_lost_run_t br_exchange_lost_run (br_exchange_t *exchange);
+
 /* Records that the attempt ran to its end without a crash. */
 void br_exchange_record_answered (br_exchange_t *exchange);
 
--- a/src/site/fleet.h
+++ b/src/site/fleet.h
@@ -14,6 +14,10 @@
 typedef struct
 {
   uint64_t content;
+  uint64_t trial_part; /* the prompt part whose trial it was */
+  bool on_part_trial;
+  size_t n_suspects;                      /* 0 if it had begun to answer */
+  uint64_t suspects[BR_PROMPT_PARTS_MAX]; /* shared parts of its prompt */
   uint64_t started_ms; /* start of the incarnation that ran it */
   br_ms_t lost_ms;
 } br_lost_run_t;
@@ -194,13 +198,13 @@
 
 /* --- crashes --- */
 
-/* Records that the connection of an attempt sent at SENT_MS broke or stalled.
- * An attempt sent after an earlier one was lost is not recorded: the upstream
- * may already have crashed by then. */
+/* Records that the connection of an attempt sent at SENT_MS broke or stalled at
+ * RUN->lost_ms, at the listed incarnation.  An attempt sent after an earlier
+ * one was lost is not recorded: the upstream may already have crashed by then.
+ */
 void br_fleet_run_lost (br_fleet_upstream_t *upstream,
-                        uint64_t content,
-                        br_ms_t sent_ms,
-                        br_ms_t now);
+                        const br_lost_run_t *run,
+                        br_ms_t sent_ms);
 
 /* Discards the lost runs up to BEGUN_MS: the upstream accepted a connection
  * that was begun then, or answered a request sent then, so no crash lost
--- a/src/site/fleet_crash.c
+++ b/src/site/fleet_crash.c
@@ -23,21 +23,17 @@
 
 void
 br_fleet_run_lost (br_fleet_upstream_t *upstream,
-                   uint64_t content,
-                   br_ms_t sent_ms,
-                   br_ms_t now)
+                   const br_lost_run_t *run,
+                   br_ms_t sent_ms)
 {
-  br_lost_run_t run = {
-    .content = content,
-    .started_ms = upstream->listing.started_ms,
-    .lost_ms = now,
-  };
+  br_lost_run_t kept = *run;
 
-  upstream_discard_lost (upstream, now - LOST_LIFE_MS);
+  kept.started_ms = upstream->listing.started_ms;
+  upstream_discard_lost (upstream, run->lost_ms - LOST_LIFE_MS);
   if (upstream->lost.len > 0 && sent_ms > upstream->lost.items[0].lost_ms)
     return;
   if (!upstream->listing.draining && upstream->lost.len < LOST_RUNS_MAX)
-    br_lost_runs_push (&upstream->lost, run);
+    br_lost_runs_push (&upstream->lost, kept);
 }
 
 void
--- a/src/site/inbound.h
+++ b/src/site/inbound.h
@@ -8,7 +8,7 @@
 BR_BEGIN_DECLS
 
 /* Prompt parts kept for one request; everything after them counts as one more
- * part. */
+ * part, which no other request shares. */
 #define BR_PROMPT_PARTS_MAX 16
 
 /* A part of a prompt that other requests may share. */
@@ -31,10 +31,20 @@
   uint32_t prompt_tokens;
   uint32_t output_tokens; /* at most */
   uint32_t length_hint;   /* output tokens that the caller expects; 0: none */
+  bool has_more_parts;    /* than PARTS */
   size_t n_parts;
   br_prompt_part_t parts[BR_PROMPT_PARTS_MAX]; /* in the prompt's order */
 } br_inbound_t;
 
+/* Returns the number of parts, from the first, that other requests may share:
+ * the prompt's last part is the request's own. */
+static inline size_t
+br_inbound_shared_parts (const br_inbound_t *inbound)
+{
+  return inbound->n_parts > 0 && !inbound->has_more_parts ? inbound->n_parts - 1
+                                                          : inbound->n_parts;
+}
+
 BR_END_DECLS
 
 #endif
--- a/src/site/site.pb-c.c
+++ b/src/site/site.pb-c.c
@@ -637,6 +637,186 @@
   assert(message->base.descriptor == &br__site__crash__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   br__site__part_crash__init
+                     (Br__Site__PartCrash         *message)
+{
+  static const Br__Site__PartCrash init_value = BR__SITE__PART_CRASH__INIT;
+  *message = init_value;
+}
+size_t br__site__part_crash__get_packed_size
+                     (const Br__Site__PartCrash *message)
+{
+  assert(message->base.descriptor == &br__site__part_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__site__part_crash__pack
+                     (const Br__Site__PartCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__site__part_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__site__part_crash__pack_to_buffer
+                     (const Br__Site__PartCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__site__part_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__Site__PartCrash *
+       br__site__part_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__Site__PartCrash *)
+     protobuf_c_message_unpack (&br__site__part_crash__descriptor,
+                                allocator, len, data);
+}
+void   br__site__part_crash__free_unpacked
+                     (Br__Site__PartCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__site__part_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   br__site__part_inquiry__init
+                     (Br__Site__PartInquiry         *message)
+{
+  static const Br__Site__PartInquiry init_value = BR__SITE__PART_INQUIRY__INIT;
+  *message = init_value;
+}
+size_t br__site__part_inquiry__get_packed_size
+                     (const Br__Site__PartInquiry *message)
+{
+  assert(message->base.descriptor == &br__site__part_inquiry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__site__part_inquiry__pack
+                     (const Br__Site__PartInquiry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__site__part_inquiry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__site__part_inquiry__pack_to_buffer
+                     (const Br__Site__PartInquiry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__site__part_inquiry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__Site__PartInquiry *
+       br__site__part_inquiry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__Site__PartInquiry *)
+     protobuf_c_message_unpack (&br__site__part_inquiry__descriptor,
+                                allocator, len, data);
+}
+void   br__site__part_inquiry__free_unpacked
+                     (Br__Site__PartInquiry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__site__part_inquiry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   br__site__begun_part__init
+                     (Br__Site__BegunPart         *message)
+{
+  static const Br__Site__BegunPart init_value = BR__SITE__BEGUN_PART__INIT;
+  *message = init_value;
+}
+size_t br__site__begun_part__get_packed_size
+                     (const Br__Site__BegunPart *message)
+{
+  assert(message->base.descriptor == &br__site__begun_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__site__begun_part__pack
+                     (const Br__Site__BegunPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__site__begun_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__site__begun_part__pack_to_buffer
+                     (const Br__Site__BegunPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__site__begun_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__Site__BegunPart *
+       br__site__begun_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__Site__BegunPart *)
+     protobuf_c_message_unpack (&br__site__begun_part__descriptor,
+                                allocator, len, data);
+}
+void   br__site__begun_part__free_unpacked
+                     (Br__Site__BegunPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__site__begun_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   br__site__begun_parts__init
+                     (Br__Site__BegunParts         *message)
+{
+  static const Br__Site__BegunParts init_value = BR__SITE__BEGUN_PARTS__INIT;
+  *message = init_value;
+}
+size_t br__site__begun_parts__get_packed_size
+                     (const Br__Site__BegunParts *message)
+{
+  assert(message->base.descriptor == &br__site__begun_parts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__site__begun_parts__pack
+                     (const Br__Site__BegunParts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__site__begun_parts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__site__begun_parts__pack_to_buffer
+                     (const Br__Site__BegunParts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__site__begun_parts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__Site__BegunParts *
+       br__site__begun_parts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__Site__BegunParts *)
+     protobuf_c_message_unpack (&br__site__begun_parts__descriptor,
+                                allocator, len, data);
+}
+void   br__site__begun_parts__free_unpacked
+                     (Br__Site__BegunParts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__site__begun_parts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   br__site__answered__init
                      (Br__Site__Answered         *message)
 {
@@ -1870,7 +2050,7 @@
   (ProtobufCMessageInit) br__site__service_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__entry_report__field_descriptors[16] =
+static const ProtobufCFieldDescriptor br__site__entry_report__field_descriptors[17] =
 {
   {
     "windows",
@@ -2064,6 +2244,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_crashes",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__EntryReport, n_part_crashes),
+    offsetof(Br__Site__EntryReport, part_crashes),
+    &br__site__part_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__entry_report__field_indices_by_name[] = {
   10,   /* field[10] = answered */
@@ -2076,6 +2268,7 @@
   12,   /* field[12] = leaving */
   2,   /* field[2] = loads */
   15,   /* field[15] = losses */
+  16,   /* field[16] = part_crashes */
   3,   /* field[3] = services */
   8,   /* field[8] = site_wall_ms */
   14,   /* field[14] = up_ms */
@@ -2086,7 +2279,7 @@
 static const ProtobufCIntRange br__site__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor br__site__entry_report__descriptor =
 {
@@ -2096,7 +2289,7 @@
   "Br__Site__EntryReport",
   "br.site",
   sizeof(Br__Site__EntryReport),
-  16,
+  17,
   br__site__entry_report__field_descriptors,
   br__site__entry_report__field_indices_by_name,
   1,  br__site__entry_report__number_ranges,
@@ -2347,6 +2540,262 @@
   (ProtobufCMessageInit) br__site__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor br__site__part_crash__field_descriptors[4] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__PartCrash, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__PartCrash, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__PartCrash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspects",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Br__Site__PartCrash, n_suspects),
+    offsetof(Br__Site__PartCrash, suspects),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__site__part_crash__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = incarnation */
+  3,   /* field[3] = suspects */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange br__site__part_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor br__site__part_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.site.PartCrash",
+  "PartCrash",
+  "Br__Site__PartCrash",
+  "br.site",
+  sizeof(Br__Site__PartCrash),
+  4,
+  br__site__part_crash__field_descriptors,
+  br__site__part_crash__field_indices_by_name,
+  1,  br__site__part_crash__number_ranges,
+  (ProtobufCMessageInit) br__site__part_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__part_inquiry__field_descriptors[3] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__PartInquiry, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__PartInquiry, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Br__Site__PartInquiry, n_parts),
+    offsetof(Br__Site__PartInquiry, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__site__part_inquiry__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+  2,   /* field[2] = parts */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange br__site__part_inquiry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor br__site__part_inquiry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.site.PartInquiry",
+  "PartInquiry",
+  "Br__Site__PartInquiry",
+  "br.site",
+  sizeof(Br__Site__PartInquiry),
+  3,
+  br__site__part_inquiry__field_descriptors,
+  br__site__part_inquiry__field_indices_by_name,
+  1,  br__site__part_inquiry__number_ranges,
+  (ProtobufCMessageInit) br__site__part_inquiry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__begun_part__field_descriptors[2] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__BegunPart, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__BegunPart, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__site__begun_part__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = part */
+};
+static const ProtobufCIntRange br__site__begun_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__site__begun_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.site.BegunPart",
+  "BegunPart",
+  "Br__Site__BegunPart",
+  "br.site",
+  sizeof(Br__Site__BegunPart),
+  2,
+  br__site__begun_part__field_descriptors,
+  br__site__begun_part__field_indices_by_name,
+  1,  br__site__begun_part__number_ranges,
+  (ProtobufCMessageInit) br__site__begun_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__begun_parts__field_descriptors[3] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__BegunParts, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__BegunParts, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__BegunParts, n_parts),
+    offsetof(Br__Site__BegunParts, parts),
+    &br__site__begun_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__site__begun_parts__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+  2,   /* field[2] = parts */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange br__site__begun_parts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor br__site__begun_parts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.site.BegunParts",
+  "BegunParts",
+  "Br__Site__BegunParts",
+  "br.site",
+  sizeof(Br__Site__BegunParts),
+  3,
+  br__site__begun_parts__field_descriptors,
+  br__site__begun_parts__field_indices_by_name,
+  1,  br__site__begun_parts__number_ranges,
+  (ProtobufCMessageInit) br__site__begun_parts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor br__site__answered__field_descriptors[2] =
 {
   {
@@ -3041,7 +3490,7 @@
   (ProtobufCMessageInit) br__site__configuration_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__message__field_descriptors[9] =
+static const ProtobufCFieldDescriptor br__site__message__field_descriptors[11] =
 {
   {
     "fleet",
@@ -3151,14 +3600,40 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_inquiry",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, part_inquiry),
+    &br__site__part_inquiry__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun_parts",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, begun_parts),
+    &br__site__begun_parts__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__message__field_indices_by_name[] = {
   3,   /* field[3] = ask */
   6,   /* field[6] = bans */
   2,   /* field[2] = beat */
+  10,   /* field[10] = begun_parts */
   0,   /* field[0] = fleet */
   8,   /* field[8] = limits */
   5,   /* field[5] = loads */
+  9,   /* field[9] = part_inquiry */
   1,   /* field[1] = report */
   4,   /* field[4] = text */
   7,   /* field[7] = trial_ask */
@@ -3166,7 +3641,7 @@
 static const ProtobufCIntRange br__site__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor br__site__message__descriptor =
 {
@@ -3176,7 +3651,7 @@
   "Br__Site__Message",
   "br.site",
   sizeof(Br__Site__Message),
-  9,
+  11,
   br__site__message__field_descriptors,
   br__site__message__field_indices_by_name,
   1,  br__site__message__number_ranges,
--- a/src/site/site.pb-c.h
+++ b/src/site/site.pb-c.h
@@ -29,6 +29,10 @@
 typedef struct Br__Site__Leaving Br__Site__Leaving;
 typedef struct Br__Site__Loss Br__Site__Loss;
 typedef struct Br__Site__Crash Br__Site__Crash;
+typedef struct Br__Site__PartCrash Br__Site__PartCrash;
+typedef struct Br__Site__PartInquiry Br__Site__PartInquiry;
+typedef struct Br__Site__BegunPart Br__Site__BegunPart;
+typedef struct Br__Site__BegunParts Br__Site__BegunParts;
 typedef struct Br__Site__Answered Br__Site__Answered;
 typedef struct Br__Site__Ban Br__Site__Ban;
 typedef struct Br__Site__TrialAsk Br__Site__TrialAsk;
@@ -303,10 +307,15 @@
    */
   size_t n_losses;
   Br__Site__Loss **losses;
+  /*
+   * recent ones
+   */
+  size_t n_part_crashes;
+  Br__Site__PartCrash **part_crashes;
 };
 #define BR__SITE__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__site__entry_report__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -362,7 +371,76 @@
 
 
 /*
- * A request that ran in a crash and was later answered completely.
+ * The crash of an upstream, with the shared prompt parts of the requests that had not
+ * begun to be answered there.
+ */
+struct  Br__Site__PartCrash
+{
+  ProtobufCMessage base;
+  char *upstream;
+  uint64_t incarnation;
+  uint64_t age_ms;
+  size_t n_suspects;
+  uint64_t *suspects;
+};
+#define BR__SITE__PART_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__site__part_crash__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
+/*
+ * From the leading control VM to all entry VMs: asks when answers last began on prompt
+ * parts that are suspected of crashing upstreams.
+ */
+struct  Br__Site__PartInquiry
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  uint64_t term;
+  size_t n_parts;
+  uint64_t *parts;
+};
+#define BR__SITE__PART_INQUIRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__site__part_inquiry__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * A prompt part on which an answer began.
+ */
+struct  Br__Site__BegunPart
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  /*
+   * of the last one
+   */
+  uint64_t age_ms;
+};
+#define BR__SITE__BEGUN_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__site__begun_part__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * The answer to an inquiry.  Parts on which no answer began are left out.
+ */
+struct  Br__Site__BegunParts
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  uint64_t term;
+  size_t n_parts;
+  Br__Site__BegunPart **parts;
+};
+#define BR__SITE__BEGUN_PARTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__site__begun_parts__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * A request that ran in a crash and was later answered completely, or a banned prompt
+ * part on which an answer began.
  */
 struct  Br__Site__Answered
 {
@@ -376,7 +454,7 @@
 
 
 /*
- * A request that must not run.
+ * A request, or a prompt part, that must not run.
  */
 struct  Br__Site__Ban
 {
@@ -577,7 +655,9 @@
   BR__SITE__MESSAGE__BODY_LOADS = 6,
   BR__SITE__MESSAGE__BODY_BANS = 7,
   BR__SITE__MESSAGE__BODY_TRIAL_ASK = 8,
-  BR__SITE__MESSAGE__BODY_LIMITS = 9
+  BR__SITE__MESSAGE__BODY_LIMITS = 9,
+  BR__SITE__MESSAGE__BODY_PART_INQUIRY = 10,
+  BR__SITE__MESSAGE__BODY_BEGUN_PARTS = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BR__SITE__MESSAGE__BODY__CASE)
 } Br__Site__Message__BodyCase;
 
@@ -595,6 +675,8 @@
     Br__Site__Bans *bans;
     Br__Site__TrialAsk *trial_ask;
     Br__Site__Limits *limits;
+    Br__Site__PartInquiry *part_inquiry;
+    Br__Site__BegunParts *begun_parts;
   };
 };
 #define BR__SITE__MESSAGE__INIT \
@@ -868,6 +950,82 @@
 void   br__site__crash__free_unpacked
                      (Br__Site__Crash *message,
                       ProtobufCAllocator *allocator);
+/* Br__Site__PartCrash methods */
+void   br__site__part_crash__init
+                     (Br__Site__PartCrash         *message);
+size_t br__site__part_crash__get_packed_size
+                     (const Br__Site__PartCrash   *message);
+size_t br__site__part_crash__pack
+                     (const Br__Site__PartCrash   *message,
+                      uint8_t             *out);
+size_t br__site__part_crash__pack_to_buffer
+                     (const Br__Site__PartCrash   *message,
+                      ProtobufCBuffer     *buffer);
+Br__Site__PartCrash *
+       br__site__part_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__site__part_crash__free_unpacked
+                     (Br__Site__PartCrash *message,
+                      ProtobufCAllocator *allocator);
+/* Br__Site__PartInquiry methods */
+void   br__site__part_inquiry__init
+                     (Br__Site__PartInquiry         *message);
+size_t br__site__part_inquiry__get_packed_size
+                     (const Br__Site__PartInquiry   *message);
+size_t br__site__part_inquiry__pack
+                     (const Br__Site__PartInquiry   *message,
+                      uint8_t             *out);
+size_t br__site__part_inquiry__pack_to_buffer
+                     (const Br__Site__PartInquiry   *message,
+                      ProtobufCBuffer     *buffer);
+Br__Site__PartInquiry *
+       br__site__part_inquiry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__site__part_inquiry__free_unpacked
+                     (Br__Site__PartInquiry *message,
+                      ProtobufCAllocator *allocator);
+/* Br__Site__BegunPart methods */
+void   br__site__begun_part__init
+                     (Br__Site__BegunPart         *message);
+size_t br__site__begun_part__get_packed_size
+                     (const Br__Site__BegunPart   *message);
+size_t br__site__begun_part__pack
+                     (const Br__Site__BegunPart   *message,
+                      uint8_t             *out);
+size_t br__site__begun_part__pack_to_buffer
+                     (const Br__Site__BegunPart   *message,
+                      ProtobufCBuffer     *buffer);
+Br__Site__BegunPart *
+       br__site__begun_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__site__begun_part__free_unpacked
+                     (Br__Site__BegunPart *message,
+                      ProtobufCAllocator *allocator);
+/* Br__Site__BegunParts methods */
+void   br__site__begun_parts__init
+                     (Br__Site__BegunParts         *message);
+size_t br__site__begun_parts__get_packed_size
+                     (const Br__Site__BegunParts   *message);
+size_t br__site__begun_parts__pack
+                     (const Br__Site__BegunParts   *message,
+                      uint8_t             *out);
+size_t br__site__begun_parts__pack_to_buffer
+                     (const Br__Site__BegunParts   *message,
+                      ProtobufCBuffer     *buffer);
+Br__Site__BegunParts *
+       br__site__begun_parts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__site__begun_parts__free_unpacked
+                     (Br__Site__BegunParts *message,
+                      ProtobufCAllocator *allocator);
 /* Br__Site__Answered methods */
 void   br__site__answered__init
                      (Br__Site__Answered         *message);
@@ -1102,6 +1260,18 @@
 typedef void (*Br__Site__Crash_Closure)
                  (const Br__Site__Crash *message,
                   void *closure_data);
+typedef void (*Br__Site__PartCrash_Closure)
+                 (const Br__Site__PartCrash *message,
+                  void *closure_data);
+typedef void (*Br__Site__PartInquiry_Closure)
+                 (const Br__Site__PartInquiry *message,
+                  void *closure_data);
+typedef void (*Br__Site__BegunPart_Closure)
+                 (const Br__Site__BegunPart *message,
+                  void *closure_data);
+typedef void (*Br__Site__BegunParts_Closure)
+                 (const Br__Site__BegunParts *message,
+                  void *closure_data);
 typedef void (*Br__Site__Answered_Closure)
                  (const Br__Site__Answered *message,
                   void *closure_data);
@@ -1152,6 +1322,10 @@
 extern const ProtobufCMessageDescriptor br__site__leaving__descriptor;
 extern const ProtobufCMessageDescriptor br__site__loss__descriptor;
 extern const ProtobufCMessageDescriptor br__site__crash__descriptor;
+extern const ProtobufCMessageDescriptor br__site__part_crash__descriptor;
+extern const ProtobufCMessageDescriptor br__site__part_inquiry__descriptor;
+extern const ProtobufCMessageDescriptor br__site__begun_part__descriptor;
+extern const ProtobufCMessageDescriptor br__site__begun_parts__descriptor;
 extern const ProtobufCMessageDescriptor br__site__answered__descriptor;
 extern const ProtobufCMessageDescriptor br__site__ban__descriptor;
 extern const ProtobufCMessageDescriptor br__site__trial_ask__descriptor;
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -229,6 +229,19 @@
           (int)run->content, crashed->listing.id.data, (int)run->started_ms);
 }
 
+static void
+on_run_lost (session_t *session, const words_t *words)
+{
+  br_lost_run_t run = {
+    .content = (uint64_t)number (words, 2),
+    .lost_ms = session->now,
+  };
+
+  br_fleet_run_lost (upstream (session, words), &run,
+                     words->len > 3 ? (br_ms_t)number (words, 3)
+                                    : session->now);
+}
+
 static void
 on_apply (session_t *session)
 {
@@ -589,10 +602,7 @@
   else if (strcmp (verb, "awaits") == 0)
     on_awaits (session, words);
   else if (strcmp (verb, "run_lost") == 0)
-    br_fleet_run_lost (upstream (session, words), (uint64_t)number (words, 2),
-                       words->len > 3 ? (br_ms_t)number (words, 3)
-                                      : session->now,
-                       session->now);
+    on_run_lost (session, words);
   else if (strcmp (verb, "alive") == 0)
     br_fleet_on_alive (upstream (session, words), (br_ms_t)number (words, 2));
   else if (strcmp (verb, "refused") == 0)
