Blame no run that had begun to answer for the crash of its upstream

What callers saw: victims of crashes were blocked beside the culprits.

Cause: all runs in progress at a crashed upstream counted as having run in the crash. A request crashes an upstream when it begins to run, with its first token, so one that has sent an event is not the cause.

Change: a lost run says whether it had begun to answer; only the others are reported as suspects. A crash without any is logged and counted as before.

--- a/src/shell/entry_quarantine.c
+++ b/src/shell/entry_quarantine.c
@@ -45,8 +45,9 @@
   crash_source_t *source = context;
   br_node_t *node = source->task->node;
 
-  br_quarantine_report (&node->quarantine, run->content, &upstream->listing.id,
-                        run->started_ms, run->lost_ms);
+  if (!run->had_begun)
+    br_quarantine_report (&node->quarantine, run->content,
+                          &upstream->listing.id, run->started_ms, run->lost_ms);
   if (run->on_part_trial)
     br_quarantine_report (&node->quarantine, br_part_subject (run->trial_part),
                           &upstream->listing.id, run->started_ms, run->lost_ms);
--- a/src/shell/exchange_quarantine.c
+++ b/src/shell/exchange_quarantine.c
@@ -289,10 +289,11 @@
     .content = br_exchange_content (exchange),
     .trial_part = exchange->trial.part,
     .on_part_trial = exchange->on_trial && exchange->trial.is_part,
+    .had_begun = exchange->had_first_event,
     .lost_ms = br_exchange_now (exchange),
   };
 
-  if (exchange->had_first_event)
+  if (run.had_begun)
     return run;
   run.n_suspects = br_inbound_shared_parts (inbound);
   for (size_t i = 0; i < run.n_suspects; i++)
--- a/src/site/fleet.h
+++ b/src/site/fleet.h
@@ -16,7 +16,8 @@
   uint64_t content;
   uint64_t trial_part; /* the prompt part whose trial it was */
   bool on_part_trial;
-  size_t n_suspects;                      /* 0 if it had begun to answer */
+  bool had_begun;    /* to answer: it did not cause the loss */
+  size_t n_suspects; /* 0 if HAD_BEGUN */
   uint64_t suspects[BR_PROMPT_PARTS_MAX]; /* shared parts of its prompt */
   uint64_t started_ms; /* start of the incarnation that ran it */
   br_ms_t lost_ms;
@@ -211,7 +212,8 @@
  * them. */
 void br_fleet_on_alive (br_fleet_upstream_t *upstream, br_ms_t begun_ms);
 
-/* Called for each run that was lost in a crash. */
+/* Called for each run that was lost in a crash and may have caused it, or for
+ * one that cannot have if there is no other. */
 typedef void (*br_fleet_crash_fn) (void *context,
                                    const br_fleet_upstream_t *upstream,
                                    const br_lost_run_t *run);
--- a/src/site/fleet_crash.c
+++ b/src/site/fleet_crash.c
@@ -48,9 +48,16 @@
                   void *context)
 {
   size_t n = upstream->lost.len;
+  size_t suspects = 0;
 
   for (size_t i = 0; i < n; i++)
-    on_crash (context, upstream, &upstream->lost.items[i]);
+    if (!upstream->lost.items[i].had_begun)
+      {
+        on_crash (context, upstream, &upstream->lost.items[i]);
+        suspects++;
+      }
+  if (n > 0 && suspects == 0)
+    on_crash (context, upstream, &upstream->lost.items[0]);
   br_lost_runs_clear (&upstream->lost);
   return n;
 }
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -10,7 +10,7 @@
  *   leaves ID | back_off ID MS DRAW | retry_after SERVICE DRAW
  *   limit ID PER_S | limit_ends ID | grant ID PERMITS WANTED
  *   awaits SERVICE               whether permits may come soon
- *   run_lost ID CONTENT [SENT_MS] | alive ID BEGUN_MS | refused ID
+ *   run_lost ID CONTENT [SENT_MS [begun]] | alive ID BEGUN_MS | refused ID
  *   sent ID UNCACHED | first ID UNCACHED MS | ended ID UNCACHED HAD_FIRST
  *   report ID RUNNING WAITING | others ID IN_FLIGHT TOKENS
  *   load_sent ID | loads [ID IN_FLIGHT TOKENS...] | unreachable ID VMS
@@ -225,8 +225,9 @@
           const br_lost_run_t *run)
 {
   (void)context;
-  printf ("content %d was lost in the crash of %s, started %d\n",
-          (int)run->content, crashed->listing.id.data, (int)run->started_ms);
+  printf ("content %d was lost in the crash of %s, started %d%s\n",
+          (int)run->content, crashed->listing.id.data, (int)run->started_ms,
+          run->had_begun ? ", and had begun to answer" : "");
 }
 
 static void
@@ -234,6 +235,7 @@
 {
   br_lost_run_t run = {
     .content = (uint64_t)number (words, 2),
+    .had_begun = words->len > 4,
     .lost_ms = session->now,
   };
 
