--- a/src/shell/control_list.c
+++ b/src/shell/control_list.c
@@ -8,7 +8,7 @@
          && br_name_equal (&a->service, &b->service)
          && br_name_equal (&a->address, &b->address) && a->port == b->port
          && a->draining == b->draining && a->started_ms == b->started_ms
-         && a->spot == b->spot;
+         && a->spot == b->spot && br_name_equal (&a->version, &b->version);
 }
 
 static bool
--- a/src/shell/exchange_end.c
+++ b/src/shell/exchange_end.c
@@ -89,6 +89,10 @@
       br_field_int ("longest_gap_ms", exchange->longest_gap_ms),
       br_field_int ("attempts", exchange->ran + exchange->refused),
       br_field_int ("ran", exchange->ran), br_field_str ("upstream", upstream),
+      br_field_z ("version", exchange->upstream != NULL
+                                 ? exchange->upstream->listing.version.data
+                                 : ""),
+      br_field_str ("resumes", exchange->inbound.resumes),
       br_field_int ("expected_ms", exchange->choice.expected_ms),
       br_field_int ("prompt", exchange->inbound.prompt_tokens),
       br_field_int ("output", exchange->inbound.output_tokens),
@@ -123,6 +127,7 @@
       br_field_z ("parts", parts_text (&exchange->inbound, parts)),
       br_field_str ("upstream", br_name_str (&upstream->listing.id)),
       br_field_int ("born", (int64_t)upstream->listing.started_ms),
+      br_field_z ("version", upstream->listing.version.data),
       br_field_z ("peer", upstream->listing.address.data),
       br_field_z ("cause", cause), br_field_int ("may_have_run", may_have_run),
       br_field_z ("next", next),
--- a/src/shell/site_message.c
+++ b/src/shell/site_message.c
@@ -55,6 +55,7 @@
   to->address = (char *)from->address.data;
   to->port = from->port;
   to->failure_domain = (char *)from->failure_domain.data;
+  to->version = (char *)from->version.data;
   to->draining = from->draining;
   to->spot = from->spot;
   to->born_ms = from->started_ms;
@@ -101,6 +102,7 @@
   return br_name_set (&to->id, br_str_from (from->id))
          && br_name_set (&to->service, br_str_from (from->service))
          && br_name_set (&to->address, br_str_from (from->address))
+         && br_name_set (&to->version, br_str_from (from->version))
          && br_name_set (&to->failure_domain,
                          br_str_from (from->failure_domain));
 }
--- a/src/site/listing.h
+++ b/src/site/listing.h
@@ -15,6 +15,7 @@
   br_name_t address;
   uint16_t port;
   br_name_t failure_domain;
+  br_name_t version; /* of its software; empty when not given */
   bool draining;
   bool spot;           /* on a reclaimable VM */
   uint64_t started_ms; /* Unix time of its start; 0 when not given */
--- a/src/site/site.pb-c.c
+++ b/src/site/site.pb-c.c
@@ -7,2916 +7,3667 @@
 #endif
 
 #include "site/site.pb-c.h"
-void
-br__site__listing__init (Br__Site__Listing *message)
+void   br__site__listing__init
+                     (Br__Site__Listing         *message)
 {
   static const Br__Site__Listing init_value = BR__SITE__LISTING__INIT;
   *message = init_value;
 }
-size_t
-br__site__listing__get_packed_size (const Br__Site__Listing *message)
+size_t br__site__listing__get_packed_size
+                     (const Br__Site__Listing *message)
 {
-  assert (message->base.descriptor == &br__site__listing__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__listing__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__listing__pack (const Br__Site__Listing *message, uint8_t *out)
+size_t br__site__listing__pack
+                     (const Br__Site__Listing *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__listing__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__listing__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__listing__pack_to_buffer (const Br__Site__Listing *message,
-                                   ProtobufCBuffer *buffer)
+size_t br__site__listing__pack_to_buffer
+                     (const Br__Site__Listing *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__listing__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__listing__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Listing *
-br__site__listing__unpack (ProtobufCAllocator *allocator,
-                           size_t len,
-                           const uint8_t *data)
+       br__site__listing__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Listing *)protobuf_c_message_unpack (
-      &br__site__listing__descriptor, allocator, len, data);
+  return (Br__Site__Listing *)
+     protobuf_c_message_unpack (&br__site__listing__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__listing__free_unpacked (Br__Site__Listing *message,
-                                  ProtobufCAllocator *allocator)
+void   br__site__listing__free_unpacked
+                     (Br__Site__Listing *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__listing__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__listing__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__fleet__init (Br__Site__Fleet *message)
+void   br__site__fleet__init
+                     (Br__Site__Fleet         *message)
 {
   static const Br__Site__Fleet init_value = BR__SITE__FLEET__INIT;
   *message = init_value;
 }
-size_t
-br__site__fleet__get_packed_size (const Br__Site__Fleet *message)
+size_t br__site__fleet__get_packed_size
+                     (const Br__Site__Fleet *message)
 {
-  assert (message->base.descriptor == &br__site__fleet__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__fleet__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__fleet__pack (const Br__Site__Fleet *message, uint8_t *out)
+size_t br__site__fleet__pack
+                     (const Br__Site__Fleet *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__fleet__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__fleet__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__fleet__pack_to_buffer (const Br__Site__Fleet *message,
-                                 ProtobufCBuffer *buffer)
+size_t br__site__fleet__pack_to_buffer
+                     (const Br__Site__Fleet *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__fleet__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__fleet__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Fleet *
-br__site__fleet__unpack (ProtobufCAllocator *allocator,
-                         size_t len,
-                         const uint8_t *data)
+       br__site__fleet__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Fleet *)protobuf_c_message_unpack (
-      &br__site__fleet__descriptor, allocator, len, data);
+  return (Br__Site__Fleet *)
+     protobuf_c_message_unpack (&br__site__fleet__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__fleet__free_unpacked (Br__Site__Fleet *message,
-                                ProtobufCAllocator *allocator)
+void   br__site__fleet__free_unpacked
+                     (Br__Site__Fleet *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__fleet__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__fleet__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__count__init (Br__Site__Count *message)
+void   br__site__count__init
+                     (Br__Site__Count         *message)
 {
   static const Br__Site__Count init_value = BR__SITE__COUNT__INIT;
   *message = init_value;
 }
-size_t
-br__site__count__get_packed_size (const Br__Site__Count *message)
+size_t br__site__count__get_packed_size
+                     (const Br__Site__Count *message)
 {
-  assert (message->base.descriptor == &br__site__count__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__count__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__count__pack (const Br__Site__Count *message, uint8_t *out)
+size_t br__site__count__pack
+                     (const Br__Site__Count *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__count__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__count__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__count__pack_to_buffer (const Br__Site__Count *message,
-                                 ProtobufCBuffer *buffer)
+size_t br__site__count__pack_to_buffer
+                     (const Br__Site__Count *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__count__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__count__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Count *
-br__site__count__unpack (ProtobufCAllocator *allocator,
-                         size_t len,
-                         const uint8_t *data)
+       br__site__count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Count *)protobuf_c_message_unpack (
-      &br__site__count__descriptor, allocator, len, data);
+  return (Br__Site__Count *)
+     protobuf_c_message_unpack (&br__site__count__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__count__free_unpacked (Br__Site__Count *message,
-                                ProtobufCAllocator *allocator)
+void   br__site__count__free_unpacked
+                     (Br__Site__Count *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__count__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__count__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__window__init (Br__Site__Window *message)
+void   br__site__window__init
+                     (Br__Site__Window         *message)
 {
   static const Br__Site__Window init_value = BR__SITE__WINDOW__INIT;
   *message = init_value;
 }
-size_t
-br__site__window__get_packed_size (const Br__Site__Window *message)
+size_t br__site__window__get_packed_size
+                     (const Br__Site__Window *message)
 {
-  assert (message->base.descriptor == &br__site__window__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__window__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__window__pack (const Br__Site__Window *message, uint8_t *out)
+size_t br__site__window__pack
+                     (const Br__Site__Window *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__window__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__window__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__window__pack_to_buffer (const Br__Site__Window *message,
-                                  ProtobufCBuffer *buffer)
+size_t br__site__window__pack_to_buffer
+                     (const Br__Site__Window *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__window__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__window__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Window *
-br__site__window__unpack (ProtobufCAllocator *allocator,
-                          size_t len,
-                          const uint8_t *data)
+       br__site__window__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Window *)protobuf_c_message_unpack (
-      &br__site__window__descriptor, allocator, len, data);
+  return (Br__Site__Window *)
+     protobuf_c_message_unpack (&br__site__window__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__window__free_unpacked (Br__Site__Window *message,
-                                 ProtobufCAllocator *allocator)
+void   br__site__window__free_unpacked
+                     (Br__Site__Window *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__window__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__window__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__demand__init (Br__Site__Demand *message)
+void   br__site__demand__init
+                     (Br__Site__Demand         *message)
 {
   static const Br__Site__Demand init_value = BR__SITE__DEMAND__INIT;
   *message = init_value;
 }
-size_t
-br__site__demand__get_packed_size (const Br__Site__Demand *message)
+size_t br__site__demand__get_packed_size
+                     (const Br__Site__Demand *message)
 {
-  assert (message->base.descriptor == &br__site__demand__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__demand__pack (const Br__Site__Demand *message, uint8_t *out)
+size_t br__site__demand__pack
+                     (const Br__Site__Demand *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__demand__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__demand__pack_to_buffer (const Br__Site__Demand *message,
-                                  ProtobufCBuffer *buffer)
+size_t br__site__demand__pack_to_buffer
+                     (const Br__Site__Demand *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__demand__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Demand *
-br__site__demand__unpack (ProtobufCAllocator *allocator,
-                          size_t len,
-                          const uint8_t *data)
+       br__site__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Demand *)protobuf_c_message_unpack (
-      &br__site__demand__descriptor, allocator, len, data);
+  return (Br__Site__Demand *)
+     protobuf_c_message_unpack (&br__site__demand__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__demand__free_unpacked (Br__Site__Demand *message,
-                                 ProtobufCAllocator *allocator)
+void   br__site__demand__free_unpacked
+                     (Br__Site__Demand *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__demand__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__upstream_load__init (Br__Site__UpstreamLoad *message)
+void   br__site__upstream_load__init
+                     (Br__Site__UpstreamLoad         *message)
 {
-  static const Br__Site__UpstreamLoad init_value
-      = BR__SITE__UPSTREAM_LOAD__INIT;
+  static const Br__Site__UpstreamLoad init_value = BR__SITE__UPSTREAM_LOAD__INIT;
   *message = init_value;
 }
-size_t
-br__site__upstream_load__get_packed_size (const Br__Site__UpstreamLoad *message)
+size_t br__site__upstream_load__get_packed_size
+                     (const Br__Site__UpstreamLoad *message)
 {
-  assert (message->base.descriptor == &br__site__upstream_load__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__upstream_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__upstream_load__pack (const Br__Site__UpstreamLoad *message,
-                               uint8_t *out)
+size_t br__site__upstream_load__pack
+                     (const Br__Site__UpstreamLoad *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__upstream_load__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__upstream_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__upstream_load__pack_to_buffer (const Br__Site__UpstreamLoad *message,
-                                         ProtobufCBuffer *buffer)
+size_t br__site__upstream_load__pack_to_buffer
+                     (const Br__Site__UpstreamLoad *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__upstream_load__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__upstream_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__UpstreamLoad *
-br__site__upstream_load__unpack (ProtobufCAllocator *allocator,
-                                 size_t len,
-                                 const uint8_t *data)
+       br__site__upstream_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__UpstreamLoad *)protobuf_c_message_unpack (
-      &br__site__upstream_load__descriptor, allocator, len, data);
+  return (Br__Site__UpstreamLoad *)
+     protobuf_c_message_unpack (&br__site__upstream_load__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__upstream_load__free_unpacked (Br__Site__UpstreamLoad *message,
-                                        ProtobufCAllocator *allocator)
+void   br__site__upstream_load__free_unpacked
+                     (Br__Site__UpstreamLoad *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__upstream_load__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__upstream_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__used__init (Br__Site__Used *message)
+void   br__site__used__init
+                     (Br__Site__Used         *message)
 {
   static const Br__Site__Used init_value = BR__SITE__USED__INIT;
   *message = init_value;
 }
-size_t
-br__site__used__get_packed_size (const Br__Site__Used *message)
+size_t br__site__used__get_packed_size
+                     (const Br__Site__Used *message)
 {
-  assert (message->base.descriptor == &br__site__used__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__used__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__used__pack (const Br__Site__Used *message, uint8_t *out)
+size_t br__site__used__pack
+                     (const Br__Site__Used *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__used__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__used__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__used__pack_to_buffer (const Br__Site__Used *message,
-                                ProtobufCBuffer *buffer)
+size_t br__site__used__pack_to_buffer
+                     (const Br__Site__Used *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__used__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__used__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Used *
-br__site__used__unpack (ProtobufCAllocator *allocator,
-                        size_t len,
-                        const uint8_t *data)
+       br__site__used__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Used *)protobuf_c_message_unpack (
-      &br__site__used__descriptor, allocator, len, data);
+  return (Br__Site__Used *)
+     protobuf_c_message_unpack (&br__site__used__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__used__free_unpacked (Br__Site__Used *message,
-                               ProtobufCAllocator *allocator)
+void   br__site__used__free_unpacked
+                     (Br__Site__Used *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__used__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__used__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__left__init (Br__Site__Left *message)
+void   br__site__left__init
+                     (Br__Site__Left         *message)
 {
   static const Br__Site__Left init_value = BR__SITE__LEFT__INIT;
   *message = init_value;
 }
-size_t
-br__site__left__get_packed_size (const Br__Site__Left *message)
+size_t br__site__left__get_packed_size
+                     (const Br__Site__Left *message)
 {
-  assert (message->base.descriptor == &br__site__left__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__left__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__left__pack (const Br__Site__Left *message, uint8_t *out)
+size_t br__site__left__pack
+                     (const Br__Site__Left *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__left__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__left__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__left__pack_to_buffer (const Br__Site__Left *message,
-                                ProtobufCBuffer *buffer)
+size_t br__site__left__pack_to_buffer
+                     (const Br__Site__Left *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__left__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__left__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Left *
-br__site__left__unpack (ProtobufCAllocator *allocator,
-                        size_t len,
-                        const uint8_t *data)
+       br__site__left__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Left *)protobuf_c_message_unpack (
-      &br__site__left__descriptor, allocator, len, data);
+  return (Br__Site__Left *)
+     protobuf_c_message_unpack (&br__site__left__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__left__free_unpacked (Br__Site__Left *message,
-                               ProtobufCAllocator *allocator)
+void   br__site__left__free_unpacked
+                     (Br__Site__Left *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__left__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__left__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__loads__init (Br__Site__Loads *message)
+void   br__site__loads__init
+                     (Br__Site__Loads         *message)
 {
   static const Br__Site__Loads init_value = BR__SITE__LOADS__INIT;
   *message = init_value;
 }
-size_t
-br__site__loads__get_packed_size (const Br__Site__Loads *message)
+size_t br__site__loads__get_packed_size
+                     (const Br__Site__Loads *message)
 {
-  assert (message->base.descriptor == &br__site__loads__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__loads__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__loads__pack (const Br__Site__Loads *message, uint8_t *out)
+size_t br__site__loads__pack
+                     (const Br__Site__Loads *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__loads__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__loads__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__loads__pack_to_buffer (const Br__Site__Loads *message,
-                                 ProtobufCBuffer *buffer)
+size_t br__site__loads__pack_to_buffer
+                     (const Br__Site__Loads *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__loads__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__loads__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Loads *
-br__site__loads__unpack (ProtobufCAllocator *allocator,
-                         size_t len,
-                         const uint8_t *data)
+       br__site__loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Loads *)protobuf_c_message_unpack (
-      &br__site__loads__descriptor, allocator, len, data);
+  return (Br__Site__Loads *)
+     protobuf_c_message_unpack (&br__site__loads__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__loads__free_unpacked (Br__Site__Loads *message,
-                                ProtobufCAllocator *allocator)
+void   br__site__loads__free_unpacked
+                     (Br__Site__Loads *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__loads__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__loads__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__service_demand__init (Br__Site__ServiceDemand *message)
+void   br__site__service_demand__init
+                     (Br__Site__ServiceDemand         *message)
 {
-  static const Br__Site__ServiceDemand init_value
-      = BR__SITE__SERVICE_DEMAND__INIT;
+  static const Br__Site__ServiceDemand init_value = BR__SITE__SERVICE_DEMAND__INIT;
   *message = init_value;
 }
-size_t
-br__site__service_demand__get_packed_size (
-    const Br__Site__ServiceDemand *message)
+size_t br__site__service_demand__get_packed_size
+                     (const Br__Site__ServiceDemand *message)
 {
-  assert (message->base.descriptor == &br__site__service_demand__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__service_demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__service_demand__pack (const Br__Site__ServiceDemand *message,
-                                uint8_t *out)
+size_t br__site__service_demand__pack
+                     (const Br__Site__ServiceDemand *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__service_demand__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__service_demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__service_demand__pack_to_buffer (
-    const Br__Site__ServiceDemand *message,
-    ProtobufCBuffer *buffer)
+size_t br__site__service_demand__pack_to_buffer
+                     (const Br__Site__ServiceDemand *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__service_demand__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__service_demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__ServiceDemand *
-br__site__service_demand__unpack (ProtobufCAllocator *allocator,
-                                  size_t len,
-                                  const uint8_t *data)
+       br__site__service_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__ServiceDemand *)protobuf_c_message_unpack (
-      &br__site__service_demand__descriptor, allocator, len, data);
+  return (Br__Site__ServiceDemand *)
+     protobuf_c_message_unpack (&br__site__service_demand__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__service_demand__free_unpacked (Br__Site__ServiceDemand *message,
-                                         ProtobufCAllocator *allocator)
+void   br__site__service_demand__free_unpacked
+                     (Br__Site__ServiceDemand *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__service_demand__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__service_demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__entry_report__init (Br__Site__EntryReport *message)
+void   br__site__entry_report__init
+                     (Br__Site__EntryReport         *message)
 {
   static const Br__Site__EntryReport init_value = BR__SITE__ENTRY_REPORT__INIT;
   *message = init_value;
 }
-size_t
-br__site__entry_report__get_packed_size (const Br__Site__EntryReport *message)
+size_t br__site__entry_report__get_packed_size
+                     (const Br__Site__EntryReport *message)
 {
-  assert (message->base.descriptor == &br__site__entry_report__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__entry_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__entry_report__pack (const Br__Site__EntryReport *message,
-                              uint8_t *out)
+size_t br__site__entry_report__pack
+                     (const Br__Site__EntryReport *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__entry_report__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__entry_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__entry_report__pack_to_buffer (const Br__Site__EntryReport *message,
-                                        ProtobufCBuffer *buffer)
+size_t br__site__entry_report__pack_to_buffer
+                     (const Br__Site__EntryReport *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__entry_report__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__entry_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__EntryReport *
-br__site__entry_report__unpack (ProtobufCAllocator *allocator,
-                                size_t len,
-                                const uint8_t *data)
+       br__site__entry_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__EntryReport *)protobuf_c_message_unpack (
-      &br__site__entry_report__descriptor, allocator, len, data);
+  return (Br__Site__EntryReport *)
+     protobuf_c_message_unpack (&br__site__entry_report__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__entry_report__free_unpacked (Br__Site__EntryReport *message,
-                                       ProtobufCAllocator *allocator)
+void   br__site__entry_report__free_unpacked
+                     (Br__Site__EntryReport *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__entry_report__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__entry_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__leaving__init (Br__Site__Leaving *message)
+void   br__site__leaving__init
+                     (Br__Site__Leaving         *message)
 {
   static const Br__Site__Leaving init_value = BR__SITE__LEAVING__INIT;
   *message = init_value;
 }
-size_t
-br__site__leaving__get_packed_size (const Br__Site__Leaving *message)
+size_t br__site__leaving__get_packed_size
+                     (const Br__Site__Leaving *message)
 {
-  assert (message->base.descriptor == &br__site__leaving__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__leaving__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__leaving__pack (const Br__Site__Leaving *message, uint8_t *out)
+size_t br__site__leaving__pack
+                     (const Br__Site__Leaving *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__leaving__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__leaving__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__leaving__pack_to_buffer (const Br__Site__Leaving *message,
-                                   ProtobufCBuffer *buffer)
+size_t br__site__leaving__pack_to_buffer
+                     (const Br__Site__Leaving *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__leaving__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__leaving__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Leaving *
-br__site__leaving__unpack (ProtobufCAllocator *allocator,
-                           size_t len,
-                           const uint8_t *data)
+       br__site__leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Leaving *)protobuf_c_message_unpack (
-      &br__site__leaving__descriptor, allocator, len, data);
+  return (Br__Site__Leaving *)
+     protobuf_c_message_unpack (&br__site__leaving__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__leaving__free_unpacked (Br__Site__Leaving *message,
-                                  ProtobufCAllocator *allocator)
+void   br__site__leaving__free_unpacked
+                     (Br__Site__Leaving *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__leaving__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__leaving__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__loss__init (Br__Site__Loss *message)
+void   br__site__loss__init
+                     (Br__Site__Loss         *message)
 {
   static const Br__Site__Loss init_value = BR__SITE__LOSS__INIT;
   *message = init_value;
 }
-size_t
-br__site__loss__get_packed_size (const Br__Site__Loss *message)
+size_t br__site__loss__get_packed_size
+                     (const Br__Site__Loss *message)
 {
-  assert (message->base.descriptor == &br__site__loss__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__loss__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__loss__pack (const Br__Site__Loss *message, uint8_t *out)
+size_t br__site__loss__pack
+                     (const Br__Site__Loss *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__loss__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__loss__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__loss__pack_to_buffer (const Br__Site__Loss *message,
-                                ProtobufCBuffer *buffer)
+size_t br__site__loss__pack_to_buffer
+                     (const Br__Site__Loss *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__loss__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__loss__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Loss *
-br__site__loss__unpack (ProtobufCAllocator *allocator,
-                        size_t len,
-                        const uint8_t *data)
+       br__site__loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Loss *)protobuf_c_message_unpack (
-      &br__site__loss__descriptor, allocator, len, data);
+  return (Br__Site__Loss *)
+     protobuf_c_message_unpack (&br__site__loss__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__loss__free_unpacked (Br__Site__Loss *message,
-                               ProtobufCAllocator *allocator)
+void   br__site__loss__free_unpacked
+                     (Br__Site__Loss *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__loss__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__loss__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__crash__init (Br__Site__Crash *message)
+void   br__site__crash__init
+                     (Br__Site__Crash         *message)
 {
   static const Br__Site__Crash init_value = BR__SITE__CRASH__INIT;
   *message = init_value;
 }
-size_t
-br__site__crash__get_packed_size (const Br__Site__Crash *message)
+size_t br__site__crash__get_packed_size
+                     (const Br__Site__Crash *message)
 {
-  assert (message->base.descriptor == &br__site__crash__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__crash__pack (const Br__Site__Crash *message, uint8_t *out)
+size_t br__site__crash__pack
+                     (const Br__Site__Crash *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__crash__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__crash__pack_to_buffer (const Br__Site__Crash *message,
-                                 ProtobufCBuffer *buffer)
+size_t br__site__crash__pack_to_buffer
+                     (const Br__Site__Crash *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__crash__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Crash *
-br__site__crash__unpack (ProtobufCAllocator *allocator,
-                         size_t len,
-                         const uint8_t *data)
+       br__site__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Crash *)protobuf_c_message_unpack (
-      &br__site__crash__descriptor, allocator, len, data);
+  return (Br__Site__Crash *)
+     protobuf_c_message_unpack (&br__site__crash__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__crash__free_unpacked (Br__Site__Crash *message,
-                                ProtobufCAllocator *allocator)
+void   br__site__crash__free_unpacked
+                     (Br__Site__Crash *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__crash__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__part_crash__init (Br__Site__PartCrash *message)
+void   br__site__part_crash__init
+                     (Br__Site__PartCrash         *message)
 {
   static const Br__Site__PartCrash init_value = BR__SITE__PART_CRASH__INIT;
   *message = init_value;
 }
-size_t
-br__site__part_crash__get_packed_size (const Br__Site__PartCrash *message)
+size_t br__site__part_crash__get_packed_size
+                     (const Br__Site__PartCrash *message)
 {
-  assert (message->base.descriptor == &br__site__part_crash__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__part_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__part_crash__pack (const Br__Site__PartCrash *message, uint8_t *out)
+size_t br__site__part_crash__pack
+                     (const Br__Site__PartCrash *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__part_crash__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__part_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__part_crash__pack_to_buffer (const Br__Site__PartCrash *message,
-                                      ProtobufCBuffer *buffer)
+size_t br__site__part_crash__pack_to_buffer
+                     (const Br__Site__PartCrash *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__part_crash__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__part_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__PartCrash *
-br__site__part_crash__unpack (ProtobufCAllocator *allocator,
-                              size_t len,
-                              const uint8_t *data)
+       br__site__part_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__PartCrash *)protobuf_c_message_unpack (
-      &br__site__part_crash__descriptor, allocator, len, data);
+  return (Br__Site__PartCrash *)
+     protobuf_c_message_unpack (&br__site__part_crash__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__part_crash__free_unpacked (Br__Site__PartCrash *message,
-                                     ProtobufCAllocator *allocator)
+void   br__site__part_crash__free_unpacked
+                     (Br__Site__PartCrash *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__part_crash__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__part_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__part_inquiry__init (Br__Site__PartInquiry *message)
+void   br__site__part_inquiry__init
+                     (Br__Site__PartInquiry         *message)
 {
   static const Br__Site__PartInquiry init_value = BR__SITE__PART_INQUIRY__INIT;
   *message = init_value;
 }
-size_t
-br__site__part_inquiry__get_packed_size (const Br__Site__PartInquiry *message)
+size_t br__site__part_inquiry__get_packed_size
+                     (const Br__Site__PartInquiry *message)
 {
-  assert (message->base.descriptor == &br__site__part_inquiry__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__part_inquiry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__part_inquiry__pack (const Br__Site__PartInquiry *message,
-                              uint8_t *out)
+size_t br__site__part_inquiry__pack
+                     (const Br__Site__PartInquiry *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__part_inquiry__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__part_inquiry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__part_inquiry__pack_to_buffer (const Br__Site__PartInquiry *message,
-                                        ProtobufCBuffer *buffer)
+size_t br__site__part_inquiry__pack_to_buffer
+                     (const Br__Site__PartInquiry *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__part_inquiry__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__part_inquiry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__PartInquiry *
-br__site__part_inquiry__unpack (ProtobufCAllocator *allocator,
-                                size_t len,
-                                const uint8_t *data)
+       br__site__part_inquiry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__PartInquiry *)protobuf_c_message_unpack (
-      &br__site__part_inquiry__descriptor, allocator, len, data);
+  return (Br__Site__PartInquiry *)
+     protobuf_c_message_unpack (&br__site__part_inquiry__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__part_inquiry__free_unpacked (Br__Site__PartInquiry *message,
-                                       ProtobufCAllocator *allocator)
+void   br__site__part_inquiry__free_unpacked
+                     (Br__Site__PartInquiry *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__part_inquiry__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__part_inquiry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__begun_part__init (Br__Site__BegunPart *message)
+void   br__site__begun_part__init
+                     (Br__Site__BegunPart         *message)
 {
   static const Br__Site__BegunPart init_value = BR__SITE__BEGUN_PART__INIT;
   *message = init_value;
 }
-size_t
-br__site__begun_part__get_packed_size (const Br__Site__BegunPart *message)
+size_t br__site__begun_part__get_packed_size
+                     (const Br__Site__BegunPart *message)
 {
-  assert (message->base.descriptor == &br__site__begun_part__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__begun_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__begun_part__pack (const Br__Site__BegunPart *message, uint8_t *out)
+size_t br__site__begun_part__pack
+                     (const Br__Site__BegunPart *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__begun_part__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__begun_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__begun_part__pack_to_buffer (const Br__Site__BegunPart *message,
-                                      ProtobufCBuffer *buffer)
+size_t br__site__begun_part__pack_to_buffer
+                     (const Br__Site__BegunPart *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__begun_part__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__begun_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__BegunPart *
-br__site__begun_part__unpack (ProtobufCAllocator *allocator,
-                              size_t len,
-                              const uint8_t *data)
+       br__site__begun_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__BegunPart *)protobuf_c_message_unpack (
-      &br__site__begun_part__descriptor, allocator, len, data);
+  return (Br__Site__BegunPart *)
+     protobuf_c_message_unpack (&br__site__begun_part__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__begun_part__free_unpacked (Br__Site__BegunPart *message,
-                                     ProtobufCAllocator *allocator)
+void   br__site__begun_part__free_unpacked
+                     (Br__Site__BegunPart *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__begun_part__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__begun_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__begun_parts__init (Br__Site__BegunParts *message)
+void   br__site__begun_parts__init
+                     (Br__Site__BegunParts         *message)
 {
   static const Br__Site__BegunParts init_value = BR__SITE__BEGUN_PARTS__INIT;
   *message = init_value;
 }
-size_t
-br__site__begun_parts__get_packed_size (const Br__Site__BegunParts *message)
+size_t br__site__begun_parts__get_packed_size
+                     (const Br__Site__BegunParts *message)
 {
-  assert (message->base.descriptor == &br__site__begun_parts__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__begun_parts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__begun_parts__pack (const Br__Site__BegunParts *message, uint8_t *out)
+size_t br__site__begun_parts__pack
+                     (const Br__Site__BegunParts *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__begun_parts__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__begun_parts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__begun_parts__pack_to_buffer (const Br__Site__BegunParts *message,
-                                       ProtobufCBuffer *buffer)
+size_t br__site__begun_parts__pack_to_buffer
+                     (const Br__Site__BegunParts *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__begun_parts__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__begun_parts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__BegunParts *
-br__site__begun_parts__unpack (ProtobufCAllocator *allocator,
-                               size_t len,
-                               const uint8_t *data)
+       br__site__begun_parts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__BegunParts *)protobuf_c_message_unpack (
-      &br__site__begun_parts__descriptor, allocator, len, data);
+  return (Br__Site__BegunParts *)
+     protobuf_c_message_unpack (&br__site__begun_parts__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__begun_parts__free_unpacked (Br__Site__BegunParts *message,
-                                      ProtobufCAllocator *allocator)
+void   br__site__begun_parts__free_unpacked
+                     (Br__Site__BegunParts *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__begun_parts__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__begun_parts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__answered__init (Br__Site__Answered *message)
+void   br__site__answered__init
+                     (Br__Site__Answered         *message)
 {
   static const Br__Site__Answered init_value = BR__SITE__ANSWERED__INIT;
   *message = init_value;
 }
-size_t
-br__site__answered__get_packed_size (const Br__Site__Answered *message)
+size_t br__site__answered__get_packed_size
+                     (const Br__Site__Answered *message)
 {
-  assert (message->base.descriptor == &br__site__answered__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__answered__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__answered__pack (const Br__Site__Answered *message, uint8_t *out)
+size_t br__site__answered__pack
+                     (const Br__Site__Answered *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__answered__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__answered__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__answered__pack_to_buffer (const Br__Site__Answered *message,
-                                    ProtobufCBuffer *buffer)
+size_t br__site__answered__pack_to_buffer
+                     (const Br__Site__Answered *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__answered__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__answered__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Answered *
-br__site__answered__unpack (ProtobufCAllocator *allocator,
-                            size_t len,
-                            const uint8_t *data)
+       br__site__answered__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Answered *)protobuf_c_message_unpack (
-      &br__site__answered__descriptor, allocator, len, data);
+  return (Br__Site__Answered *)
+     protobuf_c_message_unpack (&br__site__answered__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__answered__free_unpacked (Br__Site__Answered *message,
-                                   ProtobufCAllocator *allocator)
+void   br__site__answered__free_unpacked
+                     (Br__Site__Answered *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__answered__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__answered__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__ban__init (Br__Site__Ban *message)
+void   br__site__ban__init
+                     (Br__Site__Ban         *message)
 {
   static const Br__Site__Ban init_value = BR__SITE__BAN__INIT;
   *message = init_value;
 }
-size_t
-br__site__ban__get_packed_size (const Br__Site__Ban *message)
+size_t br__site__ban__get_packed_size
+                     (const Br__Site__Ban *message)
 {
-  assert (message->base.descriptor == &br__site__ban__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__ban__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__ban__pack (const Br__Site__Ban *message, uint8_t *out)
+size_t br__site__ban__pack
+                     (const Br__Site__Ban *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__ban__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__ban__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__ban__pack_to_buffer (const Br__Site__Ban *message,
-                               ProtobufCBuffer *buffer)
+size_t br__site__ban__pack_to_buffer
+                     (const Br__Site__Ban *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__ban__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__ban__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Ban *
-br__site__ban__unpack (ProtobufCAllocator *allocator,
-                       size_t len,
-                       const uint8_t *data)
+       br__site__ban__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Ban *)protobuf_c_message_unpack (&br__site__ban__descriptor,
-                                                     allocator, len, data);
+  return (Br__Site__Ban *)
+     protobuf_c_message_unpack (&br__site__ban__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__ban__free_unpacked (Br__Site__Ban *message,
-                              ProtobufCAllocator *allocator)
+void   br__site__ban__free_unpacked
+                     (Br__Site__Ban *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__ban__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__ban__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__trial_ask__init (Br__Site__TrialAsk *message)
+void   br__site__trial_ask__init
+                     (Br__Site__TrialAsk         *message)
 {
   static const Br__Site__TrialAsk init_value = BR__SITE__TRIAL_ASK__INIT;
   *message = init_value;
 }
-size_t
-br__site__trial_ask__get_packed_size (const Br__Site__TrialAsk *message)
+size_t br__site__trial_ask__get_packed_size
+                     (const Br__Site__TrialAsk *message)
 {
-  assert (message->base.descriptor == &br__site__trial_ask__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__trial_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__trial_ask__pack (const Br__Site__TrialAsk *message, uint8_t *out)
+size_t br__site__trial_ask__pack
+                     (const Br__Site__TrialAsk *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__trial_ask__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__trial_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__trial_ask__pack_to_buffer (const Br__Site__TrialAsk *message,
-                                     ProtobufCBuffer *buffer)
+size_t br__site__trial_ask__pack_to_buffer
+                     (const Br__Site__TrialAsk *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__trial_ask__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__trial_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__TrialAsk *
-br__site__trial_ask__unpack (ProtobufCAllocator *allocator,
-                             size_t len,
-                             const uint8_t *data)
+       br__site__trial_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__TrialAsk *)protobuf_c_message_unpack (
-      &br__site__trial_ask__descriptor, allocator, len, data);
+  return (Br__Site__TrialAsk *)
+     protobuf_c_message_unpack (&br__site__trial_ask__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__trial_ask__free_unpacked (Br__Site__TrialAsk *message,
-                                    ProtobufCAllocator *allocator)
+void   br__site__trial_ask__free_unpacked
+                     (Br__Site__TrialAsk *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__trial_ask__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__trial_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__bans__init (Br__Site__Bans *message)
+void   br__site__bans__init
+                     (Br__Site__Bans         *message)
 {
   static const Br__Site__Bans init_value = BR__SITE__BANS__INIT;
   *message = init_value;
 }
-size_t
-br__site__bans__get_packed_size (const Br__Site__Bans *message)
+size_t br__site__bans__get_packed_size
+                     (const Br__Site__Bans *message)
 {
-  assert (message->base.descriptor == &br__site__bans__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__bans__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__bans__pack (const Br__Site__Bans *message, uint8_t *out)
+size_t br__site__bans__pack
+                     (const Br__Site__Bans *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__bans__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__bans__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__bans__pack_to_buffer (const Br__Site__Bans *message,
-                                ProtobufCBuffer *buffer)
+size_t br__site__bans__pack_to_buffer
+                     (const Br__Site__Bans *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__bans__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__bans__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Bans *
-br__site__bans__unpack (ProtobufCAllocator *allocator,
-                        size_t len,
-                        const uint8_t *data)
+       br__site__bans__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Bans *)protobuf_c_message_unpack (
-      &br__site__bans__descriptor, allocator, len, data);
+  return (Br__Site__Bans *)
+     protobuf_c_message_unpack (&br__site__bans__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__bans__free_unpacked (Br__Site__Bans *message,
-                               ProtobufCAllocator *allocator)
+void   br__site__bans__free_unpacked
+                     (Br__Site__Bans *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__bans__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__bans__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__control_beat__init (Br__Site__ControlBeat *message)
+void   br__site__control_beat__init
+                     (Br__Site__ControlBeat         *message)
 {
   static const Br__Site__ControlBeat init_value = BR__SITE__CONTROL_BEAT__INIT;
   *message = init_value;
 }
-size_t
-br__site__control_beat__get_packed_size (const Br__Site__ControlBeat *message)
+size_t br__site__control_beat__get_packed_size
+                     (const Br__Site__ControlBeat *message)
 {
-  assert (message->base.descriptor == &br__site__control_beat__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__control_beat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__control_beat__pack (const Br__Site__ControlBeat *message,
-                              uint8_t *out)
+size_t br__site__control_beat__pack
+                     (const Br__Site__ControlBeat *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__control_beat__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__control_beat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__control_beat__pack_to_buffer (const Br__Site__ControlBeat *message,
-                                        ProtobufCBuffer *buffer)
+size_t br__site__control_beat__pack_to_buffer
+                     (const Br__Site__ControlBeat *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__control_beat__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__control_beat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__ControlBeat *
-br__site__control_beat__unpack (ProtobufCAllocator *allocator,
-                                size_t len,
-                                const uint8_t *data)
+       br__site__control_beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__ControlBeat *)protobuf_c_message_unpack (
-      &br__site__control_beat__descriptor, allocator, len, data);
+  return (Br__Site__ControlBeat *)
+     protobuf_c_message_unpack (&br__site__control_beat__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__control_beat__free_unpacked (Br__Site__ControlBeat *message,
-                                       ProtobufCAllocator *allocator)
+void   br__site__control_beat__free_unpacked
+                     (Br__Site__ControlBeat *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__control_beat__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__control_beat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__limit__init (Br__Site__Limit *message)
+void   br__site__limit__init
+                     (Br__Site__Limit         *message)
 {
   static const Br__Site__Limit init_value = BR__SITE__LIMIT__INIT;
   *message = init_value;
 }
-size_t
-br__site__limit__get_packed_size (const Br__Site__Limit *message)
+size_t br__site__limit__get_packed_size
+                     (const Br__Site__Limit *message)
 {
-  assert (message->base.descriptor == &br__site__limit__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__limit__pack (const Br__Site__Limit *message, uint8_t *out)
+size_t br__site__limit__pack
+                     (const Br__Site__Limit *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__limit__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__limit__pack_to_buffer (const Br__Site__Limit *message,
-                                 ProtobufCBuffer *buffer)
+size_t br__site__limit__pack_to_buffer
+                     (const Br__Site__Limit *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__limit__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Limit *
-br__site__limit__unpack (ProtobufCAllocator *allocator,
-                         size_t len,
-                         const uint8_t *data)
+       br__site__limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Limit *)protobuf_c_message_unpack (
-      &br__site__limit__descriptor, allocator, len, data);
+  return (Br__Site__Limit *)
+     protobuf_c_message_unpack (&br__site__limit__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__limit__free_unpacked (Br__Site__Limit *message,
-                                ProtobufCAllocator *allocator)
+void   br__site__limit__free_unpacked
+                     (Br__Site__Limit *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__limit__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__limits__init (Br__Site__Limits *message)
+void   br__site__limits__init
+                     (Br__Site__Limits         *message)
 {
   static const Br__Site__Limits init_value = BR__SITE__LIMITS__INIT;
   *message = init_value;
 }
-size_t
-br__site__limits__get_packed_size (const Br__Site__Limits *message)
+size_t br__site__limits__get_packed_size
+                     (const Br__Site__Limits *message)
 {
-  assert (message->base.descriptor == &br__site__limits__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__limits__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__limits__pack (const Br__Site__Limits *message, uint8_t *out)
+size_t br__site__limits__pack
+                     (const Br__Site__Limits *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__limits__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__limits__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__limits__pack_to_buffer (const Br__Site__Limits *message,
-                                  ProtobufCBuffer *buffer)
+size_t br__site__limits__pack_to_buffer
+                     (const Br__Site__Limits *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__limits__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__limits__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Limits *
-br__site__limits__unpack (ProtobufCAllocator *allocator,
-                          size_t len,
-                          const uint8_t *data)
+       br__site__limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Limits *)protobuf_c_message_unpack (
-      &br__site__limits__descriptor, allocator, len, data);
+  return (Br__Site__Limits *)
+     protobuf_c_message_unpack (&br__site__limits__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__limits__free_unpacked (Br__Site__Limits *message,
-                                 ProtobufCAllocator *allocator)
+void   br__site__limits__free_unpacked
+                     (Br__Site__Limits *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__limits__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__limits__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__configuration_ask__init (Br__Site__ConfigurationAsk *message)
+void   br__site__configuration_ask__init
+                     (Br__Site__ConfigurationAsk         *message)
 {
-  static const Br__Site__ConfigurationAsk init_value
-      = BR__SITE__CONFIGURATION_ASK__INIT;
+  static const Br__Site__ConfigurationAsk init_value = BR__SITE__CONFIGURATION_ASK__INIT;
   *message = init_value;
 }
-size_t
-br__site__configuration_ask__get_packed_size (
-    const Br__Site__ConfigurationAsk *message)
+size_t br__site__configuration_ask__get_packed_size
+                     (const Br__Site__ConfigurationAsk *message)
 {
-  assert (message->base.descriptor == &br__site__configuration_ask__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__configuration_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__configuration_ask__pack (const Br__Site__ConfigurationAsk *message,
-                                   uint8_t *out)
+size_t br__site__configuration_ask__pack
+                     (const Br__Site__ConfigurationAsk *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__configuration_ask__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__configuration_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__configuration_ask__pack_to_buffer (
-    const Br__Site__ConfigurationAsk *message,
-    ProtobufCBuffer *buffer)
+size_t br__site__configuration_ask__pack_to_buffer
+                     (const Br__Site__ConfigurationAsk *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__configuration_ask__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__configuration_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__ConfigurationAsk *
-br__site__configuration_ask__unpack (ProtobufCAllocator *allocator,
-                                     size_t len,
-                                     const uint8_t *data)
+       br__site__configuration_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__ConfigurationAsk *)protobuf_c_message_unpack (
-      &br__site__configuration_ask__descriptor, allocator, len, data);
+  return (Br__Site__ConfigurationAsk *)
+     protobuf_c_message_unpack (&br__site__configuration_ask__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__configuration_ask__free_unpacked (Br__Site__ConfigurationAsk *message,
-                                            ProtobufCAllocator *allocator)
+void   br__site__configuration_ask__free_unpacked
+                     (Br__Site__ConfigurationAsk *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__configuration_ask__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__configuration_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__configuration_text__init (Br__Site__ConfigurationText *message)
+void   br__site__configuration_text__init
+                     (Br__Site__ConfigurationText         *message)
 {
-  static const Br__Site__ConfigurationText init_value
-      = BR__SITE__CONFIGURATION_TEXT__INIT;
+  static const Br__Site__ConfigurationText init_value = BR__SITE__CONFIGURATION_TEXT__INIT;
   *message = init_value;
 }
-size_t
-br__site__configuration_text__get_packed_size (
-    const Br__Site__ConfigurationText *message)
+size_t br__site__configuration_text__get_packed_size
+                     (const Br__Site__ConfigurationText *message)
 {
-  assert (message->base.descriptor
-          == &br__site__configuration_text__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__configuration_text__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__configuration_text__pack (const Br__Site__ConfigurationText *message,
-                                    uint8_t *out)
+size_t br__site__configuration_text__pack
+                     (const Br__Site__ConfigurationText *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor
-          == &br__site__configuration_text__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__configuration_text__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__configuration_text__pack_to_buffer (
-    const Br__Site__ConfigurationText *message,
-    ProtobufCBuffer *buffer)
+size_t br__site__configuration_text__pack_to_buffer
+                     (const Br__Site__ConfigurationText *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor
-          == &br__site__configuration_text__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__configuration_text__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__ConfigurationText *
-br__site__configuration_text__unpack (ProtobufCAllocator *allocator,
-                                      size_t len,
-                                      const uint8_t *data)
+       br__site__configuration_text__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__ConfigurationText *)protobuf_c_message_unpack (
-      &br__site__configuration_text__descriptor, allocator, len, data);
+  return (Br__Site__ConfigurationText *)
+     protobuf_c_message_unpack (&br__site__configuration_text__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__configuration_text__free_unpacked (
-    Br__Site__ConfigurationText *message,
-    ProtobufCAllocator *allocator)
+void   br__site__configuration_text__free_unpacked
+                     (Br__Site__ConfigurationText *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor
-          == &br__site__configuration_text__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &br__site__configuration_text__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-br__site__message__init (Br__Site__Message *message)
+void   br__site__message__init
+                     (Br__Site__Message         *message)
 {
   static const Br__Site__Message init_value = BR__SITE__MESSAGE__INIT;
   *message = init_value;
 }
-size_t
-br__site__message__get_packed_size (const Br__Site__Message *message)
+size_t br__site__message__get_packed_size
+                     (const Br__Site__Message *message)
 {
-  assert (message->base.descriptor == &br__site__message__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &br__site__message__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-br__site__message__pack (const Br__Site__Message *message, uint8_t *out)
+size_t br__site__message__pack
+                     (const Br__Site__Message *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &br__site__message__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &br__site__message__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-br__site__message__pack_to_buffer (const Br__Site__Message *message,
-                                   ProtobufCBuffer *buffer)
+size_t br__site__message__pack_to_buffer
+                     (const Br__Site__Message *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &br__site__message__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &br__site__message__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Br__Site__Message *
-br__site__message__unpack (ProtobufCAllocator *allocator,
-                           size_t len,
-                           const uint8_t *data)
+       br__site__message__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Br__Site__Message *)protobuf_c_message_unpack (
-      &br__site__message__descriptor, allocator, len, data);
+  return (Br__Site__Message *)
+     protobuf_c_message_unpack (&br__site__message__descriptor,
+                                allocator, len, data);
 }
-void
-br__site__message__free_unpacked (Br__Site__Message *message,
-                                  ProtobufCAllocator *allocator)
+void   br__site__message__free_unpacked
+                     (Br__Site__Message *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &br__site__message__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
-}
-static const ProtobufCFieldDescriptor br__site__listing__field_descriptors[10]
-    = {
-        {
-            "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Listing, id), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Listing, service), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "address", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Listing, address), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "port", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Listing, port), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "failure_domain", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Listing, failure_domain), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "draining", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Listing, draining), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "spot", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Listing, spot), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "born_ms", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Listing, born_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "slots", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Listing, slots), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "cold_ms", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Listing, cold_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  assert(message->base.descriptor == &br__site__message__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor br__site__listing__field_descriptors[11] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Listing, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Listing, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Listing, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Listing, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Listing, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Listing, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spot",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Listing, spot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Listing, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Listing, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Listing, cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Listing, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__listing__field_indices_by_name[] = {
-  2, /* field[2] = address */
-  7, /* field[7] = born_ms */
-  9, /* field[9] = cold_ms */
-  5, /* field[5] = draining */
-  4, /* field[4] = failure_domain */
-  0, /* field[0] = id */
-  3, /* field[3] = port */
-  1, /* field[1] = service */
-  8, /* field[8] = slots */
-  6, /* field[6] = spot */
-};
-static const ProtobufCIntRange br__site__listing__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 10 } };
-const ProtobufCMessageDescriptor br__site__listing__descriptor = {
+  2,   /* field[2] = address */
+  7,   /* field[7] = born_ms */
+  9,   /* field[9] = cold_ms */
+  5,   /* field[5] = draining */
+  4,   /* field[4] = failure_domain */
+  0,   /* field[0] = id */
+  3,   /* field[3] = port */
+  1,   /* field[1] = service */
+  8,   /* field[8] = slots */
+  6,   /* field[6] = spot */
+  10,   /* field[10] = version */
+};
+static const ProtobufCIntRange br__site__listing__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor br__site__listing__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Listing",
   "Listing",
   "Br__Site__Listing",
   "br.site",
-  sizeof (Br__Site__Listing),
-  10,
+  sizeof(Br__Site__Listing),
+  11,
   br__site__listing__field_descriptors,
   br__site__listing__field_indices_by_name,
-  1,
-  br__site__listing__number_ranges,
-  (ProtobufCMessageInit)br__site__listing__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__site__listing__number_ranges,
+  (ProtobufCMessageInit) br__site__listing__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__fleet__field_descriptors[3] = {
+static const ProtobufCFieldDescriptor br__site__fleet__field_descriptors[3] =
+{
   {
-      "term", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0,                                               /* quantifier_offset */
-      offsetof (Br__Site__Fleet, term), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Fleet, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "sequence", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Fleet, sequence), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "sequence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Fleet, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "upstreams", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Br__Site__Fleet, n_upstreams),
-      offsetof (Br__Site__Fleet, upstreams), &br__site__listing__descriptor,
-      NULL, 0,      /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "upstreams",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Fleet, n_upstreams),
+    offsetof(Br__Site__Fleet, upstreams),
+    &br__site__listing__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned br__site__fleet__field_indices_by_name[] = {
-  1, /* field[1] = sequence */
-  0, /* field[0] = term */
-  2, /* field[2] = upstreams */
+  1,   /* field[1] = sequence */
+  0,   /* field[0] = term */
+  2,   /* field[2] = upstreams */
 };
-static const ProtobufCIntRange br__site__fleet__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor br__site__fleet__descriptor = {
+static const ProtobufCIntRange br__site__fleet__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor br__site__fleet__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Fleet",
   "Fleet",
   "Br__Site__Fleet",
   "br.site",
-  sizeof (Br__Site__Fleet),
+  sizeof(Br__Site__Fleet),
   3,
   br__site__fleet__field_descriptors,
   br__site__fleet__field_indices_by_name,
-  1,
-  br__site__fleet__number_ranges,
-  (ProtobufCMessageInit)br__site__fleet__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__site__fleet__number_ranges,
+  (ProtobufCMessageInit) br__site__fleet__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__count__field_descriptors[2] = {
+static const ProtobufCFieldDescriptor br__site__count__field_descriptors[2] =
+{
   {
-      "organisation", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Count, organisation), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "organisation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Count, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "requests", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Count, requests), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "requests",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Count, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned br__site__count__field_indices_by_name[] = {
-  0, /* field[0] = organisation */
-  1, /* field[1] = requests */
+  0,   /* field[0] = organisation */
+  1,   /* field[1] = requests */
+};
+static const ProtobufCIntRange br__site__count__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCIntRange br__site__count__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor br__site__count__descriptor = {
+const ProtobufCMessageDescriptor br__site__count__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Count",
   "Count",
   "Br__Site__Count",
   "br.site",
-  sizeof (Br__Site__Count),
+  sizeof(Br__Site__Count),
   2,
   br__site__count__field_descriptors,
   br__site__count__field_indices_by_name,
-  1,
-  br__site__count__number_ranges,
-  (ProtobufCMessageInit)br__site__count__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__site__count__number_ranges,
+  (ProtobufCMessageInit) br__site__count__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__window__field_descriptors[2] = {
+static const ProtobufCFieldDescriptor br__site__window__field_descriptors[2] =
+{
   {
-      "number", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Window, number), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Window, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "counts", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Br__Site__Window, n_counts),
-      offsetof (Br__Site__Window, counts), &br__site__count__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "counts",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Window, n_counts),
+    offsetof(Br__Site__Window, counts),
+    &br__site__count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned br__site__window__field_indices_by_name[] = {
-  1, /* field[1] = counts */
-  0, /* field[0] = number */
+  1,   /* field[1] = counts */
+  0,   /* field[0] = number */
+};
+static const ProtobufCIntRange br__site__window__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCIntRange br__site__window__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor br__site__window__descriptor = {
+const ProtobufCMessageDescriptor br__site__window__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Window",
   "Window",
   "Br__Site__Window",
   "br.site",
-  sizeof (Br__Site__Window),
+  sizeof(Br__Site__Window),
   2,
   br__site__window__field_descriptors,
   br__site__window__field_indices_by_name,
-  1,
-  br__site__window__number_ranges,
-  (ProtobufCMessageInit)br__site__window__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__site__window__number_ranges,
+  (ProtobufCMessageInit) br__site__window__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__demand__field_descriptors[2] = {
+static const ProtobufCFieldDescriptor br__site__demand__field_descriptors[2] =
+{
   {
-      "organisation", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Demand, organisation), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "organisation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Demand, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "units_per_s", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Demand, units_per_s), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "units_per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Demand, units_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned br__site__demand__field_indices_by_name[] = {
-  0, /* field[0] = organisation */
-  1, /* field[1] = units_per_s */
+  0,   /* field[0] = organisation */
+  1,   /* field[1] = units_per_s */
+};
+static const ProtobufCIntRange br__site__demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCIntRange br__site__demand__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor br__site__demand__descriptor = {
+const ProtobufCMessageDescriptor br__site__demand__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Demand",
   "Demand",
   "Br__Site__Demand",
   "br.site",
-  sizeof (Br__Site__Demand),
+  sizeof(Br__Site__Demand),
   2,
   br__site__demand__field_descriptors,
   br__site__demand__field_indices_by_name,
-  1,
-  br__site__demand__number_ranges,
-  (ProtobufCMessageInit)br__site__demand__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    br__site__upstream_load__field_descriptors[4]
-    = {
-        {
-            "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__UpstreamLoad, id), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "in_flight", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__UpstreamLoad, in_flight), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "prefill_tokens", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__UpstreamLoad, prefill_tokens), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "unreachable", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__UpstreamLoad, unreachable), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__demand__number_ranges,
+  (ProtobufCMessageInit) br__site__demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__upstream_load__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__UpstreamLoad, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__UpstreamLoad, in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefill_tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__UpstreamLoad, prefill_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unreachable",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__UpstreamLoad, unreachable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__upstream_load__field_indices_by_name[] = {
-  0, /* field[0] = id */
-  1, /* field[1] = in_flight */
-  2, /* field[2] = prefill_tokens */
-  3, /* field[3] = unreachable */
-};
-static const ProtobufCIntRange br__site__upstream_load__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor br__site__upstream_load__descriptor = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = in_flight */
+  2,   /* field[2] = prefill_tokens */
+  3,   /* field[3] = unreachable */
+};
+static const ProtobufCIntRange br__site__upstream_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor br__site__upstream_load__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.UpstreamLoad",
   "UpstreamLoad",
   "Br__Site__UpstreamLoad",
   "br.site",
-  sizeof (Br__Site__UpstreamLoad),
+  sizeof(Br__Site__UpstreamLoad),
   4,
   br__site__upstream_load__field_descriptors,
   br__site__upstream_load__field_indices_by_name,
-  1,
-  br__site__upstream_load__number_ranges,
-  (ProtobufCMessageInit)br__site__upstream_load__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__site__upstream_load__number_ranges,
+  (ProtobufCMessageInit) br__site__upstream_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__used__field_descriptors[3] = {
+static const ProtobufCFieldDescriptor br__site__used__field_descriptors[3] =
+{
   {
-      "organisation", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Used, organisation), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "organisation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Used, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "units", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
-      0,                                               /* quantifier_offset */
-      offsetof (Br__Site__Used, units), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "units",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Used, units),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "asked", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
-      0,                                               /* quantifier_offset */
-      offsetof (Br__Site__Used, asked), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "asked",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Used, asked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned br__site__used__field_indices_by_name[] = {
-  2, /* field[2] = asked */
-  0, /* field[0] = organisation */
-  1, /* field[1] = units */
+  2,   /* field[2] = asked */
+  0,   /* field[0] = organisation */
+  1,   /* field[1] = units */
 };
-static const ProtobufCIntRange br__site__used__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor br__site__used__descriptor = {
+static const ProtobufCIntRange br__site__used__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor br__site__used__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Used",
   "Used",
   "Br__Site__Used",
   "br.site",
-  sizeof (Br__Site__Used),
+  sizeof(Br__Site__Used),
   3,
   br__site__used__field_descriptors,
   br__site__used__field_indices_by_name,
-  1,
-  br__site__used__number_ranges,
-  (ProtobufCMessageInit)br__site__used__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__site__used__number_ranges,
+  (ProtobufCMessageInit) br__site__used__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__left__field_descriptors[3] = {
+static const ProtobufCFieldDescriptor br__site__left__field_descriptors[3] =
+{
   {
-      "organisation", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Left, organisation), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "organisation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Left, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "units", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
-      0,                                               /* quantifier_offset */
-      offsetof (Br__Site__Left, units), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "units",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Left, units),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "asked_per_s", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Left, asked_per_s), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "asked_per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Left, asked_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned br__site__left__field_indices_by_name[] = {
-  2, /* field[2] = asked_per_s */
-  0, /* field[0] = organisation */
-  1, /* field[1] = units */
+  2,   /* field[2] = asked_per_s */
+  0,   /* field[0] = organisation */
+  1,   /* field[1] = units */
 };
-static const ProtobufCIntRange br__site__left__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor br__site__left__descriptor = {
+static const ProtobufCIntRange br__site__left__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor br__site__left__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Left",
   "Left",
   "Br__Site__Left",
   "br.site",
-  sizeof (Br__Site__Left),
+  sizeof(Br__Site__Left),
   3,
   br__site__left__field_descriptors,
   br__site__left__field_indices_by_name,
-  1,
-  br__site__left__number_ranges,
-  (ProtobufCMessageInit)br__site__left__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__site__left__number_ranges,
+  (ProtobufCMessageInit) br__site__left__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__loads__field_descriptors[6] = {
+static const ProtobufCFieldDescriptor br__site__loads__field_descriptors[6] =
+{
   {
-      "term", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0,                                               /* quantifier_offset */
-      offsetof (Br__Site__Loads, term), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loads, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "loads", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Br__Site__Loads, n_loads), offsetof (Br__Site__Loads, loads),
-      &br__site__upstream_load__descriptor, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "loads",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Loads, n_loads),
+    offsetof(Br__Site__Loads, loads),
+    &br__site__upstream_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "used", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Br__Site__Loads, n_used), offsetof (Br__Site__Loads, used),
-      &br__site__used__descriptor, NULL, 0, /* flags */
-      0, NULL, NULL                         /* reserved1,reserved2, etc */
+    "used",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Loads, n_used),
+    offsetof(Br__Site__Loads, used),
+    &br__site__used__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "left", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Br__Site__Loads, n_left), offsetof (Br__Site__Loads, left),
-      &br__site__left__descriptor, NULL, 0, /* flags */
-      0, NULL, NULL                         /* reserved1,reserved2, etc */
+    "left",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Loads, n_left),
+    offsetof(Br__Site__Loads, left),
+    &br__site__left__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "windows", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Br__Site__Loads, n_windows),
-      offsetof (Br__Site__Loads, windows), &br__site__window__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "windows",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Loads, n_windows),
+    offsetof(Br__Site__Loads, windows),
+    &br__site__window__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "up_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0,                                                /* quantifier_offset */
-      offsetof (Br__Site__Loads, up_ms), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "up_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loads, up_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned br__site__loads__field_indices_by_name[] = {
-  3, /* field[3] = left */
-  1, /* field[1] = loads */
-  0, /* field[0] = term */
-  5, /* field[5] = up_ms */
-  2, /* field[2] = used */
-  4, /* field[4] = windows */
-};
-static const ProtobufCIntRange br__site__loads__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 6 } };
-const ProtobufCMessageDescriptor br__site__loads__descriptor = {
+  3,   /* field[3] = left */
+  1,   /* field[1] = loads */
+  0,   /* field[0] = term */
+  5,   /* field[5] = up_ms */
+  2,   /* field[2] = used */
+  4,   /* field[4] = windows */
+};
+static const ProtobufCIntRange br__site__loads__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor br__site__loads__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Loads",
   "Loads",
   "Br__Site__Loads",
   "br.site",
-  sizeof (Br__Site__Loads),
+  sizeof(Br__Site__Loads),
   6,
   br__site__loads__field_descriptors,
   br__site__loads__field_indices_by_name,
-  1,
-  br__site__loads__number_ranges,
-  (ProtobufCMessageInit)br__site__loads__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    br__site__service_demand__field_descriptors[6]
-    = {
-        {
-            "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ServiceDemand, service), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "prefill_tokens_per_s", 2, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_DOUBLE, 0, /* quantifier_offset */
-            offsetof (Br__Site__ServiceDemand, prefill_tokens_per_s), NULL,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "output_tokens_per_s", 3, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_DOUBLE, 0, /* quantifier_offset */
-            offsetof (Br__Site__ServiceDemand, output_tokens_per_s), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "requests_per_s", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ServiceDemand, requests_per_s), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "in_flight", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ServiceDemand, in_flight), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "prefill_per_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ServiceDemand, prefill_per_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__loads__number_ranges,
+  (ProtobufCMessageInit) br__site__loads__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__service_demand__field_descriptors[6] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ServiceDemand, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefill_tokens_per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ServiceDemand, prefill_tokens_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "output_tokens_per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ServiceDemand, output_tokens_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests_per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ServiceDemand, requests_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ServiceDemand, in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefill_per_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ServiceDemand, prefill_per_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__service_demand__field_indices_by_name[] = {
-  4, /* field[4] = in_flight */
-  2, /* field[2] = output_tokens_per_s */
-  5, /* field[5] = prefill_per_ms */
-  1, /* field[1] = prefill_tokens_per_s */
-  3, /* field[3] = requests_per_s */
-  0, /* field[0] = service */
-};
-static const ProtobufCIntRange br__site__service_demand__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 6 } };
-const ProtobufCMessageDescriptor br__site__service_demand__descriptor = {
+  4,   /* field[4] = in_flight */
+  2,   /* field[2] = output_tokens_per_s */
+  5,   /* field[5] = prefill_per_ms */
+  1,   /* field[1] = prefill_tokens_per_s */
+  3,   /* field[3] = requests_per_s */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange br__site__service_demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor br__site__service_demand__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.ServiceDemand",
   "ServiceDemand",
   "Br__Site__ServiceDemand",
   "br.site",
-  sizeof (Br__Site__ServiceDemand),
+  sizeof(Br__Site__ServiceDemand),
   6,
   br__site__service_demand__field_descriptors,
   br__site__service_demand__field_indices_by_name,
-  1,
-  br__site__service_demand__number_ranges,
-  (ProtobufCMessageInit)br__site__service_demand__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    br__site__entry_report__field_descriptors[17]
-    = {
-        {
-            "windows", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__EntryReport, n_windows),
-            offsetof (Br__Site__EntryReport, windows),
-            &br__site__window__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "demands", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__EntryReport, n_demands),
-            offsetof (Br__Site__EntryReport, demands),
-            &br__site__demand__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "loads", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__EntryReport, n_loads),
-            offsetof (Br__Site__EntryReport, loads),
-            &br__site__upstream_load__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "services", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__EntryReport, n_services),
-            offsetof (Br__Site__EntryReport, services),
-            &br__site__service_demand__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "configuration_version", 5, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-            offsetof (Br__Site__EntryReport, configuration_version), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "fleet_term", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__EntryReport, fleet_term), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "fleet_sequence", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__EntryReport, fleet_sequence), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "wall_ms", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__EntryReport, wall_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "site_wall_ms", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__EntryReport, site_wall_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "crashes", 10, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__EntryReport, n_crashes),
-            offsetof (Br__Site__EntryReport, crashes),
-            &br__site__crash__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "answered", 11, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__EntryReport, n_answered),
-            offsetof (Br__Site__EntryReport, answered),
-            &br__site__answered__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "bans_made", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__EntryReport, bans_made), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "leaving", 13, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__EntryReport, n_leaving),
-            offsetof (Br__Site__EntryReport, leaving),
-            &br__site__leaving__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "used", 14, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__EntryReport, n_used),
-            offsetof (Br__Site__EntryReport, used), &br__site__used__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "up_ms", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__EntryReport, up_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "losses", 16, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__EntryReport, n_losses),
-            offsetof (Br__Site__EntryReport, losses),
-            &br__site__loss__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL                         /* reserved1,reserved2, etc */
-        },
-        {
-            "part_crashes", 17, PROTOBUF_C_LABEL_REPEATED,
-            PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__EntryReport, n_part_crashes),
-            offsetof (Br__Site__EntryReport, part_crashes),
-            &br__site__part_crash__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__service_demand__number_ranges,
+  (ProtobufCMessageInit) br__site__service_demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__entry_report__field_descriptors[17] =
+{
+  {
+    "windows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__EntryReport, n_windows),
+    offsetof(Br__Site__EntryReport, windows),
+    &br__site__window__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demands",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__EntryReport, n_demands),
+    offsetof(Br__Site__EntryReport, demands),
+    &br__site__demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__EntryReport, n_loads),
+    offsetof(Br__Site__EntryReport, loads),
+    &br__site__upstream_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__EntryReport, n_services),
+    offsetof(Br__Site__EntryReport, services),
+    &br__site__service_demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__EntryReport, configuration_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet_term",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__EntryReport, fleet_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet_sequence",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__EntryReport, fleet_sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__EntryReport, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "site_wall_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__EntryReport, site_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__EntryReport, n_crashes),
+    offsetof(Br__Site__EntryReport, crashes),
+    &br__site__crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__EntryReport, n_answered),
+    offsetof(Br__Site__EntryReport, answered),
+    &br__site__answered__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bans_made",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__EntryReport, bans_made),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__EntryReport, n_leaving),
+    offsetof(Br__Site__EntryReport, leaving),
+    &br__site__leaving__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__EntryReport, n_used),
+    offsetof(Br__Site__EntryReport, used),
+    &br__site__used__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "up_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__EntryReport, up_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "losses",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__EntryReport, n_losses),
+    offsetof(Br__Site__EntryReport, losses),
+    &br__site__loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_crashes",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__EntryReport, n_part_crashes),
+    offsetof(Br__Site__EntryReport, part_crashes),
+    &br__site__part_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__entry_report__field_indices_by_name[] = {
-  10, /* field[10] = answered */
-  11, /* field[11] = bans_made */
-  4,  /* field[4] = configuration_version */
-  9,  /* field[9] = crashes */
-  1,  /* field[1] = demands */
-  6,  /* field[6] = fleet_sequence */
-  5,  /* field[5] = fleet_term */
-  12, /* field[12] = leaving */
-  2,  /* field[2] = loads */
-  15, /* field[15] = losses */
-  16, /* field[16] = part_crashes */
-  3,  /* field[3] = services */
-  8,  /* field[8] = site_wall_ms */
-  14, /* field[14] = up_ms */
-  13, /* field[13] = used */
-  7,  /* field[7] = wall_ms */
-  0,  /* field[0] = windows */
-};
-static const ProtobufCIntRange br__site__entry_report__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 17 } };
-const ProtobufCMessageDescriptor br__site__entry_report__descriptor = {
+  10,   /* field[10] = answered */
+  11,   /* field[11] = bans_made */
+  4,   /* field[4] = configuration_version */
+  9,   /* field[9] = crashes */
+  1,   /* field[1] = demands */
+  6,   /* field[6] = fleet_sequence */
+  5,   /* field[5] = fleet_term */
+  12,   /* field[12] = leaving */
+  2,   /* field[2] = loads */
+  15,   /* field[15] = losses */
+  16,   /* field[16] = part_crashes */
+  3,   /* field[3] = services */
+  8,   /* field[8] = site_wall_ms */
+  14,   /* field[14] = up_ms */
+  13,   /* field[13] = used */
+  7,   /* field[7] = wall_ms */
+  0,   /* field[0] = windows */
+};
+static const ProtobufCIntRange br__site__entry_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 17 }
+};
+const ProtobufCMessageDescriptor br__site__entry_report__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.EntryReport",
   "EntryReport",
   "Br__Site__EntryReport",
   "br.site",
-  sizeof (Br__Site__EntryReport),
+  sizeof(Br__Site__EntryReport),
   17,
   br__site__entry_report__field_descriptors,
   br__site__entry_report__field_indices_by_name,
-  1,
-  br__site__entry_report__number_ranges,
-  (ProtobufCMessageInit)br__site__entry_report__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor br__site__leaving__field_descriptors[2]
-    = {
-        {
-            "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Leaving, id), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Leaving, incarnation), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__entry_report__number_ranges,
+  (ProtobufCMessageInit) br__site__entry_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__leaving__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Leaving, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Leaving, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__leaving__field_indices_by_name[] = {
-  0, /* field[0] = id */
-  1, /* field[1] = incarnation */
+  0,   /* field[0] = id */
+  1,   /* field[1] = incarnation */
+};
+static const ProtobufCIntRange br__site__leaving__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCIntRange br__site__leaving__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor br__site__leaving__descriptor = {
+const ProtobufCMessageDescriptor br__site__leaving__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Leaving",
   "Leaving",
   "Br__Site__Leaving",
   "br.site",
-  sizeof (Br__Site__Leaving),
+  sizeof(Br__Site__Leaving),
   2,
   br__site__leaving__field_descriptors,
   br__site__leaving__field_indices_by_name,
-  1,
-  br__site__leaving__number_ranges,
-  (ProtobufCMessageInit)br__site__leaving__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__site__leaving__number_ranges,
+  (ProtobufCMessageInit) br__site__leaving__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__loss__field_descriptors[6] = {
+static const ProtobufCFieldDescriptor br__site__loss__field_descriptors[6] =
+{
   {
-      "run", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-      0,                                             /* quantifier_offset */
-      offsetof (Br__Site__Loss, run), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "run",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loss, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "content", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-      0,                                                 /* quantifier_offset */
-      offsetof (Br__Site__Loss, content), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "content",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loss, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "upstream", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Loss, upstream), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "upstream",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loss, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "incarnation", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Loss, incarnation), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loss, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "age_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0,                                                /* quantifier_offset */
-      offsetof (Br__Site__Loss, age_ms), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loss, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "answered_before", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Loss, answered_before), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "answered_before",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Loss, answered_before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned br__site__loss__field_indices_by_name[] = {
-  4, /* field[4] = age_ms */
-  5, /* field[5] = answered_before */
-  1, /* field[1] = content */
-  3, /* field[3] = incarnation */
-  0, /* field[0] = run */
-  2, /* field[2] = upstream */
-};
-static const ProtobufCIntRange br__site__loss__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 6 } };
-const ProtobufCMessageDescriptor br__site__loss__descriptor = {
+  4,   /* field[4] = age_ms */
+  5,   /* field[5] = answered_before */
+  1,   /* field[1] = content */
+  3,   /* field[3] = incarnation */
+  0,   /* field[0] = run */
+  2,   /* field[2] = upstream */
+};
+static const ProtobufCIntRange br__site__loss__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor br__site__loss__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Loss",
   "Loss",
   "Br__Site__Loss",
   "br.site",
-  sizeof (Br__Site__Loss),
+  sizeof(Br__Site__Loss),
   6,
   br__site__loss__field_descriptors,
   br__site__loss__field_indices_by_name,
-  1,
-  br__site__loss__number_ranges,
-  (ProtobufCMessageInit)br__site__loss__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__site__loss__number_ranges,
+  (ProtobufCMessageInit) br__site__loss__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__crash__field_descriptors[5] = {
+static const ProtobufCFieldDescriptor br__site__crash__field_descriptors[5] =
+{
   {
-      "content", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Crash, content), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "content",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Crash, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "upstream", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Crash, upstream), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "upstream",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Crash, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Crash, incarnation), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Crash, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "age_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0,                                                 /* quantifier_offset */
-      offsetof (Br__Site__Crash, age_ms), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Crash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "answered_before", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Crash, answered_before), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "answered_before",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Crash, answered_before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned br__site__crash__field_indices_by_name[] = {
-  3, /* field[3] = age_ms */
-  4, /* field[4] = answered_before */
-  0, /* field[0] = content */
-  2, /* field[2] = incarnation */
-  1, /* field[1] = upstream */
-};
-static const ProtobufCIntRange br__site__crash__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 5 } };
-const ProtobufCMessageDescriptor br__site__crash__descriptor = {
+  3,   /* field[3] = age_ms */
+  4,   /* field[4] = answered_before */
+  0,   /* field[0] = content */
+  2,   /* field[2] = incarnation */
+  1,   /* field[1] = upstream */
+};
+static const ProtobufCIntRange br__site__crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor br__site__crash__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Crash",
   "Crash",
   "Br__Site__Crash",
   "br.site",
-  sizeof (Br__Site__Crash),
+  sizeof(Br__Site__Crash),
   5,
   br__site__crash__field_descriptors,
   br__site__crash__field_indices_by_name,
-  1,
-  br__site__crash__number_ranges,
-  (ProtobufCMessageInit)br__site__crash__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor br__site__part_crash__field_descriptors[4]
-    = {
-        {
-            "upstream", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__PartCrash, upstream), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__PartCrash, incarnation), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "age_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__PartCrash, age_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "suspects", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
-            offsetof (Br__Site__PartCrash, n_suspects),
-            offsetof (Br__Site__PartCrash, suspects), NULL, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-            0, NULL, NULL                     /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__crash__number_ranges,
+  (ProtobufCMessageInit) br__site__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__part_crash__field_descriptors[4] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__PartCrash, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__PartCrash, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__PartCrash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspects",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Br__Site__PartCrash, n_suspects),
+    offsetof(Br__Site__PartCrash, suspects),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__part_crash__field_indices_by_name[] = {
-  2, /* field[2] = age_ms */
-  1, /* field[1] = incarnation */
-  3, /* field[3] = suspects */
-  0, /* field[0] = upstream */
-};
-static const ProtobufCIntRange br__site__part_crash__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor br__site__part_crash__descriptor = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = incarnation */
+  3,   /* field[3] = suspects */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange br__site__part_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor br__site__part_crash__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.PartCrash",
   "PartCrash",
   "Br__Site__PartCrash",
   "br.site",
-  sizeof (Br__Site__PartCrash),
+  sizeof(Br__Site__PartCrash),
   4,
   br__site__part_crash__field_descriptors,
   br__site__part_crash__field_indices_by_name,
-  1,
-  br__site__part_crash__number_ranges,
-  (ProtobufCMessageInit)br__site__part_crash__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    br__site__part_inquiry__field_descriptors[3]
-    = {
-        {
-            "number", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__PartInquiry, number), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "term", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__PartInquiry, term), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "parts", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
-            offsetof (Br__Site__PartInquiry, n_parts),
-            offsetof (Br__Site__PartInquiry, parts), NULL, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-            0, NULL, NULL                     /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__part_crash__number_ranges,
+  (ProtobufCMessageInit) br__site__part_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__part_inquiry__field_descriptors[3] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__PartInquiry, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__PartInquiry, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Br__Site__PartInquiry, n_parts),
+    offsetof(Br__Site__PartInquiry, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__part_inquiry__field_indices_by_name[] = {
-  0, /* field[0] = number */
-  2, /* field[2] = parts */
-  1, /* field[1] = term */
+  0,   /* field[0] = number */
+  2,   /* field[2] = parts */
+  1,   /* field[1] = term */
 };
-static const ProtobufCIntRange br__site__part_inquiry__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor br__site__part_inquiry__descriptor = {
+static const ProtobufCIntRange br__site__part_inquiry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor br__site__part_inquiry__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.PartInquiry",
   "PartInquiry",
   "Br__Site__PartInquiry",
   "br.site",
-  sizeof (Br__Site__PartInquiry),
+  sizeof(Br__Site__PartInquiry),
   3,
   br__site__part_inquiry__field_descriptors,
   br__site__part_inquiry__field_indices_by_name,
-  1,
-  br__site__part_inquiry__number_ranges,
-  (ProtobufCMessageInit)br__site__part_inquiry__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor br__site__begun_part__field_descriptors[2]
-    = {
-        {
-            "part", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__BegunPart, part), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "age_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__BegunPart, age_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__part_inquiry__number_ranges,
+  (ProtobufCMessageInit) br__site__part_inquiry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__begun_part__field_descriptors[2] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__BegunPart, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__BegunPart, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__begun_part__field_indices_by_name[] = {
-  1, /* field[1] = age_ms */
-  0, /* field[0] = part */
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = part */
 };
-static const ProtobufCIntRange br__site__begun_part__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor br__site__begun_part__descriptor = {
+static const ProtobufCIntRange br__site__begun_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__site__begun_part__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.BegunPart",
   "BegunPart",
   "Br__Site__BegunPart",
   "br.site",
-  sizeof (Br__Site__BegunPart),
+  sizeof(Br__Site__BegunPart),
   2,
   br__site__begun_part__field_descriptors,
   br__site__begun_part__field_indices_by_name,
-  1,
-  br__site__begun_part__number_ranges,
-  (ProtobufCMessageInit)br__site__begun_part__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    br__site__begun_parts__field_descriptors[3]
-    = {
-        {
-            "number", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__BegunParts, number), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "term", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__BegunParts, term), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "parts", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__BegunParts, n_parts),
-            offsetof (Br__Site__BegunParts, parts),
-            &br__site__begun_part__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__begun_part__number_ranges,
+  (ProtobufCMessageInit) br__site__begun_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__begun_parts__field_descriptors[3] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__BegunParts, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__BegunParts, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__BegunParts, n_parts),
+    offsetof(Br__Site__BegunParts, parts),
+    &br__site__begun_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__begun_parts__field_indices_by_name[] = {
-  0, /* field[0] = number */
-  2, /* field[2] = parts */
-  1, /* field[1] = term */
+  0,   /* field[0] = number */
+  2,   /* field[2] = parts */
+  1,   /* field[1] = term */
 };
-static const ProtobufCIntRange br__site__begun_parts__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor br__site__begun_parts__descriptor = {
+static const ProtobufCIntRange br__site__begun_parts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor br__site__begun_parts__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.BegunParts",
   "BegunParts",
   "Br__Site__BegunParts",
   "br.site",
-  sizeof (Br__Site__BegunParts),
+  sizeof(Br__Site__BegunParts),
   3,
   br__site__begun_parts__field_descriptors,
   br__site__begun_parts__field_indices_by_name,
-  1,
-  br__site__begun_parts__number_ranges,
-  (ProtobufCMessageInit)br__site__begun_parts__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor br__site__answered__field_descriptors[2]
-    = {
-        {
-            "content", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Answered, content), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "age_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__Answered, age_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__begun_parts__number_ranges,
+  (ProtobufCMessageInit) br__site__begun_parts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__answered__field_descriptors[2] =
+{
+  {
+    "content",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Answered, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Answered, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__answered__field_indices_by_name[] = {
-  1, /* field[1] = age_ms */
-  0, /* field[0] = content */
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = content */
 };
-static const ProtobufCIntRange br__site__answered__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor br__site__answered__descriptor = {
+static const ProtobufCIntRange br__site__answered__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__site__answered__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Answered",
   "Answered",
   "Br__Site__Answered",
   "br.site",
-  sizeof (Br__Site__Answered),
+  sizeof(Br__Site__Answered),
   2,
   br__site__answered__field_descriptors,
   br__site__answered__field_indices_by_name,
-  1,
-  br__site__answered__number_ranges,
-  (ProtobufCMessageInit)br__site__answered__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__site__answered__number_ranges,
+  (ProtobufCMessageInit) br__site__answered__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__ban__field_descriptors[5] = {
+static const ProtobufCFieldDescriptor br__site__ban__field_descriptors[5] =
+{
   {
-      "content", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-      0,                                                /* quantifier_offset */
-      offsetof (Br__Site__Ban, content), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "content",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Ban, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "left_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0,                                                /* quantifier_offset */
-      offsetof (Br__Site__Ban, left_ms), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "left_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Ban, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "trials", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                               /* quantifier_offset */
-      offsetof (Br__Site__Ban, trials), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "trials",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Ban, trials),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "ticket", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-      0,                                               /* quantifier_offset */
-      offsetof (Br__Site__Ban, ticket), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "ticket",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Ban, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "granted_age_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Ban, granted_age_ms), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "granted_age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Ban, granted_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned br__site__ban__field_indices_by_name[] = {
-  0, /* field[0] = content */
-  4, /* field[4] = granted_age_ms */
-  1, /* field[1] = left_ms */
-  3, /* field[3] = ticket */
-  2, /* field[2] = trials */
-};
-static const ProtobufCIntRange br__site__ban__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 5 } };
-const ProtobufCMessageDescriptor br__site__ban__descriptor = {
+  0,   /* field[0] = content */
+  4,   /* field[4] = granted_age_ms */
+  1,   /* field[1] = left_ms */
+  3,   /* field[3] = ticket */
+  2,   /* field[2] = trials */
+};
+static const ProtobufCIntRange br__site__ban__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor br__site__ban__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Ban",
   "Ban",
   "Br__Site__Ban",
   "br.site",
-  sizeof (Br__Site__Ban),
+  sizeof(Br__Site__Ban),
   5,
   br__site__ban__field_descriptors,
   br__site__ban__field_indices_by_name,
-  1,
-  br__site__ban__number_ranges,
-  (ProtobufCMessageInit)br__site__ban__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor br__site__trial_ask__field_descriptors[2]
-    = {
-        {
-            "content", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__TrialAsk, content), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "ticket", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__TrialAsk, ticket), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__ban__number_ranges,
+  (ProtobufCMessageInit) br__site__ban__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__trial_ask__field_descriptors[2] =
+{
+  {
+    "content",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__TrialAsk, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__TrialAsk, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__trial_ask__field_indices_by_name[] = {
-  0, /* field[0] = content */
-  1, /* field[1] = ticket */
+  0,   /* field[0] = content */
+  1,   /* field[1] = ticket */
 };
-static const ProtobufCIntRange br__site__trial_ask__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor br__site__trial_ask__descriptor = {
+static const ProtobufCIntRange br__site__trial_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__site__trial_ask__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.TrialAsk",
   "TrialAsk",
   "Br__Site__TrialAsk",
   "br.site",
-  sizeof (Br__Site__TrialAsk),
+  sizeof(Br__Site__TrialAsk),
   2,
   br__site__trial_ask__field_descriptors,
   br__site__trial_ask__field_indices_by_name,
-  1,
-  br__site__trial_ask__number_ranges,
-  (ProtobufCMessageInit)br__site__trial_ask__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__site__trial_ask__number_ranges,
+  (ProtobufCMessageInit) br__site__trial_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__bans__field_descriptors[2] = {
+static const ProtobufCFieldDescriptor br__site__bans__field_descriptors[2] =
+{
   {
-      "made", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0,                                              /* quantifier_offset */
-      offsetof (Br__Site__Bans, made), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "made",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Bans, made),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "bans", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Br__Site__Bans, n_bans), offsetof (Br__Site__Bans, bans),
-      &br__site__ban__descriptor, NULL, 0, /* flags */
-      0, NULL, NULL                        /* reserved1,reserved2, etc */
+    "bans",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Bans, n_bans),
+    offsetof(Br__Site__Bans, bans),
+    &br__site__ban__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned br__site__bans__field_indices_by_name[] = {
-  1, /* field[1] = bans */
-  0, /* field[0] = made */
+  1,   /* field[1] = bans */
+  0,   /* field[0] = made */
 };
-static const ProtobufCIntRange br__site__bans__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor br__site__bans__descriptor = {
+static const ProtobufCIntRange br__site__bans__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__site__bans__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Bans",
   "Bans",
   "Br__Site__Bans",
   "br.site",
-  sizeof (Br__Site__Bans),
+  sizeof(Br__Site__Bans),
   2,
   br__site__bans__field_descriptors,
   br__site__bans__field_indices_by_name,
-  1,
-  br__site__bans__number_ranges,
-  (ProtobufCMessageInit)br__site__bans__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    br__site__control_beat__field_descriptors[11]
-    = {
-        {
-            "configuration_version", 1, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-            offsetof (Br__Site__ControlBeat, configuration_version), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "wall_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ControlBeat, wall_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "leads", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ControlBeat, leads), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "term", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ControlBeat, term), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "fleet_sequence", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ControlBeat, fleet_sequence), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "fleet_age_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ControlBeat, fleet_age_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "entries", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ControlBeat, entries), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "loads", 9, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__ControlBeat, n_loads),
-            offsetof (Br__Site__ControlBeat, loads),
-            &br__site__upstream_load__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "control_vms", 10, PROTOBUF_C_LABEL_REPEATED,
-            PROTOBUF_C_TYPE_STRING,
-            offsetof (Br__Site__ControlBeat, n_control_vms),
-            offsetof (Br__Site__ControlBeat, control_vms), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "demands", 11, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__ControlBeat, n_demands),
-            offsetof (Br__Site__ControlBeat, demands),
-            &br__site__demand__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "has_sums", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ControlBeat, has_sums), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__bans__number_ranges,
+  (ProtobufCMessageInit) br__site__bans__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__control_beat__field_descriptors[11] =
+{
+  {
+    "configuration_version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ControlBeat, configuration_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ControlBeat, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leads",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ControlBeat, leads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ControlBeat, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet_sequence",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ControlBeat, fleet_sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet_age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ControlBeat, fleet_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ControlBeat, entries),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__ControlBeat, n_loads),
+    offsetof(Br__Site__ControlBeat, loads),
+    &br__site__upstream_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "control_vms",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Br__Site__ControlBeat, n_control_vms),
+    offsetof(Br__Site__ControlBeat, control_vms),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demands",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__ControlBeat, n_demands),
+    offsetof(Br__Site__ControlBeat, demands),
+    &br__site__demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_sums",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ControlBeat, has_sums),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__control_beat__field_indices_by_name[] = {
-  0,  /* field[0] = configuration_version */
-  8,  /* field[8] = control_vms */
-  9,  /* field[9] = demands */
-  6,  /* field[6] = entries */
-  5,  /* field[5] = fleet_age_ms */
-  4,  /* field[4] = fleet_sequence */
-  10, /* field[10] = has_sums */
-  2,  /* field[2] = leads */
-  7,  /* field[7] = loads */
-  3,  /* field[3] = term */
-  1,  /* field[1] = wall_ms */
-};
-static const ProtobufCIntRange br__site__control_beat__number_ranges[2 + 1]
-    = { { 1, 0 }, { 9, 7 }, { 0, 11 } };
-const ProtobufCMessageDescriptor br__site__control_beat__descriptor = {
+  0,   /* field[0] = configuration_version */
+  8,   /* field[8] = control_vms */
+  9,   /* field[9] = demands */
+  6,   /* field[6] = entries */
+  5,   /* field[5] = fleet_age_ms */
+  4,   /* field[4] = fleet_sequence */
+  10,   /* field[10] = has_sums */
+  2,   /* field[2] = leads */
+  7,   /* field[7] = loads */
+  3,   /* field[3] = term */
+  1,   /* field[1] = wall_ms */
+};
+static const ProtobufCIntRange br__site__control_beat__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 9, 7 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor br__site__control_beat__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.ControlBeat",
   "ControlBeat",
   "Br__Site__ControlBeat",
   "br.site",
-  sizeof (Br__Site__ControlBeat),
+  sizeof(Br__Site__ControlBeat),
   11,
   br__site__control_beat__field_descriptors,
   br__site__control_beat__field_indices_by_name,
-  2,
-  br__site__control_beat__number_ranges,
-  (ProtobufCMessageInit)br__site__control_beat__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  2,  br__site__control_beat__number_ranges,
+  (ProtobufCMessageInit) br__site__control_beat__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__limit__field_descriptors[7] = {
+static const ProtobufCFieldDescriptor br__site__limit__field_descriptors[7] =
+{
   {
-      "upstream", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Limit, upstream), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Limit, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Limit, incarnation), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Limit, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "named", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-      0,                                                /* quantifier_offset */
-      offsetof (Br__Site__Limit, named), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "named",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Limit, named),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "per_s", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
-      0,                                                /* quantifier_offset */
-      offsetof (Br__Site__Limit, per_s), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Limit, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "age_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0,                                                 /* quantifier_offset */
-      offsetof (Br__Site__Limit, age_ms), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Limit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "permits", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Limit, permits), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "permits",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Limit, permits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "waiting", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Limit, waiting), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "waiting",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Limit, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned br__site__limit__field_indices_by_name[] = {
-  4, /* field[4] = age_ms */
-  1, /* field[1] = incarnation */
-  2, /* field[2] = named */
-  3, /* field[3] = per_s */
-  5, /* field[5] = permits */
-  0, /* field[0] = upstream */
-  6, /* field[6] = waiting */
-};
-static const ProtobufCIntRange br__site__limit__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 7 } };
-const ProtobufCMessageDescriptor br__site__limit__descriptor = {
+  4,   /* field[4] = age_ms */
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = named */
+  3,   /* field[3] = per_s */
+  5,   /* field[5] = permits */
+  0,   /* field[0] = upstream */
+  6,   /* field[6] = waiting */
+};
+static const ProtobufCIntRange br__site__limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor br__site__limit__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Limit",
   "Limit",
   "Br__Site__Limit",
   "br.site",
-  sizeof (Br__Site__Limit),
+  sizeof(Br__Site__Limit),
   7,
   br__site__limit__field_descriptors,
   br__site__limit__field_indices_by_name,
-  1,
-  br__site__limit__number_ranges,
-  (ProtobufCMessageInit)br__site__limit__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__site__limit__number_ranges,
+  (ProtobufCMessageInit) br__site__limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__limits__field_descriptors[3] = {
+static const ProtobufCFieldDescriptor br__site__limits__field_descriptors[3] =
+{
   {
-      "limits", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Br__Site__Limits, n_limits),
-      offsetof (Br__Site__Limits, limits), &br__site__limit__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "limits",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Limits, n_limits),
+    offsetof(Br__Site__Limits, limits),
+    &br__site__limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "requested_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Br__Site__Limits, requested_ms), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "requested_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Limits, requested_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "term", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0,                                                /* quantifier_offset */
-      offsetof (Br__Site__Limits, term), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Limits, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned br__site__limits__field_indices_by_name[] = {
-  0, /* field[0] = limits */
-  1, /* field[1] = requested_ms */
-  2, /* field[2] = term */
+  0,   /* field[0] = limits */
+  1,   /* field[1] = requested_ms */
+  2,   /* field[2] = term */
 };
-static const ProtobufCIntRange br__site__limits__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor br__site__limits__descriptor = {
+static const ProtobufCIntRange br__site__limits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor br__site__limits__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Limits",
   "Limits",
   "Br__Site__Limits",
   "br.site",
-  sizeof (Br__Site__Limits),
+  sizeof(Br__Site__Limits),
   3,
   br__site__limits__field_descriptors,
   br__site__limits__field_indices_by_name,
-  1,
-  br__site__limits__number_ranges,
-  (ProtobufCMessageInit)br__site__limits__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    br__site__configuration_ask__field_descriptors[1]
-    = {
-        {
-            "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ConfigurationAsk, version), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__limits__number_ranges,
+  (ProtobufCMessageInit) br__site__limits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__configuration_ask__field_descriptors[1] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ConfigurationAsk, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__configuration_ask__field_indices_by_name[] = {
-  0, /* field[0] = version */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange br__site__configuration_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
 };
-static const ProtobufCIntRange br__site__configuration_ask__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor br__site__configuration_ask__descriptor = {
+const ProtobufCMessageDescriptor br__site__configuration_ask__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.ConfigurationAsk",
   "ConfigurationAsk",
   "Br__Site__ConfigurationAsk",
   "br.site",
-  sizeof (Br__Site__ConfigurationAsk),
+  sizeof(Br__Site__ConfigurationAsk),
   1,
   br__site__configuration_ask__field_descriptors,
   br__site__configuration_ask__field_indices_by_name,
-  1,
-  br__site__configuration_ask__number_ranges,
-  (ProtobufCMessageInit)br__site__configuration_ask__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    br__site__configuration_text__field_descriptors[3]
-    = {
-        {
-            "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ConfigurationText, version), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "packed", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof (Br__Site__ConfigurationText, packed), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "len", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
