-            offsetof (Br__Site__ConfigurationText, len), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__configuration_ask__number_ranges,
+  (ProtobufCMessageInit) br__site__configuration_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__configuration_text__field_descriptors[3] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ConfigurationText, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "packed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ConfigurationText, packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "len",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__ConfigurationText, len),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__configuration_text__field_indices_by_name[] = {
-  2, /* field[2] = len */
-  1, /* field[1] = packed */
-  0, /* field[0] = version */
-};
-static const ProtobufCIntRange
-    br__site__configuration_text__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor br__site__configuration_text__descriptor = {
+  2,   /* field[2] = len */
+  1,   /* field[1] = packed */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange br__site__configuration_text__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor br__site__configuration_text__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.ConfigurationText",
   "ConfigurationText",
   "Br__Site__ConfigurationText",
   "br.site",
-  sizeof (Br__Site__ConfigurationText),
+  sizeof(Br__Site__ConfigurationText),
   3,
   br__site__configuration_text__field_descriptors,
   br__site__configuration_text__field_indices_by_name,
-  1,
-  br__site__configuration_text__number_ranges,
-  (ProtobufCMessageInit)br__site__configuration_text__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor br__site__message__field_descriptors[11]
-    = {
-        {
-            "fleet", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__Message, body_case),
-            offsetof (Br__Site__Message, fleet), &br__site__fleet__descriptor,
-            NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "report", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__Message, body_case),
-            offsetof (Br__Site__Message, report),
-            &br__site__entry_report__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "beat", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__Message, body_case),
-            offsetof (Br__Site__Message, beat),
-            &br__site__control_beat__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "ask", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__Message, body_case),
-            offsetof (Br__Site__Message, ask),
-            &br__site__configuration_ask__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "text", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__Message, body_case),
-            offsetof (Br__Site__Message, text),
-            &br__site__configuration_text__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "loads", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__Message, body_case),
-            offsetof (Br__Site__Message, loads), &br__site__loads__descriptor,
-            NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "bans", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__Message, body_case),
-            offsetof (Br__Site__Message, bans), &br__site__bans__descriptor,
-            NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "trial_ask", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__Message, body_case),
-            offsetof (Br__Site__Message, trial_ask),
-            &br__site__trial_ask__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "limits", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__Message, body_case),
-            offsetof (Br__Site__Message, limits), &br__site__limits__descriptor,
-            NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "part_inquiry", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__Message, body_case),
-            offsetof (Br__Site__Message, part_inquiry),
-            &br__site__part_inquiry__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "begun_parts", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Br__Site__Message, body_case),
-            offsetof (Br__Site__Message, begun_parts),
-            &br__site__begun_parts__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-      };
+  1,  br__site__configuration_text__number_ranges,
+  (ProtobufCMessageInit) br__site__configuration_text__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__message__field_descriptors[11] =
+{
+  {
+    "fleet",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, fleet),
+    &br__site__fleet__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, report),
+    &br__site__entry_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beat",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, beat),
+    &br__site__control_beat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, ask),
+    &br__site__configuration_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, text),
+    &br__site__configuration_text__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, loads),
+    &br__site__loads__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bans",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, bans),
+    &br__site__bans__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trial_ask",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, trial_ask),
+    &br__site__trial_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, limits),
+    &br__site__limits__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_inquiry",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, part_inquiry),
+    &br__site__part_inquiry__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun_parts",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, begun_parts),
+    &br__site__begun_parts__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned br__site__message__field_indices_by_name[] = {
-  3,  /* field[3] = ask */
-  6,  /* field[6] = bans */
-  2,  /* field[2] = beat */
-  10, /* field[10] = begun_parts */
-  0,  /* field[0] = fleet */
-  8,  /* field[8] = limits */
-  5,  /* field[5] = loads */
-  9,  /* field[9] = part_inquiry */
-  1,  /* field[1] = report */
-  4,  /* field[4] = text */
-  7,  /* field[7] = trial_ask */
-};
-static const ProtobufCIntRange br__site__message__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 11 } };
-const ProtobufCMessageDescriptor br__site__message__descriptor = {
+  3,   /* field[3] = ask */
+  6,   /* field[6] = bans */
+  2,   /* field[2] = beat */
+  10,   /* field[10] = begun_parts */
+  0,   /* field[0] = fleet */
+  8,   /* field[8] = limits */
+  5,   /* field[5] = loads */
+  9,   /* field[9] = part_inquiry */
+  1,   /* field[1] = report */
+  4,   /* field[4] = text */
+  7,   /* field[7] = trial_ask */
+};
+static const ProtobufCIntRange br__site__message__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor br__site__message__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "br.site.Message",
   "Message",
   "Br__Site__Message",
   "br.site",
-  sizeof (Br__Site__Message),
+  sizeof(Br__Site__Message),
   11,
   br__site__message__field_descriptors,
   br__site__message__field_indices_by_name,
-  1,
-  br__site__message__number_ranges,
-  (ProtobufCMessageInit)br__site__message__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  br__site__message__number_ranges,
+  (ProtobufCMessageInit) br__site__message__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/site/site.pb-c.h
+++ b/src/site/site.pb-c.h
@@ -75,10 +75,14 @@
    * remaining time in which it is slow after its start
    */
   uint32_t cold_ms;
+  /*
+   * of its software
+   */
+  char *version;
 };
 #define BR__SITE__LISTING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__site__listing__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
