--- a/tests/fakes/fake_cloud.c
+++ b/tests/fakes/fake_cloud.c
@@ -22,6 +22,7 @@
   char service[64];
   char domain[64];
   int port;
+  char version[32];
   char state[32];
   long long started_ms;
 } runner_t;
@@ -45,10 +46,10 @@
       evbuffer_add_printf (
           out,
           "%s{\"Id\":\"%s\",\"Service\":\"%s\",\"Address\":\"127.0.0.1:%d\","
-          "\"Zone\":\"%s\",\"Version\":\"v1\",\"Slots\":8,\"State\":\"%s\","
+          "\"Zone\":\"%s\",\"Version\":\"%s\",\"Slots\":8,\"State\":\"%s\","
           "\"ColdRemainingMs\":0,\"born\":%lld}",
           i > 0 ? "," : "", runner->id, runner->service, runner->port,
-          runner->domain, runner->state, runner->started_ms);
+          runner->domain, runner->version, runner->state, runner->started_ms);
     }
   /* Malformed entries, as another writer may list; readers must skip them. */
   evbuffer_add_printf (out, ",{\"Id\":7},{\"Id\":\"x\",\"Service\":\"s\","
@@ -131,13 +132,17 @@
       return 0;
     case 'r':
       if (cloud->n_runners == RUNNERS_MAX
-          || sscanf (arg, "%63[^,],%63[^,],%63[^,],%d", runner->id,
-                     runner->service, runner->domain, &runner->port)
-                 != 4)
+          || sscanf (arg, "%63[^,],%63[^,],%63[^,],%d,%31s", runner->id,
+                     runner->service, runner->domain, &runner->port,
+                     runner->version)
+                 < 4)
         argp_error (state,
-                    "--runner %s: expected ID,SERVICE,FAILURE_DOMAIN,PORT, at "
-                    "most %d times",
+                    "--runner %s: expected "
+                    "ID,SERVICE,FAILURE_DOMAIN,PORT[,VERSION], at most %d "
+                    "times",
                     arg, RUNNERS_MAX);
+      if (runner->version[0] == '\0')
+        snprintf (runner->version, sizeof runner->version, "v1");
       snprintf (runner->state, sizeof runner->state, "ready");
       runner->started_ms = 1000;
       cloud->n_runners++;
@@ -152,8 +157,8 @@
 {
   static const struct argp_option options[] = {
     { "port", 'p', "PORT", 0, "port to listen on", 0 },
-    { "runner", 'r', "ID,SERVICE,FAILURE_DOMAIN,PORT", 0, "a listed upstream",
-      0 },
+    { "runner", 'r', "ID,SERVICE,FAILURE_DOMAIN,PORT[,VERSION]", 0,
+      "a listed upstream", 0 },
     { 0 },
   };
   static const struct argp argp = { .options = options, .parser = parse };
