Keep a stream at the software version that began it

Cause: the list's version and the id that a take-up names were decoded nowhere; placement took all upstreams of a service for alike.

Change: an exchange keeps the version that began its stream, and only upstreams of that version fit it afterwards; it ends at once when none is listed that stays. Entry VMs record the version of each stream that begins, with what they send to the control VMs anyway (loads each 100 ms to the leader, reports each 500 ms to all), so that no first event waits. A take-up finds the version in the VM's own records, or asks all control VMs (200 ms at most), or takes the only version that the service was listed with for 20 s, the lifetime of a stream. Otherwise it is refused at once, which is true: nothing ran. A route with several services goes on at the one that has the version.

Weighed: a record before the first event is passed on (every stream waits for a round trip, and for a lost leader); a version computed from the id (needs all VMs to know when lists changed, and ties the load to the split); no going on when unsure (alone it refuses every take-up after a kill).

--- a/src/shell/control_list.c
+++ b/src/shell/control_list.c
@@ -65,6 +65,8 @@
   if (task->leads_term == 0)
     return;
   task->list_as_of_ms = task->list_requested_ms;
+  br_version_history_update (&task->history, listings,
+                             br_node_now (task->node));
   if (!task_take_list (task, listings))
     return;
   br_control_discard_leaving (task);
--- a/src/shell/control_private.h
+++ b/src/shell/control_private.h
@@ -10,6 +10,7 @@
 #include "site/quota_pool.h"
 #include "site/site_clock.h"
 #include "site/site_sums.h"
+#include "site/stream_version.h"
 #include "site/usage_ledger.h"
 #include "upstream/part_suspects.h"
 
@@ -93,7 +94,9 @@
   br_ms_t trial_proposed_ms;
   br_part_suspects_t part_suspects; /* crashes that entry VMs reported */
   br_control_inquiry_t part_inquiry;
-  br_limit_pools_t limits; /* kept while leading */
+  br_stream_table_t streams;    /* that began at all entry VMs */
+  br_version_history_t history; /* of the lists read while leading */
+  br_limit_pools_t limits;      /* kept while leading */
   br_ms_t last_heartbeat_ms;
   br_usage_ledger_t ledger;
   br_quota_pool_t pool;              /* remaining quotas, kept while leading */
@@ -196,6 +199,18 @@
  * too long. */
 void br_control_parts_tick (br_control_task_t *task, br_ms_t now);
 
+/* --- control_streams.c --- */
+
+/* Records which versions began streams. */
+void br_control_receive_streams (br_control_task_t *task,
+                                 Br__Site__StreamRecord *const *records,
+                                 size_t n_records);
+
+/* Answers an entry VM that asks which version began a stream. */
+void br_control_receive_stream_ask (br_control_task_t *task,
+                                    const br_name_t *vm,
+                                    const Br__Site__StreamAsk *ask);
+
 /* --- control_limits.c --- */
 
 /* Takes an entry VM's limits and its requests for permits. */
--- a/src/shell/control_task.c
+++ b/src/shell/control_task.c
@@ -330,6 +330,8 @@
 {
   br_control_entry_t *entry = task_find_entry (task, &from->vm);
 
+  br_control_receive_streams (task, message->loads->streams,
+                              message->loads->n_streams);
   if (entry == NULL)
     {
       br__site__message__free_unpacked (message, NULL);
@@ -373,6 +375,8 @@
       now);
   br_control_receive_crashes (task, message->report, now);
   br_control_receive_part_crashes (task, message->report, now);
+  br_control_receive_streams (task, message->report->streams,
+                              message->report->n_streams);
   br_control_receive_leaving (task, message->report, now);
   if (is_new)
     {
@@ -421,6 +425,9 @@
     case BR__SITE__MESSAGE__BODY_BEGUN_PARTS:
       br_control_receive_begun_parts (task, message->begun_parts);
       break;
+    case BR__SITE__MESSAGE__BODY_STREAM_ASK:
+      br_control_receive_stream_ask (task, &from->vm, message->stream_ask);
+      break;
     case BR__SITE__MESSAGE__BODY_TRIAL_ASK:
       br_control_receive_trial_ask (task, &from->vm, message->trial_ask);
       break;
@@ -490,6 +497,7 @@
   task->bans_due = true;
   task->part_inquiry.is_due = true;
   task->part_inquiry.is_open = false;
+  br_version_history_clear (&task->history);
   BR_LOG (&task->node->log, "site", term > 0 ? "leads" : "no longer leads",
           br_field_int ("term", (int64_t)term));
 }
@@ -547,6 +555,7 @@
   task->node = node;
   task->cloud = br_cloud_new (node->base, &node->settings.platform);
   task->duties = br_control_duties_new (task);
+  task->streams.n_buckets = BR_STREAM_BUCKETS_CONTROL;
   task->timer = event_new (node->base, -1, EV_PERSIST, task_on_tick, task);
   event_add (task->timer, &period);
   return task;
@@ -568,6 +577,8 @@
   br_control_leavings_free (&task->leaving);
   br_limit_pools_release (&task->limits);
   br_part_suspects_free (&task->part_suspects);
+  br_stream_table_free (&task->streams);
+  br_version_history_clear (&task->history);
   br_usage_ledger_release (&task->ledger);
   br_quota_pool_release (&task->pool);
   br_buf_free (&task->packed);
--- a/src/shell/entry_private.h
+++ b/src/shell/entry_private.h
@@ -74,9 +74,12 @@
   br_trials_t trials;               /* requested by this VM */
   br_part_suspects_t part_suspects; /* crashes that this VM saw */
   br_begun_parts_t begun_parts;
-  br_ms_t limits_sent_ms;    /* when the leader last got the limits */
-  bool limits_changed;       /* since then */
-  br_ms_t leader_since_ms;   /* when the leader was first seen again */
+  br_stream_table_t streams;       /* that began at this VM */
+  br_stream_records_t new_streams; /* not reported to all control VMs yet */
+  size_t loads_streams;            /* of NEW_STREAMS, sent to the leader */
+  br_ms_t limits_sent_ms;          /* when the leader last got the limits */
+  bool limits_changed;             /* since then */
+  br_ms_t leader_since_ms;         /* when the leader was first seen again */
   br_ms_t evidence_since_ms; /* reports contain crashes and losses since then */
   br_exchange_t *exchanges;
   size_t n_exchanges;
@@ -205,6 +208,32 @@
                                const br_name_t *vm,
                                const Br__Site__PartInquiry *inquiry);
 
+/* --- entry_streams.c --- */
+
+/* Records which version began a stream. */
+void br_entry_record_stream (br_entry_task_t *task,
+                             br_stream_t stream,
+                             br_version_t version);
+
+/* Fills WIRE and VIEWS, which have room for all new records, with those from
+ * index FROM on; returns their number. */
+size_t br_entry_report_streams (const br_entry_task_t *task,
+                                size_t from,
+                                Br__Site__StreamRecord *wire,
+                                Br__Site__StreamRecord **views);
+
+/* Asks all control VMs which version began a stream; returns how many were
+ * asked. */
+size_t br_entry_ask_stream (br_entry_task_t *task,
+                            br_stream_t stream,
+                            const br_name_t *service);
+
+/* --- exchange_version.c --- */
+
+/* Handles a control VM's answer about a stream. */
+void br_exchanges_on_stream_answer (br_entry_task_t *task,
+                                    const Br__Site__StreamAnswer *answer);
+
 /* --- exchange.c --- */
 
 /* Handle a new request, and the disconnect of its caller. */
--- a/src/shell/entry_report.c
+++ b/src/shell/entry_report.c
@@ -126,6 +126,8 @@
   Br__Site__Answered *answered_views[BR_ENTRY_CRASHES_MAX];
   Br__Site__PartCrash part_crashes[BR_PART_CRASHES_MAX];
   Br__Site__PartCrash *part_crash_views[BR_PART_CRASHES_MAX];
+  Br__Site__StreamRecord *streams;
+  Br__Site__StreamRecord **stream_views;
 } report_t;
 
 static void
@@ -140,6 +142,10 @@
   report->load_views = br_alloc (upstreams * sizeof *report->load_views);
   report->leaving = br_alloc (upstreams * sizeof *report->leaving);
   report->leaving_views = br_alloc (upstreams * sizeof *report->leaving_views);
+  report->streams
+      = br_alloc ((task->new_streams.len + 1) * sizeof *report->streams);
+  report->stream_views
+      = br_alloc ((task->new_streams.len + 1) * sizeof *report->stream_views);
   report->services = br_alloc (services * sizeof *report->services);
   report->service_views = br_alloc (services * sizeof *report->service_views);
   report->used = br_alloc (organisations * sizeof *report->used);
@@ -158,6 +164,8 @@
   free (report->used_views);
   free (report->leaving);
   free (report->leaving_views);
+  free (report->streams);
+  free (report->stream_views);
   free (report->services);
   free (report->service_views);
   free (report->demands.wire);
@@ -269,6 +277,9 @@
   body.n_part_crashes = br_entry_report_part_crashes (task, report.part_crashes,
                                                       report.part_crash_views);
   body.part_crashes = report.part_crash_views;
+  body.n_streams
+      = br_entry_report_streams (task, 0, report.streams, report.stream_views);
+  body.streams = report.stream_views;
   body.bans_made = task->bans_made;
   body.n_used = report_used (task, false, report.used, report.used_views);
   body.used = report.used_views;
@@ -287,6 +298,8 @@
   br_peer_task_each (task->node->peers, broadcast_to, &broadcast);
   br_usage_mark_reported (&task->usage);
   report_free (&report);
+  br_stream_records_clear (&task->new_streams);
+  task->loads_streams = 0;
   task->last_report_ms = now;
 }
 
@@ -309,6 +322,10 @@
   message.loads = &body;
   if (task->leader.len > 0)
     {
+      body.n_streams = br_entry_report_streams (
+          task, task->loads_streams, report.streams, report.stream_views);
+      body.streams = report.stream_views;
+      task->loads_streams = task->new_streams.len;
       br_site_send (task->node, &task->leader, &message);
       br_usage_mark_reported (&task->usage);
     }
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -351,6 +351,9 @@
     case BR__SITE__MESSAGE__BODY_PART_INQUIRY:
       br_entry_on_part_inquiry (task, vm, message->part_inquiry);
       break;
+    case BR__SITE__MESSAGE__BODY_STREAM_ANSWER:
+      br_exchanges_on_stream_answer (task, message->stream_answer);
+      break;
     case BR__SITE__MESSAGE__BODY_LIMITS:
       if (message->limits->term == task->term)
         br_entry_on_limits (task, message->limits);
@@ -447,6 +450,7 @@
   task->leader_seen_ms = task->quotas.demand_ms = br_node_now (node);
   task->leader_since_ms = task->leader_seen_ms - BR_QUARANTINE_DECISION_MS;
   node->quarantine.trials_are_granted = true;
+  task->streams.n_buckets = BR_STREAM_BUCKETS_ENTRY;
   task->list_requested_ms = task->leader_seen_ms - LIST_PERIOD_MS;
   task->cloud = br_cloud_new (node->base, &node->settings.platform);
   task->timer = event_new (node->base, -1, EV_PERSIST, task_on_tick, task);
@@ -470,6 +474,8 @@
   br_entry_services_free (&task->services);
   br_trials_free (&task->trials);
   br_part_suspects_free (&task->part_suspects);
+  br_stream_table_free (&task->streams);
+  br_stream_records_free (&task->new_streams);
   br_site_clock_release (&task->clock);
   br_configuration_unref (task->configuration);
   event_free (task->timer);
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -238,6 +238,7 @@
     .failure_domain = task->node->settings.failure_domain,
     .quarantine = suspect ? &task->node->quarantine : NULL,
     .content = exchange->content,
+    .version = exchange->version,
     .n_tried = exchange->n_tried,
   };
   br_upstream_pool_options_t options = {
@@ -265,6 +266,12 @@
                        "the site's budget for repeats is used up");
       return;
     }
+  if (br_exchange_version_left (exchange))
+    {
+      br_exchange_end_stream (exchange, "the version that began the stream "
+                                        "has left");
+      return;
+    }
   query.on_trial = exchange->on_trial;
   memcpy (query.tried, exchange->tried, sizeof query.tried);
   exchange->choice = br_choice_make (&task->fleet, &query, now);
@@ -298,6 +305,7 @@
   exchange->had_first_event = false;
   exchange->sent_ms = exchange->last_byte_ms = now;
   exchange->upstream = exchange->choice.upstream;
+  exchange->attempt_version = br_listing_version (&exchange->upstream->listing);
   exchange->client = br_upstream_pool_take (
       task->node->base, exchange->upstream, &options, now, &is_new);
   exchange_record_sent (exchange);
@@ -455,6 +463,11 @@
       exchange_on_timeout (exchange);
       return;
     }
+  if (exchange->version_answers > 0)
+    {
+      br_exchange_end_version_wait (exchange);
+      return;
+    }
   if (exchange->upstream == NULL)
     {
       br_exchange_attempt (exchange);
--- a/src/shell/exchange_arrival.c
+++ b/src/shell/exchange_arrival.c
@@ -139,7 +139,10 @@
     }
   exchange_set_deadline (exchange);
   exchange_record_demand (exchange);
-  br_exchange_attempt (exchange);
+  if (br_exchange_is_take_up (exchange))
+    br_exchange_take_up (exchange);
+  else
+    br_exchange_attempt (exchange);
 }
 
 /* --- requests that wait while the VM starts --- */
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -36,18 +36,23 @@
   const br_site_service_t *service;
   br_inbound_t inbound;
   br_ms_t began_ms;
-  br_ms_t until_ms;     /* the caller's deadline or the route's timeout */
-  double units;         /* taken from the quota */
-  uint64_t content;     /* digest of what is requested; 0: not computed yet */
-  bool waits_for_start; /* not admitted yet, nothing below is set */
+  br_ms_t until_ms;       /* the caller's deadline or the route's timeout */
+  double units;           /* taken from the quota */
+  uint64_t content;       /* digest of what is requested; 0: not computed yet */
+  bool waits_for_start;   /* not admitted yet, nothing below is set */
+  br_stream_t stream;     /* that it begins or takes up */
+  br_version_t version;   /* that began the stream; 0: none has */
+  size_t version_answers; /* of control VMs, that it waits for */
+  br_version_t sole_version; /* by an answer; 0: none */
   struct event *timer;
 
   /* the current attempt */
   br_fleet_upstream_t *upstream; /* NULL: none */
   br_http_client_t *client;
   br_choice_t choice;
-  bool suspect;       /* the quarantine tracks the attempt */
-  bool loss_recorded; /* counted as a loss, unless an answer comes */
+  br_version_t attempt_version; /* of the upstream when it was chosen */
+  bool suspect;                 /* the quarantine tracks the attempt */
+  bool loss_recorded;           /* counted as a loss, unless an answer comes */
   br_ms_t sent_ms;
   br_ms_t last_byte_ms; /* when the last byte of the answer came */
   bool head_seen;
@@ -92,6 +97,30 @@
  * yet. */
 void br_exchange_refuse_not_ready (br_exchange_t *exchange);
 
+/* --- exchange_version.c --- */
+
+/* Returns whether the request takes up a stream that another one began. */
+bool br_exchange_is_take_up (const br_exchange_t *exchange);
+
+/* Finds out which version began the stream that the request takes up, and then
+ * attempts or refuses it.  May free the exchange. */
+void br_exchange_take_up (br_exchange_t *exchange);
+
+/* Ends the wait for control VMs that have not answered.  May free the
+ * exchange. */
+void br_exchange_end_version_wait (br_exchange_t *exchange);
+
+/* Records that the current attempt passes on the first event of the stream, or
+ * of the rest that was taken up. */
+void br_exchange_record_stream (br_exchange_t *exchange);
+
+/* Returns whether no upstream of the stream's version is left. */
+bool br_exchange_version_left (const br_exchange_t *exchange);
+
+/* Ends a request whose stream cannot go on: its version has left, or is not
+ * known.  Frees the exchange. */
+void br_exchange_end_stream (br_exchange_t *exchange, const char *why);
+
 /* --- exchange.c --- */
 
 /* Checks the current attempt for timeouts; an event_callback_fn. */
--- a/src/site/choice.c
+++ b/src/site/choice.c
@@ -94,6 +94,8 @@
 {
   return !upstream->listing.draining && !br_fleet_is_backing_off (upstream, now)
          && br_name_equal (&upstream->listing.service, &query->service->name)
+         && (query->version == 0
+             || br_listing_version (&upstream->listing) == query->version)
          && !query_has_tried (query, upstream);
 }
 
@@ -336,6 +338,19 @@
   return choice.upstream != NULL ? choice : choice_among (fleet, query, 0, now);
 }
 
+const br_name_t *
+br_choice_version_service (const br_fleet_t *fleet, br_version_t version)
+{
+  for (size_t i = 0; i < fleet->all.len; i++)
+    {
+      const br_listing_t *listing = &fleet->all.items[i]->listing;
+
+      if (!listing->draining && br_listing_version (listing) == version)
+        return &listing->service;
+    }
+  return NULL;
+}
+
 bool
 br_choice_has_sound (const br_fleet_t *fleet,
                      const br_site_service_t *service,
--- a/src/site/choice.h
+++ b/src/site/choice.h
@@ -20,9 +20,10 @@
   /* Suspect requests and where they run, to keep two suspects off one
    * upstream; NULL when the request is not suspected of crashing upstreams. */
   const br_quarantine_t *quarantine;
-  uint64_t content; /* hash that identifies the request in QUARANTINE */
-  bool on_trial;    /* the request has a trial: avoids upstreams that may be
-                     * down, as its loss there would count against it */
+  uint64_t content;     /* hash that identifies the request in QUARANTINE */
+  br_version_t version; /* that began the stream; 0: any */
+  bool on_trial;        /* the request has a trial: avoids upstreams that may be
+                         * down, as its loss there would count against it */
   const br_fleet_upstream_t *tried[BR_CHOICE_TRIED_MAX];
   size_t n_tried;
 } br_choice_query_t;
@@ -45,6 +46,11 @@
                             const br_choice_query_t *query,
                             br_ms_t now);
 
+/* Returns the service that has listed upstreams of the version which do not
+ * leave; NULL when there is none. */
+const br_name_t *br_choice_version_service (const br_fleet_t *fleet,
+                                            br_version_t version);
+
 /* Returns whether an upstream of the service seems sound enough for a trial. */
 bool br_choice_has_sound (const br_fleet_t *fleet,
                           const br_site_service_t *service,
--- a/src/site/fleet.c
+++ b/src/site/fleet.c
@@ -132,6 +132,7 @@
 br_fleet_update (br_fleet_t *fleet, const br_listings_t *listings, br_ms_t now)
 {
   fleet->known = true;
+  br_version_history_update (&fleet->history, listings, now);
   for (size_t i = 0; i < fleet->all.len;)
     {
       br_fleet_upstream_t *upstream = fleet->all.items[i];
@@ -205,6 +206,7 @@
     upstream_free (fleet->all.items[i], on_free, context);
   br_fleet_upstreams_free (&fleet->all);
   br_fleet_speeds_free (&fleet->speeds);
+  br_version_history_clear (&fleet->history);
   br_domain_healths_free (&fleet->domains);
 }
 
--- a/src/site/fleet.h
+++ b/src/site/fleet.h
@@ -6,6 +6,7 @@
 #include "site/cache_memory.h"
 #include "site/domain_health.h"
 #include "site/listing.h"
+#include "site/stream_version.h"
 #include "site/upstream_limit.h"
 
 BR_BEGIN_DECLS
@@ -78,8 +79,9 @@
   br_fleet_upstream_t *removed; /* owned; kept until their requests ended */
   uint64_t term;                /* with SEQUENCE: version of the list */
   uint64_t sequence;
-  br_ms_t read_ms;  /* when the list was last known to be current */
-  bool known;       /* a list was read */
+  br_ms_t read_ms;              /* when the list was last known to be current */
+  bool known;                   /* a list was read */
+  br_version_history_t history; /* owned */
   uint32_t entries; /* entry VMs that share the upstreams; 0: not known */
 } br_fleet_t;
 
--- a/src/site/site.pb-c.c
+++ b/src/site/site.pb-c.c
@@ -412,6 +412,141 @@
   assert(message->base.descriptor == &br__site__loads__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   br__site__stream_record__init
+                     (Br__Site__StreamRecord         *message)
+{
+  static const Br__Site__StreamRecord init_value = BR__SITE__STREAM_RECORD__INIT;
+  *message = init_value;
+}
+size_t br__site__stream_record__get_packed_size
+                     (const Br__Site__StreamRecord *message)
+{
+  assert(message->base.descriptor == &br__site__stream_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__site__stream_record__pack
+                     (const Br__Site__StreamRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__site__stream_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__site__stream_record__pack_to_buffer
+                     (const Br__Site__StreamRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__site__stream_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__Site__StreamRecord *
+       br__site__stream_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__Site__StreamRecord *)
+     protobuf_c_message_unpack (&br__site__stream_record__descriptor,
+                                allocator, len, data);
+}
+void   br__site__stream_record__free_unpacked
+                     (Br__Site__StreamRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__site__stream_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   br__site__stream_ask__init
+                     (Br__Site__StreamAsk         *message)
+{
+  static const Br__Site__StreamAsk init_value = BR__SITE__STREAM_ASK__INIT;
+  *message = init_value;
+}
+size_t br__site__stream_ask__get_packed_size
+                     (const Br__Site__StreamAsk *message)
+{
+  assert(message->base.descriptor == &br__site__stream_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__site__stream_ask__pack
+                     (const Br__Site__StreamAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__site__stream_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__site__stream_ask__pack_to_buffer
+                     (const Br__Site__StreamAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__site__stream_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__Site__StreamAsk *
+       br__site__stream_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__Site__StreamAsk *)
+     protobuf_c_message_unpack (&br__site__stream_ask__descriptor,
+                                allocator, len, data);
+}
+void   br__site__stream_ask__free_unpacked
+                     (Br__Site__StreamAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__site__stream_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   br__site__stream_answer__init
+                     (Br__Site__StreamAnswer         *message)
+{
+  static const Br__Site__StreamAnswer init_value = BR__SITE__STREAM_ANSWER__INIT;
+  *message = init_value;
+}
+size_t br__site__stream_answer__get_packed_size
+                     (const Br__Site__StreamAnswer *message)
+{
+  assert(message->base.descriptor == &br__site__stream_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__site__stream_answer__pack
+                     (const Br__Site__StreamAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__site__stream_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__site__stream_answer__pack_to_buffer
+                     (const Br__Site__StreamAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__site__stream_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__Site__StreamAnswer *
+       br__site__stream_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__Site__StreamAnswer *)
+     protobuf_c_message_unpack (&br__site__stream_answer__descriptor,
+                                allocator, len, data);
+}
+void   br__site__stream_answer__free_unpacked
+                     (Br__Site__StreamAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__site__stream_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   br__site__service_demand__init
                      (Br__Site__ServiceDemand         *message)
 {
@@ -1857,7 +1992,7 @@
   (ProtobufCMessageInit) br__site__left__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__loads__field_descriptors[6] =
+static const ProtobufCFieldDescriptor br__site__loads__field_descriptors[7] =
 {
   {
     "term",
@@ -1931,10 +2066,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Loads, n_streams),
+    offsetof(Br__Site__Loads, streams),
+    &br__site__stream_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__loads__field_indices_by_name[] = {
   3,   /* field[3] = left */
   1,   /* field[1] = loads */
+  6,   /* field[6] = streams */
   0,   /* field[0] = term */
   5,   /* field[5] = up_ms */
   2,   /* field[2] = used */
@@ -1943,7 +2091,7 @@
 static const ProtobufCIntRange br__site__loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor br__site__loads__descriptor =
 {
@@ -1953,13 +2101,192 @@
   "Br__Site__Loads",
   "br.site",
   sizeof(Br__Site__Loads),
-  6,
+  7,
   br__site__loads__field_descriptors,
   br__site__loads__field_indices_by_name,
   1,  br__site__loads__number_ranges,
   (ProtobufCMessageInit) br__site__loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor br__site__stream_record__field_descriptors[3] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__StreamRecord, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__StreamRecord, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__StreamRecord, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__site__stream_record__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = stream */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange br__site__stream_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor br__site__stream_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.site.StreamRecord",
+  "StreamRecord",
+  "Br__Site__StreamRecord",
+  "br.site",
+  sizeof(Br__Site__StreamRecord),
+  3,
+  br__site__stream_record__field_descriptors,
+  br__site__stream_record__field_indices_by_name,
+  1,  br__site__stream_record__number_ranges,
+  (ProtobufCMessageInit) br__site__stream_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__stream_ask__field_descriptors[2] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__StreamAsk, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__StreamAsk, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__site__stream_ask__field_indices_by_name[] = {
+  1,   /* field[1] = service */
+  0,   /* field[0] = stream */
+};
+static const ProtobufCIntRange br__site__stream_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__site__stream_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.site.StreamAsk",
+  "StreamAsk",
+  "Br__Site__StreamAsk",
+  "br.site",
+  sizeof(Br__Site__StreamAsk),
+  2,
+  br__site__stream_ask__field_descriptors,
+  br__site__stream_ask__field_indices_by_name,
+  1,  br__site__stream_ask__number_ranges,
+  (ProtobufCMessageInit) br__site__stream_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__stream_answer__field_descriptors[3] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__StreamAnswer, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__StreamAnswer, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sole",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__StreamAnswer, sole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__site__stream_answer__field_indices_by_name[] = {
+  2,   /* field[2] = sole */
+  0,   /* field[0] = stream */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange br__site__stream_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor br__site__stream_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.site.StreamAnswer",
+  "StreamAnswer",
+  "Br__Site__StreamAnswer",
+  "br.site",
+  sizeof(Br__Site__StreamAnswer),
+  3,
+  br__site__stream_answer__field_descriptors,
+  br__site__stream_answer__field_indices_by_name,
+  1,  br__site__stream_answer__number_ranges,
+  (ProtobufCMessageInit) br__site__stream_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor br__site__service_demand__field_descriptors[6] =
 {
   {
@@ -2063,7 +2390,7 @@
   (ProtobufCMessageInit) br__site__service_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__entry_report__field_descriptors[17] =
+static const ProtobufCFieldDescriptor br__site__entry_report__field_descriptors[18] =
 {
   {
     "windows",
@@ -2269,6 +2596,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__EntryReport, n_streams),
+    offsetof(Br__Site__EntryReport, streams),
+    &br__site__stream_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__entry_report__field_indices_by_name[] = {
   10,   /* field[10] = answered */
@@ -2284,6 +2623,7 @@
   16,   /* field[16] = part_crashes */
   3,   /* field[3] = services */
   8,   /* field[8] = site_wall_ms */
+  17,   /* field[17] = streams */
   14,   /* field[14] = up_ms */
   13,   /* field[13] = used */
   7,   /* field[7] = wall_ms */
@@ -2292,7 +2632,7 @@
 static const ProtobufCIntRange br__site__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor br__site__entry_report__descriptor =
 {
@@ -2302,7 +2642,7 @@
   "Br__Site__EntryReport",
   "br.site",
   sizeof(Br__Site__EntryReport),
-  17,
+  18,
   br__site__entry_report__field_descriptors,
   br__site__entry_report__field_indices_by_name,
   1,  br__site__entry_report__number_ranges,
@@ -3503,7 +3843,7 @@
   (ProtobufCMessageInit) br__site__configuration_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__message__field_descriptors[11] =
+static const ProtobufCFieldDescriptor br__site__message__field_descriptors[13] =
 {
   {
     "fleet",
@@ -3637,6 +3977,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_ask",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, stream_ask),
+    &br__site__stream_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_answer",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__Message, body_case),
+    offsetof(Br__Site__Message, stream_answer),
+    &br__site__stream_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__message__field_indices_by_name[] = {
   3,   /* field[3] = ask */
@@ -3648,13 +4012,15 @@
   5,   /* field[5] = loads */
   9,   /* field[9] = part_inquiry */
   1,   /* field[1] = report */
+  12,   /* field[12] = stream_answer */
+  11,   /* field[11] = stream_ask */
   4,   /* field[4] = text */
   7,   /* field[7] = trial_ask */
 };
 static const ProtobufCIntRange br__site__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor br__site__message__descriptor =
 {
@@ -3664,7 +4030,7 @@
   "Br__Site__Message",
   "br.site",
   sizeof(Br__Site__Message),
-  11,
+  13,
   br__site__message__field_descriptors,
   br__site__message__field_indices_by_name,
   1,  br__site__message__number_ranges,
--- a/src/site/site.pb-c.h
+++ b/src/site/site.pb-c.h
@@ -24,6 +24,9 @@
 typedef struct Br__Site__Used Br__Site__Used;
 typedef struct Br__Site__Left Br__Site__Left;
 typedef struct Br__Site__Loads Br__Site__Loads;
+typedef struct Br__Site__StreamRecord Br__Site__StreamRecord;
+typedef struct Br__Site__StreamAsk Br__Site__StreamAsk;
+typedef struct Br__Site__StreamAnswer Br__Site__StreamAnswer;
 typedef struct Br__Site__ServiceDemand Br__Site__ServiceDemand;
 typedef struct Br__Site__EntryReport Br__Site__EntryReport;
 typedef struct Br__Site__Leaving Br__Site__Leaving;
@@ -229,10 +232,65 @@
    * since an entry VM's process started
    */
   uint64_t up_ms;
+  /*
+   * of an entry VM: begun since the last loads
+   */
+  size_t n_streams;
+  Br__Site__StreamRecord **streams;
 };
 #define BR__SITE__LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__site__loads__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+
+
+/*
+ * The software version that began a stream.
+ */
+struct  Br__Site__StreamRecord
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  uint64_t version;
+  uint64_t age_ms;
+};
+#define BR__SITE__STREAM_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__site__stream_record__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * From an entry VM to all control VMs: asks which version began a stream.
+ */
+struct  Br__Site__StreamAsk
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  char *service;
+};
+#define BR__SITE__STREAM_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__site__stream_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * The answer of a control VM.
+ */
+struct  Br__Site__StreamAnswer
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  /*
+   * 0: not recorded here
+   */
+  uint64_t version;
+  /*
+   * the service's only version in a stream's lifetime; 0: none,
+   */
+  uint64_t sole;
+};
+#define BR__SITE__STREAM_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__site__stream_answer__descriptor) \
+    , 0, 0, 0 }
 
 
 /*
@@ -316,10 +374,15 @@
    */
   size_t n_part_crashes;
   Br__Site__PartCrash **part_crashes;
+  /*
+   * begun since the last report
+   */
+  size_t n_streams;
+  Br__Site__StreamRecord **streams;
 };
 #define BR__SITE__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__site__entry_report__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -661,7 +724,9 @@
   BR__SITE__MESSAGE__BODY_TRIAL_ASK = 8,
   BR__SITE__MESSAGE__BODY_LIMITS = 9,
   BR__SITE__MESSAGE__BODY_PART_INQUIRY = 10,
-  BR__SITE__MESSAGE__BODY_BEGUN_PARTS = 11
+  BR__SITE__MESSAGE__BODY_BEGUN_PARTS = 11,
+  BR__SITE__MESSAGE__BODY_STREAM_ASK = 12,
+  BR__SITE__MESSAGE__BODY_STREAM_ANSWER = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BR__SITE__MESSAGE__BODY__CASE)
 } Br__Site__Message__BodyCase;
 
@@ -681,6 +746,8 @@
     Br__Site__Limits *limits;
     Br__Site__PartInquiry *part_inquiry;
     Br__Site__BegunParts *begun_parts;
+    Br__Site__StreamAsk *stream_ask;
+    Br__Site__StreamAnswer *stream_answer;
   };
 };
 #define BR__SITE__MESSAGE__INIT \
@@ -859,6 +926,63 @@
 void   br__site__loads__free_unpacked
                      (Br__Site__Loads *message,
                       ProtobufCAllocator *allocator);
+/* Br__Site__StreamRecord methods */
+void   br__site__stream_record__init
+                     (Br__Site__StreamRecord         *message);
+size_t br__site__stream_record__get_packed_size
+                     (const Br__Site__StreamRecord   *message);
+size_t br__site__stream_record__pack
+                     (const Br__Site__StreamRecord   *message,
+                      uint8_t             *out);
+size_t br__site__stream_record__pack_to_buffer
+                     (const Br__Site__StreamRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Br__Site__StreamRecord *
+       br__site__stream_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__site__stream_record__free_unpacked
+                     (Br__Site__StreamRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Br__Site__StreamAsk methods */
+void   br__site__stream_ask__init
+                     (Br__Site__StreamAsk         *message);
+size_t br__site__stream_ask__get_packed_size
+                     (const Br__Site__StreamAsk   *message);
+size_t br__site__stream_ask__pack
+                     (const Br__Site__StreamAsk   *message,
+                      uint8_t             *out);
+size_t br__site__stream_ask__pack_to_buffer
+                     (const Br__Site__StreamAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Br__Site__StreamAsk *
+       br__site__stream_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__site__stream_ask__free_unpacked
+                     (Br__Site__StreamAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Br__Site__StreamAnswer methods */
+void   br__site__stream_answer__init
+                     (Br__Site__StreamAnswer         *message);
+size_t br__site__stream_answer__get_packed_size
+                     (const Br__Site__StreamAnswer   *message);
+size_t br__site__stream_answer__pack
+                     (const Br__Site__StreamAnswer   *message,
+                      uint8_t             *out);
+size_t br__site__stream_answer__pack_to_buffer
+                     (const Br__Site__StreamAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Br__Site__StreamAnswer *
+       br__site__stream_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__site__stream_answer__free_unpacked
+                     (Br__Site__StreamAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Br__Site__ServiceDemand methods */
 void   br__site__service_demand__init
                      (Br__Site__ServiceDemand         *message);
@@ -1249,6 +1373,15 @@
 typedef void (*Br__Site__Loads_Closure)
                  (const Br__Site__Loads *message,
                   void *closure_data);
+typedef void (*Br__Site__StreamRecord_Closure)
+                 (const Br__Site__StreamRecord *message,
+                  void *closure_data);
+typedef void (*Br__Site__StreamAsk_Closure)
+                 (const Br__Site__StreamAsk *message,
+                  void *closure_data);
+typedef void (*Br__Site__StreamAnswer_Closure)
+                 (const Br__Site__StreamAnswer *message,
+                  void *closure_data);
 typedef void (*Br__Site__ServiceDemand_Closure)
                  (const Br__Site__ServiceDemand *message,
                   void *closure_data);
@@ -1321,6 +1454,9 @@
 extern const ProtobufCMessageDescriptor br__site__used__descriptor;
 extern const ProtobufCMessageDescriptor br__site__left__descriptor;
 extern const ProtobufCMessageDescriptor br__site__loads__descriptor;
+extern const ProtobufCMessageDescriptor br__site__stream_record__descriptor;
+extern const ProtobufCMessageDescriptor br__site__stream_ask__descriptor;
+extern const ProtobufCMessageDescriptor br__site__stream_answer__descriptor;
 extern const ProtobufCMessageDescriptor br__site__service_demand__descriptor;
 extern const ProtobufCMessageDescriptor br__site__entry_report__descriptor;
 extern const ProtobufCMessageDescriptor br__site__leaving__descriptor;
