--- a/src/shell/control_private.h
+++ b/src/shell/control_private.h
@@ -94,7 +94,10 @@
   br_ms_t trial_proposed_ms;
   br_part_suspects_t part_suspects; /* crashes that entry VMs reported */
   br_control_inquiry_t part_inquiry;
-  br_stream_table_t streams;    /* that began at all entry VMs */
+  br_stream_table_t streams;       /* that began at all entry VMs */
+  br_stream_records_t new_streams; /* that the leader has not proposed yet */
+  br_ms_t streams_proposed_ms;
+  uint64_t streams_read;        /* batches of the log that STREAMS has */
   br_version_history_t history; /* of the lists read while leading */
   br_limit_pools_t limits;      /* kept while leading */
   br_ms_t last_heartbeat_ms;
@@ -206,6 +209,12 @@
                                  Br__Site__StreamRecord *const *records,
                                  size_t n_records);
 
+/* Takes the streams that were committed to the log since the last call. */
+void br_control_read_streams (br_control_task_t *task, br_ms_t now);
+
+/* On the leader: proposes the streams that were reported. */
+void br_control_streams_tick (br_control_task_t *task, br_ms_t now);
+
 /* Answers an entry VM that asks which version began a stream. */
 void br_control_receive_stream_ask (br_control_task_t *task,
                                     const br_name_t *vm,
--- a/src/shell/control_task.c
+++ b/src/shell/control_task.c
@@ -220,6 +220,7 @@
   uint64_t version = br_state_site_version (task->node->state);
   uint64_t bans = br_state_bans_made (task->node->state);
 
+  br_control_read_streams (task, br_node_now (task->node));
   if (bans != task->last_sent_bans)
     {
       task->last_sent_bans = bans;
@@ -498,6 +499,7 @@
   task->part_inquiry.is_due = true;
   task->part_inquiry.is_open = false;
   br_version_history_clear (&task->history);
+  br_stream_records_clear (&task->new_streams);
   BR_LOG (&task->node->log, "site", term > 0 ? "leads" : "no longer leads",
           br_field_int ("term", (int64_t)term));
 }
@@ -542,6 +544,7 @@
       br_control_limits_tick (task, now);
       br_control_quarantine_tick (task, now);
       br_control_parts_tick (task, now);
+      br_control_streams_tick (task, now);
       br_control_duties_tick (task->duties, now);
     }
 }
@@ -578,6 +581,7 @@
   br_limit_pools_release (&task->limits);
   br_part_suspects_free (&task->part_suspects);
   br_stream_table_free (&task->streams);
+  br_stream_records_free (&task->new_streams);
   br_version_history_clear (&task->history);
   br_usage_ledger_release (&task->ledger);
   br_quota_pool_release (&task->pool);
--- a/src/state/command.c
+++ b/src/state/command.c
@@ -103,6 +103,16 @@
   br_command_pack (&command, out);
 }
 
+void
+br_state_command_streams (const Br__State__Streams *streams, br_buf_t *out)
+{
+  br_command_t command = BR__STATE__COMMAND__INIT;
+
+  command.body_case = BR__STATE__COMMAND__BODY_STREAMS;
+  command.streams = (Br__State__Streams *)streams;
+  br_command_pack (&command, out);
+}
+
 void
 br_state_command_trial (const Br__State__Trial *trial, br_buf_t *out)
 {
--- a/src/state/command.h
+++ b/src/state/command.h
@@ -20,6 +20,8 @@
                              br_buf_t *out);
 void
 br_state_command_ban (uint64_t content, br_ms_t until_wall_ms, br_buf_t *out);
+void br_state_command_streams (const Br__State__Streams *streams,
+                               br_buf_t *out);
 void br_state_command_trial (const Br__State__Trial *trial, br_buf_t *out);
 
 BR_END_DECLS
--- a/src/state/site_store.c
+++ b/src/state/site_store.c
@@ -124,10 +124,60 @@
   return true;
 }
 
+static br_site_streams_t *
+streams_copy (const br_site_streams_t *streams)
+{
+  size_t len = br__state__streams__get_packed_size (streams);
+  uint8_t *packed = br_alloc (len + 1);
+  br_site_streams_t *copy;
+
+  br__state__streams__pack (streams, packed);
+  copy = br__state__streams__unpack (NULL, len, packed);
+  free (packed);
+  return copy;
+}
+
+/* Removes the batches that are too old beside one of AT_MS, and makes room for
+ * one. */
+static void
+site_store_trim_streams (br_site_store_t *store, uint64_t at_ms)
+{
+  br_site_stream_batches_t *batches = &store->streams;
+  size_t n = 0;
+
+  while (n < batches->len
+         && (batches->items[n]->at_ms + BR_SITE_STREAMS_LIFE_MS < at_ms
+             || batches->len - n >= BR_SITE_STREAMS_MAX))
+    br__state__streams__free_unpacked (batches->items[n++], NULL);
+  batches->len -= n;
+  if (n > 0 && batches->len > 0)
+    memmove (batches->items, batches->items + n,
+             batches->len * sizeof batches->items[0]);
+}
+
+bool
+br_site_store_streams (br_site_store_t *store, const br_site_streams_t *streams)
+{
+  br_site_streams_t *copy;
+
+  if (streams->n_streams != streams->n_versions)
+    return false;
+  copy = streams_copy (streams);
+  if (copy == NULL)
+    return false;
+  site_store_trim_streams (store, streams->at_ms);
+  br_site_stream_batches_push (&store->streams, copy);
+  store->streams_made++;
+  return true;
+}
+
 void
 br_site_store_release (br_site_store_t *store)
 {
   br_site_bans_free (&store->bans);
+  for (size_t i = 0; i < store->streams.len; i++)
+    br__state__streams__free_unpacked (store->streams.items[i], NULL);
+  br_site_stream_batches_free (&store->streams);
   for (size_t i = 0; i < store->usage.len; i++)
     br__state__usage_decision__free_unpacked (store->usage.items[i], NULL);
   br_usage_decisions_free (&store->usage);
--- a/src/state/site_store.h
+++ b/src/state/site_store.h
@@ -19,17 +19,27 @@
 
 typedef Br__State__Ban br_site_ban_t;
 
+/* How long batches of streams are kept after the newest, in milliseconds, and
+ * how many at most. */
+#define BR_SITE_STREAMS_LIFE_MS 20000
+#define BR_SITE_STREAMS_MAX 256
+
+typedef Br__State__Streams br_site_streams_t;
+
 BR_VEC (br_usage_decisions, br_usage_decision_t *);
 BR_VEC (br_site_bans, br_site_ban_t);
+BR_VEC (br_site_stream_batches, br_site_streams_t *);
 
 /* An all-zero value is an empty store. */
 typedef struct
 {
-  uint64_t version;           /* 0: no configuration yet */
-  br_buf_t text;              /* configuration text; owned */
-  br_usage_decisions_t usage; /* owned, oldest first */
-  br_site_bans_t bans;        /* owned, oldest first */
-  uint64_t bans_made;         /* number of ban commands applied so far */
+  uint64_t version;                 /* 0: no configuration yet */
+  br_buf_t text;                    /* configuration text; owned */
+  br_usage_decisions_t usage;       /* owned, oldest first */
+  br_site_bans_t bans;              /* owned, oldest first */
+  uint64_t bans_made;               /* number of ban commands applied so far */
+  br_site_stream_batches_t streams; /* owned, oldest first */
+  uint64_t streams_made;            /* number of batches applied so far */
 } br_site_store_t;
 
 /* Stores the configuration when its version is the highest so far.  Returns
@@ -61,6 +71,10 @@
  * kept. */
 const br_site_ban_t *br_site_store_find_ban (const br_site_store_t *store,
                                              uint64_t content);
+
+/* Keeps a batch of streams.  Returns false if it is not valid. */
+bool br_site_store_streams (br_site_store_t *store,
+                            const br_site_streams_t *streams);
 void br_site_store_release (br_site_store_t *store);
 
 BR_END_DECLS
--- a/src/state/state.c
+++ b/src/state/state.c
@@ -169,6 +169,21 @@
   br_result_pack (&result, out);
 }
 
+static void
+state_on_streams (br_state_t *state,
+                  const br_site_streams_t *streams,
+                  br_buf_t *out)
+{
+  br_result_t result = BR__STATE__RESULT__INIT;
+  Br__State__SiteResult body = BR__STATE__SITE_RESULT__INIT;
+
+  body.applied = br_site_store_streams (&state->site, streams);
+  body.version = state->site.version;
+  result.body_case = BR__STATE__RESULT__BODY_SITE;
+  result.site = &body;
+  br_result_pack (&result, out);
+}
+
 static void
 state_dispatch (br_state_t *state,
                 uint64_t index,
@@ -219,6 +234,9 @@
     case BR__STATE__COMMAND__BODY_TRIAL:
       state_on_trial (state, command->trial, out);
       return;
+    case BR__STATE__COMMAND__BODY_STREAMS:
+      state_on_streams (state, command->streams, out);
+      return;
     default:
       result_invalid (&invalid, "unknown command");
       br_result_pack (&invalid, out);
@@ -338,6 +356,9 @@
     }
   snapshot.n_usage = state->site.usage.len;
   snapshot.usage = state->site.usage.items;
+  snapshot.streams_made = state->site.streams_made;
+  snapshot.n_streams = state->site.streams.len;
+  snapshot.streams = state->site.streams.items;
   len = br__state__snapshot__get_packed_size (&snapshot);
   br_buf_reserve (out, HEAD_BYTES + len);
   out->len += HEAD_BYTES + len;
@@ -397,6 +418,10 @@
   for (size_t i = 0; i < snapshot->n_bans; i++)
     br_site_store_ban (&state->site, snapshot->bans[i]);
   state->site.bans_made = snapshot->bans_made;
+  for (size_t i = 0; i < snapshot->n_streams; i++)
+    if (!br_site_store_streams (&state->site, snapshot->streams[i]))
+      return restore_fail ("a batch of streams is not valid", err);
+  state->site.streams_made = snapshot->streams_made;
   return true;
 }
 
@@ -555,6 +580,24 @@
   return &state->site.bans.items[at];
 }
 
+uint64_t
+br_state_streams_made (const br_state_t *state)
+{
+  return state->site.streams_made;
+}
+
+size_t
+br_state_n_streams (const br_state_t *state)
+{
+  return state->site.streams.len;
+}
+
+const Br__State__Streams *
+br_state_streams (const br_state_t *state, size_t at)
+{
+  return state->site.streams.items[at];
+}
+
 const Br__State__Ban *
 br_state_find_ban (const br_state_t *state, uint64_t content)
 {
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -109,6 +109,12 @@
 const Br__State__UsageDecision *br_state_usage (const br_state_t *state,
                                                 uint64_t window);
 
+/* Return the number of batches of streams ever applied, and the batches that
+ * are kept, oldest first. */
+uint64_t br_state_streams_made (const br_state_t *state);
+size_t br_state_n_streams (const br_state_t *state);
+const Br__State__Streams *br_state_streams (const br_state_t *state, size_t at);
+
 /* Return the number of ban commands ever applied, and the bans that are kept.
  * A copy of the list that was made at the same number is up to date. */
 uint64_t br_state_bans_made (const br_state_t *state);
--- a/src/state/state.pb-c.c
+++ b/src/state/state.pb-c.c
@@ -907,6 +907,51 @@
   assert(message->base.descriptor == &br__state__ban__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   br__state__streams__init
+                     (Br__State__Streams         *message)
+{
+  static const Br__State__Streams init_value = BR__STATE__STREAMS__INIT;
+  *message = init_value;
+}
+size_t br__state__streams__get_packed_size
+                     (const Br__State__Streams *message)
+{
+  assert(message->base.descriptor == &br__state__streams__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__state__streams__pack
+                     (const Br__State__Streams *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__state__streams__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__state__streams__pack_to_buffer
+                     (const Br__State__Streams *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__state__streams__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__State__Streams *
+       br__state__streams__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__State__Streams *)
+     protobuf_c_message_unpack (&br__state__streams__descriptor,
+                                allocator, len, data);
+}
+void   br__state__streams__free_unpacked
+                     (Br__State__Streams *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__state__streams__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   br__state__trial__init
                      (Br__State__Trial         *message)
 {
@@ -2723,6 +2768,70 @@
   (ProtobufCMessageInit) br__state__ban__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor br__state__streams__field_descriptors[3] =
+{
+  {
+    "streams",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Br__State__Streams, n_streams),
+    offsetof(Br__State__Streams, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Br__State__Streams, n_versions),
+    offsetof(Br__State__Streams, versions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "at_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__State__Streams, at_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__state__streams__field_indices_by_name[] = {
+  2,   /* field[2] = at_ms */
+  0,   /* field[0] = streams */
+  1,   /* field[1] = versions */
+};
+static const ProtobufCIntRange br__state__streams__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor br__state__streams__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.state.Streams",
+  "Streams",
+  "Br__State__Streams",
+  "br.state",
+  sizeof(Br__State__Streams),
+  3,
+  br__state__streams__field_descriptors,
+  br__state__streams__field_indices_by_name,
+  1,  br__state__streams__number_ranges,
+  (ProtobufCMessageInit) br__state__streams__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor br__state__trial__field_descriptors[5] =
 {
   {
@@ -2813,7 +2922,7 @@
   (ProtobufCMessageInit) br__state__trial__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__state__command__field_descriptors[12] =
+static const ProtobufCFieldDescriptor br__state__command__field_descriptors[13] =
 {
   {
     "change",
@@ -2959,6 +3068,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__State__Command, body_case),
+    offsetof(Br__State__Command, streams),
+    &br__state__streams__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__state__command__field_indices_by_name[] = {
   10,   /* field[10] = ban */
@@ -2970,6 +3091,7 @@
   1,   /* field[1] = claim_take */
   7,   /* field[7] = fence_next */
   8,   /* field[8] = site_change */
+  12,   /* field[12] = streams */
   6,   /* field[6] = tick */
   11,   /* field[11] = trial */
   9,   /* field[9] = usage_decision */
@@ -2977,7 +3099,7 @@
 static const ProtobufCIntRange br__state__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor br__state__command__descriptor =
 {
@@ -2987,7 +3109,7 @@
   "Br__State__Command",
   "br.state",
   sizeof(Br__State__Command),
-  12,
+  13,
   br__state__command__field_descriptors,
   br__state__command__field_indices_by_name,
   1,  br__state__command__number_ranges,
@@ -3251,7 +3373,7 @@
   (ProtobufCMessageInit) br__state__fence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__state__snapshot__field_descriptors[13] =
+static const ProtobufCFieldDescriptor br__state__snapshot__field_descriptors[15] =
 {
   {
     "format",
@@ -3409,6 +3531,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams_made",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__State__Snapshot, streams_made),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__State__Snapshot, n_streams),
+    offsetof(Br__State__Snapshot, streams),
+    &br__state__streams__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__state__snapshot__field_indices_by_name[] = {
   1,   /* field[1] = applied */
@@ -3421,6 +3567,8 @@
   3,   /* field[3] = now_ms */
   2,   /* field[2] = revision */
   9,   /* field[9] = site */
+  14,   /* field[14] = streams */
+  13,   /* field[13] = streams_made */
   4,   /* field[4] = tick */
   10,   /* field[10] = usage */
   6,   /* field[6] = verdicts */
@@ -3428,7 +3576,7 @@
 static const ProtobufCIntRange br__state__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor br__state__snapshot__descriptor =
 {
@@ -3438,7 +3586,7 @@
   "Br__State__Snapshot",
   "br.state",
   sizeof(Br__State__Snapshot),
-  13,
+  15,
   br__state__snapshot__field_descriptors,
   br__state__snapshot__field_indices_by_name,
   1,  br__state__snapshot__number_ranges,
--- a/src/state/state.pb-c.h
+++ b/src/state/state.pb-c.h
@@ -35,6 +35,7 @@
 typedef struct Br__State__UsageCount Br__State__UsageCount;
 typedef struct Br__State__UsageDecision Br__State__UsageDecision;
 typedef struct Br__State__Ban Br__State__Ban;
+typedef struct Br__State__Streams Br__State__Streams;
 typedef struct Br__State__Trial Br__State__Trial;
 typedef struct Br__State__Command Br__State__Command;
 typedef struct Br__State__Result Br__State__Result;
@@ -506,6 +507,29 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * Streams that began lately, and the software versions that began them.
+ */
+struct  Br__State__Streams
+{
+  ProtobufCMessage base;
+  size_t n_streams;
+  uint64_t *streams;
+  /*
+   * as many
+   */
+  size_t n_versions;
+  uint64_t *versions;
+  /*
+   * Unix time, by the site's clock
+   */
+  uint64_t at_ms;
+};
+#define BR__STATE__STREAMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__state__streams__descriptor) \
+    , 0,NULL, 0,NULL, 0 }
+
+
 /*
  * Grants one entry VM the right to run a banned request once, and bans it for all
  * others.  Refused unless NUMBER is the next one, so that each right has one holder.
@@ -549,7 +573,8 @@
   BR__STATE__COMMAND__BODY_SITE_CHANGE = 9,
   BR__STATE__COMMAND__BODY_USAGE_DECISION = 10,
   BR__STATE__COMMAND__BODY_BAN = 11,
-  BR__STATE__COMMAND__BODY_TRIAL = 12
+  BR__STATE__COMMAND__BODY_TRIAL = 12,
+  BR__STATE__COMMAND__BODY_STREAMS = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BR__STATE__COMMAND__BODY__CASE)
 } Br__State__Command__BodyCase;
 
@@ -570,6 +595,7 @@
     Br__State__UsageDecision *usage_decision;
     Br__State__Ban *ban;
     Br__State__Trial *trial;
+    Br__State__Streams *streams;
   };
 };
 #define BR__STATE__COMMAND__INIT \
@@ -668,10 +694,16 @@
    */
   size_t n_bans;
   Br__State__Ban **bans;
+  uint64_t streams_made;
+  /*
+   * the newest ones
+   */
+  size_t n_streams;
+  Br__State__Streams **streams;
 };
 #define BR__STATE__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__state__snapshot__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -1068,6 +1100,25 @@
 void   br__state__ban__free_unpacked
                      (Br__State__Ban *message,
                       ProtobufCAllocator *allocator);
+/* Br__State__Streams methods */
+void   br__state__streams__init
+                     (Br__State__Streams         *message);
+size_t br__state__streams__get_packed_size
+                     (const Br__State__Streams   *message);
+size_t br__state__streams__pack
+                     (const Br__State__Streams   *message,
+                      uint8_t             *out);
+size_t br__state__streams__pack_to_buffer
+                     (const Br__State__Streams   *message,
+                      ProtobufCBuffer     *buffer);
+Br__State__Streams *
+       br__state__streams__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__state__streams__free_unpacked
+                     (Br__State__Streams *message,
+                      ProtobufCAllocator *allocator);
 /* Br__State__Trial methods */
 void   br__state__trial__init
                      (Br__State__Trial         *message);
@@ -1263,6 +1314,9 @@
 typedef void (*Br__State__Ban_Closure)
                  (const Br__State__Ban *message,
                   void *closure_data);
+typedef void (*Br__State__Streams_Closure)
+                 (const Br__State__Streams *message,
+                  void *closure_data);
 typedef void (*Br__State__Trial_Closure)
                  (const Br__State__Trial *message,
                   void *closure_data);
@@ -1313,6 +1367,7 @@
 extern const ProtobufCMessageDescriptor br__state__usage_count__descriptor;
 extern const ProtobufCMessageDescriptor br__state__usage_decision__descriptor;
 extern const ProtobufCMessageDescriptor br__state__ban__descriptor;
+extern const ProtobufCMessageDescriptor br__state__streams__descriptor;
 extern const ProtobufCMessageDescriptor br__state__trial__descriptor;
 extern const ProtobufCMessageDescriptor br__state__command__descriptor;
 extern const ProtobufCMessageDescriptor br__state__result__descriptor;
--- a/tests/process/platform_stream_versions.sh
+++ b/tests/process/platform_stream_versions.sh
@@ -1,6 +1,6 @@
 # Checks that a stream goes on only at the software version that began it: within one
-# answer, and when callers take it up again at other entry VMs after all entry VMs were
-# killed, or after the version has left.
+# answer, and when callers take it up again at other entry VMs, after all entry VMs or all
+# VMs were killed, or after the version has left.
 # Usage: platform_stream_versions.sh BUILD
 set -u
 BUILD=$1
@@ -100,6 +100,23 @@
 [ "$MIXED" -le $MIXED_MAX ] || FAILED="$FAILED killed: $MIXED streams are of two versions."
 [ "$WENT_ON" -ge 10 ] || FAILED="$FAILED killed: $WENT_ON of 20 went on, at least 10 must."
 
+# All VMs are killed at once and come back.
+for i in $(seq 20); do
+  platform_request $((i % ENTRIES + 1)) "all-$i" /draft/named-stream -X POST -d "all-$i" \
+    -H 'X-Token-Count: 10,60' > /dev/null
+done
+sleep 0.8
+site_kill entry-1 entry-2 entry-3 control-1 control-2 control-3
+for i in 1 2 3; do platform_vm control "$i" 3; done
+for i in $(seq $ENTRIES); do platform_vm entry "$i" 3; done
+for i in $(seq $ENTRIES); do
+  platform_wait platform_entry_ready "$i" || site_fail "entry VM $i is not ready"
+done
+for i in $(seq 20); do take_up $((i % ENTRIES + 1)) "all-$i" > /dev/null; done
+check_take_ups all 20
+[ "$MIXED" -le $MIXED_MAX ] || FAILED="$FAILED all: $MIXED streams are of two versions."
+[ "$WENT_ON" -ge 10 ] || FAILED="$FAILED all: $WENT_ON of 20 went on, at least 10 must."
+
 # The first version leaves.  Its streams, and one that nobody knows, are refused at once.
 for i in $(seq 20); do
   platform_request $((i % ENTRIES + 1)) "left-$i" /draft/named-stream -X POST -d "left-$i" \
