A stream that ends inside an event was broken off

What callers would see: a stream that stopped inside an event and then ended with its connection, or with the last chunk, was passed on with the rest of the event and ended as a whole answer.

Cause: what was pending at an upstream's end counted as a last event without its empty line.

Change: a stream whose bytes end inside an event, at the end of a line or not, is a broken attempt like any other: resumed elsewhere where the route allows it, broken off else.

--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -102,7 +102,11 @@
 static void
 exchange_on_stream_end (br_exchange_t *exchange, bool reusable)
 {
-  exchange_forward_events (exchange, br_event_stream_rest (&exchange->events));
+  if (br_event_stream_is_inside_event (&exchange->events))
+    {
+      br_exchange_fail_attempt (exchange, "cut_event", true, BR_RESULT_BROKEN);
+      return;
+    }
   if (!exchange->begun)
     {
       br_exchange_fail_attempt (exchange, "empty_stream", true,
--- a/src/site/event_stream.c
+++ b/src/site/event_stream.c
@@ -93,13 +93,10 @@
   return br_buf_str (&stream->output);
 }
 
-br_str_t
-br_event_stream_rest (br_event_stream_t *stream)
+bool
+br_event_stream_is_inside_event (const br_event_stream_t *stream)
 {
-  br_buf_clear (&stream->output);
-  br_buf_append (&stream->output, br_buf_str (&stream->pending));
-  br_buf_clear (&stream->pending);
-  return br_buf_str (&stream->output);
+  return stream->pending.len > 0;
 }
 
 void
--- a/src/site/event_stream.h
+++ b/src/site/event_stream.h
@@ -21,8 +21,9 @@
  * until the next call. */
 br_str_t br_event_stream_take (br_event_stream_t *stream, br_str_t bytes);
 
-/* Returns the bytes of an incomplete event at the end of the stream. */
-br_str_t br_event_stream_rest (br_event_stream_t *stream);
+/* Returns whether the bytes so far end inside an event: a stream that ends
+ * there was broken off. */
+bool br_event_stream_is_inside_event (const br_event_stream_t *stream);
 
 /* Discards an incomplete event after the upstream's connection broke. */
 void br_event_stream_discard (br_event_stream_t *stream);
--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -53,8 +53,11 @@
   X (UNSIGNED, "unsigned")                                                     \
   X (NOISE, "noise") /* no HTTP at all */                                      \
   X (SILENT, "silent")                                                         \
-  X (REFUSE_REST, "refuse-rest") /* like crash, but the resume is refused */   \
-  X (NAMED, "named")             /* contains the request's id, after 20 ms */  \
+  X (UNFRAMED_STREAM, "unframed-stream") /* six events, as in unframed */      \
+  X (CUT_EVENT, "cut-event")       /* ends as if complete inside the fourth */ \
+  X (CUT_UNFRAMED, "cut-unframed") /* the same, as in unframed */              \
+  X (REFUSE_REST, "refuse-rest")   /* like crash, but the resume is refused */ \
+  X (NAMED, "named") /* contains the request's id, after 20 ms */              \
   X (NAMED_STREAM, "named-stream") /* twelve events that contain the id */     \
   X (UNAVAILABLE, "unavailable")   /* 503 without X-Not-Executed */            \
   X (LEAVING, "leaving")           /* announces leaving from then on */        \
@@ -304,7 +307,15 @@
 static bool
 conn_is_cut_off (const conn_t *conn)
 {
-  return conn->mode == MODE_CRASH || conn->mode == MODE_REFUSE_REST;
+  return conn->mode == MODE_CRASH || conn->mode == MODE_REFUSE_REST
+         || conn->mode == MODE_CUT_EVENT || conn->mode == MODE_CUT_UNFRAMED;
+}
+
+static bool
+conn_is_unframed (const conn_t *conn)
+{
+  return conn->mode == MODE_UNFRAMED || conn->mode == MODE_UNFRAMED_STREAM
+         || conn->mode == MODE_CUT_UNFRAMED;
 }
 
 static void
@@ -320,9 +331,15 @@
             conn->next_event, named ? (int)id.len : 0, id.data,
             named ? " " : "", conn->next_event);
   if (conn_is_cut_off (conn) && conn->next_event == BROKEN_EVENT)
-    event[9] = '\0'; /* sends only the start of the event */
-  evbuffer_add_printf (out, "%zx\r\n%s\r\n", strlen (event), event);
-  if (conn->next_event == conn->last_event)
+    event[conn->mode == MODE_CUT_EVENT ? 6 : 9] = '\0'; /* only its start */
+  if (conn_is_unframed (conn))
+    evbuffer_add_printf (out, "%s", event);
+  else
+    evbuffer_add_printf (out, "%zx\r\n%s\r\n", strlen (event), event);
+  if (!conn_is_unframed (conn)
+      && (conn->next_event == conn->last_event
+          || (conn->mode == MODE_CUT_EVENT
+              && conn->next_event == BROKEN_EVENT)))
     evbuffer_add_printf (out, "0\r\n\r\n");
   else
     conn_set_timer (conn, EVENT_PERIOD_MS);
@@ -352,11 +369,15 @@
     conn_send_named (conn);
   else if (conn->mode == MODE_SLOW)
     conn_send_answer (conn, 200, "X-Server-Stamp: s\r\n", "slow answer\n");
+  else if (conn->mode == MODE_UNFRAMED
+           || (conn->mode == MODE_CUT_UNFRAMED
+               && conn->next_event == BROKEN_EVENT)
+           || (conn->mode == MODE_UNFRAMED_STREAM
+               && conn->next_event == conn->last_event))
+    conn_free (conn);
   else if (conn->mode == MODE_TRUNCATED
            || (conn_is_cut_off (conn) && conn->next_event == BROKEN_EVENT))
     conn_reset (conn);
-  else if (conn->mode == MODE_UNFRAMED)
-    conn_free (conn);
   else
     conn_send_event (conn);
 }
@@ -377,12 +398,15 @@
       return;
     }
   /* Only the first attempt is cut off; the resume completes. */
-  if (conn->mode == MODE_CRASH && conn->next_event > 0)
+  if (conn_is_cut_off (conn) && conn->next_event > 0)
     conn->mode = MODE_STREAM;
   conn_send_head (conn, 200,
                   "X-Server-Stamp: s\r\n"
-                  "Content-Type: text/event-stream\r\n"
-                  "Transfer-Encoding: chunked\r\n\r\n");
+                  "Content-Type: text/event-stream\r\n");
+  evbuffer_add_printf (bufferevent_get_output (conn->bev), "%s\r\n",
+                       conn_is_unframed (conn)
+                           ? "Connection: close\r\n"
+                           : "Transfer-Encoding: chunked\r\n");
   conn_send_event (conn);
 }
 
@@ -486,6 +510,9 @@
       break;
     case MODE_STREAM:
     case MODE_CRASH:
+    case MODE_UNFRAMED_STREAM:
+    case MODE_CUT_EVENT:
+    case MODE_CUT_UNFRAMED:
     case MODE_REFUSE_REST:
     case MODE_NAMED_STREAM:
       conn_start_stream (conn);
--- a/tests/process/platform_answers.sh
+++ b/tests/process/platform_answers.sh
@@ -53,6 +53,17 @@
   site_fail "a broken stream looks whole: $(cat "$SITE/broken")"
 grep -q 'part 4' "$SITE/broken" && site_fail "part of an event was forwarded"
 [ "$(cat "$SITE"/r[12].out | grep -c '"run":"d2"')" = 1 ] || site_fail "d2 ran twice"
+
+# A stream without a length ends with its connection.  One that ends inside an event,
+# however it is framed, was broken off.
+expect d3 /chat/unframed-stream 200 1 'part 6'
+for how in cut-event cut-unframed; do
+  answer=$(platform_request 1 "d4-$how" "/draft/$how" -X POST -d body)
+  [ "$(grep '^id: ' <<< "$answer" | sort -u | wc -l)" = 6 ] && grep -q 'part 4' <<< "$answer" ||
+    site_fail "$how: the stream was not resumed: $answer"
+  platform_request 1 "d5-$how" "/chat/$how" -X POST -d body > "$SITE/broken" 2>&1 &&
+    site_fail "$how: a broken stream looks whole: $(cat "$SITE/broken")"
+done
 echo "streams: resumed, broken off"
 
 # Headers that the system sets are not taken from a caller.
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -30,9 +30,9 @@
  *   attempt KIND RESUMABLE MAX RAN REFUSED BEGUN REMAINING_MS
  *   budget RATIO SLACK WINDOW_MS | request N | repeat N
  *   organisation RATE BURST
- *   share P | remaining UNITS DEMAND_PER_S | take UNITS DRAW | split DEMAND...
- *   pool VM USED REQUESTED [UP_MS] | complete_report VM | level
- *   lead DEMAND_PER_S            this VM becomes the leader
+ *   share P | remaining UNITS DEMAND_PER_S | take UNITS DRAW | split
+ * DEMAND... pool VM USED REQUESTED [UP_MS] | complete_report VM | level lead
+ * DEMAND_PER_S            this VM becomes the leader
  *
  * Site clock and usage:
  *   clock_sample VM WALL_MS | update_clock
@@ -42,7 +42,7 @@
  *
  * Event streams:
  *   events TEXT                  \n stands for a line end
- *   cut | rest
+ *   cut | end                    whether the stream ends inside an event
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -757,8 +757,10 @@
     on_events (session, rest);
   else if (strcmp (verb, "cut") == 0)
     br_event_stream_discard (&session->events);
-  else if (strcmp (verb, "rest") == 0)
-    print_events (br_event_stream_rest (&session->events), &session->events);
+  else if (strcmp (verb, "end") == 0)
+    printf ("%s\n", br_event_stream_is_inside_event (&session->events)
+                        ? "inside an event"
+                        : "after an event");
   else
     return false;
   return true;
