Let take-ups go first within quotas

Cause: quotas let small requests go first, and take-ups are large and come all at once.

Change: when a quota covers part of the demand, a request that goes on with a stream is three times as likely to be let through; new ones get what is left, by the recent share of take-ups, so that both together get the same.

--- a/src/shell/exchange_arrival.c
+++ b/src/shell/exchange_arrival.c
@@ -82,16 +82,18 @@
 {
   br_entry_task_t *task = exchange->task;
   br_ms_t wait_ms = 0;
-  double units;
+  br_quota_request_t request = {
+    .is_take_up = br_exchange_is_take_up (exchange),
+    .draw = br_random_unit (&task->node->random),
+  };
 
   if (exchange->organisation == NULL)
     return true;
-  units = br_quota_units (exchange->organisation, &exchange->inbound);
-  if (br_quotas_take (&task->quotas, exchange->organisation, units,
-                      br_random_unit (&task->node->random),
+  request.units = br_quota_units (exchange->organisation, &exchange->inbound);
+  if (br_quotas_take (&task->quotas, exchange->organisation, &request,
                       br_exchange_now (exchange), &wait_ms))
     {
-      exchange->units = units;
+      exchange->units = request.units;
       return true;
     }
   br_error_set (err, BR_ERROR_LIMITED, "admit", "",
--- a/src/site/quota.c
+++ b/src/site/quota.c
@@ -45,6 +45,11 @@
  * as the others. */
 #define LARGE_SHARE_MIN 0.85
 
+/* How many times as likely a take-up is let through as a new request, and the
+ * weight of the newest request in the average share of take-ups. */
+#define TAKE_UP_FACTOR 3.0
+#define TAKE_UP_WEIGHT 0.1
+
 static br_quota_t *
 quotas_find (br_quotas_t *quotas, br_str_t organisation)
 {
@@ -171,6 +176,21 @@
   return available * SHARE_MARGIN / demand;
 }
 
+/* Returns the share for take-ups or for new requests, which together get
+ * SHARE. */
+static double
+quota_share_of_kind (const br_quota_t *quota, double share, bool is_take_up)
+{
+  double take_up_share = BR_MIN (TAKE_UP_FACTOR * share, 1);
+
+  if (share >= 1 || share <= 0)
+    return share;
+  if (is_take_up)
+    return take_up_share;
+  return BR_MAX (
+      (share - quota->take_ups * take_up_share) / (1 - quota->take_ups), 0);
+}
+
 /* Returns the share for a request of UNITS.  Small requests get a larger share:
  * they take little of the quota, so more callers are served. */
 static double
@@ -183,8 +203,9 @@
 }
 
 static void
-quota_note_size (br_quota_t *quota, double units)
+quota_note_request (br_quota_t *quota, const br_quota_request_t *request)
 {
+  double units = request->units;
   double both = quota->typical_units + units;
 
   if (quota->typical_units <= 0)
@@ -192,6 +213,8 @@
   else
     quota->typical_units
         += SIZE_WEIGHT * units / both * (units - quota->typical_units);
+  quota->take_ups
+      += TAKE_UP_WEIGHT * ((request->is_take_up ? 1 : 0) - quota->take_ups);
 }
 
 static void
@@ -205,18 +228,18 @@
 bool
 br_quotas_take (br_quotas_t *quotas,
                 const br_site_organisation_t *organisation,
-                double units,
-                double draw,
+                const br_quota_request_t *request,
                 br_ms_t now,
                 br_ms_t *wait_ms)
 {
+  double units = request->units;
   br_quota_t *quota = quotas_get (quotas, br_name_str (&organisation->name));
   double rate = organisation->rate_per_s * quota->share;
   double level;
 
   quota->requested += units;
   quota->requested_total += units;
-  quota_note_size (quota, units);
+  quota_note_request (quota, request);
   if (organisation->rate_per_s <= 0)
     return true;
   quota_fill (quota, organisation, now);
@@ -224,13 +247,15 @@
   if (quota_has_update (quota, now))
     {
       quota_view_t view = quota_view (quota, organisation, now);
+      double share = quota_share_of_kind (quota, quota_share (&view),
+                                          request->is_take_up);
 
       rate = organisation->rate_per_s;
       /* If the leader's updates stop now, this VM continues with its share of
        * the remaining units instead of a full bucket that was never used. */
       quota->level
           = BR_MIN (quota->level, BR_MAX (view.remaining, 0) * view.share);
-      if (draw >= quota_share_of_size (quota, quota_share (&view), units))
+      if (request->draw >= quota_share_of_size (quota, share, units))
         {
           *wait_ms = BR_MAX ((br_ms_t)(-view.remaining * 1000 / rate), 0)
                      + (br_ms_t)(units * 1000 / rate) + RETRY_AFTER_MIN_MS;
--- a/src/site/quota.h
+++ b/src/site/quota.h
@@ -25,6 +25,7 @@
   double unaccounted_before;    /* part of it from before REMAINING came */
   double demand;                /* units requested in a second, averaged */
   double typical_units;         /* of a request; large ones count more */
+  double take_ups;  /* share of take-ups in the requests, averaged */
   double requested; /* units requested since the last br_quotas_demand() */
 } br_quota_t;
 
@@ -42,14 +43,20 @@
 double br_quota_units (const br_site_organisation_t *organisation,
                        const br_inbound_t *inbound);
 
-/* Takes UNITS from the quota.  DRAW, in [0, 1), selects the requests that are
- * let through when the quota covers only part of the demand.  Returns false
- * when the request is refused; *WAIT_MS is then the time after which to
- * retry. */
+typedef struct
+{
+  double units;
+  bool is_take_up; /* goes on with a stream; preferred to a new request, as the
+                    * part that its caller has is lost otherwise */
+  double draw;     /* in [0, 1); selects the requests that are let through when
+                    * the quota covers only part of the demand */
+} br_quota_request_t;
+
+/* Takes the units of REQUEST from the quota.  Returns false when the request is
+ * refused; *WAIT_MS is then the time after which to retry. */
 bool br_quotas_take (br_quotas_t *quotas,
                      const br_site_organisation_t *organisation,
-                     double units,
-                     double draw,
+                     const br_quota_request_t *request,
                      br_ms_t now,
                      br_ms_t *wait_ms);
 
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -30,7 +30,7 @@
  *   attempt KIND RESUMABLE MAX RAN REFUSED BEGUN REMAINING_MS
  *   budget RATIO SLACK WINDOW_MS | request N | repeat N
  *   organisation RATE BURST
- *   share P | remaining UNITS DEMAND_PER_S | take UNITS DRAW | split
+ *   share P | remaining UNITS DEMAND_PER_S | take UNITS DRAW [again] | split
  * DEMAND... pool VM USED REQUESTED [UP_MS] | complete_report VM | level lead
  * DEMAND_PER_S            this VM becomes the leader
  *
@@ -424,11 +424,15 @@
 static void
 on_take (session_t *session, const words_t *words)
 {
+  br_quota_request_t request = {
+    .units = number (words, 1),
+    .draw = number (words, 2),
+    .is_take_up = words->len > 3,
+  };
   br_ms_t wait_ms = 0;
 
-  if (br_quotas_take (&session->quotas, &session->organisation,
-                      number (words, 1), number (words, 2), session->now,
-                      &wait_ms))
+  if (br_quotas_take (&session->quotas, &session->organisation, &request,
+                      session->now, &wait_ms))
     printf ("taken\n");
   else
     printf ("refused, retry after %lld ms\n", (long long)wait_ms);
