Begin with empty quota buckets on a VM that has just started

Cause: until its first update by a leader, each VM that has started takes itself for the only one, and its bucket for full. All of them together let several bursts through.

Change: a bucket fills from the VM's start on.

--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -447,7 +447,8 @@
       free (task);
       return NULL;
     }
-  task->leader_seen_ms = task->quotas.demand_ms = br_node_now (node);
+  task->leader_seen_ms = task->quotas.demand_ms = task->quotas.since_ms
+      = br_node_now (node);
   task->leader_since_ms = task->leader_seen_ms - BR_QUARANTINE_DECISION_MS;
   node->quarantine.trials_are_granted = true;
   task->streams.n_buckets = BR_STREAM_BUCKETS_ENTRY;
--- a/src/site/quota.c
+++ b/src/site/quota.c
@@ -86,6 +86,7 @@
 static void
 quota_fill (br_quota_t *quota,
             const br_site_organisation_t *organisation,
+            br_ms_t since_ms,
             br_ms_t now)
 {
   double margin = organisation->by_tokens ? BURST_MARGIN_TOKENS : 0;
@@ -93,9 +94,8 @@
   double rate = organisation->rate_per_s * RATE_MARGIN * quota->share;
 
   if (quota->filled_ms < 0)
-    quota->level = burst;
-  else
-    quota->level += rate * (double)(now - quota->filled_ms) / 1000;
+    quota->filled_ms = since_ms;
+  quota->level += rate * (double)(now - quota->filled_ms) / 1000;
   quota->level = BR_MIN (quota->level, burst);
   quota->filled_ms = now;
 }
@@ -242,7 +242,7 @@
   quota_note_request (quota, request);
   if (organisation->rate_per_s <= 0)
     return true;
-  quota_fill (quota, organisation, now);
+  quota_fill (quota, organisation, quotas->since_ms, now);
   level = quota->level;
   if (quota_has_update (quota, now))
     {
--- a/src/site/quota.h
+++ b/src/site/quota.h
@@ -37,6 +37,9 @@
   br_quota_list_t list;
   double default_share; /* of an organisation without one of its own */
   br_ms_t demand_ms;    /* when the demand was last measured */
+  br_ms_t since_ms;     /* when this VM started: nothing may be used then, as
+                         * it is not known what other VMs, or this one before
+                         * its restart, used */
 } br_quotas_t;
 
 /* Returns the units that a request counts against its organisation's quota. */
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -30,6 +30,7 @@
  *   attempt KIND RESUMABLE MAX RAN REFUSED BEGUN REMAINING_MS
  *   budget RATIO SLACK WINDOW_MS | request N | repeat N
  *   organisation RATE BURST
+ *   since MS                     when the VM started
  *   share P | remaining UNITS DEMAND_PER_S | take UNITS DRAW [again] | split
  * DEMAND... pool VM USED REQUESTED [UP_MS] | complete_report VM | level lead
  * DEMAND_PER_S            this VM becomes the leader
@@ -679,6 +680,8 @@
   else if (strcmp (verb, "share") == 0)
     br_quotas_set_share (&session->quotas, br_str_from ("alcornocales"),
                          number (words, 1));
+  else if (strcmp (verb, "since") == 0)
+    session->quotas.since_ms = (br_ms_t)number (words, 1);
   else if (strcmp (verb, "remaining") == 0)
     on_remaining (session, words);
   else if (strcmp (verb, "take") == 0)
