--- a/src/shell/exchange_quarantine.c
+++ b/src/shell/exchange_quarantine.c
@@ -1,6 +1,9 @@
 /* Asks the quarantine whether an exchange may run, and reports how it ended. */
 #include "shell/exchange_private.h"
 
+#include <inttypes.h>
+#include <stdio.h>
+
 /* A request that is given up after at least this long without a byte of an
  * answer, in milliseconds, counts as a loss, because the upstream may have
  * crashed.  This is several times what a request to a plain service takes. */
@@ -217,13 +220,14 @@
                       br_ms_t wait_ms)
 {
   char subject[BR_CONTENT_DIGITS];
-  char part[BR_CONTENT_DIGITS];
+  char part[BR_CONTENT_DIGITS] = "";
 
+  if (blocked->is_part)
+    snprintf (part, sizeof part, "%" PRIx64, blocked->part);
   BR_LOG (&exchange->task->node->log, "request", "blocked",
           br_field_str ("id", exchange->inbound.id),
           br_field_z ("subject", br_content_text (blocked->subject, subject)),
-          br_field_z ("part", br_content_text (blocked->part, part)),
-          br_field_int ("for_ms", wait_ms),
+          br_field_z ("part", part), br_field_int ("for_ms", wait_ms),
           br_field_int ("bans_made", (int64_t)exchange->task->bans_made));
 }
 
