Log whether a control VM has a vote, the voters, and those that are silent

Between its start and its first role a control VM wrote nothing, a change of the members did not name them, and a leader wrote nothing about voters that are gone, so the hypotheses could not be told apart.

Adds 'has no vote' with the reason and its duration (repeated every 5 s), 'has a vote', the voters in 'members changed', 'voter is silent' on the leader, and briarrack_log_voters, _voters_silent, _has_vote and _without_vote_ms. No decision changes.

--- a/src/replica/accessors.c
+++ b/src/replica/accessors.c
@@ -60,6 +60,18 @@
   return &replica->snapshot;
 }
 
+static br_replica_follower_t
+accessor_follower (const br_replica_t *replica, const br_progress_t *progress)
+{
+  return (br_replica_follower_t){
+    .vm = progress->vm,
+    .voter = br_config_is_voter (br_replica_config (replica), &progress->vm,
+                                 progress->disk),
+    .matched = progress->match,
+    .last_seen_ms = BR_MAX (progress->last_seen_ms, progress->joined_ms),
+  };
+}
+
 size_t
 br_replica_followers (const br_replica_t *replica,
                       br_replica_follower_t *followers,
@@ -68,16 +80,24 @@
   size_t n = 0;
 
   for (size_t i = 0; i < replica->progresses.len && n < max; i++)
+    followers[n++] = accessor_follower (replica, &replica->progresses.items[i]);
+  return n;
+}
+
+bool
+br_replica_follower (const br_replica_t *replica,
+                     const br_config_member_t *member,
+                     br_replica_follower_t *follower)
+{
+  for (size_t i = 0; i < replica->progresses.len; i++)
     {
       const br_progress_t *progress = &replica->progresses.items[i];
 
-      followers[n++] = (br_replica_follower_t){
-        .vm = progress->vm,
-        .voter = br_config_is_voter (br_replica_config (replica), &progress->vm,
-                                     progress->disk),
-        .matched = progress->match,
-        .last_seen_ms = progress->last_seen_ms,
-      };
+      if (progress->disk != member->disk
+          || !br_name_equal (&progress->vm, &member->vm))
+        continue;
+      *follower = accessor_follower (replica, progress);
+      return true;
     }
-  return n;
+  return false;
 }
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -240,14 +240,21 @@
 {
   br_name_t vm;
   bool voter;
-  uint64_t matched; /* match index */
-  br_ms_t last_seen_ms;
+  uint64_t matched;     /* match index */
+  br_ms_t last_seen_ms; /* or when this leader began to count */
 } br_replica_follower_t;
 
+BR_VEC (br_replica_followers, br_replica_follower_t);
+
 size_t br_replica_followers (const br_replica_t *replica,
                              br_replica_follower_t *followers,
                              size_t max);
 
+/* Returns false when MEMBER is not a follower of this leader. */
+bool br_replica_follower (const br_replica_t *replica,
+                          const br_config_member_t *member,
+                          br_replica_follower_t *follower);
+
 BR_END_DECLS
 
 #endif
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -4,9 +4,11 @@
 #include <openssl/rand.h>
 #include <string.h>
 
+#include "shell/peer_task.h"
 #include "shell/replica_load.h"
 #include "shell/replica_outcome.h"
 #include "shell/replica_status.h"
+#include "shell/replica_watch.h"
 #include "shell/replica_writer.h"
 #include "shell/site_message.h"
 
@@ -46,6 +48,7 @@
   bool checkpointing;
   bool dial_members;                /* at the first tick */
   br_replica_snapshot_t checkpoint; /* the one that is being written */
+  br_replica_watch_t watch;
 };
 
 static void
@@ -119,8 +122,7 @@
         br_replica_log_role (&task->node->log, task->replica);
         break;
       case BR_REPLICA_EVENT_CONFIG:
-        BR_LOG (&task->node->log, "replica", "members changed",
-                br_field_int ("index", (int64_t)event.index));
+        br_replica_watch_config (task->replica, event.index, &task->node->log);
         task_dial_members (task);
         break;
       }
@@ -349,6 +351,35 @@
     br_replica_save_commit (task->replica);
 }
 
+static void
+count_link (void *context, const br_name_t *vm)
+{
+  size_t *n = context;
+
+  (void)vm;
+  (*n)++;
+}
+
+static br_replica_view_t
+task_view (const br_replica_task_t *task)
+{
+  br_replica_view_t view
+      = { .replica = task->replica, .now = br_node_now (task->node) };
+
+  if (task->node->peers != NULL)
+    br_peer_task_each (task->node->peers, count_link, &view.reached);
+  return view;
+}
+
+static void
+task_watch (br_replica_task_t *task)
+{
+  br_replica_view_t view = task_view (task);
+
+  if (task->node->settings.voter)
+    br_replica_watch_tick (&task->watch, &view, &task->node->log);
+}
+
 static void
 task_on_tick (evutil_socket_t fd, short what, void *context)
 {
@@ -367,6 +398,7 @@
   task_save_commit (task);
   task_retry (task);
   task_run (task);
+  task_watch (task);
 }
 
 /* --- start and stop --- */
@@ -445,6 +477,7 @@
     return;
   br_replica_writer_free (task->writer);
   br_replica_snapshot_release (&task->checkpoint);
+  br_replica_watch_release (&task->watch);
   br_replica_free (task->replica);
   event_free (task->flush);
   event_free (task->tick);
@@ -547,6 +580,14 @@
   br_replica_status_print (&status, out);
 }
 
+void
+br_replica_task_print_metrics (const br_replica_task_t *task, br_buf_t *out)
+{
+  br_replica_view_t view = task_view (task);
+
+  br_replica_watch_print_metrics (&task->watch, &view, out);
+}
+
 uint64_t
 br_replica_task_term (const br_replica_task_t *task)
 {
--- a/src/shell/replica_task.h
+++ b/src/shell/replica_task.h
@@ -63,6 +63,9 @@
  * members, and on the leader the last index that each follower has stored. */
 void br_replica_task_status (const br_replica_task_t *task, br_buf_t *out);
 
+void br_replica_task_print_metrics (const br_replica_task_t *task,
+                                    br_buf_t *out);
+
 BR_END_DECLS
 
 #endif
--- /dev/null
+++ b/src/shell/replica_watch.c
@@ -0,0 +1,153 @@
+#include "shell/replica_watch.h"
+
+#include <inttypes.h>
+
+/* A voter that answers nothing for this long is reported as silent. */
+#define SILENT_MS 1000
+
+/* Time between two lines that repeat why this VM has no vote. */
+#define REPEAT_MS 5000
+
+void
+br_replica_watch_release (br_replica_watch_t *watch)
+{
+  br_replica_followers_free (&watch->silent);
+}
+
+static bool
+view_is_voter (const br_replica_view_t *view)
+{
+  return br_replica_role (view->replica) != BR_ROLE_LEARNER;
+}
+
+/* Returns why this VM has no vote. */
+static const char *
+view_why (const br_replica_view_t *view)
+{
+  if (br_replica_leader (view->replica)->len > 0)
+    return "it follows the leader, which has not given it a vote";
+  if (view->reached == 0)
+    return "no control VM is reached";
+  return "no leader has answered its join requests";
+}
+
+static void
+watch_own_vote (br_replica_watch_t *watch,
+                const br_replica_view_t *view,
+                br_log_t *log)
+{
+  const char *why;
+
+  if (view_is_voter (view))
+    {
+      if (watch->outside_since_ms > 0)
+        BR_LOG (log, "replica", "has a vote",
+                br_field_int ("after_ms", view->now - watch->outside_since_ms));
+      watch->outside_since_ms = 0;
+      watch->why = NULL;
+      return;
+    }
+  if (watch->outside_since_ms == 0)
+    watch->outside_since_ms = view->now;
+  why = view_why (view);
+  if (why == watch->why && view->now - watch->logged_ms < REPEAT_MS)
+    return;
+  watch->why = why;
+  watch->logged_ms = view->now;
+  BR_LOG (
+      log, "replica", "has no vote", br_field_z ("why", why),
+      br_field_int ("for_ms", view->now - watch->outside_since_ms),
+      br_field_int ("reached", (int64_t)view->reached),
+      br_field_str ("leader", br_name_str (br_replica_leader (view->replica))));
+}
+
+static bool
+followers_hold (const br_replica_followers_t *followers, const br_name_t *vm)
+{
+  for (size_t i = 0; i < followers->len; i++)
+    if (br_name_equal (&followers->items[i].vm, vm))
+      return true;
+  return false;
+}
+
+/* Fills SILENT with the voters that do not answer this VM, if it leads. */
+static void
+view_silent (const br_replica_view_t *view, br_replica_followers_t *silent)
+{
+  const br_config_t *config
+      = br_replica_log_config (br_replica_log (view->replica));
+  br_replica_follower_t follower;
+
+  if (br_replica_role (view->replica) != BR_ROLE_LEADER)
+    return;
+  for (size_t i = 0; i < config->members.len; i++)
+    if (br_replica_follower (view->replica, &config->members.items[i],
+                             &follower)
+        && follower.voter && view->now - follower.last_seen_ms > SILENT_MS)
+      br_replica_followers_push (silent, follower);
+}
+
+static void
+watch_others (br_replica_watch_t *watch,
+              const br_replica_view_t *view,
+              br_log_t *log)
+{
+  br_replica_followers_t silent = { 0 };
+
+  view_silent (view, &silent);
+  for (size_t i = 0; i < silent.len; i++)
+    if (!followers_hold (&watch->silent, &silent.items[i].vm))
+      BR_LOG (
+          log, "replica", "voter is silent",
+          br_field_z ("peer", silent.items[i].vm.data),
+          br_field_int ("for_ms", view->now - silent.items[i].last_seen_ms));
+  for (size_t i = 0; i < watch->silent.len; i++)
+    if (!followers_hold (&silent, &watch->silent.items[i].vm))
+      BR_LOG (log, "replica", "voter is no longer silent",
+              br_field_z ("peer", watch->silent.items[i].vm.data));
+  br_replica_followers_free (&watch->silent);
+  watch->silent = silent;
+}
+
+void
+br_replica_watch_tick (br_replica_watch_t *watch,
+                       const br_replica_view_t *view,
+                       br_log_t *log)
+{
+  watch_own_vote (watch, view, log);
+  watch_others (watch, view, log);
+}
+
+void
+br_replica_watch_config (const br_replica_t *replica,
+                         uint64_t index,
+                         br_log_t *log)
+{
+  const br_config_t *config = br_replica_log_config (br_replica_log (replica));
+  br_buf_t voters = { 0 };
+
+  for (size_t i = 0; i < config->members.len; i++)
+    if (config->members.items[i].voter)
+      br_buf_printf (&voters, "%s%s", voters.len > 0 ? "," : "",
+                     config->members.items[i].vm.data);
+  BR_LOG (log, "replica", "members changed",
+          br_field_int ("index", (int64_t)index),
+          br_field_str ("voters", br_buf_str (&voters)));
+  br_buf_free (&voters);
+}
+
+void
+br_replica_watch_print_metrics (const br_replica_watch_t *watch,
+                                const br_replica_view_t *view,
+                                br_buf_t *out)
+{
+  const br_config_t *config
+      = br_replica_log_config (br_replica_log (view->replica));
+
+  br_buf_printf (out, "briarrack_log_voters %zu\n", br_config_voters (config));
+  br_buf_printf (out, "briarrack_log_voters_silent %zu\n", watch->silent.len);
+  br_buf_printf (out, "briarrack_log_has_vote %d\n", view_is_voter (view));
+  br_buf_printf (
+      out, "briarrack_log_without_vote_ms %" PRId64 "\n",
+      watch->outside_since_ms > 0 ? view->now - watch->outside_since_ms : 0);
+}
--- /dev/null
+++ b/src/shell/replica_watch.h
@@ -0,0 +1,46 @@
+/* Reports a control VM's part in the replicated log: lines while it is not a
+ * voter and about voters that are silent, and metrics. */
+#ifndef BR_SHELL_REPLICA_WATCH_H
+#define BR_SHELL_REPLICA_WATCH_H
+
+#include "base/log.h"
+#include "replica/replica.h"
+
+BR_BEGIN_DECLS
+
+typedef struct
+{
+  br_ms_t outside_since_ms; /* since when this VM has no vote; 0: it has one */
+  br_ms_t logged_ms;        /* time of the last line about that */
+  const char *why;          /* its reason, or NULL */
+  br_replica_followers_t silent; /* voters that are reported as silent; owned */
+} br_replica_watch_t;
+
+/* What a watch looks at. */
+typedef struct
+{
+  const br_replica_t *replica;
+  size_t reached; /* control VMs to which the link is up */
+  br_ms_t now;
+} br_replica_view_t;
+
+void br_replica_watch_release (br_replica_watch_t *watch);
+
+/* Logs changes since the last call, and repeats every 5 s why this VM has no
+ * vote. */
+void br_replica_watch_tick (br_replica_watch_t *watch,
+                            const br_replica_view_t *view,
+                            br_log_t *log);
+
+/* Logs the voters of the configuration at INDEX. */
+void br_replica_watch_config (const br_replica_t *replica,
+                              uint64_t index,
+                              br_log_t *log);
+
+void br_replica_watch_print_metrics (const br_replica_watch_t *watch,
+                                     const br_replica_view_t *view,
+                                     br_buf_t *out);
+
+BR_END_DECLS
+
+#endif
--- a/src/shell/site_http.c
+++ b/src/shell/site_http.c
@@ -45,6 +45,8 @@
     br_entry_task_print_metrics (http->entry, &out);
   if (http->control != NULL)
     br_control_task_print_metrics (http->control, &out);
+  if (http->node->replica != NULL)
+    br_replica_task_print_metrics (http->node->replica, &out);
   br_http_reply (request, HTTP_OK, "text/plain; version=0.0.4",
                  br_buf_str (&out));
   br_buf_free (&out);
