--- a/tests/support/platform_site.sh
+++ b/tests/support/platform_site.sh
@@ -42,6 +42,33 @@
   site_start "$1-$2" "$BUILD/briarrack" serve "$SITE/$1-$2.json"
 }
 
+# platform_join NUMBER SEED...: starts an empty control VM whose settings name the control
+# VMs of the numbers SEED
+platform_join() {
+  local number=$1 i seeds=
+  shift
+  for i in "$@"; do seeds="$seeds${seeds:+,}127.0.11.$i:$((BASE_PORT + 1))"; done
+  platform_settings control "$number" 0 false |
+    sed "s/\"control_vms\": \"[^\"]*\"/\"control_vms\": \"$seeds\"/" > "$SITE/control-$number.json"
+  site_start "control-$number" "$BUILD/briarrack" serve "$SITE/control-$number.json"
+}
+
+# platform_leader CONTROL...: prints the first of these control VMs that leads
+platform_leader() {
+  local i
+  for i in "$@"; do
+    curl -s -m 1 "http://127.0.11.$i:$((BASE_PORT + 8))/metrics" |
+      grep -q 'briarrack_leads 1' && echo "$i" && return 0
+  done
+  return 1
+}
+
+# platform_members CONTROL: prints the members of the log that this control VM knows
+platform_members() {
+  curl -s -m 1 "http://127.0.11.$1:$((BASE_PORT + 1))/v1/status" |
+    grep -o '"members":\[[^]]*' | grep -o '"vm":"[^"]*"' | cut -d '"' -f 4 | paste -sd ' '
+}
+
 platform_upstreams() {
   site_start cloud "$BUILD/fake_cloud" --port $((BASE_PORT + 3)) \
     --runner "r1,llm,castillos,$((BASE_PORT + 4))" \
@@ -100,6 +127,17 @@
   return 1
 }
 
+# platform_wait_ms MS COMMAND...: repeats COMMAND until it succeeds, for at most MS
+platform_wait_ms() {
+  local until=$(($(date +%s%3N) + $1))
+  shift
+  while [ "$(date +%s%3N)" -lt "$until" ]; do
+    "$@" && return 0
+    sleep 0.05
+  done
+  return 1
+}
+
 platform_entry_ready() {
   [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' \
     "http://127.0.12.$1:$((BASE_PORT + 1))/readyz")" = 200 ]
