Let VMs that do not lead tell a new control VM which one does

Callers saw: an empty control VM that took the place of one that was gone answered each read with 503 for as long as it ran, the vote of the one that was gone stayed, and the next lost disk took the majority: an acknowledged configuration did not come.

Cause: join requests went to the control VMs of the settings at the start, only the leader answered them, and VMs that do not lead dropped them without a word. A later change of the settings dialled the new VMs but never asked them. Class: a fact is taken from one list, once.

Now a VM that does not lead answers with the members and the leader that it knows (replica message 'join answer'). The asking VM keeps them beside the seeds of its settings and the members of its own log (src/replica/contacts), asks all of them while it knows no leader, and forgets those that nobody names any more. New settings replace the seeds. Control and entry VMs dial exactly these, so that calls to VMs that are gone end.

--- a/src/replica/membership.c
+++ b/src/replica/membership.c
@@ -142,11 +142,30 @@
 
 /* --- joining --- */
 
+/* An answer to a join request counts for this many heartbeats. */
+#define JOIN_ANSWER_HEARTBEATS 10
+
+void
+br_replica_contacts (const br_replica_t *replica, br_names_t *vms)
+{
+  const br_config_t *config = br_replica_config (replica);
+  const br_name_t *self = &replica->options.vm;
+
+  br_contacts_list (&replica->contacts, self, vms);
+  for (size_t i = 0; i < config->members.len; i++)
+    if (!br_name_equal (&config->members.items[i].vm, self))
+      br_contacts_put (vms, &config->members.items[i].vm);
+  if (replica->leader.len > 0 && !br_name_equal (&replica->leader, self))
+    br_contacts_put (vms, &replica->leader);
+}
+
 void
 br_replica_tick_join (br_replica_t *replica)
 {
   br_replica_message_t join = { .kind = BR_REPLICA_JOIN };
+  br_names_t vms = { 0 };
 
+  br_contacts_expire (&replica->contacts);
   if (replica->leader.len > 0 || replica->now < replica->join_at_ms)
     return;
   replica->join_at_ms = replica->now + replica->options.heartbeat_ms;
@@ -154,22 +173,38 @@
     membership_send_bootstrap (replica);
   join.term = replica->hard_state.term;
   join.join.voter_requested = replica->options.voter;
-  for (size_t i = 0; i < replica->options.peers.len; i++)
-    br_replica_send (replica, &replica->options.peers.items[i].vm, join,
-                     replica->change);
+  br_replica_contacts (replica, &vms);
+  for (size_t i = 0; i < vms.len; i++)
+    br_replica_send (replica, &vms.items[i], join, replica->change);
+  br_names_free (&vms);
 }
 
 void
-br_replica_add_peer (br_replica_t *replica, const br_name_t *vm)
+br_replica_set_seeds (br_replica_t *replica, const br_names_t *vms)
 {
-  br_replica_peers_t *peers = &replica->options.peers;
+  br_contacts_set_seeds (&replica->contacts, vms);
+}
 
-  if (br_name_equal (vm, &replica->options.vm))
-    return;
-  for (size_t i = 0; i < peers->len; i++)
-    if (br_name_equal (&peers->items[i].vm, vm))
-      return;
-  br_replica_peers_push (peers, (br_replica_peer_t){ .vm = *vm });
+void
+br_replica_add_contact (br_replica_t *replica, br_ms_t now, const br_name_t *vm)
+{
+  replica->now = BR_MAX (replica->now, now);
+  br_contacts_add (&replica->contacts, vm, replica->now);
+}
+
+/* Tells a VM that wants to join which members and which leader this VM knows,
+ * because only the leader can let it in. */
+static void
+membership_answer_join (br_replica_t *replica,
+                        const br_replica_message_t *message)
+{
+  br_replica_message_t answer = { .kind = BR_REPLICA_JOIN_ANSWER };
+
+  answer.term = replica->hard_state.term;
+  answer.to_disk = message->disk;
+  answer.join_answer.leader = replica->leader;
+  br_config_copy (&answer.join_answer.config, br_replica_config (replica));
+  br_replica_send (replica, &message->vm, answer, 0);
 }
 
 void
@@ -178,7 +213,10 @@
   br_progress_t *progress;
 
   if (replica->role != BR_ROLE_LEADER)
-    return;
+    {
+      membership_answer_join (replica, message);
+      return;
+    }
   progress = br_replica_progress (replica, &message->vm, message->disk);
   if (progress == NULL && replica->progresses.len >= FOLLOWERS_MAX)
     return;
@@ -188,6 +226,70 @@
   br_replica_replicate (replica, progress, true);
 }
 
+void
+br_replica_on_join_answer (br_replica_t *replica,
+                           const br_replica_message_t *message)
+{
+  const br_join_answer_t *answer = &message->join_answer;
+  const br_config_t *config = &answer->config;
+
+  if (replica->leader.len > 0)
+    return;
+  replica->join_answered_ms = replica->now;
+  if (config->members.len > 0)
+    replica->log_named_ms = replica->now;
+  for (size_t i = 0; i < config->members.len; i++)
+    br_contacts_add (&replica->contacts, &config->members.items[i].vm,
+                     replica->now);
+  if (answer->leader.len == 0)
+    return;
+  br_contacts_add (&replica->contacts, &answer->leader, replica->now);
+  replica->named_leader = answer->leader;
+  replica->leader_named_ms = replica->now;
+}
+
+static bool
+membership_is_recent (const br_replica_t *replica, br_ms_t at_ms)
+{
+  return at_ms > 0
+         && replica->now - at_ms
+                <= replica->options.heartbeat_ms * JOIN_ANSWER_HEARTBEATS;
+}
+
+br_replica_standing_t
+br_replica_standing (const br_replica_t *replica)
+{
+  if (br_replica_is_voter (replica))
+    return BR_STANDING_VOTER;
+  if (replica->leader.len > 0)
+    return BR_STANDING_FOLLOWS;
+  if (membership_is_recent (replica, replica->leader_named_ms))
+    return BR_STANDING_LEADER_SILENT;
+  if (membership_is_recent (replica, replica->log_named_ms))
+    return BR_STANDING_NO_LEADER;
+  if (membership_is_recent (replica, replica->join_answered_ms))
+    return BR_STANDING_NO_LOG;
+  return BR_STANDING_UNANSWERED;
+}
+
+const char *
+br_replica_standing_text (br_replica_standing_t standing)
+{
+  static const char *const texts[] = {
+#define X(id, text) text,
+    BR_REPLICA_STANDING_TABLE (X)
+#undef X
+  };
+
+  return texts[standing];
+}
+
+const br_name_t *
+br_replica_named_leader (const br_replica_t *replica)
+{
+  return replica->leader.len > 0 ? &replica->leader : &replica->named_leader;
+}
+
 /* --- changes of the configuration --- */
 
 static bool
--- a/src/replica/message.c
+++ b/src/replica/message.c
@@ -58,6 +58,9 @@
     case BR_REPLICA_PROPOSE:
       br_buf_free (&message->propose.data);
       break;
+    case BR_REPLICA_JOIN_ANSWER:
+      br_config_release (&message->join_answer.config);
+      break;
     default:
       break;
     }
@@ -101,6 +104,10 @@
     case BR_REPLICA_PROPOSE:
       copy.propose.data = buf_copy (&message->propose.data);
       break;
+    case BR_REPLICA_JOIN_ANSWER:
+      copy.join_answer.config = (br_config_t){ 0 };
+      br_config_copy (&copy.join_answer.config, &message->join_answer.config);
+      break;
     default:
       break;
     }
--- a/src/replica/message.h
+++ b/src/replica/message.h
@@ -60,7 +60,8 @@
   X (READ, "read")                                                             \
   X (READ_ANSWER, "read answer")                                               \
   X (PROPOSE, "propose")                                                       \
-  X (PROPOSE_ANSWER, "propose answer")
+  X (PROPOSE_ANSWER, "propose answer")                                         \
+  X (JOIN_ANSWER, "join answer")
 
 typedef enum
 {
@@ -129,6 +130,13 @@
   bool voter_requested;
 } br_join_t;
 
+/* Answer of a VM that does not lead: what it knows of the log. */
+typedef struct
+{
+  br_name_t leader;   /* empty: it knows none */
+  br_config_t config; /* owned; no members: it knows no log */
+} br_join_answer_t;
+
 typedef struct
 {
   uint64_t voters_digest; /* of the names of the first voters */
@@ -186,6 +194,7 @@
     br_snapshot_chunk_t snapshot;
     br_snapshot_answer_t snapshot_answer;
     br_join_t join;
+    br_join_answer_t join_answer;
     br_bootstrap_t bootstrap;
     br_bootstrap_answer_t bootstrap_answer;
     br_read_t read;
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -198,7 +198,10 @@
   replica->options = *options;
   replica->options.peers = (br_replica_peers_t){ 0 };
   for (size_t i = 0; i < options->peers.len; i++)
-    br_replica_peers_push (&replica->options.peers, options->peers.items[i]);
+    {
+      br_replica_peers_push (&replica->options.peers, options->peers.items[i]);
+      br_contacts_put (&replica->contacts.seeds, &options->peers.items[i].vm);
+    }
   br_random_seed (&replica->random, options->seed);
   replica->now = now;
   replica->has_space = true;
@@ -236,6 +239,7 @@
   br_quorum_reads_free (&replica->quorum_reads);
   br_tickets_free (&replica->tickets);
   br_config_members_free (&replica->empty_voters);
+  br_contacts_release (&replica->contacts);
   free (replica);
 }
 
@@ -289,6 +293,9 @@
     case BR_REPLICA_JOIN:
       br_replica_on_join (replica, message);
       break;
+    case BR_REPLICA_JOIN_ANSWER:
+      br_replica_on_join_answer (replica, message);
+      break;
     case BR_REPLICA_BOOTSTRAP:
       br_replica_on_bootstrap (replica, message);
       break;
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -9,6 +9,7 @@
 #define BR_REPLICA_REPLICA_H
 
 #include "base/random.h"
+#include "replica/contacts.h"
 #include "replica/log.h"
 #include "replica/message.h"
 #include "replica/wire.h"
@@ -107,8 +108,18 @@
  * proposals. */
 void br_replica_set_has_space (br_replica_t *replica, bool has_space);
 
-/* Adds a VM that may be the leader; this replica sends it join requests. */
-void br_replica_add_peer (br_replica_t *replica, const br_name_t *vm);
+/* Replaces the VMs of the settings.  While this replica knows no leader, it
+ * sends join requests to them, to the members of its log, and to those that
+ * other VMs named. */
+void br_replica_set_seeds (br_replica_t *replica, const br_names_t *vms);
+
+/* Adds a VM that another one named as a member of the log. */
+void br_replica_add_contact (br_replica_t *replica,
+                             br_ms_t now,
+                             const br_name_t *vm);
+
+/* Fills VMS with all VMs that this replica sends messages to. */
+void br_replica_contacts (const br_replica_t *replica, br_names_t *vms);
 
 /* --- changes of the configuration, on the leader --- */
 
@@ -223,6 +234,29 @@
 
 /* --- accessors --- */
 
+/* What stands between this VM and a vote, by the answers to its join requests.
+ * X (id, text) */
+#define BR_REPLICA_STANDING_TABLE(X)                                           \
+  X (VOTER, "it has a vote")                                                   \
+  X (FOLLOWS, "it follows the leader, which has not given it a vote")          \
+  X (LEADER_SILENT, "the leader that others named has not answered")           \
+  X (NO_LEADER, "the control VMs that answered know no leader")                \
+  X (NO_LOG, "the control VMs that answered know no log")                      \
+  X (UNANSWERED, "no control VM has answered its join requests")
+
+typedef enum
+{
+#define X(id, text) BR_STANDING_##id,
+  BR_REPLICA_STANDING_TABLE (X)
+#undef X
+} br_replica_standing_t;
+
+br_replica_standing_t br_replica_standing (const br_replica_t *replica);
+const char *br_replica_standing_text (br_replica_standing_t standing);
+
+/* Returns the leader, or the one that others named last, or an empty name. */
+const br_name_t *br_replica_named_leader (const br_replica_t *replica);
+
 br_replica_role_t br_replica_role (const br_replica_t *replica);
 const char *br_replica_role_name (br_replica_role_t role);
 uint64_t br_replica_term (const br_replica_t *replica);
--- a/src/replica/replica.pb-c.c
+++ b/src/replica/replica.pb-c.c
@@ -623,7 +623,7 @@
   (ProtobufCMessageInit) br__replica__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__replica__message__field_descriptors[18] =
+static const ProtobufCFieldDescriptor br__replica__message__field_descriptors[19] =
 {
   {
     "kind",
@@ -841,6 +841,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leader",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Replica__Message, leader),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__replica__message__field_indices_by_name[] = {
   5,   /* field[5] = commit */
@@ -852,6 +864,7 @@
   17,   /* field[17] = incarnation */
   3,   /* field[3] = index */
   0,   /* field[0] = kind */
+  18,   /* field[18] = leader */
   4,   /* field[4] = log_term */
   8,   /* field[8] = offset */
   14,   /* field[14] = proposer */
@@ -865,7 +878,7 @@
 static const ProtobufCIntRange br__replica__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor br__replica__message__descriptor =
 {
@@ -875,7 +888,7 @@
   "Br__Replica__Message",
   "br.replica",
   sizeof(Br__Replica__Message),
-  18,
+  19,
   br__replica__message__field_descriptors,
   br__replica__message__field_indices_by_name,
   1,  br__replica__message__number_ranges,
--- a/src/replica/replica.pb-c.h
+++ b/src/replica/replica.pb-c.h
@@ -107,10 +107,11 @@
   ProtobufCBinaryData data;
   uint64_t to_disk;
   uint64_t incarnation;
+  char *leader;
 };
 #define BR__REPLICA__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__replica__message__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, NULL, {0,NULL}, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Br__Replica__HardState
--- a/src/replica/replica_private.h
+++ b/src/replica/replica_private.h
@@ -102,6 +102,11 @@
   br_ms_t leader_last_seen_ms;
   br_ms_t election_at_ms;
   br_ms_t join_at_ms;
+  br_contacts_t contacts;
+  br_ms_t join_answered_ms; /* last answer to a join request; 0: none */
+  br_ms_t log_named_ms;     /* last one that named members */
+  br_ms_t leader_named_ms;  /* last one that named a leader */
+  br_name_t named_leader;   /* in that one */
   bool in_transfer_election;
   br_replica_messages_t outbox;
   size_t outbox_head;
@@ -197,6 +202,8 @@
 void br_replica_tick_membership (br_replica_t *replica);
 void br_replica_on_join (br_replica_t *replica,
                          const br_replica_message_t *message);
+void br_replica_on_join_answer (br_replica_t *replica,
+                                const br_replica_message_t *message);
 void br_replica_on_bootstrap (br_replica_t *replica,
                               const br_replica_message_t *message);
 void br_replica_on_bootstrap_answer (br_replica_t *replica,
--- a/src/replica/wire.c
+++ b/src/replica/wire.c
@@ -305,6 +305,11 @@
       wire->second_flag = message->propose_answer.no_space;
       wire->index = message->propose_answer.index;
       break;
+    case BR_REPLICA_JOIN_ANSWER:
+      wire->leader = (char *)message->join_answer.leader.data;
+      scratch->config = br_config_to_wire (&message->join_answer.config);
+      wire->config = scratch->config;
+      break;
     case BR_REPLICA_TIMEOUT_NOW:
     case BR_REPLICA_MESSAGE_COUNT:
       break;
@@ -376,6 +381,16 @@
          && wire->data.len <= wire->total - wire->offset;
 }
 
+static bool
+join_answer_from_wire (const Br__Replica__Message *wire,
+                       br_join_answer_t *answer)
+{
+  *answer = (br_join_answer_t){ 0 };
+  return wire->config != NULL
+         && br_name_set (&answer->leader, br_str_from (wire->leader))
+         && br_config_from_wire (wire->config, &answer->config);
+}
+
 /* Returns whether all numbers are below NUMBER_MAX, so that their sums cannot
  * overflow. */
 static bool
@@ -444,6 +459,8 @@
                                    wire->first_flag, wire->second_flag,
                                    wire->index };
       return true;
+    case BR_REPLICA_JOIN_ANSWER:
+      return join_answer_from_wire (wire, &message->join_answer);
     case BR_REPLICA_MESSAGE_COUNT:
       break;
     }
--- a/src/shell/control_task.c
+++ b/src/shell/control_task.c
@@ -71,6 +71,20 @@
   br_buf_free (&body);
 }
 
+/* Refuses REQUEST at once while this VM has no part in the log: neither a vote
+ * nor a leader that it follows. */
+static bool
+task_refuse_outside (br_control_task_t *task, struct evhttp_request *request)
+{
+  br_replica_standing_t standing
+      = br_replica_task_standing (task->node->replica);
+
+  if (standing == BR_STANDING_VOTER || standing == BR_STANDING_FOLLOWS)
+    return false;
+  reply_unavailable (request, br_replica_standing_text (standing));
+  return true;
+}
+
 void
 br_control_task_put (br_control_task_t *task, struct evhttp_request *request)
 {
@@ -95,6 +109,8 @@
       reply_version (request, br_state_site_version (node->state));
       return;
     }
+  if (task_refuse_outside (task, request))
+    return;
   br_state_command_site (wait.version, body, &command);
   wait.ticket = br_replica_task_propose (node->replica, br_buf_str (&command));
   br_buf_free (&command);
@@ -109,6 +125,8 @@
 {
   br_control_wait_t wait = { .is_read = true, .request = request };
 
+  if (task_refuse_outside (task, request))
+    return;
   wait.ticket = br_replica_task_read (task->node->replica);
   task_add_wait (task, wait);
 }
@@ -436,9 +454,9 @@
       br_site_clock_add_sample (&task->clock, &from->vm,
                                 (br_ms_t)message->beat->wall_ms,
                                 br_node_now (task->node));
-      br_replica_task_add_members (task->node->replica,
-                                   message->beat->control_vms,
-                                   message->beat->n_control_vms);
+      br_replica_task_add_contacts (task->node->replica,
+                                    message->beat->control_vms,
+                                    message->beat->n_control_vms);
       break;
     default:
       break;
@@ -593,6 +611,19 @@
   free (task);
 }
 
+const char *
+br_control_task_why_not_ready (const br_control_task_t *task)
+{
+  br_replica_standing_t standing
+      = br_replica_task_standing (task->node->replica);
+
+  if (task->node->draining)
+    return "it drains";
+  if (standing == BR_STANDING_VOTER || standing == BR_STANDING_FOLLOWS)
+    return NULL;
+  return br_replica_standing_text (standing);
+}
+
 void
 br_control_task_print_metrics (const br_control_task_t *task, br_buf_t *out)
 {
--- a/src/shell/control_task.h
+++ b/src/shell/control_task.h
@@ -25,6 +25,9 @@
 void br_control_task_on_proposal (br_control_task_t *task,
                                   const br_proposal_message_t *proposal);
 
+/* Returns why this VM can serve neither reads nor changes, or NULL. */
+const char *br_control_task_why_not_ready (const br_control_task_t *task);
+
 /* Handle an operator's write or read of the site's configuration.  The reply
  * may come after the call returns. */
 void br_control_task_put (br_control_task_t *task,
--- a/src/shell/entry_private.h
+++ b/src/shell/entry_private.h
@@ -6,6 +6,7 @@
 #include "http/http_server.h"
 #include "platform/cloud.h"
 #include "platform/request_codec.h"
+#include "replica/contacts.h"
 #include "shell/entry_task.h"
 #include "site/choice.h"
 #include "site/fleet.h"
@@ -56,6 +57,7 @@
   br_usage_t usage;
   br_entry_services_t services;
   br_site_clock_t clock;
+  br_contacts_t contacts; /* control VMs */
   br_cloud_t *cloud;
   bool reading_list;
   br_ms_t list_requested_ms; /* when this VM last requested the list itself */
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -300,6 +300,44 @@
     task_on_loads (task, heartbeat->loads, heartbeat->n_loads);
 }
 
+/* Keeps links to the control VMs of the settings and to those that control VMs
+ * named. */
+static void
+task_set_links (br_entry_task_t *task)
+{
+  br_names_t vms = { 0 };
+
+  br_contacts_expire (&task->contacts);
+  br_contacts_list (&task->contacts, &task->node->settings.vm, &vms);
+  br_site_set_links (task->node, &vms);
+  br_names_free (&vms);
+}
+
+static void
+task_add_contacts (br_entry_task_t *task,
+                   const Br__Site__ControlBeat *heartbeat)
+{
+  size_t before = task->contacts.named.len;
+
+  for (size_t i = 0; i < heartbeat->n_control_vms; i++)
+    {
+      br_name_t vm;
+
+      if (br_name_set (&vm, br_str_from (heartbeat->control_vms[i]))
+          && vm.len > 0)
+        br_contacts_add (&task->contacts, &vm, br_node_now (task->node));
+    }
+  if (task->contacts.named.len > before)
+    task_set_links (task);
+}
+
+void
+br_entry_task_set_seeds (br_entry_task_t *task, const br_names_t *vms)
+{
+  br_contacts_set_seeds (&task->contacts, vms);
+  task_set_links (task);
+}
+
 static void
 task_on_heartbeat (br_entry_task_t *task,
                    const br_name_t *vm,
@@ -310,8 +348,7 @@
 
   if (heartbeat->configuration_version > version)
     task_request_configuration (task, vm, heartbeat->configuration_version);
-  for (size_t i = 0; i < heartbeat->n_control_vms; i++)
-    br_site_dial (task->node, br_str_from (heartbeat->control_vms[i]));
+  task_add_contacts (task, heartbeat);
   if (heartbeat->leads)
     task_on_leader (task, vm, heartbeat);
   else if (heartbeat->entries > task->entries)
@@ -382,6 +419,7 @@
     {
       task->report_due = false;
       br_entry_report (task, now);
+      task_set_links (task);
       br_fleet_sweep (&task->fleet, br_upstream_pool_free, NULL);
       for (size_t i = 0; i < task->fleet.all.len; i++)
         br_upstream_pool_trim (task->fleet.all.items[i], now);
@@ -440,6 +478,8 @@
   struct timeval period = { 0, BR_ENTRY_TICK_MS * 1000 };
 
   task->node = node;
+  for (size_t i = 0; i < node->settings.vms.len; i++)
+    br_contacts_put (&task->contacts.seeds, &node->settings.vms.items[i].name);
   task->entries = 1;
   task->quotas.default_share = 1;
   if (!task_listen (task, err))
@@ -478,6 +518,7 @@
   br_stream_table_free (&task->streams);
   br_stream_records_free (&task->new_streams);
   br_site_clock_release (&task->clock);
+  br_contacts_release (&task->contacts);
   br_configuration_unref (task->configuration);
   event_free (task->timer);
   free (task);
@@ -498,11 +539,14 @@
   event_active (task->timer, EV_TIMEOUT, 0);
 }
 
-bool
-br_entry_task_is_ready (const br_entry_task_t *task)
+const char *
+br_entry_task_why_not_ready (const br_entry_task_t *task)
 {
-  return task->configuration != NULL && task->fleet.known
-         && !task->node->draining;
+  if (task->node->draining)
+    return "it drains";
+  if (task->configuration == NULL)
+    return "it has no configuration";
+  return task->fleet.known ? NULL : "it has no list of upstreams";
 }
 
 void
--- a/src/shell/entry_task.h
+++ b/src/shell/entry_task.h
@@ -3,6 +3,7 @@
 #ifndef BR_SHELL_ENTRY_TASK_H
 #define BR_SHELL_ENTRY_TASK_H
 
+#include "base/label.h"
 #include "shell/node.h"
 
 BR_BEGIN_DECLS
@@ -20,8 +21,11 @@
 void
 br_entry_task_on_link (br_entry_task_t *task, const br_name_t *vm, bool up);
 
-/* Returns whether the balancer may send callers here. */
-bool br_entry_task_is_ready (const br_entry_task_t *task);
+/* Replaces the control VMs of the settings. */
+void br_entry_task_set_seeds (br_entry_task_t *task, const br_names_t *vms);
+
+/* Returns why the balancer must not send callers here, or NULL. */
+const char *br_entry_task_why_not_ready (const br_entry_task_t *task);
 
 /* Makes every further answer close its connection.  Called once the balancer
  * has had time to see that this VM drains. */
--- a/src/shell/peer_task.c
+++ b/src/shell/peer_task.c
@@ -5,6 +5,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "replica/contacts.h"
 #include "shell/peer_link.h"
 
 /* Time between two checks of the links.  A link on which an answer is due is
@@ -143,6 +144,19 @@
       }
 }
 
+void
+br_peer_task_keep (br_peer_task_t *task, const br_names_t *vms)
+{
+  for (size_t i = 0; i < task->n_dialled;)
+    if (br_contacts_have (vms, &task->dialled[i]->peer.name))
+      i++;
+    else
+      {
+        task_free_dialled (task->dialled[i]);
+        task->dialled[i] = task->dialled[--task->n_dialled];
+      }
+}
+
 static void
 task_add_peers (br_peer_task_t *task)
 {
--- a/src/shell/peer_task.h
+++ b/src/shell/peer_task.h
@@ -30,6 +30,9 @@
                         br_part_t part,
                         br_str_t payload);
 
+/* Removes the links to all VMs that are not in VMS. */
+void br_peer_task_keep (br_peer_task_t *task, const br_names_t *vms);
+
 /* Calls VISIT for each VM to which a dialled link is ready. */
 typedef void (*br_peer_visit_fn) (void *context, const br_name_t *vm);
 void br_peer_task_each (const br_peer_task_t *task,
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -26,6 +26,10 @@
  * anyway. */
 #define COMMIT_SAVE_MS 100
 
+/* Time between two comparisons of the links with the VMs that the replica sends
+ * to. */
+#define LINKS_PERIOD_MS 100
+
 #define DATA_FOLDER_FAILED "this VM's data folder cannot be written"
 
 struct br_replica_task
@@ -46,7 +50,7 @@
   br_ms_t retry_ms; /* when the failed write is tried again, 0 for none */
   uint64_t writing; /* change that is being written, 0 for none */
   bool checkpointing;
-  bool dial_members;                /* at the first tick */
+  br_ms_t links_ms; /* when the links were last set; 0: they are due */
   br_replica_snapshot_t checkpoint; /* the one that is being written */
   br_replica_watch_t watch;
 };
@@ -83,18 +87,19 @@
     task_fail (task, &err);
 }
 
-/* Dials the members that the log names, at a site whose settings do not name
- * all VMs. */
+/* Dials the VMs that the replica sends to, at a site whose settings do not name
+ * all VMs, and stops dialling all others. */
 static void
-task_dial_members (br_replica_task_t *task)
+task_set_links (br_replica_task_t *task)
 {
-  char *names[BR_REPLICA_MEMBERS_MAX];
-  size_t n = br_replica_task_members (task, names);
+  br_names_t vms = { 0 };
 
+  task->links_ms = br_node_now (task->node);
   if (!task->node->settings.open_peers || task->node->peers == NULL)
     return;
-  for (size_t i = 0; i < n; i++)
-    br_site_dial (task->node, br_str_from (names[i]));
+  br_replica_contacts (task->replica, &vms);
+  br_site_set_links (task->node, &vms);
+  br_names_free (&vms);
 }
 
 /* Handles the replica's events.  RESULT is the result of the entry that was
@@ -123,7 +128,7 @@
         break;
       case BR_REPLICA_EVENT_CONFIG:
         br_replica_watch_config (task->replica, event.index, &task->node->log);
-        task_dial_members (task);
+        task->links_ms = 0;
         break;
       }
 }
@@ -389,9 +394,8 @@
   (void)what;
   if (task->failed)
     return;
-  if (task->dial_members)
-    task_dial_members (task);
-  task->dial_members = false;
+  if (br_node_now (task->node) - task->links_ms >= LINKS_PERIOD_MS)
+    task_set_links (task);
   br_replica_tick (task->replica, br_node_now (task->node));
   if (task->node->draining)
     br_replica_task_hand_over (task);
@@ -466,7 +470,6 @@
   event_priority_set (task->tick, BR_PRIORITY_LOG);
   event_add (task->tick, &period);
   task_schedule (task);
-  task->dial_members = true;
   return task;
 }
 
@@ -611,17 +614,27 @@
 }
 
 void
-br_replica_task_add_members (br_replica_task_t *task,
-                             char *const *names,
-                             size_t n_names)
+br_replica_task_add_contacts (br_replica_task_t *task,
+                              char *const *names,
+                              size_t n_names)
 {
   for (size_t i = 0; i < n_names; i++)
     {
       br_name_t name;
 
-      if (!br_name_set (&name, br_str_from (names[i])))
-        continue;
-      br_replica_add_peer (task->replica, &name);
-      br_site_dial (task->node, br_str_from (names[i]));
+      if (br_name_set (&name, br_str_from (names[i])) && name.len > 0)
+        br_replica_add_contact (task->replica, br_node_now (task->node), &name);
     }
 }
+
+void
+br_replica_task_set_seeds (br_replica_task_t *task, const br_names_t *vms)
+{
+  br_replica_set_seeds (task->replica, vms);
+}
+
+br_replica_standing_t
+br_replica_task_standing (const br_replica_task_t *task)
+{
+  return br_replica_standing (task->replica);
+}
--- a/src/shell/replica_task.h
+++ b/src/shell/replica_task.h
@@ -3,6 +3,7 @@
 #ifndef BR_SHELL_REPLICA_TASK_H
 #define BR_SHELL_REPLICA_TASK_H
 
+#include "replica/replica.h"
 #include "shell/node.h"
 
 BR_BEGIN_DECLS
@@ -54,10 +55,16 @@
 size_t br_replica_task_members (const br_replica_task_t *task,
                                 char *views[BR_REPLICA_MEMBERS_MAX]);
 
-/* Adds the members that another VM named, and dials them. */
-void br_replica_task_add_members (br_replica_task_t *task,
-                                  char *const *names,
-                                  size_t n_names);
+/* Adds VMs that another one named as members of the log. */
+void br_replica_task_add_contacts (br_replica_task_t *task,
+                                   char *const *names,
+                                   size_t n_names);
+
+/* Replaces the control VMs of the settings. */
+void br_replica_task_set_seeds (br_replica_task_t *task, const br_names_t *vms);
+
+/* Returns what stands between this VM and a vote. */
+br_replica_standing_t br_replica_task_standing (const br_replica_task_t *task);
 
 /* Appends one JSON object: role, term, leader, commit and applied index,
  * members, and on the leader the last index that each follower has stored. */
--- a/src/shell/replica_watch.c
+++ b/src/shell/replica_watch.c
@@ -17,18 +17,7 @@
 static bool
 view_is_voter (const br_replica_view_t *view)
 {
-  return br_replica_role (view->replica) != BR_ROLE_LEARNER;
-}
-
-/* Returns why this VM has no vote. */
-static const char *
-view_why (const br_replica_view_t *view)
-{
-  if (br_replica_leader (view->replica)->len > 0)
-    return "it follows the leader, which has not given it a vote";
-  if (view->reached == 0)
-    return "no control VM is reached";
-  return "no leader has answered its join requests";
+  return br_replica_standing (view->replica) == BR_STANDING_VOTER;
 }
 
 static void
@@ -36,7 +25,7 @@
                 const br_replica_view_t *view,
                 br_log_t *log)
 {
-  const char *why;
+  br_replica_standing_t standing = br_replica_standing (view->replica);
 
   if (view_is_voter (view))
     {
@@ -44,21 +33,21 @@
         BR_LOG (log, "replica", "has a vote",
                 br_field_int ("after_ms", view->now - watch->outside_since_ms));
       watch->outside_since_ms = 0;
-      watch->why = NULL;
+      watch->standing = standing;
       return;
     }
   if (watch->outside_since_ms == 0)
     watch->outside_since_ms = view->now;
-  why = view_why (view);
-  if (why == watch->why && view->now - watch->logged_ms < REPEAT_MS)
+  if (standing == watch->standing && view->now - watch->logged_ms < REPEAT_MS)
     return;
-  watch->why = why;
+  watch->standing = standing;
   watch->logged_ms = view->now;
-  BR_LOG (
-      log, "replica", "has no vote", br_field_z ("why", why),
-      br_field_int ("for_ms", view->now - watch->outside_since_ms),
-      br_field_int ("reached", (int64_t)view->reached),
-      br_field_str ("leader", br_name_str (br_replica_leader (view->replica))));
+  BR_LOG (log, "replica", "has no vote",
+          br_field_z ("why", br_replica_standing_text (standing)),
+          br_field_int ("for_ms", view->now - watch->outside_since_ms),
+          br_field_int ("reached", (int64_t)view->reached),
+          br_field_str ("leader",
+                        br_name_str (br_replica_named_leader (view->replica))));
 }
 
 static bool
--- a/src/shell/replica_watch.h
+++ b/src/shell/replica_watch.h
@@ -12,7 +12,7 @@
 {
   br_ms_t outside_since_ms; /* since when this VM has no vote; 0: it has one */
   br_ms_t logged_ms;        /* time of the last line about that */
-  const char *why;          /* its reason, or NULL */
+  br_replica_standing_t standing; /* in that line */
   br_replica_followers_t silent; /* voters that are reported as silent; owned */
 } br_replica_watch_t;
 
--- a/src/shell/site_http.c
+++ b/src/shell/site_http.c
@@ -25,12 +25,18 @@
 static void
 http_ready (br_site_http_t *http, struct evhttp_request *request)
 {
-  bool ready = http->entry != NULL ? br_entry_task_is_ready (http->entry)
-                                   : !http->node->draining;
+  const char *why = http->entry != NULL
+                        ? br_entry_task_why_not_ready (http->entry)
+                        : br_control_task_why_not_ready (http->control);
+  br_buf_t body = { 0 };
 
-  br_http_reply (
-      request, ready ? HTTP_OK : HTTP_SERVUNAVAIL, "application/json",
-      br_str_from (ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n"));
+  if (why == NULL)
+    br_buf_printf (&body, "{\"ready\":true}\n");
+  else
+    br_buf_printf (&body, "{\"ready\":false,\"why\":\"%s\"}\n", why);
+  br_http_reply (request, why == NULL ? HTTP_OK : HTTP_SERVUNAVAIL,
+                 "application/json", br_buf_str (&body));
+  br_buf_free (&body);
 }
 
 static void
--- a/src/shell/site_message.c
+++ b/src/shell/site_message.c
@@ -131,3 +131,11 @@
   memcpy (peer.endpoint.address, address.data, address.len);
   br_peer_task_add (node->peers, &peer);
 }
+
+void
+br_site_set_links (br_node_t *node, const br_names_t *vms)
+{
+  for (size_t i = 0; i < vms->len; i++)
+    br_site_dial (node, br_name_str (&vms->items[i]));
+  br_peer_task_keep (node->peers, vms);
+}
--- a/src/shell/site_message.h
+++ b/src/shell/site_message.h
@@ -42,6 +42,9 @@
  * nothing when ADDRESS is this VM's own name or too long. */
 void br_site_dial (br_node_t *node, br_str_t address);
 
+/* Dials the VMs in VMS and removes the links to all others. */
+void br_site_set_links (br_node_t *node, const br_names_t *vms);
+
 BR_END_DECLS
 
 #endif
--- a/src/shell/site_task.c
+++ b/src/shell/site_task.c
@@ -123,6 +123,20 @@
   br_log_flush (&task->node->log);
 }
 
+static void
+task_set_seeds (br_site_task_t *task, const br_peer_settings_list_t *vms)
+{
+  br_names_t seeds = { 0 };
+
+  for (size_t i = 0; i < vms->len; i++)
+    br_names_push (&seeds, vms->items[i].name);
+  if (task->control != NULL)
+    br_replica_task_set_seeds (task->node->replica, &seeds);
+  else
+    br_entry_task_set_seeds (task->entry, &seeds);
+  br_names_free (&seeds);
+}
+
 /* Applies the settings that may change while the process runs: the initial
  * control VMs.  A settings file with errors changes nothing. */
 static void
@@ -137,8 +151,7 @@
             br_field_str ("faults", br_buf_str (&faults)));
   else
     {
-      for (size_t i = 0; i < loaded.vms.len; i++)
-        br_site_dial (node, br_name_str (&loaded.vms.items[i].name));
+      task_set_seeds (task, &loaded.vms);
       BR_LOG (
           &node->log, "node", "settings reloaded", br_field_z ("why", why),
           br_field_str ("control_vms", br_buf_str (&loaded.site.control_vms)));
--- /dev/null
+++ b/tests/replica_join_test.cc
@@ -0,0 +1,160 @@
+/* Checks that an empty VM joins the log through the VMs that it knows, whatever
+ * these are, and what it reports until then. */
+#include "replica_sim.h"
+
+/* The platform's bound CatchUpS. */
+#define CATCH_UP_MS 4000
+
+static sim_options
+four_voters (uint64_t seed = 1)
+{
+  sim_options options;
+
+  options.vms = options.voters = 4;
+  options.seed = seed;
+  return options;
+}
+
+static br_replica_standing_t
+standing (replica_sim &sim, size_t i)
+{
+  return br_replica_standing (sim.vm (i).replica);
+}
+
+/* Returns the VMs that are up and do not lead. */
+static std::vector<size_t>
+followers (replica_sim &sim, size_t vms)
+{
+  std::vector<size_t> found;
+
+  for (size_t i = 0; i < vms; i++)
+    if (sim.vm (i).up && (int)i != sim.find_leader ())
+      found.push_back (i);
+  return found;
+}
+
+TEST (ReplicaJoin, ThroughVmsThatDoNotLead)
+{
+  replica_sim sim (four_voters ());
+
+  ASSERT_GE (sim.run_to_leader (), 0);
+  size_t last = sim.add ({ followers (sim, 4)[0] });
+  sim.run (300);
+  EXPECT_TRUE (sim.is_voter (last)) << sim.describe ();
+  sim.propose (last);
+  sim.read (last);
+  sim.run (300);
+  EXPECT_EQ (sim.reads_done, 1u);
+  sim.check_outcomes ();
+}
+
+TEST (ReplicaJoin, SaysWhatItWaitsFor)
+{
+  replica_sim sim (four_voters ());
+
+  ASSERT_GE (sim.run_to_leader (), 0);
+  size_t leader = (size_t)sim.find_leader ();
+  size_t known = followers (sim, 4)[0];
+  size_t empty = sim.add ({});
+  size_t last = sim.add ({ empty });
+  sim.crash (empty);
+  sim.run (1000);
+  EXPECT_EQ (standing (sim, last), BR_STANDING_UNANSWERED);
+  sim.start (empty);
+  sim.run (200);
+  EXPECT_EQ (standing (sim, last), BR_STANDING_NO_LOG);
+  sim.cut (leader, last, true);
+  sim.set_seeds (last, { known });
+  sim.run (200);
+  EXPECT_EQ (standing (sim, last), BR_STANDING_LEADER_SILENT);
+  EXPECT_STREQ (br_replica_named_leader (sim.vm (last).replica)->data,
+                sim.vm (leader).name.data);
+  for (size_t i = 0; i < 4; i++)
+    if (i != known)
+      sim.crash (i);
+  sim.run (3000);
+  EXPECT_EQ (standing (sim, last), BR_STANDING_NO_LEADER);
+  for (size_t i = 0; i < 4; i++)
+    if (i != known)
+      sim.start (i);
+  sim.cut (leader, last, false);
+  sim.run (CATCH_UP_MS);
+  EXPECT_EQ (standing (sim, last), BR_STANDING_VOTER) << sim.describe ();
+}
+
+TEST (ReplicaJoin, SeedsAreAllGoneUntilTheSettingsChange)
+{
+  replica_sim sim (four_voters ());
+
+  ASSERT_GE (sim.run_to_leader (), 0);
+  size_t gone = sim.add ({ 0 });
+  sim.run (300);
+  sim.crash (gone);
+  size_t last = sim.add ({ gone });
+  sim.run (CATCH_UP_MS);
+  EXPECT_EQ (standing (sim, last), BR_STANDING_UNANSWERED);
+  sim.set_seeds (last, { gone, followers (sim, 4)[1] });
+  sim.run (500);
+  EXPECT_TRUE (sim.is_voter (last)) << sim.describe ();
+}
+
+/* A VM that was down while all VMs that it knew were replaced joins again
+ * through its settings. */
+TEST (ReplicaJoin, ReturnsAfterAllThatItKnewAreGone)
+{
+  sim_options options = four_voters ();
+
+  options.remove_unreachable_ms = 1000;
+  replica_sim sim (options);
+  ASSERT_GE (sim.run_to_leader (), 0);
+  sim.crash (0);
+  std::vector<size_t> up = { 1, 2, 3 };
+  for (size_t i = 1; i < 4; i++)
+    {
+      up.push_back (sim.add (up));
+      sim.run (CATCH_UP_MS);
+      sim.crash (i);
+      up.erase (up.begin ());
+      sim.run (CATCH_UP_MS);
+    }
+  ASSERT_GE (sim.find_leader (), 0) << sim.describe ();
+  sim.start (0);
+  sim.set_seeds (0, { followers (sim, 7)[0] });
+  sim.run (CATCH_UP_MS);
+  EXPECT_TRUE (sim.is_voter (0)) << sim.describe ();
+  sim.check_outcomes ();
+}
+
+TEST (ReplicaJoin, WhileTheLeaderChanges)
+{
+  for (uint64_t seed = 1; seed <= 200 && !HasFailure (); seed++)
+    {
+      SCOPED_TRACE ("seed " + std::to_string (seed));
+      sim_options options = four_voters (seed);
+
+      options.drop = 0.05 * (double)(seed % 3);
+      options.delay_max = 1 + (br_ms_t)(seed % 5) * 8;
+      options.compact_after = seed % 2 ? 5 : 0;
+      replica_sim sim (options);
+      ASSERT_GE (sim.run_to_leader (), 0);
+      for (size_t i = 0; i < 8; i++)
+        sim.propose (i % 4);
+      sim.run ((br_ms_t)br_random_below (sim.random (), 200));
+      size_t leader = (size_t)sim.find_leader ();
+      std::vector<size_t> seeds = followers (sim, 4);
+      size_t last = sim.add ({ seeds[seed % seeds.size ()] });
+      sim.run ((br_ms_t)br_random_below (sim.random (), 150));
+      if (seed % 2)
+        sim.freeze (leader, true);
+      else
+        sim.crash (leader);
+      sim.run ((br_ms_t)br_random_below (sim.random (), 2000));
+      if (seed % 2)
+        sim.freeze (leader, false);
+      else
+        sim.start (leader);
+      sim.run (CATCH_UP_MS);
+      EXPECT_TRUE (sim.is_voter (last)) << sim.describe ();
+      sim.check_outcomes ();
+    }
+}
--- a/tests/replica_sim.h
+++ b/tests/replica_sim.h
@@ -34,6 +34,8 @@
 {
   br_name_t name = {};
   bool voter = true;
+  bool joins = false;        /* added later; knows only its seeds */
+  std::vector<size_t> seeds; /* of a VM that joins */
   bool up = false;
   bool frozen = false;
   bool has_space = true;
@@ -79,6 +81,10 @@
   br_ms_t delay_max = 1;
   br_ms_t write_max = 1;
   size_t compact_after = 0;
+  br_ms_t heartbeat_ms = 50;
+  br_ms_t election_min_ms = 200;
+  br_ms_t election_max_ms = 400;
+  br_ms_t remove_unreachable_ms = 0;
 };
 
 class replica_sim
@@ -118,16 +124,21 @@
     options.disk = vm.disk.id;
     options.incarnation = vm.incarnation = ++last_incarnation_;
     options.voter = vm.voter;
-    for (size_t j = 0; j < vms_.size (); j++)
+    options.joins = vm.joins;
+    for (size_t j : vm.seeds)
+      br_replica_peers_push (&options.peers,
+                             br_replica_peer_t{ vms_[j].name, false });
+    for (size_t j = 0; j < options_.vms && !vm.joins; j++)
       if (j != i)
         br_replica_peers_push (
             &options.peers,
             br_replica_peer_t{
                 br_name_from (("vm-" + std::to_string (j)).c_str ()),
                 j < options_.voters });
-    options.heartbeat_ms = 50;
-    options.election_min_ms = 200;
-    options.election_max_ms = 400;
+    options.heartbeat_ms = options_.heartbeat_ms;
+    options.election_min_ms = options_.election_min_ms;
+    options.election_max_ms = options_.election_max_ms;
+    options.remove_unreachable_ms = options_.remove_unreachable_ms;
     options.proposal_wait_ms = 300;
     options.proposal_max_ms = 1000;
     options.append_max_bytes = 512;
@@ -145,6 +156,47 @@
     vm.last_ticket = 0;
   }
 
+  /* Starts a further, empty VM that wants a vote and knows only SEEDS; returns
+   * its number. */
+  size_t
+  add (const std::vector<size_t> &seeds)
+  {
+    size_t i = vms_.size ();
+
+    vms_.emplace_back ();
+    vms_[i].name = br_name_from (("vm-" + std::to_string (i)).c_str ());
+    vms_[i].joins = true;
+    vms_[i].seeds = seeds;
+    vms_[i].disk.id = new_disk ();
+    for (auto &row : cut_)
+      row.push_back (false);
+    cut_.push_back (std::vector<bool> (vms_.size (), false));
+    start (i);
+    return i;
+  }
+
+  /* Changes the seeds in the settings of I, as a reload does. */
+  void
+  set_seeds (size_t i, const std::vector<size_t> &seeds)
+  {
+    br_names_t names = {};
+
+    vms_[i].seeds = seeds;
+    for (size_t j : seeds)
+      br_names_push (&names, vms_[j].name);
+    if (vms_[i].up)
+      br_replica_set_seeds (vms_[i].replica, &names);
+    br_names_free (&names);
+  }
+
+  /* Returns whether I follows the log or leads, and has a vote. */
+  bool
+  is_voter (size_t i) const
+  {
+    return vms_[i].up
+           && br_replica_standing (vms_[i].replica) == BR_STANDING_VOTER;
+  }
+
   /* Ends the process.  An unfinished write is lost, and the outcome of every
    * open proposal becomes unknown. */
   void
