Take the vote of VMs that are gone before the next loss may come

Callers saw: after control VMs had been replaced one after the other the log had no majority, nothing was accepted and an acknowledged configuration did not come.

Now a voter that is silent for 1 s goes when another VM has caught up and waits for a vote, before that one gets it, and after 3 s in any case, as long as three voters stay. The leader's messages tell the followers which voters are silent and for how long; the next leader goes on counting from there, unless the voter voted for it or answers it. A VM that lost its disk also learns of the log's members from what they send to its former disk. One VM that is only frozen or cut off is a learner meanwhile and gets its vote back when it has caught up; each such change needs a second of silence.

--- a/src/replica/follower.c
+++ b/src/replica/follower.c
@@ -100,6 +100,22 @@
                                     : BR_ROLE_LEARNER);
 }
 
+static void
+follower_take_silences (br_replica_t *replica, const br_append_t *append)
+{
+  br_silences_clear (&replica->silences);
+  for (size_t i = 0; i < append->silent.len; i++)
+    {
+      const br_silent_voter_t *voter = &append->silent.items[i];
+
+      br_silences_push (
+          &replica->silences,
+          (br_silence_t){ voter->vm, voter->disk,
+                          replica->now
+                              - BR_MIN (voter->for_ms, replica->now) });
+    }
+}
+
 void
 br_replica_on_append (br_replica_t *replica, br_replica_message_t *message)
 {
@@ -115,6 +131,7 @@
     }
   if (!follower_accept_leader (replica, message))
     return;
+  follower_take_silences (replica, append);
   answer.ok = follower_prev_matches (replica, append, &answer.index);
   if (answer.ok)
     {
--- a/src/replica/leader.c
+++ b/src/replica/leader.c
@@ -7,10 +7,16 @@
                              progress->disk);
 }
 
+br_ms_t
+br_replica_silent_ms (const br_replica_t *replica,
+                      const br_progress_t *progress)
+{
+  return replica->now - BR_MAX (progress->last_seen_ms, progress->joined_ms);
+}
+
 bool
 br_replica_has_quorum (const br_replica_t *replica)
 {
-  br_ms_t since = replica->now - replica->options.election_min_ms;
   size_t live = br_replica_is_voter (replica);
 
   for (size_t i = 0; i < replica->progresses.len; i++)
@@ -18,7 +24,8 @@
       const br_progress_t *progress = &replica->progresses.items[i];
 
       if (leader_is_voter (replica, progress)
-          && BR_MAX (progress->last_seen_ms, progress->joined_ms) > since)
+          && br_replica_silent_ms (replica, progress)
+                 < replica->options.election_min_ms)
         live++;
     }
   return live >= br_config_majority (br_replica_config (replica));
@@ -113,16 +120,54 @@
     br_replica_replicate (replica, &replica->progresses.items[i], true);
 }
 
+/* A voter that granted its vote is not silent. */
+static void
+leader_drop_granted (br_replica_t *replica)
+{
+  br_silences_t *silences = &replica->silences;
+
+  for (size_t i = 0; i < silences->len;)
+    {
+      const br_silence_t *silence = &silences->items[i];
+      const br_progress_t *progress
+          = br_replica_progress (replica, &silence->vm, silence->disk);
+
+      if (progress != NULL && progress->granted)
+        silences->items[i] = silences->items[--silences->len];
+      else
+        i++;
+    }
+}
+
+/* Voters that were silent under the last leader have been silent since then.
+ * Otherwise a dead voter would keep its vote while leaders change. */
+static void
+leader_inherit_silences (br_replica_t *replica)
+{
+  for (size_t i = 0; i < replica->silences.len; i++)
+    {
+      const br_silence_t *silence = &replica->silences.items[i];
+      br_progress_t *progress
+          = br_replica_progress (replica, &silence->vm, silence->disk);
+
+      if (progress != NULL)
+        progress->joined_ms = BR_MIN (progress->joined_ms, silence->since_ms);
+    }
+}
+
 void
 br_replica_lead (br_replica_t *replica)
 {
   static const br_name_t no_vm;
 
   replica->leader = replica->options.vm;
+  replica->leads_since_ms = replica->now;
   replica->transfer_to = no_vm;
   br_tickets_clear (&replica->tickets);
+  leader_drop_granted (replica);
   br_progresses_clear (&replica->progresses);
   leader_add_voters (replica);
+  leader_inherit_silences (replica);
   br_replica_set_role (replica, BR_ROLE_LEADER);
   br_replica_lead_append (replica, BR_ENTRY_NOOP, NULL, br_str_from (""));
   replica->noop_index = br_replica_log_last_index (&replica->log);
--- a/src/replica/membership.c
+++ b/src/replica/membership.c
@@ -9,10 +9,6 @@
 /* A learner that answers nothing for this many heartbeats is dropped. */
 #define LEARNER_TIMEOUT_HEARTBEATS 100
 
-/* Unreachable voters are not removed below this number: with fewer voters, the
- * loss of one more stops the log. */
-#define VOTERS_MIN 3
-
 /* --- before the first configuration --- */
 
 static bool
@@ -322,8 +318,9 @@
          && progress->round > 0;
 }
 
+/* Returns whether the learner of PROGRESS wants a vote and may have one. */
 static bool
-membership_can_promote (const br_replica_t *replica,
+membership_is_eligible (const br_replica_t *replica,
                         const br_progress_t *progress)
 {
   const br_config_t *config = br_replica_config (replica);
@@ -331,27 +328,89 @@
 
   return progress->voter_requested
          && br_config_find (config, &progress->vm) == NULL
-         && br_config_voters (config) < BR_VOTERS_MAX && progress->match > 0
-         && progress->match + CAUGHT_UP_ENTRIES >= last
+         && progress->match > 0 && progress->match + CAUGHT_UP_ENTRIES >= last
          && replica->now - progress->last_seen_ms
                 < replica->options.election_min_ms;
 }
 
-/* Returns whether the voter of PROGRESS must be removed because it did not
- * answer for remove_unreachable_ms.  A voter that is down for good would still
- * count towards the size of every majority. */
+/* Returns the voter that has been silent for longest, if that is longer than
+ * LIMIT, or NULL.  It must have had time to answer this leader. */
+static const br_progress_t *
+membership_silent_voter (const br_replica_t *replica,
+                         const br_config_t *config,
+                         br_ms_t limit)
+{
+  const br_progress_t *longest = NULL;
+
+  if (replica->now - replica->leads_since_ms
+      <= replica->options.election_min_ms)
+    return NULL;
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    {
+      const br_progress_t *progress = &replica->progresses.items[i];
+      br_ms_t silent_ms = br_replica_silent_ms (replica, progress);
+
+      if (silent_ms > limit
+          && br_config_is_voter (config, &progress->vm, progress->disk)
+          && (longest == NULL
+              || silent_ms > br_replica_silent_ms (replica, longest)))
+        longest = progress;
+    }
+  return longest;
+}
+
+/* Removes the vote of a VM that is gone; returns whether CONFIG was changed.
+ * It would still count towards the size of every majority.  VOTERS_MIN voters
+ * must stay, so that each majority holds more disks than may be lost. */
 static bool
-membership_is_unreachable (const br_replica_t *replica,
-                           const br_config_t *config,
-                           const br_progress_t *progress)
+membership_remove_silent (const br_replica_t *replica,
+                          br_config_t *config,
+                          br_ms_t limit)
 {
-  br_ms_t limit = replica->options.remove_unreachable_ms;
-  br_ms_t last_seen_ms = BR_MAX (progress->last_seen_ms, progress->joined_ms);
+  const br_progress_t *silent;
 
-  return limit > 0 && br_config_voters (config) > VOTERS_MIN
-         && !br_name_equal (&progress->vm, &replica->options.vm)
-         && br_config_is_voter (config, &progress->vm, progress->disk)
-         && replica->now - last_seen_ms > limit;
+  if (limit == 0 || br_config_voters (config) <= replica->options.voters_min)
+    return false;
+  silent = membership_silent_voter (replica, config, limit);
+  if (silent == NULL)
+    return false;
+  br_config_remove (config, &silent->vm);
+  return true;
+}
+
+/* Gives a VM that has caught up a vote; returns whether CONFIG was changed.  A
+ * voter that is gone goes first, so that the majority does not grow. */
+static bool
+membership_admit (const br_replica_t *replica, br_config_t *config)
+{
+  const br_progress_t *learner = NULL;
+
+  for (size_t i = 0; i < replica->progresses.len && learner == NULL; i++)
+    if (membership_is_eligible (replica, &replica->progresses.items[i]))
+      learner = &replica->progresses.items[i];
+  if (learner == NULL)
+    return false;
+  if (membership_remove_silent (replica, config,
+                                replica->options.replace_silent_ms))
+    return true;
+  if (br_config_voters (config) >= BR_VOTERS_MAX)
+    return false;
+  br_config_put (config,
+                 (br_config_member_t){ learner->vm, learner->disk, true });
+  return true;
+}
+
+static bool
+membership_remove_replaced_disk (const br_replica_t *replica,
+                                 br_config_t *config)
+{
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    if (membership_disk_changed (config, &replica->progresses.items[i]))
+      {
+        br_config_remove (config, &replica->progresses.items[i].vm);
+        return true;
+      }
+  return false;
 }
 
 static void
@@ -379,27 +438,15 @@
 br_replica_tick_membership (br_replica_t *replica)
 {
   br_config_t config = { 0 };
-  bool changed = false;
 
   membership_expire_learners (replica);
   if (!membership_can_change (replica))
     return;
   br_config_copy (&config, br_replica_config (replica));
-  for (size_t i = 0; i < replica->progresses.len && !changed; i++)
-    {
-      const br_progress_t *progress = &replica->progresses.items[i];
-
-      changed = true;
-      if (membership_disk_changed (&config, progress)
-          || membership_is_unreachable (replica, &config, progress))
-        br_config_remove (&config, &progress->vm);
-      else if (membership_can_promote (replica, progress))
-        br_config_put (&config, (br_config_member_t){ progress->vm,
-                                                      progress->disk, true });
-      else
-        changed = false;
-    }
-  if (changed)
+  if (membership_remove_replaced_disk (replica, &config)
+      || membership_remove_silent (replica, &config,
+                                   replica->options.remove_unreachable_ms)
+      || membership_admit (replica, &config))
     membership_change (replica, &config);
   br_config_release (&config);
 }
--- a/src/replica/message.c
+++ b/src/replica/message.c
@@ -50,6 +50,7 @@
     {
     case BR_REPLICA_APPEND:
       br_entries_release (&message->append.entries);
+      br_silent_voters_free (&message->append.silent);
       break;
     case BR_REPLICA_SNAPSHOT:
       br_config_release (&message->snapshot.config);
@@ -95,6 +96,10 @@
       for (size_t i = 0; i < message->append.entries.len; i++)
         br_entries_push (&copy.append.entries,
                          br_entry_copy (&message->append.entries.items[i]));
+      copy.append.silent = (br_silent_voters_t){ 0 };
+      for (size_t i = 0; i < message->append.silent.len; i++)
+        br_silent_voters_push (&copy.append.silent,
+                               message->append.silent.items[i]);
       break;
     case BR_REPLICA_SNAPSHOT:
       copy.snapshot.config = (br_config_t){ 0 };
--- a/src/replica/message.h
+++ b/src/replica/message.h
@@ -85,6 +85,16 @@
   bool granted;
 } br_vote_answer_t;
 
+/* A voter that has not answered the leader for FOR_MS. */
+typedef struct
+{
+  br_name_t vm;
+  uint64_t disk;
+  br_ms_t for_ms;
+} br_silent_voter_t;
+
+BR_VEC (br_silent_voters, br_silent_voter_t);
+
 /* SENT_MS is the leader's time and is returned in the answer.  A leader that
  * was frozen can thus distinguish old answers from new ones. */
 typedef struct
@@ -94,7 +104,8 @@
   uint64_t commit;
   uint64_t round;
   br_ms_t sent_ms;
-  br_entries_t entries; /* owned */
+  br_entries_t entries;      /* owned */
+  br_silent_voters_t silent; /* owned */
 } br_append_t;
 
 typedef struct
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -240,6 +240,7 @@
   br_tickets_free (&replica->tickets);
   br_config_members_free (&replica->empty_voters);
   br_contacts_release (&replica->contacts);
+  br_silences_free (&replica->silences);
   free (replica);
 }
 
@@ -337,6 +338,8 @@
   replica_set_time (replica, now);
   if (message.to_disk != 0 && message.to_disk != replica->options.disk)
     {
+      /* A VM that knows the disk that this one lost knows the log. */
+      br_contacts_add (&replica->contacts, &message.vm, replica->now);
       br_replica_message_release (&message);
       return;
     }
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -58,8 +58,9 @@
   size_t append_max_bytes;
   size_t snapshot_chunk_bytes;
   br_ms_t remove_unreachable_ms; /* a voter without an answer for this long is
-                                  * removed while enough others remain;
-                                  * 0: never */
+                                  * removed; 0: never */
+  br_ms_t replace_silent_ms;     /* the same if a VM waits for its place */
+  size_t voters_min;             /* removals of these kinds leave this many */
   uint64_t seed;
 } br_replica_options_t;
 
--- a/src/replica/replica.pb-c.c
+++ b/src/replica/replica.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &br__replica__config__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   br__replica__silent__init
+                     (Br__Replica__Silent         *message)
+{
+  static const Br__Replica__Silent init_value = BR__REPLICA__SILENT__INIT;
+  *message = init_value;
+}
+size_t br__replica__silent__get_packed_size
+                     (const Br__Replica__Silent *message)
+{
+  assert(message->base.descriptor == &br__replica__silent__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__replica__silent__pack
+                     (const Br__Replica__Silent *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__replica__silent__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__replica__silent__pack_to_buffer
+                     (const Br__Replica__Silent *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__replica__silent__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__Replica__Silent *
+       br__replica__silent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__Replica__Silent *)
+     protobuf_c_message_unpack (&br__replica__silent__descriptor,
+                                allocator, len, data);
+}
+void   br__replica__silent__free_unpacked
+                     (Br__Replica__Silent *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__replica__silent__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   br__replica__message__init
                      (Br__Replica__Message         *message)
 {
@@ -623,7 +668,71 @@
   (ProtobufCMessageInit) br__replica__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__replica__message__field_descriptors[19] =
+static const ProtobufCFieldDescriptor br__replica__silent__field_descriptors[3] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Replica__Silent, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "disk",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Replica__Silent, disk),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "for_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Br__Replica__Silent, for_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__replica__silent__field_indices_by_name[] = {
+  1,   /* field[1] = disk */
+  2,   /* field[2] = for_ms */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange br__replica__silent__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor br__replica__silent__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.replica.Silent",
+  "Silent",
+  "Br__Replica__Silent",
+  "br.replica",
+  sizeof(Br__Replica__Silent),
+  3,
+  br__replica__silent__field_descriptors,
+  br__replica__silent__field_indices_by_name,
+  1,  br__replica__silent__number_ranges,
+  (ProtobufCMessageInit) br__replica__silent__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__replica__message__field_descriptors[20] =
 {
   {
     "kind",
@@ -853,6 +962,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "silent",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Replica__Message, n_silent),
+    offsetof(Br__Replica__Message, silent),
+    &br__replica__silent__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__replica__message__field_indices_by_name[] = {
   5,   /* field[5] = commit */
@@ -871,6 +992,7 @@
   6,   /* field[6] = round */
   11,   /* field[11] = second_flag */
   7,   /* field[7] = sent_ms */
+  19,   /* field[19] = silent */
   1,   /* field[1] = term */
   16,   /* field[16] = to_disk */
   9,   /* field[9] = total */
@@ -878,7 +1000,7 @@
 static const ProtobufCIntRange br__replica__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor br__replica__message__descriptor =
 {
@@ -888,7 +1010,7 @@
   "Br__Replica__Message",
   "br.replica",
   sizeof(Br__Replica__Message),
-  19,
+  20,
   br__replica__message__field_descriptors,
   br__replica__message__field_indices_by_name,
   1,  br__replica__message__number_ranges,
--- a/src/replica/replica.pb-c.h
+++ b/src/replica/replica.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Br__Replica__Entry Br__Replica__Entry;
 typedef struct Br__Replica__Member Br__Replica__Member;
 typedef struct Br__Replica__Config Br__Replica__Config;
+typedef struct Br__Replica__Silent Br__Replica__Silent;
 typedef struct Br__Replica__Message Br__Replica__Message;
 typedef struct Br__Replica__HardState Br__Replica__HardState;
 typedef struct Br__Replica__Record Br__Replica__Record;
@@ -82,6 +83,21 @@
     , 0,NULL }
 
 
+/*
+ * A voter that has not answered the leader for some time.
+ */
+struct  Br__Replica__Silent
+{
+  ProtobufCMessage base;
+  char *vm;
+  uint64_t disk;
+  int64_t for_ms;
+};
+#define BR__REPLICA__SILENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__replica__silent__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /*
  * Fields that a kind does not use have their default values.
  */
@@ -108,10 +124,12 @@
   uint64_t to_disk;
   uint64_t incarnation;
   char *leader;
+  size_t n_silent;
+  Br__Replica__Silent **silent;
 };
 #define BR__REPLICA__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__replica__message__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 struct  Br__Replica__HardState
@@ -241,6 +259,25 @@
 void   br__replica__config__free_unpacked
                      (Br__Replica__Config *message,
                       ProtobufCAllocator *allocator);
+/* Br__Replica__Silent methods */
+void   br__replica__silent__init
+                     (Br__Replica__Silent         *message);
+size_t br__replica__silent__get_packed_size
+                     (const Br__Replica__Silent   *message);
+size_t br__replica__silent__pack
+                     (const Br__Replica__Silent   *message,
+                      uint8_t             *out);
+size_t br__replica__silent__pack_to_buffer
+                     (const Br__Replica__Silent   *message,
+                      ProtobufCBuffer     *buffer);
+Br__Replica__Silent *
+       br__replica__silent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__replica__silent__free_unpacked
+                     (Br__Replica__Silent *message,
+                      ProtobufCAllocator *allocator);
 /* Br__Replica__Message methods */
 void   br__replica__message__init
                      (Br__Replica__Message         *message);
@@ -331,6 +368,9 @@
 typedef void (*Br__Replica__Config_Closure)
                  (const Br__Replica__Config *message,
                   void *closure_data);
+typedef void (*Br__Replica__Silent_Closure)
+                 (const Br__Replica__Silent *message,
+                  void *closure_data);
 typedef void (*Br__Replica__Message_Closure)
                  (const Br__Replica__Message *message,
                   void *closure_data);
@@ -353,6 +393,7 @@
 extern const ProtobufCMessageDescriptor br__replica__entry__descriptor;
 extern const ProtobufCMessageDescriptor br__replica__member__descriptor;
 extern const ProtobufCMessageDescriptor br__replica__config__descriptor;
+extern const ProtobufCMessageDescriptor br__replica__silent__descriptor;
 extern const ProtobufCMessageDescriptor br__replica__message__descriptor;
 extern const ProtobufCMessageDescriptor br__replica__hard_state__descriptor;
 extern const ProtobufCMessageDescriptor br__replica__record__descriptor;
--- a/src/replica/replica_private.h
+++ b/src/replica/replica_private.h
@@ -19,7 +19,7 @@
   uint64_t match;
   uint64_t round;       /* latest round that it answered */
   br_ms_t last_seen_ms; /* send time of the latest message that it answered */
-  br_ms_t joined_ms;
+  br_ms_t joined_ms; /* when it was added, or since when it was silent then */
   uint64_t join_number;    /* number of followers added before it */
   uint64_t reset_round;    /* first round after NEXT was last decreased */
   uint64_t snapshot_index; /* of the snapshot being sent; 0: none */
@@ -61,6 +61,16 @@
 
 BR_VEC (br_quorum_reads, br_quorum_read_t);
 
+/* A voter that did not answer the leader since SINCE_MS, as the leader said. */
+typedef struct
+{
+  br_name_t vm;
+  uint64_t disk;
+  br_ms_t since_ms;
+} br_silence_t;
+
+BR_VEC (br_silences, br_silence_t);
+
 /* The highest ticket of one incarnation that this leader has received. */
 typedef struct
 {
@@ -102,6 +112,7 @@
   br_ms_t leader_last_seen_ms;
   br_ms_t election_at_ms;
   br_ms_t join_at_ms;
+  br_silences_t silences; /* that the last leader told of */
   br_contacts_t contacts;
   br_ms_t join_answered_ms; /* last answer to a join request; 0: none */
   br_ms_t log_named_ms;     /* last one that named members */
@@ -121,6 +132,7 @@
   /* Leader. */
   uint64_t round;
   br_ms_t heartbeat_at_ms;
+  br_ms_t leads_since_ms;
   uint64_t join_count; /* followers added so far */
   uint64_t noop_index; /* of the no-op entry of its term */
   bool has_updates;    /* entries, a commit index or a read to broadcast */
@@ -184,6 +196,9 @@
                              const br_proposer_t *proposer,
                              br_str_t data);
 
+br_ms_t br_replica_silent_ms (const br_replica_t *replica,
+                              const br_progress_t *progress);
+
 /* replicate.c */
 void br_replica_replicate (br_replica_t *replica,
                            br_progress_t *progress,
--- a/src/replica/replicate.c
+++ b/src/replica/replicate.c
@@ -17,6 +17,26 @@
   return message;
 }
 
+/* Adds the voters that do not answer, so that the next leader knows since
+ * when. */
+static void
+replicate_silent (const br_replica_t *replica, br_silent_voters_t *silent)
+{
+  const br_config_t *config = br_replica_config (replica);
+
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    {
+      const br_progress_t *progress = &replica->progresses.items[i];
+      br_ms_t for_ms = br_replica_silent_ms (replica, progress);
+
+      if (for_ms >= replica->options.election_min_ms
+          && br_config_is_voter (config, &progress->vm, progress->disk))
+        br_silent_voters_push (
+            silent,
+            (br_silent_voter_t){ progress->vm, progress->disk, for_ms });
+    }
+}
+
 /* Sends an empty append as a heartbeat to a follower that is receiving a
  * snapshot. */
 static void
@@ -26,6 +46,7 @@
 
   message.append
       = (br_append_t){ .round = replica->round, .sent_ms = replica->now };
+  replicate_silent (replica, &message.append.silent);
   message.to_disk = progress->disk;
   br_replica_send (replica, &progress->vm, message, replica->hard_change);
 }
@@ -122,6 +143,7 @@
     .round = replica->round,
     .sent_ms = replica->now,
   };
+  replicate_silent (replica, &message.append.silent);
   replicate_fill (replica, progress, &message.append);
   progress->next += message.append.entries.len;
   message.to_disk = progress->disk;
--- a/src/replica/wire.c
+++ b/src/replica/wire.c
@@ -194,8 +194,32 @@
   Br__Replica__Proposer *proposers;
   Br__Replica__Proposer proposer;
   Br__Replica__Config *config;
+  Br__Replica__Silent silent[BR_VOTERS_MAX];
+  Br__Replica__Silent *silent_pointers[BR_VOTERS_MAX];
 } scratch_t;
 
+static void
+silent_to_wire (const br_silent_voters_t *silent,
+                Br__Replica__Message *wire,
+                scratch_t *scratch)
+{
+  size_t n = BR_MIN (silent->len, (size_t)BR_VOTERS_MAX);
+
+  for (size_t i = 0; i < n; i++)
+    {
+      const br_silent_voter_t *voter = &silent->items[i];
+      Br__Replica__Silent *to = &scratch->silent[i];
+
+      br__replica__silent__init (to);
+      to->vm = (char *)voter->vm.data;
+      to->disk = voter->disk;
+      to->for_ms = voter->for_ms;
+      scratch->silent_pointers[i] = to;
+    }
+  wire->silent = scratch->silent_pointers;
+  wire->n_silent = n;
+}
+
 static void
 append_to_wire (const br_append_t *append,
                 Br__Replica__Message *wire,
@@ -208,6 +232,7 @@
   wire->commit = append->commit;
   wire->round = append->round;
   wire->sent_ms = append->sent_ms;
+  silent_to_wire (&append->silent, wire, scratch);
   if (n == 0)
     return;
   scratch->entries = br_alloc (n * sizeof *scratch->entries);
@@ -336,6 +361,24 @@
     br_config_free_wire (scratch.config);
 }
 
+static bool
+silent_from_wire (const Br__Replica__Message *wire, br_silent_voters_t *silent)
+{
+  if (wire->n_silent > BR_VOTERS_MAX)
+    return false;
+  for (size_t i = 0; i < wire->n_silent; i++)
+    {
+      const Br__Replica__Silent *from = wire->silent[i];
+      br_silent_voter_t voter = { .disk = from->disk, .for_ms = from->for_ms };
+
+      if (!br_name_set (&voter.vm, br_str_from (from->vm)) || from->for_ms < 0
+          || from->for_ms > (INT64_MAX >> 1))
+        return false;
+      br_silent_voters_push (silent, voter);
+    }
+  return true;
+}
+
 static bool
 append_from_wire (const Br__Replica__Message *wire, br_append_t *append)
 {
@@ -346,7 +389,8 @@
     .round = wire->round,
     .sent_ms = wire->sent_ms,
   };
-  if (wire->n_entries > BR_APPEND_ENTRIES_MAX)
+  if (wire->n_entries > BR_APPEND_ENTRIES_MAX
+      || !silent_from_wire (wire, &append->silent))
     return false;
   for (size_t i = 0; i < wire->n_entries; i++)
     {
--- a/src/shell/replica_outcome.c
+++ b/src/shell/replica_outcome.c
@@ -18,9 +18,15 @@
 #define PROPOSAL_MAX_MS 3000
 
 /* A voter that has been unreachable for this long loses its vote, because it
- * would count against every majority.  The time is longer than a restart, a
- * freeze or a cut of a few seconds. */
-#define REMOVE_UNREACHABLE_MS 9000
+ * would count against every majority.  The time is longer than a restart, and
+ * shorter than the time after which the next loss may come. */
+#define REMOVE_UNREACHABLE_MS 3000
+
+/* The same when another VM has caught up and waits for its place. */
+#define REPLACE_SILENT_MS 1000
+
+/* Voters that stay when unreachable ones are removed. */
+#define VOTERS_MIN 3
 
 #define APPEND_MAX_BYTES (256 * 1024)
 #define SNAPSHOT_CHUNK_BYTES (256 * 1024)
@@ -39,6 +45,8 @@
     .voter = settings->voter || settings->vms.len == 0,
     .joins = settings->joins,
     .remove_unreachable_ms = settings->open_peers ? REMOVE_UNREACHABLE_MS : 0,
+    .replace_silent_ms = settings->open_peers ? REPLACE_SILENT_MS : 0,
+    .voters_min = VOTERS_MIN,
     .heartbeat_ms = settings->open_peers ? SITE_HEARTBEAT_MS : HEARTBEAT_MS,
     .election_min_ms
     = settings->open_peers ? SITE_ELECTION_MIN_MS : ELECTION_MIN_MS,
--- a/tests/replica_model.h
+++ b/tests/replica_model.h
@@ -96,6 +96,7 @@
   model_copy_vec (&to->quorum_reads);
   model_copy_vec (&to->tickets);
   model_copy_vec (&to->empty_voters);
+  model_copy_vec (&to->silences);
   model_copy_vec (&to->contacts.seeds);
   model_copy_vec (&to->contacts.named);
   return to;
--- a/tests/replica_sim.h
+++ b/tests/replica_sim.h
@@ -85,6 +85,8 @@
   br_ms_t election_min_ms = 200;
   br_ms_t election_max_ms = 400;
   br_ms_t remove_unreachable_ms = 0;
+  br_ms_t replace_silent_ms = 0;
+  size_t voters_min = 3;
 };
 
 class replica_sim
@@ -139,6 +141,8 @@
     options.election_min_ms = options_.election_min_ms;
     options.election_max_ms = options_.election_max_ms;
     options.remove_unreachable_ms = options_.remove_unreachable_ms;
+    options.replace_silent_ms = options_.replace_silent_ms;
+    options.voters_min = options_.voters_min;
     options.proposal_wait_ms = 300;
     options.proposal_max_ms = 1000;
     options.append_max_bytes = 512;
