Keep enough voters for the disks that may be lost

Silent voters were removed until three stayed, whatever the site must bear. With three voters a majority is two disks; where two disks may be lost (FaultTolerance.Machines 2, the grown and large sites), what two VMs had acknowledged could be lost with them while the others were frozen or cut off.

--- a/src/shell/replica_outcome.c
+++ b/src/shell/replica_outcome.c
@@ -25,12 +25,22 @@
 /* The same when another VM has caught up and waits for its place. */
 #define REPLACE_SILENT_MS 1000
 
-/* Voters that stay when unreachable ones are removed. */
+/* Fewest voters that stay when unreachable ones are removed. */
 #define VOTERS_MIN 3
 
 #define APPEND_MAX_BYTES (256 * 1024)
 #define SNAPSHOT_CHUNK_BYTES (256 * 1024)
 
+/* Returns the fewest voters of which each majority has more disks than may be
+ * lost at once. */
+static size_t
+outcome_voters_min (const br_settings_t *settings)
+{
+  size_t min = 2 * (size_t)settings->site.disk_losses + 1;
+
+  return BR_MIN (BR_MAX (min, (size_t)VOTERS_MIN), (size_t)BR_VOTERS_MAX - 1);
+}
+
 void
 br_replica_options_fill (br_node_t *node,
                          uint64_t disk,
@@ -46,7 +56,7 @@
     .joins = settings->joins,
     .remove_unreachable_ms = settings->open_peers ? REMOVE_UNREACHABLE_MS : 0,
     .replace_silent_ms = settings->open_peers ? REPLACE_SILENT_MS : 0,
-    .voters_min = VOTERS_MIN,
+    .voters_min = outcome_voters_min (settings),
     .heartbeat_ms = settings->open_peers ? SITE_HEARTBEAT_MS : HEARTBEAT_MS,
     .election_min_ms
     = settings->open_peers ? SITE_ELECTION_MIN_MS : ELECTION_MIN_MS,
--- a/src/shell/settings.h
+++ b/src/shell/settings.h
@@ -67,8 +67,9 @@
   double grace_s;      /* from the stop request to the forced end */
   double retry_ratio;  /* repeats allowed for each request */
   double retry_window_s;
-  double retry_slack; /* repeats allowed in addition, over all entry VMs */
-  double lease_ms;    /* minimum time between calls of two holders of a duty */
+  double retry_slack;  /* repeats allowed in addition, over all entry VMs */
+  double lease_ms;     /* minimum time between calls of two holders of a duty */
+  int64_t disk_losses; /* control VMs whose disks may be lost at once */
 } br_site_settings_t;
 
 typedef struct
--- a/src/shell/settings_table.c
+++ b/src/shell/settings_table.c
@@ -88,6 +88,8 @@
      "repeats allowed beside that, over all entry VMs")                        \
   X (REAL, "site.lease_ms", site.lease_ms, false, 100, 600000, 3000,           \
      "least time between calls of two holders of a duty")                      \
+  X (INT, "site.disk_losses", site.disk_losses, false, 0, 3, 1,                \
+     "control VMs whose disks may be lost at once")                            \
   X (INT, "contract.checkpoint_tokens", checkpoint_tokens, false, 0, 65536, 8, \
      "tokens generated before they go to the backup partner; 0: never")        \
   X (INT, "contract.checkpoint_ms", checkpoint_ms, false, 1, 60000, 100,       \
--- a/tests/replica_series_test.cc
+++ b/tests/replica_series_test.cc
@@ -395,3 +395,37 @@
 {
   run_series (9, 2, true);
 }
+
+/* With fewer voters a majority could be two VMs, whose disks may both be lost.
+ */
+TEST (ReplicaSeries, RemovalsLeaveMoreDisksInAMajorityThanMayBeLost)
+{
+  sim_options options;
+
+  options.vms = options.voters = 5;
+  options.remove_unreachable_ms = 3000;
+  options.voters_min = 5;
+  replica_sim sim (options);
+  size_t leader = (size_t)sim.run_to_leader ();
+  auto vm = [leader] (size_t i) { return (leader + i) % 5; };
+  sim.freeze (vm (1), true);
+  sim.freeze (vm (2), true);
+  sim.run (8000);
+  ASSERT_EQ ((size_t)sim.find_leader (), leader);
+  sim.isolate (vm (3), true);
+  sim.propose (leader);
+  sim.run (100);
+  for (size_t i : { leader, vm (4) })
+    {
+      sim.crash (i);
+      sim.wipe (i);
+    }
+  for (size_t i : { vm (1), vm (2) })
+    sim.freeze (i, false);
+  sim.isolate (vm (3), false);
+  for (size_t i : { leader, vm (4) })
+    sim.start (i);
+  sim.run (RECOVERY_MS);
+  EXPECT_GE (sim.find_leader (), 0) << sim.describe ();
+  sim.check_outcomes ();
+}
