--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -16,6 +16,7 @@
   X (SETTLE, settle, "settle a claim whose outcome is unknown")                \
   X (STATUS, status, "show what a VM sees and which revision is in force")     \
   X (DRAIN, drain, "stop a VM's process without cutting a request")            \
+  X (RESCUE, rescue, "go on with one VM when most voters are lost for good")   \
   X (TIMELINE, timeline, "merge the logs of several processes")
 
 /* Each parses its own arguments and returns the exit code of the process.
