--- a/src/shell/replica_watch.c
+++ b/src/shell/replica_watch.c
@@ -81,6 +81,8 @@
               const br_replica_view_t *view,
               br_log_t *log)
 {
+  const br_config_t *config
+      = br_replica_log_config (br_replica_log (view->replica));
   br_replica_followers_t silent = { 0 };
 
   view_silent (view, &silent);
@@ -91,7 +93,8 @@
           br_field_z ("peer", silent.items[i].vm.data),
           br_field_int ("for_ms", view->now - silent.items[i].last_seen_ms));
   for (size_t i = 0; i < watch->silent.len; i++)
-    if (!followers_hold (&silent, &watch->silent.items[i].vm))
+    if (!followers_hold (&silent, &watch->silent.items[i].vm)
+        && br_config_find (config, &watch->silent.items[i].vm) != NULL)
       BR_LOG (log, "replica", "voter is no longer silent",
               br_field_z ("peer", watch->silent.items[i].vm.data));
   br_replica_followers_free (&watch->silent);
--- a/tests/replica_series_test.cc
+++ b/tests/replica_series_test.cc
@@ -429,3 +429,38 @@
   EXPECT_GE (sim.find_leader (), 0) << sim.describe ();
   sim.check_outcomes ();
 }
+
+/* A voter that comes and goes must not change the members with each absence. */
+TEST (ReplicaSeries, FlappingVoterChangesTheMembersSeldom)
+{
+  sim_options options;
+
+  options.vms = options.voters = 4;
+  options.heartbeat_ms = 80;
+  options.election_min_ms = 320;
+  options.election_max_ms = 640;
+  options.remove_unreachable_ms = 3000;
+  options.replace_silent_ms = 1000;
+  for (br_ms_t away_ms : { 400, 1500, 2500, 3500 })
+    {
+      replica_sim sim (options);
+      size_t leader = (size_t)sim.run_to_leader ();
+      size_t flapping = (leader + 1) % 4;
+      size_t waiting = sim.add ({ leader });
+
+      sim.run (500);
+      EXPECT_TRUE (sim.is_voter (waiting));
+      size_t before = sim.configs ();
+      for (int i = 0; i < 20; i++)
+        {
+          sim.isolate (flapping, true);
+          sim.run (away_ms);
+          sim.isolate (flapping, false);
+          sim.run (500);
+        }
+      EXPECT_EQ (sim.configs () - before, away_ms > 3000 ? 40u : 0u)
+          << away_ms << " ms away each time";
+      EXPECT_TRUE (sim.is_voter (flapping)) << sim.describe ();
+      EXPECT_GE (sim.find_leader (), 0);
+    }
+}
