--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,7 +1,7 @@
 /* Runs the fault soak for one seed or several: soak --build FOLDER --folder
  * FOLDER [--seed N] [--seeds COUNT] ...  Exit codes: 0 all seeds passed, 1 at
  * least one failed, 64 wrong usage. */
-#include "soak.h"
+#include "soak_control.h"
 
 #include <argp.h>
 #include <errno.h>
@@ -53,6 +53,7 @@
   int port;
   bool fatal;
   bool limits;
+  int control;
 } options_t;
 
 br_ms_t
@@ -116,6 +117,8 @@
   soak_site_tick (soak);
   if (soak->next_fault_ms > 0)
     soak_fault_tick (soak);
+  if (soak->control_state != NULL)
+    soak_control_tick (soak);
 }
 
 static bool
@@ -196,6 +199,44 @@
   run_until (soak, soak_callers_idle, RECOVERY_TIMEOUT_MS);
 }
 
+static bool
+all_are_up (const soak_t *soak)
+{
+  for (int i = 0; i < soak->n_processes; i++)
+    if (soak_control_is_active (soak, &soak->processes[i])
+        && (soak->processes[i].pid == 0 || soak->processes[i].paused))
+      return false;
+  return true;
+}
+
+/* Runs the steps of a soak of the control VMs. */
+static void
+play_control (soak_t *soak)
+{
+  soak_control_t *control = soak->control_state;
+
+  if (!run_until (soak, soak_control_recovered, START_TIMEOUT_MS))
+    {
+      soak_fail (soak, "%d ms after the start the site is not whole",
+                 START_TIMEOUT_MS);
+      soak_control_explain (soak);
+      return;
+    }
+  soak->began_ms = soak_now ();
+  run_until (soak, is_never_done, SOAK_CATCH_UP_MS);
+  control->steps_stopped = false;
+  run_until (soak, is_never_done, soak->seconds * 1000);
+  control->steps_stopped = true;
+  soak_control_close (soak);
+  run_until (soak, all_are_up, SOAK_RECOVERY_MS);
+  control->changes_stop_on_ack = true;
+  if (run_until (soak, soak_control_recovered, SOAK_RECOVERY_MS))
+    return;
+  soak_fail (soak, "%d ms after all VMs were back the site is not whole",
+             SOAK_RECOVERY_MS);
+  soak_control_explain (soak);
+}
+
 static bool
 run_seed (const options_t *options, uint64_t seed)
 {
@@ -218,6 +259,7 @@
   soak->port = options->port;
   soak->fatal = options->fatal;
   soak->limits = options->limits;
+  soak->control = options->control;
   soak->log = fopen (log.data, "w");
   if (soak->log == NULL)
     {
@@ -229,7 +271,13 @@
   br_random_seed (&soak->random, seed);
   tick = event_new (soak->base, -1, EV_PERSIST, on_tick, soak);
   event_add (tick, &period);
-  if (soak_site_start (soak))
+  if (soak->control > 0)
+    {
+      soak_control_start (soak);
+      if (soak_site_start (soak))
+        play_control (soak);
+    }
+  else if (soak_site_start (soak))
     {
       soak_operator_start (soak);
       play_scenario (soak);
@@ -237,10 +285,19 @@
   soak_callers_free (soak);
   soak_operator_free (soak);
   soak_site_stop (soak);
-  soak_check_logs (soak);
+  if (soak->control > 0)
+    soak_control_check_logs (soak);
+  else
+    soak_check_logs (soak);
   ok = soak->failures == 0;
-  printf ("seed %" PRIu64 ": %zu requests, %d faults, %s\n", seed,
-          soak->requests.len, soak->faults, ok ? "ok" : "FAILED");
+  if (soak->control > 0)
+    printf ("seed %" PRIu64 ": %d control VMs, %d steps, %zu changes, %s\n",
+            seed, soak->control, soak->control_state->n_steps,
+            soak->control_state->acks.len, ok ? "ok" : "FAILED");
+  else
+    printf ("seed %" PRIu64 ": %zu requests, %d faults, %s\n", seed,
+            soak->requests.len, soak->faults, ok ? "ok" : "FAILED");
+  soak_control_free (soak);
   fflush (stdout);
   event_free (tick);
   fclose (soak->log);
@@ -286,6 +343,11 @@
   { "fatal", 'x', NULL, 0, "Callers also send requests that crash upstreams",
     0 },
   { "limits", 'l', NULL, 0, "Upstreams also name limits", 0 },
+  { "control", 'k', "COUNT", 0,
+    "Replace, wipe, freeze and kill COUNT control VMs in series instead, at "
+    "two "
+    "entry VMs",
+    0 },
   { 0 },
 };
 
@@ -338,6 +400,9 @@
     case 'l':
       options->limits = true;
       return 0;
+    case 'k':
+      options->control = parse_number (arg, 4, SOAK_CONTROL_FIRST_MAX, state);
+      return 0;
     case ARGP_KEY_END:
       if (options->build == NULL || options->folder == NULL)
         argp_error (state, "--build and --folder are required");
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -22,6 +22,13 @@
 #define SOAK_ENTRIES 3
 #define SOAK_RUNNERS 4
 #define SOAK_VMS (SOAK_CONTROLS + SOAK_ENTRIES)
+
+/* Number of control VMs that a soak of the control VMs starts at most, those
+ * that are replaced included. */
+#define SOAK_CONTROLS_MAX 80
+#define SOAK_CONTROL_FIRST_MAX 9
+#define SOAK_CONTROL_ENTRIES 2
+#define SOAK_SEEDS 3
 #define SOAK_CALLERS_MAX 400
 
 /* Number of consecutive ports that a site uses, see soak_site.c. */
@@ -56,9 +63,13 @@
   br_ms_t leave_kill_ms; /* when an upstream that announced leaving is killed;
                           * BR_MS_NEVER: it is not leaving */
   uint64_t starts;       /* number of starts so far */
+  bool retired;          /* was replaced: it is not started again */
+  int seeds[SOAK_SEEDS]; /* numbers of the control VMs that its settings name;
+                          * 0: none */
+  br_ms_t up_since_ms;   /* of its last start or resumption */
 } soak_process_t;
 
-#define SOAK_PROCESSES (SOAK_VMS + SOAK_RUNNERS + 1)
+#define SOAK_PROCESSES_MAX (SOAK_CONTROLS_MAX + SOAK_ENTRIES + SOAK_RUNNERS + 1)
 
 /* --- requests of callers --- */
 
@@ -145,6 +156,7 @@
   int port;    /* first of the site's ports */
   bool fatal;  /* callers also send fatal contents */
   bool limits; /* upstreams also name limits */
+  int control; /* number of control VMs in a soak of them; 0: another soak */
 
   struct event_base *base;
   br_random_t random;
@@ -154,7 +166,8 @@
   int counts[SOAK_KINDS][2]; /* requests, and those with a complete answer of
                               * status 200 */
 
-  soak_process_t processes[SOAK_PROCESSES];
+  soak_process_t processes[SOAK_PROCESSES_MAX];
+  int n_processes;
   soak_link_t links[SOAK_LINKS];
   soak_output_ranges_t delayed_output;
   br_ms_t next_fault_ms;          /* 0: no faults yet */
@@ -167,6 +180,7 @@
   soak_caller_t *caller_list[SOAK_CALLERS_MAX];
   bool callers_stop;
   soak_operator_t *operator_state;
+  struct soak_control *control_state;
 } soak_t;
 
 br_ms_t soak_now (void);
@@ -190,6 +204,9 @@
  * return to normal that is due. */
 void soak_site_tick (soak_t *soak);
 
+/* Writes the settings file of a VM. */
+void soak_settings_write (soak_t *soak, const soak_process_t *process);
+
 /* Sends SIGNAL to the process if it is running. */
 void soak_process_signal (soak_t *soak, soak_process_t *process, int signal);
 
@@ -240,6 +257,9 @@
 /* Makes one upstream of each service name a limit. */
 void soak_fault_limit_some (soak_t *soak);
 
+/* Deletes the files in the folder PATH. */
+void soak_delete_files (const char *path);
+
 /* --- soak_caller.c --- */
 
 void soak_callers_start (soak_t *soak);
@@ -263,6 +283,17 @@
  * configuration in force. */
 bool soak_operator_recovered (const soak_t *soak);
 
+/* Writes the configuration of VERSION to OUT. */
+void
+soak_configuration_write (const soak_t *soak, uint64_t version, br_buf_t *out);
+
+/* Returns the version of the configuration BODY, or 0 when it is none that
+ * soak_configuration_write wrote for this seed. */
+uint64_t soak_configuration_version (const soak_t *soak, br_str_t body);
+
+/* Returns the value of the metric whose name and a space are NAME, or -1. */
+long soak_metric (br_str_t body, const char *name);
+
 /* --- soak_check.c --- */
 
 /* Checks the output of the upstreams and of the platform's API against the
--- a/tests/soak/soak_call.c
+++ b/tests/soak/soak_call.c
@@ -85,9 +85,12 @@
   call->timer = evtimer_new (options->base, call_on_timer, call);
   event_add (call->timer, &wait);
   br_buf_printf (&request,
-                 "%s %s HTTP/1.1\r\nHost: control\r\nConnection: close\r\n"
+                 "%s %s HTTP/1.1\r\n%sConnection: close\r\n"
                  "Content-Length: %zu\r\n\r\n",
-                 options->method, options->path, options->body.len);
+                 options->method, options->path,
+                 options->headers != NULL ? options->headers
+                                          : "Host: control\r\n",
+                 options->body.len);
   br_buf_append (&request, options->body);
   br_http_client_send (call->client, br_buf_str (&request));
   br_buf_free (&request);
--- a/tests/soak/soak_call.h
+++ b/tests/soak/soak_call.h
@@ -18,6 +18,7 @@
   struct sockaddr_in address;
   const char *method;
   const char *path;
+  const char *headers; /* NULL: a Host header alone */
   br_str_t body;
   br_ms_t timeout_ms;
   soak_call_fn on_done;
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -227,8 +227,8 @@
   return duration_ms;
 }
 
-static void
-delete_files (const char *path)
+void
+soak_delete_files (const char *path)
 {
   DIR *folder = opendir (path);
   br_buf_t file = { 0 };
@@ -304,7 +304,7 @@
     {
       last_loss_ms = soak_now () + duration_ms;
       vm->founding = false;
-      delete_files (path.data);
+      soak_delete_files (path.data);
     }
   else
     append_torn_write (path.data);
@@ -426,7 +426,7 @@
     if (soak_process (soak, SOAK_RUNNER, i)->pid > 0)
       runner_command (soak, soak_process (soak, SOAK_RUNNER, i),
                       "/soak/limit-now", (br_str_t){ 0 });
-  for (int i = 0; i < SOAK_PROCESSES; i++)
+  for (int i = 0; i < soak->n_processes; i++)
     {
       soak_process_t *process = &soak->processes[i];
 
--- a/tests/soak/soak_operator.c
+++ b/tests/soak/soak_operator.c
@@ -48,10 +48,10 @@
   event_add (timer, &wait);
 }
 
-/* Writes the configuration of VERSION to OUT.  The name of its last route holds
- * the version and the seed, which marked_version reads. */
-static void
-write_configuration (const soak_t *soak, uint64_t version, br_buf_t *out)
+/* The name of the last route holds the version and the seed, which
+ * soak_configuration_version reads. */
+void
+soak_configuration_write (const soak_t *soak, uint64_t version, br_buf_t *out)
 {
   static const char *const kinds[SOAK_KINDS]
       = { "non_idempotent", "idempotent", "streaming", "streaming" };
@@ -148,7 +148,7 @@
   (void)what;
   if (op->changes_stopped)
     return;
-  write_configuration (op->soak, op->version, &body);
+  soak_configuration_write (op->soak, op->version, &body);
   op->change = call (op, SOAK_CONTROL, control, "/v1/configuration",
                      br_buf_str (&body), change_on_done);
   br_buf_free (&body);
@@ -156,10 +156,8 @@
 
 /* --- reads --- */
 
-/* Returns the version that the route name in the configuration BODY holds, or 0
- * when it holds none of this seed. */
-static uint64_t
-marked_version (const soak_operator_t *op, br_str_t body)
+uint64_t
+soak_configuration_version (const soak_t *soak, br_str_t body)
 {
   const char *mark
       = body.len > 0 ? memmem (body.data, body.len, "mark-", 5) : NULL;
@@ -168,7 +166,7 @@
 
   if (mark == NULL
       || sscanf (mark, "mark-%" SCNu64 "-%" SCNu64, &version, &seed) != 2
-      || seed != op->soak->seed)
+      || seed != soak->seed)
     return 0;
   return version;
 }
@@ -177,7 +175,8 @@
 read_on_done (void *context, int status, br_str_t body)
 {
   soak_operator_t *op = context;
-  uint64_t version = status == 200 ? marked_version (op, body) : 0;
+  uint64_t version
+      = status == 200 ? soak_configuration_version (op->soak, body) : 0;
 
   op->read = NULL;
   if (status == 200 && version < op->acked_at_read)
@@ -211,24 +210,31 @@
   set_timer (op->check_timer, CHECK_PERIOD_MS);
 }
 
+long
+soak_metric (br_str_t body, const char *name)
+{
+  const char *line
+      = body.len > 0 ? memmem (body.data, body.len, name, strlen (name)) : NULL;
+
+  return line != NULL ? strtol (line + strlen (name), NULL, 10) : -1;
+}
+
 static void
 metrics_on_done (void *context, int status, br_str_t body)
 {
-  static const char name[] = "briarrack_configuration_version ";
   soak_operator_t *op = context;
   int at = op->checked_entry - 1;
   soak_process_t *entry
       = soak_process (op->soak, SOAK_ENTRY, op->checked_entry);
-  const char *line = status == 200
-                         ? memmem (body.data, body.len, name, sizeof name - 1)
-                         : NULL;
-  uint64_t version;
+  long line = status == 200
+                  ? soak_metric (body, "briarrack_configuration_version ")
+                  : -1;
+  uint64_t version = (uint64_t)line;
 
   op->check = NULL;
   op->ready[at] = op->checked_ready;
-  if (line != NULL)
+  if (line >= 0)
     {
-      version = strtoull (line + sizeof name - 1, NULL, 10);
       if (op->seen_starts[at] == entry->starts
           && version < op->seen_version[at])
         soak_fail (op->soak,
--- a/tests/soak/soak_site.c
+++ b/tests/soak/soak_site.c
@@ -38,12 +38,29 @@
 soak_process_t *
 soak_process (soak_t *soak, soak_role_t role, int number)
 {
-  static const int first[]
-      = { 0, SOAK_CONTROLS, SOAK_VMS, SOAK_VMS + SOAK_RUNNERS };
+  int entries = soak->control > 0 ? SOAK_CONTROLS_MAX : SOAK_CONTROLS;
+  int first[] = { 0, entries, entries + SOAK_ENTRIES,
+                  entries + SOAK_ENTRIES + SOAK_RUNNERS };
 
   return &soak->processes[first[role] + number - 1];
 }
 
+/* Returns whether the processes reach each other through the relay.  A soak of
+ * the control VMs disturbs no links. */
+static bool
+has_relay (const soak_t *soak)
+{
+  return soak->control == 0;
+}
+
+/* Returns the third byte of a VM's address.  The two kinds of soak use
+ * different ones. */
+static int
+vm_subnet (const soak_t *soak, soak_role_t role)
+{
+  return (has_relay (soak) ? 11 : 13) + (role == SOAK_CONTROL ? 0 : 1);
+}
+
 /* Returns the address of a VM.  With NET 0 it is the public one, 127.0.11.N for
  * control VMs and 127.0.12.N for entry VMs; there the relay listens for peers.
  * With NET 1 it is 127.1.11.N or 127.1.12.N, where the VM itself listens for
@@ -55,7 +72,7 @@
 
   address.sin_addr.s_addr
       = htonl (0x7f000000u + ((uint32_t)net << 16)
-               + ((role == SOAK_CONTROL ? 11u : 12u) << 8) + (uint32_t)number);
+               + ((uint32_t)vm_subnet (soak, role) << 8) + (uint32_t)number);
   address.sin_port = htons ((uint16_t)(soak->port + port));
   return address;
 }
@@ -117,11 +134,13 @@
   br_buf_free (&text);
 }
 
-static void
-settings_write (soak_t *soak, const soak_process_t *process)
+void
+soak_settings_write (soak_t *soak, const soak_process_t *process)
 {
   bool control = process->role == SOAK_CONTROL;
-  int net = control ? 11 : 12;
+  int net = vm_subnet (soak, process->role);
+  int peers = has_relay (soak) ? 1 : 0;
+  bool first = true;
   int n = process->number;
   br_buf_t path = { 0 };
   br_buf_t text = { 0 };
@@ -136,15 +155,16 @@
   else
     br_buf_printf (&text, "\"callers\": {\"address\": \"127.0.%d.%d:%d\"},\n",
                    net, n, soak->port + PORT_CALLERS);
-  br_buf_printf (&text,
-                 "\"operators\": {\"address\": \"127.0.%d.%d:%d\"},\n"
-                 "\"metrics\": {\"address\": \"127.0.%d.%d:%d\"},\n"
-                 "\"peers\": {\"address\": \"127.1.%d.%d\", \"port\": %d, "
-                 "\"open\": true, \"shared_key\": \"soak-site-shared-key\"},\n"
-                 "\"platform\": {\"address\": \"127.0.0.1:%d\"},\n",
-                 net, n, soak->port + PORT_OPERATORS, net, n,
-                 soak->port + PORT_METRICS, net, n, soak->port + PORT_PEERS,
-                 soak->port + PORT_CLOUD + RELAY_PORT_OFFSET);
+  br_buf_printf (
+      &text,
+      "\"operators\": {\"address\": \"127.0.%d.%d:%d\"},\n"
+      "\"metrics\": {\"address\": \"127.0.%d.%d:%d\"},\n"
+      "\"peers\": {\"address\": \"127.%d.%d.%d\", \"port\": %d, "
+      "\"open\": true, \"shared_key\": \"soak-site-shared-key\"},\n"
+      "\"platform\": {\"address\": \"127.0.0.1:%d\"},\n",
+      net, n, soak->port + PORT_OPERATORS, net, n, soak->port + PORT_METRICS,
+      peers, net, n, soak->port + PORT_PEERS,
+      soak->port + PORT_CLOUD + (has_relay (soak) ? RELAY_PORT_OFFSET : 0));
   br_buf_printf (
       &text,
       "\"site\": {\"role\": \"%s\", \"founding\": %s, "
@@ -152,9 +172,14 @@
       "\"retry_ratio\": 0.2, \"retry_slack\": 50, \"lease_ms\": 500, "
       "\"duties\": \"usage,scaling\", \"control_vms\": \"",
       role_names[process->role], process->founding ? "true" : "false");
-  for (int i = 1; i <= SOAK_CONTROLS; i++)
-    br_buf_printf (&text, "%s127.0.11.%d:%d", i > 1 ? "," : "", i,
-                   soak->port + PORT_OPERATORS);
+  for (int i = 0; i < SOAK_SEEDS; i++)
+    if (process->seeds[i] > 0)
+      {
+        br_buf_printf (&text, "%s127.0.%d.%d:%d", first ? "" : ",",
+                       vm_subnet (soak, SOAK_CONTROL), process->seeds[i],
+                       soak->port + PORT_OPERATORS);
+        first = false;
+      }
   br_buf_printf (&text, "\"}}\n");
   soak_process_path (soak, process, ".json", &path);
   write_file (path.data, &text);
@@ -198,7 +223,8 @@
           ARG ("--runner");
           ARG ("runner-%d,%s,d%d,%d", i,
                i <= SOAK_RUNNERS / 2 ? "llm" : "ledger", i,
-               soak->port + PORT_RUNNERS + RELAY_PORT_OFFSET + i - 1);
+               soak->port + PORT_RUNNERS
+                   + (has_relay (soak) ? RELAY_PORT_OFFSET : 0) + i - 1);
         }
       break;
     }
@@ -241,11 +267,12 @@
 process_start (soak_t *soak, soak_process_t *process)
 {
   if (process->role == SOAK_CONTROL || process->role == SOAK_ENTRY)
-    settings_write (soak, process);
+    soak_settings_write (soak, process);
   process->start_ms = BR_MS_NEVER;
   process->exit_expected = false;
   process->paused = false;
   process->starts++;
+  process->up_since_ms = soak_now ();
   process->pid = fork ();
   if (process->pid == 0)
     child_exec (soak, process);
@@ -268,7 +295,7 @@
                WIFSIGNALED (status) ? "signal" : "status",
                WIFSIGNALED (status) ? WTERMSIG (status) : WEXITSTATUS (status));
   process->pid = 0;
-  if (process->start_ms == BR_MS_NEVER)
+  if (process->start_ms == BR_MS_NEVER && !process->retired)
     process->start_ms = soak_now () + RESTART_MS;
 }
 
@@ -313,7 +340,7 @@
 
   delayed_output_tick (soak, now);
 
-  for (size_t i = 0; i < SOAK_PROCESSES; i++)
+  for (int i = 0; i < soak->n_processes; i++)
     {
       soak_process_t *process = &soak->processes[i];
 
@@ -324,6 +351,7 @@
         {
           kill (process->pid, SIGCONT);
           process->paused = false;
+          process->up_since_ms = now;
           if (process->role == SOAK_CONTROL)
             soak_cloud_mark_delayed (soak, 0);
         }
@@ -363,7 +391,7 @@
 static bool
 links_start (soak_t *soak)
 {
-  for (int i = 0; i < SOAK_LINKS; i++)
+  for (int i = 0; has_relay (soak) && i < SOAK_LINKS; i++)
     {
       const soak_process_t *process = &soak->processes[i];
       soak_link_t *link = &soak->links[i];
@@ -397,7 +425,11 @@
 bool
 soak_site_start (soak_t *soak)
 {
-  static const int numbers[] = { SOAK_CONTROLS, SOAK_ENTRIES, SOAK_RUNNERS, 1 };
+  int numbers[] = { soak->control > 0 ? SOAK_CONTROLS_MAX : SOAK_CONTROLS,
+                    SOAK_ENTRIES, SOAK_RUNNERS, 1 };
+  int started[] = { soak->control > 0 ? soak->control : SOAK_CONTROLS,
+                    soak->control > 0 ? SOAK_CONTROL_ENTRIES : SOAK_ENTRIES,
+                    SOAK_RUNNERS, 1 };
   br_buf_t path = { 0 };
 
   for (int role = SOAK_CONTROL; role <= SOAK_CLOUD; role++)
@@ -405,14 +437,18 @@
       {
         soak_process_t *process = soak_process (soak, (soak_role_t)role, n);
 
-        *process = (soak_process_t){ .role = (soak_role_t)role,
-                                     .number = n,
-                                     .founding = true,
-                                     .start_ms = soak_now (),
-                                     .shim_reset_ms = BR_MS_NEVER,
-                                     .leave_kill_ms = BR_MS_NEVER };
+        *process
+            = (soak_process_t){ .role = (soak_role_t)role,
+                                .number = n,
+                                .founding = true,
+                                .start_ms = n <= started[role] ? soak_now ()
+                                                               : BR_MS_NEVER,
+                                .seeds = { 1, 2, 3 },
+                                .shim_reset_ms = BR_MS_NEVER,
+                                .leave_kill_ms = BR_MS_NEVER };
         snprintf (process->name, sizeof process->name, "%s-%d",
                   role_names[role], n);
+        soak->n_processes++;
         if (role == SOAK_CONTROL)
           {
             soak_process_path (soak, process, ".disk", &path);
@@ -430,10 +466,10 @@
 void
 soak_site_stop (soak_t *soak)
 {
-  for (size_t i = 0; i < SOAK_PROCESSES; i++)
+  for (int i = 0; i < soak->n_processes; i++)
     if (soak->processes[i].pid > 0)
       kill (soak->processes[i].pid, SIGKILL);
-  for (size_t i = 0; i < SOAK_PROCESSES; i++)
+  for (int i = 0; i < soak->n_processes; i++)
     if (soak->processes[i].pid > 0)
       waitpid (soak->processes[i].pid, NULL, 0);
 }
