--- a/src/shell/control_private.h
+++ b/src/shell/control_private.h
@@ -131,6 +131,13 @@
  * br_peer_visit_fn whose CONTEXT is the task. */
 void br_control_send_heartbeat_to_peer (void *context, const br_name_t *vm);
 
+/* --- control_configuration.c --- */
+
+/* Sends an entry VM the configuration in force, if it is at least VERSION. */
+void br_control_send_text (br_control_task_t *task,
+                           const br_name_t *vm,
+                           uint64_t version);
+
 /* --- control_list.c --- */
 
 /* Handles the platform's list; LISTINGS is NULL and ERR is set when the read
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -4,13 +4,12 @@
 #include <openssl/rand.h>
 #include <string.h>
 
-#include "shell/peer_task.h"
+#include "shell/replica_links.h"
 #include "shell/replica_load.h"
 #include "shell/replica_outcome.h"
 #include "shell/replica_status.h"
 #include "shell/replica_watch.h"
 #include "shell/replica_writer.h"
-#include "shell/site_message.h"
 
 #define TICK_MS 25
 
@@ -26,10 +25,6 @@
  * anyway. */
 #define COMMIT_SAVE_MS 100
 
-/* Time between two comparisons of the links with the VMs that the replica sends
- * to. */
-#define LINKS_PERIOD_MS 100
-
 #define DATA_FOLDER_FAILED "this VM's data folder cannot be written"
 
 struct br_replica_task
@@ -50,7 +45,7 @@
   br_ms_t retry_ms; /* when the failed write is tried again, 0 for none */
   uint64_t writing; /* change that is being written, 0 for none */
   bool checkpointing;
-  br_ms_t links_ms; /* when the links were last set; 0: they are due */
+  br_replica_links_t links;
   br_replica_snapshot_t checkpoint; /* the one that is being written */
   br_replica_watch_t watch;
 };
@@ -87,21 +82,6 @@
     task_fail (task, &err);
 }
 
-/* Dials the VMs that the replica sends to, at a site whose settings do not name
- * all VMs, and stops dialling all others. */
-static void
-task_set_links (br_replica_task_t *task)
-{
-  br_names_t vms = { 0 };
-
-  task->links_ms = br_node_now (task->node);
-  if (!task->node->settings.open_peers || task->node->peers == NULL)
-    return;
-  br_replica_contacts (task->replica, &vms);
-  br_site_set_links (task->node, &vms);
-  br_names_free (&vms);
-}
-
 /* Handles the replica's events.  RESULT is the result of the entry that was
  * just applied, or NULL. */
 static void
@@ -128,7 +108,7 @@
         break;
       case BR_REPLICA_EVENT_CONFIG:
         br_replica_watch_config (task->replica, event.index, &task->node->log);
-        task->links_ms = 0;
+        br_replica_links_set (&task->links, task->node, task->replica);
         break;
       }
 }
@@ -356,35 +336,6 @@
     br_replica_save_commit (task->replica);
 }
 
-static void
-count_link (void *context, const br_name_t *vm)
-{
-  size_t *n = context;
-
-  (void)vm;
-  (*n)++;
-}
-
-static br_replica_view_t
-task_view (const br_replica_task_t *task)
-{
-  br_replica_view_t view
-      = { .replica = task->replica, .now = br_node_now (task->node) };
-
-  if (task->node->peers != NULL)
-    br_peer_task_each (task->node->peers, count_link, &view.reached);
-  return view;
-}
-
-static void
-task_watch (br_replica_task_t *task)
-{
-  br_replica_view_t view = task_view (task);
-
-  if (task->node->settings.voter)
-    br_replica_watch_tick (&task->watch, &view, &task->node->log);
-}
-
 static void
 task_on_tick (evutil_socket_t fd, short what, void *context)
 {
@@ -394,15 +345,14 @@
   (void)what;
   if (task->failed)
     return;
-  if (br_node_now (task->node) - task->links_ms >= LINKS_PERIOD_MS)
-    task_set_links (task);
+  br_replica_links_tick (&task->links, task->node, task->replica);
   br_replica_tick (task->replica, br_node_now (task->node));
   if (task->node->draining)
     br_replica_task_hand_over (task);
   task_save_commit (task);
   task_retry (task);
   task_run (task);
-  task_watch (task);
+  br_replica_watch_tick (&task->watch, task->node, task->replica);
 }
 
 /* --- start and stop --- */
@@ -586,9 +536,7 @@
 void
 br_replica_task_print_metrics (const br_replica_task_t *task, br_buf_t *out)
 {
-  br_replica_view_t view = task_view (task);
-
-  br_replica_watch_print_metrics (&task->watch, &view, out);
+  br_replica_watch_print_metrics (&task->watch, task->node, task->replica, out);
 }
 
 uint64_t
@@ -618,13 +566,7 @@
                               char *const *names,
                               size_t n_names)
 {
-  for (size_t i = 0; i < n_names; i++)
-    {
-      br_name_t name;
-
-      if (br_name_set (&name, br_str_from (names[i])) && name.len > 0)
-        br_replica_add_contact (task->replica, br_node_now (task->node), &name);
-    }
+  br_replica_links_add (task->node, task->replica, names, n_names);
 }
 
 void
--- a/src/shell/replica_watch.c
+++ b/src/shell/replica_watch.c
@@ -2,6 +2,8 @@
 
 #include <inttypes.h>
 
+#include "shell/peer_task.h"
+
 /* A voter that answers nothing for this long is reported as silent. */
 #define SILENT_MS 1000
 
@@ -14,16 +16,41 @@
   br_replica_followers_free (&watch->silent);
 }
 
+/* What a watch looks at. */
+typedef struct
+{
+  const br_replica_t *replica;
+  size_t reached; /* VMs to which a dialled link is up */
+  br_ms_t now;
+} view_t;
+
+static void
+count_link (void *context, const br_name_t *vm)
+{
+  size_t *n = context;
+
+  (void)vm;
+  (*n)++;
+}
+
+static view_t
+view_make (const br_node_t *node, const br_replica_t *replica)
+{
+  view_t view = { .replica = replica, .now = br_node_now (node) };
+
+  if (node->peers != NULL)
+    br_peer_task_each (node->peers, count_link, &view.reached);
+  return view;
+}
+
 static bool
-view_is_voter (const br_replica_view_t *view)
+view_is_voter (const view_t *view)
 {
   return br_replica_standing (view->replica) == BR_STANDING_VOTER;
 }
 
 static void
-watch_own_vote (br_replica_watch_t *watch,
-                const br_replica_view_t *view,
-                br_log_t *log)
+watch_own_vote (br_replica_watch_t *watch, const view_t *view, br_log_t *log)
 {
   br_replica_standing_t standing = br_replica_standing (view->replica);
 
@@ -61,7 +88,7 @@
 
 /* Fills SILENT with the voters that do not answer this VM, if it leads. */
 static void
-view_silent (const br_replica_view_t *view, br_replica_followers_t *silent)
+view_silent (const view_t *view, br_replica_followers_t *silent)
 {
   const br_config_t *config
       = br_replica_log_config (br_replica_log (view->replica));
@@ -77,9 +104,7 @@
 }
 
 static void
-watch_others (br_replica_watch_t *watch,
-              const br_replica_view_t *view,
-              br_log_t *log)
+watch_others (br_replica_watch_t *watch, const view_t *view, br_log_t *log)
 {
   const br_config_t *config
       = br_replica_log_config (br_replica_log (view->replica));
@@ -103,11 +128,15 @@
 
 void
 br_replica_watch_tick (br_replica_watch_t *watch,
-                       const br_replica_view_t *view,
-                       br_log_t *log)
+                       br_node_t *node,
+                       const br_replica_t *replica)
 {
-  watch_own_vote (watch, view, log);
-  watch_others (watch, view, log);
+  view_t view = view_make (node, replica);
+
+  if (!node->settings.voter)
+    return;
+  watch_own_vote (watch, &view, &node->log);
+  watch_others (watch, &view, &node->log);
 }
 
 void
@@ -130,16 +159,17 @@
 
 void
 br_replica_watch_print_metrics (const br_replica_watch_t *watch,
-                                const br_replica_view_t *view,
+                                const br_node_t *node,
+                                const br_replica_t *replica,
                                 br_buf_t *out)
 {
-  const br_config_t *config
-      = br_replica_log_config (br_replica_log (view->replica));
+  view_t view = view_make (node, replica);
+  const br_config_t *config = br_replica_log_config (br_replica_log (replica));
 
   br_buf_printf (out, "briarrack_log_voters %zu\n", br_config_voters (config));
   br_buf_printf (out, "briarrack_log_voters_silent %zu\n", watch->silent.len);
-  br_buf_printf (out, "briarrack_log_has_vote %d\n", view_is_voter (view));
+  br_buf_printf (out, "briarrack_log_has_vote %d\n", view_is_voter (&view));
   br_buf_printf (
       out, "briarrack_log_without_vote_ms %" PRId64 "\n",
-      watch->outside_since_ms > 0 ? view->now - watch->outside_since_ms : 0);
+      watch->outside_since_ms > 0 ? view.now - watch->outside_since_ms : 0);
 }
--- a/src/shell/replica_watch.h
+++ b/src/shell/replica_watch.h
@@ -3,8 +3,8 @@
 #ifndef BR_SHELL_REPLICA_WATCH_H
 #define BR_SHELL_REPLICA_WATCH_H
 
-#include "base/log.h"
 #include "replica/replica.h"
+#include "shell/node.h"
 
 BR_BEGIN_DECLS
 
@@ -16,21 +16,13 @@
   br_replica_followers_t silent; /* voters that are reported as silent; owned */
 } br_replica_watch_t;
 
-/* What a watch looks at. */
-typedef struct
-{
-  const br_replica_t *replica;
-  size_t reached; /* control VMs to which the link is up */
-  br_ms_t now;
-} br_replica_view_t;
-
 void br_replica_watch_release (br_replica_watch_t *watch);
 
 /* Logs changes since the last call, and repeats every 5 s why this VM has no
- * vote. */
+ * vote, if its settings say that it wants one. */
 void br_replica_watch_tick (br_replica_watch_t *watch,
-                            const br_replica_view_t *view,
-                            br_log_t *log);
+                            br_node_t *node,
+                            const br_replica_t *replica);
 
 /* Logs the voters of the configuration at INDEX. */
 void br_replica_watch_config (const br_replica_t *replica,
@@ -38,7 +30,8 @@
                               br_log_t *log);
 
 void br_replica_watch_print_metrics (const br_replica_watch_t *watch,
-                                     const br_replica_view_t *view,
+                                     const br_node_t *node,
+                                     const br_replica_t *replica,
                                      br_buf_t *out);
 
 BR_END_DECLS
