--- a/tests/soak/soak_control.c
+++ b/tests/soak/soak_control.c
@@ -458,6 +458,23 @@
     step_kill_all (soak, NULL);
 }
 
+bool
+soak_control_is_quiet (const soak_t *soak)
+{
+  const soak_control_t *control = soak->control_state;
+
+  for (int i = 0; i < control->n_controls; i++)
+    {
+      const soak_process_t *vm = control->watches[i].vm;
+
+      if (soak_control_is_active (soak, vm)
+          && (vm->pid == 0 || vm->paused
+              || control->watches[i].term_ms != BR_MS_NEVER))
+        return false;
+    }
+  return true;
+}
+
 void
 soak_control_start (soak_t *soak)
 {
--- a/tests/soak/soak_control.h
+++ b/tests/soak/soak_control.h
@@ -33,6 +33,7 @@
   bool leads;
   bool agrees;        /* it has a vote and knows the number of VMs as voters */
   bool knows_members; /* its members are the VMs that are up */
+  char members[96];   /* their numbers */
 
   bool lost;       /* it counts as lost */
   bool empty;      /* it started without its disk */
@@ -74,6 +75,7 @@
   soak_call_t *change;
   uint64_t version; /* of the change to send, or in progress */
   soak_acks_t acks;
+  bool change_failed; /* at the control VM that was asked last */
   bool changes_stop_on_ack;
   bool changes_stopped;
   soak_windows_t windows;
@@ -91,6 +93,9 @@
 /* Carries out the last step: all are killed, and one disk is lost or none. */
 void soak_control_close (soak_t *soak);
 
+/* Returns whether all control VMs are up and none is about to leave. */
+bool soak_control_is_quiet (const soak_t *soak);
+
 /* Called when a change was acknowledged. */
 void soak_control_on_ack (soak_t *soak);
 
