--- a/src/replica/message.c
+++ b/src/replica/message.c
@@ -50,6 +50,7 @@
     {
     case BR_REPLICA_APPEND:
       br_entries_release (&message->append.entries);
+      br_silent_voters_free (&message->append.silent);
       break;
     case BR_REPLICA_SNAPSHOT:
       br_config_release (&message->snapshot.config);
@@ -58,6 +59,9 @@
     case BR_REPLICA_PROPOSE:
       br_buf_free (&message->propose.data);
       break;
+    case BR_REPLICA_JOIN_ANSWER:
+      br_config_release (&message->join_answer.config);
+      break;
     default:
       break;
     }
@@ -92,6 +96,10 @@
       for (size_t i = 0; i < message->append.entries.len; i++)
         br_entries_push (&copy.append.entries,
                          br_entry_copy (&message->append.entries.items[i]));
+      copy.append.silent = (br_silent_voters_t){ 0 };
+      for (size_t i = 0; i < message->append.silent.len; i++)
+        br_silent_voters_push (&copy.append.silent,
+                               message->append.silent.items[i]);
       break;
     case BR_REPLICA_SNAPSHOT:
       copy.snapshot.config = (br_config_t){ 0 };
@@ -101,6 +109,10 @@
     case BR_REPLICA_PROPOSE:
       copy.propose.data = buf_copy (&message->propose.data);
       break;
+    case BR_REPLICA_JOIN_ANSWER:
+      copy.join_answer.config = (br_config_t){ 0 };
+      br_config_copy (&copy.join_answer.config, &message->join_answer.config);
+      break;
     default:
       break;
     }
--- a/src/replica/message.h
+++ b/src/replica/message.h
@@ -60,7 +60,8 @@
   X (READ, "read")                                                             \
   X (READ_ANSWER, "read answer")                                               \
   X (PROPOSE, "propose")                                                       \
-  X (PROPOSE_ANSWER, "propose answer")
+  X (PROPOSE_ANSWER, "propose answer")                                         \
+  X (JOIN_ANSWER, "join answer")
 
 typedef enum
 {
@@ -84,6 +85,16 @@
   bool granted;
 } br_vote_answer_t;
 
+/* A voter that has not answered the leader for FOR_MS. */
+typedef struct
+{
+  br_name_t vm;
+  uint64_t disk;
+  br_ms_t for_ms;
+} br_silent_voter_t;
+
+BR_VEC (br_silent_voters, br_silent_voter_t);
+
 /* SENT_MS is the leader's time and is returned in the answer.  A leader that
  * was frozen can thus distinguish old answers from new ones. */
 typedef struct
@@ -93,7 +104,8 @@
   uint64_t commit;
   uint64_t round;
   br_ms_t sent_ms;
-  br_entries_t entries; /* owned */
+  br_entries_t entries;      /* owned */
+  br_silent_voters_t silent; /* owned */
 } br_append_t;
 
 typedef struct
@@ -129,6 +141,13 @@
   bool voter_requested;
 } br_join_t;
 
+/* Answer of a VM that does not lead: what it knows of the log. */
+typedef struct
+{
+  br_name_t leader;   /* empty: it knows none */
+  br_config_t config; /* owned; no members: it knows no log */
+} br_join_answer_t;
+
 typedef struct
 {
   uint64_t voters_digest; /* of the names of the first voters */
@@ -186,6 +205,7 @@
     br_snapshot_chunk_t snapshot;
     br_snapshot_answer_t snapshot_answer;
     br_join_t join;
+    br_join_answer_t join_answer;
     br_bootstrap_t bootstrap;
     br_bootstrap_answer_t bootstrap_answer;
     br_read_t read;
--- a/tests/soak/soak_control.h
+++ b/tests/soak/soak_control.h
@@ -60,7 +60,6 @@
 
 typedef struct soak_control
 {
-  int tolerance;  /* VMs that may be lost at once */
   int n_controls; /* started so far, the replaced ones included */
   int n_steps;
   br_buf_t steps; /* a line for each step */
