--- a/tests/process/fault_soak_control.sh
+++ b/tests/process/fault_soak_control.sh
@@ -2,7 +2,7 @@
 # of control VMs that stands beside it.  Usage: fault_soak_control.sh BUILD
 set -u
 BUILD=$1
-PORT=32900
+PORT=32740
 HERE=$(dirname "$0")
 FOLDER=$(mktemp -d)
 # Other checkouts that run this test use the same ports: the lock makes them
