--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -204,6 +204,9 @@
  * return to normal that is due. */
 void soak_site_tick (soak_t *soak);
 
+/* Returns how many control VMs the site may lose at once, with their disks. */
+int soak_tolerance (const soak_t *soak);
+
 /* Writes the settings file of a VM. */
 void soak_settings_write (soak_t *soak, const soak_process_t *process);
 
--- a/tests/soak/soak_control.c
+++ b/tests/soak/soak_control.c
@@ -124,7 +124,7 @@
   int kind = (int)soak_random_between (soak, 0, 2);
   int n_live = list_live (soak, vm, kind == 0, live);
   int n_gone = kind == 2 ? list_retired (soak, gone) : 0;
-  int least = soak->control_state->tolerance;
+  int least = soak_tolerance (soak);
 
   /* Nothing is up at the first steps after all were killed. */
   if (n_live == 0)
@@ -420,7 +420,7 @@
       control->kill_all_ms = BR_MS_NEVER;
       step_kill_all (soak, NULL);
     }
-  if (count_lost (soak) >= control->tolerance)
+  if (count_lost (soak) >= soak_tolerance (soak))
     return;
   if (control->next_ms == BR_MS_NEVER)
     {
@@ -442,7 +442,7 @@
 
   if (!control->steps_stopped && control->aimed
       && soak_now () >= control->next_ms
-      && count_lost (soak) < control->tolerance)
+      && count_lost (soak) < soak_tolerance (soak))
     take_step (soak);
 }
 
@@ -452,19 +452,35 @@
   soak_watch_t *target = draw_target (soak);
 
   soak->control_state->n_steps++;
-  if (target != NULL && count_lost (soak) < soak->control_state->tolerance)
+  if (target != NULL && count_lost (soak) < soak_tolerance (soak))
     step_wipe_one_kill_all (soak, target);
   else
     step_kill_all (soak, NULL);
 }
 
+bool
+soak_control_is_quiet (const soak_t *soak)
+{
+  const soak_control_t *control = soak->control_state;
+
+  for (int i = 0; i < control->n_controls; i++)
+    {
+      const soak_process_t *vm = control->watches[i].vm;
+
+      if (soak_control_is_active (soak, vm)
+          && (vm->pid == 0 || vm->paused
+              || control->watches[i].term_ms != BR_MS_NEVER))
+        return false;
+    }
+  return true;
+}
+
 void
 soak_control_start (soak_t *soak)
 {
   soak_control_t *control = br_alloc_zero (sizeof *control);
 
   soak->control_state = control;
-  control->tolerance = soak->control >= 8 ? 2 : 1;
   control->n_controls = soak->control;
   control->steps_stopped = true;
   control->next_ms = BR_MS_NEVER;
--- a/tests/soak/soak_site.c
+++ b/tests/soak/soak_site.c
@@ -45,6 +45,12 @@
   return &soak->processes[first[role] + number - 1];
 }
 
+int
+soak_tolerance (const soak_t *soak)
+{
+  return soak->control >= 8 ? 2 : 1;
+}
+
 /* Returns whether the processes reach each other through the relay.  A soak of
  * the control VMs disturbs no links. */
 static bool
@@ -170,8 +176,10 @@
       "\"site\": {\"role\": \"%s\", \"founding\": %s, "
       "\"usage_window_s\": 1, \"usage_late_s\": 6, \"grace_s\": 6, "
       "\"retry_ratio\": 0.2, \"retry_slack\": 50, \"lease_ms\": 500, "
-      "\"duties\": \"usage,scaling\", \"control_vms\": \"",
-      role_names[process->role], process->founding ? "true" : "false");
+      "\"duties\": \"usage,scaling\", \"disk_losses\": %d, "
+      "\"control_vms\": \"",
+      role_names[process->role], process->founding ? "true" : "false",
+      soak_tolerance (soak));
   for (int i = 0; i < SOAK_SEEDS; i++)
     if (process->seeds[i] > 0)
       {
