List: read the platform's list entry by entry

One entry of another writer that is nested 14 deep or more, or whose bytes are no JSON, made the whole page unreadable. The list was then followed no longer for as long as the entry stood in it: `list_unreadable` at each read.

Cause: a page was parsed as one JSON value with a limit on its depth, so the limit and any fault of an entry applied to the page.

The page is now split into the texts of its entries by a scanner whose state does not grow with the depth (base/json_split), and each entry is parsed by itself, with a limit on its bytes and its depth. An entry whose brackets or quotes do not end cannot be told from those after it, so the page counts as unreadable then, as before.

--- /dev/null
+++ b/src/base/json_split.c
@@ -0,0 +1,122 @@
+#include "base/json_split.h"
+
+#include <string.h>
+
+static bool
+is_space (char c)
+{
+  return c == ' ' || c == '\t' || c == '\r' || c == '\n';
+}
+
+static br_str_t
+str_trim (br_str_t str)
+{
+  while (str.len > 0 && is_space (str.data[0]))
+    str = br_str_make (str.data + 1, str.len - 1);
+  while (str.len > 0 && is_space (str.data[str.len - 1]))
+    str.len--;
+  return str;
+}
+
+static br_str_t
+str_from (br_str_t str, size_t at)
+{
+  return br_str_make (str.data + at, str.len - at);
+}
+
+static char
+closing_of (br_str_t value)
+{
+  if (value.len == 0)
+    return '\0';
+  return value.data[0] == '{' ? '}' : value.data[0] == '[' ? ']' : '\0';
+}
+
+/* Returns the length of the string at the start of TEXT with its quotes, or the
+ * length of TEXT plus 1 when it has no end. */
+static size_t
+string_len (br_str_t text)
+{
+  for (size_t at = 1; at < text.len; at++)
+    if (text.data[at] == '\\')
+      at++;
+    else if (text.data[at] == '"')
+      return at + 1;
+  return text.len + 1;
+}
+
+/* Returns the length of the value at the start of TEXT up to the comma after
+ * it.  Only brackets of the kind that opens the value are counted: those of the
+ * other kind are balanced within them if the value is valid. */
+static size_t
+value_len (br_str_t text, bool *unclosed)
+{
+  char closing = closing_of (text);
+  size_t depth = 0;
+  size_t at = 0;
+
+  while (at < text.len && (depth > 0 || text.data[at] != ','))
+    {
+      char c = text.data[at];
+
+      if (c == '"')
+        at += string_len (str_from (text, at));
+      else
+        at++;
+      if (closing != '\0' && c == text.data[0])
+        depth++;
+      else if (c == closing && depth > 0)
+        depth--;
+    }
+  *unclosed = depth > 0 || at > text.len;
+  return BR_MIN (at, text.len);
+}
+
+/* Moves the key at the start of *TEXT, and the colon after it, to *KEY. */
+static void
+key_take (br_str_t *text, br_str_t *key)
+{
+  size_t len = text->len > 0 && text->data[0] == '"' ? string_len (*text) : 0;
+  br_str_t rest;
+
+  if (len == 0 || len > text->len)
+    return;
+  rest = str_trim (str_from (*text, len));
+  if (rest.len == 0 || rest.data[0] != ':')
+    return;
+  *key = br_str_make (text->data + 1, len - 2);
+  *text = str_trim (str_from (rest, 1));
+}
+
+bool
+br_json_split_begin (br_json_split_t *split, br_str_t text)
+{
+  *split = (br_json_split_t){ 0 };
+  text = str_trim (text);
+  if (text.len < 2 || closing_of (text) == '\0'
+      || text.data[text.len - 1] != closing_of (text))
+    return false;
+  split->is_object = text.data[0] == '{';
+  split->rest = str_trim (br_str_make (text.data + 1, text.len - 2));
+  split->has_more = split->rest.len > 0;
+  return true;
+}
+
+bool
+br_json_split_next (br_json_split_t *split, br_str_t *key, br_str_t *value)
+{
+  br_str_t text = split->rest;
+  size_t len;
+
+  *key = (br_str_t){ 0 };
+  if (!split->has_more)
+    return false;
+  if (split->is_object)
+    key_take (&text, key);
+  len = value_len (text, &split->unclosed);
+  *value = str_trim (br_str_make (text.data, len));
+  split->has_more = len < text.len;
+  if (split->has_more)
+    split->rest = str_trim (str_from (text, len + 1));
+  return true;
+}
--- a/src/shell/control_list.c
+++ b/src/shell/control_list.c
@@ -50,20 +50,21 @@
 
 void
 br_control_on_list (void *context,
-                    const br_listings_t *listings,
-                    size_t skipped,
+                    const br_site_list_t *list,
                     const br_error_t *err)
 {
   br_control_task_t *task = context;
+  const br_listings_t *listings;
 
   task->reading_list = false;
-  if (listings == NULL)
+  if (list == NULL)
     {
       br_log_error (&task->node->log, "site", "list_unreadable", err);
       return;
     }
   if (task->leads_term == 0)
     return;
+  listings = &list->entries;
   task->list_as_of_ms = task->list_requested_ms;
   br_version_history_update (&task->history, listings,
                              br_node_now (task->node));
@@ -77,6 +78,6 @@
           br_field_int ("term", (int64_t)task->list_term),
           br_field_int ("sequence", (int64_t)task->list_sequence),
           br_field_int ("upstreams", (int64_t)listings->len),
-          br_field_int ("skipped", (int64_t)skipped));
+          br_field_int ("skipped", (int64_t)list->n_skipped));
   br_control_send_heartbeat (task, br_node_now (task->node));
 }
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -189,26 +189,25 @@
 
 static void
 task_on_platform_list (void *context,
-                       const br_listings_t *listings,
-                       size_t skipped,
+                       const br_site_list_t *list,
                        const br_error_t *err)
 {
   br_entry_task_t *task = context;
   br_ms_t now = br_node_now (task->node);
 
   task->reading_list = false;
-  if (listings == NULL)
+  if (list == NULL)
     {
       br_log_error (&task->node->log, "site", "list_unreadable", err);
       return;
     }
-  if (skipped > 0)
+  if (list->n_skipped > 0)
     BR_LOG (&task->node->log, "site", "list entries skipped",
-            br_field_int ("entries", (int64_t)skipped));
+            br_field_int ("entries", (int64_t)list->n_skipped));
   /* The leader's next list is newer than this one, whatever its sequence. */
   if (task->fleet.known && now - task->leader_seen_ms < LEADER_TIMEOUT_MS)
     return;
-  br_fleet_update (&task->fleet, listings, now);
+  br_fleet_update (&task->fleet, &list->entries, now);
   task->fleet.sequence = 0;
   task->fleet.read_ms = now;
   br_entry_resolve_lost_runs (task);
--- a/src/site/listing.h
+++ b/src/site/listing.h
@@ -1,8 +1,9 @@
-/* An upstream's entry in the platform's list of VMs. */
+/* The platform's list of upstreams. */
 #ifndef BR_SITE_LISTING_H
 #define BR_SITE_LISTING_H
 
 #include "base/clock.h"
+#include "base/error.h"
 #include "base/str.h"
 #include "base/vec.h"
 
@@ -25,6 +26,26 @@
 
 BR_VEC (br_listings, br_listing_t);
 
+/* Number of skipped entries of one list that are described. */
+#define BR_LIST_FAULTS_MAX 8
+
+/* Why an entry of the list is not used. */
+typedef struct
+{
+  size_t position; /* in the list, from 0 */
+  br_name_t id;    /* empty when it has none that can be read */
+  char why[BR_ERROR_TEXT_MAX];   /* printable */
+} br_list_fault_t;
+
+/* A list that was read.  Its entries are owned. */
+typedef struct
+{
+  br_listings_t entries;
+  size_t n_skipped;
+  size_t n_faults;
+  br_list_fault_t faults[BR_LIST_FAULTS_MAX]; /* of the first skipped ones */
+} br_site_list_t;
+
 BR_END_DECLS
 
 #endif
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -1,9 +1,11 @@
 #include <gtest/gtest.h>
+#include <string>
 
 #include "base/clock.h"
 #include "base/deflate.h"
 #include "base/error.h"
 #include "base/hlc.h"
+#include "base/json_split.h"
 #include "base/random.h"
 #include "base/str.h"
 #include "base/vec.h"
@@ -134,3 +136,62 @@
   br_buf_free (&packed);
   br_buf_free (&unpacked);
 }
+
+static std::string
+split (const std::string &text)
+{
+  br_json_split_t split;
+  br_str_t key;
+  br_str_t value;
+  std::string out;
+
+  if (!br_json_split_begin (&split, br_str_make (text.data (), text.size ())))
+    return "no container";
+  while (br_json_split_next (&split, &key, &value))
+    {
+      if (key.len > 0)
+        out += std::string (key.data, key.len) + "=";
+      out += std::string (value.data, value.len) + ";";
+    }
+  return out + (split.unclosed ? "unclosed" : "");
+}
+
+TEST (JsonSplit, MembersAreSplitAtTheirOwnLevelOnly)
+{
+  EXPECT_EQ (split ("[]"), "");
+  EXPECT_EQ (split (" [ 1 , [2,{\"a\":[3,4]}] ,\t{\"b\":\",]}\\\",\"}\r\n] "),
+             "1;[2,{\"a\":[3,4]}];{\"b\":\",]}\\\",\"};");
+  EXPECT_EQ (split ("{\"a\" : [1,2], \"b\":{\"c\":{}},\"\":null}"),
+             "a=[1,2];b={\"c\":{}};null;");
+  for (const char *each : { "", " ", "[", "]", "[}", "7", "null", "\"[]\"" })
+    EXPECT_EQ (split (each), "no container") << each;
+}
+
+TEST (JsonSplit, AMemberThatIsNoJsonLeavesTheOthers)
+{
+  EXPECT_EQ (split ("[tru,,'x' y,{\"a\":[},{\"a\":]}},7]"),
+             "tru;;'x' y;{\"a\":[};{\"a\":]}};7;");
+  EXPECT_EQ (split ("[7,]"), "7;;");
+  EXPECT_EQ (split ("{7,\"a\",\"b\":,c:1,\"d\":2}"), "7;\"a\";b=;c:1;d=2;");
+  EXPECT_EQ (split (std::string ("[\0,\xff\xfe,7]", 8)),
+             std::string ("\0;\xff\xfe;7;", 7));
+}
+
+TEST (JsonSplit, AMemberWithoutAnEndIsReported)
+{
+  EXPECT_EQ (split ("[1,{\"a\":{},2]"), "1;{\"a\":{},2;unclosed");
+  EXPECT_EQ (split ("[1,[2,3]"), "1;[2,3;unclosed");
+  EXPECT_EQ (split ("[\"a,2]"), "\"a,2;unclosed");
+  EXPECT_EQ (split ("[\"a\\\",2]"), "\"a\\\",2;unclosed");
+  EXPECT_EQ (split ("[\"\\]"), "\"\\;unclosed");
+  EXPECT_EQ (split ("{\"a]}"), "\"a];unclosed");
+}
+
+TEST (JsonSplit, DepthDoesNotMatter)
+{
+  const size_t depth = 1000000;
+  std::string deep = std::string (depth, '[') + std::string (depth, ']');
+
+  EXPECT_EQ (split ("[" + deep + ",7]"), deep + ";7;");
+  EXPECT_EQ (split ("{\"a\":" + deep + ",\"b\":7}"), "a=" + deep + ";b=7;");
+}
--- /dev/null
+++ b/tests/platform_session.c
@@ -0,0 +1,170 @@
+/* Reads texts of the platform from a script on standard input and prints what
+ * was understood.  Lines of the script:
+ *
+ *   list TEXT            a list of one page, which is not put in force
+ *   page TEXT            a page of the list; goes on with the list read so far
+ *   apply                puts the list in force and prints the upstreams in use
+ *   configuration TEXT
+ *
+ * In TEXT, <N*PIECE> stands for N times PIECE and <xHH> for one byte.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/configuration_codec.h"
+#include "platform/list_codec.h"
+#include "site/fleet.h"
+
+#define LINE_MAX_BYTES 8192
+
+typedef struct
+{
+  br_site_list_t list;
+  bool unreadable;
+  br_fleet_t fleet;
+} session_t;
+
+static void
+text_expand (const char *from, br_buf_t *text)
+{
+  while (*from != '\0')
+    {
+      const char *end = *from == '<' ? strchr (from, '>') : NULL;
+      char *piece;
+      unsigned long n;
+
+      if (end == NULL)
+        {
+          br_buf_append_char (text, *from++);
+          continue;
+        }
+      if (from[1] == 'x')
+        br_buf_append_char (text, (char)strtoul (from + 2, NULL, 16));
+      else
+        for (n = strtoul (from + 1, &piece, 10); n > 0; n--)
+          br_buf_append (text,
+                         br_str_make (piece + 1, (size_t)(end - piece) - 1));
+      from = end + 1;
+    }
+}
+
+static void
+print_listing (const br_listing_t *listing)
+{
+  printf ("  %s %s %s:%u zone %s version %s%s%s slots %u warmup %lld born "
+          "%llu\n",
+          listing->id.data, listing->service.data, listing->address.data,
+          listing->port, listing->failure_domain.data, listing->version.data,
+          listing->draining ? " draining" : "", listing->spot ? " spot" : "",
+          listing->slots, (long long)listing->warmup_ms,
+          (unsigned long long)listing->started_ms);
+}
+
+static void
+on_page (session_t *session, br_str_t body)
+{
+  br_site_list_t *list = &session->list;
+  size_t from = list->entries.len;
+  size_t skipped = list->n_skipped;
+  size_t first_fault = list->n_faults;
+  br_buf_t next = { 0 };
+  br_error_t err;
+
+  if (!br_platform_read_list (body, list, &next, &err))
+    {
+      printf ("unreadable: %s\n", err.text);
+      session->unreadable = true;
+    }
+  else
+    printf ("%zu entries, %zu skipped, next '%.*s'\n", list->entries.len - from,
+            list->n_skipped - skipped, (int)next.len,
+            next.len > 0 ? next.data : "");
+  for (size_t i = from; !session->unreadable && i < list->entries.len; i++)
+    print_listing (&list->entries.items[i]);
+  for (size_t i = first_fault; !session->unreadable && i < list->n_faults; i++)
+    printf ("  skipped %zu '%s': %s\n", list->faults[i].position,
+            list->faults[i].id.data, list->faults[i].why);
+  br_buf_free (&next);
+}
+
+static void
+session_reset (session_t *session)
+{
+  br_listings_free (&session->list.entries);
+  session->list = (br_site_list_t){ 0 };
+  session->unreadable = false;
+}
+
+static void
+on_apply (session_t *session)
+{
+  if (!session->unreadable)
+    br_fleet_update (&session->fleet, &session->list.entries, 0);
+  printf ("in use: %zu\n", session->fleet.all.len);
+  for (size_t i = 0; i < session->fleet.all.len; i++)
+    print_listing (&session->fleet.all.items[i]->listing);
+  br_fleet_sweep (&session->fleet, NULL, NULL);
+  session_reset (session);
+}
+
+static void
+on_configuration (br_str_t body)
+{
+  br_error_t err;
+  br_configuration_t *configuration
+      = br_platform_read_configuration (body, &err);
+
+  if (configuration == NULL)
+    printf ("refused with %d: %s\n", br_error_http_status (err.code), err.text);
+  else
+    printf ("version %llu\n", (unsigned long long)configuration->version);
+  br_configuration_unref (configuration);
+}
+
+static void
+on_line (session_t *session, const char *verb, br_str_t text)
+{
+  if (strcmp (verb, "list") == 0 || strcmp (verb, "page") == 0)
+    on_page (session, text);
+  else if (strcmp (verb, "apply") == 0)
+    on_apply (session);
+  else if (strcmp (verb, "configuration") == 0)
+    on_configuration (text);
+  else
+    {
+      printf ("unknown line\n");
+      exit (1);
+    }
+  if (strcmp (verb, "list") == 0)
+    session_reset (session);
+}
+
+int
+main (void)
+{
+  session_t session = { 0 };
+  char line[LINE_MAX_BYTES];
+
+  while (fgets (line, sizeof line, stdin) != NULL)
+    {
+      br_buf_t text = { 0 };
+      char *rest;
+
+      line[strcspn (line, "\n")] = '\0';
+      if (line[0] == '\0' || line[0] == '#')
+        continue;
+      printf ("> %s\n", line);
+      rest = strchr (line, ' ');
+      if (rest != NULL)
+        {
+          *rest = '\0';
+          text_expand (rest + 1, &text);
+        }
+      on_line (&session, line, br_buf_str (&text));
+      br_buf_free (&text);
+    }
+  br_fleet_release (&session.fleet, NULL, NULL);
+  session_reset (&session);
+  return 0;
+}
