--- a/src/site/listing.h
+++ b/src/site/listing.h
@@ -41,6 +41,7 @@
 typedef struct
 {
   br_listings_t entries;
+  size_t n_pages;
   size_t n_skipped;
   size_t n_faults;
   br_list_fault_t faults[BR_LIST_FAULTS_MAX]; /* of the first skipped ones */
--- a/tests/platform_session.c
+++ b/tests/platform_session.c
@@ -3,6 +3,7 @@
  *
  *   list TEXT            a list of one page, which is not put in force
  *   page TEXT            a page of the list; goes on with the list read so far
+ *   pages N TEXT         the same page N times
  *   apply                puts the list in force and prints the upstreams in use
  *   configuration TEXT
  *
@@ -88,6 +89,15 @@
   br_buf_free (&next);
 }
 
+static void
+on_pages (session_t *session, br_str_t text)
+{
+  char *body;
+
+  for (unsigned long n = strtoul (text.data, &body, 10); n > 0; n--)
+    on_page (session, br_str_from (body));
+}
+
 static void
 session_reset (session_t *session)
 {
@@ -127,6 +137,8 @@
 {
   if (strcmp (verb, "list") == 0 || strcmp (verb, "page") == 0)
     on_page (session, text);
+  else if (strcmp (verb, "pages") == 0)
+    on_pages (session, text);
   else if (strcmp (verb, "apply") == 0)
     on_apply (session);
   else if (strcmp (verb, "configuration") == 0)
