List: say which entry is skipped, and why

An operator saw that entries were skipped, not which ones: `upstreams listed` and `list entries skipped` name a count only, the second one at each read of an entry VM without a leader. `list_unreadable` came at each read, twice a second, for as long as a page could not be read.

`list entry skipped` names the position of the entry, its id, the field, its value and what was expected, for the first eight of a list. It and `list_unreadable` come once a minute for each fault, and 20 times a minute at most. `list_entries_skipped_total` and `lists_unreadable_total` count all. `list entries skipped` is gone.

--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -40,6 +40,10 @@
   X (LOG_RECORDS, "log_records_total", "Records written to the log")           \
   X (LOG_BYTES_SENT, "log_sent_bytes_total",                                   \
      "Bytes sent to peers for the replicated log")                             \
+  X (LIST_ENTRIES_SKIPPED, "list_entries_skipped_total",                       \
+     "Entries of the platform's list that name no upstream, at each read")     \
+  X (LISTS_UNREADABLE, "lists_unreadable_total",                               \
+     "Reads of the platform's list that failed")                               \
   X (PROTOCOL_ERRORS, "protocol_errors_total", "Messages that did not parse")
 
 typedef enum
--- a/src/shell/control_list.c
+++ b/src/shell/control_list.c
@@ -1,5 +1,6 @@
 /* Handles the platform's list of upstreams on the leading control VM. */
 #include "shell/control_private.h"
+#include "shell/list_log.h"
 
 static bool
 listing_equal (const br_listing_t *a, const br_listing_t *b)
@@ -59,11 +60,12 @@
   task->reading_list = false;
   if (list == NULL)
     {
-      br_log_error (&task->node->log, "site", "list_unreadable", err);
+      br_list_log_unreadable (task->node, &task->list_reports, err);
       return;
     }
   if (task->leads_term == 0)
     return;
+  br_list_log_skipped (task->node, &task->list_reports, list);
   listings = &list->entries;
   task->list_as_of_ms = task->list_requested_ms;
   br_version_history_update (&task->history, listings,
--- a/src/shell/control_private.h
+++ b/src/shell/control_private.h
@@ -7,6 +7,7 @@
 #include "shell/control_task.h"
 #include "shell/site_message.h"
 #include "site/limit_pool.h"
+#include "site/list_report.h"
 #include "site/quota_pool.h"
 #include "site/site_clock.h"
 #include "site/site_sums.h"
@@ -83,6 +84,7 @@
   br_ms_t list_as_of_ms; /* when the last list that came was requested */
   br_ms_t list_requested_ms;
   bool reading_list;
+  br_list_reports_t list_reports;
   br_control_leavings_t leaving; /* owned */
   uint64_t leads_term;           /* term that this VM leads; 0: none */
   br_ms_t leading_since_ms;      /* start of LEADS_TERM */
--- a/src/shell/entry_private.h
+++ b/src/shell/entry_private.h
@@ -9,6 +9,7 @@
 #include "shell/entry_task.h"
 #include "site/choice.h"
 #include "site/fleet.h"
+#include "site/list_report.h"
 #include "site/quota.h"
 #include "site/repeat_budget.h"
 #include "site/site.pb-c.h"
@@ -58,6 +59,7 @@
   br_site_clock_t clock;
   br_cloud_t *cloud;
   bool reading_list;
+  br_list_reports_t list_reports;
   br_ms_t list_requested_ms; /* when this VM last requested the list itself */
   uint32_t entries;          /* entry VMs of the site, this one included */
   br_name_t leader;          /* leading control VM, by its last heartbeat */
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -6,6 +6,7 @@
 #include "base/deflate.h"
 #include "platform/configuration_codec.h"
 #include "shell/entry_private.h"
+#include "shell/list_log.h"
 #include "shell/peer_task.h"
 #include "shell/site_message.h"
 #include "shell/upstream_pool.h"
@@ -198,12 +199,10 @@
   task->reading_list = false;
   if (list == NULL)
     {
-      br_log_error (&task->node->log, "site", "list_unreadable", err);
+      br_list_log_unreadable (task->node, &task->list_reports, err);
       return;
     }
-  if (list->n_skipped > 0)
-    BR_LOG (&task->node->log, "site", "list entries skipped",
-            br_field_int ("entries", (int64_t)list->n_skipped));
+  br_list_log_skipped (task->node, &task->list_reports, list);
   /* The leader's next list is newer than this one, whatever its sequence. */
   if (task->fleet.known && now - task->leader_seen_ms < LEADER_TIMEOUT_MS)
     return;
--- a/src/site/listing.h
+++ b/src/site/listing.h
@@ -32,9 +32,9 @@
 /* Why an entry of the list is not used. */
 typedef struct
 {
-  size_t position; /* in the list, from 0 */
-  br_name_t id;    /* empty when it has none that can be read */
-  char why[BR_ERROR_TEXT_MAX];   /* printable */
+  int64_t position;            /* in the list, from 0 */
+  br_name_t id;                /* empty when it has none that can be read */
+  char why[BR_ERROR_TEXT_MAX]; /* printable */
 } br_list_fault_t;
 
 /* A list that was read.  Its entries are owned. */
--- a/tests/platform_session.c
+++ b/tests/platform_session.c
@@ -5,6 +5,8 @@
  *   page TEXT            a page of the list; goes on with the list read so far
  *   pages N TEXT         the same page N times
  *   apply                puts the list in force and prints the upstreams in use
+ *   log NOW              logs the skipped entries of the list
+ *   log_unreadable NOW WHY
  *   configuration TEXT
  *
  * In TEXT, <N*PIECE> stands for N times PIECE and <xHH> for one byte.
@@ -16,6 +18,7 @@
 #include "platform/configuration_codec.h"
 #include "platform/list_codec.h"
 #include "site/fleet.h"
+#include "site/list_report.h"
 
 #define LINE_MAX_BYTES 8192
 
@@ -23,6 +26,7 @@
 {
   br_site_list_t list;
   bool unreadable;
+  br_list_reports_t reports;
   br_fleet_t fleet;
 } session_t;
 
@@ -84,7 +88,7 @@
   for (size_t i = from; !session->unreadable && i < list->entries.len; i++)
     print_listing (&list->entries.items[i]);
   for (size_t i = first_fault; !session->unreadable && i < list->n_faults; i++)
-    printf ("  skipped %zu '%s': %s\n", list->faults[i].position,
+    printf ("  skipped %lld '%s': %s\n", (long long)list->faults[i].position,
             list->faults[i].id.data, list->faults[i].why);
   br_buf_free (&next);
 }
@@ -118,6 +122,31 @@
   session_reset (session);
 }
 
+static void
+on_log (session_t *session, br_str_t now)
+{
+  for (size_t i = 0; i < session->list.n_faults; i++)
+    {
+      const br_list_fault_t *fault = &session->list.faults[i];
+
+      if (br_list_reports_take (&session->reports, br_name_str (&fault->id),
+                                br_str_from (fault->why), atoll (now.data)))
+        printf ("  logged '%s': %s\n", fault->id.data, fault->why);
+    }
+}
+
+static void
+on_log_unreadable (session_t *session, br_str_t text)
+{
+  char *why;
+  br_ms_t now = strtoll (text.data, &why, 10);
+
+  printf ("  %s\n", br_list_reports_take (&session->reports, (br_str_t){ 0 },
+                                          br_str_from (why), now)
+                        ? "logged"
+                        : "not logged");
+}
+
 static void
 on_configuration (br_str_t body)
 {
@@ -141,6 +170,10 @@
     on_pages (session, text);
   else if (strcmp (verb, "apply") == 0)
     on_apply (session);
+  else if (strcmp (verb, "log") == 0)
+    on_log (session, text);
+  else if (strcmp (verb, "log_unreadable") == 0)
+    on_log_unreadable (session, text);
   else if (strcmp (verb, "configuration") == 0)
     on_configuration (text);
   else
