List: two entries with one id are one upstream

When an entry of another writer had the id of an upstream, the VM used the address, service and start of whichever stood last. With a different start the upstream counted as restarted twice at each read, so its cached prompts, back-off and limit were forgotten each time, and its runs counted as lost.

Cause: the entries were applied one after another to the one upstream of that id.

One entry of those with an id is kept before the list is used: the one that started last, since an upstream that restarted under its id is listed twice for a while, then the one in use, then the first. The others are skipped and logged. Equal entries, as of two pages, are not.

Before the change session.platform.repeated_ids printed "a s 10.0.0.9:80" in use after 10.0.0.1 had started earlier, "a t 10.0.0.1:80" for an entry of another service, and "born 1000" where the upstream had restarted at 2000.

An entry with a later start than the upstream whose id it has is not told from a restart. An upstream refuses requests for another id, so it runs none.

--- a/src/shell/control_list.c
+++ b/src/shell/control_list.c
@@ -50,9 +50,7 @@
 }
 
 void
-br_control_on_list (void *context,
-                    const br_site_list_t *list,
-                    const br_error_t *err)
+br_control_on_list (void *context, br_site_list_t *list, const br_error_t *err)
 {
   br_control_task_t *task = context;
   const br_listings_t *listings;
@@ -65,6 +63,7 @@
     }
   if (task->leads_term == 0)
     return;
+  br_site_list_drop_repeats (list, &task->listings);
   br_list_log_skipped (task->node, &task->list_reports, list);
   listings = &list->entries;
   task->list_as_of_ms = task->list_requested_ms;
--- a/src/shell/control_private.h
+++ b/src/shell/control_private.h
@@ -137,9 +137,8 @@
 
 /* Handles the platform's list; LISTINGS is NULL and ERR is set when the read
  * failed.  A br_cloud_list_fn whose CONTEXT is the task. */
-void br_control_on_list (void *context,
-                         const br_site_list_t *list,
-                         const br_error_t *err);
+void
+br_control_on_list (void *context, br_site_list_t *list, const br_error_t *err);
 
 /* --- control_leaving.c --- */
 
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -188,9 +188,20 @@
   br_exchanges_admit_waiting (task);
 }
 
+static void
+task_drop_repeats (const br_entry_task_t *task, br_site_list_t *list)
+{
+  br_listings_t known = { 0 };
+
+  for (size_t i = 0; i < task->fleet.all.len; i++)
+    br_listings_push (&known, task->fleet.all.items[i]->listing);
+  br_site_list_drop_repeats (list, &known);
+  br_listings_free (&known);
+}
+
 static void
 task_on_platform_list (void *context,
-                       const br_site_list_t *list,
+                       br_site_list_t *list,
                        const br_error_t *err)
 {
   br_entry_task_t *task = context;
@@ -202,6 +213,7 @@
       br_list_log_unreadable (task->node, &task->list_reports, err);
       return;
     }
+  task_drop_repeats (task, list);
   br_list_log_skipped (task->node, &task->list_reports, list);
   /* The leader's next list is newer than this one, whatever its sequence. */
   if (task->fleet.known && now - task->leader_seen_ms < LEADER_TIMEOUT_MS)
--- a/src/site/listing.h
+++ b/src/site/listing.h
@@ -47,6 +47,18 @@
   br_list_fault_t faults[BR_LIST_FAULTS_MAX]; /* of the first skipped ones */
 } br_site_list_t;
 
+/* Counts an entry that is not used, and describes it if there is room. */
+void br_site_list_skip (br_site_list_t *list,
+                        int64_t position,
+                        const br_name_t *id,
+                        const br_error_t *why);
+
+/* Leaves one entry of those with the same id: the one that started last, then
+ * the one that is in KNOWN, the list in force, then the first.  The others are
+ * skipped.  Of equal entries the last is left, and none counts as skipped. */
+void br_site_list_drop_repeats (br_site_list_t *list,
+                                const br_listings_t *known);
+
 BR_END_DECLS
 
 #endif
--- a/tests/platform_session.c
+++ b/tests/platform_session.c
@@ -66,6 +66,14 @@
           (unsigned long long)listing->started_ms);
 }
 
+static void
+print_faults (const br_site_list_t *list, size_t from)
+{
+  for (size_t i = from; i < list->n_faults; i++)
+    printf ("  skipped %lld '%s': %s\n", (long long)list->faults[i].position,
+            list->faults[i].id.data, list->faults[i].why);
+}
+
 static void
 on_page (session_t *session, br_str_t body)
 {
@@ -87,9 +95,8 @@
             next.len > 0 ? next.data : "");
   for (size_t i = from; !session->unreadable && i < list->entries.len; i++)
     print_listing (&list->entries.items[i]);
-  for (size_t i = first_fault; !session->unreadable && i < list->n_faults; i++)
-    printf ("  skipped %lld '%s': %s\n", (long long)list->faults[i].position,
-            list->faults[i].id.data, list->faults[i].why);
+  if (!session->unreadable)
+    print_faults (list, first_fault);
   br_buf_free (&next);
 }
 
@@ -113,8 +120,18 @@
 static void
 on_apply (session_t *session)
 {
+  size_t n_faults = session->list.n_faults;
+  br_listings_t known = { 0 };
+
+  for (size_t i = 0; i < session->fleet.all.len; i++)
+    br_listings_push (&known, session->fleet.all.items[i]->listing);
   if (!session->unreadable)
-    br_fleet_update (&session->fleet, &session->list.entries, 0);
+    {
+      br_site_list_drop_repeats (&session->list, &known);
+      br_fleet_update (&session->fleet, &session->list.entries, 0);
+    }
+  br_listings_free (&known);
+  print_faults (&session->list, n_faults);
   printf ("in use: %zu\n", session->fleet.all.len);
   for (size_t i = 0; i < session->fleet.all.len; i++)
     print_listing (&session->fleet.all.items[i]->listing);
