Split: a bracket that does not end in an entry ends with its object

`{"Id":"a","x":[}` in a list made the page unreadable: the bracket was counted with those of the list, which then had no end.

Brackets are counted outside of braces only. A brace or a quote that does not end still makes the page unreadable.

--- a/src/base/json_split.c
+++ b/src/base/json_split.c
@@ -46,16 +46,17 @@
 }
 
 /* Returns the length of the value at the start of TEXT up to the comma after
- * it.  Only brackets of the kind that opens the value are counted: those of the
- * other kind are balanced within them if the value is valid. */
+ * it.  Brackets are counted outside of braces only, where those of a valid
+ * object are balanced; so those of an invalid one end with it. */
 static size_t
 value_len (br_str_t text, bool *unclosed)
 {
   char closing = closing_of (text);
-  size_t depth = 0;
+  size_t braces = 0;
+  size_t brackets = 0;
   size_t at = 0;
 
-  while (at < text.len && (depth > 0 || text.data[at] != ','))
+  while (at < text.len && (braces + brackets > 0 || text.data[at] != ','))
     {
       char c = text.data[at];
 
@@ -63,12 +64,16 @@
         at += string_len (str_from (text, at));
       else
         at++;
-      if (closing != '\0' && c == text.data[0])
-        depth++;
-      else if (c == closing && depth > 0)
-        depth--;
+      if (c == '{' && closing != '\0')
+        braces++;
+      else if (c == '}' && braces > 0)
+        braces--;
+      else if (c == '[' && closing == ']' && braces == 0)
+        brackets++;
+      else if (c == ']' && brackets > 0 && braces == 0)
+        brackets--;
     }
-  *unclosed = depth > 0 || at > text.len;
+  *unclosed = braces + brackets > 0 || at > text.len;
   return BR_MIN (at, text.len);
 }
 
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -171,6 +171,7 @@
 {
   EXPECT_EQ (split ("[tru,,'x' y,{\"a\":[},{\"a\":]}},7]"),
              "tru;;'x' y;{\"a\":[};{\"a\":]}};7;");
+  EXPECT_EQ (split ("{\"a\":[{[},}},{]},7],\"b\":8}"), "a=[{[},}},{]},7];b=8;");
   EXPECT_EQ (split ("[7,]"), "7;;");
   EXPECT_EQ (split ("{7,\"a\",\"b\":,c:1,\"d\":2}"), "7;\"a\";b=;c:1;d=2;");
   EXPECT_EQ (split (std::string ("[\0,\xff\xfe,7]", 8)),
