VM list, notices: read them entry by entry

One entry that could not be read made the whole VM list invalid, as its header said, and one notice all notices: `bad_answer` at each poll. VMs that left or came were not noticed for as long as it stood there, and as the number of the last notice stayed the same, neither were later notices. An incarnation of 9e18 was taken; the next lists of that VM were then older ones and ignored. A host name as an address is looked up by libevent on the event loop, which waits for it (by its documentation; not measured).

Cause: answers were parsed as one JSON value and refused as a whole. Numbers of another type counted as 0 and those out of range as the limit.

Both are split into entries, which are parsed by themselves with limits on their bytes, depth and numbers. `bad_entry` names the first odd one, once a minute, and `list_entries_skipped_total` counts all. An address is an IP address now.

--- a/src/base/str.c
+++ b/src/base/str.c
@@ -72,6 +72,15 @@
          && br_str_equal (br_str_make (str.data, prefix.len), prefix);
 }
 
+bool
+br_str_has_control (br_str_t str)
+{
+  for (size_t i = 0; i < str.len; i++)
+    if ((unsigned char)str.data[i] < ' ' || str.data[i] == '\x7f')
+      return true;
+  return false;
+}
+
 uint64_t
 br_str_hash (br_str_t str, uint64_t seed)
 {
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -49,6 +49,9 @@
 bool br_str_equal (br_str_t a, br_str_t b);
 int br_str_compare (br_str_t a, br_str_t b);
 bool br_str_starts_with (br_str_t str, br_str_t prefix);
+
+/* Returns whether STR holds an ASCII control character. */
+bool br_str_has_control (br_str_t str);
 uint64_t br_str_hash (br_str_t str, uint64_t seed);
 
 /* Returns a NUL-terminated copy; the caller frees it with free(). */
--- a/src/shell/platform_task.c
+++ b/src/shell/platform_task.c
@@ -6,6 +6,7 @@
 
 #include "shell/domain_task.h"
 #include "shell/http_call.h"
+#include "site/list_report.h"
 #include "upstream/vm_list.h"
 
 /* Polls for reclaim notices per poll of the VM list. */
@@ -29,6 +30,7 @@
   bool notices_busy;
   bool offers_busy;
   br_offers_t offers;
+  br_list_reports_t reports;
 };
 
 /* An order, to start or stop a VM, whose answer has not arrived yet. */
@@ -45,6 +47,19 @@
   br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
 }
 
+static void
+task_log_odd_entries (br_platform_task_t *task, const br_odd_entries_t *odd)
+{
+  br_node_t *node = task->node;
+
+  if (odd->n == 0)
+    return;
+  br_counters_add (&node->counters, BR_COUNTER_LIST_ENTRIES_SKIPPED, odd->n);
+  if (br_list_reports_take (&task->reports, br_str_from (odd->first.step),
+                            br_str_from (odd->first.text), br_node_now (node)))
+    br_log_error (&node->log, "platform", "bad_entry", &odd->first);
+}
+
 /* A VM that was removed from the list was stopped, so the requests that ran on
  * it are not suspected of a crash. */
 static void
@@ -130,6 +145,7 @@
     task_log_bad_answer (task, &err);
   else if (!list.unchanged)
     {
+      task_log_odd_entries (task, &list.odd);
       task->list_revision = list.revision;
       for (size_t i = 0; i < list.vms.len; i++)
         if (list.vms.items[i].leaving && !list.vms.items[i].is_entry)
@@ -166,16 +182,20 @@
 {
   br_platform_task_t *task = context;
   br_reclaims_t reclaims = { 0 };
+  br_odd_entries_t odd;
   br_error_t err;
 
   task->notices_busy = false;
   if (status != HTTP_OK)
     return;
-  if (!br_reclaims_read (body, &reclaims, &err))
+  if (!br_reclaims_read (body, &reclaims, &odd, &err))
     task_log_bad_answer (task, &err);
   else
-    for (size_t i = 0; i < reclaims.len; i++)
-      task_on_reclaim (task, &reclaims.items[i]);
+    {
+      task_log_odd_entries (task, &odd);
+      for (size_t i = 0; i < reclaims.len; i++)
+        task_on_reclaim (task, &reclaims.items[i]);
+    }
   br_reclaims_free (&reclaims);
 }
 
--- a/src/upstream/vm_list.c
+++ b/src/upstream/vm_list.c
@@ -1,65 +1,135 @@
 #include "upstream/vm_list.h"
 
+#include <event2/util.h>
 #include <json-c/json.h>
+#include <netinet/in.h>
 #include <string.h>
 
+#include "base/json_split.h"
+
+/* Limits on one entry. */
+#define ENTRY_MAX_BYTES 65536
 #define JSON_DEPTH_MAX 8
+#define INTEGER_MAX 1000000000000000
+#define LEAVE_MAX_MS 86400000
+
+static bool
+entry_fault (br_error_t *err, const char *field, const char *expected)
+{
+  return br_error_set (err, BR_ERROR_PROTOCOL, "read entry", "platform",
+                       "%s: expected %s", field, expected);
+}
 
+/* Parses an entry, which must be an object. */
 static json_object *
-json_parse (br_str_t text)
+entry_parse (br_str_t text, br_error_t *err)
 {
-  json_tokener *tokener = json_tokener_new_ex (JSON_DEPTH_MAX);
-  json_object *value;
+  json_tokener *tokener;
+  json_object *object;
+  const char *why;
 
-  json_tokener_set_flags (tokener, JSON_TOKENER_STRICT);
-  value = json_tokener_parse_ex (tokener, text.data, (int)text.len);
+  if (text.len == 0 || text.len > ENTRY_MAX_BYTES || text.data[0] != '{')
+    {
+      entry_fault (err, "the entry", "an object of at most 65536 bytes");
+      return NULL;
+    }
+  tokener = json_tokener_new_ex (JSON_DEPTH_MAX);
+  json_tokener_set_flags (tokener,
+                          JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
+  object = json_tokener_parse_ex (tokener, text.data, (int)text.len);
+  why = json_tokener_error_desc (json_tokener_get_error (tokener));
+  if (object == NULL)
+    br_error_set (err, BR_ERROR_PROTOCOL, "read entry", "platform",
+                  "at byte %zu of %zu: %s",
+                  json_tokener_get_parse_end (tokener), text.len, why);
   json_tokener_free (tokener);
-  return value;
+  return object;
 }
 
-static json_object *
-json_member (json_object *object, const char *key, json_type type)
+/* Sets *MEMBER to the member KEY, or to NULL when it is missing. */
+static bool
+member_get (json_object *object,
+            const char *key,
+            json_type type,
+            json_object **member,
+            br_error_t *err)
 {
-  json_object *value;
+  *member = NULL;
+  return !json_object_object_get_ex (object, key, member)
+         || json_object_is_type (*member, type)
+         || entry_fault (err, key, json_type_to_name (type));
+}
 
-  if (!json_object_object_get_ex (object, key, &value)
-      || !json_object_is_type (value, type))
-    return NULL;
-  return value;
+static bool
+text_read (json_object *object,
+           const char *key,
+           br_str_t *text,
+           br_error_t *err)
+{
+  json_object *member;
+
+  *text = (br_str_t){ 0 };
+  if (!member_get (object, key, json_type_string, &member, err))
+    return false;
+  if (member != NULL)
+    *text = br_str_make (json_object_get_string (member),
+                         (size_t)json_object_get_string_len (member));
+  return !br_str_has_control (*text)
+         || entry_fault (err, key, "no control characters");
 }
 
-static br_str_t
-json_string (json_object *object, const char *key)
+static bool
+name_read (json_object *object,
+           const char *key,
+           br_name_t *name,
+           br_error_t *err)
 {
-  json_object *value = json_member (object, key, json_type_string);
+  br_str_t text;
 
-  if (value == NULL)
-    return (br_str_t){ 0 };
-  return br_str_make (json_object_get_string (value),
-                      (size_t)json_object_get_string_len (value));
+  return text_read (object, key, &text, err)
+         && (br_name_set (name, text)
+             || entry_fault (err, key, "at most 62 bytes"));
 }
 
-static int64_t
-json_number (json_object *object, const char *key)
+/* A missing number is 0. */
+static bool
+number_read (json_object *object,
+             const char *key,
+             int64_t max,
+             int64_t *number,
+             br_error_t *err)
 {
-  json_object *value = json_member (object, key, json_type_int);
+  json_object *member;
 
-  return value != NULL ? BR_MAX (json_object_get_int64 (value), 0) : 0;
+  *number = 0;
+  if (!member_get (object, key, json_type_int, &member, err))
+    return false;
+  if (member != NULL)
+    *number = json_object_get_int64 (member);
+  return (*number >= 0 && *number <= max)
+         || br_error_set (err, BR_ERROR_PROTOCOL, "read entry", "platform",
+                          "%s is %lld: expected 0 to %lld", key,
+                          (long long)*number, (long long)max);
 }
 
 static bool
-json_flag (json_object *object, const char *key)
+flag_read (json_object *object, const char *key, bool *flag, br_error_t *err)
 {
-  json_object *value = json_member (object, key, json_type_boolean);
+  json_object *member;
 
-  return value != NULL && json_object_get_boolean (value);
+  if (!member_get (object, key, json_type_boolean, &member, err))
+    return false;
+  *flag = member != NULL && json_object_get_boolean (member);
+  return true;
 }
 
 static bool
-listed_read_labels (json_object *object, br_labels_t *labels)
+listed_read_labels (json_object *object, br_labels_t *labels, br_error_t *err)
 {
-  json_object *from = json_member (object, "labels", json_type_object);
+  json_object *from;
 
+  if (!member_get (object, "labels", json_type_object, &from, err))
+    return false;
   if (from == NULL)
     return true;
   json_object_object_foreach (from, key, value)
@@ -67,72 +137,141 @@
     if (!json_object_is_type (value, json_type_string)
         || !br_labels_set (labels, br_str_from (key),
                            br_str_from (json_object_get_string (value))))
-      return false;
+      return entry_fault (err, "labels", "texts");
   }
   return true;
 }
 
 static bool
-listed_read_address (json_object *object, br_upstream_t *upstream)
+is_ip (const char *address)
+{
+  struct in6_addr ip;
+
+  return evutil_inet_pton (AF_INET, address, &ip) == 1
+         || evutil_inet_pton (AF_INET6, address, &ip) == 1;
+}
+
+static bool
+listed_read_address (json_object *object,
+                     br_upstream_t *upstream,
+                     br_error_t *err)
 {
-  br_str_t address = json_string (object, "address");
-  int64_t port = json_number (object, "port");
+  br_str_t address;
+  int64_t port;
 
-  if (address.len == 0 || address.len >= sizeof upstream->address || port < 1
-      || port > UINT16_MAX)
+  if (!text_read (object, "address", &address, err)
+      || !number_read (object, "port", UINT16_MAX, &port, err))
     return false;
+  if (port == 0)
+    return entry_fault (err, "port", "1 to 65535");
+  if (address.len == 0 || address.len >= sizeof upstream->address)
+    return entry_fault (err, "address", "an IP address");
   memcpy (upstream->address, address.data, address.len);
   upstream->address[address.len] = '\0';
   upstream->port = (uint16_t)port;
-  return true;
+  return is_ip (upstream->address)
+         || entry_fault (err, "address", "an IP address");
 }
 
 static bool
-listed_read (json_object *object, br_listed_vm_t *vm)
+listed_read (json_object *object, br_listed_vm_t *vm, br_error_t *err)
 {
   br_upstream_t *upstream = &vm->upstream;
-
-  *vm = (br_listed_vm_t){ 0 };
-  if (!json_object_is_type (object, json_type_object))
+  br_str_t role;
+  br_str_t state;
+  int64_t incarnation;
+  int64_t price;
+
+  if (!name_read (object, "name", &upstream->name, err)
+      || !text_read (object, "role", &role, err)
+      || !text_read (object, "state", &state, err)
+      || !name_read (object, "failure_domain", &upstream->failure_domain, err)
+      || !name_read (object, "class", &upstream->machine_class, err)
+      || !number_read (object, "incarnation", INTEGER_MAX, &incarnation, err)
+      || !number_read (object, "price", UINT32_MAX, &price, err)
+      || !flag_read (object, "reclaimable", &upstream->reclaimable, err))
     return false;
-  vm->is_entry
-      = br_str_equal (json_string (object, "role"), br_str_from ("entry"));
-  vm->leaving
-      = br_str_equal (json_string (object, "state"), br_str_from ("leaving"));
-  upstream->incarnation = (uint64_t)json_number (object, "incarnation");
-  upstream->price
-      = (uint32_t)BR_MIN (json_number (object, "price"), (int64_t)UINT32_MAX);
-  upstream->reclaimable = json_flag (object, "reclaimable");
+  if (upstream->name.len == 0)
+    return entry_fault (err, "name", "a name");
+  vm->is_entry = br_str_equal (role, br_str_from ("entry"));
+  vm->leaving = br_str_equal (state, br_str_from ("leaving"));
+  upstream->incarnation = (uint64_t)incarnation;
+  upstream->price = (uint32_t)price;
   upstream->listed = true;
-  return json_string (object, "name").len > 0
-         && br_name_set (&upstream->name, json_string (object, "name"))
-         && br_name_set (&upstream->failure_domain,
-                         json_string (object, "failure_domain"))
-         && br_name_set (&upstream->machine_class,
-                         json_string (object, "class"))
-         && (vm->is_entry || listed_read_address (object, upstream))
-         && listed_read_labels (object, &upstream->labels);
+  return (vm->is_entry || listed_read_address (object, upstream, err))
+         && listed_read_labels (object, &upstream->labels, err);
 }
 
+/* Finds the members of an answer.  Returns false when it is no object or has no
+ * end. */
 static bool
-list_read_vms (json_object *root, br_vm_list_t *list)
+answer_split (br_str_t json,
+              const char *array_key,
+              br_str_t *array,
+              br_vm_list_t *head)
 {
-  json_object *vms = json_member (root, "vms", json_type_array);
+  br_json_split_t split;
+  br_str_t key;
+  br_str_t value;
 
-  list->revision = (uint64_t)json_number (root, "revision");
-  list->unchanged = json_flag (root, "unchanged");
-  if (list->unchanged)
-    return true;
-  if (vms == NULL || json_object_array_length (vms) > BR_VM_LIST_MAX)
+  *array = (br_str_t){ 0 };
+  if (!br_json_split_begin (&split, json) || !split.is_object)
     return false;
-  for (size_t i = 0; i < json_object_array_length (vms); i++)
+  while (br_json_split_next (&split, &key, &value))
+    if (br_str_equal (key, br_str_from (array_key)))
+      *array = value;
+    else if (head != NULL && br_str_equal (key, br_str_from ("revision")))
+      br_str_to_u64 (value, &head->revision);
+    else if (head != NULL && br_str_equal (key, br_str_from ("unchanged")))
+      head->unchanged = br_str_equal (value, br_str_from ("true"));
+  return !split.unclosed;
+}
+
+static void
+odd_entry_note (br_odd_entries_t *odd,
+                const char *step,
+                size_t position,
+                const br_name_t *name,
+                const br_error_t *err)
+{
+  if (odd->n++ == 0)
+    br_error_set (&odd->first, BR_ERROR_PROTOCOL, step, "platform",
+                  "entry %zu '%s': %s", position, name->data, err->text);
+}
+
+static void
+list_add (br_vm_list_t *list, br_str_t text, size_t position)
+{
+  br_listed_vm_t vm = { 0 };
+  br_error_t err;
+  json_object *object = entry_parse (text, &err);
+
+  if (object != NULL && listed_read (object, &vm, &err))
+    br_listed_vms_push (&list->vms, vm);
+  else
     {
-      br_listed_vm_t vm;
-      bool ok = listed_read (json_object_array_get_idx (vms, i), &vm);
+      odd_entry_note (&list->odd, "read VM list", position, &vm.upstream.name,
+                      &err);
+      br_labels_free (&vm.upstream.labels);
+    }
+  json_object_put (object);
+}
 
-      br_listed_vms_push (&list->vms, vm);
-      if (!ok)
+static bool
+list_read_vms (br_str_t vms, br_vm_list_t *list)
+{
+  br_json_split_t split;
+  br_str_t key;
+  br_str_t entry;
+  size_t n = 0;
+
+  if (!br_json_split_begin (&split, vms) || split.is_object)
+    return false;
+  while (br_json_split_next (&split, &key, &entry))
+    {
+      if (split.unclosed || n == BR_VM_LIST_MAX)
         return false;
+      list_add (list, entry, n++);
     }
   return true;
 }
@@ -140,14 +279,11 @@
 bool
 br_vm_list_read (br_str_t json, br_vm_list_t *list, br_error_t *err)
 {
-  json_object *root = json_parse (json);
-  bool ok;
+  br_str_t vms;
 
   *list = (br_vm_list_t){ 0 };
-  ok = json_object_is_type (root, json_type_object)
-       && list_read_vms (root, list);
-  json_object_put (root);
-  if (ok)
+  if (answer_split (json, "vms", &vms, list)
+      && (list->unchanged || list_read_vms (vms, list)))
     return true;
   return br_error_set (err, BR_ERROR_PROTOCOL, "read VM list", "platform",
                        "answer of %zu bytes is not a VM list", json.len);
@@ -161,40 +297,70 @@
   br_listed_vms_free (&list->vms);
 }
 
+static void
+reclaims_add (br_reclaims_t *reclaims,
+              br_odd_entries_t *odd,
+              br_str_t text,
+              size_t position)
+{
+  br_reclaim_t reclaim = { 0 };
+  int64_t number;
+  int64_t incarnation;
+  br_error_t err;
+  json_object *object = entry_parse (text, &err);
+  bool ok
+      = object != NULL && name_read (object, "vm", &reclaim.vm, &err)
+        && number_read (object, "number", INTEGER_MAX, &number, &err)
+        && number_read (object, "incarnation", INTEGER_MAX, &incarnation, &err)
+        && number_read (object, "leave_in_ms", LEAVE_MAX_MS,
+                        &reclaim.leave_in_ms, &err);
+
+  if (ok && reclaim.vm.len == 0)
+    ok = entry_fault (&err, "vm", "a name");
+  if (ok)
+    {
+      reclaim.number = (uint64_t)number;
+      reclaim.incarnation = (uint64_t)incarnation;
+      br_reclaims_push (reclaims, reclaim);
+    }
+  else
+    odd_entry_note (odd, "read reclaim notices", position, &reclaim.vm, &err);
+  json_object_put (object);
+}
+
 static bool
-reclaims_read_all (json_object *notices, br_reclaims_t *reclaims)
+reclaims_read_all (br_str_t notices,
+                   br_reclaims_t *reclaims,
+                   br_odd_entries_t *odd)
 {
-  if (notices == NULL || json_object_array_length (notices) > BR_VM_LIST_MAX)
+  br_json_split_t split;
+  br_str_t key;
+  br_str_t entry;
+  size_t n = 0;
+
+  if (!br_json_split_begin (&split, notices) || split.is_object)
     return false;
-  for (size_t i = 0; i < json_object_array_length (notices); i++)
+  while (br_json_split_next (&split, &key, &entry))
     {
-      json_object *each = json_object_array_get_idx (notices, i);
-      br_reclaim_t reclaim = { 0 };
-
-      if (!json_object_is_type (each, json_type_object)
-          || json_string (each, "vm").len == 0
-          || !br_name_set (&reclaim.vm, json_string (each, "vm")))
+      if (split.unclosed || n == BR_VM_LIST_MAX)
         return false;
-      reclaim.number = (uint64_t)json_number (each, "number");
-      reclaim.incarnation = (uint64_t)json_number (each, "incarnation");
-      reclaim.leave_in_ms = json_number (each, "leave_in_ms");
-      br_reclaims_push (reclaims, reclaim);
+      reclaims_add (reclaims, odd, entry, n++);
     }
   return true;
 }
 
 bool
-br_reclaims_read (br_str_t json, br_reclaims_t *reclaims, br_error_t *err)
+br_reclaims_read (br_str_t json,
+                  br_reclaims_t *reclaims,
+                  br_odd_entries_t *odd,
+                  br_error_t *err)
 {
-  json_object *root = json_parse (json);
-  bool ok;
+  br_str_t notices;
 
   *reclaims = (br_reclaims_t){ 0 };
-  ok = json_object_is_type (root, json_type_object)
-       && reclaims_read_all (json_member (root, "notices", json_type_array),
-                             reclaims);
-  json_object_put (root);
-  if (ok)
+  *odd = (br_odd_entries_t){ 0 };
+  if (answer_split (json, "notices", &notices, NULL)
+      && reclaims_read_all (notices, reclaims, odd))
     return true;
   return br_error_set (err, BR_ERROR_PROTOCOL, "read reclaim notices",
                        "platform", "answer of %zu bytes is not a notice list",
--- a/src/upstream/vm_list.h
+++ b/src/upstream/vm_list.h
@@ -22,11 +22,19 @@
 
 BR_VEC (br_listed_vms, br_listed_vm_t);
 
+/* The entries of an answer that are not used. */
+typedef struct
+{
+  size_t n;
+  br_error_t first; /* what the first one is; set if N > 0 */
+} br_odd_entries_t;
+
 typedef struct
 {
   uint64_t revision;
   bool unchanged; /* since the requested revision; VMS is empty */
   br_listed_vms_t vms;
+  br_odd_entries_t odd;
 } br_vm_list_t;
 
 /* A notice that the platform will reclaim a VM. */
@@ -40,14 +48,17 @@
 
 BR_VEC (br_reclaims, br_reclaim_t);
 
-/* Parses {"revision":N,"vms":[...]} or {"revision":N,"unchanged":true}.  One
- * invalid entry makes the whole list invalid.  The caller releases LIST in
- * either case. */
+/* Parses {"revision":N,"vms":[...]} or {"revision":N,"unchanged":true}.  An
+ * invalid entry is left out.  The caller releases LIST in either case. */
 bool br_vm_list_read (br_str_t json, br_vm_list_t *list, br_error_t *err);
 void br_vm_list_release (br_vm_list_t *list);
 
-/* Parses {"notices":[...]}.  The caller frees RECLAIMS in either case. */
-bool br_reclaims_read (br_str_t json, br_reclaims_t *reclaims, br_error_t *err);
+/* Parses {"notices":[...]}.  An invalid notice is left out.  The caller frees
+ * RECLAIMS in either case. */
+bool br_reclaims_read (br_str_t json,
+                       br_reclaims_t *reclaims,
+                       br_odd_entries_t *odd,
+                       br_error_t *err);
 
 /* Puts the upstreams of LIST into REGISTRY, marks upstreams of earlier lists
  * that are not in LIST as removed, and sweeps the registry.  Appends the names
