Offers: read them entry by entry

One offer that was nested too deep or no JSON made all offers be ignored, without a line in the log: the last ones that could be read stayed in force. An offer whose class is an object was taken with the text of that object as its class, and a price of `NaN` counted as 0, the cheapest.

Cause: as for the VM list; and values were converted without a look at their type.

Offers are read beside the VM list and the notices (upstream/vm_list), in the same way. The limit on their number is that of the VM list, 10,000.

The old reader was inside the task and had no test. Its code, in a program of its own, printed "ignored" for the first two, "a 0 { } 0" for the third and "c 0" for the last. VmList.AnOddOfferIsSkippedAlone passes now.

--- a/src/shell/platform_task.c
+++ b/src/shell/platform_task.c
@@ -7,7 +7,6 @@
 #include "shell/domain_task.h"
 #include "shell/http_call.h"
 #include "site/list_report.h"
-#include "upstream/vm_list.h"
 
 /* Polls for reclaim notices per poll of the VM list. */
 #define NOTICE_POLLS_PER_LIST 2
@@ -16,7 +15,6 @@
 
 /* Polls of the VM list per poll of the offers. */
 #define LIST_POLLS_PER_OFFERS 10
-#define OFFERS_MAX 1000
 
 struct br_platform_task
 {
@@ -199,67 +197,26 @@
   br_reclaims_free (&reclaims);
 }
 
-static bool
-offer_read (json_object *from, br_offer_t *offer)
-{
-  json_object *machine_class;
-  json_object *failure_domain;
-  json_object *value;
-
-  *offer = (br_offer_t){ 0 };
-  if (!json_object_object_get_ex (from, "class", &machine_class)
-      || !json_object_object_get_ex (from, "failure_domain", &failure_domain))
-    return false;
-  if (json_object_object_get_ex (from, "reclaimable", &value))
-    offer->reclaimable = json_object_get_boolean (value);
-  if (json_object_object_get_ex (from, "price", &value))
-    offer->price = (uint32_t)BR_MAX (json_object_get_int (value), 0);
-  return br_name_set (&offer->machine_class,
-                      br_str_from (json_object_get_string (machine_class)))
-         && br_name_set (&offer->failure_domain,
-                         br_str_from (json_object_get_string (failure_domain)));
-}
-
-static int
-offer_compare (const void *a, const void *b)
-{
-  uint32_t price_a = ((const br_offer_t *)a)->price;
-  uint32_t price_b = ((const br_offer_t *)b)->price;
-
-  return (price_a > price_b) - (price_a < price_b);
-}
-
 static void
 task_on_offers (void *context, int status, br_str_t body)
 {
   br_platform_task_t *task = context;
-  json_tokener *tokener = json_tokener_new_ex (8);
-  json_object *root;
-  json_object *offers;
+  br_offers_t offers = { 0 };
+  br_odd_entries_t odd;
+  br_error_t err;
 
   task->offers_busy = false;
-  root = status == HTTP_OK
-             ? json_tokener_parse_ex (tokener, body.data, (int)body.len)
-             : NULL;
-  json_tokener_free (tokener);
-  if (json_object_is_type (root, json_type_object)
-      && json_object_object_get_ex (root, "offers", &offers)
-      && json_object_is_type (offers, json_type_array)
-      && json_object_array_length (offers) <= OFFERS_MAX)
+  if (status != HTTP_OK)
+    return;
+  if (!br_offers_read (body, &offers, &odd, &err))
     {
-      br_offers_clear (&task->offers);
-      for (size_t i = 0; i < json_object_array_length (offers); i++)
-        {
-          br_offer_t offer;
-
-          if (offer_read (json_object_array_get_idx (offers, i), &offer))
-            br_offers_push (&task->offers, offer);
-        }
-      if (task->offers.len > 0)
-        qsort (task->offers.items, task->offers.len, sizeof (br_offer_t),
-               offer_compare);
+      task_log_bad_answer (task, &err);
+      br_offers_free (&offers);
+      return;
     }
-  json_object_put (root);
+  task_log_odd_entries (task, &odd);
+  br_offers_free (&task->offers);
+  task->offers = offers;
 }
 
 static void
--- a/src/shell/platform_task.h
+++ b/src/shell/platform_task.h
@@ -4,20 +4,10 @@
 #define BR_SHELL_PLATFORM_TASK_H
 
 #include "shell/node.h"
+#include "upstream/vm_list.h"
 
 BR_BEGIN_DECLS
 
-/* One kind of VM that the platform offers. */
-typedef struct
-{
-  br_name_t machine_class;
-  br_name_t failure_domain;
-  bool reclaimable;
-  uint32_t price; /* cost units per hour */
-} br_offer_t;
-
-BR_VEC (br_offers, br_offer_t);
-
 /* The answer to an order to the cloud API.  The callback is called once. */
 typedef struct
 {
--- a/src/upstream/vm_list.c
+++ b/src/upstream/vm_list.c
@@ -3,6 +3,7 @@
 #include <event2/util.h>
 #include <json-c/json.h>
 #include <netinet/in.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/json_split.h"
@@ -367,6 +368,83 @@
                        json.len);
 }
 
+static void
+offers_add (br_offers_t *offers,
+            br_odd_entries_t *odd,
+            br_str_t text,
+            size_t position)
+{
+  br_offer_t offer = { 0 };
+  int64_t price;
+  br_error_t err;
+  json_object *object = entry_parse (text, &err);
+  bool ok = object != NULL
+            && name_read (object, "class", &offer.machine_class, &err)
+            && name_read (object, "failure_domain", &offer.failure_domain, &err)
+            && flag_read (object, "reclaimable", &offer.reclaimable, &err)
+            && number_read (object, "price", UINT32_MAX, &price, &err);
+
+  if (ok && (offer.machine_class.len == 0 || offer.failure_domain.len == 0))
+    ok = entry_fault (&err,
+                      offer.machine_class.len == 0 ? "class" : "failure_domain",
+                      "a name");
+  if (ok)
+    {
+      offer.price = (uint32_t)price;
+      br_offers_push (offers, offer);
+    }
+  else
+    odd_entry_note (odd, "read offers", position, &offer.machine_class, &err);
+  json_object_put (object);
+}
+
+static int
+offer_compare (const void *a, const void *b)
+{
+  uint32_t price_a = ((const br_offer_t *)a)->price;
+  uint32_t price_b = ((const br_offer_t *)b)->price;
+
+  return (price_a > price_b) - (price_a < price_b);
+}
+
+static bool
+offers_read_all (br_str_t text, br_offers_t *offers, br_odd_entries_t *odd)
+{
+  br_json_split_t split;
+  br_str_t key;
+  br_str_t entry;
+  size_t n = 0;
+
+  if (!br_json_split_begin (&split, text) || split.is_object)
+    return false;
+  while (br_json_split_next (&split, &key, &entry))
+    {
+      if (split.unclosed || n == BR_VM_LIST_MAX)
+        return false;
+      offers_add (offers, odd, entry, n++);
+    }
+  if (offers->len > 1)
+    qsort (offers->items, offers->len, sizeof (br_offer_t), offer_compare);
+  return true;
+}
+
+bool
+br_offers_read (br_str_t json,
+                br_offers_t *offers,
+                br_odd_entries_t *odd,
+                br_error_t *err)
+{
+  br_str_t text;
+
+  *offers = (br_offers_t){ 0 };
+  *odd = (br_odd_entries_t){ 0 };
+  if (answer_split (json, "offers", &text, NULL)
+      && offers_read_all (text, offers, odd))
+    return true;
+  return br_error_set (err, BR_ERROR_PROTOCOL, "read offers", "platform",
+                       "answer of %zu bytes is not a list of offers", json.len);
+}
+
 static bool
 list_has (const br_vm_list_t *list, const br_name_t *name)
 {
--- a/src/upstream/vm_list.h
+++ b/src/upstream/vm_list.h
@@ -1,5 +1,5 @@
-/* Parses the platform's VM list and reclaim notices from JSON, and applies the
- * list to the registry. */
+/* Parses the platform's VM list, reclaim notices and offers from JSON, and
+ * applies the list to the registry. */
 #ifndef BR_UPSTREAM_VM_LIST_H
 #define BR_UPSTREAM_VM_LIST_H
 
@@ -8,7 +8,7 @@
 
 BR_BEGIN_DECLS
 
-/* Maximum number of VMs in a list, and of notices in one answer. */
+/* Maximum number of VMs, notices or offers in one answer. */
 #define BR_VM_LIST_MAX 10000
 
 /* One VM of the list.  Of an entry VM only the name and incarnation are used.
@@ -22,6 +22,17 @@
 
 BR_VEC (br_listed_vms, br_listed_vm_t);
 
+/* One kind of VM that the platform offers. */
+typedef struct
+{
+  br_name_t machine_class;
+  br_name_t failure_domain;
+  bool reclaimable;
+  uint32_t price; /* cost units per hour */
+} br_offer_t;
+
+BR_VEC (br_offers, br_offer_t);
+
 /* The entries of an answer that are not used. */
 typedef struct
 {
@@ -60,6 +71,13 @@
                        br_odd_entries_t *odd,
                        br_error_t *err);
 
+/* Parses {"offers":[...]} and sorts them by price.  An invalid offer is left
+ * out.  The caller frees OFFERS in either case. */
+bool br_offers_read (br_str_t json,
+                     br_offers_t *offers,
+                     br_odd_entries_t *odd,
+                     br_error_t *err);
+
 /* Puts the upstreams of LIST into REGISTRY, marks upstreams of earlier lists
  * that are not in LIST as removed, and sweeps the registry.  Appends the names
  * of upstreams that were added, replaced or removed to CHANGED.  Moves the
--- a/tests/upstream_vm_list_test.cc
+++ b/tests/upstream_vm_list_test.cc
@@ -224,6 +224,49 @@
     }
 }
 
+TEST (VmList, AnOddOfferIsSkippedAlone)
+{
+  std::vector<std::string> odd = {
+    "7",
+    "{}",
+    "{\"class\":{},\"failure_domain\":\"f\"}",
+    "{\"class\":\"c\"}",
+    "{\"class\":\"c\",\"failure_domain\":\"\"}",
+    "{\"class\":\"\xff\",\"failure_domain\":\"f\"}",
+    "{\"class\":\"c\",\"failure_domain\":\"f\",\"price\":NaN}",
+    "{\"class\":\"c\",\"failure_domain\":\"f\",\"price\":1e400}",
+    "{\"class\":\"c\",\"failure_domain\":\"f\",\"price\":-1}",
+    "{\"class\":\"c\",\"failure_domain\":\"f\",\"price\":99999999999}",
+    "{\"class\":\"c\",\"failure_domain\":\"f\",\"reclaimable\":7}",
+    "{\"class\":\"c\",\"failure_domain\":\"f\",\"x\":" + nested (5000) + "}",
+    "{\"class\":\"c\",\"failure_domain\":\"f\",\"x\":tru}",
+    "{\"class\":\"" + std::string (63, 'c') + "\",\"failure_domain\":\"f\"}",
+    nested (200000)
+  };
+
+  for (const std::string &each : odd)
+    {
+      std::string json = "{\"offers\":[{\"class\":\"b\",\"failure_domain\":"
+                         "\"f\",\"price\":7},"
+                         + each
+                         + ",{\"class\":\"a\",\"failure_domain\":\"f\","
+                           "\"price\":3,\"reclaimable\":true}]}";
+      br_offers_t offers;
+      br_odd_entries_t odd_offers;
+      br_error_t err = {};
+
+      EXPECT_TRUE (br_offers_read (br_str_make (json.data (), json.size ()),
+                                   &offers, &odd_offers, &err))
+          << each.substr (0, 100) << ": " << err.text;
+      EXPECT_EQ (odd_offers.n, 1u) << each.substr (0, 100);
+      ASSERT_EQ (offers.len, 2u) << each.substr (0, 100);
+      EXPECT_STREQ (offers.items[0].machine_class.data, "a");
+      EXPECT_TRUE (offers.items[0].reclaimable);
+      EXPECT_EQ (offers.items[1].price, 7u);
+      br_offers_free (&offers);
+    }
+}
+
 TEST (VmList, AnOddEntryIsNamedWithItsFieldAndLimit)
 {
   br_vm_list_t list;
