Test: an odd load report of an upstream is refused or bounded

Nesting of any depth, bytes that are no JSON and numbers out of range do no harm in the reports that upstreams publish (`/v1/load`): the reader had a limit on the depth and on each number, and a report is about one upstream alone. Passes without a change.

--- a/tests/upstream_load_test.cc
+++ b/tests/upstream_load_test.cc
@@ -27,6 +27,35 @@
   EXPECT_STREQ (err.peer, "e1");
 }
 
+TEST (Load, AnOddLoadReportIsRefusedOrBounded)
+{
+  std::string deep = "{\"running\":3,\"x\":" + std::string (200000, '[')
+                     + std::string (200000, ']') + "}";
+  const std::string refused[]
+      = { "", "7", "null", "\xff", "{\"running\":", "{\"running\":tru}", deep };
+  const std::string idle[]
+      = { "{}", "{\"running\":\"3\"}", "{\"running\":NaN}",
+          "{\"running\":-Infinity}", "{\"running\":1e400}" };
+  br_load_t load;
+  br_error_t err = {};
+
+  for (const std::string &each : refused)
+    EXPECT_FALSE (br_load_read (br_str_make (each.data (), each.size ()), "e1",
+                                0, &load, &err))
+        << each.substr (0, 40);
+  for (const std::string &each : idle)
+    {
+      EXPECT_TRUE (br_load_read (br_str_make (each.data (), each.size ()), "e1",
+                                 0, &load, &err));
+      EXPECT_EQ (load.running, 0u) << each;
+    }
+  EXPECT_TRUE (br_load_read (br_str_from ("{\"running\":99999999999999999999,"
+                                          "\"slots\":99999999999}"),
+                             "e1", 0, &load, &err));
+  EXPECT_EQ (load.running, (uint32_t)INT32_MAX);
+  EXPECT_EQ (load.slots, (uint32_t)INT32_MAX);
+}
+
 static br_load_report_t
 report_make (void)
 {
