--- a/tests/platform_session.c
+++ b/tests/platform_session.c
@@ -8,6 +8,7 @@
  *   log NOW              logs the skipped entries of the list
  *   log_unreadable NOW WHY
  *   configuration TEXT
+ *   response FIELD: VALUE|FIELD: VALUE...    an upstream's response
  *
  * In TEXT, <N*PIECE> stands for N times PIECE and <xHH> for one byte.
  */
@@ -17,6 +18,7 @@
 
 #include "platform/configuration_codec.h"
 #include "platform/list_codec.h"
+#include "platform/request_codec.h"
 #include "site/fleet.h"
 #include "site/list_report.h"
 
@@ -178,6 +180,49 @@
   br_configuration_unref (configuration);
 }
 
+static void
+print_outcome (const br_outcome_head_t *outcome)
+{
+  printf ("request '%.*s'%s", (int)outcome->request_id.len,
+          outcome->request_id.len > 0 ? outcome->request_id.data : "",
+          outcome->leaving ? " leaving" : "");
+  if (outcome->has_load)
+    printf (" load %u %u %u", outcome->running, outcome->waiting,
+            outcome->slots);
+  if (outcome->has_retry_after)
+    printf (" retry after %lld%s", (long long)outcome->retry_after_ms,
+            outcome->retry_after_unreadable ? " (unreadable)" : "");
+  if (outcome->has_limit)
+    printf (" limit %g", outcome->limit_per_s);
+  printf ("%s\n", outcome->limit_unreadable ? " unreadable limit" : "");
+}
+
+static void
+on_response (br_str_t text)
+{
+  br_http_head_t head = { .status = 200 };
+  br_outcome_head_t outcome;
+
+  while (text.len > 0)
+    {
+      const char *bar = memchr (text.data, '|', text.len);
+      size_t len = bar != NULL ? (size_t)(bar - text.data) : text.len;
+      const char *colon = memchr (text.data, ':', len);
+      size_t name_len = (size_t)(colon - text.data);
+      br_http_header_t header = {
+        .name = br_str_make (text.data, name_len),
+        .value = br_str_make (colon + 2, len - name_len - 2),
+      };
+
+      br_http_headers_push (&head.headers, header);
+      len = BR_MIN (len + 1, text.len);
+      text = br_str_make (text.data + len, text.len - len);
+    }
+  br_platform_read_response (&head, &outcome);
+  print_outcome (&outcome);
+  br_http_headers_free (&head.headers);
+}
+
 static void
 on_line (session_t *session, const char *verb, br_str_t text)
 {
@@ -193,6 +238,8 @@
     on_log_unreadable (session, text);
   else if (strcmp (verb, "configuration") == 0)
     on_configuration (text);
+  else if (strcmp (verb, "response") == 0)
+    on_response (text);
   else
     {
       printf ("unknown line\n");
