Test: the list is followed beside an odd entry

Whole processes: three control VMs and two entry VMs follow the list of a platform that lists an odd entry as it is, and answer requests. The fake platform takes such an entry with PUT /entry.

With the binary of the test fails: "nested: the list is not followed: 7 unreadable". Without the two nested entries that binary follows the list for a number, a port, an address, bytes and a repeated id, and fails for 0xff 0xfe as an entry. No process ended.

--- a/tests/fakes/fake_cloud.c
+++ b/tests/fakes/fake_cloud.c
@@ -1,8 +1,9 @@
 /* Fake cloud API of the platform: lists the upstreams and accepts the requests
  * of the duties (usage and scaling).  Each --runner
  * ID,SERVICE,FAILURE_DOMAIN,PORT is listed as ready; PUT /state/ID/STATE and
- * PUT /born/ID/MS change a listed upstream.  Prints one JSON line for each
- * request of a duty. */
+ * PUT /born/ID/MS change a listed upstream, and PUT /entry lists the bytes of
+ * its body as one more entry.  Prints one JSON line for each request of a duty.
+ */
 #include <argp.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -33,10 +34,11 @@
   const char *address;
   runner_t runners[RUNNERS_MAX];
   size_t n_runners;
+  struct evbuffer *entry; /* listed as it is, unless empty */
 } cloud_t;
 
 static void
-cloud_list (const cloud_t *cloud, struct evbuffer *out)
+cloud_list (cloud_t *cloud, struct evbuffer *out)
 {
   evbuffer_add_printf (out, "{\"Instances\":[");
   for (size_t i = 0; i < cloud->n_runners; i++)
@@ -51,6 +53,12 @@
           i > 0 ? "," : "", runner->id, runner->service, runner->port,
           runner->domain, runner->version, runner->state, runner->started_ms);
     }
+  if (evbuffer_get_length (cloud->entry) > 0)
+    {
+      evbuffer_add (out, ",", 1);
+      evbuffer_add (out, evbuffer_pullup (cloud->entry, -1),
+                    evbuffer_get_length (cloud->entry));
+    }
   /* Malformed entries, as another writer may list; readers must skip them. */
   evbuffer_add_printf (out, ",{\"Id\":7},{\"Id\":\"x\",\"Service\":\"s\","
                             "\"Address\":\"nowhere\",\"State\":\"odd\"}],"
@@ -84,6 +92,13 @@
       cloud->runners[i].started_ms = started_ms;
 }
 
+static void
+cloud_set_entry (cloud_t *cloud, struct evhttp_request *request)
+{
+  evbuffer_drain (cloud->entry, evbuffer_get_length (cloud->entry));
+  evbuffer_add_buffer (cloud->entry, evhttp_request_get_input_buffer (request));
+}
+
 static void
 cloud_print_duty (struct evhttp_request *request, const char *uri)
 {
@@ -113,6 +128,8 @@
     cloud_set_state (cloud, uri);
   else if (strncmp (uri, "/born/", 6) == 0)
     cloud_set_started (cloud, uri);
+  else if (strcmp (uri, "/entry") == 0)
+    cloud_set_entry (cloud, request);
   else
     cloud_print_duty (request, uri);
   evhttp_send_reply (request, 200, "OK", out);
@@ -166,12 +183,14 @@
   struct event_base *base = event_base_new ();
   struct evhttp *http = evhttp_new (base);
 
+  cloud.entry = evbuffer_new ();
   argp_parse (&argp, argc, argv, 0, NULL, &cloud);
   evhttp_set_gencb (http, on_request, &cloud);
   if (evhttp_bind_socket (http, "127.0.0.1", (uint16_t)cloud.port) != 0)
     return 1;
   event_base_dispatch (base);
   evhttp_free (http);
+  evbuffer_free (cloud.entry);
   event_base_free (base);
   return 0;
 }
--- /dev/null
+++ b/tests/process/platform_odd_list_entry.sh
@@ -0,0 +1,76 @@
+# Checks that the list of upstreams is followed, and requests are answered, while it
+# holds an odd entry of another writer; and that a list that cannot be read leaves the
+# upstreams in use, with a bounded number of log lines.
+# Usage: platform_odd_list_entry.sh BUILD
+set -u
+BUILD=$1
+BASE_PORT=31000
+. "$(dirname "$0")/../support/platform_site.sh"
+
+platform_up 3 2
+leader=$(platform_leader 1 2 3) || site_fail "no leader"
+born=1000
+
+nested() { head -c "$1" /dev/zero | tr '\0' '['; head -c "$1" /dev/zero | tr '\0' ']'; }
+put_entry() { curl -s -m 5 -X PUT --data-binary @- "http://127.0.0.1:$((BASE_PORT + 3))/entry"; }
+lines() { cat "$SITE"/control-*.out | grep -c "$1"; }
+metric() {
+  curl -s -m 1 "http://127.0.11.$leader:$((BASE_PORT + 8))/metrics" |
+    sed -n "s/^briarrack_$1 //p"
+}
+answered() {
+  [ "$(curl -s -m 3 -o "$SITE/answer.out" -w '%{http_code}' -H 'Host: h.example' \
+    -H "Authorization: Bearer $PLATFORM_KEY" -H "X-Request-Id: look-$1" \
+    "http://127.0.12.1:$BASE_PORT/look/1")" = 200 ]
+}
+# Changes an upstream's start, and waits until the new list is in force.
+follows() {
+  local before
+  before=$(lines '"upstreams listed"')
+  born=$((born + 1))
+  curl -s -m 5 -X PUT "http://127.0.0.1:$((BASE_PORT + 3))/born/p2/$born"
+  is_listed() { [ "$(lines '"upstreams listed"')" -gt "$before" ]; }
+  platform_wait_ms 4000 is_listed
+}
+all_run() {
+  local i
+  for i in 1 2 3; do kill -0 "$(site_pid "control-$i")" || return 1; done
+  kill -0 "$(site_pid entry-1)" && kill -0 "$(site_pid entry-2)"
+}
+check() {
+  put_entry
+  follows || site_fail "$1: the list is not followed: $(lines list_unreadable) unreadable"
+  answered "$1" || site_fail "$1: a request is not answered: $(cat "$SITE/answer.out")"
+  all_run || site_fail "$1: a process has ended"
+}
+
+follows || site_fail "the list is not followed"
+check nested < <(nested 14 | sed 's/^/{"Id":"deep","x":/; s/$/}/')
+check nested-far < <(nested 200000)
+check number << 'ENTRY'
+{"Id":"n","Service":"ledger","Address":"127.0.0.1:9","State":"ready","Slots":1e400}
+ENTRY
+check port << 'ENTRY'
+{"Id":"n","Service":"ledger","Address":"127.0.0.1:70000","State":"ready"}
+ENTRY
+check address << 'ENTRY'
+{"Id":"n","Service":"ledger","Address":"nowhere.example:80","State":"ready"}
+ENTRY
+check bytes < <(printf \
+  '{"Id":"\377\376","Service":"ledger","Address":"127.0.0.1:9","State":"ready"}')
+check repeated << 'ENTRY'
+{"Id":"p1","Service":"ledger","Address":"127.0.0.1:9","State":"ready"}
+ENTRY
+check no-json < <(printf '\377\376')
+[ "$(lines list_unreadable)" = 0 ] || site_fail "$(lines list_unreadable) lists were unreadable"
+[ "$(metric list_entries_skipped_total)" -gt 8 ] ||
+  site_fail "$(metric list_entries_skipped_total) entries were counted"
+
+echo '{"Id":"x' | put_entry
+unreadable() { [ "$(metric lists_unreadable_total)" -ge 6 ]; }
+platform_wait unreadable || site_fail "$(metric lists_unreadable_total) lists were unreadable"
+answered unreadable || site_fail "no answer beside a list that cannot be read"
+[ "$(lines list_unreadable)" -le 2 ] || site_fail "$(lines list_unreadable) lines"
+printf '' | put_entry
+follows || site_fail "the list is not followed after it could not be read"
+echo "the list is followed beside odd entries"
