--- a/src/shell/control_list.c
+++ b/src/shell/control_list.c
@@ -1,5 +1,6 @@
 /* Handles the platform's list of upstreams on the leading control VM. */
 #include "shell/control_private.h"
+#include "shell/list_log.h"
 
 static bool
 listing_equal (const br_listing_t *a, const br_listing_t *b)
@@ -49,21 +50,22 @@
 }
 
 void
-br_control_on_list (void *context,
-                    const br_listings_t *listings,
-                    size_t skipped,
-                    const br_error_t *err)
+br_control_on_list (void *context, br_site_list_t *list, const br_error_t *err)
 {
   br_control_task_t *task = context;
+  const br_listings_t *listings;
 
   task->reading_list = false;
-  if (listings == NULL)
+  if (list == NULL)
     {
-      br_log_error (&task->node->log, "site", "list_unreadable", err);
+      br_list_log_unreadable (task->node, &task->list_reports, err);
       return;
     }
   if (task->leads_term == 0)
     return;
+  br_site_list_drop_repeats (list, &task->listings);
+  br_list_log_skipped (task->node, &task->list_reports, list);
+  listings = &list->entries;
   task->list_as_of_ms = task->list_requested_ms;
   br_version_history_update (&task->history, listings,
                              br_node_now (task->node));
@@ -77,6 +79,6 @@
           br_field_int ("term", (int64_t)task->list_term),
           br_field_int ("sequence", (int64_t)task->list_sequence),
           br_field_int ("upstreams", (int64_t)listings->len),
-          br_field_int ("skipped", (int64_t)skipped));
+          br_field_int ("skipped", (int64_t)list->n_skipped));
   br_control_send_heartbeat (task, br_node_now (task->node));
 }
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -6,6 +6,7 @@
 #include "base/deflate.h"
 #include "platform/configuration_codec.h"
 #include "shell/entry_private.h"
+#include "shell/list_log.h"
 #include "shell/peer_task.h"
 #include "shell/site_message.h"
 #include "shell/upstream_pool.h"
@@ -187,28 +188,37 @@
   br_exchanges_admit_waiting (task);
 }
 
+static void
+task_drop_repeats (const br_entry_task_t *task, br_site_list_t *list)
+{
+  br_listings_t known = { 0 };
+
+  for (size_t i = 0; i < task->fleet.all.len; i++)
+    br_listings_push (&known, task->fleet.all.items[i]->listing);
+  br_site_list_drop_repeats (list, &known);
+  br_listings_free (&known);
+}
+
 static void
 task_on_platform_list (void *context,
-                       const br_listings_t *listings,
-                       size_t skipped,
+                       br_site_list_t *list,
                        const br_error_t *err)
 {
   br_entry_task_t *task = context;
   br_ms_t now = br_node_now (task->node);
 
   task->reading_list = false;
-  if (listings == NULL)
+  if (list == NULL)
     {
-      br_log_error (&task->node->log, "site", "list_unreadable", err);
+      br_list_log_unreadable (task->node, &task->list_reports, err);
       return;
     }
-  if (skipped > 0)
-    BR_LOG (&task->node->log, "site", "list entries skipped",
-            br_field_int ("entries", (int64_t)skipped));
+  task_drop_repeats (task, list);
+  br_list_log_skipped (task->node, &task->list_reports, list);
   /* The leader's next list is newer than this one, whatever its sequence. */
   if (task->fleet.known && now - task->leader_seen_ms < LEADER_TIMEOUT_MS)
     return;
-  br_fleet_update (&task->fleet, listings, now);
+  br_fleet_update (&task->fleet, &list->entries, now);
   task->fleet.sequence = 0;
   task->fleet.read_ms = now;
   br_entry_resolve_lost_runs (task);
--- a/src/shell/platform_task.c
+++ b/src/shell/platform_task.c
@@ -6,7 +6,7 @@
 
 #include "shell/domain_task.h"
 #include "shell/http_call.h"
-#include "upstream/vm_list.h"
+#include "site/list_report.h"
 
 /* Polls for reclaim notices per poll of the VM list. */
 #define NOTICE_POLLS_PER_LIST 2
@@ -15,7 +15,6 @@
 
 /* Polls of the VM list per poll of the offers. */
 #define LIST_POLLS_PER_OFFERS 10
-#define OFFERS_MAX 1000
 
 struct br_platform_task
 {
@@ -29,6 +28,7 @@
   bool notices_busy;
   bool offers_busy;
   br_offers_t offers;
+  br_list_reports_t reports;
 };
 
 /* An order, to start or stop a VM, whose answer has not arrived yet. */
@@ -45,6 +45,19 @@
   br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
 }
 
+static void
+task_log_odd_entries (br_platform_task_t *task, const br_odd_entries_t *odd)
+{
+  br_node_t *node = task->node;
+
+  if (odd->n == 0)
+    return;
+  br_counters_add (&node->counters, BR_COUNTER_LIST_ENTRIES_SKIPPED, odd->n);
+  if (br_list_reports_take (&task->reports, br_str_from (odd->first.step),
+                            br_str_from (odd->first.text), br_node_now (node)))
+    br_log_error (&node->log, "platform", "bad_entry", &odd->first);
+}
+
 /* A VM that was removed from the list was stopped, so the requests that ran on
  * it are not suspected of a crash. */
 static void
@@ -130,6 +143,7 @@
     task_log_bad_answer (task, &err);
   else if (!list.unchanged)
     {
+      task_log_odd_entries (task, &list.odd);
       task->list_revision = list.revision;
       for (size_t i = 0; i < list.vms.len; i++)
         if (list.vms.items[i].leaving && !list.vms.items[i].is_entry)
@@ -166,80 +180,43 @@
 {
   br_platform_task_t *task = context;
   br_reclaims_t reclaims = { 0 };
+  br_odd_entries_t odd;
   br_error_t err;
 
   task->notices_busy = false;
   if (status != HTTP_OK)
     return;
-  if (!br_reclaims_read (body, &reclaims, &err))
+  if (!br_reclaims_read (body, &reclaims, &odd, &err))
     task_log_bad_answer (task, &err);
   else
-    for (size_t i = 0; i < reclaims.len; i++)
-      task_on_reclaim (task, &reclaims.items[i]);
+    {
+      task_log_odd_entries (task, &odd);
+      for (size_t i = 0; i < reclaims.len; i++)
+        task_on_reclaim (task, &reclaims.items[i]);
+    }
   br_reclaims_free (&reclaims);
 }
 
-static bool
-offer_read (json_object *from, br_offer_t *offer)
-{
-  json_object *machine_class;
-  json_object *failure_domain;
-  json_object *value;
-
-  *offer = (br_offer_t){ 0 };
-  if (!json_object_object_get_ex (from, "class", &machine_class)
-      || !json_object_object_get_ex (from, "failure_domain", &failure_domain))
-    return false;
-  if (json_object_object_get_ex (from, "reclaimable", &value))
-    offer->reclaimable = json_object_get_boolean (value);
-  if (json_object_object_get_ex (from, "price", &value))
-    offer->price = (uint32_t)BR_MAX (json_object_get_int (value), 0);
-  return br_name_set (&offer->machine_class,
-                      br_str_from (json_object_get_string (machine_class)))
-         && br_name_set (&offer->failure_domain,
-                         br_str_from (json_object_get_string (failure_domain)));
-}
-
-static int
-offer_compare (const void *a, const void *b)
-{
-  uint32_t price_a = ((const br_offer_t *)a)->price;
-  uint32_t price_b = ((const br_offer_t *)b)->price;
-
-  return (price_a > price_b) - (price_a < price_b);
-}
-
 static void
 task_on_offers (void *context, int status, br_str_t body)
 {
   br_platform_task_t *task = context;
-  json_tokener *tokener = json_tokener_new_ex (8);
-  json_object *root;
-  json_object *offers;
+  br_offers_t offers = { 0 };
+  br_odd_entries_t odd;
+  br_error_t err;
 
   task->offers_busy = false;
-  root = status == HTTP_OK
-             ? json_tokener_parse_ex (tokener, body.data, (int)body.len)
-             : NULL;
-  json_tokener_free (tokener);
-  if (json_object_is_type (root, json_type_object)
-      && json_object_object_get_ex (root, "offers", &offers)
-      && json_object_is_type (offers, json_type_array)
-      && json_object_array_length (offers) <= OFFERS_MAX)
+  if (status != HTTP_OK)
+    return;
+  if (!br_offers_read (body, &offers, &odd, &err))
     {
-      br_offers_clear (&task->offers);
-      for (size_t i = 0; i < json_object_array_length (offers); i++)
-        {
-          br_offer_t offer;
-
-          if (offer_read (json_object_array_get_idx (offers, i), &offer))
-            br_offers_push (&task->offers, offer);
-        }
-      if (task->offers.len > 0)
-        qsort (task->offers.items, task->offers.len, sizeof (br_offer_t),
-               offer_compare);
+      task_log_bad_answer (task, &err);
+      br_offers_free (&offers);
+      return;
     }
-  json_object_put (root);
+  task_log_odd_entries (task, &odd);
+  br_offers_free (&task->offers);
+  task->offers = offers;
 }
 
 static void
