Log how many upstreams have the version of a stream that is taken up

A refused take-up's line did not tell whether its version still had upstreams. 'take-up' now has 'serving' and 'draining'.

--- a/src/shell/exchange_version.c
+++ b/src/shell/exchange_version.c
@@ -36,6 +36,8 @@
 exchange_log_version (const br_exchange_t *exchange, const char *from)
 {
   const br_entry_task_t *task = exchange->task;
+  br_version_count_t count
+      = br_choice_count_version (&task->fleet, exchange->version);
 
   BR_LOG (&task->node->log, "request", "take-up",
           br_field_str ("id", exchange->inbound.id),
@@ -43,6 +45,8 @@
           br_field_str ("after", exchange->inbound.last_event_id),
           br_field_z ("version_from", from),
           br_field_z ("service", exchange->service->name.data),
+          br_field_int ("serving", (int64_t)count.serving),
+          br_field_int ("draining", (int64_t)count.draining),
           br_field_int ("list_age_ms",
                         br_exchange_now (exchange) - task->fleet.read_ms));
 }
--- a/src/site/choice.c
+++ b/src/site/choice.c
@@ -351,6 +351,25 @@
   return NULL;
 }
 
+br_version_count_t
+br_choice_count_version (const br_fleet_t *fleet, br_version_t version)
+{
+  br_version_count_t count = { 0 };
+
+  for (size_t i = 0; i < fleet->all.len; i++)
+    {
+      const br_listing_t *listing = &fleet->all.items[i]->listing;
+
+      if (br_listing_version (listing) != version)
+        continue;
+      if (listing->draining)
+        count.draining++;
+      else
+        count.serving++;
+    }
+  return count;
+}
+
 bool
 br_choice_has_sound (const br_fleet_t *fleet,
                      const br_site_service_t *service,
--- a/src/site/choice.h
+++ b/src/site/choice.h
@@ -51,6 +51,16 @@
 const br_name_t *br_choice_version_service (const br_fleet_t *fleet,
                                             br_version_t version);
 
+typedef struct
+{
+  size_t serving;
+  size_t draining;
+} br_version_count_t;
+
+/* Counts the listed upstreams of the version. */
+br_version_count_t br_choice_count_version (const br_fleet_t *fleet,
+                                            br_version_t version);
+
 /* Returns whether an upstream of the service seems sound enough for a trial. */
 bool br_choice_has_sound (const br_fleet_t *fleet,
                           const br_site_service_t *service,
