Look up the version of a take-up before its quota

Callers saw: requests within their organisation's quota got 429 while streams were taken up whose version had left, and these take-ups got 429 as well and came again, though they could never go on.

Cause: a take-up was drawn against the quota before its version was looked up. One that cannot go on counted as demand, which lowers the share that is let through, of take-ups most.

Now the version is looked up first, and what cannot go on is refused at once with 503; units are taken, and the demand is counted, for what can be served.

A take-up beyond the quota now asks the control VMs for its version, too.

--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -268,8 +268,7 @@
     }
   if (br_exchange_version_left (exchange))
     {
-      br_exchange_end_stream (exchange, "the version that began the stream "
-                                        "has left");
+      br_exchange_end_stream (exchange);
       return;
     }
   query.on_trial = exchange->on_trial;
--- a/src/shell/exchange_arrival.c
+++ b/src/shell/exchange_arrival.c
@@ -120,6 +120,20 @@
                             br_exchange_now (exchange));
 }
 
+void
+br_exchange_start (br_exchange_t *exchange)
+{
+  br_error_t err;
+
+  if (!exchange_take_units (exchange, &err))
+    {
+      br_exchange_answer_error (exchange, &err);
+      return;
+    }
+  exchange_record_demand (exchange);
+  br_exchange_attempt (exchange);
+}
+
 static void
 exchange_admit (br_exchange_t *exchange)
 {
@@ -133,18 +147,16 @@
       return;
     }
   exchange->configuration = br_configuration_ref (task->configuration);
-  if (!exchange_resolve (exchange, &err)
-      || !exchange_take_units (exchange, &err))
+  if (!exchange_resolve (exchange, &err))
     {
       br_exchange_answer_error (exchange, &err);
       return;
     }
   exchange_set_deadline (exchange);
-  exchange_record_demand (exchange);
   if (br_exchange_is_take_up (exchange))
     br_exchange_take_up (exchange);
   else
-    br_exchange_attempt (exchange);
+    br_exchange_start (exchange);
 }
 
 /* --- requests that wait while the VM starts --- */
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -97,13 +97,17 @@
  * yet. */
 void br_exchange_refuse_not_ready (br_exchange_t *exchange);
 
+/* Takes the request's units from the quota and attempts or refuses it.  May
+ * free the exchange. */
+void br_exchange_start (br_exchange_t *exchange);
+
 /* --- exchange_version.c --- */
 
 /* Returns whether the request takes up a stream that another one began. */
 bool br_exchange_is_take_up (const br_exchange_t *exchange);
 
 /* Finds out which version began the stream that the request takes up, and then
- * attempts or refuses it.  May free the exchange. */
+ * starts or refuses it.  May free the exchange. */
 void br_exchange_take_up (br_exchange_t *exchange);
 
 /* Ends the wait for control VMs that have not answered.  May free the
@@ -117,9 +121,9 @@
 /* Returns whether no upstream of the stream's version is left. */
 bool br_exchange_version_left (const br_exchange_t *exchange);
 
-/* Ends a request whose stream cannot go on: its version has left, or is not
- * known.  Frees the exchange. */
-void br_exchange_end_stream (br_exchange_t *exchange, const char *why);
+/* Ends a request whose stream cannot go on because its version has left.  Frees
+ * the exchange. */
+void br_exchange_end_stream (br_exchange_t *exchange);
 
 /* --- exchange.c --- */
 
--- a/src/shell/exchange_version.c
+++ b/src/shell/exchange_version.c
@@ -51,8 +51,10 @@
                         br_exchange_now (exchange) - task->fleet.read_ms));
 }
 
-/* Attempts the request at VERSION.  The service of the route that has the
- * version replaces the one drawn for the request. */
+/* Starts the request at VERSION, or refuses it if the version has left.  A
+ * take-up that cannot go on takes nothing from the quota, which would let fewer
+ * other requests through.  The service of the route that has the version
+ * replaces the one drawn for the request. */
 static void
 exchange_resume_at (br_exchange_t *exchange,
                     br_version_t version,
@@ -67,7 +69,10 @@
     exchange->service = br_configuration_service (exchange->configuration,
                                                   br_name_str (service));
   exchange_log_version (exchange, from);
-  br_exchange_attempt (exchange);
+  if (br_exchange_version_left (exchange))
+    br_exchange_end_stream (exchange);
+  else
+    br_exchange_start (exchange);
 }
 
 /* Returns the only version that the service had, as far as this VM's lists
@@ -171,8 +176,9 @@
 }
 
 void
-br_exchange_end_stream (br_exchange_t *exchange, const char *why)
+br_exchange_end_stream (br_exchange_t *exchange)
 {
+  static const char why[] = "the version that began the stream has left";
   br_attempt_query_t query = {
     .ran = exchange->ran,
     .begun = exchange->begun,
