Record the version of a stream when its attempt is sent

Callers saw: "it is not known which version began the stream" for a stream that had begun just before its entry VM was killed, on each of their tries.

Cause: the record was made with the first event and reported up to 0.1 s later. What began in the last 0.1 s of a VM was unknown for good.

Now the record is made when the attempt is sent; its first event comes later. A later attempt at another version replaces the record, and is reported at once; the control VMs put the replacement into the log as well.

--- a/src/shell/control_streams.c
+++ b/src/shell/control_streams.c
@@ -28,8 +28,8 @@
         .version = records[i]->version,
         .at_ms = now - (br_ms_t)records[i]->age_ms,
       };
-      bool is_known
-          = br_stream_table_find (&task->streams, record.stream, now) != 0;
+      bool is_known = br_stream_table_find (&task->streams, record.stream, now)
+                      == record.version;
 
       br_stream_table_add (&task->streams, &record);
       if (task->leads_term > 0 && !is_known
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -321,6 +321,7 @@
       return;
     }
   exchange_send (exchange);
+  br_exchange_record_stream (exchange);
   if (!exchange->service->has_engine)
     br_exchange_count_usage (exchange);
   br_exchange_set_timer (exchange, exchange_next_check_ms (exchange));
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -70,7 +70,7 @@
       br_http_conn_begin (exchange->conn, &answer);
       br_http_headers_free (&headers);
       exchange->begun = true;
-      br_exchange_record_stream (exchange);
+      exchange->version = exchange->attempt_version;
     }
   br_http_conn_write (exchange->conn, events);
   exchange_record_gap (exchange);
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -36,14 +36,15 @@
   const br_site_service_t *service;
   br_inbound_t inbound;
   br_ms_t began_ms;
-  br_ms_t until_ms;       /* the caller's deadline or the route's timeout */
-  double units;           /* taken from the quota */
-  uint64_t content;       /* digest of what is requested; 0: not computed yet */
-  bool waits_for_start;   /* not admitted yet, nothing below is set */
-  br_stream_t stream;     /* that it begins or takes up */
-  br_version_t version;   /* that began the stream; 0: none has */
-  size_t version_answers; /* of control VMs, that it waits for */
-  br_version_t sole_version; /* by an answer; 0: none */
+  br_ms_t until_ms;     /* the caller's deadline or the route's timeout */
+  double units;         /* taken from the quota */
+  uint64_t content;     /* digest of what is requested; 0: not computed yet */
+  bool waits_for_start; /* not admitted yet, nothing below is set */
+  br_stream_t stream;   /* that it begins or takes up */
+  br_version_t version; /* that began the stream; 0: none has */
+  br_version_t recorded_version; /* of the last attempt; 0: none */
+  size_t version_answers;        /* of control VMs, that it waits for */
+  br_version_t sole_version;     /* by an answer; 0: none */
   struct event *timer;
 
   /* the current attempt */
@@ -114,8 +115,8 @@
  * exchange. */
 void br_exchange_end_version_wait (br_exchange_t *exchange);
 
-/* Records that the current attempt passes on the first event of the stream, or
- * of the rest that was taken up. */
+/* Records the version of the attempt that is sent.  Its first event comes
+ * later, so that the record is usually known elsewhere by then. */
 void br_exchange_record_stream (br_exchange_t *exchange);
 
 /* Returns whether no upstream of the stream's version is left. */
--- a/src/shell/exchange_version.c
+++ b/src/shell/exchange_version.c
@@ -155,12 +155,19 @@
 void
 br_exchange_record_stream (br_exchange_t *exchange)
 {
+  br_version_t before = exchange->recorded_version;
+
+  if (exchange->route->kind != BR_ROUTE_STREAM || !exchange->route->resumable
+      || exchange->attempt_version == before)
+    return;
   if (exchange->stream == 0)
     exchange->stream = br_stream_from_id (exchange->inbound.id);
-  exchange->version = exchange->attempt_version;
-  if (exchange->route->resumable)
-    br_entry_record_stream (exchange->task, exchange->stream,
-                            exchange->version);
+  exchange->recorded_version = exchange->attempt_version;
+  br_entry_record_stream (exchange->task, exchange->stream,
+                          exchange->attempt_version);
+  /* The record of the attempt before would be wrong from the first event on. */
+  if (before != 0)
+    br_entry_report_loads (exchange->task);
 }
 
 bool
--- a/src/site/stream_version.h
+++ b/src/site/stream_version.h
@@ -1,9 +1,10 @@
 /* The software version that began a stream.  What two versions generate does
  * not fit together, so a stream goes on only at the version that began it.
  *
- * Entry VMs record the version of each stream that begins with all control VMs.
- * A take-up that reaches an entry VM without the record asks them.  Without a
- * record, the version is known only if the service had no other one in the
+ * Entry VMs record the version of each stream that may begin with all control
+ * VMs, as soon as an attempt is sent; the record of a later attempt replaces
+ * it. A take-up that reaches an entry VM without the record asks them.  Without
+ * a record, the version is known only if the service had no other one in the
  * lifetime of a stream. */
 #ifndef BR_SITE_STREAM_VERSION_H
 #define BR_SITE_STREAM_VERSION_H
@@ -12,8 +13,8 @@
 
 BR_BEGIN_DECLS
 
-/* Longest time from the first event of a stream to a request that takes it up,
- * in milliseconds.  Callers give up earlier. */
+/* Longest time from the attempt that begins a stream to a request that takes it
+ * up, in milliseconds.  Callers give up earlier. */
 #define BR_STREAM_LIFE_MS 20000
 
 /* Records in one bucket of the table; the oldest is replaced. */
@@ -39,7 +40,7 @@
 {
   br_stream_t stream;
   br_version_t version;
-  br_ms_t at_ms; /* when the stream last began or was taken up */
+  br_ms_t at_ms; /* when the attempt that began or took it up was sent */
 } br_stream_record_t;
 
 BR_VEC (br_stream_records, br_stream_record_t);
--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -59,6 +59,7 @@
   X (REFUSE_REST, "refuse-rest")   /* like crash, but the resume is refused */ \
   X (NAMED, "named") /* contains the request's id, after 20 ms */              \
   X (NAMED_STREAM, "named-stream") /* twelve events that contain the id */     \
+  X (LATE_STREAM, "late-stream")   /* six events, the first after 400 ms */    \
   X (UNAVAILABLE, "unavailable")   /* 503 without X-Not-Executed */            \
   X (LEAVING, "leaving")           /* announces leaving from then on */        \
   X (HOLD, "hold")                 /* 503 with a Retry-After of two seconds */ \
@@ -355,33 +356,6 @@
   conn_send_answer (conn, 200, "X-Server-Stamp: s\r\n", body);
 }
 
-static void
-on_timer (evutil_socket_t fd, short what, void *context)
-{
-  conn_t *conn = context;
-
-  (void)fd;
-  (void)what;
-  if (conn->mode == MODE_FATAL_PART)
-    runner_crash (conn->runner, br_http_head_find (&conn->head, "X-Request-Id"),
-                  MODE_FATAL);
-  else if (conn->mode == MODE_NAMED)
-    conn_send_named (conn);
-  else if (conn->mode == MODE_SLOW)
-    conn_send_answer (conn, 200, "X-Server-Stamp: s\r\n", "slow answer\n");
-  else if (conn->mode == MODE_UNFRAMED
-           || (conn->mode == MODE_CUT_UNFRAMED
-               && conn->next_event == BROKEN_EVENT)
-           || (conn->mode == MODE_UNFRAMED_STREAM
-               && conn->next_event == conn->last_event))
-    conn_free (conn);
-  else if (conn->mode == MODE_TRUNCATED
-           || (conn_is_cut_off (conn) && conn->next_event == BROKEN_EVENT))
-    conn_reset (conn);
-  else
-    conn_send_event (conn);
-}
-
 static void
 conn_start_stream (conn_t *conn)
 {
@@ -410,6 +384,35 @@
   conn_send_event (conn);
 }
 
+static void
+on_timer (evutil_socket_t fd, short what, void *context)
+{
+  conn_t *conn = context;
+
+  (void)fd;
+  (void)what;
+  if (conn->mode == MODE_FATAL_PART)
+    runner_crash (conn->runner, br_http_head_find (&conn->head, "X-Request-Id"),
+                  MODE_FATAL);
+  else if (conn->mode == MODE_NAMED)
+    conn_send_named (conn);
+  else if (conn->mode == MODE_SLOW)
+    conn_send_answer (conn, 200, "X-Server-Stamp: s\r\n", "slow answer\n");
+  else if (conn->mode == MODE_LATE_STREAM && conn->last_event == 0)
+    conn_start_stream (conn);
+  else if (conn->mode == MODE_UNFRAMED
+           || (conn->mode == MODE_CUT_UNFRAMED
+               && conn->next_event == BROKEN_EVENT)
+           || (conn->mode == MODE_UNFRAMED_STREAM
+               && conn->next_event == conn->last_event))
+    conn_free (conn);
+  else if (conn->mode == MODE_TRUNCATED
+           || (conn_is_cut_off (conn) && conn->next_event == BROKEN_EVENT))
+    conn_reset (conn);
+  else
+    conn_send_event (conn);
+}
+
 /* Prints a request that arrives more than LEAVING_UPDATE_MS after this
  * upstream has announced leaving. */
 static void
@@ -504,6 +507,10 @@
     case MODE_SLOW:
       conn_set_timer (conn, SLOW_MS);
       break;
+    case MODE_LATE_STREAM:
+      conn->last_event = 0;
+      conn_set_timer (conn, SLOW_MS);
+      break;
     case MODE_NAMED:
     case MODE_FATAL_PART:
       conn_set_timer (conn, NAMED_MS);
