--- a/src/shell/exchange_version.c
+++ b/src/shell/exchange_version.c
@@ -36,6 +36,8 @@
 exchange_log_version (const br_exchange_t *exchange, const char *from)
 {
   const br_entry_task_t *task = exchange->task;
+  br_version_count_t count
+      = br_choice_count_version (&task->fleet, exchange->version);
 
   BR_LOG (&task->node->log, "request", "take-up",
           br_field_str ("id", exchange->inbound.id),
@@ -43,12 +45,16 @@
           br_field_str ("after", exchange->inbound.last_event_id),
           br_field_z ("version_from", from),
           br_field_z ("service", exchange->service->name.data),
+          br_field_int ("serving", (int64_t)count.serving),
+          br_field_int ("draining", (int64_t)count.draining),
           br_field_int ("list_age_ms",
                         br_exchange_now (exchange) - task->fleet.read_ms));
 }
 
-/* Attempts the request at VERSION.  The service of the route that has the
- * version replaces the one drawn for the request. */
+/* Starts the request at VERSION, or refuses it if the version has left.  A
+ * take-up that cannot go on takes nothing from the quota, which would let fewer
+ * other requests through.  The service of the route that has the version
+ * replaces the one drawn for the request. */
 static void
 exchange_resume_at (br_exchange_t *exchange,
                     br_version_t version,
@@ -63,7 +69,10 @@
     exchange->service = br_configuration_service (exchange->configuration,
                                                   br_name_str (service));
   exchange_log_version (exchange, from);
-  br_exchange_attempt (exchange);
+  if (br_exchange_version_left (exchange))
+    br_exchange_end_stream (exchange);
+  else
+    br_exchange_start (exchange);
 }
 
 /* Returns the only version that the service had, as far as this VM's lists
@@ -146,12 +155,19 @@
 void
 br_exchange_record_stream (br_exchange_t *exchange)
 {
+  br_version_t before = exchange->recorded_version;
+
+  if (exchange->route->kind != BR_ROUTE_STREAM || !exchange->route->resumable
+      || exchange->attempt_version == before)
+    return;
   if (exchange->stream == 0)
     exchange->stream = br_stream_from_id (exchange->inbound.id);
-  exchange->version = exchange->attempt_version;
-  if (exchange->route->resumable)
-    br_entry_record_stream (exchange->task, exchange->stream,
-                            exchange->version);
+  exchange->recorded_version = exchange->attempt_version;
+  br_entry_record_stream (exchange->task, exchange->stream,
+                          exchange->attempt_version);
+  /* The record of the attempt before would be wrong from the first event on. */
+  if (before != 0)
+    br_entry_report_loads (exchange->task);
 }
 
 bool
@@ -167,8 +183,9 @@
 }
 
 void
-br_exchange_end_stream (br_exchange_t *exchange, const char *why)
+br_exchange_end_stream (br_exchange_t *exchange)
 {
+  static const char why[] = "the version that began the stream has left";
   br_attempt_query_t query = {
     .ran = exchange->ran,
     .begun = exchange->begun,
