List: an entry that does not end leaves those after it

An entry with a brace or a quote that does not end, as `{"Id":"x`, still made its page unreadable, so the list was not followed while it stood there.

Where such an entry ends cannot be told. It is cut before the next object after a comma, and so is an entry that is closed by a later one but no JSON, since it may hold others.

--- a/src/base/json_split.c
+++ b/src/base/json_split.c
@@ -125,3 +125,34 @@
     split->rest = str_trim (str_from (text, len + 1));
   return true;
 }
+
+void
+br_json_split_resume (br_json_split_t *split, br_str_t text)
+{
+  *split = (br_json_split_t){ .rest = str_trim (text), .is_object = true };
+  split->has_more = split->rest.len > 0;
+}
+
+bool
+br_json_split_cut (br_json_split_t *split, br_str_t *value)
+{
+  const char *end = split->rest.data + split->rest.len;
+
+  for (size_t at = 0; at < value->len; at++)
+    {
+      br_str_t next = str_from (*value, at + 1);
+
+      if (value->data[at] != ',')
+        continue;
+      while (next.len > 0 && is_space (next.data[0]))
+        next = str_from (next, 1);
+      if (next.len == 0 || next.data[0] != '{')
+        continue;
+      value->len = at;
+      split->rest = br_str_make (next.data, (size_t)(end - next.data));
+      split->has_more = true;
+      split->unclosed = false;
+      return true;
+    }
+  return false;
+}
--- a/src/base/json_split.h
+++ b/src/base/json_split.h
@@ -25,6 +25,13 @@
 bool
 br_json_split_next (br_json_split_t *split, br_str_t *key, br_str_t *value);
 
+/* Goes on with TEXT, members of an object without its braces. */
+void br_json_split_resume (br_json_split_t *split, br_str_t text);
+
+/* Ends *VALUE, the last member, before the next object in it that follows a
+ * comma, and goes on with that object.  Returns false when there is none. */
+bool br_json_split_cut (br_json_split_t *split, br_str_t *value);
+
 BR_END_DECLS
 
 #endif
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -196,3 +196,38 @@
   EXPECT_EQ (split ("[" + deep + ",7]"), deep + ";7;");
   EXPECT_EQ (split ("{\"a\":" + deep + ",\"b\":7}"), "a=" + deep + ";b=7;");
 }
+
+TEST (JsonSplit, AMemberWithoutAnEndIsCutBeforeTheNextObject)
+{
+  br_json_split_t split;
+  br_str_t key;
+  br_str_t value;
+
+  ASSERT_TRUE (br_json_split_begin (
+      &split, br_str_from ("[{\"a\":{,[1,2] , {\"b\":1},7]")));
+  ASSERT_TRUE (br_json_split_next (&split, &key, &value));
+  EXPECT_TRUE (split.unclosed);
+  ASSERT_TRUE (br_json_split_cut (&split, &value));
+  EXPECT_EQ (std::string (value.data, value.len), "{\"a\":{,[1,2] ");
+  ASSERT_TRUE (br_json_split_next (&split, &key, &value));
+  EXPECT_EQ (std::string (value.data, value.len), "{\"b\":1}");
+  ASSERT_TRUE (br_json_split_next (&split, &key, &value));
+  EXPECT_EQ (std::string (value.data, value.len), "7");
+  EXPECT_FALSE (br_json_split_cut (&split, &value));
+  EXPECT_FALSE (br_json_split_next (&split, &key, &value));
+}
+
+TEST (JsonSplit, GoesOnWithTheMembersOfAnObject)
+{
+  br_json_split_t split;
+  br_str_t key;
+  br_str_t value;
+
+  br_json_split_resume (&split, br_str_from (" \"a\" : [1] "));
+  ASSERT_TRUE (br_json_split_next (&split, &key, &value));
+  EXPECT_EQ (std::string (key.data, key.len), "a");
+  EXPECT_EQ (std::string (value.data, value.len), "[1]");
+  EXPECT_FALSE (br_json_split_next (&split, &key, &value));
+  br_json_split_resume (&split, br_str_from (" "));
+  EXPECT_FALSE (br_json_split_next (&split, &key, &value));
+}
