--- a/tests/fakes/fake_cloud.c
+++ b/tests/fakes/fake_cloud.c
@@ -2,7 +2,8 @@
  * of the duties (usage and scaling).  Each --runner
  * ID,SERVICE,FAILURE_DOMAIN,PORT is listed as ready; PUT /state/ID/STATE and
  * PUT /born/ID/MS change a listed upstream, and PUT /entry lists the bytes of
- * its body as one more entry.  Prints one JSON line for each request of a duty.
+ * its body as one more entry and answers duties with them.  Prints one JSON
+ * line for each request of a duty.
  */
 #include <argp.h>
 #include <event2/buffer.h>
@@ -37,6 +38,13 @@
   struct evbuffer *entry; /* listed as it is, unless empty */
 } cloud_t;
 
+static void
+cloud_add_entry (cloud_t *cloud, struct evbuffer *out)
+{
+  evbuffer_add (out, evbuffer_pullup (cloud->entry, -1),
+                evbuffer_get_length (cloud->entry));
+}
+
 static void
 cloud_list (cloud_t *cloud, struct evbuffer *out)
 {
@@ -56,8 +64,7 @@
   if (evbuffer_get_length (cloud->entry) > 0)
     {
       evbuffer_add (out, ",", 1);
-      evbuffer_add (out, evbuffer_pullup (cloud->entry, -1),
-                    evbuffer_get_length (cloud->entry));
+      cloud_add_entry (cloud, out);
     }
   /* Malformed entries, as another writer may list; readers must skip them. */
   evbuffer_add_printf (out, ",{\"Id\":7},{\"Id\":\"x\",\"Service\":\"s\","
@@ -131,7 +138,10 @@
   else if (strcmp (uri, "/entry") == 0)
     cloud_set_entry (cloud, request);
   else
-    cloud_print_duty (request, uri);
+    {
+      cloud_print_duty (request, uri);
+      cloud_add_entry (cloud, out);
+    }
   evhttp_send_reply (request, 200, "OK", out);
   evbuffer_free (out);
 }
