VM list, notices: an entry that closes the array makes the answer unreadable

`{"vms":[...],{"name":"e1"}]}` was read as the VMs before the second bracket since the answer is split into entries, and the VMs after it were marked as removed.

An answer with a member that has no key, or with two of its arrays, is refused again, as it was when it was parsed as one value.

VmList.InvalidAnswersGiveStepAndPeer failed before for both of the answers that it got.

--- a/src/upstream/vm_list.c
+++ b/src/upstream/vm_list.c
@@ -203,8 +203,9 @@
          && listed_read_labels (object, &upstream->labels, err);
 }
 
-/* Finds the members of an answer.  Returns false when it is no object or has no
- * end. */
+/* Finds the members of an answer.  Returns false when it is no object, or a
+ * member has no key or no end or is a second array: an entry has closed the
+ * array. */
 static bool
 answer_split (br_str_t json,
               const char *array_key,
@@ -219,12 +220,18 @@
   if (!br_json_split_begin (&split, json) || !split.is_object)
     return false;
   while (br_json_split_next (&split, &key, &value))
-    if (br_str_equal (key, br_str_from (array_key)))
-      *array = value;
-    else if (head != NULL && br_str_equal (key, br_str_from ("revision")))
-      br_str_to_u64 (value, &head->revision);
-    else if (head != NULL && br_str_equal (key, br_str_from ("unchanged")))
-      head->unchanged = br_str_equal (value, br_str_from ("true"));
+    {
+      bool is_array = br_str_equal (key, br_str_from (array_key));
+
+      if (key.data == NULL || (is_array && array->data != NULL))
+        return false;
+      if (is_array)
+        *array = value;
+      else if (head != NULL && br_str_equal (key, br_str_from ("revision")))
+        br_str_to_u64 (value, &head->revision);
+      else if (head != NULL && br_str_equal (key, br_str_from ("unchanged")))
+        head->unchanged = br_str_equal (value, br_str_from ("true"));
+    }
   return !split.unclosed;
 }
 
--- a/tests/upstream_vm_list_test.cc
+++ b/tests/upstream_vm_list_test.cc
@@ -66,17 +66,20 @@
 
 TEST (VmList, InvalidAnswersGiveStepAndPeer)
 {
-  static const char *const bad[] = { "",
-                                     "[]",
-                                     "{}",
-                                     "null",
-                                     "\xff",
-                                     "{\"vms\":3}",
-                                     "{\"vms\":{}}",
-                                     "{\"vms\":[]",
-                                     "{\"vms\":[{\"name\":\"e1\",\"x\":{]}",
-                                     "{\"vms\":[{\"name\":\"e1\",\"x\":\"]}",
-                                     "{\"vms\":[{\"name\":\"e1\",\"x\":[]}" };
+  static const char *const bad[]
+      = { "",
+          "[]",
+          "{}",
+          "null",
+          "\xff",
+          "{\"vms\":3}",
+          "{\"vms\":{}}",
+          "{\"vms\":[]",
+          "{\"vms\":[],{\"name\":\"e1\",\"role\":\"entry\"}]}",
+          "{\"vms\":[],\"vms\":[]}",
+          "{\"vms\":[{\"name\":\"e1\",\"x\":{]}",
+          "{\"vms\":[{\"name\":\"e1\",\"x\":\"]}",
+          "{\"vms\":[{\"name\":\"e1\",\"x\":[]}" };
 
   for (const char *each : bad)
     {
