--- a/tests/replica_random_test.cc
+++ b/tests/replica_random_test.cc
@@ -83,14 +83,21 @@
     }
 }
 
+/* With REMOVALS, voters that are silent lose their vote as on a site. */
 static void
-run_seed (uint64_t seed)
+run_seed (uint64_t seed, bool removals = false)
 {
   SCOPED_TRACE ("seed " + std::to_string (seed));
   sim_options options;
 
   options.seed = seed;
   options.voters = seed % 3 == 0 ? 5 : 3;
+  if (removals)
+    {
+      options.voters = 4 + seed % 6;
+      options.remove_unreachable_ms = 600;
+      options.replace_silent_ms = 300;
+    }
   options.vms = options.voters + seed % 2;
   options.drop = 0.05 * (double)(seed % 3);
   options.duplicate = 0.05 * (double)(seed % 4);
@@ -123,7 +130,8 @@
   sim.check_equal ();
 }
 
-TEST (ReplicaRandom, InvariantsHoldOverManySeeds)
+static void
+run_seeds (bool removals)
 {
   const char *count = getenv ("BR_REPLICA_SEEDS");
   const char *first = getenv ("BR_REPLICA_FIRST_SEED");
@@ -131,8 +139,16 @@
   uint64_t n = count != nullptr ? strtoull (count, nullptr, 10) : 60;
   uint64_t seed = from;
 
-  while (seed < from + n && !HasFailure ())
-    run_seed (seed++);
+  while (seed < from + n && !::testing::Test::HasFailure ())
+    run_seed (seed++, removals);
   printf ("seeds %llu to %llu\n", (unsigned long long)from,
           (unsigned long long)(seed - 1));
 }
+
+TEST (ReplicaRandom, InvariantsHoldOverManySeeds) { run_seeds (false); }
+
+/* Review of issue 34: the same while silent voters lose their votes. */
+TEST (ReplicaRandomReview, InvariantsHoldWhileSilentVotersAreRemoved)
+{
+  run_seeds (true);
+}
--- a/tests/replica_series_test.cc
+++ b/tests/replica_series_test.cc
@@ -464,3 +464,93 @@
       EXPECT_GE (sim.find_leader (), 0);
     }
 }
+
+/* Review of issue 34: the numbers of VMs that the tests above leave out. */
+TEST (ReplicaSeriesReview, ThreeVmsBearOneLoss) { run_series (3, 1); }
+
+TEST (ReplicaSeriesReview, ThreeVmsBearLeadersReplacedOneAfterTheOther)
+{
+  run_series (3, 1, true);
+}
+
+TEST (ReplicaSeriesReview, FiveVmsBearOneLoss) { run_series (5, 1); }
+
+TEST (ReplicaSeriesReview, FiveVmsBearLeadersReplaced)
+{
+  run_series (5, 2, true);
+}
+
+TEST (ReplicaSeriesReview, SixVmsBearTwoLosses) { run_series (6, 2); }
+
+TEST (ReplicaSeriesReview, SixVmsBearLeadersReplaced)
+{
+  run_series (6, 2, true);
+}
+
+TEST (ReplicaSeriesReview, EightVmsBearTwoLosses) { run_series (8, 2); }
+
+/* A voter that was silent under an earlier leader, has answered for long since
+ * and is away for less than remove_unreachable_ms must keep its vote, although
+ * the VM that leads has led before. */
+TEST (ReplicaSeriesReview, SilenceOfLongAgoIsForgotten)
+{
+  size_t led_again = 0;
+
+  for (uint64_t seed = 1; seed <= 300 && !HasFailure (); seed++)
+    {
+      SCOPED_TRACE ("seed " + std::to_string (seed));
+      sim_options options;
+
+      options.vms = options.voters = 5;
+      options.seed = seed;
+      options.heartbeat_ms = 80;
+      options.election_min_ms = 320;
+      options.election_max_ms = 640;
+      options.remove_unreachable_ms = 3000;
+      options.replace_silent_ms = 1000;
+      replica_sim sim (options);
+      size_t first = (size_t)sim.run_to_leader ();
+      size_t silent = (first + 1) % 5;
+
+      sim.isolate (silent, true);
+      sim.run (1500);
+      ASSERT_EQ ((size_t)sim.find_leader (), first);
+      sim.crash (first);
+      sim.run (1400);
+      int second = sim.find_leader ();
+      if (second < 0)
+        continue;
+      sim.isolate (silent, false);
+      sim.start (first);
+      sim.run (10000);
+      if (sim.find_leader () != second)
+        continue;
+      ASSERT_TRUE (sim.is_voter (silent));
+      size_t before = sim.configs ();
+      uint64_t term = br_replica_term (sim.vm ((size_t)second).replica);
+      /* The leader alone has the last entry, and both others that answer are
+       * needed for a majority: it is the only one that can be elected. */
+      sim.isolate ((size_t)second, true);
+      sim.isolate (silent, true);
+      sim.freeze (first, true);
+      br_ms_t away_at = sim.now ();
+      sim.propose ((size_t)second);
+      sim.run (400);
+      sim.isolate ((size_t)second, false);
+      sim.isolate (silent, true);
+      for (int i = 0; i < 100 && sim.find_leader () < 0; i++)
+        sim.run (10);
+      sim.freeze (first, false);
+      sim.run (500);
+      if (sim.find_leader () != second
+          || br_replica_term (sim.vm ((size_t)second).replica) <= term
+          || sim.now () - away_at > 2500)
+        continue;
+      led_again++;
+      EXPECT_EQ (sim.configs (), before)
+          << "removed after " << sim.now () - away_at << " ms\n"
+          << sim.describe ();
+      EXPECT_TRUE (sim.is_voter (silent));
+    }
+  EXPECT_GT (led_again, 0u);
+}
