--- a/tests/replica_join_test.cc
+++ b/tests/replica_join_test.cc
@@ -158,3 +158,126 @@
       sim.check_outcomes ();
     }
 }
+
+/* --- review of issue 34 --- */
+
+/* A VM that was removed while it was away, and reaches none of the VMs that it
+ * knows, must not report that it has a vote: an operator sees nothing else. */
+TEST (ReplicaJoinReview, RemovedWhileAwayDoesNotReportAVote)
+{
+  sim_options options = four_voters ();
+
+  options.remove_unreachable_ms = 1000;
+  replica_sim sim (options);
+  ASSERT_GE (sim.run_to_leader (), 0);
+  sim.crash (0);
+  std::vector<size_t> up = { 1, 2, 3 };
+  for (size_t i = 1; i < 4; i++)
+    {
+      up.push_back (sim.add (up));
+      sim.run (CATCH_UP_MS);
+      sim.crash (i);
+      up.erase (up.begin ());
+      sim.run (CATCH_UP_MS);
+    }
+  ASSERT_GE (sim.find_leader (), 0) << sim.describe ();
+  sim.start (0);
+  sim.run (20000);
+  EXPECT_NE (standing (sim, 0), BR_STANDING_VOTER)
+      << "outside for 20 s, and it says that it has a vote\n"
+      << sim.describe ();
+}
+
+/* The VM is wiped and its settings name only VMs that are gone; those that send
+ * to its former disk let it in. */
+TEST (ReplicaJoinReview, WipedWithSeedsThatAreGone)
+{
+  for (uint64_t seed = 1; seed <= 50 && !HasFailure (); seed++)
+    {
+      SCOPED_TRACE ("seed " + std::to_string (seed));
+      sim_options options = four_voters (seed);
+
+      options.heartbeat_ms = 80;
+      options.election_min_ms = 320;
+      options.election_max_ms = 640;
+      options.remove_unreachable_ms = 3000;
+      options.replace_silent_ms = 1000;
+      replica_sim sim (options);
+      ASSERT_GE (sim.run_to_leader (), 0);
+      size_t gone = sim.add ({ 0 });
+      sim.run (500);
+      sim.crash (gone);
+      sim.run (4000);
+      size_t wiped
+          = seed % 2 ? (size_t)sim.find_leader () : followers (sim, 4)[0];
+      sim.crash (wiped);
+      sim.wipe (wiped);
+      sim.vm (wiped).joins = true;
+      sim.set_seeds (wiped, { gone });
+      sim.run (200 + (br_ms_t)br_random_below (sim.random (), 1000));
+      sim.start (wiped);
+      sim.run (CATCH_UP_MS);
+      EXPECT_TRUE (sim.is_voter (wiped)) << sim.describe ();
+    }
+}
+
+/* Half of the VMs are cut off for seconds, then another half, a second later:
+ * the half with more VMs must go on each time. */
+TEST (ReplicaJoinReview, HalvesCutOneAfterTheOther)
+{
+  const size_t sites[][2] = { { 5, 1 }, { 5, 2 }, { 6, 2 }, { 7, 2 },
+                              { 8, 2 }, { 9, 2 }, { 9, 1 } };
+
+  for (uint64_t seed = 1; seed <= 40 && !HasFailure (); seed++)
+    for (const auto &site : sites)
+      {
+        SCOPED_TRACE ("seed " + std::to_string (seed) + " VMs "
+                      + std::to_string (site[0]) + " losses "
+                      + std::to_string (site[1]));
+        sim_options options;
+
+        options.vms = options.voters = site[0];
+        options.seed = seed;
+        options.heartbeat_ms = 80;
+        options.election_min_ms = 320;
+        options.election_max_ms = 640;
+        options.remove_unreachable_ms = 3000;
+        options.replace_silent_ms = 1000;
+        options.voters_min = 2 * site[1] + 1;
+        options.delay_max = 1 + (br_ms_t)(seed % 4) * 3;
+        replica_sim sim (options);
+        ASSERT_GE (sim.run_to_leader (), 0);
+        for (int round = 0; round < 4; round++)
+          {
+            std::vector<size_t> order;
+
+            for (size_t i = 0; i < site[0]; i++)
+              order.push_back (i);
+            for (size_t i = site[0]; i > 1; i--)
+              std::swap (order[i - 1],
+                         order[br_random_below (sim.random (), i)]);
+            size_t larger = site[0] / 2 + 1;
+            auto cut = [&] (bool is_cut) {
+              for (size_t i = 0; i < larger; i++)
+                for (size_t j = larger; j < site[0]; j++)
+                  {
+                    sim.cut (order[i], order[j], is_cut);
+                    sim.cut (order[j], order[i], is_cut);
+                  }
+            };
+            cut (true);
+            sim.run (4000 + (br_ms_t)br_random_below (sim.random (), 3000));
+            size_t n = sim.propose (order[0]);
+            sim.run (1000);
+            EXPECT_EQ (sim.proposals ()[n].outcome, SIM_COMMITTED)
+                << "round " << round << "\n"
+                << sim.describe ();
+            cut (false);
+            sim.run (1000);
+          }
+        sim.run (CATCH_UP_MS);
+        for (size_t i = 0; i < site[0]; i++)
+          EXPECT_TRUE (sim.is_voter (i)) << sim.describe ();
+        sim.check_outcomes ();
+      }
+}
--- a/tests/replica_rescue_review_test.cc
+++ b/tests/replica_rescue_review_test.cc
@@ -62,7 +62,8 @@
   sim.run (200);
   ASSERT_EQ (sim.proposals ()[n].outcome, SIM_COMMITTED);
   /* The disks of the three others are lost; OLD and NEXT are left. */
-  auto last = [&] (size_t i) { return sim.vm (i).disk.entries.rbegin ()->first; };
+  auto last
+      = [&] (size_t i) { return sim.vm (i).disk.entries.rbegin ()->first; };
   size_t chosen = last (old) > last (next) ? old : next;
   bool found = false;
   for (const auto &each : sim.vm (chosen).disk.entries)
