Forget silences that are over when a leader leads again

A VM that led kept the silences that it had heard of as a follower before. Elected again without another leader between, it took them over: a voter that had answered since and was away for 1.1 s lost its vote, the limit is 3 s.

A new leader takes the silences over once; one that steps down keeps those that it knows itself.

--- a/src/replica/leader.c
+++ b/src/replica/leader.c
@@ -153,6 +153,24 @@
       if (progress != NULL)
         progress->joined_ms = BR_MIN (progress->joined_ms, silence->since_ms);
     }
+  br_silences_clear (&replica->silences);
+}
+
+void
+br_replica_keep_silences (br_replica_t *replica)
+{
+  br_silences_clear (&replica->silences);
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    {
+      const br_progress_t *progress = &replica->progresses.items[i];
+      br_ms_t silent_ms = br_replica_silent_ms (replica, progress);
+
+      if (leader_is_voter (replica, progress)
+          && silent_ms >= replica->options.election_min_ms)
+        br_silences_push (&replica->silences,
+                          (br_silence_t){ progress->vm, progress->disk,
+                                          replica->now - silent_ms });
+    }
 }
 
 void
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -77,7 +77,10 @@
   static const br_name_t no_vm;
 
   if (replica->role == BR_ROLE_LEADER)
-    br_replica_drop_reads (replica);
+    {
+      br_replica_drop_reads (replica);
+      br_replica_keep_silences (replica);
+    }
   if (term > replica->hard_state.term)
     br_replica_set_hard_state (replica, term, &no_vm);
   replica->leader = leader != NULL ? *leader : no_vm;
--- a/src/replica/replica_private.h
+++ b/src/replica/replica_private.h
@@ -112,7 +112,7 @@
   br_ms_t leader_last_seen_ms;
   br_ms_t election_at_ms;
   br_ms_t join_at_ms;
-  br_silences_t silences; /* that the last leader told of */
+  br_silences_t silences; /* that the last leader knew; empty while leading */
   br_contacts_t contacts;
   br_ms_t join_answered_ms; /* last answer to a join request; 0: none */
   br_ms_t log_named_ms;     /* last one that named members */
@@ -196,6 +196,8 @@
                              const br_proposer_t *proposer,
                              br_str_t data);
 
+/* Keeps the silences that this leader knows for the time after it. */
+void br_replica_keep_silences (br_replica_t *replica);
 br_ms_t br_replica_silent_ms (const br_replica_t *replica,
                               const br_progress_t *progress);
 
