--- a/src/replica/membership.c
+++ b/src/replica/membership.c
@@ -138,6 +138,10 @@
 
 /* --- joining --- */
 
+/* A voter without a leader for this many of the longest election timeouts has
+ * no part in the log: it cannot know whether it still is a voter. */
+#define LEADERLESS_ELECTIONS 3
+
 /* An answer to a join request counts for this many heartbeats. */
 #define JOIN_ANSWER_HEARTBEATS 10
 
@@ -252,10 +256,18 @@
                 <= replica->options.heartbeat_ms * JOIN_ANSWER_HEARTBEATS;
 }
 
+static bool
+membership_is_leaderless (const br_replica_t *replica)
+{
+  return replica->leader.len == 0
+         && replica->now - replica->leader_last_seen_ms
+                > replica->options.election_max_ms * LEADERLESS_ELECTIONS;
+}
+
 br_replica_standing_t
 br_replica_standing (const br_replica_t *replica)
 {
-  if (br_replica_is_voter (replica))
+  if (br_replica_is_voter (replica) && !membership_is_leaderless (replica))
     return BR_STANDING_VOTER;
   if (replica->leader.len > 0)
     return BR_STANDING_FOLLOWS;
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -80,6 +80,7 @@
     {
       br_replica_drop_reads (replica);
       br_replica_keep_silences (replica);
+      replica->leader_last_seen_ms = replica->now;
     }
   if (term > replica->hard_state.term)
     br_replica_set_hard_state (replica, term, &no_vm);
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -235,10 +235,11 @@
 
 /* --- accessors --- */
 
-/* What stands between this VM and a vote, by the answers to its join requests.
+/* What stands between this VM and its part in the log, by the answers to its
+ * join requests.  A voter that has known no leader for long has none.
  * X (id, text) */
 #define BR_REPLICA_STANDING_TABLE(X)                                           \
-  X (VOTER, "it has a vote")                                                   \
+  X (VOTER, "it is a voter")                                                   \
   X (FOLLOWS, "it follows the leader, which has not given it a vote")          \
   X (LEADER_SILENT, "the leader that others named has not answered")           \
   X (NO_LEADER, "the control VMs that answered know no leader")                \
@@ -252,6 +253,8 @@
 #undef X
 } br_replica_standing_t;
 
+/* Returns whether this VM is a voter by its own log. */
+bool br_replica_is_voter (const br_replica_t *replica);
 br_replica_standing_t br_replica_standing (const br_replica_t *replica);
 const char *br_replica_standing_text (br_replica_standing_t standing);
 
--- a/src/replica/replica_private.h
+++ b/src/replica/replica_private.h
@@ -162,7 +162,6 @@
                                  const br_name_t *leader);
 void br_replica_reset_election (br_replica_t *replica);
 const br_config_t *br_replica_config (const br_replica_t *replica);
-bool br_replica_is_voter (const br_replica_t *replica);
 br_progress_t *
 br_replica_progress (br_replica_t *replica, const br_name_t *vm, uint64_t disk);
 br_progress_t *br_replica_add_progress (br_replica_t *replica,
--- a/src/shell/replica_watch.c
+++ b/src/shell/replica_watch.c
@@ -7,7 +7,7 @@
 /* A voter that answers nothing for this long is reported as silent. */
 #define SILENT_MS 1000
 
-/* Time between two lines that repeat why this VM has no vote. */
+/* Time between two lines that repeat why this VM has no part in the log. */
 #define REPEAT_MS 5000
 
 void
@@ -44,20 +44,20 @@
 }
 
 static bool
-view_is_voter (const view_t *view)
+view_takes_part (const view_t *view)
 {
   return br_replica_standing (view->replica) == BR_STANDING_VOTER;
 }
 
 static void
-watch_own_vote (br_replica_watch_t *watch, const view_t *view, br_log_t *log)
+watch_own_part (br_replica_watch_t *watch, const view_t *view, br_log_t *log)
 {
   br_replica_standing_t standing = br_replica_standing (view->replica);
 
-  if (view_is_voter (view))
+  if (view_takes_part (view))
     {
       if (watch->outside_since_ms > 0)
-        BR_LOG (log, "replica", "has a vote",
+        BR_LOG (log, "replica", "takes part in the log",
                 br_field_int ("after_ms", view->now - watch->outside_since_ms));
       watch->outside_since_ms = 0;
       watch->standing = standing;
@@ -69,7 +69,8 @@
     return;
   watch->standing = standing;
   watch->logged_ms = view->now;
-  BR_LOG (log, "replica", "has no vote",
+  BR_LOG (log, "replica",
+          br_replica_is_voter (view->replica) ? "has no leader" : "has no vote",
           br_field_z ("why", br_replica_standing_text (standing)),
           br_field_int ("for_ms", view->now - watch->outside_since_ms),
           br_field_int ("reached", (int64_t)view->reached),
@@ -135,7 +136,7 @@
 
   if (!node->settings.voter)
     return;
-  watch_own_vote (watch, &view, &node->log);
+  watch_own_part (watch, &view, &node->log);
   watch_others (watch, &view, &node->log);
 }
 
@@ -168,7 +169,7 @@
 
   br_buf_printf (out, "briarrack_log_voters %zu\n", br_config_voters (config));
   br_buf_printf (out, "briarrack_log_voters_silent %zu\n", watch->silent.len);
-  br_buf_printf (out, "briarrack_log_has_vote %d\n", view_is_voter (&view));
+  br_buf_printf (out, "briarrack_log_has_vote %d\n", view_takes_part (&view));
   br_buf_printf (
       out, "briarrack_log_without_vote_ms %" PRId64 "\n",
       watch->outside_since_ms > 0 ? view.now - watch->outside_since_ms : 0);
--- a/src/shell/replica_watch.h
+++ b/src/shell/replica_watch.h
@@ -10,7 +10,8 @@
 
 typedef struct
 {
-  br_ms_t outside_since_ms; /* since when this VM has no vote; 0: it has one */
+  br_ms_t outside_since_ms; /* since when this VM has no vote or no leader; 0:
+                             * it has both */
   br_ms_t logged_ms;        /* time of the last line about that */
   br_replica_standing_t standing; /* in that line */
   br_replica_followers_t silent; /* voters that are reported as silent; owned */
@@ -19,7 +20,7 @@
 void br_replica_watch_release (br_replica_watch_t *watch);
 
 /* Logs changes since the last call, and repeats every 5 s why this VM has no
- * vote, if its settings say that it wants one. */
+ * vote or no leader, if its settings say that it wants one. */
 void br_replica_watch_tick (br_replica_watch_t *watch,
                             br_node_t *node,
                             const br_replica_t *replica);
--- a/tests/replica_join_test.cc
+++ b/tests/replica_join_test.cc
@@ -118,8 +118,9 @@
       sim.run (CATCH_UP_MS);
     }
   ASSERT_GE (sim.find_leader (), 0) << sim.describe ();
+  size_t known = followers (sim, 7)[0];
   sim.start (0);
-  sim.set_seeds (0, { followers (sim, 7)[0] });
+  sim.set_seeds (0, { known });
   sim.run (CATCH_UP_MS);
   EXPECT_TRUE (sim.is_voter (0)) << sim.describe ();
   sim.check_outcomes ();
