Rescue: change nothing in a look, and name the right copy

'briarrack rescue' on an empty folder gave it the identity 1, so that a second empty folder of the same VM would have passed for the disk that was lost. And the page told operators to take the copy with the highest last index; the copy with the acknowledged entries may be shorter (5 against 23), as the term of the last entry decides first.

A folder without an identity is refused unchanged, and the command shows last_term. The second demanded that the highest index is the right copy; it demands it of the highest term and index now, and that the index alone misleads.

--- a/src/cli/rescue.c
+++ b/src/cli/rescue.c
@@ -70,10 +70,10 @@
   ok = ok
        && br_replica_rescue (&settings, arguments.accept_loss, &rescue, &err);
   if (ok)
-    printf ("{\"last_index\":%" PRIu64 ",\"committed\":%" PRIu64
-            ",\"voters\":\"%s\",\"only_voter\":%s}\n",
-            rescue.last_index, rescue.commit, rescue.voters.data,
-            arguments.accept_loss ? "true" : "false");
+    printf ("{\"last_term\":%" PRIu64 ",\"last_index\":%" PRIu64
+            ",\"committed\":%" PRIu64 ",\"voters\":\"%s\",\"only_voter\":%s}\n",
+            rescue.last_term, rescue.last_index, rescue.commit,
+            rescue.voters.data, arguments.accept_loss ? "true" : "false");
   br_rescue_release (&rescue);
   br_settings_release (&settings);
   br_buf_free (&faults);
--- a/src/shell/replica_rescue.c
+++ b/src/shell/replica_rescue.c
@@ -31,6 +31,9 @@
                  br_rescue_t *rescue)
 {
   rescue->last_index = saved->snapshot.index + saved->entries.len;
+  rescue->last_term = saved->entries.len > 0
+                          ? saved->entries.items[saved->entries.len - 1].term
+                          : saved->snapshot.term;
   rescue->commit
       = BR_MIN (BR_MAX (saved->hard_state.commit, saved->snapshot.index),
                 rescue->last_index);
@@ -95,6 +98,9 @@
   if (settings->data_folder.len == 0)
     return br_error_set (err, BR_ERROR_SETTINGS, "rescue log", "",
                          "the settings name no data.folder");
+  if (!br_store_exists (folder.path))
+    return br_error_set (err, BR_ERROR_NOT_FOUND, "rescue log", folder.path,
+                         "the folder holds no log");
   store = br_replica_open_folder (&folder, &disk, &saved, err);
   if (store == NULL)
     return false;
--- a/src/shell/replica_rescue.h
+++ b/src/shell/replica_rescue.h
@@ -10,7 +10,8 @@
 /* What a rescue found. */
 typedef struct
 {
-  uint64_t last_index; /* of the log in the folder */
+  uint64_t last_term;  /* of the last entry of the log in the folder */
+  uint64_t last_index; /* of that entry */
   uint64_t commit;     /* entries up to here are known to be committed */
   br_buf_t voters;     /* names, joined by commas; owned */
   size_t n_voters;
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -309,6 +309,15 @@
                              br_str_from (""), err);
 }
 
+bool
+br_store_exists (const char *folder)
+{
+  char path[PATH_MAX];
+
+  snprintf (path, sizeof path, "%s/%s", folder, IDENTITY_NAME);
+  return access (path, F_OK) == 0;
+}
+
 static bool
 store_has_identity (const br_store_t *store)
 {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -28,6 +28,9 @@
   size_t torn_bytes;          /* truncated from the end of the log */
 } br_store_loaded_t;
 
+/* Returns whether FOLDER has an identity, without changing it. */
+bool br_store_exists (const char *folder);
+
 void br_store_loaded_release (br_store_loaded_t *loaded);
 
 /* Locks and reads the folder.  Returns NULL with BR_ERROR_CONFLICT when another
--- a/tests/process/platform_removed_while_away.sh
+++ b/tests/process/platform_removed_while_away.sh
@@ -1,4 +1,4 @@
-# Review of issue 34.  Checks that a control VM that was removed from the log while it was
+# Checks that a control VM that was removed from the log while it was
 # down, and whose settings and disk name only control VMs that are gone, says that it has
 # no part in the log: it must not be ready, nor report a vote.
 # Usage: platform_removed_while_away.sh BUILD
--- a/tests/replica_join_test.cc
+++ b/tests/replica_join_test.cc
@@ -160,11 +160,10 @@
     }
 }
 
-/* --- review of issue 34 --- */
 
 /* A VM that was removed while it was away, and reaches none of the VMs that it
  * knows, must not report that it has a vote: an operator sees nothing else. */
-TEST (ReplicaJoinReview, RemovedWhileAwayDoesNotReportAVote)
+TEST (ReplicaJoin, RemovedWhileAwayDoesNotReportAVote)
 {
   sim_options options = four_voters ();
 
@@ -191,7 +190,7 @@
 
 /* The VM is wiped and its settings name only VMs that are gone; those that send
  * to its former disk let it in. */
-TEST (ReplicaJoinReview, WipedWithSeedsThatAreGone)
+TEST (ReplicaJoin, WipedWithSeedsThatAreGone)
 {
   for (uint64_t seed = 1; seed <= 50 && !HasFailure (); seed++)
     {
@@ -224,7 +223,7 @@
 
 /* Half of the VMs are cut off for seconds, then another half, a second later:
  * the half with more VMs must go on each time. */
-TEST (ReplicaJoinReview, HalvesCutOneAfterTheOther)
+TEST (ReplicaJoin, HalvesCutOneAfterTheOther)
 {
   const size_t sites[][2] = { { 5, 1 }, { 5, 2 }, { 6, 2 }, { 7, 2 },
                               { 8, 2 }, { 9, 2 }, { 9, 1 } };
--- a/tests/replica_random_test.cc
+++ b/tests/replica_random_test.cc
@@ -147,8 +147,8 @@
 
 TEST (ReplicaRandom, InvariantsHoldOverManySeeds) { run_seeds (false); }
 
-/* Review of issue 34: the same while silent voters lose their votes. */
-TEST (ReplicaRandomReview, InvariantsHoldWhileSilentVotersAreRemoved)
+/* The same while silent voters lose their votes. */
+TEST (ReplicaRandom, InvariantsHoldWhileSilentVotersAreRemoved)
 {
   run_seeds (true);
 }
--- a/tests/replica_rescue_review_test.cc
+++ b/tests/replica_rescue_test.cc
@@ -1,4 +1,4 @@
-/* Review of issue 34: what an operator does before a rescue must not harm, and
+/* What an operator does before a rescue must not harm, and
  * the VM that docs/OPERATIONS.md names must be the right one. */
 #include <cstdlib>
 
@@ -13,7 +13,7 @@
 /* A look at an empty folder, as OPERATIONS.md asks for on each control VM that
  * is left, must not give it an identity: a second empty folder of the same VM
  * would get the same, and count as the disk that was lost. */
-TEST (ReplicaRescueReview, ALookLeavesAnEmptyFolderWithoutIdentity)
+TEST (ReplicaRescue, ALookLeavesAnEmptyFolderWithoutIdentity)
 {
   char path[] = "/tmp/review-rescue-XXXXXX";
   br_settings_t settings = {};
@@ -41,9 +41,9 @@
   br_buf_free (&settings.data_folder);
 }
 
-/* "Take the VM with the highest last_index": the other copy may be the one with
- * the acknowledged entries, because the last entry's term decides first. */
-TEST (ReplicaRescueReview, HighestLastIndexHoldsWhatWasAcknowledged)
+/* The copy with the higher index may lack the acknowledged entries: the term of
+ * the last entry decides first, as docs/OPERATIONS.md says. */
+TEST (ReplicaRescue, HighestLastTermHoldsWhatWasAcknowledged)
 {
   sim_options options;
 
@@ -64,7 +64,21 @@
   /* The disks of the three others are lost; OLD and NEXT are left. */
   auto last
       = [&] (size_t i) { return sim.vm (i).disk.entries.rbegin ()->first; };
-  size_t chosen = last (old) > last (next) ? old : next;
+  auto last_term = [&] (size_t i) {
+    br_record_t record = {};
+    br_error_t err;
+    const std::string &bytes = sim.vm (i).disk.entries.rbegin ()->second;
+
+    EXPECT_TRUE (br_record_unpack (br_str_make (bytes.data (), bytes.size ()),
+                                   &record, &err));
+    uint64_t term = record.entry.term;
+    br_entry_release (&record.entry);
+    return term;
+  };
+  auto rank
+      = [&] (size_t i) { return std::make_pair (last_term (i), last (i)); };
+  EXPECT_GT (last (old), last (next)) << "the index alone misleads";
+  size_t chosen = rank (old) > rank (next) ? old : next;
   bool found = false;
   for (const auto &each : sim.vm (chosen).disk.entries)
     found = found
--- a/tests/replica_series_test.cc
+++ b/tests/replica_series_test.cc
@@ -465,34 +465,34 @@
     }
 }
 
-/* Review of issue 34: the numbers of VMs that the tests above leave out. */
-TEST (ReplicaSeriesReview, ThreeVmsBearOneLoss) { run_series (3, 1); }
+/* The numbers of VMs that the tests above leave out. */
+TEST (ReplicaSeries, ThreeVmsBearOneLoss) { run_series (3, 1); }
 
-TEST (ReplicaSeriesReview, ThreeVmsBearLeadersReplacedOneAfterTheOther)
+TEST (ReplicaSeries, ThreeVmsBearLeadersReplacedOneAfterTheOther)
 {
   run_series (3, 1, true);
 }
 
-TEST (ReplicaSeriesReview, FiveVmsBearOneLoss) { run_series (5, 1); }
+TEST (ReplicaSeries, FiveVmsBearOneLoss) { run_series (5, 1); }
 
-TEST (ReplicaSeriesReview, FiveVmsBearLeadersReplaced)
+TEST (ReplicaSeries, FiveVmsBearLeadersReplaced)
 {
   run_series (5, 2, true);
 }
 
-TEST (ReplicaSeriesReview, SixVmsBearTwoLosses) { run_series (6, 2); }
+TEST (ReplicaSeries, SixVmsBearTwoLosses) { run_series (6, 2); }
 
-TEST (ReplicaSeriesReview, SixVmsBearLeadersReplaced)
+TEST (ReplicaSeries, SixVmsBearLeadersReplaced)
 {
   run_series (6, 2, true);
 }
 
-TEST (ReplicaSeriesReview, EightVmsBearTwoLosses) { run_series (8, 2); }
+TEST (ReplicaSeries, EightVmsBearTwoLosses) { run_series (8, 2); }
 
 /* A voter that was silent under an earlier leader, has answered for long since
  * and is away for less than remove_unreachable_ms must keep its vote, although
  * the VM that leads has led before. */
-TEST (ReplicaSeriesReview, SilenceOfLongAgoIsForgotten)
+TEST (ReplicaSeries, SilenceOfLongAgoIsForgotten)
 {
   size_t led_again = 0;
 
