Test: refusals written again, errors inside streams (red)

Callers were told "not run" for requests that ran, or these ran twice, after an upstream had written an earlier refusal once more on a kept connection; and callers found errors inside streams that had broken off, or incomplete streams that looked complete.

The fake upstream now writes such refusals, with and without an id, and resumes streams wrongly in seven ways.

--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -31,6 +31,10 @@
 #define SLOW_MS 400
 #define NAMED_MS 20
 #define STREAM_EVENTS 6
+
+/* An error answer with its head, where events are due. */
+#define ERROR_TEXT                                                             \
+  "HTTP/1.1 500 Answer\r\nContent-Type: text/plain\r\n\r\nspoiled\n\n"
 #define NAMED_STREAM_EVENTS 12
 
 /* Event at which a broken stream stops, in the middle. */
@@ -49,6 +53,8 @@
   X (STRANGER, "stranger") /* first the answer to another request */           \
   X (FULL, "full")                                                             \
   X (MOVED, "moved")                                                           \
+  X (UNNAMED_FULL, "unnamed-full") /* refuses, but names no request */         \
+  X (UNPROMISED, "unpromised")     /* 429 without X-Not-Executed */            \
   X (ERROR, "error")                                                           \
   X (UNSIGNED, "unsigned")                                                     \
   X (NOISE, "noise") /* no HTTP at all */                                      \
@@ -57,6 +63,16 @@
   X (CUT_EVENT, "cut-event")       /* ends as if complete inside the fourth */ \
   X (CUT_UNFRAMED, "cut-unframed") /* the same, as in unframed */              \
   X (REFUSE_REST, "refuse-rest")   /* like crash, but the resume is refused */ \
+  X (REST_EMPTY, "rest-empty")     /* the resume has no event */               \
+  X (REST_HEAD, "rest-head")     /* the resume holds an error with its head */ \
+  X (REST_TEXT, "rest-text")     /* the resume holds an error's text */        \
+  X (REST_TYPE, "rest-type")     /* the resume is of another Content-Type */   \
+  X (REST_AGAIN, "rest-again")   /* the resume begins at the first event */    \
+  X (REST_REPEAT, "rest-repeat") /* the resume repeats the last event */       \
+  X (REST_SKIP, "rest-skip")     /* the resume leaves out an event */          \
+  X (REPEAT_ID, "repeat-id")     /* the fourth event has the third's id */     \
+  X (ERROR_INSIDE, "error-inside") /* an error with its head for the fourth */ \
+  X (RICH, "rich-stream")          /* all fields that events may have */       \
   X (NAMED, "named") /* contains the request's id, after 20 ms */              \
   X (NAMED_STREAM, "named-stream") /* twelve events that contain the id */     \
   X (UNAVAILABLE, "unavailable")   /* 503 without X-Not-Executed */            \
@@ -86,6 +102,12 @@
 
 typedef struct conn conn_t;
 
+/* A part of the path that is one of these precedes the answer with a refusal of
+ * an earlier request, if the connection has carried one: with another
+ * request's id, and without an id. */
+#define STALE_NAMED_PART "/stale-named/"
+#define STALE_UNNAMED_PART "/stale-unnamed/"
+
 /* Requests that are kept to check a limit: more than a limit up to
  * LIMIT_CHECKED_MAX allows in LIMIT_WINDOW_MS. */
 #define LIMIT_ARRIVALS_MAX 128
@@ -129,6 +151,7 @@
   br_buf_t body;
   struct event *timer;
   run_mode_t mode;
+  int requests; /* carried so far, this one included */
   int next_event;
   int last_event;
 };
@@ -304,11 +327,19 @@
   event_add (conn->timer, &wait);
 }
 
+/* Returns whether a stream is cut off like CRASH and its resume is faulty. */
+static bool
+mode_spoils_rest (run_mode_t mode)
+{
+  return mode >= MODE_REST_EMPTY && mode <= MODE_REST_SKIP;
+}
+
 static bool
 conn_is_cut_off (const conn_t *conn)
 {
   return conn->mode == MODE_CRASH || conn->mode == MODE_REFUSE_REST
-         || conn->mode == MODE_CUT_EVENT || conn->mode == MODE_CUT_UNFRAMED;
+         || mode_spoils_rest (conn->mode) || conn->mode == MODE_CUT_EVENT
+         || conn->mode == MODE_CUT_UNFRAMED;
 }
 
 static bool
@@ -318,18 +349,36 @@
          || conn->mode == MODE_CUT_UNFRAMED;
 }
 
+/* Writes the next event of conn_send_event() to EVENT. */
 static void
-conn_send_event (conn_t *conn)
+conn_write_event (const conn_t *conn, char *event, size_t size)
 {
-  struct evbuffer *out = bufferevent_get_output (conn->bev);
   br_str_t id = br_http_head_find (&conn->head, "X-Request-Id");
   bool named = conn->mode == MODE_NAMED_STREAM;
-  char event[160];
+  int n = conn->next_event;
+
+  if (conn->mode == MODE_ERROR_INSIDE && n == BROKEN_EVENT)
+    snprintf (event, size, ERROR_TEXT);
+  else if (conn->mode == MODE_REPEAT_ID && n == BROKEN_EVENT)
+    snprintf (event, size, "id: %d\ndata: part %d\n\n", n - 1, n);
+  else if (conn->mode == MODE_RICH)
+    snprintf (event, size,
+              "x-weight-versions: 7\r\nevent: token\r\nid:%d\r\nretry: 20\r\n"
+              ": note\r\ndata: part %d\r\ndata\r\ndata: a: b\r\n\r\n:\n\n",
+              n, n);
+  else
+    snprintf (event, size, "id: %d\ndata: %.*s%spart %d\n\n", n,
+              named ? (int)id.len : 0, id.data, named ? " " : "", n);
+}
+
+static void
+conn_send_event (conn_t *conn)
+{
+  struct evbuffer *out = bufferevent_get_output (conn->bev);
+  char event[240];
 
   conn->next_event++;
-  snprintf (event, sizeof event, "id: %d\ndata: %.*s%spart %d\n\n",
-            conn->next_event, named ? (int)id.len : 0, id.data,
-            named ? " " : "", conn->next_event);
+  conn_write_event (conn, event, sizeof event);
   if (conn_is_cut_off (conn) && conn->next_event == BROKEN_EVENT)
     event[conn->mode == MODE_CUT_EVENT ? 6 : 9] = '\0'; /* only its start */
   if (conn_is_unframed (conn))
@@ -382,6 +431,26 @@
     conn_send_event (conn);
 }
 
+/* Sends the faulty resume of a stream. */
+static void
+conn_send_spoiled_rest (conn_t *conn)
+{
+  const char *type
+      = conn->mode == MODE_REST_TYPE ? "text/plain" : "text/event-stream";
+  const char *body = conn->mode == MODE_REST_EMPTY  ? ""
+                     : conn->mode == MODE_REST_HEAD ? ERROR_TEXT
+                     : conn->mode == MODE_REST_TEXT
+                         ? "error: spoiled\n\n"
+                         : "id: 9\ndata: spoiled\n\n";
+
+  conn_send_head (conn, 200, "X-Server-Stamp: s\r\n");
+  evbuffer_add_printf (bufferevent_get_output (conn->bev),
+                       "Content-Type: %s\r\nConnection: close\r\n\r\n%s", type,
+                       body);
+  conn->mode = MODE_UNFRAMED;
+  conn_set_timer (conn, EVENT_PERIOD_MS);
+}
+
 static void
 conn_start_stream (conn_t *conn)
 {
@@ -397,8 +466,19 @@
       conn_send_answer (conn, 503, "X-Not-Executed: 1\r\n", "full\n");
       return;
     }
-  /* Only the first attempt is cut off; the resume completes. */
-  if (conn_is_cut_off (conn) && conn->next_event > 0)
+  if (conn->next_event > 0 && mode_spoils_rest (conn->mode)
+      && conn->mode < MODE_REST_AGAIN)
+    {
+      conn_send_spoiled_rest (conn);
+      return;
+    }
+  if (conn->next_event > 0 && conn->mode == MODE_REST_AGAIN)
+    conn->next_event = 0;
+  else if (conn->next_event > 0 && mode_spoils_rest (conn->mode))
+    conn->next_event += conn->mode == MODE_REST_SKIP ? 1 : -1;
+  /* Only the first attempt is cut off or faulty; the resume completes. */
+  if (last.len > 0 && conn->mode != MODE_NAMED_STREAM
+      && conn->mode != MODE_RICH)
     conn->mode = MODE_STREAM;
   conn_send_head (conn, 200,
                   "X-Server-Stamp: s\r\n"
@@ -514,6 +594,16 @@
     case MODE_CUT_EVENT:
     case MODE_CUT_UNFRAMED:
     case MODE_REFUSE_REST:
+    case MODE_REST_EMPTY:
+    case MODE_REST_HEAD:
+    case MODE_REST_TEXT:
+    case MODE_REST_TYPE:
+    case MODE_REST_AGAIN:
+    case MODE_REST_REPEAT:
+    case MODE_REST_SKIP:
+    case MODE_REPEAT_ID:
+    case MODE_ERROR_INSIDE:
+    case MODE_RICH:
     case MODE_NAMED_STREAM:
       conn_start_stream (conn);
       break;
@@ -545,6 +635,13 @@
     case MODE_FULL:
       conn_send_answer (conn, 503, "X-Not-Executed: 1\r\n", "full\n");
       break;
+    case MODE_UNNAMED_FULL:
+      evbuffer_add_printf (out, "HTTP/1.1 503 Answer\r\nX-Not-Executed: 1\r\n"
+                                "Content-Length: 5\r\n\r\nfull\n");
+      break;
+    case MODE_UNPROMISED:
+      conn_send_answer (conn, 429, "X-Server-Stamp: s\r\n", "too many\n");
+      break;
     case MODE_MOVED:
       conn_send_answer (conn, 421, "X-Instance-Id: other\r\n", "moved\n");
       break;
@@ -589,6 +686,35 @@
     }
 }
 
+static bool
+conn_target_has (const conn_t *conn, const char *part)
+{
+  br_str_t target = conn->head.target;
+
+  return memmem (target.data, target.len, part, strlen (part)) != NULL;
+}
+
+/* Writes an earlier refusal once more, with all that a refusal may state. */
+static void
+conn_send_stale_refusal (conn_t *conn)
+{
+  br_str_t id = br_http_head_find (&conn->head, "X-Request-Id");
+  bool named = conn_target_has (conn, STALE_NAMED_PART);
+
+  if (conn->requests < 2
+      || (!named && !conn_target_has (conn, STALE_UNNAMED_PART)))
+    return;
+  evbuffer_add_printf (bufferevent_get_output (conn->bev),
+                       "HTTP/1.1 503 Answer\r\n%s"
+                       "X-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
+                       "Server-Limit: 0.1\r\nRetry-After: 5\r\n"
+                       "X-Server-Load: 8,90,8\r\nContent-Length: 5\r\n"
+                       "\r\nfull\n",
+                       named ? "X-Request-Id: earlier\r\n" : "");
+  printf ("{\"stale\":\"%.*s\"}\n", (int)id.len, id.data);
+  fflush (stdout);
+}
+
 static bool
 mode_is_command (run_mode_t mode)
 {
@@ -601,6 +727,8 @@
 {
   conn->head = br_http_reader_take_head (conn->reader);
   conn->mode = mode_from_target (conn->head.target);
+  conn->requests++;
+  conn_send_stale_refusal (conn);
   if (conn_has_fatal_part (conn))
     conn->mode = MODE_FATAL_PART;
   if (conn_send_retry_after (conn))
@@ -609,8 +737,8 @@
   if (!mode_is_command (conn->mode))
     conn_print_over_limit (conn);
   if (!mode_is_command (conn->mode) && conn->mode != MODE_FULL
-      && conn->mode != MODE_MOVED && conn->mode != MODE_HOLD
-      && conn->mode != MODE_HOLD_BADLY)
+      && conn->mode != MODE_UNNAMED_FULL && conn->mode != MODE_MOVED
+      && conn->mode != MODE_HOLD && conn->mode != MODE_HOLD_BADLY)
     conn_print_run (conn);
   conn_run (conn);
 }
