Take an answer only for the request that it answers

Callers were told "not run" for requests that ran, and non-idempotent requests ran twice, when an upstream wrote an earlier refusal once more on a kept connection; and the upstream then counted as leaving, limited or held off because of what that refusal had stated.

Cause: only an answer with another X-Request-Id was skipped. One without an id was taken for the answer of the request that waited, and Server-Leaving and Server-Limit were read before the id.

An answer is the request's if it names its id or, without an id, if it is the first on its connection, which has then carried nothing else (src/http/response_match, without I/O). A request without an id gets a new connection. Of any other answer nothing is used: how old it is, and whose, is not known, and a sound upstream states the same in its next answer. The request keeps waiting, as the upstream has it, and time limits or a closed connection end the attempt as one that may have run. The connection is closed after the request's own answer. The statements of a 421 are another upstream's and are not used either.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -32,6 +32,8 @@
   bool connected;
   size_t request_len; /* bytes of the request in progress */
   bool skipping;      /* the current response is discarded */
+  bool skipped;       /* a response to another request was */
+  size_t n_responses; /* heads reported */
   bool keep_alive;    /* of the last response */
   bool framed;        /* the last response had a length or chunks */
   br_ms_t idle_since_ms;
@@ -132,6 +134,7 @@
   client->keep_alive = head->keep_alive;
   client->framed = head->chunked || head->content_length >= 0;
   client->keep_alive_ms = head_keep_alive_ms (head);
+  client->n_responses++;
   return client_emit (client, event);
 }
 
@@ -146,8 +149,8 @@
       client->skipping = false;
       return true;
     }
-  event.reusable = client->keep_alive && client->framed && !more_input
-                   && evbuffer_get_length (out) == 0;
+  event.reusable = client->keep_alive && client->framed && !client->skipped
+                   && !more_input && evbuffer_get_length (out) == 0;
   client->state = event.reusable ? CLIENT_IDLE : CLIENT_DEAD;
   client->request_len = 0;
   client->idle_since_ms = br_clock_now (&clock_monotonic);
@@ -287,6 +290,13 @@
 br_http_client_skip (br_http_client_t *client)
 {
   client->skipping = true;
+  client->skipped = true;
+}
+
+bool
+br_http_client_is_first_response (const br_http_client_t *client)
+{
+  return client->n_responses == 1;
 }
 
 bool
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -70,9 +70,15 @@
 void br_http_client_send (br_http_client_t *client, br_str_t request);
 
 /* Discards the rest of the response whose head was just reported, which is a
- * late response to another request, and continues with the next response. */
+ * late response to another request, and continues with the next response.  The
+ * connection is not reusable after that: its upstream may send more such
+ * responses. */
 void br_http_client_skip (br_http_client_t *client);
 
+/* Returns whether the response whose head was reported last is the first one on
+ * the connection.  Interim responses are not counted. */
+bool br_http_client_is_first_response (const br_http_client_t *client);
+
 /* Returns whether a byte of the request may have left this VM.  This can be
  * true before the event of the established connection was handled. */
 bool br_http_client_has_sent (const br_http_client_t *client);
--- a/src/shell/entry_upstream_signals.c
+++ b/src/shell/entry_upstream_signals.c
@@ -37,9 +37,6 @@
     .said_ms = br_node_now (node),
   };
 
-  /* Another upstream answers 421. */
-  if (outcome->status == 421)
-    return;
   if (outcome->limit_unreadable)
     {
       if (upstream->limit.unreadable)
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -226,6 +226,17 @@
     }
 }
 
+/* Returns how long a connection may have been idle to be reused.  A request
+ * without an id gets a new one, on which no answer can be another request's. */
+static br_ms_t
+exchange_idle_max_ms (const br_exchange_t *exchange)
+{
+  if (exchange->inbound.id.len == 0)
+    return BR_UPSTREAM_POOL_NEW;
+  return br_exchange_may_repeat (exchange) ? BR_MS_NEVER
+                                           : NO_REPEAT_IDLE_MAX_MS;
+}
+
 void
 br_exchange_attempt (br_exchange_t *exchange)
 {
@@ -244,8 +255,7 @@
   br_upstream_pool_options_t options = {
     .on_event = br_exchange_on_client,
     .context = exchange,
-    .idle_max_ms
-    = br_exchange_may_repeat (exchange) ? BR_MS_NEVER : NO_REPEAT_IDLE_MAX_MS,
+    .idle_max_ms = exchange_idle_max_ms (exchange),
   };
   bool is_new;
 
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "http/response_match.h"
+
 /* Longest plain answer, in bytes. */
 #define PLAIN_ANSWER_MAX (16 * 1024 * 1024)
 
@@ -222,30 +224,64 @@
     }
 }
 
+/* Discards an answer to another request.  None of it is used: it may be of any
+ * age, and what an upstream states about itself is in its next answer too. */
+static void
+exchange_skip_answer (br_exchange_t *exchange,
+                      br_http_client_t *client,
+                      const br_outcome_head_t *outcome)
+{
+  BR_LOG (
+      &exchange->task->node->log, "request", "answer skipped",
+      br_field_str ("id", exchange->inbound.id),
+      br_field_str ("upstream", br_name_str (&exchange->upstream->listing.id)),
+      br_field_int ("born", (int64_t)exchange->upstream->listing.started_ms),
+      br_field_str ("names", outcome->request_id),
+      br_field_int ("status", outcome->status),
+      br_field_int ("not_executed", outcome->not_executed),
+      br_field_int ("attempt_ms",
+                    br_exchange_now (exchange) - exchange->sent_ms));
+  br_http_client_skip (client);
+}
+
+/* Takes what the upstream states about itself in an answer to this request. */
+static void
+exchange_take_signals (br_exchange_t *exchange,
+                       const br_outcome_head_t *outcome)
+{
+  /* Another upstream answers 421. */
+  if (outcome->status == 421)
+    return;
+  if (outcome->leaving)
+    br_entry_upstream_leaving (exchange->task, exchange->upstream,
+                               exchange->inbound.id);
+  br_entry_upstream_limit (exchange->task, exchange->upstream, outcome,
+                           exchange->inbound.id);
+  if (outcome->has_load)
+    br_fleet_receive_report (exchange->upstream, outcome->running,
+                             outcome->waiting, br_exchange_now (exchange));
+}
+
 static void
 exchange_on_head (br_exchange_t *exchange,
                   br_http_client_t *client,
                   const br_http_head_t *head)
 {
   br_outcome_head_t outcome;
-  br_ms_t now = br_exchange_now (exchange);
+  br_response_match_t match = {
+    .request_id = exchange->inbound.id,
+    .is_first = br_http_client_is_first_response (client),
+  };
 
   br_platform_read_response (head, &outcome);
-  if (outcome.leaving)
-    br_entry_upstream_leaving (exchange->task, exchange->upstream,
-                               exchange->inbound.id);
-  br_entry_upstream_limit (exchange->task, exchange->upstream, &outcome,
-                           exchange->inbound.id);
-  if (outcome.request_id.len > 0
-      && !br_str_equal (outcome.request_id, exchange->inbound.id))
+  match.response_id = outcome.request_id;
+  if (!br_response_matches (&match))
     {
-      /* A late answer to another request on this connection. */
-      br_http_client_skip (client);
+      exchange_skip_answer (exchange, client, &outcome);
       return;
     }
-  if (outcome.has_load)
-    br_fleet_receive_report (exchange->upstream, outcome.running,
-                             outcome.waiting, now);
+  exchange->last_byte_ms = br_exchange_now (exchange);
+  exchange_take_signals (exchange, &outcome);
   if (outcome.status < 300 && !outcome.has_signature)
     {
       br_exchange_fail_attempt (exchange, "unsigned_answer", true,
@@ -261,6 +297,7 @@
 static void
 exchange_on_body (br_exchange_t *exchange, br_str_t body)
 {
+  exchange->last_byte_ms = br_exchange_now (exchange);
   if (exchange_streams (exchange))
     exchange_forward_events (exchange,
                              br_event_stream_take (&exchange->events, body));
@@ -278,7 +315,6 @@
 {
   br_exchange_t *exchange = context;
 
-  exchange->last_byte_ms = br_exchange_now (exchange);
   switch (event->kind)
     {
     case BR_CLIENT_HEAD:
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -54,7 +54,7 @@
   bool suspect;                 /* the quarantine tracks the attempt */
   bool loss_recorded;           /* counted as a loss, unless an answer comes */
   br_ms_t sent_ms;
-  br_ms_t last_byte_ms; /* when the last byte of the answer came */
+  br_ms_t last_byte_ms; /* when a part of its answer last came */
   bool head_seen;
   bool had_first_event;
   bool counted;    /* in the usage of its organisation */
--- a/src/shell/upstream_pool.h
+++ b/src/shell/upstream_pool.h
@@ -7,6 +7,9 @@
 
 BR_BEGIN_DECLS
 
+/* Value of IDLE_MAX_MS with which no connection is reused. */
+#define BR_UPSTREAM_POOL_NEW (-1)
+
 typedef struct
 {
   br_client_fn on_event;
