--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -441,7 +441,7 @@
                      : conn->mode == MODE_REST_HEAD ? ERROR_TEXT
                      : conn->mode == MODE_REST_TEXT
                          ? "error: spoiled\n\n"
-                         : "id: 9\ndata: spoiled\n\n";
+                         : "id: 4\ndata: spoiled\n\n";
 
   conn_send_head (conn, 200, "X-Server-Stamp: s\r\n");
   evbuffer_add_printf (bufferevent_get_output (conn->bev),
@@ -571,6 +571,39 @@
   conn_send_answer (conn, 200, "", "done\n");
 }
 
+static void
+conn_refuse (conn_t *conn)
+{
+  struct evbuffer *out = bufferevent_get_output (conn->bev);
+
+  switch (conn->mode)
+    {
+    case MODE_FULL:
+      conn_send_answer (conn, 503, "X-Not-Executed: 1\r\n", "full\n");
+      break;
+    case MODE_UNNAMED_FULL:
+      evbuffer_add_printf (out, "HTTP/1.1 503 Answer\r\nX-Not-Executed: 1\r\n"
+                                "Content-Length: 5\r\n\r\nfull\n");
+      break;
+    case MODE_UNPROMISED:
+      conn_send_answer (conn, 429, "X-Server-Stamp: s\r\n", "too many\n");
+      break;
+    case MODE_MOVED:
+      conn_send_answer (conn, 421, "X-Instance-Id: other\r\n", "moved\n");
+      break;
+    case MODE_HOLD:
+      conn_send_answer (conn, 503, "X-Not-Executed: 1\r\nRetry-After: 2.0\r\n",
+                        "come back\n");
+      break;
+    case MODE_HOLD_BADLY:
+      conn_send_answer (conn, 503, "X-Not-Executed: 1\r\nRetry-After: soon\r\n",
+                        "come back\n");
+      break;
+    default:
+      break;
+    }
+}
+
 static void
 conn_run (conn_t *conn)
 {
@@ -633,17 +666,12 @@
       conn_send_answer (conn, 200, "X-Server-Stamp: s\r\n", "good answer\n");
       break;
     case MODE_FULL:
-      conn_send_answer (conn, 503, "X-Not-Executed: 1\r\n", "full\n");
-      break;
     case MODE_UNNAMED_FULL:
-      evbuffer_add_printf (out, "HTTP/1.1 503 Answer\r\nX-Not-Executed: 1\r\n"
-                                "Content-Length: 5\r\n\r\nfull\n");
-      break;
     case MODE_UNPROMISED:
-      conn_send_answer (conn, 429, "X-Server-Stamp: s\r\n", "too many\n");
-      break;
     case MODE_MOVED:
-      conn_send_answer (conn, 421, "X-Instance-Id: other\r\n", "moved\n");
+    case MODE_HOLD:
+    case MODE_HOLD_BADLY:
+      conn_refuse (conn);
       break;
     case MODE_ERROR:
       conn_send_answer (conn, 500, "X-Server-Stamp: s\r\n", "broken\n");
@@ -663,14 +691,6 @@
       conn->runner->leaving = true;
       conn_send_answer (conn, 200, "X-Server-Stamp: s\r\n", "good answer\n");
       break;
-    case MODE_HOLD:
-      conn_send_answer (conn, 503, "X-Not-Executed: 1\r\nRetry-After: 2.0\r\n",
-                        "come back\n");
-      break;
-    case MODE_HOLD_BADLY:
-      conn_send_answer (conn, 503, "X-Not-Executed: 1\r\nRetry-After: soon\r\n",
-                        "come back\n");
-      break;
     case MODE_LEAVE_NOW:
     case MODE_LIMIT_NOW:
     case MODE_HOLD_NOW:
