Pass on a refusal only if the upstream states it

A caller got an upstream's 429 or 408 although the upstream had not stated that the request did not run: to the caller these statuses promise that it has not run and never will.

Cause: only a 503 without X-Not-Executed was held back. Now 408, 429 and 503 without it end the attempt as one that may have run: 502, or another attempt where the route allows it. A 421 states it by itself.

process.platform_answers failed before ("c3 /pay/unpromised: status 429, expected 502") and passes.

--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -136,6 +136,13 @@
     }
 }
 
+/* Returns whether the status promises a caller that the request did not run. */
+static bool
+status_means_not_run (int status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /* Handles an error status of the upstream.  Returns true if it ended the
  * attempt, false if the answer is to be forwarded. */
 static bool
@@ -156,17 +163,17 @@
       br_exchange_fail_attempt (exchange, refusal_name (result), false, result);
       return true;
     }
-  if (outcome->status < 500)
-    return false;
-  if (outcome->status == 503)
+  if (status_means_not_run (outcome->status))
     {
-      /* To the caller, a 503 would mean that the request did not run. */
+      /* The upstream does not state it, so the caller must not be told. */
       br_exchange_count_usage (exchange);
       br_exchange_fail_attempt (exchange, "unavailable", true,
                                 has_retry_after ? BR_RESULT_RETRY_AFTER
                                                 : BR_RESULT_FAILED);
       return true;
     }
+  if (outcome->status < 500)
+    return false;
   /* An engine that answers with an error has begun to run the request. */
   br_exchange_count_usage (exchange);
   br_fleet_record_result (&exchange->task->fleet, exchange->upstream,
--- a/tests/process/platform_answers.sh
+++ b/tests/process/platform_answers.sh
@@ -40,6 +40,8 @@
 expect b8 /look/silent 504 2 '"outcome":"unknown"'
 expect b9 /pay/unavailable 502 1 '"outcome":"unknown"'
 expect c0 /look/unavailable 502 2
+expect c3 /pay/unpromised 502 1 '"outcome":"unknown"'
+expect c4 /look/unpromised 502 2
 expect c1 /nowhere/good 404 0
 expect c2 /chat/stream 200 1 'part 6'
 
