Pass on events only, not any bytes up to an empty line

Callers found an error's text, at times with its head of HTTP, in the middle of a stream that then ended as if it were complete: a stream had broken off, and the next upstream's answer, or the same one's, held an error where events were due.

Cause: any bytes up to an empty line passed as an event. An event's lines are now fields that events may have: id, data, event, retry, comments, and the line with the version of the model's weights, whose name comes from the platform's codec. The first complete line of another kind ends the attempt; events before it are passed on, so a resumable stream goes on elsewhere and any other is closed before its end. Line ends and case of the standard names stay as tolerant as they were.

The stream with all fields passes unchanged.

--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -301,13 +301,27 @@
   exchange_copy_head (exchange, head);
 }
 
+/* Forwards the events that BYTES complete.  An upstream that sends anything
+ * else has failed. */
+static void
+exchange_on_events (br_exchange_t *exchange, br_str_t bytes)
+{
+  br_event_fault_t fault;
+
+  exchange_forward_events (exchange,
+                           br_event_stream_take (&exchange->events, bytes));
+  fault = br_event_stream_fault (&exchange->events);
+  if (fault != BR_EVENT_FAULT_NONE)
+    br_exchange_fail_attempt (exchange, br_event_fault_name (fault), true,
+                              BR_RESULT_FAILED);
+}
+
 static void
 exchange_on_body (br_exchange_t *exchange, br_str_t body)
 {
   exchange->last_byte_ms = br_exchange_now (exchange);
   if (exchange_streams (exchange))
-    exchange_forward_events (exchange,
-                             br_event_stream_take (&exchange->events, body));
+    exchange_on_events (exchange, body);
   else if (exchange->answer.len + body.len <= PLAIN_ANSWER_MAX)
     br_buf_append (&exchange->answer, body);
   else
--- a/src/shell/exchange_arrival.c
+++ b/src/shell/exchange_arrival.c
@@ -141,6 +141,7 @@
     }
   exchange_set_deadline (exchange);
   exchange_record_demand (exchange);
+  exchange->events.extra_field = br_platform_event_field ();
   if (br_exchange_is_take_up (exchange))
     br_exchange_take_up (exchange);
   else
--- a/src/site/event_stream.c
+++ b/src/site/event_stream.c
@@ -3,9 +3,28 @@
 #include <string.h>
 #include <strings.h>
 
-static const char id_field[] = "id:";
+static const char *const fault_names[] = {
+#define X(id, name) name,
+  BR_EVENT_FAULT_TABLE (X)
+#undef X
+};
+
+/* The fields of the HTML standard, section 9.2; a comment has no name. */
+static const char *const standard_fields[]
+    = { "", "id", "data", "event", "retry" };
+
+/* What one event says. */
+typedef struct
+{
+  br_str_t id; /* empty: none */
+  bool valid;  /* all lines are fields */
+} event_t;
 
-#define ID_FIELD_LEN (sizeof id_field - 1)
+const char *
+br_event_fault_name (br_event_fault_t fault)
+{
+  return fault_names[fault];
+}
 
 /* Returns the length of the first line of TEXT with its line end, and in *LEN
  * the length without it; 0 when the line is incomplete. */
@@ -22,49 +41,57 @@
   return (size_t)(end - text.data) + 1;
 }
 
-static void
-stream_note_id (br_event_stream_t *stream, br_str_t line)
+static bool
+name_is (br_str_t name, const char *expected)
 {
-  br_str_t id;
+  return name.len == strlen (expected)
+         && strncasecmp (name.data, expected, name.len) == 0;
+}
 
-  if (line.len < ID_FIELD_LEN
-      || strncasecmp (line.data, id_field, ID_FIELD_LEN) != 0)
-    return;
-  id = br_str_make (line.data + ID_FIELD_LEN, line.len - ID_FIELD_LEN);
-  while (id.len > 0 && id.data[0] == ' ')
-    id = br_str_make (id.data + 1, id.len - 1);
-  br_buf_clear (&stream->last_id);
-  br_buf_append (&stream->last_id, id);
+static bool
+stream_allows (const br_event_stream_t *stream, br_str_t name)
+{
+  for (size_t i = 0; i < BR_N_ELEMENTS (standard_fields); i++)
+    if (name_is (name, standard_fields[i]))
+      return true;
+  return br_str_equal (name, stream->extra_field);
 }
 
-/* Records the id of the event in TEXT, which must be complete. */
 static void
-stream_note_event (br_event_stream_t *stream, br_str_t text)
+event_add_line (const br_event_stream_t *stream, event_t *event, br_str_t line)
 {
-  size_t len;
-  size_t used;
+  const char *colon = line.len > 0 ? memchr (line.data, ':', line.len) : NULL;
+  size_t name_len = colon != NULL ? (size_t)(colon - line.data) : line.len;
+  br_str_t name = br_str_make (line.data, name_len);
+  br_str_t value = { 0 };
 
-  while ((used = line_length (text, &len)) > 0)
-    {
-      stream_note_id (stream, br_str_make (text.data, len));
-      text = br_str_make (text.data + used, text.len - used);
-    }
-  stream->passed++;
+  if (line.len == 0)
+    return;
+  if (!stream_allows (stream, name))
+    event->valid = false;
+  if (colon != NULL)
+    value = br_str_make (colon + 1, line.len - name_len - 1);
+  while (value.len > 0 && value.data[0] == ' ')
+    value = br_str_make (value.data + 1, value.len - 1);
+  if (name_is (name, "id"))
+    event->id = value;
 }
 
-/* Returns the length of the first event in TEXT with its empty line; 0 when the
- * event is incomplete. */
+/* Reads the complete lines of TEXT up to the end of the first event.  Returns
+ * the event's length with its empty line; 0 when the event is incomplete. */
 static size_t
-event_length (br_str_t text)
+event_read (const br_event_stream_t *stream, br_str_t text, event_t *event)
 {
   size_t total = 0;
   size_t len;
   size_t used;
 
+  *event = (event_t){ .valid = true };
   while ((used = line_length (br_str_make (text.data + total, text.len - total),
                               &len))
          > 0)
     {
+      event_add_line (stream, event, br_str_make (text.data + total, len));
       total += used;
       if (len == 0)
         return total;
@@ -72,27 +99,55 @@
   return 0;
 }
 
+static br_event_fault_t
+stream_add_event (br_event_stream_t *stream, const event_t *event)
+{
+  if (!event->valid)
+    return BR_EVENT_FAULT_FIELD;
+  if (event->id.len > 0)
+    {
+      br_buf_clear (&stream->last_id);
+      br_buf_append (&stream->last_id, event->id);
+    }
+  stream->passed++;
+  return BR_EVENT_FAULT_NONE;
+}
+
 br_str_t
 br_event_stream_take (br_event_stream_t *stream, br_str_t bytes)
 {
   size_t whole = 0;
-  size_t len;
+  size_t len = 1;
+  event_t event;
 
+  br_buf_clear (&stream->output);
+  if (stream->fault != BR_EVENT_FAULT_NONE)
+    return (br_str_t){ 0 };
   br_buf_append (&stream->pending, bytes);
-  while ((len = event_length (br_str_make (stream->pending.data + whole,
-                                           stream->pending.len - whole)))
-         > 0)
+  while (len > 0 && stream->fault == BR_EVENT_FAULT_NONE)
     {
-      stream_note_event (stream,
-                         br_str_make (stream->pending.data + whole, len));
-      whole += len;
+      len = event_read (stream,
+                        br_str_make (stream->pending.data + whole,
+                                     stream->pending.len - whole),
+                        &event);
+      if (len > 0)
+        stream->fault = stream_add_event (stream, &event);
+      else if (!event.valid)
+        stream->fault = BR_EVENT_FAULT_FIELD;
+      if (stream->fault == BR_EVENT_FAULT_NONE)
+        whole += len;
     }
-  br_buf_clear (&stream->output);
   br_buf_append (&stream->output, br_str_make (stream->pending.data, whole));
   br_buf_consume (&stream->pending, whole);
   return br_buf_str (&stream->output);
 }
 
+br_event_fault_t
+br_event_stream_fault (const br_event_stream_t *stream)
+{
+  return stream->fault;
+}
+
 bool
 br_event_stream_is_inside_event (const br_event_stream_t *stream)
 {
@@ -103,6 +158,7 @@
 br_event_stream_discard (br_event_stream_t *stream)
 {
   br_buf_clear (&stream->pending);
+  stream->fault = BR_EVENT_FAULT_NONE;
 }
 
 br_str_t
--- a/src/site/event_stream.h
+++ b/src/site/event_stream.h
@@ -1,6 +1,7 @@
 /* Splits a stream of server-sent events into whole events, which are passed on
  * to the caller, and keeps the id of the last one, from which another upstream
- * can resume the stream. */
+ * can resume the stream.  Bytes that are not the stream's next events are not
+ * passed on. */
 #ifndef BR_SITE_EVENT_STREAM_H
 #define BR_SITE_EVENT_STREAM_H
 
@@ -8,24 +9,46 @@
 
 BR_BEGIN_DECLS
 
+/* X (id, name) */
+#define BR_EVENT_FAULT_TABLE(X)                                                \
+  X (NONE, "none")                                                             \
+  X (FIELD, "not_an_event") /* a line is no field of an event */
+
+typedef enum
+{
+#define X(id, name) BR_EVENT_FAULT_##id,
+  BR_EVENT_FAULT_TABLE (X)
+#undef X
+} br_event_fault_t;
+
+const char *br_event_fault_name (br_event_fault_t fault);
+
 /* An all-zero value has passed nothing. */
 typedef struct
 {
-  br_buf_t pending; /* the start of an incomplete event */
-  br_buf_t output;  /* the result of the last call */
-  br_buf_t last_id; /* of the last whole event */
-  uint64_t passed;  /* number of whole events passed on */
+  br_str_t extra_field; /* that events may have besides the standard ones; not
+                           copied */
+  br_buf_t pending;     /* the start of an incomplete event */
+  br_buf_t output;      /* the result of the last call */
+  br_buf_t last_id;     /* of the last whole event */
+  uint64_t passed;      /* number of whole events passed on */
+  br_event_fault_t fault;
 } br_event_stream_t;
 
 /* Takes BYTES and returns the bytes of all events that are complete now; valid
- * until the next call. */
+ * until the next call.  The first event that is not the stream's next one sets
+ * the fault: it is not returned, nor is anything after it. */
 br_str_t br_event_stream_take (br_event_stream_t *stream, br_str_t bytes);
 
+/* Returns why no more bytes of the current upstream are passed on. */
+br_event_fault_t br_event_stream_fault (const br_event_stream_t *stream);
+
 /* Returns whether the bytes so far end inside an event: a stream that ends
  * there was broken off. */
 bool br_event_stream_is_inside_event (const br_event_stream_t *stream);
 
-/* Discards an incomplete event after the upstream's connection broke. */
+/* Ends the current upstream's part: discards an incomplete event and the
+ * fault.  The next bytes are another upstream's. */
 void br_event_stream_discard (br_event_stream_t *stream);
 
 /* Returns the id of the last whole event; empty before the first. */
--- /dev/null
+++ b/tests/events_session.c
@@ -0,0 +1,88 @@
+/* Splits streams of events from a script and prints each line with the
+ * answers.  A line is one of: new, bytes TEXT (with \n and \r), cut
+ * (the upstream's part ends), end. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "site/event_stream.h"
+
+static void
+print_str (br_str_t str)
+{
+  for (size_t i = 0; i < str.len; i++)
+    if (str.data[i] == '\n')
+      printf ("\\n");
+    else if (str.data[i] == '\r')
+      printf ("\\r");
+    else
+      putchar (str.data[i]);
+}
+
+static void
+take (br_event_stream_t *stream, const char *text)
+{
+  br_buf_t bytes = { 0 };
+
+  for (const char *at = text; *at != '\0'; at++)
+    if (at[0] == '\\' && (at[1] == 'n' || at[1] == 'r'))
+      br_buf_append_char (&bytes, *++at == 'n' ? '\n' : '\r');
+    else
+      br_buf_append_char (&bytes, *at);
+  printf ("  passes \"");
+  print_str (br_event_stream_take (stream, br_buf_str (&bytes)));
+  printf ("\", last id \"");
+  print_str (br_event_stream_last (stream));
+  printf ("\"");
+  if (br_event_stream_fault (stream) != BR_EVENT_FAULT_NONE)
+    printf (", %s", br_event_fault_name (br_event_stream_fault (stream)));
+  printf ("\n");
+  br_buf_free (&bytes);
+}
+
+static void
+print_end (const br_event_stream_t *stream)
+{
+  if (br_event_stream_is_inside_event (stream))
+    printf ("  inside an event");
+  else
+    printf ("  after an event");
+  printf ("\n");
+}
+
+int
+main (void)
+{
+  br_event_stream_t stream = { .extra_field = br_str_from ("x-extra") };
+  char line[1024];
+
+  while (fgets (line, sizeof line, stdin) != NULL)
+    {
+      char *rest;
+
+      printf ("%s", line);
+      line[strcspn (line, "\n")] = '\0';
+      rest = line + strcspn (line, " ");
+      if (*rest != '\0')
+        *rest++ = '\0';
+      if (strcmp (line, "new") == 0)
+        {
+          br_event_stream_release (&stream);
+          stream
+              = (br_event_stream_t){ .extra_field = br_str_from ("x-extra") };
+        }
+      else if (strcmp (line, "bytes") == 0)
+        take (&stream, rest);
+      else if (strcmp (line, "cut") == 0)
+        br_event_stream_discard (&stream);
+      else if (strcmp (line, "end") == 0)
+        print_end (&stream);
+      else if (line[0] != '\0' && line[0] != '#')
+        {
+          fprintf (stderr, "unknown word: %s\n", line);
+          exit (1);
+        }
+    }
+  br_event_stream_release (&stream);
+  return 0;
+}
