Resume a stream only with the event that follows the last one

Callers got events twice, again from the first one on, or with events left out, in streams that ended as complete: the upstream that resumed the stream had begun anew, repeated the last event or begun too late.

Cause: ids were recorded for Last-Event-Id and compared with nothing. Ids now rise, by any step within an answer, as one event may hold several tokens. At the seam the first event with data needs an id, and where at least three events were numbered in equal steps it must not be further ahead than one step. On a resumable route a take-up begins at the id that the caller names. After an event without an id no upstream could be told where to go on, so none is asked. An event that breaks this is not passed on and ends the attempt as one that may have run.

--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -86,7 +86,8 @@
 {
   return exchange->route->kind == BR_ROUTE_IDEMPOTENT
          || (exchange->route->kind == BR_ROUTE_STREAM
-             && exchange->route->resumable);
+             && exchange->route->resumable
+             && br_event_stream_can_resume (&exchange->events));
 }
 
 /* Returns when the current attempt is checked for a timeout next. */
@@ -373,7 +374,8 @@
   br_ms_t now = br_exchange_now (exchange);
   br_attempt_query_t query = {
     .kind = exchange->route->kind,
-    .resumable = exchange->route->resumable,
+    .resumable = exchange->route->resumable
+                 && br_event_stream_can_resume (&exchange->events),
     .max_attempts = exchange->route->max_attempts,
     .may_have_run = may_have_run,
     .begun = exchange->begun,
--- a/src/shell/exchange_arrival.c
+++ b/src/shell/exchange_arrival.c
@@ -142,6 +142,9 @@
   exchange_set_deadline (exchange);
   exchange_record_demand (exchange);
   exchange->events.extra_field = br_platform_event_field ();
+  if (exchange->route->resumable)
+    br_event_stream_begin_after (&exchange->events,
+                                 exchange->inbound.last_event_id);
   if (br_exchange_is_take_up (exchange))
     br_exchange_take_up (exchange);
   else
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -136,7 +136,8 @@
                                bool may_have_run,
                                br_result_kind_t result);
 
-/* Returns whether the route lets a request run more than once. */
+/* Returns whether another attempt may run the request: its route lets it run
+ * more than once, and its stream, if it has begun, can be resumed. */
 bool br_exchange_may_repeat (const br_exchange_t *exchange);
 
 /* Sets the timer to AT_MS, or to the end of the exchange's time if that is
--- a/src/site/event_stream.c
+++ b/src/site/event_stream.c
@@ -3,6 +3,10 @@
 #include <string.h>
 #include <strings.h>
 
+/* Equal steps between ids after which a longer one means that events are
+ * missing.  Before that the upstream may count something other than events. */
+#define STEPS_MIN 2
+
 static const char *const fault_names[] = {
 #define X(id, name) name,
   BR_EVENT_FAULT_TABLE (X)
@@ -17,7 +21,8 @@
 typedef struct
 {
   br_str_t id; /* empty: none */
-  bool valid;  /* all lines are fields */
+  bool has_data;
+  bool valid; /* all lines are fields */
 } event_t;
 
 const char *
@@ -75,6 +80,8 @@
     value = br_str_make (value.data + 1, value.len - 1);
   if (name_is (name, "id"))
     event->id = value;
+  else if (name_is (name, "data"))
+    event->has_data = true;
 }
 
 /* Reads the complete lines of TEXT up to the end of the first event.  Returns
@@ -99,20 +106,72 @@
   return 0;
 }
 
+/* Compares ID with the last one, and with the steps between ids so far if it
+ * continues another upstream's events. */
+static br_event_fault_t
+stream_check_id (br_event_stream_t *stream, br_str_t id)
+{
+  br_str_t last_id = br_buf_str (&stream->last_id);
+  uint64_t last;
+  uint64_t next;
+  uint64_t step;
+
+  if (last_id.len == 0)
+    return BR_EVENT_FAULT_NONE;
+  if (!br_str_to_u64 (last_id, &last) || !br_str_to_u64 (id, &next))
+    return br_str_equal (id, last_id) ? BR_EVENT_FAULT_ORDER
+                                      : BR_EVENT_FAULT_NONE;
+  if (next <= last)
+    return BR_EVENT_FAULT_ORDER;
+  step = next - last;
+  if (stream->resumed && !stream->steps_differ && stream->n_steps >= STEPS_MIN
+      && step > stream->step)
+    return BR_EVENT_FAULT_MISSING;
+  if (stream->n_steps > 0 && step != stream->step)
+    stream->steps_differ = true;
+  /* The id of a take-up need not be that of the event just before. */
+  if (stream->n_steps > 0 || !stream->resumed)
+    {
+      stream->step = step;
+      stream->n_steps++;
+    }
+  return BR_EVENT_FAULT_NONE;
+}
+
 static br_event_fault_t
 stream_add_event (br_event_stream_t *stream, const event_t *event)
 {
+  br_event_fault_t fault = BR_EVENT_FAULT_NONE;
+
   if (!event->valid)
     return BR_EVENT_FAULT_FIELD;
+  if (event->id.len > 0)
+    fault = stream_check_id (stream, event->id);
+  else if (event->has_data && stream->resumed)
+    fault = BR_EVENT_FAULT_NO_ID;
+  if (fault != BR_EVENT_FAULT_NONE)
+    return fault;
   if (event->id.len > 0)
     {
       br_buf_clear (&stream->last_id);
       br_buf_append (&stream->last_id, event->id);
+      stream->resumed = false;
+      stream->unnumbered = false;
     }
+  else if (event->has_data)
+    stream->unnumbered = true;
   stream->passed++;
   return BR_EVENT_FAULT_NONE;
 }
 
+void
+br_event_stream_begin_after (br_event_stream_t *stream, br_str_t id)
+{
+  br_buf_clear (&stream->last_id);
+  br_buf_append (&stream->last_id, id);
+  stream->resumed = id.len > 0;
+}
+
 br_str_t
 br_event_stream_take (br_event_stream_t *stream, br_str_t bytes)
 {
@@ -154,11 +213,18 @@
   return stream->pending.len > 0;
 }
 
+bool
+br_event_stream_can_resume (const br_event_stream_t *stream)
+{
+  return !stream->unnumbered;
+}
+
 void
 br_event_stream_discard (br_event_stream_t *stream)
 {
   br_buf_clear (&stream->pending);
   stream->fault = BR_EVENT_FAULT_NONE;
+  stream->resumed = stream->last_id.len > 0;
 }
 
 br_str_t
--- a/src/site/event_stream.h
+++ b/src/site/event_stream.h
@@ -12,7 +12,10 @@
 /* X (id, name) */
 #define BR_EVENT_FAULT_TABLE(X)                                                \
   X (NONE, "none")                                                             \
-  X (FIELD, "not_an_event") /* a line is no field of an event */
+  X (FIELD, "not_an_event")     /* a line is no field of an event */           \
+  X (ORDER, "event_order")      /* an id does not rise */                      \
+  X (MISSING, "event_missing")  /* the resume leaves out events */             \
+  X (NO_ID, "event_without_id") /* the resume cannot be placed */
 
 typedef enum
 {
@@ -32,9 +35,17 @@
   br_buf_t output;      /* the result of the last call */
   br_buf_t last_id;     /* of the last whole event */
   uint64_t passed;      /* number of whole events passed on */
+  uint64_t step;        /* between ids, if all steps were equal */
+  size_t n_steps;       /* equal steps so far */
+  bool steps_differ;
+  bool resumed;    /* the next id continues another upstream's events */
+  bool unnumbered; /* an event without an id followed the last id */
   br_event_fault_t fault;
 } br_event_stream_t;
 
+/* Begins after the event ID, which the caller already has. */
+void br_event_stream_begin_after (br_event_stream_t *stream, br_str_t id);
+
 /* Takes BYTES and returns the bytes of all events that are complete now; valid
  * until the next call.  The first event that is not the stream's next one sets
  * the fault: it is not returned, nor is anything after it. */
@@ -47,6 +58,9 @@
  * there was broken off. */
 bool br_event_stream_is_inside_event (const br_event_stream_t *stream);
 
+/* Returns whether another upstream can resume after the last event. */
+bool br_event_stream_can_resume (const br_event_stream_t *stream);
+
 /* Ends the current upstream's part: discards an incomplete event and the
  * fault.  The next bytes are another upstream's. */
 void br_event_stream_discard (br_event_stream_t *stream);
--- a/tests/events_session.c
+++ b/tests/events_session.c
@@ -1,5 +1,5 @@
 /* Splits streams of events from a script and prints each line with the
- * answers.  A line is one of: new, bytes TEXT (with \n and \r), cut
+ * answers.  A line is one of: new, after ID, bytes TEXT (with \n and \r), cut
  * (the upstream's part ends), end. */
 #include <stdio.h>
 #include <stdlib.h>
@@ -47,7 +47,8 @@
     printf ("  inside an event");
   else
     printf ("  after an event");
-  printf ("\n");
+  printf (br_event_stream_can_resume (stream) ? ", can be resumed\n"
+                                              : ", cannot be resumed\n");
 }
 
 int
@@ -71,6 +72,8 @@
           stream
               = (br_event_stream_t){ .extra_field = br_str_from ("x-extra") };
         }
+      else if (strcmp (line, "after") == 0)
+        br_event_stream_begin_after (&stream, br_str_from (rest));
       else if (strcmp (line, "bytes") == 0)
         take (&stream, rest);
       else if (strcmp (line, "cut") == 0)
