End a stream as complete only if its last upstream sent an event

A stream of which the caller had three of six events ended as complete when the upstream that resumed it answered 200 without an event.

Cause: the end of an answer asked whether the request had begun its stream, not whether this attempt had. An attempt without an event, or with comments only, has now failed (empty_stream), whoever began the stream: it goes on elsewhere or is closed before its end.

--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -109,7 +109,9 @@
       br_exchange_fail_attempt (exchange, "cut_event", true, BR_RESULT_BROKEN);
       return;
     }
-  if (!exchange->begun)
+  /* Also when an earlier attempt has begun the stream: an upstream that resumes
+   * it has at least the last event to send. */
+  if (!br_event_stream_has_event (&exchange->events))
     {
       br_exchange_fail_attempt (exchange, "empty_stream", true,
                                 BR_RESULT_FAILED);
--- a/src/site/event_stream.c
+++ b/src/site/event_stream.c
@@ -160,6 +160,7 @@
     }
   else if (event->has_data)
     stream->unnumbered = true;
+  stream->has_event |= event->id.len > 0 || event->has_data;
   stream->passed++;
   return BR_EVENT_FAULT_NONE;
 }
@@ -213,6 +214,12 @@
   return stream->pending.len > 0;
 }
 
+bool
+br_event_stream_has_event (const br_event_stream_t *stream)
+{
+  return stream->has_event;
+}
+
 bool
 br_event_stream_can_resume (const br_event_stream_t *stream)
 {
@@ -224,6 +231,7 @@
 {
   br_buf_clear (&stream->pending);
   stream->fault = BR_EVENT_FAULT_NONE;
+  stream->has_event = false;
   stream->resumed = stream->last_id.len > 0;
 }
 
--- a/src/site/event_stream.h
+++ b/src/site/event_stream.h
@@ -39,6 +39,7 @@
   size_t n_steps;       /* equal steps so far */
   bool steps_differ;
   bool resumed;    /* the next id continues another upstream's events */
+  bool has_event;  /* the current upstream has sent more than comments */
   bool unnumbered; /* an event without an id followed the last id */
   br_event_fault_t fault;
 } br_event_stream_t;
@@ -58,6 +59,9 @@
  * there was broken off. */
 bool br_event_stream_is_inside_event (const br_event_stream_t *stream);
 
+/* Returns whether the current upstream has sent an event. */
+bool br_event_stream_has_event (const br_event_stream_t *stream);
+
 /* Returns whether another upstream can resume after the last event. */
 bool br_event_stream_can_resume (const br_event_stream_t *stream);
 
--- a/tests/events_session.c
+++ b/tests/events_session.c
@@ -46,7 +46,7 @@
   if (br_event_stream_is_inside_event (stream))
     printf ("  inside an event");
   else
-    printf ("  after an event");
+    printf (br_event_stream_has_event (stream) ? "  complete" : "  empty");
   printf (br_event_stream_can_resume (stream) ? ", can be resumed\n"
                                               : ", cannot be resumed\n");
 }
