Resume a stream only with an answer that is a stream

Callers found text of another kind in their streams: a 200 of text/plain, with bytes in the form of the next event, was passed on as the rest of a stream, which ended as complete.

Cause: on a streaming route the status alone made an answer a stream. A 200 whose Content-Type is not text/event-stream, with or without parameters, ends the attempt (not_a_stream). An answer without a Content-Type is accepted: the protocol's examples show none.

--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -299,6 +299,13 @@
     }
   exchange->outcome = outcome;
   exchange->outcome.request_id = (br_str_t){ 0 };
+  if (exchange_streams (exchange)
+      && !br_event_stream_is_type (br_http_head_find (head, "Content-Type")))
+    {
+      br_exchange_fail_attempt (exchange, "not_a_stream", true,
+                                BR_RESULT_FAILED);
+      return;
+    }
   exchange->head_seen = true;
   exchange_copy_head (exchange, head);
 }
--- a/src/site/event_stream.c
+++ b/src/site/event_stream.c
@@ -31,6 +31,20 @@
   return fault_names[fault];
 }
 
+bool
+br_event_stream_is_type (br_str_t content_type)
+{
+  static const char type[] = "text/event-stream";
+  size_t len = sizeof type - 1;
+
+  if (content_type.len == 0)
+    return true;
+  return content_type.len >= len
+         && strncasecmp (content_type.data, type, len) == 0
+         && (content_type.len == len
+             || memchr ("; \t", content_type.data[len], 3) != NULL);
+}
+
 /* Returns the length of the first line of TEXT with its line end, and in *LEN
  * the length without it; 0 when the line is incomplete. */
 static size_t
--- a/src/site/event_stream.h
+++ b/src/site/event_stream.h
@@ -44,6 +44,10 @@
   br_event_fault_t fault;
 } br_event_stream_t;
 
+/* Returns whether an answer of this Content-Type, which may be empty, can be a
+ * stream of events. */
+bool br_event_stream_is_type (br_str_t content_type);
+
 /* Begins after the event ID, which the caller already has. */
 void br_event_stream_begin_after (br_event_stream_t *stream, br_str_t id);
 
--- a/tests/events_session.c
+++ b/tests/events_session.c
@@ -1,6 +1,6 @@
 /* Splits streams of events from a script and prints each line with the
  * answers.  A line is one of: new, after ID, bytes TEXT (with \n and \r), cut
- * (the upstream's part ends), end. */
+ * (the upstream's part ends), end, type CONTENT-TYPE. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -80,6 +80,9 @@
         br_event_stream_discard (&stream);
       else if (strcmp (line, "end") == 0)
         print_end (&stream);
+      else if (strcmp (line, "type") == 0)
+        printf (br_event_stream_is_type (br_str_from (rest)) ? "  events\n"
+                                                             : "  other\n");
       else if (line[0] != '\0' && line[0] != '#')
         {
           fprintf (stderr, "unknown word: %s\n", line);
