--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "http/response_match.h"
+
 /* Longest plain answer, in bytes. */
 #define PLAIN_ANSWER_MAX (16 * 1024 * 1024)
 
@@ -107,7 +109,9 @@
       br_exchange_fail_attempt (exchange, "cut_event", true, BR_RESULT_BROKEN);
       return;
     }
-  if (!exchange->begun)
+  /* Also when an earlier attempt has begun the stream: an upstream that resumes
+   * it has at least the last event to send. */
+  if (!br_event_stream_has_event (&exchange->events))
     {
       br_exchange_fail_attempt (exchange, "empty_stream", true,
                                 BR_RESULT_FAILED);
@@ -134,6 +138,13 @@
     }
 }
 
+/* Returns whether the status promises a caller that the request did not run. */
+static bool
+status_means_not_run (int status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /* Handles an error status of the upstream.  Returns true if it ended the
  * attempt, false if the answer is to be forwarded. */
 static bool
@@ -154,17 +165,17 @@
       br_exchange_fail_attempt (exchange, refusal_name (result), false, result);
       return true;
     }
-  if (outcome->status < 500)
-    return false;
-  if (outcome->status == 503)
+  if (status_means_not_run (outcome->status))
     {
-      /* To the caller, a 503 would mean that the request did not run. */
+      /* The upstream does not state it, so the caller must not be told. */
       br_exchange_count_usage (exchange);
       br_exchange_fail_attempt (exchange, "unavailable", true,
                                 has_retry_after ? BR_RESULT_RETRY_AFTER
                                                 : BR_RESULT_FAILED);
       return true;
     }
+  if (outcome->status < 500)
+    return false;
   /* An engine that answers with an error has begun to run the request. */
   br_exchange_count_usage (exchange);
   br_fleet_record_result (&exchange->task->fleet, exchange->upstream,
@@ -222,30 +233,64 @@
     }
 }
 
+/* Discards an answer to another request.  None of it is used: it may be of any
+ * age, and what an upstream states about itself is in its next answer too. */
+static void
+exchange_skip_answer (br_exchange_t *exchange,
+                      br_http_client_t *client,
+                      const br_outcome_head_t *outcome)
+{
+  BR_LOG (
+      &exchange->task->node->log, "request", "answer skipped",
+      br_field_str ("id", exchange->inbound.id),
+      br_field_str ("upstream", br_name_str (&exchange->upstream->listing.id)),
+      br_field_int ("born", (int64_t)exchange->upstream->listing.started_ms),
+      br_field_str ("names", outcome->request_id),
+      br_field_int ("status", outcome->status),
+      br_field_int ("not_executed", outcome->not_executed),
+      br_field_int ("attempt_ms",
+                    br_exchange_now (exchange) - exchange->sent_ms));
+  br_http_client_skip (client);
+}
+
+/* Takes what the upstream states about itself in an answer to this request. */
+static void
+exchange_take_signals (br_exchange_t *exchange,
+                       const br_outcome_head_t *outcome)
+{
+  /* Another upstream answers 421. */
+  if (outcome->status == 421)
+    return;
+  if (outcome->leaving)
+    br_entry_upstream_leaving (exchange->task, exchange->upstream,
+                               exchange->inbound.id);
+  br_entry_upstream_limit (exchange->task, exchange->upstream, outcome,
+                           exchange->inbound.id);
+  if (outcome->has_load)
+    br_fleet_receive_report (exchange->upstream, outcome->running,
+                             outcome->waiting, br_exchange_now (exchange));
+}
+
 static void
 exchange_on_head (br_exchange_t *exchange,
                   br_http_client_t *client,
                   const br_http_head_t *head)
 {
   br_outcome_head_t outcome;
-  br_ms_t now = br_exchange_now (exchange);
+  br_response_match_t match = {
+    .request_id = exchange->inbound.id,
+    .is_first = br_http_client_is_first_response (client),
+  };
 
   br_platform_read_response (head, &outcome);
-  if (outcome.leaving)
-    br_entry_upstream_leaving (exchange->task, exchange->upstream,
-                               exchange->inbound.id);
-  br_entry_upstream_limit (exchange->task, exchange->upstream, &outcome,
-                           exchange->inbound.id);
-  if (outcome.request_id.len > 0
-      && !br_str_equal (outcome.request_id, exchange->inbound.id))
+  match.response_id = outcome.request_id;
+  if (!br_response_matches (&match))
     {
-      /* A late answer to another request on this connection. */
-      br_http_client_skip (client);
+      exchange_skip_answer (exchange, client, &outcome);
       return;
     }
-  if (outcome.has_load)
-    br_fleet_receive_report (exchange->upstream, outcome.running,
-                             outcome.waiting, now);
+  exchange->last_byte_ms = br_exchange_now (exchange);
+  exchange_take_signals (exchange, &outcome);
   if (outcome.status < 300 && !outcome.has_signature)
     {
       br_exchange_fail_attempt (exchange, "unsigned_answer", true,
@@ -254,16 +299,38 @@
     }
   exchange->outcome = outcome;
   exchange->outcome.request_id = (br_str_t){ 0 };
+  if (exchange_streams (exchange)
+      && !br_event_stream_is_type (br_http_head_find (head, "Content-Type")))
+    {
+      br_exchange_fail_attempt (exchange, "not_a_stream", true,
+                                BR_RESULT_FAILED);
+      return;
+    }
   exchange->head_seen = true;
   exchange_copy_head (exchange, head);
 }
 
+/* Forwards the events that BYTES complete.  An upstream that sends anything
+ * else has failed. */
+static void
+exchange_on_events (br_exchange_t *exchange, br_str_t bytes)
+{
+  br_event_fault_t fault;
+
+  exchange_forward_events (exchange,
+                           br_event_stream_take (&exchange->events, bytes));
+  fault = br_event_stream_fault (&exchange->events);
+  if (fault != BR_EVENT_FAULT_NONE)
+    br_exchange_fail_attempt (exchange, br_event_fault_name (fault), true,
+                              BR_RESULT_FAILED);
+}
+
 static void
 exchange_on_body (br_exchange_t *exchange, br_str_t body)
 {
+  exchange->last_byte_ms = br_exchange_now (exchange);
   if (exchange_streams (exchange))
-    exchange_forward_events (exchange,
-                             br_event_stream_take (&exchange->events, body));
+    exchange_on_events (exchange, body);
   else if (exchange->answer.len + body.len <= PLAIN_ANSWER_MAX)
     br_buf_append (&exchange->answer, body);
   else
@@ -278,7 +345,6 @@
 {
   br_exchange_t *exchange = context;
 
-  exchange->last_byte_ms = br_exchange_now (exchange);
   switch (event->kind)
     {
     case BR_CLIENT_HEAD:
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -55,7 +55,7 @@
   bool suspect;                 /* the quarantine tracks the attempt */
   bool loss_recorded;           /* counted as a loss, unless an answer comes */
   br_ms_t sent_ms;
-  br_ms_t last_byte_ms; /* when the last byte of the answer came */
+  br_ms_t last_byte_ms; /* when a part of its answer last came */
   bool head_seen;
   bool had_first_event;
   bool counted;    /* in the usage of its organisation */
@@ -141,7 +141,8 @@
                                bool may_have_run,
                                br_result_kind_t result);
 
-/* Returns whether the route lets a request run more than once. */
+/* Returns whether another attempt may run the request: its route lets it run
+ * more than once, and its stream, if it has begun, can be resumed. */
 bool br_exchange_may_repeat (const br_exchange_t *exchange);
 
 /* Sets the timer to AT_MS, or to the end of the exchange's time if that is
