--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -14,15 +14,12 @@
 
 #include "shell/connection_pool.h"
 #include "shell/domain_task.h"
-#include "shell/http_call.h"
+#include "shell/upstream_check.h"
 #include "shell/upstream_watch.h"
 #include "upstream/sse.h"
 
 #define HOST_MAX 64
 
-/* Time limit of the health check that follows a failed attempt. */
-#define CHECK_TIMEOUT_MS 500
-
 /* Timeout of evhttp itself.  The timers of an attempt are shorter and end it
  * first. */
 #define HTTP_TIMEOUT_S 3600
@@ -59,21 +56,11 @@
   UT_hash_handle hh;
 } attempt_t;
 
-/* A health check, on a new connection, of an upstream at which attempts
- * failed. */
-typedef struct check
-{
-  br_upstream_task_t *task;
-  br_name_t upstream;
-  struct check *next;
-} check_t;
-
 struct br_upstream_task
 {
   br_node_t *node;
   br_connection_pool_t *pool;
-  br_http_calls_t *calls;
-  check_t *checks;
+  br_upstream_checks_t *checks;
   attempt_t *attempts;
   uint64_t last_number;
 };
@@ -198,65 +185,24 @@
 }
 
 static void
-check_free (check_t *check)
-{
-  check_t **at = &check->task->checks;
-
-  while (*at != check)
-    at = &(*at)->next;
-  *at = check->next;
-  free (check);
-}
-
-static void
-check_on_done (void *context, int status, br_str_t body)
+task_on_checked (void *context, const br_name_t *upstream, bool answers)
 {
-  check_t *check = context;
-  br_upstream_task_t *task = check->task;
-  br_name_t upstream = check->upstream;
+  br_upstream_task_t *task = context;
   attempt_t *attempt;
   attempt_t *next;
 
-  (void)body;
-  check_free (check);
-  if (status == 0)
-    br_upstream_watch_set_down (task->node->upstream_watch, &upstream, true);
+  if (!answers)
+    br_upstream_watch_set_down (task->node->upstream_watch, upstream, true);
   HASH_ITER (hh, task->attempts, attempt, next)
   {
-    if (!attempt->checking || !br_name_equal (&attempt->upstream, &upstream))
+    if (!attempt->checking || !br_name_equal (&attempt->upstream, upstream))
       continue;
-    if (status == 0)
+    if (!answers)
       attempt_report_crash (attempt);
-    attempt_post_failure (attempt, status != 0);
+    attempt_post_failure (attempt, answers);
   }
 }
 
-/* Starts a health check of the upstream unless one is in progress. */
-static void
-task_check (br_upstream_task_t *task, const attempt_t *attempt)
-{
-  check_t *check;
-  br_http_call_options_t options = {
-    .address = attempt->address,
-    .port = attempt->port,
-    .method = EVHTTP_REQ_GET,
-    .path = "/health",
-    .timeout_ms = CHECK_TIMEOUT_MS,
-    .done = check_on_done,
-  };
-
-  for (check = task->checks; check != NULL; check = check->next)
-    if (br_name_equal (&check->upstream, &attempt->upstream))
-      return;
-  check = br_alloc_zero (sizeof *check);
-  check->task = task;
-  check->upstream = attempt->upstream;
-  check->next = task->checks;
-  task->checks = check;
-  options.context = check;
-  br_http_call (task->calls, &options);
-}
-
 /* Ends the exchange with the upstream.  BR_ATTEMPT_FAILED is posted when the
  * health check of the upstream has ended. */
 static void
@@ -273,7 +219,8 @@
   event_del (attempt->timer);
   attempt_release_connection (attempt, false);
   attempt->checking = true;
-  task_check (task, attempt);
+  br_upstream_checks_start (task->checks, &attempt->upstream, attempt->address,
+                            attempt->port);
 }
 
 static void
@@ -565,7 +512,7 @@
 
   task->node = node;
   task->pool = br_connection_pool_new (node->base);
-  task->calls = br_http_calls_new (node->base);
+  task->checks = br_upstream_checks_new (node->base, task_on_checked, task);
   return task;
 }
 
@@ -591,9 +538,7 @@
     br_sse_free (&attempt->sse);
     free (attempt);
   }
-  br_http_calls_free (task->calls);
-  while (task->checks != NULL)
-    check_free (task->checks);
+  br_upstream_checks_free (task->checks);
   br_connection_pool_free (task->pool);
   free (task);
 }
