Take nothing for an answer that came before the request was sent

Callers could get the answer to another caller's request: with an engine that writes each answer once more on a kept connection, three of six requests got the answer to the one before (right behind an answer), and two of two when the engine wrote it while the next request was being sent.

Cause: HTTP/1.1 assigns answers to requests by their place alone, and nothing checked the place. Bytes behind an answer stayed in the buffer of the connection, which went back to the pool, and evhttp read them as the next answer. Bytes that came while a request was being sent were read as its answer once it was sent.

Now the pool watches its idle connections, and looks at a connection when it comes back and before it gives it out; an attempt on a used connection watches it until the request is sent.

--- a/src/shell/connection_pool.h
+++ b/src/shell/connection_pool.h
@@ -1,4 +1,9 @@
-/* Keeps idle HTTP connections for reuse, by address and port. */
+/* Keeps idle HTTP connections for reuse, by address and port.
+ *
+ * HTTP/1.1 assigns an answer to a request by its place alone.  Bytes that an
+ * upstream writes while no request has been sent whole ("out of turn") would be
+ * taken for the answer to the next one.  They end the connection, and for a
+ * while no connection to that upstream is kept. */
 #ifndef BR_SHELL_CONNECTION_POOL_H
 #define BR_SHELL_CONNECTION_POOL_H
 
@@ -11,16 +16,26 @@
 
 typedef struct br_connection_pool br_connection_pool_t;
 
-br_connection_pool_t *br_connection_pool_new (struct event_base *base);
+/* Reports that an upstream has begun to write out of turn, with LEN bytes. */
+typedef void (*br_out_of_turn_cb_t) (void *context,
+                                     const char *address,
+                                     uint16_t port,
+                                     size_t len);
+
+br_connection_pool_t *br_connection_pool_new (struct event_base *base,
+                                              br_out_of_turn_cb_t out_of_turn,
+                                              void *context);
 void br_connection_pool_free (br_connection_pool_t *pool);
 
-/* Returns an idle connection, which the caller then owns, or NULL. */
+/* Returns an idle connection on which nothing was received since its last
+ * answer, or NULL.  The caller then owns it. */
 struct evhttp_connection *br_connection_pool_take (br_connection_pool_t *pool,
                                                    const char *address,
                                                    uint16_t port);
 
-/* Takes ownership of CONNECTION.  Frees it when the pool already holds the
- * maximum for this address and port. */
+/* Takes ownership of CONNECTION, whose answer is complete.  Frees it when it
+ * cannot be reused, or when the pool already holds the maximum for this address
+ * and port. */
 void br_connection_pool_put (br_connection_pool_t *pool,
                              const char *address,
                              uint16_t port,
@@ -31,6 +46,13 @@
                               const char *address,
                               uint16_t port);
 
+/* Reports LEN bytes that came out of turn on a connection that was taken, and
+ * frees the idle connections. */
+void br_connection_pool_out_of_turn (br_connection_pool_t *pool,
+                                     const char *address,
+                                     uint16_t port,
+                                     size_t len);
+
 /* Frees the connection in the next iteration of the event loop, because evhttp
  * may still use it on the stack. */
 void br_connection_free_later (struct event_base *base,
--- a/src/shell/node.h
+++ b/src/shell/node.h
@@ -87,8 +87,8 @@
   br_error_t error;  /* of BR_ATTEMPT_FAILED */
   bool may_have_run; /* of BR_ATTEMPT_FAILED: a byte was sent */
 
-  /* Of BR_ATTEMPT_FAILED: the connection stalled, but the upstream answers on
-   * a new one.  The attempt is best repeated at the same upstream. */
+  /* Of BR_ATTEMPT_FAILED: the connection failed, but the upstream answers on a
+   * new one.  The attempt is best repeated at the same upstream. */
   bool upstream_answers;
 } br_attempt_message_t;
 
--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -4,7 +4,6 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 #include <inttypes.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -15,11 +14,10 @@
 #include "shell/connection_pool.h"
 #include "shell/domain_task.h"
 #include "shell/upstream_check.h"
+#include "shell/upstream_http.h"
 #include "shell/upstream_watch.h"
 #include "upstream/sse.h"
 
-#define HOST_MAX 64
-
 /* Timeout of evhttp itself.  The timers of an attempt are shorter and end it
  * first. */
 #define HTTP_TIMEOUT_S 3600
@@ -43,6 +41,7 @@
   struct evhttp_request *request;
   bool reused; /* the connection has carried an earlier attempt */
   struct evbuffer_cb_entry *output_cb;
+  struct evbuffer_cb_entry *input_cb; /* only of a reused connection */
   struct event *timer;
   const char *step; /* "connect", "first token" or "token gap" */
   bool stream;
@@ -51,8 +50,10 @@
   br_ms_t not_after_ms;
   int http_error; /* evhttp's code, or -1 */
   br_sse_t sse;
-  bool checking;    /* it failed, and the upstream's health is checked */
-  br_error_t error; /* why it failed */
+  bool out_of_turn;  /* bytes came before the request had been sent */
+  const char *fault; /* it fails in the next iteration of the event loop */
+  bool checking;     /* it failed, and the upstream's health is checked */
+  br_error_t error;  /* why it failed */
   UT_hash_handle hh;
 } attempt_t;
 
@@ -98,14 +99,16 @@
 }
 
 static void
-attempt_remove_output_cb (attempt_t *attempt)
+attempt_remove_buffer_cbs (attempt_t *attempt)
 {
   struct bufferevent *bev
       = evhttp_connection_get_bufferevent (attempt->connection);
 
   if (attempt->output_cb != NULL)
     evbuffer_remove_cb_entry (bufferevent_get_output (bev), attempt->output_cb);
-  attempt->output_cb = NULL;
+  if (attempt->input_cb != NULL)
+    evbuffer_remove_cb_entry (bufferevent_get_input (bev), attempt->input_cb);
+  attempt->output_cb = attempt->input_cb = NULL;
 }
 
 /* Returns the connection to the pool when REUSE, otherwise closes it. */
@@ -116,7 +119,7 @@
 
   if (attempt->connection == NULL)
     return;
-  attempt_remove_output_cb (attempt);
+  attempt_remove_buffer_cbs (attempt);
   if (reuse)
     br_connection_pool_put (task->pool, attempt->address, attempt->port,
                             attempt->connection);
@@ -155,8 +158,8 @@
   message.attempt.may_have_run = attempt->output_started;
   message.attempt.error = attempt->error;
   message.attempt.upstream_answers
-      = answers && attempt_may_have_stalled (attempt);
-  if (message.attempt.upstream_answers)
+      = answers && (attempt->out_of_turn || attempt_may_have_stalled (attempt));
+  if (answers && attempt_may_have_stalled (attempt))
     {
       br_counters_add (&task->node->counters, BR_COUNTER_STALLED_CONNECTIONS,
                        1);
@@ -230,7 +233,44 @@
 
   (void)fd;
   (void)what;
-  attempt_fail (attempt, BR_ERROR_TIMEOUT, "no progress within the time limit");
+  if (attempt->fault != NULL)
+    attempt_fail (attempt, BR_ERROR_UPSTREAM, attempt->fault);
+  else
+    attempt_fail (attempt, BR_ERROR_TIMEOUT,
+                  "no progress within the time limit");
+}
+
+/* Fails the attempt once evhttp no longer uses its request on the stack.  Until
+ * then the rest of the answer is ignored. */
+static void
+attempt_fail_soon (attempt_t *attempt, const char *fault)
+{
+  if (attempt->fault != NULL)
+    return;
+  attempt->fault = fault;
+  event_active (attempt->timer, EV_TIMEOUT, 0);
+}
+
+/* What a reused connection brings before the request has been sent whole is not
+ * the answer to it. */
+static void
+attempt_on_input (struct evbuffer *buffer,
+                  const struct evbuffer_cb_info *info,
+                  void *context)
+{
+  attempt_t *attempt = context;
+  struct bufferevent *bev
+      = evhttp_connection_get_bufferevent (attempt->connection);
+
+  (void)buffer;
+  if (info->n_added == 0 || attempt->fault != NULL
+      || evbuffer_get_length (bufferevent_get_output (bev)) == 0)
+    return;
+  br_connection_pool_out_of_turn (attempt->task->pool, attempt->address,
+                                  attempt->port, info->n_added);
+  attempt->out_of_turn = true;
+  attempt_fail_soon (attempt,
+                     "an answer began before the request had been sent");
 }
 
 static void
@@ -306,6 +346,11 @@
   size_t len = evbuffer_get_length (input);
   br_str_t bytes = br_str_make ((const char *)evbuffer_pullup (input, -1), len);
 
+  if (attempt->fault != NULL)
+    {
+      evbuffer_drain (input, len);
+      return;
+    }
   attempt_open (attempt);
   if (!attempt_is_event_stream (attempt))
     {
@@ -325,38 +370,20 @@
   attempt->http_error = error;
 }
 
-static const char *
-http_error_text (int error)
-{
-  switch (error)
-    {
-    case EVREQ_HTTP_TIMEOUT:
-      return "timed out";
-    case EVREQ_HTTP_EOF:
-      return "the connection ended before the answer did";
-    case EVREQ_HTTP_INVALID_HEADER:
-      return "the answer is not HTTP";
-    case EVREQ_HTTP_BUFFER_ERROR:
-      return "the connection broke";
-    case EVREQ_HTTP_DATA_TOO_LONG:
-      return "the answer is too long";
-    default:
-      return "the connection could not be opened, or it broke";
-    }
-}
-
 static void
 attempt_on_done (struct evhttp_request *request, void *context)
 {
   attempt_t *attempt = context;
   const char *keep;
 
-  if (request == NULL || attempt->http_error >= 0
+  if (request == NULL || attempt->http_error >= 0 || attempt->fault != NULL
       || evhttp_request_get_response_code (request) == 0)
     {
       attempt->request = NULL;
       attempt_fail (attempt, BR_ERROR_UPSTREAM,
-                    http_error_text (attempt->http_error));
+                    attempt->fault != NULL
+                        ? attempt->fault
+                        : br_upstream_http_error_text (attempt->http_error));
       return;
     }
   attempt_open (attempt);
@@ -388,28 +415,11 @@
 
   (void)request;
   attempt_acknowledge_head (attempt);
-  attempt_open (attempt);
+  if (attempt->fault == NULL)
+    attempt_open (attempt);
   return 0;
 }
 
-static void
-request_add_headers (struct evhttp_request *request,
-                     const br_attempt_options_t *options)
-{
-  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
-  char host[HOST_MAX];
-
-  snprintf (host, sizeof host, "%s:%u", options->address, options->port);
-  evhttp_add_header (headers, "Host", host);
-  evhttp_add_header (headers, "Connection", "keep-alive");
-  if (options->content_type != NULL)
-    evhttp_add_header (headers, "Content-Type", options->content_type);
-  if (options->contract != NULL)
-    evhttp_add_header (headers, "X-Contract-Id", options->contract);
-  if (options->idempotency_key != NULL)
-    evhttp_add_header (headers, "Idempotency-Key", options->idempotency_key);
-}
-
 static struct evhttp_request *
 attempt_new_request (attempt_t *attempt, const br_attempt_options_t *options)
 {
@@ -419,7 +429,7 @@
   evhttp_request_set_chunked_cb (request, attempt_on_chunk);
   evhttp_request_set_error_cb (request, attempt_on_error);
   evhttp_request_set_header_cb (request, attempt_on_head);
-  request_add_headers (request, options);
+  br_upstream_http_add_headers (request, options);
   evbuffer_add (evhttp_request_get_output_buffer (request), options->body.data,
                 options->body.len);
   return request;
@@ -467,6 +477,9 @@
   bev = evhttp_connection_get_bufferevent (attempt->connection);
   attempt->output_cb = evbuffer_add_cb (bufferevent_get_output (bev),
                                         attempt_on_output, attempt);
+  if (attempt->reused)
+    attempt->input_cb = evbuffer_add_cb (bufferevent_get_input (bev),
+                                         attempt_on_input, attempt);
   attempt_set_timer (attempt, "connect", task->node->settings.connect_ms);
   attempt->request = attempt_new_request (attempt, options);
   br_counters_add (&task->node->counters, BR_COUNTER_ATTEMPTS, 1);
@@ -505,13 +518,32 @@
   attempt_free (attempt, false);
 }
 
+static void
+task_on_out_of_turn (void *context,
+                     const char *address,
+                     uint16_t port,
+                     size_t len)
+{
+  br_upstream_task_t *task = context;
+  const br_upstreams_t *upstreams = &task->node->registry.upstreams;
+  const char *name = "";
+
+  for (size_t i = 0; i < upstreams->len; i++)
+    if (upstreams->items[i].port == port
+        && strcmp (upstreams->items[i].address, address) == 0)
+      name = upstreams->items[i].name.data;
+  br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
+  BR_LOG (&task->node->log, "upstream", "out_of_turn",
+          br_field_z ("peer", name), br_field_int ("bytes", (int64_t)len));
+}
+
 br_upstream_task_t *
 br_upstream_task_new (br_node_t *node)
 {
   br_upstream_task_t *task = br_alloc_zero (sizeof *task);
 
   task->node = node;
-  task->pool = br_connection_pool_new (node->base);
+  task->pool = br_connection_pool_new (node->base, task_on_out_of_turn, task);
   task->checks = br_upstream_checks_new (node->base, task_on_checked, task);
   return task;
 }
@@ -530,7 +562,7 @@
 
     if (connection != NULL)
       {
-        attempt_remove_output_cb (attempt);
+        attempt_remove_buffer_cbs (attempt);
         evhttp_connection_free (connection);
       }
     HASH_DEL (task->attempts, attempt);
