Let nothing that follows the end of a stream run it again

A caller whose stream had ended waited for another attempt, or for a failure, and the request ran again: an engine had sent "data: [DONE]", and then its connection broke, before the last chunk or the announced length.

Cause: the end of the answer and the end of the attempt were two things, and only an attempt that ended well could finish an answer that was complete. Now an attempt that fails behind the end finishes the answer (logged as "failed_after_end"), and further events are not read.

process.upstream_end_then_broken failed on: "no-last-chunk: no end. no-last-chunk: 2 attempts, not 1. too-short: no end. too-short: 2 attempts, not 1." It passes now, sanitized and release.

--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -193,12 +193,30 @@
     br_work_try (task, work);
 }
 
+static void
+work_on_answered (br_work_task_t *task, br_work_t *work)
+{
+  work->answer.complete = true;
+  br_work_note_answered (task->node, work);
+  br_claim_task_on_answer (task->node->claims, work);
+  br_retry_task_success (task->node->retries);
+  br_work_end (task, work, BR_WORK_DONE);
+}
+
 static void
 work_on_failed_attempt (br_work_task_t *task,
                         br_work_t *work,
                         br_attempt_message_t *message)
 {
   work->may_have_run |= message->may_have_run;
+  if (work->answer.complete)
+    {
+      /* The connection broke behind the end of the stream. */
+      br_log_error (&task->node->log, "work", "failed_after_end",
+                    &message->error);
+      work_on_answered (task, work);
+      return;
+    }
   work->same_upstream = message->upstream_answers;
   work_on_failure (task, work, &message->error, message->may_have_run);
 }
@@ -226,6 +244,8 @@
   br_answer_kind_t kind;
   br_buf_t text = { 0 };
 
+  if (work->answer.complete)
+    return;
   if (br_str_equal (data, br_str_from ("[DONE]")))
     {
       work->answer.complete = true;
@@ -254,11 +274,7 @@
   work->may_have_run = true;
   if (work->kind == BR_SERVICE_PLAIN || work->answer.complete)
     {
-      work->answer.complete = true;
-      br_work_note_answered (task->node, work);
-      br_claim_task_on_answer (task->node->claims, work);
-      br_retry_task_success (task->node->retries);
-      br_work_end (task, work, BR_WORK_DONE);
+      work_on_answered (task, work);
       return;
     }
   br_error_set (&err, BR_ERROR_UPSTREAM, "read answer", work->upstream.data,
