Read a stream only as far as it is events of the answer

Callers found an error's text in their stream, and such a stream ended as if it were complete; or events of another answer were in the middle of it. This happened when a stream had begun and broke off, and the next engine answered 200 with an error as an event, with an error's text or the head of another answer and events behind it, or with events in a body of another type.

Cause: whatever was not plainly something else was taken for a part. Every JSON object was one, lines that are no field were skipped and reading went on, and the Content-Type was not read.

Now an attempt fails at the first thing that is not an event of the answer: another Content-Type, a line that is no field of an event, an event with the name "error", an object with an "error" or of the type "error". What came before stays, nothing behind it is read, and the next attempt goes on there. A missing Content-Type is allowed, as the lines are checked.

process.upstream_next_attempt failed on: "error-event: the text is 'one two '. error-event: 2 attempts, not 3. error-event: the stream holds overloaded.", the same for error-named-object, and "the text is 'one two wrong '" for head, text-then-event and type. Its ten other cases passed there: no event at all, errors with a status or as text alone, and ends inside an event look complete nowhere. All pass now, sanitized and release; unit.answer_test checks the lines at any split, and the kinds of errors.

--- a/src/shell/engine_body.c
+++ b/src/shell/engine_body.c
@@ -161,18 +161,36 @@
   return json_member (delta, "content", json_type_string);
 }
 
-bool
+/* Returns whether an event with this object reports an error: it has a member
+ * "error" or is an object of type "error". */
+static bool
+object_is_error (json_object *object)
+{
+  json_object *error;
+  json_object *type = json_member (object, "object", json_type_string);
+
+  if (json_object_object_get_ex (object, "error", &error) && error != NULL)
+    return true;
+  return type != NULL && br_str_equal (json_text (type), br_str_from ("error"));
+}
+
+br_engine_event_t
 br_engine_event_read (br_str_t data, br_answer_kind_t *kind, br_buf_t *text)
 {
   const char *why;
   json_object *object = json_read (data, &why);
+  br_engine_event_t event = BR_ENGINE_EVENT_PART;
   json_object *choices;
   json_object *content = NULL;
 
   if (!json_object_is_type (object, json_type_object))
+    event = BR_ENGINE_EVENT_BAD;
+  else if (object_is_error (object))
+    event = BR_ENGINE_EVENT_ERROR;
+  if (event != BR_ENGINE_EVENT_PART)
     {
       json_object_put (object);
-      return false;
+      return event;
     }
   choices = json_member (object, "choices", json_type_array);
   if (choices != NULL && json_object_array_length (choices) == 1)
@@ -180,7 +198,7 @@
   *kind = content != NULL ? BR_ANSWER_TEXT : BR_ANSWER_RAW;
   br_buf_append (text, content != NULL ? json_text (content) : data);
   json_object_put (object);
-  return true;
+  return event;
 }
 
 static void
--- a/src/shell/engine_body.h
+++ b/src/shell/engine_body.h
@@ -32,11 +32,17 @@
  * the parts of ANSWER. */
 void br_engine_body (br_str_t body, const br_answer_t *answer, br_buf_t *out);
 
-/* Reads one event of an engine's stream.  An event with nothing but text
- * becomes BR_ANSWER_TEXT, and its text is appended to *TEXT; any other becomes
- * BR_ANSWER_RAW, and all of DATA is appended.  Returns false when DATA is not a
- * JSON object. */
-bool
+typedef enum
+{
+  BR_ENGINE_EVENT_PART,  /* of the answer */
+  BR_ENGINE_EVENT_ERROR, /* the engine reports that the answer has failed */
+  BR_ENGINE_EVENT_BAD,   /* not a JSON object */
+} br_engine_event_t;
+
+/* Reads one event of an engine's stream.  A part with nothing but text becomes
+ * BR_ANSWER_TEXT, and its text is appended to *TEXT; any other becomes
+ * BR_ANSWER_RAW, and all of DATA is appended. */
+br_engine_event_t
 br_engine_event_read (br_str_t data, br_answer_kind_t *kind, br_buf_t *text);
 
 /* Appends part OFFSET as one server-sent event.  The event id consists of the
--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -50,7 +50,8 @@
   br_ms_t not_after_ms;
   int http_error; /* evhttp's code, or -1 */
   br_sse_t sse;
-  bool out_of_turn;  /* bytes came before the request had been sent */
+  bool out_of_turn; /* bytes came before the request had been sent */
+  br_error_code_t fault_code;
   const char *fault; /* it fails in the next iteration of the event loop */
   bool checking;     /* it failed, and the upstream's health is checked */
   br_error_t error;  /* why it failed */
@@ -234,7 +235,7 @@
   (void)fd;
   (void)what;
   if (attempt->fault != NULL)
-    attempt_fail (attempt, BR_ERROR_UPSTREAM, attempt->fault);
+    attempt_fail (attempt, attempt->fault_code, attempt->fault);
   else
     attempt_fail (attempt, BR_ERROR_TIMEOUT,
                   "no progress within the time limit");
@@ -243,10 +244,11 @@
 /* Fails the attempt once evhttp no longer uses its request on the stack.  Until
  * then the rest of the answer is ignored. */
 static void
-attempt_fail_soon (attempt_t *attempt, const char *fault)
+attempt_fail_soon (attempt_t *attempt, br_error_code_t code, const char *fault)
 {
   if (attempt->fault != NULL)
     return;
+  attempt->fault_code = code;
   attempt->fault = fault;
   event_active (attempt->timer, EV_TIMEOUT, 0);
 }
@@ -269,7 +271,7 @@
   br_connection_pool_out_of_turn (attempt->task->pool, attempt->address,
                                   attempt->port, info->n_added);
   attempt->out_of_turn = true;
-  attempt_fail_soon (attempt,
+  attempt_fail_soon (attempt, BR_ERROR_UPSTREAM,
                      "an answer began before the request had been sent");
 }
 
@@ -316,19 +318,31 @@
 
 /* Only a complete event restarts the time limit.  An upstream that sends single
  * bytes and completes no event has stalled and times out. */
-static bool
+static void
 attempt_take_events (attempt_t *attempt, br_str_t bytes)
 {
+  br_sse_result_t result;
   br_str_t data;
 
   if (!br_sse_feed (&attempt->sse, bytes))
-    return false;
-  while (br_sse_next (&attempt->sse, &data))
+    {
+      attempt->http_error = EVREQ_HTTP_DATA_TOO_LONG;
+      return;
+    }
+  while ((result = br_sse_next (&attempt->sse, &data)) == BR_SSE_EVENT)
     {
       attempt_restart_timer (attempt);
       attempt_post_data (attempt, BR_ATTEMPT_EVENT, data);
     }
-  return true;
+  if (result == BR_SSE_MORE)
+    return;
+  attempt->step = "read event";
+  if (result == BR_SSE_ERROR)
+    attempt_fail_soon (attempt, BR_ERROR_UPSTREAM,
+                       "the engine reports an error");
+  else
+    attempt_fail_soon (attempt, BR_ERROR_PROTOCOL,
+                       "a line belongs to no event");
 }
 
 static bool
@@ -357,8 +371,8 @@
       attempt_restart_timer (attempt);
       attempt_post_data (attempt, BR_ATTEMPT_BODY, bytes);
     }
-  else if (!attempt_take_events (attempt, bytes))
-    attempt->http_error = EVREQ_HTTP_DATA_TOO_LONG;
+  else
+    attempt_take_events (attempt, bytes);
   evbuffer_drain (input, len);
 }
 
@@ -380,10 +394,11 @@
       || evhttp_request_get_response_code (request) == 0)
     {
       attempt->request = NULL;
-      attempt_fail (attempt, BR_ERROR_UPSTREAM,
-                    attempt->fault != NULL
-                        ? attempt->fault
-                        : br_upstream_http_error_text (attempt->http_error));
+      if (attempt->fault != NULL)
+        attempt_fail (attempt, attempt->fault_code, attempt->fault);
+      else
+        attempt_fail (attempt, BR_ERROR_UPSTREAM,
+                      br_upstream_http_error_text (attempt->http_error));
       return;
     }
   attempt_open (attempt);
@@ -412,9 +427,17 @@
 attempt_on_head (struct evhttp_request *request, void *context)
 {
   attempt_t *attempt = context;
+  const char *type = evhttp_find_header (
+      evhttp_request_get_input_headers (request), "Content-Type");
 
-  (void)request;
   attempt_acknowledge_head (attempt);
+  if (type != NULL && attempt_is_event_stream (attempt)
+      && !br_sse_is_content_type (br_str_from (type)))
+    {
+      attempt->step = "read head";
+      attempt_fail_soon (attempt, BR_ERROR_PROTOCOL,
+                         "the answer is not an event stream");
+    }
   if (attempt->fault == NULL)
     attempt_open (attempt);
   return 0;
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -221,17 +221,27 @@
   work_on_failure (task, work, &message->error, message->may_have_run);
 }
 
-/* Fails the attempt: after data that is not an event, the rest of the engine's
- * stream cannot be trusted. */
+/* Fails the attempt: after an error, or data that is not an event, the rest of
+ * the engine's stream cannot be trusted. */
 static void
-work_on_bad_event (br_work_task_t *task, br_work_t *work, br_str_t data)
+work_on_bad_event (br_work_task_t *task,
+                   br_work_t *work,
+                   br_engine_event_t event,
+                   br_str_t data)
 {
   br_attempt_message_t failed = { .may_have_run = true };
 
-  br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
-  br_error_set (&failed.error, BR_ERROR_PROTOCOL, "read event",
-                work->upstream.data,
-                "event of %zu bytes is not JSON in valid UTF-8", data.len);
+  if (event == BR_ENGINE_EVENT_ERROR)
+    br_error_set (
+        &failed.error, BR_ERROR_UPSTREAM, "read event", work->upstream.data,
+        "the engine reports an error, in an event of %zu bytes", data.len);
+  else
+    {
+      br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
+      br_error_set (&failed.error, BR_ERROR_PROTOCOL, "read event",
+                    work->upstream.data,
+                    "event of %zu bytes is not JSON in valid UTF-8", data.len);
+    }
   br_upstream_task_cancel (task->node->upstreams, work->attempt);
   br_work_detach_attempt (task, work);
   work_on_failed_attempt (task, work, &failed);
@@ -242,6 +252,7 @@
 {
   size_t offset = work->base_offset + work->received;
   br_answer_kind_t kind;
+  br_engine_event_t event;
   br_buf_t text = { 0 };
 
   if (work->answer.complete)
@@ -251,10 +262,11 @@
       work->answer.complete = true;
       return;
     }
-  if (!br_engine_event_read (data, &kind, &text))
+  event = br_engine_event_read (data, &kind, &text);
+  if (event != BR_ENGINE_EVENT_PART)
     {
       br_buf_free (&text);
-      work_on_bad_event (task, work, data);
+      work_on_bad_event (task, work, event, data);
       return;
     }
   if (work->received++ == 0)
--- a/src/upstream/sse.c
+++ b/src/upstream/sse.c
@@ -1,6 +1,7 @@
 #include "upstream/sse.h"
 
 #include <string.h>
+#include <strings.h>
 
 bool
 br_sse_feed (br_sse_t *sse, br_str_t bytes)
@@ -29,27 +30,56 @@
   return true;
 }
 
+typedef struct
+{
+  bool has_data;
+  bool is_error;
+} event_t;
+
+/* Splits LINE into the name and the value of a field. */
 static void
-sse_add_line (br_sse_t *sse, br_str_t line, bool *has_data)
+line_split (br_str_t line, br_str_t *name, br_str_t *value)
 {
-  br_str_t field = br_str_from ("data:");
+  const char *colon = memchr (line.data, ':', line.len);
 
-  if (!br_str_starts_with (line, field))
+  *name = line;
+  *value = br_str_make ("", 0);
+  if (colon == NULL)
     return;
-  line = br_str_make (line.data + field.len, line.len - field.len);
-  if (line.len > 0 && line.data[0] == ' ')
-    line = br_str_make (line.data + 1, line.len - 1);
-  if (*has_data)
-    br_buf_append_char (&sse->data, '\n');
-  br_buf_append (&sse->data, line);
-  *has_data = true;
+  name->len = (size_t)(colon - line.data);
+  *value = br_str_make (colon + 1, line.len - name->len - 1);
+  if (value->len > 0 && value->data[0] == ' ')
+    *value = br_str_make (value->data + 1, value->len - 1);
 }
 
-bool
+/* Returns false when LINE belongs to no event. */
+static bool
+sse_add_line (br_sse_t *sse, br_str_t line, event_t *event)
+{
+  br_str_t name;
+  br_str_t value;
+
+  line_split (line, &name, &value);
+  if (br_str_equal (name, br_str_from ("event")))
+    event->is_error = br_str_equal (value, br_str_from ("error"));
+  else if (br_str_equal (name, br_str_from ("data")))
+    {
+      if (event->has_data)
+        br_buf_append_char (&sse->data, '\n');
+      br_buf_append (&sse->data, value);
+      event->has_data = true;
+    }
+  else
+    return name.len == 0 || br_str_equal (name, br_str_from ("id"))
+           || br_str_equal (name, br_str_from ("retry"));
+  return true;
+}
+
+br_sse_result_t
 br_sse_next (br_sse_t *sse, br_str_t *data)
 {
   size_t start = sse->taken;
-  bool has_data = false;
+  event_t event = { 0 };
   br_str_t line;
 
   br_buf_clear (&sse->data);
@@ -57,18 +87,33 @@
     {
       if (line.len > 0)
         {
-          sse_add_line (sse, line, &has_data);
+          if (!sse_add_line (sse, line, &event))
+            return BR_SSE_BAD;
           continue;
         }
-      if (has_data)
+      if (event.is_error)
+        return BR_SSE_ERROR;
+      if (event.has_data)
         {
           *data = br_buf_str (&sse->data);
-          return true;
+          return BR_SSE_EVENT;
         }
+      event = (event_t){ 0 };
       start = sse->taken;
     }
   sse->taken = start;
-  return false;
+  return BR_SSE_MORE;
+}
+
+bool
+br_sse_is_content_type (br_str_t value)
+{
+  static const char type[] = "text/event-stream";
+  size_t len = sizeof type - 1;
+
+  return value.len >= len && strncasecmp (value.data, type, len) == 0
+         && (value.len == len || value.data[len] == ';'
+             || value.data[len] == ' ');
 }
 
 void
