Count no plain answer as complete that may have been cut

A caller of a plain service got the first 20 bytes of an answer with status 200, and another one the status 103 with no body: the answer had neither length nor chunks, and its connection ended in the middle; the service had sent an interim answer.

Cause: evhttp takes the end of the connection for the end of such an answer, and an interim answer other than 100 for the answer. Neither can be told from a whole answer afterwards, and a service that crashes ends its connections just like one that has finished. Streams are safe, as their end is an event.

Now both are failed attempts: repeated if the service's calls may be repeated, otherwise of unknown outcome.

process.upstream_plain_cut failed on: "cut: status 200, not 502. interim: status 103, not 502." Answers that were cut within their length or chunks, whole ones and 204 were right there. It passes now, sanitized and release.

--- a/src/shell/upstream_http.h
+++ b/src/shell/upstream_http.h
@@ -13,6 +13,15 @@
  * when evhttp gave none. */
 const char *br_upstream_http_error_text (int error);
 
+/* Returns why an answer that evhttp takes for complete is not certain to be, or
+ * NULL.  The end of a stream is checked by its events. */
+const char *br_upstream_http_end_fault (struct evhttp_request *request,
+                                        bool stream);
+
+/* Acknowledges received bytes at once.  An engine that leaves Nagle's algorithm
+ * on delays its first event until the head is acknowledged. */
+void br_upstream_http_acknowledge (struct evhttp_connection *connection);
+
 BR_END_DECLS
 
 #endif
--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -5,8 +5,6 @@
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 #include <inttypes.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <uthash.h>
@@ -388,17 +386,21 @@
 attempt_on_done (struct evhttp_request *request, void *context)
 {
   attempt_t *attempt = context;
+  const char *fault = attempt->fault;
+  br_error_code_t code
+      = fault != NULL ? attempt->fault_code : BR_ERROR_UPSTREAM;
   const char *keep;
 
-  if (request == NULL || attempt->http_error >= 0 || attempt->fault != NULL
-      || evhttp_request_get_response_code (request) == 0)
+  if (fault == NULL
+      && (request == NULL || attempt->http_error >= 0
+          || evhttp_request_get_response_code (request) == 0))
+    fault = br_upstream_http_error_text (attempt->http_error);
+  if (fault == NULL)
+    fault = br_upstream_http_end_fault (request, attempt->stream);
+  if (fault != NULL)
     {
       attempt->request = NULL;
-      if (attempt->fault != NULL)
-        attempt_fail (attempt, attempt->fault_code, attempt->fault);
-      else
-        attempt_fail (attempt, BR_ERROR_UPSTREAM,
-                      br_upstream_http_error_text (attempt->http_error));
+      attempt_fail (attempt, code, fault);
       return;
     }
   attempt_open (attempt);
@@ -410,19 +412,6 @@
                 keep == NULL || evutil_ascii_strcasecmp (keep, "close"));
 }
 
-/* Acknowledges the head at once.  An engine that leaves Nagle's algorithm on
- * delays its first event until the head is acknowledged. */
-static void
-attempt_acknowledge_head (attempt_t *attempt)
-{
-  struct bufferevent *bev
-      = evhttp_connection_get_bufferevent (attempt->connection);
-  int on = 1;
-
-  setsockopt (bufferevent_getfd (bev), IPPROTO_TCP, TCP_QUICKACK, &on,
-              sizeof on);
-}
-
 static int
 attempt_on_head (struct evhttp_request *request, void *context)
 {
@@ -430,7 +419,7 @@
   const char *type = evhttp_find_header (
       evhttp_request_get_input_headers (request), "Content-Type");
 
-  attempt_acknowledge_head (attempt);
+  br_upstream_http_acknowledge (attempt->connection);
   if (type != NULL && attempt_is_event_stream (attempt)
       && !br_sse_is_content_type (br_str_from (type)))
     {
