Refuse an answer that names another contract

An upstream may now repeat X-Contract-Id, which it gets with each request, in its answer. One that names another contract is treated like bytes out of turn: the attempt has failed, is repeated once at the same upstream on a new connection, and no connection to the upstream is kept for 60 s.

process.upstream_answer_of_another failed on: "prompt p2 got 'own-p1 '. prompt p3 got 'own-p2 '. prompt p5 got 'own-p4 '. prompt p6 got 'own-p5 '. not logged.", and on: "prompt p2 got 'own-p1 '. not logged." It passes now, sanitized and release.

--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -34,6 +34,7 @@
   br_name_t upstream;
   char address[BR_UPSTREAM_ADDRESS_MAX];
   uint16_t port;
+  char contract[BR_NAME_MAX + 40];
   uint64_t content;
   struct evhttp_connection *connection; /* NULL while CHECKING */
   struct evhttp_request *request;
@@ -251,6 +252,15 @@
   event_active (attempt->timer, EV_TIMEOUT, 0);
 }
 
+static void
+attempt_fail_out_of_turn (attempt_t *attempt, size_t len, const char *fault)
+{
+  br_connection_pool_out_of_turn (attempt->task->pool, attempt->address,
+                                  attempt->port, len);
+  attempt->out_of_turn = true;
+  attempt_fail_soon (attempt, BR_ERROR_UPSTREAM, fault);
+}
+
 /* What a reused connection brings before the request has been sent whole is not
  * the answer to it. */
 static void
@@ -266,11 +276,8 @@
   if (info->n_added == 0 || attempt->fault != NULL
       || evbuffer_get_length (bufferevent_get_output (bev)) == 0)
     return;
-  br_connection_pool_out_of_turn (attempt->task->pool, attempt->address,
-                                  attempt->port, info->n_added);
-  attempt->out_of_turn = true;
-  attempt_fail_soon (attempt, BR_ERROR_UPSTREAM,
-                     "an answer began before the request had been sent");
+  attempt_fail_out_of_turn (attempt, info->n_added,
+                            "an answer began before the request had been sent");
 }
 
 static void
@@ -416,12 +423,15 @@
 attempt_on_head (struct evhttp_request *request, void *context)
 {
   attempt_t *attempt = context;
-  const char *type = evhttp_find_header (
-      evhttp_request_get_input_headers (request), "Content-Type");
+  struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
+  const char *type = evhttp_find_header (headers, "Content-Type");
+  const char *contract = evhttp_find_header (headers, "X-Contract-Id");
 
   br_upstream_http_acknowledge (attempt->connection);
-  if (type != NULL && attempt_is_event_stream (attempt)
-      && !br_sse_is_content_type (br_str_from (type)))
+  if (contract != NULL && strcmp (contract, attempt->contract) != 0)
+    attempt_fail_out_of_turn (attempt, 0, "the answer to another request");
+  else if (type != NULL && attempt_is_event_stream (attempt)
+           && !br_sse_is_content_type (br_str_from (type)))
     {
       attempt->step = "read head";
       attempt_fail_soon (attempt, BR_ERROR_PROTOCOL,
@@ -483,6 +493,9 @@
   attempt->not_after_ms = options->not_after_ms;
   attempt->http_error = -1;
   attempt->content = options->content;
+  if (options->contract != NULL)
+    snprintf (attempt->contract, sizeof attempt->contract, "%s",
+              options->contract);
   attempt_connect (attempt, options);
   attempt->timer = evtimer_new (task->node->base, attempt_on_timer, attempt);
   HASH_ADD (hh, task->attempts, number, sizeof attempt->number, attempt);
@@ -537,16 +550,13 @@
                      size_t len)
 {
   br_upstream_task_t *task = context;
-  const br_upstreams_t *upstreams = &task->node->registry.upstreams;
-  const char *name = "";
+  const br_upstream_t *upstream
+      = br_registry_find_address (&task->node->registry, address, port);
 
-  for (size_t i = 0; i < upstreams->len; i++)
-    if (upstreams->items[i].port == port
-        && strcmp (upstreams->items[i].address, address) == 0)
-      name = upstreams->items[i].name.data;
   br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
   BR_LOG (&task->node->log, "upstream", "out_of_turn",
-          br_field_z ("peer", name), br_field_int ("bytes", (int64_t)len));
+          br_field_z ("peer", upstream != NULL ? upstream->name.data : ""),
+          br_field_int ("bytes", (int64_t)len));
 }
 
 br_upstream_task_t *
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -27,6 +27,18 @@
   return NULL;
 }
 
+const br_upstream_t *
+br_registry_find_address (const br_registry_t *registry,
+                          const char *address,
+                          uint16_t port)
+{
+  for (size_t i = 0; i < registry->upstreams.len; i++)
+    if (registry->upstreams.items[i].port == port
+        && strcmp (registry->upstreams.items[i].address, address) == 0)
+      return &registry->upstreams.items[i];
+  return NULL;
+}
+
 static br_departure_t *
 registry_find_departure (const br_registry_t *registry, br_str_t name)
 {
--- a/src/upstream/registry.h
+++ b/src/upstream/registry.h
@@ -85,6 +85,11 @@
  * sweep. */
 br_upstream_t *br_registry_find (br_registry_t *registry, br_str_t name);
 
+/* Returns the upstream at ADDRESS and PORT, or NULL; valid in the same way. */
+const br_upstream_t *br_registry_find_address (const br_registry_t *registry,
+                                               const char *address,
+                                               uint16_t port);
+
 /* Marks all incarnations of NAME up to INCARNATION as leaving, including ones
  * that are not in the registry yet.  Returns false if they already were. */
 bool br_registry_leave (br_registry_t *registry,
--- a/tests/fakes/fake_raw.c
+++ b/tests/fakes/fake_raw.c
@@ -1,6 +1,8 @@
 /* Fake upstream that answers with bytes from files, and that can write an
  * answer once more.  In an answer, %P stands for the first "content" of the
- * request.  Prints one JSON line for each answered request.
+ * request, and %C for its X-Contract-Id; a
+ * length in the answer is not adapted.  Prints one JSON line for each answered
+ * request.
  *
  * Answers to health and load requests are correct.  The first request gets the
  * first --answer, the next one the next; the last --answer is used again for
@@ -34,6 +36,7 @@
   AGAIN_NEVER,
   AGAIN_JOINED, /* right behind the answer */
   AGAIN_IDLE,   /* AGAIN_IDLE_MS later */
+  AGAIN_LATE,   /* when the next request has arrived, before its answer */
   AGAIN_EARLY,  /* when a part of the next request has arrived */
 } again_t;
 
@@ -87,12 +90,27 @@
   return br_str_make (at, end != NULL ? BR_MIN ((size_t)(end - at), 32) : 0);
 }
 
+static br_str_t
+request_contract (br_str_t request)
+{
+  static const char key[] = "X-Contract-Id: ";
+  const char *at = memmem (request.data, request.len, key, sizeof key - 1);
+  const char *end;
+
+  if (at == NULL)
+    return br_str_from ("none");
+  at += sizeof key - 1;
+  end = memchr (at, '\r', request.len - (size_t)(at - request.data));
+  return br_str_make (at, end != NULL ? (size_t)(end - at) : 0);
+}
+
 static void
 connection_answer (connection_t *connection, br_str_t request)
 {
   raw_t *raw = connection->raw;
   br_str_t answer = br_buf_str (&raw->answers[raw->next]);
   br_str_t content = request_content (request);
+  br_str_t contract = request_contract (request);
   struct timeval idle = { 0, AGAIN_IDLE_MS * 1000 };
   const char *mark;
 
@@ -101,13 +119,15 @@
   printf ("{\"event\":\"run\",\"content\":\"%.*s\"}\n", (int)content.len,
           content.data);
   fflush (stdout);
+  if (raw->again == AGAIN_LATE)
+    connection_write (connection, br_buf_str (&connection->last));
   br_buf_clear (&connection->last);
-  while ((mark = memmem (answer.data, answer.len, "%P", 2)) != NULL)
+  while ((mark = memchr (answer.data, '%', answer.len)) != NULL)
     {
       size_t before = (size_t)(mark - answer.data);
 
       br_buf_append (&connection->last, br_str_make (answer.data, before));
-      br_buf_append (&connection->last, content);
+      br_buf_append (&connection->last, mark[1] == 'C' ? contract : content);
       answer = br_str_make (mark + 2, answer.len - before - 2);
     }
   br_buf_append (&connection->last, answer);
@@ -253,7 +273,8 @@
   { "answer", 'f', "FILE", 0, "Bytes of the next answer", 0 },
   { "keep", 'k', NULL, 0, "Keep connections open", 0 },
   { "again", 'a', "WHEN", 0,
-    "Write answers once more: joined, idle, or early in the next request", 0 },
+    "Write answers once more: joined, idle, late or early in the next request",
+    0 },
   { 0 },
 };
 
@@ -277,6 +298,7 @@
     case 'a':
       raw->again = strcmp (arg, "early") == 0  ? AGAIN_EARLY
                    : strcmp (arg, "idle") == 0 ? AGAIN_IDLE
+                   : strcmp (arg, "late") == 0 ? AGAIN_LATE
                                                : AGAIN_JOINED;
       return 0;
     default:
--- a/tests/support/raw.sh
+++ b/tests/support/raw.sh
@@ -12,6 +12,7 @@
   printf 'data: [DONE]\n\n'
 }
 
+# The length counts %P as two characters, so prompts of two characters fit.
 # Prints a whole answer with the body of standard input: raw_answer STATUS
 # [HEADER...]
 raw_answer() {
