--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -4,25 +4,18 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 #include <inttypes.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <uthash.h>
 
 #include "shell/connection_pool.h"
 #include "shell/domain_task.h"
-#include "shell/http_call.h"
+#include "shell/upstream_check.h"
+#include "shell/upstream_http.h"
 #include "shell/upstream_watch.h"
 #include "upstream/sse.h"
 
-#define HOST_MAX 64
-
-/* Time limit of the health check that follows a failed attempt. */
-#define CHECK_TIMEOUT_MS 500
-
 /* Timeout of evhttp itself.  The timers of an attempt are shorter and end it
  * first. */
 #define HTTP_TIMEOUT_S 3600
@@ -41,11 +34,13 @@
   br_name_t upstream;
   char address[BR_UPSTREAM_ADDRESS_MAX];
   uint16_t port;
+  char contract[BR_NAME_MAX + 40];
   uint64_t content;
   struct evhttp_connection *connection; /* NULL while CHECKING */
   struct evhttp_request *request;
   bool reused; /* the connection has carried an earlier attempt */
   struct evbuffer_cb_entry *output_cb;
+  struct evbuffer_cb_entry *input_cb; /* only of a reused connection */
   struct event *timer;
   const char *step; /* "connect", "first token" or "token gap" */
   bool stream;
@@ -54,26 +49,19 @@
   br_ms_t not_after_ms;
   int http_error; /* evhttp's code, or -1 */
   br_sse_t sse;
-  bool checking;    /* it failed, and the upstream's health is checked */
-  br_error_t error; /* why it failed */
+  bool out_of_turn; /* bytes came before the request had been sent */
+  br_error_code_t fault_code;
+  const char *fault; /* it fails in the next iteration of the event loop */
+  bool checking;     /* it failed, and the upstream's health is checked */
+  br_error_t error;  /* why it failed */
   UT_hash_handle hh;
 } attempt_t;
 
-/* A health check, on a new connection, of an upstream at which attempts
- * failed. */
-typedef struct check
-{
-  br_upstream_task_t *task;
-  br_name_t upstream;
-  struct check *next;
-} check_t;
-
 struct br_upstream_task
 {
   br_node_t *node;
   br_connection_pool_t *pool;
-  br_http_calls_t *calls;
-  check_t *checks;
+  br_upstream_checks_t *checks;
   attempt_t *attempts;
   uint64_t last_number;
 };
@@ -111,14 +99,16 @@
 }
 
 static void
-attempt_remove_output_cb (attempt_t *attempt)
+attempt_remove_buffer_cbs (attempt_t *attempt)
 {
   struct bufferevent *bev
       = evhttp_connection_get_bufferevent (attempt->connection);
 
   if (attempt->output_cb != NULL)
     evbuffer_remove_cb_entry (bufferevent_get_output (bev), attempt->output_cb);
-  attempt->output_cb = NULL;
+  if (attempt->input_cb != NULL)
+    evbuffer_remove_cb_entry (bufferevent_get_input (bev), attempt->input_cb);
+  attempt->output_cb = attempt->input_cb = NULL;
 }
 
 /* Returns the connection to the pool when REUSE, otherwise closes it. */
@@ -129,7 +119,7 @@
 
   if (attempt->connection == NULL)
     return;
-  attempt_remove_output_cb (attempt);
+  attempt_remove_buffer_cbs (attempt);
   if (reuse)
     br_connection_pool_put (task->pool, attempt->address, attempt->port,
                             attempt->connection);
@@ -168,8 +158,8 @@
   message.attempt.may_have_run = attempt->output_started;
   message.attempt.error = attempt->error;
   message.attempt.upstream_answers
-      = answers && attempt_may_have_stalled (attempt);
-  if (message.attempt.upstream_answers)
+      = answers && (attempt->out_of_turn || attempt_may_have_stalled (attempt));
+  if (answers && attempt_may_have_stalled (attempt))
     {
       br_counters_add (&task->node->counters, BR_COUNTER_STALLED_CONNECTIONS,
                        1);
@@ -198,65 +188,24 @@
 }
 
 static void
-check_free (check_t *check)
+task_on_checked (void *context, const br_name_t *upstream, bool answers)
 {
-  check_t **at = &check->task->checks;
-
-  while (*at != check)
-    at = &(*at)->next;
-  *at = check->next;
-  free (check);
-}
-
-static void
-check_on_done (void *context, int status, br_str_t body)
-{
-  check_t *check = context;
-  br_upstream_task_t *task = check->task;
-  br_name_t upstream = check->upstream;
+  br_upstream_task_t *task = context;
   attempt_t *attempt;
   attempt_t *next;
 
-  (void)body;
-  check_free (check);
-  if (status == 0)
-    br_upstream_watch_set_down (task->node->upstream_watch, &upstream, true);
+  if (!answers)
+    br_upstream_watch_set_down (task->node->upstream_watch, upstream, true);
   HASH_ITER (hh, task->attempts, attempt, next)
   {
-    if (!attempt->checking || !br_name_equal (&attempt->upstream, &upstream))
+    if (!attempt->checking || !br_name_equal (&attempt->upstream, upstream))
       continue;
-    if (status == 0)
+    if (!answers)
       attempt_report_crash (attempt);
-    attempt_post_failure (attempt, status != 0);
+    attempt_post_failure (attempt, answers);
   }
 }
 
-/* Starts a health check of the upstream unless one is in progress. */
-static void
-task_check (br_upstream_task_t *task, const attempt_t *attempt)
-{
-  check_t *check;
-  br_http_call_options_t options = {
-    .address = attempt->address,
-    .port = attempt->port,
-    .method = EVHTTP_REQ_GET,
-    .path = "/health",
-    .timeout_ms = CHECK_TIMEOUT_MS,
-    .done = check_on_done,
-  };
-
-  for (check = task->checks; check != NULL; check = check->next)
-    if (br_name_equal (&check->upstream, &attempt->upstream))
-      return;
-  check = br_alloc_zero (sizeof *check);
-  check->task = task;
-  check->upstream = attempt->upstream;
-  check->next = task->checks;
-  task->checks = check;
-  options.context = check;
-  br_http_call (task->calls, &options);
-}
-
 /* Ends the exchange with the upstream.  BR_ATTEMPT_FAILED is posted when the
  * health check of the upstream has ended. */
 static void
@@ -273,7 +222,8 @@
   event_del (attempt->timer);
   attempt_release_connection (attempt, false);
   attempt->checking = true;
-  task_check (task, attempt);
+  br_upstream_checks_start (task->checks, &attempt->upstream, attempt->address,
+                            attempt->port);
 }
 
 static void
@@ -283,7 +233,51 @@
 
   (void)fd;
   (void)what;
-  attempt_fail (attempt, BR_ERROR_TIMEOUT, "no progress within the time limit");
+  if (attempt->fault != NULL)
+    attempt_fail (attempt, attempt->fault_code, attempt->fault);
+  else
+    attempt_fail (attempt, BR_ERROR_TIMEOUT,
+                  "no progress within the time limit");
+}
+
+/* Fails the attempt once evhttp no longer uses its request on the stack.  Until
+ * then the rest of the answer is ignored. */
+static void
+attempt_fail_soon (attempt_t *attempt, br_error_code_t code, const char *fault)
+{
+  if (attempt->fault != NULL)
+    return;
+  attempt->fault_code = code;
+  attempt->fault = fault;
+  event_active (attempt->timer, EV_TIMEOUT, 0);
+}
+
+static void
+attempt_fail_out_of_turn (attempt_t *attempt, size_t len, const char *fault)
+{
+  br_connection_pool_out_of_turn (attempt->task->pool, attempt->address,
+                                  attempt->port, len);
+  attempt->out_of_turn = true;
+  attempt_fail_soon (attempt, BR_ERROR_UPSTREAM, fault);
+}
+
+/* What a reused connection brings before the request has been sent whole is not
+ * the answer to it. */
+static void
+attempt_on_input (struct evbuffer *buffer,
+                  const struct evbuffer_cb_info *info,
+                  void *context)
+{
+  attempt_t *attempt = context;
+  struct bufferevent *bev
+      = evhttp_connection_get_bufferevent (attempt->connection);
+
+  (void)buffer;
+  if (info->n_added == 0 || attempt->fault != NULL
+      || evbuffer_get_length (bufferevent_get_output (bev)) == 0)
+    return;
+  attempt_fail_out_of_turn (attempt, info->n_added,
+                            "an answer began before the request had been sent");
 }
 
 static void
@@ -329,19 +323,31 @@
 
 /* Only a complete event restarts the time limit.  An upstream that sends single
  * bytes and completes no event has stalled and times out. */
-static bool
+static void
 attempt_take_events (attempt_t *attempt, br_str_t bytes)
 {
+  br_sse_result_t result;
   br_str_t data;
 
   if (!br_sse_feed (&attempt->sse, bytes))
-    return false;
-  while (br_sse_next (&attempt->sse, &data))
+    {
+      attempt->http_error = EVREQ_HTTP_DATA_TOO_LONG;
+      return;
+    }
+  while ((result = br_sse_next (&attempt->sse, &data)) == BR_SSE_EVENT)
     {
       attempt_restart_timer (attempt);
       attempt_post_data (attempt, BR_ATTEMPT_EVENT, data);
     }
-  return true;
+  if (result == BR_SSE_MORE)
+    return;
+  attempt->step = "read event";
+  if (result == BR_SSE_ERROR)
+    attempt_fail_soon (attempt, BR_ERROR_UPSTREAM,
+                       "the engine reports an error");
+  else
+    attempt_fail_soon (attempt, BR_ERROR_PROTOCOL,
+                       "a line belongs to no event");
 }
 
 static bool
@@ -359,14 +365,19 @@
   size_t len = evbuffer_get_length (input);
   br_str_t bytes = br_str_make ((const char *)evbuffer_pullup (input, -1), len);
 
+  if (attempt->fault != NULL)
+    {
+      evbuffer_drain (input, len);
+      return;
+    }
   attempt_open (attempt);
   if (!attempt_is_event_stream (attempt))
     {
       attempt_restart_timer (attempt);
       attempt_post_data (attempt, BR_ATTEMPT_BODY, bytes);
     }
-  else if (!attempt_take_events (attempt, bytes))
-    attempt->http_error = EVREQ_HTTP_DATA_TOO_LONG;
+  else
+    attempt_take_events (attempt, bytes);
   evbuffer_drain (input, len);
 }
 
@@ -378,38 +389,25 @@
   attempt->http_error = error;
 }
 
-static const char *
-http_error_text (int error)
-{
-  switch (error)
-    {
-    case EVREQ_HTTP_TIMEOUT:
-      return "timed out";
-    case EVREQ_HTTP_EOF:
-      return "the connection ended before the answer did";
-    case EVREQ_HTTP_INVALID_HEADER:
-      return "the answer is not HTTP";
-    case EVREQ_HTTP_BUFFER_ERROR:
-      return "the connection broke";
-    case EVREQ_HTTP_DATA_TOO_LONG:
-      return "the answer is too long";
-    default:
-      return "the connection could not be opened, or it broke";
-    }
-}
-
 static void
 attempt_on_done (struct evhttp_request *request, void *context)
 {
   attempt_t *attempt = context;
+  const char *fault = attempt->fault;
+  br_error_code_t code
+      = fault != NULL ? attempt->fault_code : BR_ERROR_UPSTREAM;
   const char *keep;
 
-  if (request == NULL || attempt->http_error >= 0
-      || evhttp_request_get_response_code (request) == 0)
+  if (fault == NULL
+      && (request == NULL || attempt->http_error >= 0
+          || evhttp_request_get_response_code (request) == 0))
+    fault = br_upstream_http_error_text (attempt->http_error);
+  if (fault == NULL)
+    fault = br_upstream_http_end_fault (request, attempt->stream);
+  if (fault != NULL)
     {
       attempt->request = NULL;
-      attempt_fail (attempt, BR_ERROR_UPSTREAM,
-                    http_error_text (attempt->http_error));
+      attempt_fail (attempt, code, fault);
       return;
     }
   attempt_open (attempt);
@@ -421,48 +419,29 @@
                 keep == NULL || evutil_ascii_strcasecmp (keep, "close"));
 }
 
-/* Acknowledges the head at once.  An engine that leaves Nagle's algorithm on
- * delays its first event until the head is acknowledged. */
-static void
-attempt_acknowledge_head (attempt_t *attempt)
-{
-  struct bufferevent *bev
-      = evhttp_connection_get_bufferevent (attempt->connection);
-  int on = 1;
-
-  setsockopt (bufferevent_getfd (bev), IPPROTO_TCP, TCP_QUICKACK, &on,
-              sizeof on);
-}
-
 static int
 attempt_on_head (struct evhttp_request *request, void *context)
 {
   attempt_t *attempt = context;
-
-  (void)request;
-  attempt_acknowledge_head (attempt);
-  attempt_open (attempt);
+  struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
+  const char *type = evhttp_find_header (headers, "Content-Type");
+  const char *contract = evhttp_find_header (headers, "X-Contract-Id");
+
+  br_upstream_http_acknowledge (attempt->connection);
+  if (contract != NULL && strcmp (contract, attempt->contract) != 0)
+    attempt_fail_out_of_turn (attempt, 0, "the answer to another request");
+  else if (type != NULL && attempt_is_event_stream (attempt)
+           && !br_sse_is_content_type (br_str_from (type)))
+    {
+      attempt->step = "read head";
+      attempt_fail_soon (attempt, BR_ERROR_PROTOCOL,
+                         "the answer is not an event stream");
+    }
+  if (attempt->fault == NULL)
+    attempt_open (attempt);
   return 0;
 }
 
-static void
-request_add_headers (struct evhttp_request *request,
-                     const br_attempt_options_t *options)
-{
-  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
-  char host[HOST_MAX];
-
-  snprintf (host, sizeof host, "%s:%u", options->address, options->port);
-  evhttp_add_header (headers, "Host", host);
-  evhttp_add_header (headers, "Connection", "keep-alive");
-  if (options->content_type != NULL)
-    evhttp_add_header (headers, "Content-Type", options->content_type);
-  if (options->contract != NULL)
-    evhttp_add_header (headers, "X-Contract-Id", options->contract);
-  if (options->idempotency_key != NULL)
-    evhttp_add_header (headers, "Idempotency-Key", options->idempotency_key);
-}
-
 static struct evhttp_request *
 attempt_new_request (attempt_t *attempt, const br_attempt_options_t *options)
 {
@@ -472,7 +451,7 @@
   evhttp_request_set_chunked_cb (request, attempt_on_chunk);
   evhttp_request_set_error_cb (request, attempt_on_error);
   evhttp_request_set_header_cb (request, attempt_on_head);
-  request_add_headers (request, options);
+  br_upstream_http_add_headers (request, options);
   evbuffer_add (evhttp_request_get_output_buffer (request), options->body.data,
                 options->body.len);
   return request;
@@ -514,12 +493,18 @@
   attempt->not_after_ms = options->not_after_ms;
   attempt->http_error = -1;
   attempt->content = options->content;
+  if (options->contract != NULL)
+    snprintf (attempt->contract, sizeof attempt->contract, "%s",
+              options->contract);
   attempt_connect (attempt, options);
   attempt->timer = evtimer_new (task->node->base, attempt_on_timer, attempt);
   HASH_ADD (hh, task->attempts, number, sizeof attempt->number, attempt);
   bev = evhttp_connection_get_bufferevent (attempt->connection);
   attempt->output_cb = evbuffer_add_cb (bufferevent_get_output (bev),
                                         attempt_on_output, attempt);
+  if (attempt->reused)
+    attempt->input_cb = evbuffer_add_cb (bufferevent_get_input (bev),
+                                         attempt_on_input, attempt);
   attempt_set_timer (attempt, "connect", task->node->settings.connect_ms);
   attempt->request = attempt_new_request (attempt, options);
   br_counters_add (&task->node->counters, BR_COUNTER_ATTEMPTS, 1);
@@ -558,14 +543,30 @@
   attempt_free (attempt, false);
 }
 
+static void
+task_on_out_of_turn (void *context,
+                     const char *address,
+                     uint16_t port,
+                     size_t len)
+{
+  br_upstream_task_t *task = context;
+  const br_upstream_t *upstream
+      = br_registry_find_address (&task->node->registry, address, port);
+
+  br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
+  BR_LOG (&task->node->log, "upstream", "out_of_turn",
+          br_field_z ("peer", upstream != NULL ? upstream->name.data : ""),
+          br_field_int ("bytes", (int64_t)len));
+}
+
 br_upstream_task_t *
 br_upstream_task_new (br_node_t *node)
 {
   br_upstream_task_t *task = br_alloc_zero (sizeof *task);
 
   task->node = node;
-  task->pool = br_connection_pool_new (node->base);
-  task->calls = br_http_calls_new (node->base);
+  task->pool = br_connection_pool_new (node->base, task_on_out_of_turn, task);
+  task->checks = br_upstream_checks_new (node->base, task_on_checked, task);
   return task;
 }
 
@@ -583,7 +584,7 @@
 
     if (connection != NULL)
       {
-        attempt_remove_output_cb (attempt);
+        attempt_remove_buffer_cbs (attempt);
         evhttp_connection_free (connection);
       }
     HASH_DEL (task->attempts, attempt);
@@ -591,9 +592,7 @@
     br_sse_free (&attempt->sse);
     free (attempt);
   }
-  br_http_calls_free (task->calls);
-  while (task->checks != NULL)
-    check_free (task->checks);
+  br_upstream_checks_free (task->checks);
   br_connection_pool_free (task->pool);
   free (task);
 }
--- a/src/shell/work_task.c
+++ b/src/shell/work_task.c
@@ -193,27 +193,55 @@
     br_work_try (task, work);
 }
 
+static void
+work_on_answered (br_work_task_t *task, br_work_t *work)
+{
+  work->answer.complete = true;
+  br_work_note_answered (task->node, work);
+  br_claim_task_on_answer (task->node->claims, work);
+  br_retry_task_success (task->node->retries);
+  br_work_end (task, work, BR_WORK_DONE);
+}
+
 static void
 work_on_failed_attempt (br_work_task_t *task,
                         br_work_t *work,
                         br_attempt_message_t *message)
 {
   work->may_have_run |= message->may_have_run;
+  if (work->answer.complete)
+    {
+      /* The connection broke behind the end of the stream. */
+      br_log_error (&task->node->log, "work", "failed_after_end",
+                    &message->error);
+      work_on_answered (task, work);
+      return;
+    }
   work->same_upstream = message->upstream_answers;
   work_on_failure (task, work, &message->error, message->may_have_run);
 }
 
-/* Fails the attempt: after data that is not an event, the rest of the engine's
- * stream cannot be trusted. */
+/* Fails the attempt: after an error, or data that is not an event, the rest of
+ * the engine's stream cannot be trusted. */
 static void
-work_on_bad_event (br_work_task_t *task, br_work_t *work, br_str_t data)
+work_on_bad_event (br_work_task_t *task,
+                   br_work_t *work,
+                   br_engine_event_t event,
+                   br_str_t data)
 {
   br_attempt_message_t failed = { .may_have_run = true };
 
-  br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
-  br_error_set (&failed.error, BR_ERROR_PROTOCOL, "read event",
-                work->upstream.data,
-                "event of %zu bytes is not JSON in valid UTF-8", data.len);
+  if (event == BR_ENGINE_EVENT_ERROR)
+    br_error_set (
+        &failed.error, BR_ERROR_UPSTREAM, "read event", work->upstream.data,
+        "the engine reports an error, in an event of %zu bytes", data.len);
+  else
+    {
+      br_counters_add (&task->node->counters, BR_COUNTER_PROTOCOL_ERRORS, 1);
+      br_error_set (&failed.error, BR_ERROR_PROTOCOL, "read event",
+                    work->upstream.data,
+                    "event of %zu bytes is not JSON in valid UTF-8", data.len);
+    }
   br_upstream_task_cancel (task->node->upstreams, work->attempt);
   br_work_detach_attempt (task, work);
   work_on_failed_attempt (task, work, &failed);
@@ -224,17 +252,21 @@
 {
   size_t offset = work->base_offset + work->received;
   br_answer_kind_t kind;
+  br_engine_event_t event;
   br_buf_t text = { 0 };
 
+  if (work->answer.complete)
+    return;
   if (br_str_equal (data, br_str_from ("[DONE]")))
     {
       work->answer.complete = true;
       return;
     }
-  if (!br_engine_event_read (data, &kind, &text))
+  event = br_engine_event_read (data, &kind, &text);
+  if (event != BR_ENGINE_EVENT_PART)
     {
       br_buf_free (&text);
-      work_on_bad_event (task, work, data);
+      work_on_bad_event (task, work, event, data);
       return;
     }
   if (work->received++ == 0)
@@ -254,11 +286,7 @@
   work->may_have_run = true;
   if (work->kind == BR_SERVICE_PLAIN || work->answer.complete)
     {
-      work->answer.complete = true;
-      br_work_note_answered (task->node, work);
-      br_claim_task_on_answer (task->node->claims, work);
-      br_retry_task_success (task->node->retries);
-      br_work_end (task, work, BR_WORK_DONE);
+      work_on_answered (task, work);
       return;
     }
   br_error_set (&err, BR_ERROR_UPSTREAM, "read answer", work->upstream.data,
