--- a/tests/replica_join_test.cc
+++ b/tests/replica_join_test.cc
@@ -281,3 +281,34 @@
         sim.check_outcomes ();
       }
 }
+
+/* "A voter that is gone goes first, so that the majority does not grow"
+ * (membership.c, design/platform.md): also if its successor comes at once. */
+TEST (ReplicaJoinReview, SuccessorThatComesAtOnceDoesNotGrowTheMajority)
+{
+  sim_options options = four_voters ();
+
+  options.heartbeat_ms = 80;
+  options.election_min_ms = 320;
+  options.election_max_ms = 640;
+  options.remove_unreachable_ms = 3000;
+  options.replace_silent_ms = 1000;
+  replica_sim sim (options);
+  ASSERT_GE (sim.run_to_leader (), 0);
+  size_t leader = (size_t)sim.find_leader ();
+  sim.crash (followers (sim, 4)[0]);
+  sim.run (200);
+  sim.add ({ leader });
+  br_ms_t began = sim.now ();
+  br_ms_t grown = 0;
+  for (int i = 0; i < 500; i++)
+    {
+      sim.run (10);
+      const br_config_t *config
+          = br_replica_log_config (br_replica_log (sim.vm (leader).replica));
+
+      grown += br_config_voters (config) > 4 ? 10 : 0;
+    }
+  EXPECT_EQ (grown, 0) << "five voters, one of them gone, for " << grown
+                       << " ms of " << sim.now () - began;
+}
