--- a/tests/replica_join_test.cc
+++ b/tests/replica_join_test.cc
@@ -312,3 +312,31 @@
   EXPECT_EQ (grown, 0) << "five voters, one of them gone, for " << grown
                        << " ms of " << sim.now () - began;
 }
+
+/* A first voter that was killed before the log was founded is restarted with
+ * the settings of that moment, in which Bootstrap is false. */
+TEST (ReplicaJoinReview, FirstVoterRestartedWithoutBootstrap)
+{
+  replica_sim sim (four_voters ());
+
+  sim.crash (3);
+  sim.run (500);
+  sim.vm (3).joins = true;
+  sim.set_seeds (3, { 0, 1, 2 });
+  sim.start (3);
+  EXPECT_GE (sim.run_to_leader (20000), 0) << standing (sim, 3) << "\n"
+                                           << sim.describe ();
+}
+
+/* The same if it is replaced by a VM at another address. */
+TEST (ReplicaJoinReview, FirstVoterReplacedBeforeTheLogIsFounded)
+{
+  replica_sim sim (four_voters ());
+
+  sim.crash (3);
+  sim.run (500);
+  size_t next = sim.add ({ 0, 1, 2 });
+  for (size_t i = 0; i < 3; i++)
+    sim.set_seeds (i, { (i + 1) % 3, (i + 2) % 3, next });
+  EXPECT_GE (sim.run_to_leader (20000), 0) << sim.describe ();
+}
