Take the vote of a VM whose successor has one after a second

With the fewest voters (three VMs, one disk) a dead voter cannot go first, so its successor got its vote beside it, and as nobody waited any more the dead one stayed for 3 s. After a dead leader the time counted from the election. The next loss, 4.02 s after the death, left two of four voters: no leader for good. And a successor that came within a second was admitted at once, so that five voters stood for 2.8 s.

A voter that was silent before another VM got its vote goes after 1 s. The last leader counts as silent since its last message, unless it voted for the new one. No VM gets a vote while a voter that could go first has missed two heartbeats.

--- a/src/replica/follower.c
+++ b/src/replica/follower.c
@@ -29,6 +29,7 @@
   if (!known || replica->role == BR_ROLE_CANDIDATE
       || replica->role == BR_ROLE_PRE_CANDIDATE)
     br_replica_become_follower (replica, message->term, &message->vm);
+  replica->last_leader = message->vm;
   replica->leader_last_seen_ms = replica->now;
   br_replica_reset_election (replica);
   return true;
--- a/src/replica/leader.c
+++ b/src/replica/leader.c
@@ -173,6 +173,22 @@
     }
 }
 
+/* The last leader has been silent since its last message. */
+static void
+leader_add_last_leader (br_replica_t *replica)
+{
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    {
+      const br_progress_t *progress = &replica->progresses.items[i];
+
+      if (br_name_equal (&progress->vm, &replica->last_leader))
+        br_silences_push (&replica->silences,
+                          (br_silence_t){ progress->vm, progress->disk,
+                                          replica->leader_last_seen_ms });
+    }
+  replica->last_leader = (br_name_t){ 0 };
+}
+
 void
 br_replica_lead (br_replica_t *replica)
 {
@@ -182,6 +198,7 @@
   replica->leads_since_ms = replica->now;
   replica->transfer_to = no_vm;
   br_tickets_clear (&replica->tickets);
+  leader_add_last_leader (replica);
   leader_drop_granted (replica);
   br_progresses_clear (&replica->progresses);
   leader_add_voters (replica);
--- a/src/replica/membership.c
+++ b/src/replica/membership.c
@@ -9,6 +9,9 @@
 /* A learner that answers nothing for this many heartbeats is dropped. */
 #define LEARNER_TIMEOUT_HEARTBEATS 100
 
+/* No VM gets a vote while a voter has not answered for this many heartbeats. */
+#define LATE_HEARTBEATS 2
+
 /* --- before the first configuration --- */
 
 static bool
@@ -345,12 +348,24 @@
                 < replica->options.election_min_ms;
 }
 
-/* Returns the voter that has been silent for longest, if that is longer than
- * LIMIT, or NULL.  It must have had time to answer this leader. */
+/* Returns for how long the voter of PROGRESS may be silent.  A VM that got its
+ * vote since then has taken its place. */
+static br_ms_t
+membership_silence_limit (const br_replica_t *replica,
+                          const br_progress_t *progress)
+{
+  br_ms_t since_ms = replica->now - br_replica_silent_ms (replica, progress);
+
+  return replica->grown_ms > since_ms ? replica->options.replace_silent_ms
+                                      : replica->options.remove_unreachable_ms;
+}
+
+/* Returns the voter that has been silent for longest, and for longer than it
+ * may, or NULL.  It must have had time to answer this leader. */
 static const br_progress_t *
 membership_silent_voter (const br_replica_t *replica,
                          const br_config_t *config,
-                         br_ms_t limit)
+                         bool vm_waits)
 {
   const br_progress_t *longest = NULL;
 
@@ -361,6 +376,8 @@
     {
       const br_progress_t *progress = &replica->progresses.items[i];
       br_ms_t silent_ms = br_replica_silent_ms (replica, progress);
+      br_ms_t limit = vm_waits ? replica->options.replace_silent_ms
+                               : membership_silence_limit (replica, progress);
 
       if (silent_ms > limit
           && br_config_is_voter (config, &progress->vm, progress->disk)
@@ -373,23 +390,45 @@
 
 /* Removes the vote of a VM that is gone; returns whether CONFIG was changed.
  * It would still count towards the size of every majority.  VOTERS_MIN voters
- * must stay, so that each majority holds more disks than may be lost. */
+ * must stay, so that each majority holds more disks than may be lost.  With
+ * VM_WAITS, another VM has caught up and takes its place. */
 static bool
 membership_remove_silent (const br_replica_t *replica,
                           br_config_t *config,
-                          br_ms_t limit)
+                          bool vm_waits)
 {
   const br_progress_t *silent;
 
-  if (limit == 0 || br_config_voters (config) <= replica->options.voters_min)
+  if (replica->options.remove_unreachable_ms == 0
+      || br_config_voters (config) <= replica->options.voters_min)
     return false;
-  silent = membership_silent_voter (replica, config, limit);
+  silent = membership_silent_voter (replica, config, vm_waits);
   if (silent == NULL)
     return false;
   br_config_remove (config, &silent->vm);
   return true;
 }
 
+/* Returns whether a voter may be gone that could still be removed first. */
+static bool
+membership_must_wait (const br_replica_t *replica, const br_config_t *config)
+{
+  br_ms_t late_ms = replica->options.heartbeat_ms * LATE_HEARTBEATS;
+
+  if (replica->options.remove_unreachable_ms == 0
+      || br_config_voters (config) <= replica->options.voters_min)
+    return false;
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    {
+      const br_progress_t *progress = &replica->progresses.items[i];
+
+      if (br_config_is_voter (config, &progress->vm, progress->disk)
+          && br_replica_silent_ms (replica, progress) > late_ms)
+        return true;
+    }
+  return false;
+}
+
 /* Gives a VM that has caught up a vote; returns whether CONFIG was changed.  A
  * voter that is gone goes first, so that the majority does not grow. */
 static bool
@@ -402,10 +441,10 @@
       learner = &replica->progresses.items[i];
   if (learner == NULL)
     return false;
-  if (membership_remove_silent (replica, config,
-                                replica->options.replace_silent_ms))
+  if (membership_remove_silent (replica, config, true))
     return true;
-  if (br_config_voters (config) >= BR_VOTERS_MAX)
+  if (br_config_voters (config) >= BR_VOTERS_MAX
+      || membership_must_wait (replica, config))
     return false;
   br_config_put (config,
                  (br_config_member_t){ learner->vm, learner->disk, true });
@@ -456,8 +495,7 @@
     return;
   br_config_copy (&config, br_replica_config (replica));
   if (membership_remove_replaced_disk (replica, &config)
-      || membership_remove_silent (replica, &config,
-                                   replica->options.remove_unreachable_ms)
+      || membership_remove_silent (replica, &config, false)
       || membership_admit (replica, &config))
     membership_change (replica, &config);
   br_config_release (&config);
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -130,7 +130,11 @@
 {
   br_entry_kind_t kind = entry.kind;
 
+  size_t voters = br_config_voters (br_replica_config (replica));
+
   br_replica_log_append (&replica->log, entry);
+  if (br_config_voters (br_replica_config (replica)) > voters)
+    replica->grown_ms = replica->now;
   replica->change++;
   if (kind == BR_ENTRY_CONFIG)
     br_replica_event (replica,
--- a/src/replica/replica_private.h
+++ b/src/replica/replica_private.h
@@ -112,6 +112,8 @@
   br_ms_t leader_last_seen_ms;
   br_ms_t election_at_ms;
   br_ms_t join_at_ms;
+  br_name_t last_leader;  /* that sent LEADER_LAST_SEEN_MS, or empty */
+  br_ms_t grown_ms;       /* when a VM last got a vote; 0: not known */
   br_silences_t silences; /* that the last leader knew; empty while leading */
   br_contacts_t contacts;
   br_ms_t join_answered_ms; /* last answer to a join request; 0: none */
