--- a/src/replica/accessors.c
+++ b/src/replica/accessors.c
@@ -68,7 +68,7 @@
     .voter = br_config_is_voter (br_replica_config (replica), &progress->vm,
                                  progress->disk),
     .matched = progress->match,
-    .last_seen_ms = BR_MAX (progress->last_seen_ms, progress->joined_ms),
+    .last_seen_ms = BR_MAX (progress->last_seen_ms, progress->since_ms),
   };
 }
 
--- a/src/replica/leader.c
+++ b/src/replica/leader.c
@@ -11,7 +11,7 @@
 br_replica_silent_ms (const br_replica_t *replica,
                       const br_progress_t *progress)
 {
-  return replica->now - BR_MAX (progress->last_seen_ms, progress->joined_ms);
+  return replica->now - BR_MAX (progress->last_seen_ms, progress->since_ms);
 }
 
 bool
@@ -151,7 +151,7 @@
           = br_replica_progress (replica, &silence->vm, silence->disk);
 
       if (progress != NULL)
-        progress->joined_ms = BR_MIN (progress->joined_ms, silence->since_ms);
+        progress->since_ms = BR_MIN (progress->since_ms, silence->since_ms);
     }
   br_silences_clear (&replica->silences);
 }
--- a/src/replica/membership.c
+++ b/src/replica/membership.c
@@ -474,7 +474,7 @@
     {
       br_progress_t *progress = &all->items[i];
       br_ms_t last_seen_ms
-          = BR_MAX (progress->last_seen_ms, progress->joined_ms);
+          = BR_MAX (progress->last_seen_ms, progress->since_ms);
 
       if (!br_config_is_voter (br_replica_config (replica), &progress->vm,
                                progress->disk)
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -115,7 +115,7 @@
     .vm = *vm,
     .disk = disk,
     .next = br_replica_log_last_index (&replica->log) + 1,
-    .joined_ms = replica->now,
+    .since_ms = replica->now,
     .join_number = replica->join_count,
   };
 
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -60,7 +60,8 @@
   br_ms_t remove_unreachable_ms; /* a voter without an answer for this long is
                                   * removed; 0: never */
   br_ms_t replace_silent_ms;     /* the same if a VM waits for its place */
-  size_t voters_min;             /* removals of these kinds leave this many */
+  size_t voters_min; /* removals of these kinds leave this many, so that a
+                      * majority has more disks than may be lost */
   uint64_t seed;
 } br_replica_options_t;
 
@@ -279,7 +280,8 @@
   br_name_t vm;
   bool voter;
   uint64_t matched;     /* match index */
-  br_ms_t last_seen_ms; /* or when this leader began to count */
+  br_ms_t last_seen_ms; /* send time of what it answered last; until it answers
+                         * this leader, when its silence began */
 } br_replica_follower_t;
 
 BR_VEC (br_replica_followers, br_replica_follower_t);
--- a/src/replica/replica_private.h
+++ b/src/replica/replica_private.h
@@ -19,7 +19,8 @@
   uint64_t match;
   uint64_t round;       /* latest round that it answered */
   br_ms_t last_seen_ms; /* send time of the latest message that it answered */
-  br_ms_t joined_ms; /* when it was added, or since when it was silent then */
+  br_ms_t since_ms; /* when it was added, or when its silence began if it was
+                     * silent under the last leader */
   uint64_t join_number;    /* number of followers added before it */
   uint64_t reset_round;    /* first round after NEXT was last decreased */
   uint64_t snapshot_index; /* of the snapshot being sent; 0: none */
--- a/tests/replica_model.h
+++ b/tests/replica_model.h
@@ -499,7 +499,7 @@
 
         put (out, { (uint64_t)p->granted, p->next, p->match,
                     relative (p->last_seen_ms, vm.now),
-                    relative (p->joined_ms, vm.now) });
+                    relative (p->since_ms, vm.now) });
       }
     for (size_t i = r->outbox_head; i < r->outbox.len; i++)
       {
