Count a request as sent when the peer has acknowledged it

Whether it is sent is asked of the system now (SIOCOUTQ): an answer that comes while the peer has not acknowledged the whole request is not the answer to it. An answer's own segment acknowledges what its sender had received, so a proper answer is not affected.

--- a/src/shell/connection_pool.c
+++ b/src/shell/connection_pool.c
@@ -3,9 +3,11 @@
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <linux/sockios.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <uthash.h>
 
@@ -141,6 +143,17 @@
   return len + (more > 0 ? (size_t)more : 0);
 }
 
+bool
+br_connection_has_unsent (struct evhttp_connection *connection)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
+  int queued = 0;
+
+  if (evbuffer_get_length (bufferevent_get_output (bev)) > 0)
+    return true;
+  return ioctl (bufferevent_getfd (bev), SIOCOUTQ, &queued) == 0 && queued > 0;
+}
+
 static void
 pooled_on_read (struct bufferevent *bev, void *context)
 {
--- a/src/shell/connection_pool.h
+++ b/src/shell/connection_pool.h
@@ -53,6 +53,10 @@
                                      uint16_t port,
                                      size_t len);
 
+/* Returns whether bytes that were written to the connection have not reached
+ * the peer: they are buffered here, or its system has not acknowledged them. */
+bool br_connection_has_unsent (struct evhttp_connection *connection);
+
 /* Frees the connection in the next iteration of the event loop, because evhttp
  * may still use it on the stack. */
 void br_connection_free_later (struct event_base *base,
--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -269,12 +269,10 @@
                   void *context)
 {
   attempt_t *attempt = context;
-  struct bufferevent *bev
-      = evhttp_connection_get_bufferevent (attempt->connection);
 
   (void)buffer;
   if (info->n_added == 0 || attempt->fault != NULL
-      || evbuffer_get_length (bufferevent_get_output (bev)) == 0)
+      || !br_connection_has_unsent (attempt->connection))
     return;
   attempt_fail_out_of_turn (attempt, info->n_added,
                             "an answer began before the request had been sent");
