--- a/src/shell/control_sizing.c
+++ b/src/shell/control_sizing.c
@@ -319,7 +319,6 @@
                   &duties->order.group.failure_domain)
         ->shrunk_ms
         = now;
-  state->short_since_ms = 0;
   if (status == 200)
     state->desired_count = duties->order.desired_count;
   else if (status == 409)
@@ -351,42 +350,29 @@
                   duties);
 }
 
-/* What is to run in one failure domain, of one kind. */
-typedef struct
-{
-  bool spot;
-  int desired_count;
-  int running;
-  br_ms_t boot_ms;
-} target_t;
-
 static bool
 order_try (br_control_duties_t *duties,
            upstream_group_t *group,
-           const target_t *target,
+           bool spot,
+           int desired_count,
            br_ms_t now)
 {
-  order_state_t *state = target->spot ? &group->spot : &group->on_demand;
-  bool is_unfilled
-      = br_sizing_is_unfilled (state->desired_count, target->running,
-                               target->boot_ms, now, &state->short_since_ms);
-  bool is_repeat = target->desired_count == state->desired_count;
-
-  if ((is_repeat && !is_unfilled) || now < state->retry_ms
-      || (target->desired_count >= state->desired_count
+  order_state_t *state = spot ? &group->spot : &group->on_demand;
+
+  if (desired_count == state->desired_count || now < state->retry_ms
+      || (desired_count > state->desired_count
           && now < state->refused_until_ms))
     return false;
   duties->order = (order_t){ .group = *group,
-                             .spot = target->spot,
-                             .desired_count = target->desired_count };
+                             .spot = spot,
+                             .desired_count = desired_count };
   duties->order_state = BR_CALL_CONFIRMING;
   duties->order_ticket = br_replica_task_read (duties->task->node->replica);
   return true;
 }
 
-/* Starts the first order whose number differs from the last one ordered, or
- * that was not filled. Orders for more upstreams come before orders for fewer.
- */
+/* Starts the first order whose number differs from the last one ordered. Orders
+ * for more upstreams come before orders for fewer. */
 static bool
 size_service (br_control_duties_t *duties,
               const br_site_service_t *service,
@@ -404,23 +390,11 @@
         upstream_group_t *group
             = duties_group (duties, &service->name, &domain->failure_domain);
 
-        target_t spot = {
-          .spot = true,
-          .desired_count = targets[i].spot,
-          .running = domain->spot,
-          .boot_ms = service->scaling.boot_ms,
-        };
-        target_t on_demand = {
-          .desired_count = targets[i].on_demand,
-          .running = domain->on_demand,
-          .boot_ms = service->scaling.boot_ms,
-        };
-
         if ((targets[i].spot < domain->spot) == (fewer == 1)
-            && order_try (duties, group, &spot, now))
+            && order_try (duties, group, true, targets[i].spot, now))
           return true;
         if ((targets[i].on_demand < domain->on_demand) == (fewer == 1)
-            && order_try (duties, group, &on_demand, now))
+            && order_try (duties, group, false, targets[i].on_demand, now))
           return true;
       }
   return false;
--- a/src/site/sizing.c
+++ b/src/site/sizing.c
@@ -9,9 +9,6 @@
 /* Maximum utilisation of an upstream's slots, on average. */
 #define SLOTS_UTILISATION_MAX 0.5
 
-/* Time after their boot within which VMs are listed, in milliseconds. */
-#define LISTED_DELAY_MS 3000
-
 /* Failure domains that may lose their reclaimable VMs at about the same time.
  */
 #define DOMAINS_LOST 2
@@ -42,21 +39,6 @@
   return draining > 0 && draining * 2 > all;
 }
 
-bool
-br_sizing_is_unfilled (int ordered,
-                       int running,
-                       br_ms_t boot_ms,
-                       br_ms_t now,
-                       br_ms_t *short_since_ms)
-{
-  if (running >= ordered)
-    *short_since_ms = 0;
-  else if (*short_since_ms == 0)
-    *short_since_ms = now;
-  return running < ordered
-         && now - *short_since_ms >= boot_ms + LISTED_DELAY_MS;
-}
-
 int
 br_sizing_max (const br_scaling_limits_t *limits)
 {
--- a/src/site/sizing.h
+++ b/src/site/sizing.h
@@ -47,18 +47,6 @@
 void br_sizing_decide (const br_sizing_query_t *query,
                        br_sizing_target_t *targets);
 
-/* Returns whether fewer VMs of one kind and failure domain than ORDERED have
- * been RUNNING for longer than they take to boot and to be listed.
- * *SHORT_SINCE_MS is since when; 0: enough run.
- *
- * The platform fills an order as far as its limit for both kinds together
- * allows at that moment, and does not return to it later. */
-bool br_sizing_is_unfilled (int ordered,
-                            int running,
-                            br_ms_t boot_ms,
-                            br_ms_t now,
-                            br_ms_t *short_since_ms);
-
 /* The load on a service and the capacity of one upstream. */
 typedef struct
 {
