--- a/tests/replica_sim.h
+++ b/tests/replica_sim.h
@@ -22,6 +22,18 @@
   std::map<uint64_t, std::string> entries; /* packed records by index */
 };
 
+/* What a write changes on a disk once it is done. */
+struct sim_write
+{
+  uint64_t change = 0; /* of the replica */
+  bool has_hard_state = false;
+  br_hard_state_t hard_state = {};
+  bool has_snapshot = false; /* it replaces all entries */
+  std::string snapshot;
+  uint64_t first = 0; /* entries from here on are replaced, unless none is */
+  std::map<uint64_t, std::string> entries;
+};
+
 struct sim_message
 {
   size_t from;
@@ -45,8 +57,7 @@
   uint64_t last_ticket = 0;
   std::string state; /* hash chain of the applied entries */
   bool writing = false;
-  br_replica_writes_t writes = {};
-  sim_disk written; /* the disk once the write is done */
+  sim_write write;
   br_ms_t written_at = 0;
   std::set<uint64_t> led_terms;
 };
@@ -491,26 +502,25 @@
   begin_write (sim_vm &vm)
   {
     const br_replica_log_t *log = br_replica_log (vm.replica);
-    sim_disk &disk = vm.written;
+    br_replica_writes_t writes;
+    sim_write write;
 
-    if (vm.writing || !br_replica_take_writes (vm.replica, &vm.writes))
+    if (vm.writing || !br_replica_take_writes (vm.replica, &writes))
       return;
-    disk = vm.disk;
-    if (vm.writes.has_hard_state)
-      disk.hard_state = vm.writes.hard_state;
-    if (vm.writes.snapshot != nullptr)
+    write.change = writes.change;
+    write.has_hard_state = writes.has_hard_state;
+    write.hard_state = writes.hard_state;
+    if (writes.snapshot != nullptr)
       {
         br_buf_t out = {};
 
-        br_replica_snapshot_pack (vm.writes.snapshot, &out);
-        disk.snapshot.assign (out.data, out.len);
-        disk.entries.clear ();
+        br_replica_snapshot_pack (writes.snapshot, &out);
+        write.has_snapshot = true;
+        write.snapshot.assign (out.data, out.len);
         br_buf_free (&out);
       }
-    if (vm.writes.first <= vm.writes.last)
-      disk.entries.erase (disk.entries.lower_bound (vm.writes.first),
-                          disk.entries.end ());
-    for (uint64_t i = vm.writes.first; i <= vm.writes.last; i++)
+    write.first = writes.first;
+    for (uint64_t i = writes.first; i <= writes.last; i++)
       {
         br_record_t record = {};
         br_buf_t out = {};
@@ -518,9 +528,10 @@
         record.kind = BR_RECORD_ENTRY;
         record.entry = *br_replica_log_entry (log, i);
         br_record_pack (&record, &out);
-        disk.entries[i].assign (out.data, out.len);
+        write.entries[i].assign (out.data, out.len);
         br_buf_free (&out);
       }
+    vm.write = std::move (write);
     vm.writing = true;
     vm.written_at
         = now_
@@ -530,11 +541,23 @@
   void
   end_write (sim_vm &vm)
   {
+    sim_write &write = vm.write;
+
     if (!vm.writing || now_ < vm.written_at)
       return;
     vm.writing = false;
-    vm.disk = vm.written;
-    br_replica_persisted (vm.replica, now_, vm.writes.change);
+    if (write.has_hard_state)
+      vm.disk.hard_state = write.hard_state;
+    if (write.has_snapshot)
+      {
+        vm.disk.snapshot = std::move (write.snapshot);
+        vm.disk.entries.clear ();
+      }
+    if (!write.entries.empty ())
+      vm.disk.entries.erase (vm.disk.entries.lower_bound (write.first),
+                             vm.disk.entries.end ());
+    vm.disk.entries.merge (write.entries);
+    br_replica_persisted (vm.replica, now_, write.change);
   }
 
   void
@@ -729,14 +752,14 @@
     now_++;
     for (size_t m = 0; m < network_.size ();)
       {
-        sim_message message = network_[m];
-        sim_vm &vm = vms_[message.to];
+        const sim_vm &vm = vms_[network_[m].to];
 
-        if (message.at > now_ || (vm.up && vm.frozen))
+        if (network_[m].at > now_ || (vm.up && vm.frozen))
           {
             m++;
             continue;
           }
+        sim_message message = std::move (network_[m]);
         network_.erase (network_.begin () + (long)m);
         if (vm.up && !cut_[message.from][message.to])
           deliver (message);
