Test: wait for the leader's metric before a VM joins without it

A control VM sets briarrack_leads at its next tick after it was elected; the test asked once, right after a configuration had been acknowledged. That there is a leader is what the test needs first, not what it checks: the bound of 4 s for the read at the new VM stays.

--- a/tests/process/platform_join_without_leader.sh
+++ b/tests/process/platform_join_without_leader.sh
@@ -18,8 +18,9 @@
 all_members() { [ "$(platform_members 1 | wc -w)" = 4 ]; }
 platform_wait all_members || site_fail "members: $(platform_members 1)"
 
-leader=$(platform_leader 1 2 3 4)
-[ -n "$leader" ] || site_fail "no leader"
+leader=
+finds_leader() { leader=$(platform_leader 1 2 3 4); }
+platform_wait finds_leader || site_fail "no leader"
 others=$(for i in 1 2 3 4; do [ "$i" = "$leader" ] || echo "$i"; done)
 # shellcheck disable=SC2086
 platform_join 5 $others
