--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -167,7 +167,7 @@
     }
   if (status_means_not_run (outcome->status))
     {
-      /* The upstream does not state it, so the caller must not be told. */
+      /* The upstream does not say that the request has not run. */
       br_exchange_count_usage (exchange);
       br_exchange_fail_attempt (exchange, "unavailable", true,
                                 has_retry_after ? BR_RESULT_RETRY_AFTER
