Platform path: end a stream whose event is too long

An upstream that sent one event without end was read until the request's deadline: callers got 504 after 4 s, and the entry VM kept all that came, 36 MB for four requests in 4 s beside a load of 50 and without a bound otherwise. Each read also looked through the whole event again.

--- a/src/site/event_stream.c
+++ b/src/site/event_stream.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "upstream/sse.h"
+
 /* Equal steps between ids after which a longer one means that events are
  * missing.  Before that the upstream may count something other than events. */
 #define STEPS_MIN 2
@@ -157,8 +159,6 @@
 {
   br_event_fault_t fault = BR_EVENT_FAULT_NONE;
 
-  if (!event->valid)
-    return BR_EVENT_FAULT_FIELD;
   if (event->id.len > 0)
     fault = stream_check_id (stream, event->id);
   else if (event->has_data && stream->resumed)
@@ -204,10 +204,12 @@
                         br_str_make (stream->pending.data + whole,
                                      stream->pending.len - whole),
                         &event);
-      if (len > 0)
-        stream->fault = stream_add_event (stream, &event);
-      else if (!event.valid)
+      if (!event.valid)
         stream->fault = BR_EVENT_FAULT_FIELD;
+      else if ((len > 0 ? len : stream->pending.len - whole) > BR_SSE_EVENT_MAX)
+        stream->fault = BR_EVENT_FAULT_LONG;
+      else if (len > 0)
+        stream->fault = stream_add_event (stream, &event);
       if (stream->fault == BR_EVENT_FAULT_NONE)
         whole += len;
     }
--- a/src/site/event_stream.h
+++ b/src/site/event_stream.h
@@ -15,7 +15,8 @@
   X (FIELD, "not_an_event")     /* a line is no field of an event */           \
   X (ORDER, "event_order")      /* an id does not rise */                      \
   X (MISSING, "event_missing")  /* the resume leaves out events */             \
-  X (NO_ID, "event_without_id") /* the resume cannot be placed */
+  X (NO_ID, "event_without_id") /* the resume cannot be placed */              \
+  X (LONG, "event_too_long")    /* over BR_SSE_EVENT_MAX bytes */
 
 typedef enum
 {
--- a/tests/events_session.c
+++ b/tests/events_session.c
@@ -1,6 +1,7 @@
 /* Splits streams of events from a script and prints each line with the
- * answers.  A line is one of: new, after ID, bytes TEXT (with \n and \r), cut
- * (the upstream's part ends), end, type CONTENT-TYPE. */
+ * answers.  A line is one of: new, after ID, bytes TEXT (with \n and \r),
+ * fill N [TEXT] (N bytes of one line, and TEXT), cut (the upstream's part
+ * ends), end, type CONTENT-TYPE. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -19,16 +20,23 @@
       putchar (str.data[i]);
 }
 
+/* Appends TEXT, in which \n and \r stand for line ends. */
 static void
-take (br_event_stream_t *stream, const char *text)
+append_text (br_buf_t *bytes, const char *text)
 {
-  br_buf_t bytes = { 0 };
-
   for (const char *at = text; *at != '\0'; at++)
     if (at[0] == '\\' && (at[1] == 'n' || at[1] == 'r'))
-      br_buf_append_char (&bytes, *++at == 'n' ? '\n' : '\r');
+      br_buf_append_char (bytes, *++at == 'n' ? '\n' : '\r');
     else
-      br_buf_append_char (&bytes, *at);
+      br_buf_append_char (bytes, *at);
+}
+
+static void
+take (br_event_stream_t *stream, const char *text)
+{
+  br_buf_t bytes = { 0 };
+
+  append_text (&bytes, text);
   printf ("  passes \"");
   print_str (br_event_stream_take (stream, br_buf_str (&bytes)));
   printf ("\", last id \"");
@@ -40,6 +48,24 @@
   br_buf_free (&bytes);
 }
 
+/* Takes the number of bytes that REST begins with and the text after it, and
+ * prints how many bytes are passed. */
+static void
+take_filler (br_event_stream_t *stream, const char *rest)
+{
+  br_buf_t bytes = { 0 };
+  char *text;
+  size_t len = strtoul (rest, &text, 10);
+
+  while (bytes.len < len)
+    br_buf_append_char (&bytes, 'x');
+  append_text (&bytes, text + strspn (text, " "));
+  printf ("  passes %zu bytes, %s\n",
+          br_event_stream_take (stream, br_buf_str (&bytes)).len,
+          br_event_fault_name (br_event_stream_fault (stream)));
+  br_buf_free (&bytes);
+}
+
 static void
 print_end (const br_event_stream_t *stream)
 {
@@ -76,6 +102,8 @@
         br_event_stream_begin_after (&stream, br_str_from (rest));
       else if (strcmp (line, "bytes") == 0)
         take (&stream, rest);
+      else if (strcmp (line, "fill") == 0)
+        take_filler (&stream, rest);
       else if (strcmp (line, "cut") == 0)
         br_event_stream_discard (&stream);
       else if (strcmp (line, "end") == 0)
--- a/tests/fakes/fake_broken.c
+++ b/tests/fakes/fake_broken.c
@@ -30,6 +30,9 @@
 #define OK "HTTP/1.1 200 OK\r\n"
 #define EVENTS OK "Content-Type: text/event-stream\r\n"
 
+/* The head of a stream on the platform, which ends with its connection. */
+#define SIGNED_EVENTS EVENTS "X-Server-Stamp: s\r\nConnection: close\r\n\r\n"
+
 /* Most bytes of an endless answer in the output buffer. */
 #define OUTPUT_BYTES_MAX (256 * 1024)
 
@@ -48,6 +51,12 @@
   { .name = "endless-body",
     .head = EVENTS "Connection: close\r\n\r\n",
     .repeat = FILLER_256 },
+  { .name = "endless-event",
+    .head = SIGNED_EVENTS "id: 1\ndata: ",
+    .repeat = FILLER_256 },
+  { .name = "endless-events",
+    .head = SIGNED_EVENTS,
+    .repeat = "data: " FILLER_256 "\n\n" },
   { .name = "trickle",
     .head = EVENTS "Transfer-Encoding: chunked\r\n\r\n6\r\ndata: \r\n",
     .repeat = "1\r\nx\r\n",
--- /dev/null
+++ b/tests/process/platform_endless_stream.sh
@@ -0,0 +1,57 @@
+# Checks that an upstream which sends an endless event, or endless events to callers that
+# read slowly, does not fill the memory of the entry VM: the connection is closed, and
+# other requests are served meanwhile.  Usage: platform_endless_stream.sh BUILD
+set -u
+BUILD=$1
+BASE_PORT=30410
+. "$(dirname "$0")/../support/platform_site.sh"
+
+# Limit on the memory of the entry VM above idle, in KB, and number of concurrent
+# requests to the endless upstreams.
+MEMORY_KB=65536
+AT_ONCE=4
+
+# Without these options the sanitizer keeps freed memory, which would count.
+export ASAN_OPTIONS=quarantine_size_mb=1:thread_local_quarantine_size_kb=64
+
+memory_kb() { sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$(site_pid entry-1)/status"; }
+
+platform_up 3 1
+platform_request 1 before /look/good | grep -q '^200$' || site_fail "no answer before the fault"
+idle=$(memory_kb)
+failed=
+runners="r1 r2"
+for fault in endless-event endless-events; do
+  # shellcheck disable=SC2086
+  site_kill $runners
+  runners="$fault-1 $fault-2"
+  for i in 1 2; do
+    site_start "$fault-$i" "$BUILD/fake_broken" --port $((BASE_PORT + 3 + i)) --fault "$fault"
+  done
+  sleep 1.5 # the entry VM has to detect that they are up again
+  pids=()
+  for i in $(seq $AT_ONCE); do
+    platform_request 1 "$fault-$i" /draft/any -X POST -d "body $i" --limit-rate 100k \
+      -o /dev/null > "$SITE/$fault-$i.status" &
+    pids+=($!)
+  done
+  sleep 0.3
+  for i in 1 2 3; do
+    platform_request 1 "$fault-other-$i" /look/good | grep -q '^200$' ||
+      failed="$failed $fault: another request was not answered."
+  done
+  wait "${pids[@]}"
+  sleep 1
+  broken=$(cat "$SITE/$fault"-[12].out | grep -c '"broken"')
+  closed=$(cat "$SITE/$fault"-[12].out | grep -c '"closed"')
+  [ "$broken" -ge 1 ] || failed="$failed $fault: the upstreams got no request."
+  [ "$closed" = "$broken" ] || failed="$failed $fault: $closed of $broken connections closed."
+  used=$(($(memory_kb) - idle))
+  echo "$fault: $broken sent, $closed closed, status $(sort -u "$SITE/$fault"-*.status | paste -sd ,), $used KB above idle so far" >&2
+  [ "$used" -le "$MEMORY_KB" ] || failed="$failed $fault: $used KB above idle."
+done
+# An endless event fails when it is too long, not at the request's deadline of 4 s.
+sort -u "$SITE"/endless-event-*.status | grep -qx 502 ||
+  failed="$failed endless-event: status $(sort -u "$SITE"/endless-event-*.status | paste -sd ,)."
+[ -z "$failed" ] || site_fail "$failed"
+echo "endless events do not fill the memory"
