Platform path: allow events of 256 KB

Fifty requests to an upstream that sends an endless event kept up to 1 MiB each, and twice that while the buffer grows; an entry VM has 160 to 260 MB. Events of model runners have some hundred bytes.

--- a/src/site/event_stream.c
+++ b/src/site/event_stream.c
@@ -3,8 +3,6 @@
 #include <string.h>
 #include <strings.h>
 
-#include "upstream/sse.h"
-
 /* Equal steps between ids after which a longer one means that events are
  * missing.  Before that the upstream may count something other than events. */
 #define STEPS_MIN 2
@@ -206,7 +204,7 @@
                         &event);
       if (!event.valid)
         stream->fault = BR_EVENT_FAULT_FIELD;
-      else if ((len > 0 ? len : stream->pending.len - whole) > BR_SSE_EVENT_MAX)
+      else if ((len > 0 ? len : stream->pending.len - whole) > BR_EVENT_MAX)
         stream->fault = BR_EVENT_FAULT_LONG;
       else if (len > 0)
         stream->fault = stream_add_event (stream, &event);
--- a/src/site/event_stream.h
+++ b/src/site/event_stream.h
@@ -9,6 +9,9 @@
 
 BR_BEGIN_DECLS
 
+/* Longest event that is passed on, in bytes. */
+#define BR_EVENT_MAX (256 * 1024)
+
 /* X (id, name) */
 #define BR_EVENT_FAULT_TABLE(X)                                                \
   X (NONE, "none")                                                             \
@@ -16,7 +19,7 @@
   X (ORDER, "event_order")      /* an id does not rise */                      \
   X (MISSING, "event_missing")  /* the resume leaves out events */             \
   X (NO_ID, "event_without_id") /* the resume cannot be placed */              \
-  X (LONG, "event_too_long")    /* over BR_SSE_EVENT_MAX bytes */
+  X (LONG, "event_too_long")    /* over BR_EVENT_MAX bytes */
 
 typedef enum
 {
