Platform path: read a stream no faster than its caller

An upstream that sends faster than the caller reads filled the memory of the entry VM: 162 MB above idle with 50 requests, and the connection was dropped after 4 MB or never. While a caller has 256 KB to receive, the upstream's answer is not read; it goes on when all of it was sent. A pause of our own is not a stall of the upstream.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -31,6 +31,7 @@
   client_state_t state;
   bool connected;
   size_t request_len; /* bytes of the request in progress */
+  bool paused;        /* the response is not read for now */
   bool skipping;      /* the current response is discarded */
   bool skipped;       /* a response to another request was */
   size_t n_responses; /* heads reported */
@@ -165,7 +166,7 @@
   bool alive = true;
 
   client->in_callback++;
-  while (alive && client->state == CLIENT_BUSY)
+  while (alive && client->state == CLIENT_BUSY && !client->paused)
     {
       size_t len = evbuffer_get_length (input);
       const char *data = (const char *)evbuffer_pullup (input, -1);
@@ -293,6 +294,23 @@
   client->skipped = true;
 }
 
+void
+br_http_client_pause (br_http_client_t *client, bool paused)
+{
+  if (client->paused == paused || client->state != CLIENT_BUSY)
+    return;
+  client->paused = paused;
+  if (paused)
+    {
+      bufferevent_disable (client->bev, EV_READ);
+      return;
+    }
+  bufferevent_enable (client->bev, EV_READ);
+  /* What was read before the pause. */
+  bufferevent_trigger (client->bev, EV_READ,
+                       BEV_TRIG_IGNORE_WATERMARKS | BEV_OPT_DEFER_CALLBACKS);
+}
+
 bool
 br_http_client_is_first_response (const br_http_client_t *client)
 {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -75,6 +75,10 @@
  * responses. */
 void br_http_client_skip (br_http_client_t *client);
 
+/* Stops reading the response, or goes on reading it.  Its upstream can send no
+ * more than the buffers of the connection hold meanwhile. */
+void br_http_client_pause (br_http_client_t *client, bool paused);
+
 /* Returns whether the response whose head was reported last is the first one on
  * the connection.  Interim responses are not counted. */
 bool br_http_client_is_first_response (const br_http_client_t *client);
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -187,10 +187,13 @@
 on_write (struct bufferevent *bev, void *context)
 {
   br_http_conn_t *conn = context;
+  const br_http_server_options_t *options = &conn->server->options;
 
   if (evbuffer_get_length (bufferevent_get_output (bev)) > 0)
     return;
-  if (conn->state == BR_HTTP_CONN_FLUSHING)
+  if (conn->state == BR_HTTP_CONN_STREAMING && options->on_drained != NULL)
+    options->on_drained (options->context, conn);
+  else if (conn->state == BR_HTTP_CONN_FLUSHING)
     conn_free (conn);
   else if (conn->state == BR_HTTP_CONN_LINGERING)
     shutdown (bufferevent_getfd (bev), SHUT_WR);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -44,6 +44,9 @@
   /* Called when the connection ends before the answer is complete.  CONN must
    * not be used afterwards. */
   void (*on_disconnect) (void *context, br_http_conn_t *conn);
+
+  /* Called when all pieces of an answer so far were sent; may be NULL. */
+  void (*on_drained) (void *context, br_http_conn_t *conn);
   void *context;
 } br_http_server_options_t;
 
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -453,6 +453,13 @@
   br_exchange_on_disconnect (conn);
 }
 
+static void
+task_on_drained (void *context, br_http_conn_t *conn)
+{
+  (void)context;
+  br_exchange_on_drained (conn);
+}
+
 static bool
 task_listen (br_entry_task_t *task, br_error_t *err)
 {
@@ -470,6 +477,7 @@
     },
     .on_request = task_on_request,
     .on_disconnect = task_on_disconnect,
+    .on_drained = task_on_drained,
     .context = task,
   };
 
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -99,7 +99,7 @@
 
   if (!br_http_client_is_connected (exchange->client))
     return exchange->sent_ms + CONNECT_MS;
-  if (!br_exchange_may_repeat (exchange))
+  if (exchange->paused || !br_exchange_may_repeat (exchange))
     return exchange->until_ms;
   if (br_domain_health_is_unreachable (
           &exchange->task->fleet.domains,
@@ -456,6 +456,12 @@
   return exchange->had_first_event ? BR_RESULT_STALLED : BR_RESULT_LATE;
 }
 
+void
+br_exchange_check_later (br_exchange_t *exchange)
+{
+  br_exchange_set_timer (exchange, exchange_next_check_ms (exchange));
+}
+
 void
 br_exchange_on_timer (evutil_socket_t fd, short what, void *context)
 {
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -8,6 +8,10 @@
 /* Longest plain answer, in bytes. */
 #define PLAIN_ANSWER_MAX (16 * 1024 * 1024)
 
+/* While a caller has more bytes than this to receive, no more of its answer is
+ * read. */
+#define CALLER_BACKLOG_MAX (256 * 1024)
+
 static void
 exchange_forward_head (br_exchange_t *exchange,
                        br_http_headers_t *headers,
@@ -75,6 +79,11 @@
       exchange->version = exchange->attempt_version;
     }
   br_http_conn_write (exchange->conn, events);
+  if (br_http_conn_unsent (exchange->conn) > CALLER_BACKLOG_MAX)
+    {
+      exchange->paused = true;
+      br_http_client_pause (exchange->client, true);
+    }
   exchange_record_gap (exchange);
   br_counters_add (&exchange->task->node->counters, BR_COUNTER_BYTES_STREAMED,
                    events.len);
@@ -325,6 +334,19 @@
                               BR_RESULT_FAILED);
 }
 
+void
+br_exchange_on_drained (br_http_conn_t *conn)
+{
+  br_exchange_t *exchange = br_http_conn_user (conn);
+
+  if (exchange == NULL || !exchange->paused)
+    return;
+  exchange->paused = false;
+  exchange->last_byte_ms = br_exchange_now (exchange);
+  br_exchange_check_later (exchange);
+  br_http_client_pause (exchange->client, false);
+}
+
 static void
 exchange_on_body (br_exchange_t *exchange, br_str_t body)
 {
--- a/src/shell/exchange_end.c
+++ b/src/shell/exchange_end.c
@@ -171,6 +171,7 @@
   else
     br_http_client_free (exchange->client);
   exchange->client = NULL;
+  exchange->paused = false;
   exchange->upstream = NULL;
 }
 
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -56,6 +56,7 @@
   bool loss_recorded;           /* counted as a loss, unless an answer comes */
   br_ms_t sent_ms;
   br_ms_t last_byte_ms; /* when a part of its answer last came */
+  bool paused;          /* the answer is not read, as the caller is slow */
   bool head_seen;
   bool had_first_event;
   bool counted;    /* in the usage of its organisation */
@@ -149,6 +150,9 @@
  * earlier. */
 void br_exchange_set_timer (br_exchange_t *exchange, br_ms_t at_ms);
 
+/* Sets the timer to the next check of the current attempt. */
+void br_exchange_check_later (br_exchange_t *exchange);
+
 /* Counts the request in its organisation's usage.  It counts once, however
  * often it runs. */
 void br_exchange_count_usage (br_exchange_t *exchange);
--- a/tests/process/platform_endless_stream.sh
+++ b/tests/process/platform_endless_stream.sh
@@ -9,7 +9,7 @@
 # Limit on the memory of the entry VM above idle, in KB, and number of concurrent
 # requests to the endless upstreams.
 MEMORY_KB=65536
-AT_ONCE=4
+AT_ONCE=50
 
 # Without these options the sanitizer keeps freed memory, which would count.
 export ASAN_OPTIONS=quarantine_size_mb=1:thread_local_quarantine_size_kb=64
