Test: repeat a call that was refused while its upstream was down

In the kept logs the plain service was back at 159.705 s, down at 159.774 s, as a health check was late, and back at 160.208 s; the two calls between were refused with 503, "no upstream of the service is live", outcome not_run, Retry-After 1 s, which the interface allows. Such a call is repeated now, as its caller would; each must still get its own answer, and three calls must run three times.

--- a/tests/process/upstream_answer_out_of_turn.sh
+++ b/tests/process/upstream_answer_out_of_turn.sh
@@ -61,7 +61,12 @@
 raw_start $((BASE_PORT + 40)) once --keep --again joined
 sleep 0.7
 for i in 1 2 3; do
-  site_call 1 "once-$i" "{\"content\":\"c$i\"}" > "$SITE/once-$i" 2>&1
+  # A call that was refused because a health check was late did not run.
+  for _ in $(seq 10); do
+    site_call 1 "once-$i" "{\"content\":\"c$i\"}" > "$SITE/once-$i" 2>&1
+    grep -q '"outcome":"not_run"' "$SITE/once-$i" || break
+    sleep 0.3
+  done
   [ "$(raw_text "$SITE/once-$i")" = "own-c$i " ] ||
     failed="$failed once: call c$i got '$(raw_text "$SITE/once-$i")'."
 done
