Platform path: bound the memory of all plain answers together

An upstream that sends a plain answer without end was read up to 16 MB for each request: 172 MB above idle with 50 requests, more than a small entry VM has. All plain answers that are being read share 16 MB now; one up to 256 KB is read in any case, so that a broken upstream does not cost callers of sound ones.

--- a/src/shell/entry_private.h
+++ b/src/shell/entry_private.h
@@ -87,7 +87,8 @@
   br_ms_t evidence_since_ms; /* reports contain crashes and losses since then */
   br_exchange_t *exchanges;
   size_t n_exchanges;
-  size_t n_waiting; /* of them, for the first configuration or list */
+  size_t answer_bytes; /* of plain answers that are being read */
+  size_t n_waiting;    /* of them, for the first configuration or list */
   br_histogram_t first_event_ms;
   br_histogram_t answer_ms;
 };
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -5,8 +5,10 @@
 
 #include "http/response_match.h"
 
-/* Longest plain answer, in bytes. */
-#define PLAIN_ANSWER_MAX (16 * 1024 * 1024)
+/* Most bytes of all plain answers that are being read, and of one of them.  An
+ * answer up to PLAIN_ANSWER_SMALL is read in any case. */
+#define PLAIN_ANSWERS_MAX (16 * 1024 * 1024)
+#define PLAIN_ANSWER_SMALL (256 * 1024)
 
 /* While a caller has more bytes than this to receive, no more of its answer is
  * read. */
@@ -347,14 +349,25 @@
   br_http_client_pause (exchange->client, false);
 }
 
+/* Returns whether LEN more bytes of a plain answer may be kept. */
+static bool
+exchange_has_room (const br_exchange_t *exchange, size_t len)
+{
+  return exchange->answer.len + len <= PLAIN_ANSWER_SMALL
+         || exchange->task->answer_bytes + len <= PLAIN_ANSWERS_MAX;
+}
+
 static void
 exchange_on_body (br_exchange_t *exchange, br_str_t body)
 {
   exchange->last_byte_ms = br_exchange_now (exchange);
   if (exchange_streams (exchange))
     exchange_on_events (exchange, body);
-  else if (exchange->answer.len + body.len <= PLAIN_ANSWER_MAX)
-    br_buf_append (&exchange->answer, body);
+  else if (exchange_has_room (exchange, body.len))
+    {
+      br_buf_append (&exchange->answer, body);
+      exchange->task->answer_bytes += body.len;
+    }
   else
     br_exchange_fail_attempt (exchange, "answer_too_long", true,
                               BR_RESULT_FAILED);
--- a/src/shell/exchange_end.c
+++ b/src/shell/exchange_end.c
@@ -146,7 +146,8 @@
 br_exchange_clear_answer (br_exchange_t *exchange)
 {
   br_http_head_release (&exchange->answer_head);
-  br_buf_clear (&exchange->answer);
+  exchange->task->answer_bytes -= exchange->answer.len;
+  br_buf_free (&exchange->answer);
   exchange->head_seen = false;
 }
 
@@ -191,8 +192,7 @@
   task->n_waiting -= exchange->waits_for_start ? 1 : 0;
   if (exchange->timer != NULL)
     event_free (exchange->timer);
-  br_http_head_release (&exchange->answer_head);
-  br_buf_free (&exchange->answer);
+  br_exchange_clear_answer (exchange);
   br_event_stream_release (&exchange->events);
   br_configuration_unref (exchange->configuration);
   free (exchange);
--- a/tests/process/platform_endless_stream.sh
+++ b/tests/process/platform_endless_answer.sh
@@ -1,6 +1,7 @@
-# Checks that an upstream which sends an endless event, or endless events to callers that
-# read slowly, does not fill the memory of the entry VM: the connection is closed, and
-# other requests are served meanwhile.  Usage: platform_endless_stream.sh BUILD
+# Checks that an upstream which sends an endless event, an endless plain answer, or endless
+# events to callers that read slowly, does not fill the memory of the entry VM: the
+# connection is closed, and other requests are served meanwhile.
+# Usage: platform_endless_answer.sh BUILD
 set -u
 BUILD=$1
 BASE_PORT=30410
@@ -20,24 +21,42 @@
 platform_request 1 before /look/good | grep -q '^200$' || site_fail "no answer before the fault"
 idle=$(memory_kb)
 failed=
-runners="r1 r2"
-for fault in endless-event endless-events; do
-  # shellcheck disable=SC2086
-  site_kill $runners
-  runners="$fault-1 $fault-2"
+# fault_begins FAULT PORT UPSTREAM...: replaces two upstreams, the first of which has the
+# port BASE + PORT
+fault_begins() {
+  local fault=$1 port=$((BASE_PORT + $2)) i
+  shift 2
+  site_kill "$@"
   for i in 1 2; do
-    site_start "$fault-$i" "$BUILD/fake_broken" --port $((BASE_PORT + 3 + i)) --fault "$fault"
+    site_start "$fault-$i" "$BUILD/fake_broken" --port $((port + i - 1)) --fault "$fault"
   done
+}
+for fault in endless-event endless-events endless-plain; do
+  path=/draft/any
+  other=/look/good
+  case $fault in
+    endless-event) fault_begins $fault 4 r1 r2 ;;
+    endless-events) fault_begins $fault 4 endless-event-1 endless-event-2 ;;
+    endless-plain)
+      path=/look/any
+      other=/draft/stream
+      site_kill endless-events-1 endless-events-2
+      for i in 1 2; do
+        site_start "r$i" "$BUILD/fake_runner" --port $((BASE_PORT + 3 + i)) --id "r$i"
+      done
+      fault_begins $fault 6 p1 p2
+      ;;
+  esac
   sleep 1.5 # the entry VM has to detect that they are up again
   pids=()
   for i in $(seq $AT_ONCE); do
-    platform_request 1 "$fault-$i" /draft/any -X POST -d "body $i" --limit-rate 100k \
+    platform_request 1 "$fault-$i" $path -X POST -d "body $i" --limit-rate 100k \
       -o /dev/null > "$SITE/$fault-$i.status" &
     pids+=($!)
   done
   sleep 0.3
   for i in 1 2 3; do
-    platform_request 1 "$fault-other-$i" /look/good | grep -q '^200$' ||
+    platform_request 1 "$fault-other-$i" $other | grep -q '^200$' ||
       failed="$failed $fault: another request was not answered."
   done
   wait "${pids[@]}"
@@ -50,8 +69,9 @@
   echo "$fault: $broken sent, $closed closed, status $(sort -u "$SITE/$fault"-*.status | paste -sd ,), $used KB above idle so far" >&2
   [ "$used" -le "$MEMORY_KB" ] || failed="$failed $fault: $used KB above idle."
 done
+grep -qx 200 "$SITE"/endless-plain-*.status && failed="$failed endless-plain: status 200."
 # An endless event fails when it is too long, not at the request's deadline of 4 s.
 sort -u "$SITE"/endless-event-*.status | grep -qx 502 ||
   failed="$failed endless-event: status $(sort -u "$SITE"/endless-event-*.status | paste -sd ,)."
 [ -z "$failed" ] || site_fail "$failed"
-echo "endless events do not fill the memory"
+echo "endless answers do not fill the memory"
