Test: keep the logs of a failed process test

With SITE_KEEP_FAILED set to a folder, a test that fails copies its site's folder below that; by default nothing is kept, as before.

--- a/tests/support/site.sh
+++ b/tests/support/site.sh
@@ -55,13 +55,24 @@
   for name in "$@"; do wait "$(site_pid "$name")"; done
 }
 
+# Copies the site's folder below the folder SITE_KEEP_FAILED, if that is set.
+site_keep_failed() {
+  local kept
+  [ -n "${SITE_KEEP_FAILED:-}" ] || return 0
+  mkdir -p "$SITE_KEEP_FAILED" &&
+    kept=$(mktemp -d "$SITE_KEEP_FAILED/$(basename "$0" .sh).XXXXXX") &&
+    cp -R "$SITE/." "$kept" && echo "the site's logs are kept in $kept" >&2
+}
+
 # Kills all started processes by their ids and removes the site's folder, unless
-# SITE_KEEP is set.
+# SITE_KEEP is set.  Keeps a copy of it if the script fails.
 site_stop() {
+  local status=$?
   kill "$SITE_WATCHDOG" 2> /dev/null
   kill -CONT "${SITE_PIDS[@]}" 2> /dev/null
   kill -9 "${SITE_PIDS[@]}" 2> /dev/null
   wait 2> /dev/null
+  [ "$status" = 0 ] || site_keep_failed
   [ -n "${SITE_KEEP:-}" ] || rm -rf "$SITE"
 }
 
