Give up a slow attempt only if another upstream can take the request

Callers saw 502 ("no upstream of the service can take the request") for requests that their only upstream would have answered: an attempt at a plain service is given up after 0.8 of the latency target (96 ms in the tests), whether or not there is another upstream to send to. With one of two upstreams leaving, down or out of permits for its limit, each pause of the other one cost all requests in progress there.

An attempt that is slow now stays until an upstream of the service can take the request, which is checked each 100 ms; one that is excluded counts only if the current one is excluded too. Streams that have begun, and attempts in a failure domain that this VM does not reach, are given up as before.

--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -46,6 +46,10 @@
  * leader answers a request for permits within two of its ticks. */
 #define PERMIT_WAIT_MS 300
 
+/* Time between two checks whether another upstream can take a request whose
+ * attempt is slow, in milliseconds. */
+#define REPLACEMENT_CHECK_MS 100
+
 /* --- attempts --- */
 
 /* A plain service runs a request as soon as it arrives.  An engine has run it
@@ -238,21 +242,32 @@
                                            : NO_REPEAT_IDLE_MAX_MS;
 }
 
-void
-br_exchange_attempt (br_exchange_t *exchange)
+static br_choice_query_t
+exchange_choice_query (br_exchange_t *exchange)
 {
-  br_entry_task_t *task = exchange->task;
-  br_ms_t now = br_exchange_now (exchange);
-  bool suspect = br_exchange_is_suspect (exchange);
+  br_node_t *node = exchange->task->node;
   br_choice_query_t query = {
     .service = exchange->service,
     .inbound = &exchange->inbound,
-    .failure_domain = task->node->settings.failure_domain,
-    .quarantine = suspect ? &task->node->quarantine : NULL,
+    .failure_domain = node->settings.failure_domain,
+    .quarantine = br_exchange_is_suspect (exchange) ? &node->quarantine : NULL,
     .content = exchange->content,
     .version = exchange->version,
+    .on_trial = exchange->on_trial,
     .n_tried = exchange->n_tried,
   };
+
+  memcpy (query.tried, exchange->tried, sizeof query.tried);
+  return query;
+}
+
+void
+br_exchange_attempt (br_exchange_t *exchange)
+{
+  br_entry_task_t *task = exchange->task;
+  br_ms_t now = br_exchange_now (exchange);
+  bool suspect = br_exchange_is_suspect (exchange);
+  br_choice_query_t query;
   br_upstream_pool_options_t options = {
     .on_event = br_exchange_on_client,
     .context = exchange,
@@ -282,8 +297,7 @@
       br_exchange_end_stream (exchange);
       return;
     }
-  query.on_trial = exchange->on_trial;
-  memcpy (query.tried, exchange->tried, sizeof query.tried);
+  query = exchange_choice_query (exchange);
   exchange->choice = br_choice_make (&task->fleet, &query, now);
   if (exchange->choice.upstream == NULL
       && exchange_await_permit (exchange, &query))
@@ -456,6 +470,43 @@
   return exchange->had_first_event ? BR_RESULT_STALLED : BR_RESULT_LATE;
 }
 
+/* Returns whether giving up the slow attempt may help the caller.  A stream
+ * that has begun may go on at the same upstream.  Another VM may reach a
+ * failure domain that this one does not. */
+static bool
+exchange_has_replacement (br_exchange_t *exchange, br_ms_t now)
+{
+  br_choice_query_t query = exchange_choice_query (exchange);
+
+  return exchange->begun
+         || br_domain_health_is_unreachable (
+             &exchange->task->fleet.domains,
+             &exchange->upstream->listing.failure_domain, now)
+         || br_choice_has_replacement (&exchange->task->fleet, &query,
+                                       exchange->upstream, now);
+}
+
+/* The current attempt is slow: gives it up if another one may follow. */
+static void
+exchange_check_slow (br_exchange_t *exchange, br_ms_t now)
+{
+  bool has_attempts = exchange->ran + 1 < exchange->route->max_attempts;
+  bool has_replacement = exchange_has_replacement (exchange, now);
+
+  if (has_attempts && has_replacement && exchange_take_repeat (exchange))
+    {
+      br_exchange_fail_attempt (exchange, "silent", true,
+                                exchange_timeout_result (exchange));
+      return;
+    }
+  if (!has_attempts || has_replacement
+      || exchange->route->kind == BR_ROUTE_STREAM)
+    br_exchange_record_unanswered (exchange);
+  br_exchange_set_timer (exchange, has_attempts && !has_replacement
+                                       ? now + REPLACEMENT_CHECK_MS
+                                       : exchange->until_ms);
+}
+
 void
 br_exchange_on_timer (evutil_socket_t fd, short what, void *context)
 {
@@ -494,13 +545,6 @@
   if (!br_http_client_is_connected (exchange->client))
     br_exchange_fail_attempt (exchange, "connect_timeout", false,
                               BR_RESULT_TIMED_OUT);
-  else if (exchange->ran + 1 < exchange->route->max_attempts
-           && exchange_take_repeat (exchange))
-    br_exchange_fail_attempt (exchange, "silent", true,
-                              exchange_timeout_result (exchange));
   else
-    {
-      br_exchange_record_unanswered (exchange);
-      br_exchange_set_timer (exchange, exchange->until_ms);
-    }
+    exchange_check_slow (exchange, now);
 }
--- a/src/site/choice.c
+++ b/src/site/choice.c
@@ -338,6 +338,26 @@
   return choice.upstream != NULL ? choice : choice_among (fleet, query, 0, now);
 }
 
+bool
+br_choice_has_replacement (const br_fleet_t *fleet,
+                           const br_choice_query_t *query,
+                           const br_fleet_upstream_t *current,
+                           br_ms_t now)
+{
+  bool current_is_excluded = br_fleet_is_excluded (fleet, current, now);
+
+  for (size_t i = 0; i < fleet->all.len; i++)
+    {
+      const br_fleet_upstream_t *upstream = fleet->all.items[i];
+
+      if (upstream != current && upstream_fits (upstream, query, now)
+          && (current_is_excluded
+              || !br_fleet_is_excluded (fleet, upstream, now)))
+        return true;
+    }
+  return false;
+}
+
 const br_name_t *
 br_choice_version_service (const br_fleet_t *fleet, br_version_t version)
 {
--- a/src/site/choice.h
+++ b/src/site/choice.h
@@ -72,6 +72,14 @@
                               const br_choice_query_t *query,
                               br_ms_t now);
 
+/* Returns whether an attempt that is slow at CURRENT may be given up: another
+ * upstream can take the request.  One that is excluded counts only if CURRENT
+ * is excluded too. */
+bool br_choice_has_replacement (const br_fleet_t *fleet,
+                                const br_choice_query_t *query,
+                                const br_fleet_upstream_t *current,
+                                br_ms_t now);
+
 /* Returns the time in milliseconds after which a caller should retry when no
  * upstream can serve the service now: until an upstream takes requests again,
  * or a new one has started.  DRAW, from 0 to 1, spreads the retries.  *WHY is
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -10,6 +10,7 @@
  *   leaves ID | back_off ID MS DRAW | retry_after SERVICE DRAW
  *   limit ID PER_S | limit_ends ID | grant ID PERMITS WANTED
  *   awaits SERVICE               whether permits may come soon
+ *   replacement SERVICE ID       whether another upstream can replace ID
  *   run_lost ID CONTENT [SENT_MS [begun]] | alive ID BEGUN_MS | refused ID
  *   sent ID UNCACHED | first ID UNCACHED MS | ended ID UNCACHED HAD_FIRST
  *   report ID RUNNING WAITING | others ID IN_FLIGHT TOKENS
@@ -220,6 +221,23 @@
               : "no permits to wait for");
 }
 
+static void
+on_replacement (session_t *session, const words_t *words)
+{
+  const br_fleet_upstream_t *current
+      = br_fleet_find (&session->fleet, br_str_from (word (words, 2)));
+  br_choice_query_t query = { .tried = { current }, .n_tried = 1 };
+
+  for (size_t i = 0; i < session->services.len; i++)
+    if (strcmp (session->services.items[i].name.data, word (words, 1)) == 0)
+      query.service = &session->services.items[i];
+  printf (
+      "%s %s\n", word (words, 2),
+      br_choice_has_replacement (&session->fleet, &query, current, session->now)
+          ? "can be replaced"
+          : "is the only one");
+}
+
 static void
 on_crash (void *context,
           const br_fleet_upstream_t *crashed,
@@ -608,6 +626,8 @@
     on_grant (session, words);
   else if (strcmp (verb, "awaits") == 0)
     on_awaits (session, words);
+  else if (strcmp (verb, "replacement") == 0)
+    on_replacement (session, words);
   else if (strcmp (verb, "run_lost") == 0)
     on_run_lost (session, words);
   else if (strcmp (verb, "alive") == 0)
