Go back to a slow upstream if its replacement did not take the request

Callers saw 502 for a request whose slow attempt had been given up for another upstream, when that one refused the connection or the request: the slow one counted as tried, and there was no third. An upstream that is down may be tried again about once a second, so this met one request each time.

If no other upstream is left, the replacement did not run it, and the route allows one more, the upstream that was slow may be chosen again. It is the same number of runs as at another upstream, and the repeat comes from the same budget.

--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -261,6 +261,22 @@
   return query;
 }
 
+/* Chooses an upstream.  If the one that should replace a slow upstream did not
+ * run the request and there is no other, the slow one may be chosen again. */
+static br_choice_t
+exchange_choose (br_exchange_t *exchange, br_choice_query_t *query, br_ms_t now)
+{
+  const br_fleet_t *fleet = &exchange->task->fleet;
+  br_choice_t choice = br_choice_make (fleet, query, now);
+
+  if (choice.upstream != NULL || !exchange->was_slow
+      || exchange->ran >= exchange->route->max_attempts)
+    return choice;
+  exchange->was_slow = false;
+  exchange->n_tried = query->n_tried = 0;
+  return br_choice_make (fleet, query, now);
+}
+
 void
 br_exchange_attempt (br_exchange_t *exchange)
 {
@@ -298,7 +314,7 @@
       return;
     }
   query = exchange_choice_query (exchange);
-  exchange->choice = br_choice_make (&task->fleet, &query, now);
+  exchange->choice = exchange_choose (exchange, &query, now);
   if (exchange->choice.upstream == NULL
       && exchange_await_permit (exchange, &query))
     return;
@@ -495,6 +511,7 @@
 
   if (has_attempts && has_replacement && exchange_take_repeat (exchange))
     {
+      exchange->was_slow = true;
       br_exchange_fail_attempt (exchange, "silent", true,
                                 exchange_timeout_result (exchange));
       return;
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -69,6 +69,7 @@
   size_t n_tried;
   int ran;
   int refused;
+  bool was_slow; /* an attempt was given up without an answer */
   br_event_stream_t events;
   bool begun; /* the caller has received part of a stream */
   br_ms_t first_ms;
--- a/tests/process/platform_slow_attempt.sh
+++ b/tests/process/platform_slow_attempt.sh
@@ -1,17 +1,19 @@
 # Checks that an attempt that is slow is given up only if another upstream can take
-# the request: not while the other upstream leaves or has no permits.
+# the request: not while the other upstream leaves, has no permits or is down.
 # Usage: platform_slow_attempt.sh BUILD
 set -u
 BUILD=$1
 BASE_PORT=30370
 . "$(dirname "$0")/../support/platform_site.sh"
 
-# send_slow NAME: sends six requests whose answer takes longer than a slow attempt
+# send_slow NAME [PAUSE_S]: sends six requests whose answer takes longer than a slow
+# attempt
 send_slow() {
   local i status
   for i in $(seq 6); do
     status=$(platform_request 1 "$1-$i" /look/slow | tail -n 1)
     [ "$status" = 200 ] || site_fail "$1-$i: status $status, not 200"
+    sleep "${2:-0}"
   done
 }
 
@@ -48,6 +50,14 @@
 [ "$(runs both p1) $(runs both p2)" = "6 6" ] ||
   site_fail "$(runs both p1) and $(runs both p2) attempts, not 6 at each upstream"
 
+# The first request after each pause is given up for p1, which may be tried again.
+site_kill p1
+send_slow down 1.5
+[ "$(grep -c '"event":"attempt_failed","id":"down-.*"upstream":"p1"' "$SITE/entry-1.out")" -ge 3 ] ||
+  site_fail "the upstream that is down was not tried"
+site_start p1 "$BUILD/fake_runner" --port $((BASE_PORT + 6)) --id p1
+platform_wait order p1 good || site_fail "p1 is not back"
+
 platform_request 1 announce /look/leaving > /dev/null
 send_until '"event":"upstream leaves"'
 send_slow leaving
