Do not give up a trial because it is slow

Callers of a request that had been lost to faults saw 503 for 10 s more, then for 10 minutes: its trial was given up after 0.8 of the latency target (96 ms in the tests) or a late first event, like any attempt that another one may follow. No attempt follows a trial, so the caller got 502, and the run counted as lost in its trial. On a busy site an innocent request so failed every trial.

A trial now has until its deadline to begin its answer. If it does not, it counts as lost then, as before. The number of trials and the times between them are the same.

--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -105,6 +105,9 @@
     return exchange->sent_ms + CONNECT_MS;
   if (!br_exchange_may_repeat (exchange))
     return exchange->until_ms;
+  /* No attempt follows a trial, and a trial that is given up counts as lost. */
+  if (exchange->on_trial && !exchange->had_first_event)
+    return exchange->until_ms;
   if (br_domain_health_is_unreachable (
           &exchange->task->fleet.domains,
           &exchange->upstream->listing.failure_domain,
