--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -46,6 +46,10 @@
  * leader answers a request for permits within two of its ticks. */
 #define PERMIT_WAIT_MS 300
 
+/* Time between two checks whether another upstream can take a request whose
+ * attempt is slow, in milliseconds. */
+#define REPLACEMENT_CHECK_MS 100
+
 /* --- attempts --- */
 
 /* A plain service runs a request as soon as it arrives.  An engine has run it
@@ -101,6 +105,9 @@
     return exchange->sent_ms + CONNECT_MS;
   if (exchange->paused || !br_exchange_may_repeat (exchange))
     return exchange->until_ms;
+  /* No attempt follows a trial, and a trial that is given up counts as lost. */
+  if (exchange->on_trial && !exchange->had_first_event)
+    return exchange->until_ms;
   if (br_domain_health_is_unreachable (
           &exchange->task->fleet.domains,
           &exchange->upstream->listing.failure_domain,
@@ -238,21 +245,48 @@
                                            : NO_REPEAT_IDLE_MAX_MS;
 }
 
-void
-br_exchange_attempt (br_exchange_t *exchange)
+static br_choice_query_t
+exchange_choice_query (br_exchange_t *exchange)
 {
-  br_entry_task_t *task = exchange->task;
-  br_ms_t now = br_exchange_now (exchange);
-  bool suspect = br_exchange_is_suspect (exchange);
+  br_node_t *node = exchange->task->node;
   br_choice_query_t query = {
     .service = exchange->service,
     .inbound = &exchange->inbound,
-    .failure_domain = task->node->settings.failure_domain,
-    .quarantine = suspect ? &task->node->quarantine : NULL,
+    .failure_domain = node->settings.failure_domain,
+    .quarantine = br_exchange_is_suspect (exchange) ? &node->quarantine : NULL,
     .content = exchange->content,
     .version = exchange->version,
+    .on_trial = exchange->on_trial,
     .n_tried = exchange->n_tried,
   };
+
+  memcpy (query.tried, exchange->tried, sizeof query.tried);
+  return query;
+}
+
+/* Chooses an upstream.  If the one that should replace a slow upstream did not
+ * run the request and there is no other, the slow one may be chosen again. */
+static br_choice_t
+exchange_choose (br_exchange_t *exchange, br_choice_query_t *query, br_ms_t now)
+{
+  const br_fleet_t *fleet = &exchange->task->fleet;
+  br_choice_t choice = br_choice_make (fleet, query, now);
+
+  if (choice.upstream != NULL || !exchange->was_slow
+      || exchange->ran >= exchange->route->max_attempts)
+    return choice;
+  exchange->was_slow = false;
+  exchange->n_tried = query->n_tried = 0;
+  return br_choice_make (fleet, query, now);
+}
+
+void
+br_exchange_attempt (br_exchange_t *exchange)
+{
+  br_entry_task_t *task = exchange->task;
+  br_ms_t now = br_exchange_now (exchange);
+  bool suspect = br_exchange_is_suspect (exchange);
+  br_choice_query_t query;
   br_upstream_pool_options_t options = {
     .on_event = br_exchange_on_client,
     .context = exchange,
@@ -282,9 +316,8 @@
       br_exchange_end_stream (exchange);
       return;
     }
-  query.on_trial = exchange->on_trial;
-  memcpy (query.tried, exchange->tried, sizeof query.tried);
-  exchange->choice = br_choice_make (&task->fleet, &query, now);
+  query = exchange_choice_query (exchange);
+  exchange->choice = exchange_choose (exchange, &query, now);
   if (exchange->choice.upstream == NULL
       && exchange_await_permit (exchange, &query))
     return;
@@ -456,6 +489,44 @@
   return exchange->had_first_event ? BR_RESULT_STALLED : BR_RESULT_LATE;
 }
 
+/* Returns whether giving up the slow attempt may help the caller.  A stream
+ * that has begun may go on at the same upstream.  Another VM may reach a
+ * failure domain that this one does not. */
+static bool
+exchange_has_replacement (br_exchange_t *exchange, br_ms_t now)
+{
+  br_choice_query_t query = exchange_choice_query (exchange);
+
+  return exchange->begun
+         || br_domain_health_is_unreachable (
+             &exchange->task->fleet.domains,
+             &exchange->upstream->listing.failure_domain, now)
+         || br_choice_has_replacement (&exchange->task->fleet, &query,
+                                       exchange->upstream, now);
+}
+
+/* The current attempt is slow: gives it up if another one may follow. */
+static void
+exchange_check_slow (br_exchange_t *exchange, br_ms_t now)
+{
+  bool has_attempts = exchange->ran + 1 < exchange->route->max_attempts;
+  bool has_replacement = exchange_has_replacement (exchange, now);
+
+  if (has_attempts && has_replacement && exchange_take_repeat (exchange))
+    {
+      exchange->was_slow = true;
+      br_exchange_fail_attempt (exchange, "silent", true,
+                                exchange_timeout_result (exchange));
+      return;
+    }
+  if (!has_attempts || has_replacement
+      || exchange->route->kind == BR_ROUTE_STREAM)
+    br_exchange_record_unanswered (exchange);
+  br_exchange_set_timer (exchange, has_attempts && !has_replacement
+                                       ? now + REPLACEMENT_CHECK_MS
+                                       : exchange->until_ms);
+}
+
 void
 br_exchange_check_later (br_exchange_t *exchange)
 {
@@ -500,13 +571,6 @@
   if (!br_http_client_is_connected (exchange->client))
     br_exchange_fail_attempt (exchange, "connect_timeout", false,
                               BR_RESULT_TIMED_OUT);
-  else if (exchange->ran + 1 < exchange->route->max_attempts
-           && exchange_take_repeat (exchange))
-    br_exchange_fail_attempt (exchange, "silent", true,
-                              exchange_timeout_result (exchange));
   else
-    {
-      br_exchange_record_unanswered (exchange);
-      br_exchange_set_timer (exchange, exchange->until_ms);
-    }
+    exchange_check_slow (exchange, now);
 }
