A voter that stops as planned gives its vote back

Cause: the voter that left kept its vote until it had been silent for 3 s. The rule of 1 s asks whether a VM waits for a vote or got one since the silence began; a successor that was started first has its vote before that. Two of four voters were gone.

Change: a VM that drains asks the leader to take its vote back, in each heartbeat until it stops: a join request that wants no vote. A leader that stops transfers the leadership first and then asks the next one. A planned restart therefore changes the members twice.

--- a/src/replica/membership.c
+++ b/src/replica/membership.c
@@ -168,6 +168,11 @@
   br_replica_message_t join = { .kind = BR_REPLICA_JOIN };
   br_names_t vms = { 0 };
 
+  if (replica->leaves)
+    {
+      br_replica_send_leave (replica);
+      return;
+    }
   br_contacts_expire (&replica->contacts);
   if (replica->leader.len > 0 || replica->now < replica->join_at_ms)
     return;
@@ -225,7 +230,13 @@
     return;
   if (progress == NULL)
     progress = br_replica_add_progress (replica, &message->vm, message->disk);
-  progress->voter_requested = message->join.voter_requested;
+  if (progress->voter_requested && !message->join.voter_requested)
+    progress->leaves_ms = replica->now;
+  else
+    {
+      progress->voter_requested = message->join.voter_requested;
+      progress->leaves_ms = 0;
+    }
   br_replica_replicate (replica, progress, true);
 }
 
@@ -341,7 +352,7 @@
   const br_config_t *config = br_replica_config (replica);
   uint64_t last = br_replica_log_last_index (&replica->log);
 
-  return progress->voter_requested
+  return progress->voter_requested && !br_replica_is_leaving (replica, progress)
          && br_config_find (config, &progress->vm) == NULL
          && progress->match > 0 && progress->match + CAUGHT_UP_ENTRIES >= last
          && replica->now - progress->last_seen_ms
@@ -388,10 +399,16 @@
   return longest;
 }
 
+bool
+br_replica_can_remove (const br_replica_t *replica, const br_config_t *config)
+{
+  return replica->options.remove_unreachable_ms > 0
+         && br_config_voters (config) > replica->options.voters_min;
+}
+
 /* Removes the vote of a VM that is gone; returns whether CONFIG was changed.
- * It would still count towards the size of every majority.  VOTERS_MIN voters
- * must stay, so that each majority holds more disks than may be lost.  With
- * VM_WAITS, another VM has caught up and takes its place. */
+ * It would still count towards the size of every majority.  With VM_WAITS,
+ * another VM has caught up and takes its place. */
 static bool
 membership_remove_silent (const br_replica_t *replica,
                           br_config_t *config,
@@ -399,8 +416,7 @@
 {
   const br_progress_t *silent;
 
-  if (replica->options.remove_unreachable_ms == 0
-      || br_config_voters (config) <= replica->options.voters_min)
+  if (!br_replica_can_remove (replica, config))
     return false;
   silent = membership_silent_voter (replica, config, vm_waits);
   if (silent == NULL)
@@ -415,8 +431,7 @@
 {
   br_ms_t late_ms = replica->options.heartbeat_ms * LATE_HEARTBEATS;
 
-  if (replica->options.remove_unreachable_ms == 0
-      || br_config_voters (config) <= replica->options.voters_min)
+  if (!br_replica_can_remove (replica, config))
     return false;
   for (size_t i = 0; i < replica->progresses.len; i++)
     {
@@ -495,6 +510,7 @@
     return;
   br_config_copy (&config, br_replica_config (replica));
   if (membership_remove_replaced_disk (replica, &config)
+      || br_replica_remove_leaving (replica, &config)
       || membership_remove_silent (replica, &config, false)
       || membership_admit (replica, &config))
     membership_change (replica, &config);
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -143,6 +143,10 @@
  * other voter is live. */
 bool br_replica_transfer (br_replica_t *replica, br_ms_t now);
 
+/* This VM is about to stop.  Until it does, it asks the leader to take its vote
+ * back, which the leader does if enough voters stay. */
+void br_replica_leave (br_replica_t *replica);
+
 /* --- persistence --- */
 
 /* CHANGE is the number of changes that are persisted by this write.  When
--- a/src/replica/replica_private.h
+++ b/src/replica/replica_private.h
@@ -14,6 +14,7 @@
   br_name_t vm;
   uint64_t disk;
   bool voter_requested; /* its join request is for a vote */
+  br_ms_t leaves_ms;    /* when it last asked to give its vote back; 0: never */
   bool granted;         /* its vote */
   uint64_t next;
   uint64_t match;
@@ -116,6 +117,7 @@
   br_name_t last_leader;  /* that sent LEADER_LAST_SEEN_MS, or empty */
   br_ms_t grown_ms;       /* when a VM last got a vote; 0: not known */
   br_silences_t silences; /* that the last leader knew; empty while leading */
+  bool leaves;            /* it is about to stop */
   br_contacts_t contacts;
   br_ms_t join_answered_ms; /* last answer to a join request; 0: none */
   br_ms_t log_named_ms;     /* last one that named members */
@@ -228,6 +230,26 @@
 void br_replica_on_bootstrap_answer (br_replica_t *replica,
                                      const br_replica_message_t *message);
 
+/* Returns whether a voter may be removed.  VOTERS_MIN voters must stay, so that
+ * each majority holds more disks than may be lost. */
+bool br_replica_can_remove (const br_replica_t *replica,
+                            const br_config_t *config);
+
+/* leave.c */
+
+/* Asks the leader to take the vote of this VM back. */
+void br_replica_send_leave (br_replica_t *replica);
+
+/* Returns whether the VM of PROGRESS has asked for that and is about to stop.
+ */
+bool br_replica_is_leaving (const br_replica_t *replica,
+                            const br_progress_t *progress);
+
+/* Removes the vote of a VM that is about to stop; returns whether CONFIG was
+ * changed. */
+bool br_replica_remove_leaving (const br_replica_t *replica,
+                                br_config_t *config);
+
 /* proposal.c */
 void br_replica_tick_proposals (br_replica_t *replica);
 void br_replica_send_pending (br_replica_t *replica);
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -500,8 +500,10 @@
 void
 br_replica_task_hand_over (br_replica_task_t *task)
 {
-  if (task->failed
-      || !br_replica_transfer (task->replica, br_node_now (task->node)))
+  if (task->failed)
+    return;
+  br_replica_leave (task->replica);
+  if (!br_replica_transfer (task->replica, br_node_now (task->node)))
     return;
   BR_LOG (&task->node->log, "replica", "handing over",
           br_field_int ("term", (int64_t)br_replica_term (task->replica)));
--- a/tests/replica_series_test.cc
+++ b/tests/replica_series_test.cc
@@ -245,12 +245,14 @@
   {
     tell ("replaced as planned", vms_[i].number);
     succeed ();
+    br_ms_t caught_up_ms = sim_.now () + bounds_.catch_up_ms;
     vms_[i].lost_until = NEVER;
-    at (1000 + below (2000), [this, i] {
+    at (1000 + below (2000), [this, i, caught_up_ms] {
       br_replica_transfer (sim_.vm (vms_[i].number).replica, sim_.now ());
-      at (700, [this, i] {
+      br_replica_leave (sim_.vm (vms_[i].number).replica);
+      at (700, [this, i, caught_up_ms] {
         lose (i);
-        vms_[i].lost_until = sim_.now () + bounds_.catch_up_ms;
+        vms_[i].lost_until = caught_up_ms;
       });
     });
   }
--- a/tests/replica_sim.h
+++ b/tests/replica_sim.h
@@ -212,6 +212,13 @@
            && br_replica_standing (vms_[i].replica) == BR_STANDING_VOTER;
   }
 
+  /* Sets the share of the messages that are lost. */
+  void
+  set_drop (double drop)
+  {
+    options_.drop = drop;
+  }
+
   /* Ends the process.  An unfinished write is lost, and the outcome of every
    * open proposal becomes unknown. */
   void
