--- a/tests/process/fault_soak_control.sh
+++ b/tests/process/fault_soak_control.sh
@@ -1,5 +1,5 @@
-# Runs a short soak of the control VMs for each seed that once failed, with the number
-# of control VMs that stands beside it.  Usage: fault_soak_control.sh BUILD
+# Runs short soaks of the control VMs: for each seed that once failed, with the number of
+# control VMs that stands beside it, and a wide one.  Usage: fault_soak_control.sh BUILD
 set -u
 BUILD=$1
 PORT=32740
@@ -9,8 +9,15 @@
 # run one at a time.
 exec 9> "${TMPDIR:-/tmp}/briarrack-ports-$PORT.lock"
 flock 9
-if "$BUILD/soak" --build "$BUILD" --folder "$FOLDER" --port $PORT --seconds 18 \
-  --regressions "$HERE/../soak/regressions_control.txt" --control 4 --seeds 0; then
+run() {
+  "$BUILD/soak" --build "$BUILD" --folder "$FOLDER" --seconds 18 \
+    --regressions "$HERE/../soak/regressions_control.txt" "$@"
+}
+run --port $((PORT + 20)) --control 9 --wide --seed 910 --seeds 1 &
+WIDE=$!
+run --port $PORT --control 4 --seeds 0
+STATUS=$?
+if wait $WIDE && [ $STATUS = 0 ]; then
   rm -rf "$FOLDER"
 else
   echo "the soak of the control VMs failed; logs and disks are in $FOLDER" >&2
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -39,6 +39,10 @@
  * the VMs, in milliseconds.  The rule counts the requests of 4 s. */
 #define LIMIT_PHASE_MS (SOAK_CONTACT_MS + 6000)
 
+/* Time in which the last VM that was lost is no longer, and a change is
+ * acknowledged, before the closing fault, in milliseconds. */
+#define CLOSE_WAIT_MS 20000
+
 #define EXIT_USAGE 64
 
 typedef struct
@@ -54,6 +58,8 @@
   bool fatal;
   bool limits;
   int control;
+  bool wide;
+  int overlap;
 } options_t;
 
 br_ms_t
@@ -217,6 +223,7 @@
   control->steps_stopped = false;
   run_until (soak, is_never_done, soak->seconds * 1000);
   control->steps_stopped = true;
+  run_until (soak, soak_control_may_close, CLOSE_WAIT_MS);
   soak_control_close (soak);
   run_until (soak, soak_control_is_quiet, SOAK_RECOVERY_MS);
   control->changes_stop_on_ack = true;
@@ -250,6 +257,8 @@
   soak->fatal = options->fatal;
   soak->limits = options->limits;
   soak->control = options->control;
+  soak->wide = options->wide && options->control > 0;
+  soak->overlap = soak->wide ? options->overlap : 0;
   soak->log = fopen (log.data, "w");
   if (soak->log == NULL)
     {
@@ -338,6 +347,15 @@
     "two "
     "entry VMs",
     0 },
+  { "wide", 'w', NULL, 0,
+    "In a soak of the control VMs, also cut their links, give their addresses "
+    "to others and name seeds that are gone",
+    0 },
+  { "overlap", 'o', "COUNT", 0,
+    "In a wide soak, control VMs that are lost at once (default: as many as "
+    "the "
+    "site tolerates); no more disks are lost for that",
+    0 },
   { 0 },
 };
 
@@ -391,7 +409,13 @@
       options->limits = true;
       return 0;
     case 'k':
-      options->control = parse_number (arg, 4, SOAK_CONTROL_FIRST_MAX, state);
+      options->control = parse_number (arg, 3, SOAK_CONTROL_FIRST_MAX, state);
+      return 0;
+    case 'w':
+      options->wide = true;
+      return 0;
+    case 'o':
+      options->overlap = parse_number (arg, 1, SOAK_CONTROL_FIRST_MAX, state);
       return 0;
     case ARGP_KEY_END:
       if (options->build == NULL || options->folder == NULL)
@@ -402,15 +426,29 @@
     }
 }
 
-/* Runs the seed at the start of each line of the regressions file, in a soak of
- * the control VMs with the number of them after it; other lines and the rest of
- * a line are ignored.  Returns the number of failed seeds, or 1 when the file
- * cannot be opened. */
+/* Reads the seed at the start of LINE and, for a soak of the control VMs, the
+ * number of them and the word "wide" of a wide soak.  Returns whether a soak
+ * with OPTIONS runs it; sets its number of control VMs in them. */
+static bool
+parse_regression (const char *line, options_t *options, uint64_t *seed)
+{
+  char word[8] = "";
+  int control = 0;
+  int n = sscanf (line, "%" SCNu64 " %d %7s", seed, &control, word);
+
+  if (options->control == 0)
+    return n >= 1;
+  options->control = control;
+  return n >= 2 && (strcmp (word, "wide") == 0) == options->wide;
+}
+
+/* Runs the seeds of the regressions file, one for each line; other lines and
+ * the rest of a line are ignored.  Returns the number of failed seeds, or 1
+ * when the file cannot be opened. */
 static int
 run_regressions (const options_t *options)
 {
   FILE *file = fopen (options->regressions, "r");
-  options_t line_options = *options;
   char line[512];
   uint64_t seed;
   int failed = 0;
@@ -421,13 +459,12 @@
       return 1;
     }
   while (fgets (line, sizeof line, file) != NULL)
-    if (sscanf (line, "%" SCNu64 " %d", &seed, &line_options.control)
-        >= (options->control > 0 ? 2 : 1))
-      {
-        if (options->control == 0)
-          line_options.control = 0;
+    {
+      options_t line_options = *options;
+
+      if (parse_regression (line, &line_options, &seed))
         failed += run_seed_in_child (&line_options, seed) ? 0 : 1;
-      }
+    }
   fclose (file);
   return failed;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -64,6 +64,7 @@
                           * BR_MS_NEVER: it is not leaving */
   uint64_t starts;       /* number of starts so far */
   bool retired;          /* was replaced: it is not started again */
+  bool as_entry;         /* an entry VM at the address of a control VM */
   int seeds[SOAK_SEEDS]; /* numbers of the control VMs that its settings name;
                           * 0: none */
   br_ms_t up_since_ms;   /* of its last start or resumption */
@@ -157,6 +158,8 @@
   bool fatal;  /* callers also send fatal contents */
   bool limits; /* upstreams also name limits */
   int control; /* number of control VMs in a soak of them; 0: another soak */
+  bool wide;   /* it also cuts links and gives addresses to others */
+  int overlap; /* VMs lost at once in it; 0: as many as the site tolerates */
 
   struct event_base *base;
   br_random_t random;
@@ -246,6 +249,18 @@
 /* Returns the address of upstream NUMBER itself, which bypasses the relay. */
 struct sockaddr_in soak_runner_address (const soak_t *soak, int number);
 
+/* --- soak_control_link.c --- */
+
+/* Starts the link to control VM NUMBER in a soak of the control VMs. */
+bool soak_link_start (soak_t *soak,
+                      int number,
+                      const struct sockaddr_in *from,
+                      const struct sockaddr_in *to);
+
+/* Closes all connections that an earlier process at the control VM's address
+ * had: the start of the VM ends them. */
+void soak_link_renew (soak_t *soak, const soak_process_t *vm);
+
 /* --- soak_fault.c --- */
 
 /* Ends the link faults that are due and injects the next fault when it is due.
--- a/tests/soak/soak_control.c
+++ b/tests/soak/soak_control.c
@@ -14,22 +14,33 @@
  */
 #define KILLED_MAX_MS 900
 
-/* X (name, weight, function) */
+/* The closing fault follows an acknowledgement within this time, in
+ * milliseconds. */
+#define CLOSE_AFTER_MS 5
+
+/* X (name, weight, function, loses a disk, in a wide soak alone) */
 #define STEP_TABLE(X)                                                          \
-  X ("replace", 6, step_replace)                                               \
-  X ("replace planned", 4, step_replace_planned)                               \
-  X ("wipe", 2, step_wipe)                                                     \
-  X ("freeze", 3, step_freeze)                                                 \
-  X ("kill", 3, step_kill)                                                     \
-  X ("seeds", 3, step_seeds)                                                   \
-  X ("kill all", 1, step_kill_all)                                             \
-  X ("wipe one, kill all", 1, step_wipe_one_kill_all)
+  X ("replace", 6, step_replace, true, false)                                  \
+  X ("replace planned", 4, step_replace_planned, true, false)                  \
+  X ("wipe", 2, step_wipe, true, false)                                        \
+  X ("freeze", 3, step_freeze, false, false)                                   \
+  X ("kill", 3, step_kill, false, false)                                       \
+  X ("seeds", 3, soak_seeds_step, false, false)                                \
+  X ("kill all", 1, step_kill_all, false, false)                               \
+  X ("wipe, kill all", 1, step_wipe_kill_all, true, false)                     \
+  X ("replace leader, seeds", 3, step_replace_leader_seeds, true, true)        \
+  X ("reuse", 3, soak_link_step_reuse, true, true)                             \
+  X ("stranger", 2, soak_link_step_stranger, false, true)                      \
+  X ("cut", 5, soak_link_step_cut, false, true)                                \
+  X ("split", 1, soak_link_step_split, false, true)
 
 typedef struct
 {
   const char *name;
   int weight;
   void (*run) (soak_t *soak, soak_watch_t *target);
+  bool loses_disk;
+  bool wide;
 } step_t;
 
 static soak_watch_t *
@@ -45,15 +56,19 @@
          && vm->number <= soak->control_state->n_controls;
 }
 
-static bool
-is_lost (const soak_process_t *vm, br_ms_t now)
+bool
+soak_control_is_lost (soak_t *soak, const soak_watch_t *watch)
 {
-  return vm->pid == 0 || vm->paused || now < vm->up_since_ms + SOAK_CATCH_UP_MS;
+  const soak_process_t *vm = watch->vm;
+
+  return vm->pid == 0 || vm->paused || watch->cut.heal_ms != BR_MS_NEVER
+         || watch->seeds_ms != BR_MS_NEVER
+         || (watch->empty && soak->control_state->split_until_ms != BR_MS_NEVER)
+         || soak_now () < vm->up_since_ms + SOAK_CATCH_UP_MS;
 }
 
-/* Adds to the list of steps and to the log. */
-static void
-note (soak_t *soak, const char *format, ...)
+void
+soak_control_note (soak_t *soak, const char *format, ...)
 {
   br_buf_t line = { 0 };
   char text[256];
@@ -69,10 +84,11 @@
   br_buf_free (&line);
 }
 
-/* Sets NUMBERS to the control VMs that are up and stay, without VM and, if
- * LEADER is false, without the leader.  Returns how many. */
-static int
-list_live (soak_t *soak, const soak_process_t *vm, bool leader, int *numbers)
+int
+soak_control_list_live (soak_t *soak,
+                        const soak_process_t *vm,
+                        bool leader,
+                        int *numbers)
 {
   int n = 0;
 
@@ -81,15 +97,15 @@
       const soak_watch_t *watch = watch_at (soak, i);
 
       if (soak_control_is_active (soak, watch->vm) && watch->vm != vm
-          && watch->term_ms == BR_MS_NEVER && !is_lost (watch->vm, soak_now ())
-          && (leader || !watch->leads))
+          && watch->term_ms == BR_MS_NEVER
+          && !soak_control_is_lost (soak, watch) && (leader || !watch->leads))
         numbers[n++] = i;
     }
   return n;
 }
 
-static int
-list_retired (soak_t *soak, int *numbers)
+int
+soak_control_list_retired (soak_t *soak, int *numbers)
 {
   int n = 0;
 
@@ -99,87 +115,73 @@
   return n;
 }
 
-/* Moves a random one of the N numbers to OUT.  Returns how many are left. */
-static int
-take_one (soak_t *soak, int *numbers, int n, int *out)
-{
-  int at;
-
-  if (n == 0)
-    return 0;
-  at = (int)soak_random_between (soak, 0, n - 1);
-  *out = numbers[at];
-  numbers[at] = numbers[n - 1];
-  return n - 1;
-}
-
-/* Draws the seeds of a VM: any three that are up, three that do not lead, or a
- * list that lags, in which as many are up as may be lost at once, and the rest
- * are gone.  Its own address fills the list up. */
+/* Deletes what the VM's disk holds. */
 static void
-draw_seeds (soak_t *soak, soak_process_t *vm)
+lose_disk (soak_t *soak, soak_watch_t *watch)
 {
-  int live[SOAK_CONTROLS_MAX];
-  int gone[SOAK_CONTROLS_MAX];
-  int kind = (int)soak_random_between (soak, 0, 2);
-  int n_live = list_live (soak, vm, kind == 0, live);
-  int n_gone = kind == 2 ? list_retired (soak, gone) : 0;
-  int least = soak_tolerance (soak);
-
-  /* Nothing is up at the first steps after all were killed. */
-  if (n_live == 0)
-    return;
-  memset (vm->seeds, 0, sizeof vm->seeds);
-  for (int i = 0; i < SOAK_SEEDS; i++)
-    if (i >= least && n_gone > 0)
-      n_gone = take_one (soak, gone, n_gone, &vm->seeds[i]);
-    else
-      n_live = take_one (soak, live, n_live, &vm->seeds[i]);
-  for (int i = 0; i < SOAK_SEEDS; i++)
-    if (vm->seeds[i] == 0)
-      vm->seeds[i] = vm->role == SOAK_CONTROL ? vm->number : vm->seeds[0];
-}
-
-static const char *
-seeds_text (const soak_process_t *vm)
-{
-  static char text[64];
+  br_buf_t path = { 0 };
 
-  snprintf (text, sizeof text, "seeds %d, %d, %d", vm->seeds[0], vm->seeds[1],
-            vm->seeds[2]);
-  return text;
+  soak_process_path (soak, watch->vm, ".disk", &path);
+  soak_delete_files (path.data);
+  br_buf_free (&path);
+  watch->vm->founding = false;
+  watch->empty = true;
+  watch->disk_lost = true;
 }
 
-/* Starts an empty control VM at an address of its own after WAIT_MS. */
-static soak_process_t *
-start_new (soak_t *soak, const soak_process_t *old, br_ms_t wait_ms)
+soak_process_t *
+soak_control_start_new (soak_t *soak,
+                        const soak_process_t *old,
+                        int number,
+                        br_ms_t wait_ms)
 {
-  int number = ++soak->control_state->n_controls;
-  soak_process_t *vm = soak_process (soak, SOAK_CONTROL, number);
+  bool fresh = number == 0;
+  soak_process_t *vm;
+  soak_watch_t *watch;
 
-  soak_control_watch_vm (soak, number);
-  watch_at (soak, number)->empty = true;
-  watch_at (soak, number)->lost = true;
-  vm->founding = false;
+  if (fresh)
+    {
+      number = ++soak->control_state->n_controls;
+      soak_control_watch_vm (soak, number);
+    }
+  vm = soak_process (soak, SOAK_CONTROL, number);
+  watch = watch_at (soak, number);
+  lose_disk (soak, watch);
+  watch->lost = true;
+  watch->read_ms = 0;
+  watch->version = 0;
+  watch->gone_ms = 0;
+  watch->side = soak->control_state->split_until_ms != BR_MS_NEVER
+                    ? (int)soak_random_between (soak, 0, 1)
+                    : 0;
+  vm->retired = false;
   memcpy (vm->seeds, old->seeds, sizeof vm->seeds);
-  draw_seeds (soak, vm);
+  soak_seeds_draw (soak, vm);
+  soak_seeds_plan (soak, watch, wait_ms);
   vm->start_ms = soak_now () + wait_ms;
   return vm;
 }
 
+void
+soak_control_retire (soak_t *soak, soak_watch_t *target)
+{
+  target->vm->retired = true;
+  soak_link_power_off (soak, target);
+  soak_process_kill (soak, target->vm, 0);
+  target->vm->start_ms = BR_MS_NEVER;
+}
+
 static void
 step_replace (soak_t *soak, soak_watch_t *target)
 {
   br_ms_t wait_ms = soak_random_between (soak, 0, LATER_MAX_MS);
   soak_process_t *vm;
 
-  target->vm->retired = true;
-  soak_process_kill (soak, target->vm, 0);
-  target->vm->start_ms = BR_MS_NEVER;
-  vm = start_new (soak, target->vm, wait_ms);
-  note (soak, "%s%s is killed for good, %s starts after %d ms, %s",
-        target->leads ? "leader " : "", target->vm->name, vm->name,
-        (int)wait_ms, seeds_text (vm));
+  soak_control_retire (soak, target);
+  vm = soak_control_start_new (soak, target->vm, 0, wait_ms);
+  soak_control_note (soak, "%s%s is killed for good, %s starts after %d ms, %s",
+                     target->leads ? "leader " : "", target->vm->name, vm->name,
+                     (int)wait_ms, soak_seeds_text (vm));
 }
 
 static void
@@ -189,25 +191,22 @@
   soak_process_t *vm;
 
   target->term_ms = soak_now () + wait_ms;
-  vm = start_new (soak, target->vm, 0);
-  note (soak, "%s starts, %s; %s%s gets SIGTERM for good after %d ms", vm->name,
-        seeds_text (vm), target->leads ? "leader " : "", target->vm->name,
-        (int)wait_ms);
+  vm = soak_control_start_new (soak, target->vm, 0, 0);
+  soak_control_note (
+      soak, "%s starts, %s; %s%s gets SIGTERM for good after %d ms", vm->name,
+      soak_seeds_text (vm), target->leads ? "leader " : "", target->vm->name,
+      (int)wait_ms);
 }
 
 /* Kills the VM and empties its disk. */
 static void
 wipe (soak_t *soak, soak_watch_t *target, br_ms_t wait_ms)
 {
-  br_buf_t path = { 0 };
-
+  soak_link_power_off (soak, target);
   soak_process_kill (soak, target->vm, wait_ms);
-  soak_process_path (soak, target->vm, ".disk", &path);
-  soak_delete_files (path.data);
-  br_buf_free (&path);
-  target->vm->founding = false;
-  target->empty = true;
-  draw_seeds (soak, target->vm);
+  lose_disk (soak, target);
+  soak_seeds_draw (soak, target->vm);
+  soak_seeds_plan (soak, target, wait_ms);
 }
 
 static void
@@ -216,9 +215,9 @@
   br_ms_t wait_ms = soak_random_between (soak, 100, LATER_MAX_MS);
 
   wipe (soak, target, wait_ms);
-  note (soak, "%s%s loses its disk and is back after %d ms, %s",
-        target->leads ? "leader " : "", target->vm->name, (int)wait_ms,
-        seeds_text (target->vm));
+  soak_control_note (soak, "%s%s loses its disk and is back after %d ms, %s",
+                     target->leads ? "leader " : "", target->vm->name,
+                     (int)wait_ms, soak_seeds_text (target->vm));
 }
 
 static void
@@ -231,8 +230,9 @@
   soak_process_signal (soak, target->vm, SIGSTOP);
   target->vm->paused = true;
   target->vm->resume_ms = soak_now () + for_ms;
-  note (soak, "%s%s is frozen for %d ms", target->leads ? "leader " : "",
-        target->vm->name, (int)for_ms);
+  soak_control_note (soak, "%s%s is frozen for %d ms",
+                     target->leads ? "leader " : "", target->vm->name,
+                     (int)for_ms);
 }
 
 static void
@@ -240,38 +240,16 @@
 {
   br_ms_t wait_ms = soak_random_between (soak, 100, 3000);
 
+  soak_link_power_off (soak, target);
   soak_process_kill (soak, target->vm, wait_ms);
-  note (soak, "%s%s is killed and is back after %d ms",
-        target->leads ? "leader " : "", target->vm->name, (int)wait_ms);
+  soak_control_note (soak, "%s%s is killed and is back after %d ms",
+                     target->leads ? "leader " : "", target->vm->name,
+                     (int)wait_ms);
 }
 
-/* Writes other seeds into the settings of all VMs; some of them get SIGHUP. */
+/* Kills all control VMs that run; each is back within KILLED_MAX_MS. */
 static void
-step_seeds (soak_t *soak, soak_watch_t *target)
-{
-  int share = (int)soak_random_between (soak, 0, 2);
-
-  (void)target;
-  for (int i = 0; i < soak->n_processes; i++)
-    {
-      soak_process_t *vm = &soak->processes[i];
-      bool signal = (int)soak_random_between (soak, 1, 2) <= share;
-
-      if (!soak_control_is_active (soak, vm)
-          && (vm->role != SOAK_ENTRY || vm->number > SOAK_CONTROL_ENTRIES))
-        continue;
-      draw_seeds (soak, vm);
-      soak_settings_write (soak, vm);
-      note (soak, "%s: %s%s", vm->name, seeds_text (vm),
-            signal ? ", SIGHUP" : "");
-      if (signal && !vm->exit_expected)
-        soak_process_signal (soak, vm, SIGHUP);
-    }
-}
-
-/* Kills all control VMs but SPARED; each is back within KILLED_MAX_MS. */
-static void
-kill_all (soak_t *soak, const soak_process_t *spared)
+kill_all (soak_t *soak)
 {
   soak_control_t *control = soak->control_state;
 
@@ -279,9 +257,12 @@
     {
       soak_process_t *vm = watch_at (soak, i)->vm;
 
-      if (soak_control_is_active (soak, vm) && vm != spared && vm->pid > 0)
-        soak_process_kill (soak, vm,
-                           soak_random_between (soak, 0, KILLED_MAX_MS));
+      if (soak_control_is_active (soak, vm) && vm->pid > 0)
+        {
+          soak_link_power_off (soak, watch_at (soak, i));
+          soak_process_kill (soak, vm,
+                             soak_random_between (soak, 0, KILLED_MAX_MS));
+        }
     }
   control->excess_until_ms = soak_now () + 2 * KILLED_MAX_MS + SOAK_RECOVERY_MS;
 }
@@ -290,38 +271,110 @@
 step_kill_all (soak_t *soak, soak_watch_t *target)
 {
   (void)target;
-  note (soak, "all are killed");
-  kill_all (soak, NULL);
+  soak_control_note (soak, "all are killed");
+  kill_all (soak);
+}
+
+static int
+count_lost (soak_t *soak)
+{
+  int n = 0;
+
+  for (int i = 1; i <= soak->control_state->n_controls; i++)
+    n += soak_control_is_active (soak, watch_at (soak, i)->vm)
+         && soak_control_is_lost (soak, watch_at (soak, i));
+  return n;
 }
 
+/* Returns how many VMs may lose their disks now. */
+static int
+count_spare_disks (soak_t *soak)
+{
+  int n = 0;
+
+  if (soak->overlap == 0)
+    return soak_tolerance (soak) - count_lost (soak);
+  for (int i = 1; i <= soak->control_state->n_controls; i++)
+    n += soak_control_is_active (soak, watch_at (soak, i)->vm)
+         && watch_at (soak, i)->disk_lost;
+  return soak_tolerance (soak) - n;
+}
+
+/* Kills all, in a wide soak not always; one of them loses its disk, in a wide
+ * soak as many as may lose it. */
+static void
+step_wipe_kill_all (soak_t *soak, soak_watch_t *target)
+{
+  int spare = soak->wide ? count_spare_disks (soak) : 1;
+  bool all = !soak->wide || soak_random_between (soak, 0, 2) > 0;
+  int live[SOAK_CONTROLS_MAX];
+  int n = soak_control_list_live (soak, target->vm, true, live);
+  int number = target->vm->number;
+
+  while (spare-- > 0 && number > 0)
+    {
+      target = watch_at (soak, number);
+      wipe (soak, target, soak_random_between (soak, 0, KILLED_MAX_MS));
+      soak_control_note (soak, "%s%s loses its disk, %s",
+                         target->leads ? "leader " : "", target->vm->name,
+                         soak_seeds_text (target->vm));
+      number = 0;
+      if (spare > 0)
+        n = soak_control_take_one (soak, live, n, &number);
+    }
+  if (all)
+    step_kill_all (soak, target);
+}
+
+/* Replaces the leader, if it is known, while the settings change. */
 static void
-step_wipe_one_kill_all (soak_t *soak, soak_watch_t *target)
+step_replace_leader_seeds (soak_t *soak, soak_watch_t *target)
 {
-  wipe (soak, target, soak_random_between (soak, 0, KILLED_MAX_MS));
-  note (soak, "all are killed, %s%s loses its disk, %s",
-        target->leads ? "leader " : "", target->vm->name,
-        seeds_text (target->vm));
-  kill_all (soak, target->vm);
+  int live[SOAK_CONTROLS_MAX];
+  int n = soak_control_list_live (soak, NULL, true, live);
+  bool before = soak_random_between (soak, 0, 1) == 0;
+
+  for (int i = 0; i < n; i++)
+    if (watch_at (soak, live[i])->leads)
+      target = watch_at (soak, live[i]);
+  if (before)
+    soak_seeds_step (soak, target);
+  step_replace (soak, target);
+  if (!before)
+    soak_seeds_step (soak, target);
 }
 
 static const step_t step_list[] = {
-#define X(name, weight, function) { name, weight, function },
+#define X(name, weight, function, loses_disk, wide)                            \
+  { name, weight, function, loses_disk, wide },
   STEP_TABLE (X)
 #undef X
 };
 
+/* Returns whether the soak takes the step now. */
+static bool
+is_possible (soak_t *soak, const step_t *step)
+{
+  return (soak->wide || !step->wide)
+         && (!step->loses_disk || count_spare_disks (soak) > 0);
+}
+
 static const step_t *
 draw_step (soak_t *soak)
 {
+  int weights[BR_N_ELEMENTS (step_list)];
   int total = 0;
   int drawn;
   size_t i = 0;
 
   for (size_t j = 0; j < BR_N_ELEMENTS (step_list); j++)
-    total += step_list[j].weight;
+    {
+      weights[j] = is_possible (soak, &step_list[j]) ? step_list[j].weight : 0;
+      total += weights[j];
+    }
   drawn = (int)soak_random_between (soak, 0, total - 1);
-  while (drawn >= step_list[i].weight)
-    drawn -= step_list[i++].weight;
+  while (drawn >= weights[i])
+    drawn -= weights[i++];
   return &step_list[i];
 }
 
@@ -330,7 +383,7 @@
 draw_target (soak_t *soak)
 {
   int live[SOAK_CONTROLS_MAX];
-  int n = list_live (soak, NULL, true, live);
+  int n = soak_control_list_live (soak, NULL, true, live);
   bool leader = soak_random_between (soak, 0, 2) == 0;
   int at = (int)soak_random_between (soak, 0, BR_MAX (n, 1) - 1);
 
@@ -356,15 +409,29 @@
     control->kill_all_ms = soak_now () + soak_random_between (soak, 200, 3500);
 }
 
+/* Returns how many VMs may be lost at once. */
 static int
-count_lost (soak_t *soak)
+lost_max (const soak_t *soak)
 {
-  int n = 0;
+  return soak->overlap > 0 ? soak->overlap : soak_tolerance (soak);
+}
 
-  for (int i = 1; i <= soak->control_state->n_controls; i++)
-    n += soak_control_is_active (soak, watch_at (soak, i)->vm)
-         && is_lost (watch_at (soak, i)->vm, soak_now ());
-  return n;
+/* While more VMs are lost than the site tolerates, and until all had the time
+ * to recover, service may be suspended. */
+static void
+overlap_tick (soak_t *soak, br_ms_t now)
+{
+  soak_control_t *control = soak->control_state;
+  bool down = !soak_control_is_quiet (soak);
+
+  if (soak->overlap == 0)
+    return;
+  if (count_lost (soak) > soak_tolerance (soak))
+    control->beyond = true;
+  if (control->beyond && down)
+    control->excess_until_ms
+        = BR_MAX (control->excess_until_ms, now + SOAK_RECOVERY_MS);
+  control->beyond = control->beyond && down;
 }
 
 /* Sends the SIGTERM of planned replacements, and opens a window of checks when
@@ -378,8 +445,14 @@
     {
       soak_watch_t *watch = watch_at (soak, i);
       soak_process_t *vm = watch->vm;
-      bool lost = is_lost (vm, now);
-
+      bool lost;
+
+      soak_seeds_tick (soak, watch, now);
+      lost = soak_control_is_lost (soak, watch);
+      if (vm->retired && vm->pid == 0 && watch->gone_ms == 0)
+        watch->gone_ms = now;
+      if (watch->vote_ms > vm->up_since_ms && !lost)
+        watch->disk_lost = false;
       if (now >= watch->term_ms)
         {
           watch->term_ms = BR_MS_NEVER;
@@ -411,7 +484,9 @@
   soak_control_t *control = soak->control_state;
   br_ms_t now = soak_now ();
 
+  soak_link_tick (soak, now);
   vms_tick (soak, now);
+  overlap_tick (soak, now);
   soak_control_watch_tick (soak);
   if (control->steps_stopped)
     return;
@@ -420,7 +495,7 @@
       control->kill_all_ms = BR_MS_NEVER;
       step_kill_all (soak, NULL);
     }
-  if (count_lost (soak) >= soak_tolerance (soak))
+  if (count_lost (soak) >= lost_max (soak))
     return;
   if (control->next_ms == BR_MS_NEVER)
     {
@@ -441,8 +516,7 @@
   soak_control_t *control = soak->control_state;
 
   if (!control->steps_stopped && control->aimed
-      && soak_now () >= control->next_ms
-      && count_lost (soak) < soak_tolerance (soak))
+      && soak_now () >= control->next_ms && count_lost (soak) < lost_max (soak))
     take_step (soak);
 }
 
@@ -452,12 +526,22 @@
   soak_watch_t *target = draw_target (soak);
 
   soak->control_state->n_steps++;
-  if (target != NULL && count_lost (soak) < soak_tolerance (soak))
-    step_wipe_one_kill_all (soak, target);
+  if (target != NULL && count_spare_disks (soak) > 0)
+    step_wipe_kill_all (soak, target);
   else
     step_kill_all (soak, NULL);
 }
 
+bool
+soak_control_may_close (const soak_t *soak)
+{
+  const soak_acks_t *acks = &soak->control_state->acks;
+
+  return !soak->wide
+         || (count_lost ((soak_t *)soak) == 0 && acks->len > 0
+             && soak_now () <= acks->items[acks->len - 1].ms + CLOSE_AFTER_MS);
+}
+
 bool
 soak_control_is_quiet (const soak_t *soak)
 {
@@ -469,10 +553,12 @@
 
       if (soak_control_is_active (soak, vm)
           && (vm->pid == 0 || vm->paused
-              || control->watches[i].term_ms != BR_MS_NEVER))
+              || control->watches[i].term_ms != BR_MS_NEVER
+              || control->watches[i].seeds_ms != BR_MS_NEVER
+              || control->watches[i].cut.heal_ms != BR_MS_NEVER))
         return false;
     }
-  return true;
+  return control->split_until_ms == BR_MS_NEVER;
 }
 
 void
@@ -485,6 +571,7 @@
   control->steps_stopped = true;
   control->next_ms = BR_MS_NEVER;
   control->kill_all_ms = BR_MS_NEVER;
+  control->split_until_ms = BR_MS_NEVER;
   control->version = 1;
   br_random_seed (&control->random, soak->seed + 1);
   soak_control_watch_start (soak);
--- a/tests/soak/soak_control_watch.c
+++ b/tests/soak/soak_control_watch.c
@@ -42,9 +42,12 @@
 }
 
 static bool
-is_up (const soak_process_t *vm)
+is_up (const soak_t *soak, const soak_process_t *vm)
 {
-  return vm->pid > 0 && !vm->paused && !vm->retired;
+  return vm->pid > 0 && !vm->paused && !vm->retired
+         && (vm->role != SOAK_CONTROL
+             || soak->control_state->watches[vm->number - 1].cut.heal_ms
+                    == BR_MS_NEVER);
 }
 
 static int
@@ -53,7 +56,7 @@
   int n = 0;
 
   for (int i = 1; i <= soak->control_state->n_controls; i++)
-    n += is_up (soak_process (soak, SOAK_CONTROL, i));
+    n += is_up (soak, soak_process (soak, SOAK_CONTROL, i));
   return n;
 }
 
@@ -104,7 +107,7 @@
              + (int)br_random_below (&control->random,
                                      (uint64_t)control->n_controls);
   while (any ? soak_process (soak, SOAK_CONTROL, number)->retired
-             : !is_up (soak_process (soak, SOAK_CONTROL, number)));
+             : !is_up (soak, soak_process (soak, SOAK_CONTROL, number)));
   return number;
 }
 
@@ -162,7 +165,7 @@
   for (int i = 1; i < 256; i++)
     {
       bool up = i <= soak->control_state->n_controls
-                && is_up (soak_process (soak, SOAK_CONTROL, i));
+                && is_up (soak, soak_process (soak, SOAK_CONTROL, i));
 
       if (seen[i] != up)
         watch->knows_members = false;
@@ -173,11 +176,21 @@
     }
 }
 
+/* Checks that a VM that is outside the log does not say otherwise. */
+static void
+check_outside (soak_watch_t *watch, bool member, const char *what)
+{
+  if (member && watch->outside_ms > 0 && watch->sent_ms >= watch->outside_ms)
+    soak_fail (watch->soak, "%s: none of its seeds is up, and %s",
+               watch->vm->name, what);
+}
+
 static void
 take_configuration (soak_watch_t *watch, int status, br_str_t body)
 {
   soak_t *soak = watch->soak;
 
+  check_outside (watch, status == 200, "it answers reads");
   if (status != 200)
     return;
   watch->read_ms = soak_now ();
@@ -204,11 +217,12 @@
 
 /* The pages in the order in which they are read. */
 static const char *const control_pages[]
-    = { "/v1/configuration", "/metrics", "/v1/status" };
+    = { "/v1/configuration", "/metrics", "/v1/status", "/readyz" };
 static const char *const entry_pages[]
     = { "/readyz", "/metrics", "/look/named" };
 
-#define PAGES 3
+#define ENTRY_PAGES 3
+#define CONTROL_PAGES 4
 
 static void watch_next (soak_watch_t *watch);
 
@@ -218,6 +232,7 @@
   soak_watch_t *watch = context;
   soak_t *soak = watch->soak;
   bool control = watch->vm->role == SOAK_CONTROL;
+  bool has_vote;
 
   watch->call = NULL;
   switch (watch->stage)
@@ -230,13 +245,21 @@
       break;
     case 1:
       watch->leads = soak_metric (body, "briarrack_leads ") == 1;
+      has_vote = soak_metric (body, "briarrack_log_has_vote ") == 1;
+      if (has_vote)
+        watch->vote_ms = watch->sent_ms;
+      check_outside (watch, control && has_vote, "it has a vote");
       watch->agrees
-          = soak_metric (body, "briarrack_log_has_vote ") == 1
+          = has_vote
             && soak_metric (body, "briarrack_log_voters ") == count_up (soak);
       if (!control && status == 200)
         watch->version = (uint64_t)BR_MAX (
             0, soak_metric (body, "briarrack_configuration_version "));
       break;
+    case 3:
+      watch->ready = status == 200;
+      check_outside (watch, watch->ready, "it is ready");
+      break;
     default:
       if (control)
         take_members (watch, status == 200 ? body : (br_str_t){ 0 });
@@ -244,7 +267,7 @@
         take_owed (watch, status, "a request");
       break;
     }
-  watch->stage = (watch->stage + 1) % PAGES;
+  watch->stage = (watch->stage + 1) % (control ? CONTROL_PAGES : ENTRY_PAGES);
   if (watch->stage == 0)
     set_timer (watch->timer, READ_PERIOD_MS);
   else
@@ -256,7 +279,7 @@
 {
   soak_t *soak = watch->soak;
   bool control = watch->vm->role == SOAK_CONTROL;
-  bool request = !control && watch->stage == PAGES - 1;
+  bool request = !control && watch->stage == ENTRY_PAGES - 1;
   char headers[160];
   soak_call_options_t options = {
     .base = soak->base,
@@ -320,7 +343,7 @@
       const soak_watch_t *watch = &control->watches[i];
       const soak_process_t *vm = watch->vm;
 
-      if (vm == NULL || !is_up (vm) || vm->exit_expected)
+      if (vm == NULL || !is_up (soak, vm) || vm->exit_expected)
         continue;
       if (vm->role == SOAK_CONTROL
           && vm->up_since_ms + SOAK_CATCH_UP_MS <= window->from_ms
@@ -362,18 +385,19 @@
   uint64_t acked = soak_control_acked (soak, BR_MS_NEVER);
   const soak_process_t *vm = watch->vm;
   bool control = vm->role == SOAK_CONTROL;
-  bool ok = is_up (vm) && watch->version >= acked
-            && (control ? watch->agrees && watch->knows_members
-                              && watch->read_ms > vm->up_since_ms
-                        : watch->ready);
+  bool ok = is_up (soak, vm) && watch->version >= acked && watch->ready
+            && (!control
+                || (watch->agrees && watch->knows_members
+                    && watch->read_ms > vm->up_since_ms));
 
   if (explain && !ok)
-    soak_fail (soak, "%s: %s, version %" PRIu64 " of %" PRIu64 ", %s", vm->name,
-               is_up (vm) ? "up" : "not up", watch->version, acked,
-               control        ? (watch->agrees ? "has a vote, "
-                                               : "has no vote or other voters, ")
-               : watch->ready ? "ready"
-                              : "not ready");
+    soak_fail (soak, "%s: %s, version %" PRIu64 " of %" PRIu64 ", %s%s",
+               vm->name, is_up (soak, vm) ? "up" : "not up", watch->version,
+               acked,
+               !control        ? ""
+               : watch->agrees ? "has a vote, "
+                               : "has no vote or other voters, ",
+               watch->ready ? "ready" : "not ready");
   if (explain && !ok && control && !watch->knows_members)
     soak_fail (soak, "%s: its members are not the VMs that are up:%s", vm->name,
                watch->members);
@@ -454,6 +478,8 @@
   watch->soak = soak;
   watch->vm = vm;
   watch->term_ms = BR_MS_NEVER;
+  watch->seeds_ms = BR_MS_NEVER;
+  watch->cut.heal_ms = BR_MS_NEVER;
   watch->timer = evtimer_new (soak->base, watch_on_timer, watch);
   set_timer (watch->timer, READ_PERIOD_MS);
 }
--- a/tests/soak/soak_shim.c
+++ b/tests/soak/soak_shim.c
@@ -1,12 +1,17 @@
 /* A library that the soak preloads into control VMs.  It shifts their time of
  * day, in whole seconds, delays each sync and lets writes to files fail as on a
  * full disk.  The environment variable SOAK_SHIM names a file that holds the
- * values in force: "SHIFT_MS SYNC_MS FULL". */
+ * values in force: "SHIFT_MS SYNC_MS FULL".  Connections to loopback addresses
+ * come from the address in SOAK_ADDRESS, by which the relay tells the VMs
+ * apart. */
+#include <arpa/inet.h>
 #include <dlfcn.h>
 #include <errno.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/time.h>
 #include <sys/uio.h>
@@ -122,3 +127,21 @@
 {
   return write_fails (fd) ? -1 : REAL (writev) (fd, parts, n);
 }
+
+int
+connect (int fd, const struct sockaddr *to, socklen_t len)
+{
+  const struct sockaddr_in *target = (const struct sockaddr_in *)to;
+  const char *text = getenv ("SOAK_ADDRESS");
+  struct sockaddr_in from = { .sin_family = AF_INET };
+  int on = 1;
+
+  if (text != NULL && target->sin_family == AF_INET
+      && target->sin_addr.s_addr != htonl (INADDR_LOOPBACK)
+      && inet_pton (AF_INET, text, &from.sin_addr) == 1)
+    {
+      setsockopt (fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+      (void)bind (fd, (const struct sockaddr *)&from, sizeof from);
+    }
+  return REAL (connect) (fd, to, len);
+}
--- a/tests/soak/soak_site.c
+++ b/tests/soak/soak_site.c
@@ -51,12 +51,12 @@
   return soak->control >= 8 ? 2 : 1;
 }
 
-/* Returns whether the processes reach each other through the relay.  A soak of
- * the control VMs disturbs no links. */
+/* Returns whether the processes of ROLE are reached through the relay.  A wide
+ * soak of the control VMs disturbs the links to these alone. */
 static bool
-has_relay (const soak_t *soak)
+has_relay (const soak_t *soak, soak_role_t role)
 {
-  return soak->control == 0;
+  return soak->control == 0 || (soak->wide && role == SOAK_CONTROL);
 }
 
 /* Returns the third byte of a VM's address.  The two kinds of soak use
@@ -64,7 +64,7 @@
 static int
 vm_subnet (const soak_t *soak, soak_role_t role)
 {
-  return (has_relay (soak) ? 11 : 13) + (role == SOAK_CONTROL ? 0 : 1);
+  return (soak->control == 0 ? 11 : 13) + (role == SOAK_CONTROL ? 0 : 1);
 }
 
 /* Returns the address of a VM.  With NET 0 it is the public one, 127.0.11.N for
@@ -143,9 +143,9 @@
 void
 soak_settings_write (soak_t *soak, const soak_process_t *process)
 {
-  bool control = process->role == SOAK_CONTROL;
+  bool control = process->role == SOAK_CONTROL && !process->as_entry;
   int net = vm_subnet (soak, process->role);
-  int peers = has_relay (soak) ? 1 : 0;
+  int peers = has_relay (soak, process->role) ? 1 : 0;
   bool first = true;
   int n = process->number;
   br_buf_t path = { 0 };
@@ -161,16 +161,17 @@
   else
     br_buf_printf (&text, "\"callers\": {\"address\": \"127.0.%d.%d:%d\"},\n",
                    net, n, soak->port + PORT_CALLERS);
-  br_buf_printf (
-      &text,
-      "\"operators\": {\"address\": \"127.0.%d.%d:%d\"},\n"
-      "\"metrics\": {\"address\": \"127.0.%d.%d:%d\"},\n"
-      "\"peers\": {\"address\": \"127.%d.%d.%d\", \"port\": %d, "
-      "\"open\": true, \"shared_key\": \"soak-site-shared-key\"},\n"
-      "\"platform\": {\"address\": \"127.0.0.1:%d\"},\n",
-      net, n, soak->port + PORT_OPERATORS, net, n, soak->port + PORT_METRICS,
-      peers, net, n, soak->port + PORT_PEERS,
-      soak->port + PORT_CLOUD + (has_relay (soak) ? RELAY_PORT_OFFSET : 0));
+  br_buf_printf (&text,
+                 "\"operators\": {\"address\": \"127.0.%d.%d:%d\"},\n"
+                 "\"metrics\": {\"address\": \"127.0.%d.%d:%d\"},\n"
+                 "\"peers\": {\"address\": \"127.%d.%d.%d\", \"port\": %d, "
+                 "\"open\": true, \"shared_key\": \"soak-site-shared-key\"},\n"
+                 "\"platform\": {\"address\": \"127.0.0.1:%d\"},\n",
+                 net, n, soak->port + PORT_OPERATORS, net, n,
+                 soak->port + PORT_METRICS, peers, net, n,
+                 soak->port + PORT_PEERS,
+                 soak->port + PORT_CLOUD
+                     + (has_relay (soak, SOAK_CLOUD) ? RELAY_PORT_OFFSET : 0));
   br_buf_printf (
       &text,
       "\"site\": {\"role\": \"%s\", \"founding\": %s, "
@@ -178,8 +179,8 @@
       "\"retry_ratio\": 0.2, \"retry_slack\": 50, \"lease_ms\": 500, "
       "\"duties\": \"usage,scaling\", \"disk_losses\": %d, "
       "\"control_vms\": \"",
-      role_names[process->role], process->founding ? "true" : "false",
-      soak_tolerance (soak));
+      role_names[control ? SOAK_CONTROL : SOAK_ENTRY],
+      process->founding ? "true" : "false", soak_tolerance (soak));
   for (int i = 0; i < SOAK_SEEDS; i++)
     if (process->seeds[i] > 0)
       {
@@ -232,7 +233,8 @@
           ARG ("runner-%d,%s,d%d,%d", i,
                i <= SOAK_RUNNERS / 2 ? "llm" : "ledger", i,
                soak->port + PORT_RUNNERS
-                   + (has_relay (soak) ? RELAY_PORT_OFFSET : 0) + i - 1);
+                   + (has_relay (soak, SOAK_RUNNER) ? RELAY_PORT_OFFSET : 0) + i
+                   - 1);
         }
       break;
     }
@@ -262,6 +264,11 @@
       soak_process_path (soak, process, ".shim", &path);
       setenv ("SOAK_SHIM", path.data, 1);
       br_buf_clear (&path);
+      br_buf_printf (&path, "127.0.%d.%d", vm_subnet (soak, process->role),
+                     process->number);
+      if (soak->wide)
+        setenv ("SOAK_ADDRESS", path.data, 1);
+      br_buf_clear (&path);
       br_buf_printf (&path, "%s/libsoak_shim.so", soak->build);
       setenv ("LD_PRELOAD", path.data, 1);
       setenv ("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
@@ -276,6 +283,8 @@
 {
   if (process->role == SOAK_CONTROL || process->role == SOAK_ENTRY)
     soak_settings_write (soak, process);
+  if (soak->wide && process->role == SOAK_CONTROL)
+    soak_link_renew (soak, process);
   process->start_ms = BR_MS_NEVER;
   process->exit_expected = false;
   process->paused = false;
@@ -396,10 +405,27 @@
   process->pid = 0;
 }
 
+/* Starts a link to each control VM of a wide soak of them, also to those that
+ * come later. */
+static bool
+control_links_start (soak_t *soak)
+{
+  for (int n = 1; soak->wide && n <= SOAK_CONTROLS_MAX; n++)
+    {
+      struct sockaddr_in from
+          = vm_address (soak, SOAK_CONTROL, n, 0, PORT_PEERS);
+      struct sockaddr_in to = vm_address (soak, SOAK_CONTROL, n, 1, PORT_PEERS);
+
+      if (!soak_link_start (soak, n, &from, &to))
+        return false;
+    }
+  return true;
+}
+
 static bool
 links_start (soak_t *soak)
 {
-  for (int i = 0; has_relay (soak) && i < SOAK_LINKS; i++)
+  for (int i = 0; soak->control == 0 && i < SOAK_LINKS; i++)
     {
       const soak_process_t *process = &soak->processes[i];
       soak_link_t *link = &soak->links[i];
@@ -465,7 +491,7 @@
           }
       }
   br_buf_free (&path);
-  if (!links_start (soak))
+  if (!links_start (soak) || !control_links_start (soak))
     return false;
   soak_site_tick (soak);
   return true;
--- a/tests/support/relay.c
+++ b/tests/support/relay.c
@@ -18,6 +18,8 @@
   bool hold_to_target;
   bool hold_from_target;
   int delay_ms;
+  br_relay_held_fn is_held; /* NULL: the commands alone hold back bytes */
+  void *held_context;
   struct pipe *pipes;
   struct evconnlistener *listener;
 };
@@ -45,6 +47,7 @@
 typedef struct pipe
 {
   link_t *link;
+  struct sockaddr_in source;
   bool stalled;
   direction_t to_target;
   direction_t from_target;
@@ -88,6 +91,9 @@
   const link_t *link = direction->pipe->link;
 
   return direction->pipe->stalled
+         || (link->is_held != NULL
+             && link->is_held (link->held_context, &direction->pipe->source,
+                               direction->is_to_target))
          || (direction->is_to_target ? link->hold_to_target
                                      : link->hold_from_target);
 }
@@ -209,8 +215,8 @@
       = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
 
   (void)listener;
-  (void)address;
-  (void)len;
+  if (len >= (int)sizeof pipe->source)
+    memcpy (&pipe->source, address, sizeof pipe->source);
   pipe->link = link;
   pipe->next = link->pipes;
   link->pipes = pipe;
@@ -242,6 +248,34 @@
     }
 }
 
+void
+br_relay_link_set_held (br_relay_link_t *link,
+                        br_relay_held_fn is_held,
+                        void *context)
+{
+  link->is_held = is_held;
+  link->held_context = context;
+}
+
+void
+br_relay_link_set_target (br_relay_link_t *link, const struct sockaddr_in *to)
+{
+  link->target = *to;
+}
+
+void
+br_relay_link_drop (br_relay_link_t *link, const struct sockaddr_in *source)
+{
+  pipe_t *next;
+
+  for (pipe_t *pipe = link->pipes; pipe != NULL; pipe = next)
+    {
+      next = pipe->next;
+      if (pipe->source.sin_addr.s_addr == source->sin_addr.s_addr)
+        pipe_free (pipe);
+    }
+}
+
 bool
 br_relay_link_command (br_relay_link_t *link, const char *command)
 {
