Replica: a majority of the first voters founds the log

Callers saw: a new site answered every configuration and read with 503 for as long as it ran, if one first voter was killed before the log was founded and came back with site.founding false, or was replaced.

Cause: the first voters were those of the settings at each VM's start, and all of them had to confirm that they were empty to the first of them by name. A fact was taken from one list, once: a VM that restarts with founding false does not know that it is a first voter, and its successor is on no list.

Change: with site.founding the log begins with an election among the first voters, with the votes and terms that every election uses. A message from disk 0 is refused.

Not covered: half of the first voters or more lost with their disks before the log is founded. Those left can't tell that from a log that the others founded.

--- a/src/replica/election.c
+++ b/src/replica/election.c
@@ -11,7 +11,8 @@
     {
       const br_config_member_t *member = &config->members.items[i];
 
-      if (member->voter && !br_name_equal (&member->vm, &replica->options.vm))
+      if (member->voter && member->disk != 0
+          && !br_name_equal (&member->vm, &replica->options.vm))
         br_replica_add_progress (replica, &member->vm, member->disk);
     }
 }
--- a/src/replica/leader.c
+++ b/src/replica/leader.c
@@ -204,6 +204,8 @@
   leader_add_voters (replica);
   leader_inherit_silences (replica);
   br_replica_set_role (replica, BR_ROLE_LEADER);
+  if (br_replica_log_last_index (&replica->log) == 0)
+    br_replica_found (replica);
   br_replica_lead_append (replica, BR_ENTRY_NOOP, NULL, br_str_from (""));
   replica->noop_index = br_replica_log_last_index (&replica->log);
   br_replica_broadcast (replica);
--- a/src/replica/membership.c
+++ b/src/replica/membership.c
@@ -12,133 +12,6 @@
 /* No VM gets a vote while a voter has not answered for this many heartbeats. */
 #define LATE_HEARTBEATS 2
 
-/* --- before the first configuration --- */
-
-static bool
-membership_is_empty (const br_replica_t *replica)
-{
-  return br_replica_log_last_index (&replica->log) == 0
-         && replica->hard_state.term == 0;
-}
-
-/* Returns whether this replica is empty and MESSAGE comes from the VM that sent
- * the last bootstrap request, but from another disk.  An empty voter ignores
- * such a message. */
-bool
-br_replica_bootstrap_is_stale (const br_replica_t *replica,
-                               const br_replica_message_t *message)
-{
-  return replica->bootstrap_disk != 0
-         && br_replica_log_last_index (&replica->log) == 0
-         && br_name_equal (&message->vm, &replica->bootstrap_vm)
-         && message->disk != replica->bootstrap_disk;
-}
-
-/* Adds the first voters to CONFIG, the peers with unknown disks (0). */
-static void
-membership_first_voters (const br_replica_t *replica, br_config_t *config)
-{
-  const br_replica_options_t *options = &replica->options;
-
-  if (options->voter && !options->joins)
-    br_config_put (config,
-                   (br_config_member_t){ options->vm, options->disk, true });
-  for (size_t i = 0; i < options->peers.len; i++)
-    if (options->peers.items[i].voter)
-      br_config_put (
-          config, (br_config_member_t){ options->peers.items[i].vm, 0, true });
-}
-
-static uint64_t
-membership_voters_digest (const br_replica_t *replica)
-{
-  br_config_t config = { 0 };
-  uint64_t digest = 1;
-
-  membership_first_voters (replica, &config);
-  for (size_t i = 0; i < config.members.len; i++)
-    digest = br_str_hash (br_name_str (&config.members.items[i].vm), digest);
-  br_config_release (&config);
-  return digest;
-}
-
-/* Asks all other first voters whether their disks are empty, if this VM is the
- * first of them by name. */
-static void
-membership_send_bootstrap (br_replica_t *replica)
-{
-  br_replica_message_t message = { .kind = BR_REPLICA_BOOTSTRAP };
-  br_config_t config = { 0 };
-
-  membership_first_voters (replica, &config);
-  message.bootstrap.voters_digest = membership_voters_digest (replica);
-  if (config.members.len > 0
-      && br_name_equal (&config.members.items[0].vm, &replica->options.vm))
-    for (size_t i = 1; i < config.members.len; i++)
-      br_replica_send (replica, &config.members.items[i].vm, message,
-                       replica->change);
-  br_config_release (&config);
-}
-
-void
-br_replica_on_bootstrap (br_replica_t *replica,
-                         const br_replica_message_t *message)
-{
-  br_replica_message_t answer = { .kind = BR_REPLICA_BOOTSTRAP_ANSWER };
-
-  answer.bootstrap_answer.empty
-      = membership_is_empty (replica) && replica->options.voter;
-  answer.bootstrap_answer.agrees
-      = message->bootstrap.voters_digest == membership_voters_digest (replica);
-  if (answer.bootstrap_answer.empty)
-    {
-      replica->bootstrap_vm = message->vm;
-      replica->bootstrap_disk = message->disk;
-    }
-  answer.to_disk = message->disk;
-  br_replica_send (replica, &message->vm, answer, replica->change);
-}
-
-/* Appends the first configuration once every other first voter has answered
- * that its disk is empty. */
-static void
-membership_bootstrap (br_replica_t *replica)
-{
-  br_config_t config = { 0 };
-  br_entry_t entry = { .index = 1, .term = 1, .kind = BR_ENTRY_CONFIG };
-
-  membership_first_voters (replica, &config);
-  if (replica->empty_voters.len + 1 == br_config_voters (&config))
-    {
-      for (size_t i = 0; i < replica->empty_voters.len; i++)
-        br_config_put (&config, replica->empty_voters.items[i]);
-      br_config_print (&config, &entry.data);
-      br_replica_set_hard_state (replica, 1, &replica->options.vm);
-      br_replica_append_entry (replica, entry);
-      br_replica_campaign (replica, true, false);
-    }
-  br_config_release (&config);
-}
-
-void
-br_replica_on_bootstrap_answer (br_replica_t *replica,
-                                const br_replica_message_t *message)
-{
-  br_config_members_t *empty = &replica->empty_voters;
-  br_config_member_t member = { message->vm, message->disk, true };
-  size_t i = 0;
-
-  if (!membership_is_empty (replica) || !message->bootstrap_answer.empty
-      || !message->bootstrap_answer.agrees)
-    return;
-  while (i < empty->len && !br_name_equal (&empty->items[i].vm, &message->vm))
-    i++;
-  if (i == empty->len)
-    br_config_members_push (empty, member);
-  empty->items[i] = member;
-  membership_bootstrap (replica);
-}
-
 /* --- joining --- */
 
 /* A voter without a leader for this many of the longest election timeouts has
@@ -172,8 +45,7 @@
   if (replica->leader.len > 0 || replica->now < replica->join_at_ms)
     return;
   replica->join_at_ms = replica->now + replica->options.heartbeat_ms;
-  if (membership_is_empty (replica))
-    membership_send_bootstrap (replica);
+  br_replica_tick_founding (replica);
   join.term = replica->hard_state.term;
   join.join.voter_requested = replica->options.voter;
   br_replica_contacts (replica, &vms);
@@ -206,7 +78,8 @@
   answer.term = replica->hard_state.term;
   answer.to_disk = message->disk;
   answer.join_answer.leader = replica->leader;
-  br_config_copy (&answer.join_answer.config, br_replica_config (replica));
+  br_config_copy (&answer.join_answer.config,
+                  br_replica_log_config (&replica->log));
   br_replica_send (replica, &message->vm, answer, 0);
 }
 
@@ -270,7 +143,8 @@
 br_replica_standing_t
 br_replica_standing (const br_replica_t *replica)
 {
-  if (br_replica_is_voter (replica) && !membership_is_leaderless (replica))
+  if (br_replica_is_voter (replica) && !membership_is_leaderless (replica)
+      && br_replica_log_last_index (&replica->log) > 0)
     return BR_STANDING_VOTER;
   if (replica->leader.len > 0)
     return BR_STANDING_FOLLOWS;
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -21,6 +21,9 @@
 const br_config_t *
 br_replica_config (const br_replica_t *replica)
 {
+  if (br_replica_log_last_index (&replica->log) == 0
+      && replica->founding.members.len > 0)
+    return &replica->founding;
   return br_replica_log_config (&replica->log);
 }
 
@@ -211,7 +214,7 @@
       br_contacts_put (&replica->contacts.seeds, &options->peers.items[i].vm);
     }
   br_random_seed (&replica->random, options->seed);
-  replica->now = now;
+  replica->now = replica->started_ms = now;
   replica->has_space = true;
   /* A vote may have been sent just before the restart. */
   replica->leader_last_seen_ms = now;
@@ -247,6 +250,7 @@
   br_quorum_reads_free (&replica->quorum_reads);
   br_tickets_free (&replica->tickets);
   br_config_members_free (&replica->empty_voters);
+  br_config_release (&replica->founding);
   br_contacts_release (&replica->contacts);
   br_silences_free (&replica->silences);
   free (replica);
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -49,6 +49,8 @@
   uint64_t incarnation; /* identity of this run */
   bool voter;           /* joins as a voter, not only as a learner */
   bool joins;           /* never a voter of the first configuration */
+  bool founding;        /* a first voter on the disk with which its site started
+                         * for the first time; a majority of them founds the log */
   br_replica_peers_t peers; /* copied; without peers it is the only voter */
   br_ms_t heartbeat_ms;
   br_ms_t election_min_ms; /* must be several heartbeats */
@@ -254,7 +256,8 @@
 #undef X
 } br_replica_standing_t;
 
-/* Returns whether this VM is a voter by its own log. */
+/* Returns whether this VM is a voter by its own log, or by the first voters
+ * while the log is empty. */
 bool br_replica_is_voter (const br_replica_t *replica);
 br_replica_standing_t br_replica_standing (const br_replica_t *replica);
 const char *br_replica_standing_text (br_replica_standing_t standing);
--- a/src/replica/replica_private.h
+++ b/src/replica/replica_private.h
@@ -148,6 +148,11 @@
   br_name_t bootstrap_vm; /* sender of the last bootstrap request */
   uint64_t bootstrap_disk;
   br_config_members_t empty_voters; /* that answered this VM's requests */
+  br_config_t founding; /* first voters that may elect a leader while the log is
+                         * empty, those not reached yet with disk 0; owned */
+  br_ms_t started_ms;
+  br_ms_t founding_disputed_ms; /* last answer of a first voter whose settings
+                                 * name others; 0: none */
 };
 
 /* replica.c */
@@ -214,19 +219,31 @@
 void br_replica_on_snapshot (br_replica_t *replica,
                              br_replica_message_t *message);
 
-/* membership.c */
-void br_replica_tick_join (br_replica_t *replica);
+/* founding.c */
+
+/* Asks the other first voters while this VM is one and its log is empty. */
+void br_replica_tick_founding (br_replica_t *replica);
+
+/* Appends the first configuration on the leader of the first election. */
+void br_replica_found (br_replica_t *replica);
+
+/* Returns whether this replica is empty and MESSAGE comes from the VM that sent
+ * the last bootstrap request, but from another disk.  An empty voter ignores
+ * such a message. */
 bool br_replica_bootstrap_is_stale (const br_replica_t *replica,
                                     const br_replica_message_t *message);
+void br_replica_on_bootstrap (br_replica_t *replica,
+                              const br_replica_message_t *message);
+void br_replica_on_bootstrap_answer (br_replica_t *replica,
+                                     const br_replica_message_t *message);
+
+/* membership.c */
+void br_replica_tick_join (br_replica_t *replica);
 void br_replica_tick_membership (br_replica_t *replica);
 void br_replica_on_join (br_replica_t *replica,
                          const br_replica_message_t *message);
 void br_replica_on_join_answer (br_replica_t *replica,
                                 const br_replica_message_t *message);
-void br_replica_on_bootstrap (br_replica_t *replica,
-                              const br_replica_message_t *message);
-void br_replica_on_bootstrap_answer (br_replica_t *replica,
-                                     const br_replica_message_t *message);
 
 /* proposal.c */
 void br_replica_tick_proposals (br_replica_t *replica);
--- a/src/replica/replicate.c
+++ b/src/replica/replicate.c
@@ -128,6 +128,9 @@
 {
   br_replica_message_t message;
 
+  /* A first voter whose disk is not known yet sends a join request. */
+  if (progress->disk == 0)
+    return;
   if (progress->next <= replica->log.base_index)
     {
       replicate_snapshot (replica, progress, heartbeat);
--- a/src/replica/wire.c
+++ b/src/replica/wire.c
@@ -524,7 +524,7 @@
   *message = (br_replica_message_t){ .vm = *peer };
   if (wire == NULL)
     return wire_fail (err, peer->data, "the message does not parse");
-  if (wire->kind < BR_REPLICA_MESSAGE_COUNT
+  if (wire->kind < BR_REPLICA_MESSAGE_COUNT && wire->disk != 0
       && (wire->kind == BR_REPLICA_BOOTSTRAP || message_is_bounded (wire)))
     {
       message->kind = (br_replica_message_kind_t)wire->kind;
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -4,6 +4,7 @@
 #include <openssl/rand.h>
 #include <string.h>
 
+#include "shell/replica_founding.h"
 #include "shell/replica_links.h"
 #include "shell/replica_load.h"
 #include "shell/replica_outcome.h"
@@ -412,6 +413,8 @@
       return NULL;
     }
   br_replica_options_fill (node, task->disk, &options);
+  if (saved.snapshot.index == 0 && saved.entries.len == 0)
+    br_replica_founding_fill (node, &options);
   task->replica = br_replica_new (&options, &saved, br_node_now (node));
   br_replica_peers_free (&options.peers);
   task->flush = event_new (node->base, -1, 0, task_on_flush, task);
--- a/tests/replica_model.h
+++ b/tests/replica_model.h
@@ -96,6 +96,7 @@
   model_copy_vec (&to->quorum_reads);
   model_copy_vec (&to->tickets);
   model_copy_vec (&to->empty_voters);
+  model_copy_vec (&to->founding.members);
   model_copy_vec (&to->silences);
   model_copy_vec (&to->contacts.seeds);
   model_copy_vec (&to->contacts.named);
@@ -119,7 +120,8 @@
   model_state (const model_state &other)
       : vms (other.vms), network (other.network), remaining (other.remaining),
         leaders (other.leaders), committed (other.committed),
-        committed_in (other.committed_in), violation (other.violation)
+        committed_in (other.committed_in), violation (other.violation),
+        known_ (other.known_)
   {
     for (model_vm &vm : vms)
       {
@@ -159,6 +161,20 @@
     committed[1] = committed_in[1] = 1;
   }
 
+  /* Returns first voters whose logs are empty.  KNOWN[i] holds the VMs whose
+   * disks VM i knows. */
+  static model_state
+  first_voters (const std::vector<std::set<size_t>> &known)
+  {
+    model_state state;
+
+    state.known_ = known;
+    state.vms.resize (known.size ());
+    for (size_t i = 0; i < known.size (); i++)
+      state.start (i);
+    return state;
+  }
+
   static br_name_t
   name (size_t i)
   {
@@ -176,6 +192,7 @@
     options.disk = i + 1;
     options.incarnation = 1;
     options.voter = true;
+    options.founding = !known_.empty ();
     for (size_t j = 0; j < vms.size (); j++)
       if (j != i)
         br_replica_peers_push (&options.peers,
@@ -191,6 +208,8 @@
     vm.replica = br_replica_new (&options, &saved, vm.now);
     vm.replica->join_at_ms = BR_MS_NEVER;
     br_replica_peers_free (&options.peers);
+    if (!known_.empty ())
+      know_first_voters (i);
     process_output (i);
   }
 
@@ -407,6 +426,20 @@
   }
 
 private:
+  std::vector<std::set<size_t>> known_; /* empty: the log is founded */
+
+  void
+  know_first_voters (size_t i)
+  {
+    br_replica_t *replica = vms[i].replica;
+
+    for (size_t j = 0; j < vms.size (); j++)
+      br_config_put (&replica->founding,
+                     br_config_member_t{
+                         name (j), known_[i].count (j) > 0 ? j + 1 : 0, true });
+    br_replica_become_follower (replica, replica->hard_state.term, nullptr);
+  }
+
   static void
   add_config (model_disk &disk)
   {
--- a/tests/replica_model_test.cc
+++ b/tests/replica_model_test.cc
@@ -106,3 +106,40 @@
             .proposals = 0,
             .network = 6 });
 }
+
+/* The log is founded by the first election, while each VM knows the disks of
+ * other first voters; any two majorities may elect a leader. */
+TEST (ReplicaModel, ThreeFirstVotersFoundTheLog)
+{
+  model_state::vm_count = 3;
+  search ("first voters",
+          model_state::first_voters ({ { 0, 1 }, { 0, 1, 2 }, { 1, 2 } }),
+          { .depth = 10,
+            .timeouts = 3,
+            .crashes = 1,
+            .duplicates = 0,
+            .proposals = 0,
+            .network = 8 });
+}
+
+/* Two first voters have each been elected once and hold different first
+ * configurations that no other VM has. */
+TEST (ReplicaModel, TwoFirstConfigurations)
+{
+  model_state::vm_count = 3;
+  model_state start (
+      model_state::first_voters ({ { 0, 1 }, { 0, 1, 2 }, { 1, 2 } }));
+
+  start.elect (0, 1);
+  start.drop_messages ();
+  start.nominate (2, 1); /* learns the term */
+  start.elect (2, 1);
+  start.drop_messages ();
+  search ("two first configurations", start,
+          { .depth = 11,
+            .timeouts = 3,
+            .crashes = 1,
+            .duplicates = 0,
+            .proposals = 0,
+            .network = 6 });
+}
--- a/tests/replica_sim.h
+++ b/tests/replica_sim.h
@@ -46,7 +46,10 @@
 {
   br_name_t name = {};
   bool voter = true;
-  bool joins = false;        /* added later; knows only its seeds */
+  bool joins = false;   /* added later; knows only its seeds */
+  bool founding = true; /* its disk is the one of the first start */
+  std::set<size_t>
+      first_voters;          /* in its settings; empty: as the options say */
   std::vector<size_t> seeds; /* of a VM that joins */
   bool up = false;
   bool frozen = false;
@@ -98,6 +101,7 @@
   br_ms_t remove_unreachable_ms = 0;
   br_ms_t replace_silent_ms = 0;
   size_t voters_min = 3;
+  bool founding = true; /* first voters know that they start a new site */
 };
 
 class replica_sim
@@ -138,6 +142,7 @@
     options.incarnation = vm.incarnation = ++last_incarnation_;
     options.voter = vm.voter;
     options.joins = vm.joins;
+    options.founding = options_.founding && vm.founding && !vm.joins;
     for (size_t j : vm.seeds)
       br_replica_peers_push (&options.peers,
                              br_replica_peer_t{ vms_[j].name, false });
@@ -147,7 +152,8 @@
             &options.peers,
             br_replica_peer_t{
                 br_name_from (("vm-" + std::to_string (j)).c_str ()),
-                j < options_.voters });
+                vm.first_voters.empty () ? j < options_.voters
+                                         : vm.first_voters.count (j) > 0 });
     options.heartbeat_ms = options_.heartbeat_ms;
     options.election_min_ms = options_.election_min_ms;
     options.election_max_ms = options_.election_max_ms;
@@ -237,6 +243,7 @@
   {
     vms_[i].disk = sim_disk ();
     vms_[i].disk.id = new_disk ();
+    vms_[i].founding = false;
   }
 
   void
@@ -375,6 +382,12 @@
     return &random_;
   }
 
+  size_t
+  vms () const
+  {
+    return vms_.size ();
+  }
+
   size_t
   committed () const
   {
@@ -419,6 +432,16 @@
       }
   }
 
+  /* The same where committed proposals may be lost with their disks. */
+  void
+  check_outcomes_once ()
+  {
+    for (const sim_proposal &proposal : proposals_)
+      {
+        EXPECT_LE (times_committed_[proposal.key], 1u) << proposal.key;
+      }
+  }
+
   /* Returns the state of all VMs, for the message of a failed check. */
   std::string
   describe () const
