Replica: a copy that conflicts in committed entries says so and takes no part

Cause: an append that conflicts with a committed entry was dropped without an answer, a line or a state. The old copy could also vote and campaign for the old log.

Change: such an append sets a state that the VM reports in has no vote (each 5 s at most), /readyz and the metrics.

--- a/src/replica/election.c
+++ b/src/replica/election.c
@@ -123,7 +123,7 @@
   const br_name_t *vote = &replica->hard_state.vote;
   bool granted;
 
-  if (br_replica_bootstrap_is_stale (replica, message))
+  if (replica->conflicts || br_replica_bootstrap_is_stale (replica, message))
     return;
   if (message->term < replica->hard_state.term)
     {
--- a/src/replica/follower.c
+++ b/src/replica/follower.c
@@ -47,25 +47,47 @@
   return BR_MAX (index, replica->commit + 1);
 }
 
-/* Returns whether the log holds the entry before the new ones.  If it does not,
- * *HINT is the index at which the leader should try next. */
+/* How an append fits to the log. */
+typedef enum
+{
+  FIT_OK,
+  FIT_BELOW_SNAPSHOT, /* it ends before the last entry of the snapshot */
+  FIT_MISMATCH,       /* the log does not hold the entry before the new ones */
+  FIT_CONFLICT,       /* a committed entry differs */
+} follower_fit_t;
+
+/* Returns whether the entry at INDEX, which is committed, is of TERM.  Entries
+ * before the last one of the snapshot can't be compared. */
 static bool
-follower_prev_matches (const br_replica_t *replica,
+follower_is_same (const br_replica_t *replica, uint64_t index, uint64_t term)
+{
+  return index < replica->log.base_index
+         || br_replica_log_term (&replica->log, index) == term;
+}
+
+/* Compares the entry before the new ones.  After FIT_MISMATCH, *HINT is the
+ * index at which the leader should try next. */
+static follower_fit_t
+follower_compare_prev (const br_replica_t *replica,
                        const br_append_t *append,
                        uint64_t *hint)
 {
   uint64_t last = br_replica_log_last_index (&replica->log);
 
-  if (append->prev_index <= replica->log.base_index)
-    return true; /* covered by the snapshot, thus committed and the same */
+  if (append->prev_index + append->entries.len < replica->log.base_index)
+    return FIT_BELOW_SNAPSHOT;
+  if (append->prev_index <= replica->commit)
+    return follower_is_same (replica, append->prev_index, append->prev_term)
+               ? FIT_OK
+               : FIT_CONFLICT;
   *hint = last + 1;
   if (append->prev_index > last)
-    return false;
+    return FIT_MISMATCH;
   if (br_replica_log_term (&replica->log, append->prev_index)
       == append->prev_term)
-    return true;
+    return FIT_OK;
   *hint = follower_term_start (replica, append->prev_index);
-  return false;
+  return FIT_MISMATCH;
 }
 
 /* Appends the entries that are not in the log yet and truncates conflicting
@@ -78,13 +100,15 @@
       br_entry_t *entry = &append->entries.items[i];
       uint64_t last = br_replica_log_last_index (&replica->log);
 
-      if (entry->index <= replica->log.base_index)
-        continue;
+      if (entry->index <= replica->commit)
+        {
+          if (!follower_is_same (replica, entry->index, entry->term))
+            return false;
+          continue;
+        }
       if (entry->index <= last
           && br_replica_log_term (&replica->log, entry->index) == entry->term)
         continue;
-      if (entry->index <= replica->commit)
-        return false;
       if (entry->index <= last)
         br_replica_truncate (replica, entry->index);
       br_replica_append_entry (replica, *entry);
@@ -93,12 +117,15 @@
   return true;
 }
 
-static void
-follower_update_role (br_replica_t *replica)
+/* Appends the new entries if they fit. */
+static follower_fit_t
+follower_append (br_replica_t *replica, br_append_t *append, uint64_t *hint)
 {
-  br_replica_set_role (replica, br_replica_is_voter (replica)
-                                    ? BR_ROLE_FOLLOWER
-                                    : BR_ROLE_LEARNER);
+  follower_fit_t fit = follower_compare_prev (replica, append, hint);
+
+  if (fit == FIT_OK && !follower_append_entries (replica, append))
+    return FIT_CONFLICT;
+  return fit;
 }
 
 static void
@@ -133,15 +160,23 @@
   if (!follower_accept_leader (replica, message))
     return;
   follower_take_silences (replica, append);
-  answer.ok = follower_prev_matches (replica, append, &answer.index);
-  if (answer.ok)
+  switch (follower_append (replica, append, &answer.index))
     {
-      if (!follower_append_entries (replica, append))
-        return;
-      follower_update_role (replica);
+    case FIT_OK:
+      br_replica_set_conflicts (replica, false);
       matched = append->prev_index + append->entries.len;
+      answer.ok = true;
       answer.index = matched;
       br_replica_set_commit (replica, BR_MIN (append->commit, matched));
+      break;
+    case FIT_BELOW_SNAPSHOT:
+      answer.ok = true; /* acknowledges no entry */
+      break;
+    case FIT_MISMATCH:
+      break;
+    case FIT_CONFLICT:
+      br_replica_set_conflicts (replica, true);
+      return;
     }
   follower_answer (replica, message, answer);
 }
@@ -178,7 +213,7 @@
   replica->persisted = 0;
   replica->write_snapshot = true;
   replica->change++;
-  follower_update_role (replica);
+  br_replica_set_conflicts (replica, false);
   br_replica_event (replica,
                     (br_replica_event_t){ .kind = BR_REPLICA_EVENT_SNAPSHOT,
                                           .index = replica->commit });
--- a/src/replica/membership.c
+++ b/src/replica/membership.c
@@ -143,6 +143,8 @@
 br_replica_standing_t
 br_replica_standing (const br_replica_t *replica)
 {
+  if (replica->conflicts)
+    return BR_STANDING_CONFLICTS;
   if (br_replica_is_voter (replica) && !membership_is_leaderless (replica)
       && br_replica_log_last_index (&replica->log) > 0)
     return BR_STANDING_VOTER;
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -30,8 +30,18 @@
 bool
 br_replica_is_voter (const br_replica_t *replica)
 {
-  return br_config_is_voter (br_replica_config (replica), &replica->options.vm,
-                             replica->options.disk);
+  return !replica->conflicts
+         && br_config_is_voter (br_replica_config (replica),
+                                &replica->options.vm, replica->options.disk);
+}
+
+void
+br_replica_set_conflicts (br_replica_t *replica, bool conflicts)
+{
+  replica->conflicts = conflicts;
+  br_replica_set_role (replica, br_replica_is_voter (replica)
+                                    ? BR_ROLE_FOLLOWER
+                                    : BR_ROLE_LEARNER);
 }
 
 void
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -239,10 +239,13 @@
 /* --- accessors --- */
 
 /* What stands between this VM and its part in the log, by the answers to its
- * join requests.  A voter that has known no leader for long has none.
+ * join requests.  A voter that has known no leader for long has none.  With
+ * CONFLICTS the log was rescued elsewhere; this VM has no vote and must be
+ * emptied.
  * X (id, text) */
 #define BR_REPLICA_STANDING_TABLE(X)                                           \
   X (VOTER, "it is a voter")                                                   \
+  X (CONFLICTS, "its log holds committed entries that the leader's log lacks") \
   X (FOLLOWS, "it follows the leader, which has not given it a vote")          \
   X (LEADER_SILENT, "the leader that others named has not answered")           \
   X (NO_LEADER, "the control VMs that answered know no leader")                \
--- a/src/replica/replica_private.h
+++ b/src/replica/replica_private.h
@@ -122,6 +122,7 @@
   br_ms_t leader_named_ms;  /* last one that named a leader */
   br_name_t named_leader;   /* in that one */
   bool in_transfer_election;
+  bool conflicts; /* the leader's log lacks committed entries of this one */
   br_replica_messages_t outbox;
   size_t outbox_head;
   br_replica_events_t events;
@@ -170,6 +171,7 @@
                                  const br_name_t *leader);
 void br_replica_reset_election (br_replica_t *replica);
 const br_config_t *br_replica_config (const br_replica_t *replica);
+void br_replica_set_conflicts (br_replica_t *replica, bool conflicts);
 br_progress_t *
 br_replica_progress (br_replica_t *replica, const br_name_t *vm, uint64_t disk);
 br_progress_t *br_replica_add_progress (br_replica_t *replica,
--- a/tests/replica_rescue_test.cc
+++ b/tests/replica_rescue_test.cc
@@ -86,3 +86,143 @@
   EXPECT_TRUE (found) << "last_index " << last (old) << " without and "
                       << last (next) << " with the acknowledged entry";
 }
+
+/* Returns a voter whose copy of the log holds N committed entries of TERM after
+ * a snapshot at BASE. */
+static br_replica_t *
+old_copy (uint64_t base, uint64_t n, uint64_t term)
+{
+  br_replica_options_t options = {};
+  br_replica_saved_t saved = {};
+  br_config_t *config = &saved.snapshot.config;
+
+  for (const char *vm : { "vm-0", "vm-1", "vm-2" })
+    br_config_put (
+        config, br_config_member_t{ br_name_from (vm), (uint64_t)vm[3], true });
+  saved.snapshot.index = base;
+  saved.snapshot.term = term;
+  for (uint64_t i = 1; i <= n; i++)
+    {
+      br_entry_t entry = {};
+
+      entry.index = base + i;
+      entry.term = term;
+      br_entries_push (&saved.entries, entry);
+    }
+  saved.hard_state.term = term;
+  saved.hard_state.commit = base + n;
+  options.vm = br_name_from ("vm-1");
+  options.disk = '1';
+  options.voter = true;
+  br_replica_peers_push (&options.peers,
+                         br_replica_peer_t{ br_name_from ("vm-0"), true });
+  options.heartbeat_ms = 50;
+  options.election_min_ms = 200;
+  options.election_max_ms = 400;
+  br_replica_t *replica = br_replica_new (&options, &saved, 1000);
+  br_replica_peers_free (&options.peers);
+  return replica;
+}
+
+/* Steps an append of a leader of term 9 with one entry of TERM after
+ * PREV_INDEX. */
+static void
+step_append (br_replica_t *replica,
+             br_ms_t now,
+             uint64_t prev_index,
+             uint64_t prev_term,
+             uint64_t term)
+{
+  br_replica_message_t message = {};
+  br_entry_t entry = {};
+
+  message.kind = BR_REPLICA_APPEND;
+  message.vm = br_name_from ("vm-0");
+  message.disk = '0';
+  message.term = 9;
+  message.append.prev_index = prev_index;
+  message.append.prev_term = prev_term;
+  message.append.round = 1;
+  message.append.sent_ms = now;
+  entry.index = prev_index + 1;
+  entry.term = term;
+  br_entries_push (&message.append.entries, entry);
+  br_replica_step (replica, now, message);
+}
+
+/* Returns whether REPLICA acknowledged an entry, or granted or asked for a
+ * vote. */
+static bool
+takes_part (br_replica_t *replica)
+{
+  br_replica_writes_t writes;
+  br_replica_message_t message;
+  bool found = false;
+
+  if (br_replica_take_writes (replica, &writes))
+    br_replica_persisted (replica, 1000, writes.change);
+  while (br_replica_take_message (replica, &message))
+    {
+      found
+          = found || message.kind == BR_REPLICA_VOTE_REQUEST
+            || (message.kind == BR_REPLICA_VOTE_ANSWER
+                && message.vote_answer.granted)
+            || (message.kind == BR_REPLICA_APPEND_ANSWER
+                && message.append_answer.ok && message.append_answer.index > 0);
+      br_replica_message_release (&message);
+    }
+  return found;
+}
+
+/* After a rescue on another VM, a copy that was not emptied holds committed
+ * entries that the new log does not have. */
+TEST (ReplicaRescue, OldCopySaysThatItConflicts)
+{
+  const struct
+  {
+    uint64_t base, prev_index, prev_term, term;
+  } cases[] = {
+    { 0, 5, 9, 9 },   /* the entry before the new ones differs */
+    { 0, 4, 3, 9 },   /* a new entry differs */
+    { 10, 10, 9, 9 }, /* the last entry of the snapshot differs */
+    { 10, 9, 3, 9 },  /* as a new entry */
+  };
+
+  for (const auto &each : cases)
+    {
+      SCOPED_TRACE ("base " + std::to_string (each.base) + " previous "
+                    + std::to_string (each.prev_index));
+      br_replica_t *replica = old_copy (each.base, 5, 3);
+
+      step_append (replica, 1100, each.prev_index, each.prev_term, each.term);
+      EXPECT_STREQ (
+          br_replica_standing_text (br_replica_standing (replica)),
+          "its log holds committed entries that the leader's log lacks");
+      EXPECT_FALSE (br_replica_is_voter (replica));
+      EXPECT_EQ (br_replica_commit_index (replica), each.base + 5);
+      for (br_ms_t now = 1100; now < 5000; now += 25)
+        br_replica_tick (replica, now);
+      EXPECT_FALSE (takes_part (replica)) << "it campaigns or acknowledges";
+      br_replica_message_t request = {};
+      request.kind = BR_REPLICA_VOTE_REQUEST;
+      request.vm = br_name_from ("vm-2");
+      request.disk = '2';
+      request.term = 20;
+      request.vote_request.last_index = 100;
+      request.vote_request.last_term = 9;
+      br_replica_step (replica, 5000, request);
+      EXPECT_FALSE (takes_part (replica)) << "it votes";
+      br_replica_free (replica);
+    }
+}
+
+/* Entries that a snapshot covers can't be compared; they are not
+ * acknowledged. */
+TEST (ReplicaRescue, EntriesBelowTheSnapshotAreNotAcknowledged)
+{
+  br_replica_t *replica = old_copy (10, 5, 3);
+
+  step_append (replica, 1100, 4, 9, 9);
+  EXPECT_FALSE (takes_part (replica));
+  br_replica_free (replica);
+}
