Site: a reload takes site.disk_losses into use

Operators saw: a site whose settings allowed another number of lost disks kept the old least number of voters until each control VM was restarted.

Cause: the option was filled in at the start only; a reload replaced just the control VMs.

Change: a reload sets the least number of voters on the running replica, and its line says the figure.

--- a/src/replica/membership.c
+++ b/src/replica/membership.c
@@ -60,6 +60,12 @@
   br_contacts_set_seeds (&replica->contacts, vms);
 }
 
+void
+br_replica_set_voters_min (br_replica_t *replica, size_t voters_min)
+{
+  replica->options.voters_min = voters_min;
+}
+
 void
 br_replica_add_contact (br_replica_t *replica, br_ms_t now, const br_name_t *vm)
 {
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -117,6 +117,9 @@
  * other VMs named. */
 void br_replica_set_seeds (br_replica_t *replica, const br_names_t *vms);
 
+/* Replaces the option VOTERS_MIN. */
+void br_replica_set_voters_min (br_replica_t *replica, size_t voters_min);
+
 /* Adds a VM that another one named as a member of the log. */
 void br_replica_add_contact (br_replica_t *replica,
                              br_ms_t now,
--- a/src/shell/replica_outcome.c
+++ b/src/shell/replica_outcome.c
@@ -31,10 +31,8 @@
 #define APPEND_MAX_BYTES (256 * 1024)
 #define SNAPSHOT_CHUNK_BYTES (256 * 1024)
 
-/* Returns the fewest voters of which each majority has more disks than may be
- * lost at once. */
-static size_t
-outcome_voters_min (const br_settings_t *settings)
+size_t
+br_replica_voters_min (const br_settings_t *settings)
 {
   size_t min = 2 * (size_t)settings->site.disk_losses + 1;
 
@@ -56,7 +54,7 @@
     .joins = settings->joins,
     .remove_unreachable_ms = settings->open_peers ? REMOVE_UNREACHABLE_MS : 0,
     .replace_silent_ms = settings->open_peers ? REPLACE_SILENT_MS : 0,
-    .voters_min = outcome_voters_min (settings),
+    .voters_min = br_replica_voters_min (settings),
     .heartbeat_ms = settings->open_peers ? SITE_HEARTBEAT_MS : HEARTBEAT_MS,
     .election_min_ms
     = settings->open_peers ? SITE_ELECTION_MIN_MS : ELECTION_MIN_MS,
--- a/src/shell/replica_outcome.h
+++ b/src/shell/replica_outcome.h
@@ -8,6 +8,10 @@
 
 BR_BEGIN_DECLS
 
+/* Returns the fewest voters of which each majority has more disks than may be
+ * lost at once. */
+size_t br_replica_voters_min (const br_settings_t *settings);
+
 /* Fills OPTIONS from the settings; the caller frees its peers. */
 void br_replica_options_fill (br_node_t *node,
                               uint64_t disk,
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -578,6 +578,13 @@
   br_replica_set_seeds (task->replica, vms);
 }
 
+void
+br_replica_task_set_disk_losses (br_replica_task_t *task,
+                                 const br_settings_t *settings)
+{
+  br_replica_set_voters_min (task->replica, br_replica_voters_min (settings));
+}
+
 br_replica_standing_t
 br_replica_task_standing (const br_replica_task_t *task)
 {
--- a/src/shell/replica_task.h
+++ b/src/shell/replica_task.h
@@ -63,6 +63,10 @@
 /* Replaces the control VMs of the settings. */
 void br_replica_task_set_seeds (br_replica_task_t *task, const br_names_t *vms);
 
+/* Takes the disk losses of SETTINGS into use. */
+void br_replica_task_set_disk_losses (br_replica_task_t *task,
+                                      const br_settings_t *settings);
+
 /* Returns what stands between this VM and a vote. */
 br_replica_standing_t br_replica_task_standing (const br_replica_task_t *task);
 
--- a/src/shell/site_task.c
+++ b/src/shell/site_task.c
@@ -138,7 +138,8 @@
 }
 
 /* Applies the settings that may change while the process runs: the initial
- * control VMs.  A settings file with errors changes nothing. */
+ * control VMs and the disk losses.  A settings file with errors changes
+ * nothing. */
 static void
 task_reload (br_site_task_t *task, const char *why)
 {
@@ -152,9 +153,12 @@
   else
     {
       task_set_seeds (task, &loaded.vms);
+      if (task->control != NULL)
+        br_replica_task_set_disk_losses (node->replica, &loaded);
       BR_LOG (
           &node->log, "node", "settings reloaded", br_field_z ("why", why),
-          br_field_str ("control_vms", br_buf_str (&loaded.site.control_vms)));
+          br_field_str ("control_vms", br_buf_str (&loaded.site.control_vms)),
+          br_field_int ("disk_losses", loaded.site.disk_losses));
     }
   br_settings_release (&loaded);
   br_buf_free (&faults);
--- a/tests/process/platform_disk_losses.sh
+++ b/tests/process/platform_disk_losses.sh
@@ -39,4 +39,25 @@
   rm -rf "$SITE"/disk-*
   mkdir "$SITE"/disk-1 "$SITE"/disk-2 "$SITE"/disk-3 "$SITE"/disk-4 "$SITE"/disk-5
 done
+# A reload takes another figure into use, without a restart.
+for i in 1 2 3 4 5; do
+  platform_settings control "$i" 3 | sed "s/\"site\": {/&\"disk_losses\": 2, /" \
+    > "$SITE/control-$i.json"
+  site_start "control-$i" "$BUILD/briarrack" serve "$SITE/control-$i.json"
+done
+platform_wait has_voters 5 || site_fail "after the second start: $(voters) voters, not 5"
+sleep 1
+leader=$(platform_leader 1 2 3 4 5)
+frozen=$(for i in 5 4 3 2; do [ "$i" = "$leader" ] || echo "$i"; done | head -n 2)
+# shellcheck disable=SC2046,SC2086
+kill -STOP $(for i in $frozen; do site_pid "control-$i"; done)
+for i in 1 2 3 4 5; do
+  sed -i 's/"disk_losses": 2/"disk_losses": 1/' "$SITE/control-$i.json"
+  # A frozen process takes the signal when it goes on.
+  kill -HUP "$(site_pid "control-$i")"
+done
+platform_wait_ms 8000 has_voters 3 || site_fail "$(voters) voters are left after the reload, not 3"
+# shellcheck disable=SC2046,SC2086
+kill -CONT $(for i in $frozen; do site_pid "control-$i"; done)
+platform_wait has_voters 5 || site_fail "$(voters) voters after the freeze, not 5"
 echo "silent voters stay as far as lost disks require"
