--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -49,6 +49,8 @@
   uint64_t incarnation; /* identity of this run */
   bool voter;           /* joins as a voter, not only as a learner */
   bool joins;           /* never a voter of the first configuration */
+  bool founding;        /* a first voter on the disk with which its site started
+                         * for the first time; a majority of them founds the log */
   br_replica_peers_t peers; /* copied; without peers it is the only voter */
   br_ms_t heartbeat_ms;
   br_ms_t election_min_ms; /* must be several heartbeats */
@@ -115,6 +117,9 @@
  * other VMs named. */
 void br_replica_set_seeds (br_replica_t *replica, const br_names_t *vms);
 
+/* Replaces the option VOTERS_MIN. */
+void br_replica_set_voters_min (br_replica_t *replica, size_t voters_min);
+
 /* Adds a VM that another one named as a member of the log. */
 void br_replica_add_contact (br_replica_t *replica,
                              br_ms_t now,
@@ -241,10 +246,13 @@
 /* --- accessors --- */
 
 /* What stands between this VM and its part in the log, by the answers to its
- * join requests.  A voter that has known no leader for long has none.
+ * join requests.  A voter that has known no leader for long has none.  With
+ * CONFLICTS the log was rescued elsewhere; this VM has no vote and must be
+ * emptied.
  * X (id, text) */
 #define BR_REPLICA_STANDING_TABLE(X)                                           \
   X (VOTER, "it is a voter")                                                   \
+  X (CONFLICTS, "its log holds committed entries that the leader's log lacks") \
   X (FOLLOWS, "it follows the leader, which has not given it a vote")          \
   X (LEADER_SILENT, "the leader that others named has not answered")           \
   X (NO_LEADER, "the control VMs that answered know no leader")                \
@@ -258,7 +266,8 @@
 #undef X
 } br_replica_standing_t;
 
-/* Returns whether this VM is a voter by its own log. */
+/* Returns whether this VM is a voter by its own log, or by the first voters
+ * while the log is empty. */
 bool br_replica_is_voter (const br_replica_t *replica);
 br_replica_standing_t br_replica_standing (const br_replica_t *replica);
 const char *br_replica_standing_text (br_replica_standing_t standing);
