Usage: a ledger that may not know all entry VMs is not complete

Cause: a ledger without rows, or with rows that are all too old to be waited for, counted as complete.

Change: the ledger knows since when reports have come without a gap of 3 s, the time in which an entry VM in touch has reported to a control VM that is new or back. Cost: the first windows after the start of a site are reported up to some 3 s later.

--- a/src/shell/control_duties.c
+++ b/src/shell/control_duties.c
@@ -186,8 +186,8 @@
   if (wall < end + COUNTS_WAIT_MIN_MS)
     return false;
   return wall >= end + (br_ms_t)((double)late_ms * COUNTS_WAIT_SHARE)
-         || br_usage_ledger_is_complete (&duties->task->ledger,
-                                         now - ENTRY_OUTAGE_MAX_MS, end);
+         || br_usage_ledger_is_complete (&duties->task->ledger, now,
+                                         ENTRY_OUTAGE_MAX_MS, end);
 }
 
 static void
--- a/src/shell/control_task.c
+++ b/src/shell/control_task.c
@@ -53,10 +53,9 @@
                   Br__Site__Window *const *windows,
                   size_t n_windows)
 {
-  br_ledger_entry_t *row
-      = br_usage_ledger_row (&task->ledger, &from->vm, from->incarnation);
+  br_ledger_entry_t *row = br_usage_ledger_receive (
+      &task->ledger, &from->vm, from->incarnation, br_node_now (task->node));
 
-  row->last_seen_ms = br_node_now (task->node);
   for (size_t i = 0; i < n_windows; i++)
     {
       const Br__Site__Window *window = windows[i];
--- a/src/site/usage_ledger.c
+++ b/src/site/usage_ledger.c
@@ -1,9 +1,9 @@
 #include "site/usage_ledger.h"
 
-br_ledger_entry_t *
-br_usage_ledger_row (br_usage_ledger_t *ledger,
-                     const br_name_t *vm,
-                     uint64_t incarnation)
+static br_ledger_entry_t *
+ledger_row (br_usage_ledger_t *ledger,
+            const br_name_t *vm,
+            uint64_t incarnation)
 {
   br_ledger_entry_t fresh = { .vm = *vm, .incarnation = incarnation };
 
@@ -14,6 +14,21 @@
   return br_ledger_entries_push (&ledger->entries, fresh);
 }
 
+br_ledger_entry_t *
+br_usage_ledger_receive (br_usage_ledger_t *ledger,
+                         const br_name_t *vm,
+                         uint64_t incarnation,
+                         br_ms_t now)
+{
+  br_ledger_entry_t *row = ledger_row (ledger, vm, incarnation);
+
+  if (now - ledger->received_ms >= BR_LEDGER_SETTLE_MS)
+    ledger->since_ms = now;
+  ledger->received_ms = now;
+  row->last_seen_ms = now;
+  return row;
+}
+
 static void
 sum_add (br_usage_entries_t *sum, const br_usage_entry_t *entry)
 {
@@ -57,14 +72,20 @@
 
 bool
 br_usage_ledger_is_complete (const br_usage_ledger_t *ledger,
-                             br_ms_t seen_since_ms,
+                             br_ms_t now,
+                             br_ms_t awaited_ms,
                              br_ms_t site_wall_ms)
 {
+  if (ledger->entries.len == 0
+      || now - ledger->received_ms >= BR_LEDGER_SETTLE_MS
+      || now - ledger->since_ms < BR_LEDGER_SETTLE_MS)
+    return false;
   for (size_t i = 0; i < ledger->entries.len; i++)
     {
       const br_ledger_entry_t *row = &ledger->entries.items[i];
 
-      if (row->last_seen_ms >= seen_since_ms && row->site_wall_ms < site_wall_ms
+      if (now - row->last_seen_ms <= awaited_ms
+          && row->site_wall_ms < site_wall_ms
           && !row_is_superseded (ledger, row))
         return false;
     }
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -496,11 +496,10 @@
 on_usage (session_t *session, const words_t *words)
 {
   br_name_t vm = br_name_from (word (words, 1));
-  br_ledger_entry_t *row = br_usage_ledger_row (&session->ledger, &vm,
-                                                (uint64_t)number (words, 2));
+  br_ledger_entry_t *row = br_usage_ledger_receive (
+      &session->ledger, &vm, (uint64_t)number (words, 2), session->now);
   uint64_t window = (uint64_t)number (words, 3);
 
-  row->last_seen_ms = session->now;
   row->site_wall_ms = (br_ms_t)number (words, 5);
   br_usage_clear (&row->usage, window);
   br_usage_add (&row->usage, window, br_str_from ("alcornocales"),
@@ -533,11 +532,11 @@
   else if (strcmp (word (words, 0), "mark_reported") == 0)
     br_usage_mark_reported (&session->counted);
   else if (strcmp (word (words, 0), "complete") == 0)
-    printf ("%s\n", br_usage_ledger_is_complete (&session->ledger,
-                                                 session->now - AWAITED_MS,
-                                                 (br_ms_t)number (words, 1))
-                        ? "complete"
-                        : "not yet");
+    printf ("%s\n",
+            br_usage_ledger_is_complete (&session->ledger, session->now,
+                                         AWAITED_MS, (br_ms_t)number (words, 1))
+                ? "complete"
+                : "not yet");
   else if (strcmp (word (words, 0), "sum") == 0)
     {
       br_usage_ledger_sum (&session->ledger, (uint64_t)number (words, 1), &sum);
