Test: wait until the stream has begun before an entry VM is killed

process.platform_usage_kill allows counts of the last quarter of a second to be lost, but took a stream's age from the start of its client. Beside load 37 it said "counted 51 of 52 requests": by the upstream's log the stream had begun less than 0.09 s before the kill. (It also had ended before the kill on a fast machine: six events of 30 ms.) The test now waits until the upstream has begun the stream, and the stream has twelve events, so it is in progress at the kill as the comment says. The bound, a quarter of a second, is the same.

--- a/tests/process/platform_usage_kill.sh
+++ b/tests/process/platform_usage_kill.sh
@@ -9,6 +9,7 @@
 platform_up 3 2
 # The counts are sent to the leader, which a starting VM must have found first.
 has_leader() { grep -q '"event":"leader"' "$SITE/entry-2.out"; }
+stream_began() { cat "$SITE/r1.out" "$SITE/r2.out" | grep -q "\"run\":\"s$round\""; }
 sent=0
 for round in 1 2 3 4 5 6 7 8; do
   platform_wait has_leader || site_fail "round $round: entry VM 2 has not found the leader"
@@ -18,8 +19,9 @@
   done
   # In every other round a stream is in progress when the VM is killed.
   if [ $((round % 2)) = 0 ]; then
-    platform_request 2 "s$round" /chat/stream -X POST -d x > /dev/null &
+    platform_request 2 "s$round" /chat/named-stream -X POST -d x > /dev/null &
     sent=$((sent + 1))
+    until stream_began; do sleep 0.01; done
   fi
   sleep 0.25
   site_kill entry-2
