--- a/tests/soak/soak_control.c
+++ b/tests/soak/soak_control.c
@@ -1,6 +1,6 @@
 /* The steps of a soak of the control VMs.  No more of them are lost at once
- * than the site tolerates; only kills of all at once go beyond it, and these
- * lose no more disks. */
+ * than the site tolerates; only kills of all at once, splits and overlaps go
+ * beyond it, and these lose no more disks. */
 #include "soak_control.h"
 
 #include <signal.h>
