Replica: send a lost proposal or read again

Callers saw, if a connection between control VMs lost a message while the leader stayed: a read or a change that was answered only after 3 s, as unknown.

Cause: a proposal or read was sent once a term.

Change: what the leader has not answered is sent again after 4 heartbeats, then after twice the time each, with the same ticket and term. The leader appends a ticket once, as before. One that it passed over, because a later one came first, is refused if the log still holds the whole term and not that ticket: it was not appended and never will be.

Evidence: Replica.LostProposalOrReadIsSentAgain (a lost proposal, read and read answer) and .LostProposalBeforeAnotherIsRefused have no outcome after 500 ms on (bound of the model 1 s) and pass now.

--- a/src/replica/proposal.c
+++ b/src/replica/proposal.c
@@ -3,6 +3,10 @@
 /* Maximum incarnations of proposers whose tickets one leader tracks. */
 #define TICKETS_MAX 4096
 
+/* A message to the leader may be lost with its connection.  It is sent again
+ * after this many heartbeats, and then after twice the time each. */
+#define RESEND_HEARTBEATS 4
+
 static void
 pending_complete (br_replica_t *replica, size_t i, br_replica_event_t event)
 {
@@ -104,6 +108,9 @@
 {
   br_replica_message_t message = { .kind = BR_REPLICA_PROPOSE };
 
+  pending->resend_ms = replica->now + pending->resend_after_ms;
+  pending->resend_after_ms *= 2;
+
   message.term = replica->hard_state.term;
   if (pending->is_read)
     {
@@ -160,6 +167,8 @@
         {
           pending->state = BR_PENDING_SENT;
           pending->term = replica->hard_state.term;
+          pending->resend_after_ms
+              = replica->options.heartbeat_ms * RESEND_HEARTBEATS;
           if (replica->role == BR_ROLE_LEADER)
             refused = !pending_handle_as_leader (replica, pending);
           else
@@ -195,12 +204,32 @@
   pending->term = 0;
 }
 
+/* Sends what the leader has not answered once more.  The leader answers a read
+ * twice at most, and appends a ticket once. */
+static void
+pending_resend (br_replica_t *replica)
+{
+  if (replica->leader.len == 0 || replica->role == BR_ROLE_LEADER)
+    return;
+  for (size_t i = 0; i < replica->pendings.len; i++)
+    {
+      br_pending_t *pending = &replica->pendings.items[i];
+
+      if (pending->state == BR_PENDING_SENT
+          && pending->term == replica->hard_state.term
+          && !(pending->is_read && pending->index > 0)
+          && replica->now >= pending->resend_ms)
+        pending_send (replica, pending);
+    }
+}
+
 void
 br_replica_tick_proposals (br_replica_t *replica)
 {
   const br_replica_options_t *options = &replica->options;
 
   br_replica_send_pending (replica);
+  pending_resend (replica);
   for (size_t i = 0; i < replica->pendings.len;)
     {
       const br_pending_t *pending = &replica->pendings.items[i];
@@ -392,11 +421,17 @@
     read_set_index (replica, answer->ticket, answer->index);
 }
 
-/* Returns whether a proposal with this ticket or a later one of the same
- * incarnation was received before, and records the ticket.  Returns true as
- * well when the table of incarnations is full. */
-static bool
-ticket_is_repeated (br_replica_t *replica, const br_proposer_t *proposer)
+/* What this leader knows about a ticket. */
+typedef enum
+{
+  TICKET_NEW,
+  TICKET_PASSED, /* it or a later one of the same incarnation was received */
+  TICKET_UNKNOWN,
+} ticket_state_t;
+
+/* Returns the state of the ticket and records it. */
+static ticket_state_t
+ticket_record (br_replica_t *replica, const br_proposer_t *proposer)
 {
   br_tickets_t *tickets = &replica->tickets;
   br_ticket_t fresh = { proposer->vm, proposer->incarnation, proposer->ticket };
@@ -409,13 +444,52 @@
           || !br_name_equal (&ticket->vm, &proposer->vm))
         continue;
       if (proposer->ticket <= ticket->ticket)
-        return true;
+        return TICKET_PASSED;
       ticket->ticket = proposer->ticket;
-      return false;
+      return TICKET_NEW;
     }
   if (tickets->len == TICKETS_MAX)
-    return true;
+    return TICKET_UNKNOWN;
   br_tickets_push (tickets, fresh);
+  return TICKET_NEW;
+}
+
+/* Returns whether this leader may have appended the ticket in its term. */
+static bool
+ticket_may_be_appended (const br_replica_t *replica,
+                        const br_proposer_t *proposer)
+{
+  uint64_t last = br_replica_log_last_index (&replica->log);
+
+  if (replica->log.base_index >= replica->noop_index)
+    return true;
+  for (uint64_t index = last; index > replica->noop_index; index--)
+    if (br_proposer_equal (
+            &br_replica_log_entry (&replica->log, index)->proposer, proposer))
+      return true;
+  return false;
+}
+
+/* Appends the proposal, or refuses it if it surely was not appended and never
+ * will be.  Returns false when neither is certain. */
+static bool
+propose_decide (br_replica_t *replica,
+                const br_propose_t *propose,
+                br_propose_answer_t *answer)
+{
+  switch (ticket_record (replica, &propose->proposer))
+    {
+    case TICKET_NEW:
+      answer->accepted = br_replica_lead_append (replica, BR_ENTRY_COMMAND,
+                                                 &propose->proposer,
+                                                 br_buf_str (&propose->data));
+      answer->no_space = !replica->has_space;
+      return true;
+    case TICKET_PASSED:
+      return !ticket_may_be_appended (replica, &propose->proposer);
+    case TICKET_UNKNOWN:
+      break;
+    }
   return false;
 }
 
@@ -430,19 +504,16 @@
    * appended. */
   if (replica->role != BR_ROLE_LEADER
       || message->term != replica->hard_state.term
-      || !br_name_equal (&message->vm, &propose->proposer.vm)
-      || ticket_is_repeated (replica, &propose->proposer))
+      || !br_name_equal (&message->vm, &propose->proposer.vm))
     return;
   answer.term = message->term;
   answer.propose_answer = (br_propose_answer_t){
     .ticket = propose->proposer.ticket,
     .incarnation = propose->proposer.incarnation,
-    .accepted
-    = br_replica_lead_append (replica, BR_ENTRY_COMMAND, &propose->proposer,
-                              br_buf_str (&propose->data)),
-    .no_space = !replica->has_space,
-    .index = br_replica_log_last_index (&replica->log),
   };
+  if (!propose_decide (replica, propose, &answer.propose_answer))
+    return;
+  answer.propose_answer.index = br_replica_log_last_index (&replica->log);
   answer.to_disk = message->disk;
   br_replica_send (replica, &message->vm, answer, replica->hard_change);
 }
--- a/src/replica/replica_private.h
+++ b/src/replica/replica_private.h
@@ -45,6 +45,8 @@
   uint64_t term;  /* of the leader that it was sent to */
   uint64_t index; /* read index of a read; 0 while unknown */
   br_ms_t since_ms;
+  br_ms_t resend_ms; /* when it is sent again to the same leader */
+  br_ms_t resend_after_ms;
   br_buf_t command; /* owned */
 } br_pending_t;
 
--- a/tests/replica_sim.h
+++ b/tests/replica_sim.h
@@ -406,6 +406,9 @@
     return n;
   }
 
+  /* Returns whether a message is lost. */
+  std::function<bool (const br_replica_message_t &)> drop_message;
+
   /* Called with every message that is sent. */
   std::function<void (size_t, size_t, br_str_t)> on_send;
   size_t reads_done = 0;
@@ -609,7 +612,8 @@
     while (to < vms_.size () && !br_name_equal (&vms_[to].name, &message.vm))
       to++;
     if (to == vms_.size () || cut_[from][to]
-        || br_random_unit (&random_) < options_.drop)
+        || br_random_unit (&random_) < options_.drop
+        || (drop_message && drop_message (message)))
       return;
     br_replica_pack (&message, &out);
     if (on_send)
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -344,3 +344,60 @@
   EXPECT_GT (taken, 100u);
   br_replica_free (replica);
 }
+
+/* Loses the first message of KIND that is sent from now on. */
+static void
+lose_first (replica_sim &sim, br_replica_message_kind_t kind)
+{
+  auto lost = std::make_shared<bool> (false);
+
+  sim.drop_message = [kind, lost] (const br_replica_message_t &message) {
+    if (message.kind != kind || *lost)
+      return false;
+    return *lost = true;
+  };
+}
+
+/* A connection that is reset loses a message, and the leader stays. */
+TEST (Replica, LostProposalOrReadIsSentAgain)
+{
+  replica_sim sim (sim_options{});
+  int leader = sim.run_to_leader ();
+
+  ASSERT_GE (leader, 0);
+  size_t follower = ((size_t)leader + 1) % 3;
+  sim.run (300);
+  lose_first (sim, BR_REPLICA_PROPOSE);
+  size_t p = sim.propose (follower);
+  sim.run (500);
+  EXPECT_EQ (sim.proposals ()[p].outcome, SIM_COMMITTED);
+  size_t reads = 0;
+  for (br_replica_message_kind_t kind :
+       { BR_REPLICA_READ, BR_REPLICA_READ_ANSWER })
+    {
+      lose_first (sim, kind);
+      sim.read (follower);
+      sim.run (500);
+      EXPECT_EQ (sim.reads_done, ++reads) << br_replica_message_name (kind);
+    }
+  sim.check_outcomes ();
+}
+
+/* The leader has received a later proposal of the same VM before the one that
+ * was lost. */
+TEST (Replica, LostProposalBeforeAnotherIsRefused)
+{
+  replica_sim sim (sim_options{});
+  int leader = sim.run_to_leader ();
+
+  ASSERT_GE (leader, 0);
+  size_t follower = ((size_t)leader + 1) % 3;
+  sim.run (300);
+  lose_first (sim, BR_REPLICA_PROPOSE);
+  size_t first = sim.propose (follower);
+  size_t second = sim.propose (follower);
+  sim.run (500);
+  EXPECT_EQ (sim.proposals ()[first].outcome, SIM_REFUSED);
+  EXPECT_EQ (sim.proposals ()[second].outcome, SIM_COMMITTED);
+  sim.check_outcomes ();
+}
