--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -265,7 +265,7 @@
 }
 
 /* Chooses an upstream.  If the one that should replace a slow upstream did not
- * run the request and there is no other, the slow one may be chosen again. */
+ * run the request and there is no other, the slow one is a candidate again. */
 static br_choice_t
 exchange_choose (br_exchange_t *exchange, br_choice_query_t *query, br_ms_t now)
 {
