Usage: send changed counts to all control VMs

What operators saw: process.platform_usage_kill (KNOWN-RED), "counted 39 of 52 requests": the usage of two entry VMs that were killed was lost for good.

Cause: between two whole reports (0.5 s) an entry VM sent its changed counts to the leader alone. A leader that was lost, frozen or deposed took with it what an entry VM had counted that was killed before its next whole report.

Change: changed counts go to all control VMs with the reports of the loads. The messages are bounded: each of N entry VMs sends them every 2 N ms at most, so a control VM gets 500 a second, and above 250 entry VMs none but the whole reports; there the leader alone has the last half second, as before.

--- a/src/shell/entry_private.h
+++ b/src/shell/entry_private.h
@@ -81,9 +81,11 @@
   br_stream_table_t streams;       /* that began at this VM */
   br_stream_records_t new_streams; /* not reported to all control VMs yet */
   size_t loads_streams;            /* of NEW_STREAMS, sent to the leader */
-  br_ms_t limits_sent_ms;          /* when the leader last got the limits */
-  bool limits_changed;             /* since then */
-  br_ms_t leader_since_ms;         /* when the leader was first seen again */
+  bool counts_unspread;      /* changed since all control VMs got the counts */
+  br_ms_t counts_spread_ms;  /* when they last did */
+  br_ms_t limits_sent_ms;    /* when the leader last got the limits */
+  bool limits_changed;       /* since then */
+  br_ms_t leader_since_ms;   /* when the leader was first seen again */
   br_ms_t evidence_since_ms; /* reports contain crashes and losses since then */
   br_exchange_t *exchanges;
   size_t n_exchanges;
@@ -110,10 +112,11 @@
 /* Sends the whole report to all control VMs. */
 void br_entry_report (br_entry_task_t *task, br_ms_t now);
 
-/* Sends the loads, the quotas and the changed counts to the leader.  A VM that
- * dies then loses few of its counts.  While no leader is known, they wait for
- * the next whole report. */
+/* Sends the loads, the quotas and the changed counts to the leader, or to all
+ * control VMs when that is due.  A VM that dies then loses few of its counts.
+ * While no leader is known, they wait for the next whole report. */
 void br_entry_report_loads (br_entry_task_t *task);
+bool br_entry_loads_are_due (const br_entry_task_t *task);
 
 /* --- entry_upstream_signals.c --- */
 
--- a/src/shell/entry_report.c
+++ b/src/shell/entry_report.c
@@ -297,17 +297,41 @@
   message.report = &body;
   br_peer_task_each (task->node->peers, broadcast_to, &broadcast);
   br_usage_mark_reported (&task->usage);
+  task->counts_unspread = false;
+  task->counts_spread_ms = now;
   report_free (&report);
   br_stream_records_clear (&task->new_streams);
   task->loads_streams = 0;
   task->last_report_ms = now;
 }
 
+/* Returns whether changed counts are due at all control VMs: the next leader
+ * should have them if this one is lost together with this VM. */
+static bool
+report_spreads (br_entry_task_t *task, br_ms_t now)
+{
+  task->counts_unspread
+      = task->counts_unspread || br_usage_changed (&task->usage);
+  return task->counts_unspread
+         && now - task->counts_spread_ms >= br_usage_spread_ms (task->entries);
+}
+
+static void
+report_spread (br_entry_task_t *task, br_ms_t now, broadcast_t *broadcast)
+{
+  br_peer_task_each (task->node->peers, broadcast_to, broadcast);
+  task->counts_unspread = false;
+  task->counts_spread_ms = now;
+}
+
 void
 br_entry_report_loads (br_entry_task_t *task)
 {
   Br__Site__Loads body = BR__SITE__LOADS__INIT;
   br_site_message_t message = BR__SITE__MESSAGE__INIT;
+  broadcast_t broadcast = { task->node, &message };
+  br_ms_t now = br_node_now (task->node);
+  bool spreads = report_spreads (task, now);
   report_t report;
 
   report_alloc (task, &report);
@@ -315,9 +339,9 @@
   body.loads = report.load_views;
   body.n_used = report_used (task, true, report.used, report.used_views);
   body.used = report.used_views;
-  body.n_windows = report_windows (task, &report, true);
+  body.n_windows = report_windows (task, &report, !spreads);
   body.windows = report.window_views;
-  body.up_ms = (uint64_t)(br_node_now (task->node) - task->node->started_ms);
+  body.up_ms = (uint64_t)(now - task->node->started_ms);
   message.body_case = BR__SITE__MESSAGE__BODY_LOADS;
   message.loads = &body;
   if (task->leader.len > 0)
@@ -326,8 +350,18 @@
           task, task->loads_streams, report.streams, report.stream_views);
       body.streams = report.stream_views;
       task->loads_streams = task->new_streams.len;
-      br_site_send (task->node, &task->leader, &message);
+      if (spreads)
+        report_spread (task, now, &broadcast);
+      else
+        br_site_send (task->node, &task->leader, &message);
       br_usage_mark_reported (&task->usage);
     }
   report_free (&report);
 }
+
+bool
+br_entry_loads_are_due (const br_entry_task_t *task)
+{
+  return task->n_exchanges > 0 || task->counts_unspread
+         || br_usage_changed (&task->usage);
+}
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -434,7 +434,7 @@
       for (size_t i = 0; i < task->fleet.all.len; i++)
         br_upstream_pool_trim (task->fleet.all.items[i], now);
     }
-  else if (task->n_exchanges > 0 || br_usage_changed (&task->usage))
+  else if (br_entry_loads_are_due (task))
     br_entry_report_loads (task);
 }
 
--- a/src/site/usage.c
+++ b/src/site/usage.c
@@ -1,5 +1,8 @@
 #include "site/usage.h"
 
+/* Messages a second with changed counts that a control VM receives at most. */
+#define SPREAD_PER_S 500
+
 uint64_t
 br_usage_window_of (br_ms_t wall_ms, br_ms_t window_ms)
 {
@@ -57,6 +60,12 @@
   return slot->number == window && slot->entries.len > 0 ? slot : NULL;
 }
 
+br_ms_t
+br_usage_spread_ms (uint32_t entries)
+{
+  return (br_ms_t)entries * 1000 / SPREAD_PER_S;
+}
+
 bool
 br_usage_changed (const br_usage_t *usage)
 {
--- a/src/site/usage.h
+++ b/src/site/usage.h
@@ -51,6 +51,11 @@
 const br_usage_window_t *br_usage_find (const br_usage_t *usage,
                                         uint64_t window);
 
+/* Returns how often an entry VM sends changed counts to all control VMs, and
+ * not to the leader alone, while there are ENTRIES entry VMs.  The messages
+ * that a control VM receives for that are bounded. */
+br_ms_t br_usage_spread_ms (uint32_t entries);
+
 /* Returns whether a count changed since the last br_usage_mark_reported(). */
 bool br_usage_changed (const br_usage_t *usage);
 
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -40,6 +40,7 @@
  *   ran VM INCARNATION WINDOW REQUESTS SITE_WALL_MS     an entry VM's report
  *   complete SITE_WALL_MS | sum WINDOW
  *   count WINDOW REQUESTS | changed | mark_reported     this entry VM's counts
+ *   spread ENTRIES               how often counts go to all control VMs
  *
  * Event streams:
  *   events TEXT                  \n stands for a line end
@@ -529,6 +530,9 @@
                   br_str_from ("alcornocales"), (int64_t)number (words, 2));
   else if (strcmp (word (words, 0), "changed") == 0)
     print_changed (&session->counted);
+  else if (strcmp (word (words, 0), "spread") == 0)
+    printf ("each %d ms\n",
+            (int)br_usage_spread_ms ((uint32_t)number (words, 1)));
   else if (strcmp (word (words, 0), "mark_reported") == 0)
     br_usage_mark_reported (&session->counted);
   else if (strcmp (word (words, 0), "complete") == 0)
