Soak: a VM that other control VMs were named to before is not outside

That is allowed. The checks that a VM says that it has no vote hold for a VM whose settings have named nobody that is there since its start; others of whom that is not known count as lost until their settings are written anew, as before.

--- a/tests/soak/soak_control.h
+++ b/tests/soak/soak_control.h
@@ -51,6 +51,7 @@
                        * BR_MS_NEVER: it stays */
   br_ms_t seeds_ms;   /* when its settings name VMs that are up; BR_MS_NEVER:
                        * they do */
+  bool alone;         /* until then, since its start: no VM was named to it */
   br_ms_t outside_ms; /* since when it runs and none of its seeds is up; 0: it
                        * does not, or others may know it */
   br_ms_t vote_ms;    /* when it last said that it has a vote; 0: never */
