Replica: a resend that could not be sent is not a refusal

Callers saw, or could: a change refused with 503, "not run", that was in force, or a change applied twice.

If the connection was gone or full by then, br_replica_send_failed() took the proposal for one that had never been sent. It was refused after the wait for a leader, or sent to the next leader, which did not know its ticket, though the first copy was in the log.

Change: a proposal of which a copy was sent stays sent. Its outcome comes from the log, or is unknown. A read waits for a leader again, as before.

--- a/src/replica/proposal.c
+++ b/src/replica/proposal.c
@@ -170,6 +170,7 @@
         {
           pending->state = BR_PENDING_SENT;
           pending->term = replica->hard_state.term;
+          pending->resent = false;
           pending->resend_after_ms
               = replica->options.heartbeat_ms * RESEND_HEARTBEATS;
           if (replica->role == BR_ROLE_LEADER)
@@ -201,7 +202,8 @@
                      &i))
     return;
   pending = &replica->pendings.items[i];
-  if (pending->state != BR_PENDING_SENT || pending->term != message->term)
+  if (pending->state != BR_PENDING_SENT || pending->term != message->term
+      || (pending->resent && !is_read))
     return;
   pending->state = BR_PENDING_WAITING;
   pending->term = 0;
@@ -222,7 +224,10 @@
           && pending->term == replica->hard_state.term
           && !(pending->is_read && pending->index > 0)
           && replica->now >= pending->resend_ms)
-        pending_send (replica, pending);
+        {
+          pending->resent = true;
+          pending_send (replica, pending);
+        }
     }
 }
 
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -185,7 +185,7 @@
                               br_replica_message_t *message);
 
 /* Reports that MESSAGE could not be sent.  A proposal or read in it waits for a
- * leader again. */
+ * leader again, unless a copy of the proposal was sent before. */
 void br_replica_send_failed (br_replica_t *replica,
                              const br_replica_message_t *message);
 
--- a/src/replica/replica_private.h
+++ b/src/replica/replica_private.h
@@ -50,6 +50,7 @@
   br_ms_t since_ms;
   br_ms_t resend_ms; /* when it is sent again to the same leader */
   br_ms_t resend_after_ms;
+  bool resent;      /* an earlier copy may have reached that leader */
   br_buf_t command; /* owned */
 } br_pending_t;
 
--- a/tests/replica_sim.h
+++ b/tests/replica_sim.h
@@ -416,6 +416,9 @@
   /* Returns whether a message is lost. */
   std::function<bool (const br_replica_message_t &)> drop_message;
 
+  /* Returns whether the sender has no connection for a message and knows it. */
+  std::function<bool (const br_replica_message_t &)> fail_message;
+
   /* Called with every message that is sent. */
   std::function<void (size_t, size_t, br_str_t)> on_send;
   size_t reads_done = 0;
@@ -774,7 +777,10 @@
       compact (vm);
     while (br_replica_take_message (vm.replica, &message))
       {
-        send (i, message);
+        if (fail_message && fail_message (message))
+          br_replica_send_failed (vm.replica, &message);
+        else
+          send (i, message);
         br_replica_message_release (&message);
       }
     check_leader (i);
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -401,3 +401,67 @@
   EXPECT_EQ (sim.proposals ()[second].outcome, SIM_COMMITTED);
   sim.check_outcomes ();
 }
+
+/* A proposal reaches the leader, which commits it, and the connection is gone
+ * when the proposal is sent again. */
+TEST (Replica, FailedResendIsNotARefusal)
+{
+  for (uint64_t seed = 1; seed <= 50 && !HasFailure (); seed++)
+    {
+      SCOPED_TRACE ("seed " + std::to_string (seed));
+      sim_options options;
+
+      options.seed = seed;
+      replica_sim sim (options);
+      int leader = sim.run_to_leader ();
+
+      ASSERT_GE (leader, 0);
+      size_t follower = ((size_t)leader + 1) % 3;
+      sim.run (300);
+      sim.propose (follower);
+      sim.cut ((size_t)leader, follower, true);
+      sim.run (10);
+      sim.fail_message = [] (const br_replica_message_t &message) {
+        return message.kind == BR_REPLICA_PROPOSE;
+      };
+      sim.run (1200);
+      sim.fail_message = nullptr;
+      sim.cut ((size_t)leader, follower, false);
+      sim.run (2000);
+      sim.check_outcomes ();
+    }
+}
+
+/* The same, and the leader is lost then: the next one has the command in its
+ * log. */
+TEST (Replica, FailedResendIsNotAppendedTwice)
+{
+  for (uint64_t seed = 1; seed <= 50 && !HasFailure (); seed++)
+    {
+      SCOPED_TRACE ("seed " + std::to_string (seed));
+      sim_options options;
+
+      options.seed = seed;
+      replica_sim sim (options);
+      int leader = sim.run_to_leader ();
+
+      ASSERT_GE (leader, 0);
+      size_t follower = ((size_t)leader + 1) % 3;
+      size_t other = ((size_t)leader + 2) % 3;
+      sim.run (300);
+      sim.propose (follower);
+      sim.run (2);
+      sim.crash ((size_t)leader);
+      sim.cut (other, follower, true);
+      sim.fail_message = [] (const br_replica_message_t &message) {
+        return message.kind == BR_REPLICA_PROPOSE;
+      };
+      sim.run (220);
+      sim.fail_message = nullptr;
+      sim.cut (other, follower, false);
+      sim.run (1000);
+      sim.start ((size_t)leader);
+      sim.run (2000);
+      sim.check_outcomes ();
+    }
+}
