Replica: a voter that leaves keeps its vote while the majority needs it

Callers saw, or could: no reads and changes while control VMs stop as planned, if others were lost within the last 3 s, until one of those is back.

Cause: the vote of a VM that is about to stop was removed as soon as it asked. With two of five VMs silent and not removed yet, a majority of the other four is three, and two answer: the removal is never committed, nor any later entry, nor the removal of the two. The VM that leaves could still have voted for these.

Change: the vote is removed if a majority of the voters that stay answers.

A loss in the last two heartbeats before the request is not seen and still stops the log.

--- a/src/replica/leave.c
+++ b/src/replica/leave.c
@@ -6,6 +6,9 @@
  * heartbeats. */
 #define LEAVE_HEARTBEATS 10
 
+/* A voter that has answered what was sent in this many heartbeats is live. */
+#define LIVE_HEARTBEATS 2
+
 void
 br_replica_leave (br_replica_t *replica)
 {
@@ -34,6 +37,28 @@
                 <= replica->options.heartbeat_ms * LEAVE_HEARTBEATS;
 }
 
+/* Returns whether a majority of CONFIG without the voter of LEAVING answers.
+ * Otherwise the log would stop while that voter still runs. */
+static bool
+leave_keeps_majority (const br_replica_t *replica,
+                      const br_config_t *config,
+                      const br_progress_t *leaving)
+{
+  size_t live = br_replica_is_voter (replica);
+
+  for (size_t i = 0; i < replica->progresses.len; i++)
+    {
+      const br_progress_t *progress = &replica->progresses.items[i];
+
+      if (progress != leaving
+          && br_config_is_voter (config, &progress->vm, progress->disk)
+          && br_replica_silent_ms (replica, progress)
+                 <= replica->options.heartbeat_ms * LIVE_HEARTBEATS)
+        live++;
+    }
+  return live > (br_config_voters (config) - 1) / 2;
+}
+
 bool
 br_replica_remove_leaving (const br_replica_t *replica, br_config_t *config)
 {
@@ -44,7 +69,8 @@
       const br_progress_t *progress = &replica->progresses.items[i];
 
       if (br_replica_is_leaving (replica, progress)
-          && br_config_is_voter (config, &progress->vm, progress->disk))
+          && br_config_is_voter (config, &progress->vm, progress->disk)
+          && leave_keeps_majority (replica, config, progress))
         {
           br_config_remove (config, &progress->vm);
           return true;
--- a/tests/replica_leave_test.cc
+++ b/tests/replica_leave_test.cc
@@ -91,3 +91,63 @@
             << sim.describe ();
       }
 }
+
+/* Two of five VMs are gone and not removed yet.  The one that leaves still runs
+ * and belongs to every majority. */
+TEST (ReplicaLeave, VoteStaysWhileTheMajorityNeedsIt)
+{
+  replica_sim sim (options (5));
+  size_t leader = (size_t)sim.run_to_leader ();
+
+  sim.run (100);
+  sim.crash ((leader + 1) % 5);
+  sim.crash ((leader + 2) % 5);
+  sim.run (300);
+  br_replica_leave (sim.vm ((leader + 3) % 5).replica);
+  sim.run (500);
+  size_t before = sim.committed ();
+  sim.propose (leader);
+  sim.run (500);
+  EXPECT_GT (sim.committed (), before) << sim.describe ();
+  /* The voters that are gone are removed first. */
+  sim.run (4000);
+  sim.crash ((leader + 3) % 5);
+  sim.run (1000);
+  before = sim.committed ();
+  sim.propose (leader);
+  sim.run (500);
+  EXPECT_GT (sim.committed (), before) << sim.describe ();
+}
+
+/* Two of four VMs stop at the same time, each asking in every tick. */
+TEST (ReplicaLeave, LeaderIsNotHandedToAndFro)
+{
+  for (uint64_t seed = 1; seed <= 20 && !HasFailure (); seed++)
+    {
+      SCOPED_TRACE ("seed " + std::to_string (seed));
+      sim_options four = options (4);
+
+      four.seed = seed;
+      replica_sim sim (four);
+      size_t first = (size_t)sim.run_to_leader ();
+      size_t second = (first + 1 + seed % 3) % 4;
+
+      sim.run (100);
+      uint64_t term = br_replica_term (sim.vm (first).replica);
+      for (int tick = 0; tick < 40; tick++)
+        {
+          for (size_t i : { first, second })
+            {
+              br_replica_leave (sim.vm (i).replica);
+              br_replica_transfer (sim.vm (i).replica, sim.now ());
+            }
+          sim.run (25);
+        }
+      uint64_t last = br_replica_term (sim.vm (first).replica);
+      EXPECT_LE (last - term, 2u) << sim.describe ();
+      size_t before = sim.committed ();
+      sim.propose (second);
+      sim.run (300);
+      EXPECT_GT (sim.committed (), before) << sim.describe ();
+    }
+}
