Replica: a leader that hands over has no lease

Callers could see two control VMs order, grant quota or make a platform call at the same time, for up to 320 ms, around a planned stop of the leader.

Cause: voters elect the target of a transfer although the leader is live, but the leader kept its lease. It acted on it until a message of the new term reached it.

Change: no lease while a transfer is in progress.

--- a/src/replica/leader.c
+++ b/src/replica/leader.c
@@ -87,7 +87,8 @@
 {
   size_t live = br_replica_is_voter (replica);
 
-  if (replica->role != BR_ROLE_LEADER)
+  /* Voters elect the target of a transfer although this leader is live. */
+  if (replica->role != BR_ROLE_LEADER || replica->transfer_to.len > 0)
     return false;
   now = BR_MAX (replica->now, now);
   for (size_t i = 0; i < replica->progresses.len; i++)
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -286,10 +286,10 @@
 uint64_t br_replica_term (const br_replica_t *replica);
 
 /* Returns whether this replica leads and no other one can at NOW: a quorum has
- * answered what was sent in the last election_min_ms.  A leader that lost the
- * lease keeps its role for a while, sends heartbeats, and has the lease again
- * once they are answered.  Until then it must not act as leader outside the
- * log. */
+ * answered what was sent in the last election_min_ms, and no transfer is in
+ * progress.  A leader that lost the lease keeps its role for a while, sends
+ * heartbeats, and has the lease again once they are answered.  Until then it
+ * must not act as leader outside the log. */
 bool br_replica_has_lease (const br_replica_t *replica, br_ms_t now);
 const br_hard_state_t *br_replica_hard_state (const br_replica_t *replica);
 
