Replica: no election before the leader's lease is over where it is used

Cause: a voter whose connection to the leader was lost took back the time of the leader's last message and elected at once, while the leader, cut off at that moment, still counted the answers of before.

Change: on sites of the platform such a voter waits for the end of the lease, and an election begins up to a heartbeat after that. Elsewhere nothing depends on the lease, and the election begins at once as before.

--- a/src/replica/election.c
+++ b/src/replica/election.c
@@ -184,10 +184,12 @@
     }
   if (replica->role != BR_ROLE_FOLLOWER)
     return;
-  soon = replica->now
+  if (!options->lease_is_used)
+    replica->leader_last_seen_ms = replica->now - options->election_min_ms;
+  soon = BR_MAX (replica->now,
+                 replica->leader_last_seen_ms + options->election_min_ms)
          + (br_ms_t)br_random_below (&replica->random,
                                      (uint64_t)options->heartbeat_ms);
-  replica->leader_last_seen_ms = replica->now - options->election_min_ms;
   replica->election_at_ms = BR_MIN (replica->election_at_ms, soon);
 }
 
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -62,8 +62,10 @@
   br_ms_t remove_unreachable_ms; /* a voter without an answer for this long is
                                   * removed; 0: never */
   br_ms_t replace_silent_ms;     /* the same if a VM waits for its place */
-  size_t voters_min; /* removals of these kinds leave this many, so that a
-                      * majority has more disks than may be lost */
+  size_t voters_min;  /* removals of these kinds leave this many, so that a
+                       * majority has more disks than may be lost */
+  bool lease_is_used; /* br_replica_has_lease() decides what is done outside the
+                       * log: no election begins before a lease is over */
   uint64_t seed;
 } br_replica_options_t;
 
@@ -93,8 +95,9 @@
 br_ms_t br_replica_deadline (const br_replica_t *replica);
 
 /* Reports that the connection to VM was lost.  If VM is the leader, a pre-vote
- * starts within one heartbeat; it fails while a majority still receives
- * heartbeats from the leader.  A learner sends join requests at once. */
+ * starts within one heartbeat, or where the lease is used once that is over; it
+ * fails while a majority still receives heartbeats from the leader.  A learner
+ * sends join requests at once. */
 void
 br_replica_suspect (br_replica_t *replica, br_ms_t now, const br_name_t *vm);
 
--- a/src/shell/replica_outcome.c
+++ b/src/shell/replica_outcome.c
@@ -67,6 +67,7 @@
     .proposal_max_ms = PROPOSAL_MAX_MS,
     .append_max_bytes = APPEND_MAX_BYTES,
     .snapshot_chunk_bytes = SNAPSHOT_CHUNK_BYTES,
+    .lease_is_used = settings->open_peers,
     .seed = br_random_below (&node->random, UINT32_MAX),
   };
   for (size_t i = 0; i < settings->vms.len; i++)
--- a/tests/replica_sim.h
+++ b/tests/replica_sim.h
@@ -101,6 +101,7 @@
   br_ms_t remove_unreachable_ms = 0;
   br_ms_t replace_silent_ms = 0;
   size_t voters_min = 3;
+  bool lease_is_used = false;
   bool founding = true; /* first voters know that they start a new site */
 };
 
@@ -160,6 +161,7 @@
     options.remove_unreachable_ms = options_.remove_unreachable_ms;
     options.replace_silent_ms = options_.replace_silent_ms;
     options.voters_min = options_.voters_min;
+    options.lease_is_used = options_.lease_is_used;
     options.proposal_wait_ms = 300;
     options.proposal_max_ms = 1000;
     options.append_max_bytes = 512;
