--- a/tests/replica_random_test.cc
+++ b/tests/replica_random_test.cc
@@ -83,9 +83,37 @@
     }
 }
 
+/* Stops I as planned, without waiting for the outcome. */
+static void
+stop (replica_sim &sim, size_t i)
+{
+  br_replica_leave (sim.vm (i).replica);
+  br_replica_transfer (sim.vm (i).replica, sim.now ());
+  sim.run ((br_ms_t)random_below (sim, 300));
+  sim.crash (i);
+}
+
+/* Stops one or more VMs as planned, or reports lost connections. */
+static void
+disturb_more (replica_sim &sim, const sim_options &options)
+{
+  size_t i = random_below (sim, options.vms);
+
+  if (random_below (sim, 2) == 0)
+    for (size_t j = 0; j < options.vms; j++)
+      {
+        if (j != i && sim.vm (j).up && random_below (sim, 2) == 0)
+          sim.suspect (j, i);
+      }
+  else
+    for (size_t n = random_below (sim, 3); n-- > 0; i = (i + 1) % options.vms)
+      if (sim.vm (i).up && !sim.vm (i).frozen)
+        stop (sim, i);
+}
+
 /* With REMOVALS, voters that are silent lose their vote as on a site. */
 static void
-run_seed (uint64_t seed, bool removals = false)
+run_seed (uint64_t seed, bool removals = false, bool stops = false)
 {
   SCOPED_TRACE ("seed " + std::to_string (seed));
   sim_options options;
@@ -110,6 +138,12 @@
       ADD_FAILURE () << "no first leader";
       return;
     }
+  if (stops)
+    sim.fail_message = [&sim] (const br_replica_message_t &message) {
+      return (message.kind == BR_REPLICA_PROPOSE
+              || message.kind == BR_REPLICA_READ)
+             && random_below (sim, 3) == 0;
+    };
   for (br_ms_t until = sim.now () + FAULT_MS;
        sim.now () < until && !::testing::Test::HasFailure ();)
     {
@@ -122,6 +156,8 @@
         sim.read (i);
       if (random_below (sim, 6) == 0)
         disturb (sim, options);
+      if (stops && random_below (sim, 12) == 0)
+        disturb_more (sim, options);
     }
   heal (sim, options);
   sim.run (4000);
@@ -131,7 +167,7 @@
 }
 
 static void
-run_seeds (bool removals)
+run_seeds (bool removals, bool stops = false)
 {
   const char *count = getenv ("BR_REPLICA_SEEDS");
   const char *first = getenv ("BR_REPLICA_FIRST_SEED");
@@ -140,7 +176,7 @@
   uint64_t seed = from;
 
   while (seed < from + n && !::testing::Test::HasFailure ())
-    run_seed (seed++, removals);
+    run_seed (seed++, removals, stops);
   printf ("seeds %llu to %llu\n", (unsigned long long)from,
           (unsigned long long)(seed - 1));
 }
@@ -152,3 +188,7 @@
 {
   run_seeds (true);
 }
+
+/* The same while VMs stop as planned, connections are reset, and the sender
+ * knows that a proposal or read could not be sent. */
+TEST (ReplicaRandom, InvariantsHoldWhileVmsStop) { run_seeds (true, true); }
