--- a/src/shell/entry_private.h
+++ b/src/shell/entry_private.h
@@ -246,11 +246,11 @@
 
 /* Handle a new request, and the disconnect of its caller. */
 void br_exchange_begin (br_entry_task_t *task, br_http_conn_t *conn);
-void br_exchange_on_disconnect (br_http_conn_t *conn);
+void br_exchange_on_disconnect (void *context, br_http_conn_t *conn);
 
 /* Goes on reading the answer for a caller that has received all of it so far.
  */
-void br_exchange_on_drained (br_http_conn_t *conn);
+void br_exchange_on_drained (void *context, br_http_conn_t *conn);
 
 /* Admits the requests that waited for the first configuration and list of
  * upstreams, oldest first, once both have come. */
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -446,20 +446,6 @@
   br_exchange_begin (context, conn);
 }
 
-static void
-task_on_disconnect (void *context, br_http_conn_t *conn)
-{
-  (void)context;
-  br_exchange_on_disconnect (conn);
-}
-
-static void
-task_on_drained (void *context, br_http_conn_t *conn)
-{
-  (void)context;
-  br_exchange_on_drained (conn);
-}
-
 static bool
 task_listen (br_entry_task_t *task, br_error_t *err)
 {
@@ -476,8 +462,8 @@
       .idle_ms = node->settings.idle_ms,
     },
     .on_request = task_on_request,
-    .on_disconnect = task_on_disconnect,
-    .on_drained = task_on_drained,
+    .on_disconnect = br_exchange_on_disconnect,
+    .on_drained = br_exchange_on_drained,
     .context = task,
   };
 
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -337,10 +337,11 @@
 }
 
 void
-br_exchange_on_drained (br_http_conn_t *conn)
+br_exchange_on_drained (void *context, br_http_conn_t *conn)
 {
   br_exchange_t *exchange = br_http_conn_user (conn);
 
+  (void)context;
   if (exchange == NULL || !exchange->paused)
     return;
   exchange->paused = false;
--- a/src/shell/exchange_end.c
+++ b/src/shell/exchange_end.c
@@ -305,10 +305,11 @@
 }
 
 void
-br_exchange_on_disconnect (br_http_conn_t *conn)
+br_exchange_on_disconnect (void *context, br_http_conn_t *conn)
 {
   br_exchange_t *exchange = br_http_conn_user (conn);
 
+  (void)context;
   if (exchange == NULL)
     return;
   br_exchange_record_unanswered (exchange);
--- a/src/shell/replica_load.c
+++ b/src/shell/replica_load.c
@@ -1,6 +1,7 @@
 #include "shell/replica_load.h"
 
 #include <inttypes.h>
+#include <openssl/rand.h>
 
 /* Bytes after which a new segment file is started. */
 #define SEGMENT_MAX_BYTES (8 * 1024 * 1024)
@@ -141,6 +142,16 @@
   return ok;
 }
 
+uint64_t
+br_replica_new_identity (void)
+{
+  uint64_t number = 0;
+
+  while (number == 0)
+    RAND_bytes ((unsigned char *)&number, sizeof number);
+  return number;
+}
+
 br_store_t *
 br_replica_open_folder (const br_replica_folder_t *folder,
                         uint64_t *disk,
--- a/src/shell/replica_load.h
+++ b/src/shell/replica_load.h
@@ -23,6 +23,9 @@
                              const br_replica_writes_t *writes,
                              br_store_records_t *records);
 
+/* Returns a random identity for a new disk. */
+uint64_t br_replica_new_identity (void);
+
 typedef struct
 {
   const char *path;
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -1,7 +1,5 @@
 #include "shell/replica_task.h"
 
-#include <inttypes.h>
-#include <openssl/rand.h>
 #include <string.h>
 
 #include "shell/replica_founding.h"
@@ -366,16 +364,6 @@
 
 /* --- start and stop --- */
 
-static uint64_t
-random_identity (void)
-{
-  uint64_t number = 0;
-
-  while (number == 0)
-    RAND_bytes ((unsigned char *)&number, sizeof number);
-  return number;
-}
-
 static bool
 task_open_store (br_replica_task_t *task,
                  br_replica_saved_t *saved,
@@ -412,7 +400,7 @@
   struct timeval period = { 0, TICK_MS * 1000 };
 
   task->node = node;
-  task->disk = random_identity ();
+  task->disk = br_replica_new_identity ();
   task->has_space = true;
   if (node->settings.data_folder.len > 0
       && !task_open_store (task, &saved, err))
