--- a/src/http/http_head.c
+++ b/src/http/http_head.c
@@ -30,6 +30,14 @@
          && strncasecmp (name.data, expected, name.len) == 0;
 }
 
+const char *
+br_http_head_framing_name (const br_http_head_t *head)
+{
+  if (head->chunked)
+    return "chunks";
+  return head->content_length >= 0 ? "length" : "close";
+}
+
 br_str_t
 br_http_head_find (const br_http_head_t *head, const char *name)
 {
--- a/src/http/http_head.h
+++ b/src/http/http_head.h
@@ -36,6 +36,9 @@
 br_str_t br_http_head_find (const br_http_head_t *head, const char *name);
 bool br_http_name_is (br_str_t name, const char *expected);
 
+/* Returns what ends the body of the response: "length", "chunks" or "close". */
+const char *br_http_head_framing_name (const br_http_head_t *head);
+
 /* Returns whether NAME is a hop-by-hop field: a standard one, or one that the
  * Connection field of HEAD names. */
 bool br_http_head_is_hop_by_hop (const br_http_head_t *head, br_str_t name);
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -318,6 +318,7 @@
       return;
     }
   exchange->head_seen = true;
+  exchange->framing = br_http_head_framing_name (head);
   exchange_copy_head (exchange, head);
 }
 
--- a/src/shell/exchange_arrival.c
+++ b/src/shell/exchange_arrival.c
@@ -24,6 +24,7 @@
 
   exchange->task = task;
   exchange->conn = conn;
+  exchange->framing = "";
   exchange->began_ms = br_http_conn_began_ms (conn);
   exchange->next = task->exchanges;
   if (task->exchanges != NULL)
--- a/src/shell/exchange_end.c
+++ b/src/shell/exchange_end.c
@@ -88,7 +88,10 @@
                                     : -1),
       br_field_int ("longest_gap_ms", exchange->longest_gap_ms),
       br_field_int ("attempts", exchange->ran + exchange->refused),
-      br_field_int ("ran", exchange->ran), br_field_str ("upstream", upstream),
+      br_field_int ("ran", exchange->ran),
+      br_field_int ("events", (int64_t)exchange->events.passed),
+      br_field_z ("framing", exchange->framing),
+      br_field_str ("upstream", upstream),
       br_field_z ("version", exchange->upstream != NULL
                                  ? exchange->upstream->listing.version.data
                                  : ""),
@@ -133,6 +136,9 @@
       br_field_z ("next", next),
       br_field_int ("attempt_ms", now - exchange->sent_ms),
       br_field_int ("events", (int64_t)exchange->events.passed),
+      br_field_z ("framing", exchange->framing),
+      br_field_int ("inside_event",
+                    br_event_stream_is_inside_event (&exchange->events)),
       br_field_int ("answering", exchange->had_first_event),
       br_field_int ("load", br_fleet_load (upstream, now)),
       br_field_int ("repeats_left", (int64_t)br_repeat_budget_remaining (
@@ -149,6 +155,7 @@
   exchange->task->answer_bytes -= exchange->answer.len;
   br_buf_free (&exchange->answer);
   exchange->head_seen = false;
+  exchange->framing = "";
 }
 
 void
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -58,6 +58,7 @@
   br_ms_t last_byte_ms; /* when a part of its answer last came */
   bool paused;          /* the answer is not read, as the caller is slow */
   bool head_seen;
+  const char *framing; /* of the answer; empty before its head */
   bool had_first_event;
   bool counted;    /* in the usage of its organisation */
   uint64_t window; /* in which it is counted */
