Test: a crash that closes an answer without framing

process.platform_unframed_crash, red on this code: three of six events, and half a plain body, reach the caller as complete answers when the upstream's crash closes the connection there.

--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -62,8 +62,14 @@
   X (UNFRAMED_STREAM, "unframed-stream") /* six events, as in unframed */      \
   X (CUT_EVENT, "cut-event")       /* ends as if complete inside the fourth */ \
   X (CUT_UNFRAMED, "cut-unframed") /* the same, as in unframed */              \
-  X (REFUSE_REST, "refuse-rest")   /* like crash, but the resume is refused */ \
-  X (REST_EMPTY, "rest-empty")     /* the resume has no event */               \
+  X (UNFRAMED_CRASH, "unframed-crash") /* half an answer, as in unframed, and  \
+                                          a crash that closes */               \
+  X (UNFRAMED_STREAM_CRASH, "unframed-stream-crash") /* three events, likewise \
+                                                      */                       \
+  X (UNFRAMED_WHOLE_CRASH, "unframed-whole-crash")   /* all events, likewise   \
+                                                      */                       \
+  X (REFUSE_REST, "refuse-rest") /* like crash, but the resume is refused */   \
+  X (REST_EMPTY, "rest-empty")   /* the resume has no event */                 \
   X (REST_HEAD, "rest-head")     /* the resume holds an error with its head */ \
   X (REST_TEXT, "rest-text")     /* the resume holds an error's text */        \
   X (REST_TYPE, "rest-type")     /* the resume is of another Content-Type */   \
@@ -347,7 +353,20 @@
 conn_is_unframed (const conn_t *conn)
 {
   return conn->mode == MODE_UNFRAMED || conn->mode == MODE_UNFRAMED_STREAM
-         || conn->mode == MODE_CUT_UNFRAMED;
+         || conn->mode == MODE_CUT_UNFRAMED || conn->mode == MODE_UNFRAMED_CRASH
+         || conn->mode == MODE_UNFRAMED_STREAM_CRASH
+         || conn->mode == MODE_UNFRAMED_WHOLE_CRASH;
+}
+
+/* Returns whether the answer has reached the place of its upstream's crash. */
+static bool
+conn_crashes_now (const conn_t *conn)
+{
+  return conn->mode == MODE_FATAL_PART || conn->mode == MODE_UNFRAMED_CRASH
+         || (conn->mode == MODE_UNFRAMED_STREAM_CRASH
+             && conn->next_event == BROKEN_EVENT - 1)
+         || (conn->mode == MODE_UNFRAMED_WHOLE_CRASH
+             && conn->next_event == conn->last_event);
 }
 
 /* Writes the next event of conn_send_event() to EVENT. */
@@ -461,7 +480,10 @@
                        conn_is_unframed (conn)
                            ? "Connection: close\r\n"
                            : "Transfer-Encoding: chunked\r\n");
-  conn_send_event (conn);
+  if (conn->next_event < conn->last_event)
+    conn_send_event (conn);
+  else
+    evbuffer_add_printf (bufferevent_get_output (conn->bev), "0\r\n\r\n");
 }
 
 static void
@@ -471,9 +493,10 @@
 
   (void)fd;
   (void)what;
-  if (conn->mode == MODE_FATAL_PART)
+  if (conn_crashes_now (conn))
     runner_crash (conn->runner, br_http_head_find (&conn->head, "X-Request-Id"),
-                  MODE_FATAL);
+                  conn->mode == MODE_FATAL_PART ? MODE_FATAL
+                                                : MODE_FATAL_CLOSE);
   else if (conn->mode == MODE_NAMED)
     conn_send_named (conn);
   else if (conn->mode == MODE_SLOW)
@@ -627,6 +650,7 @@
                                 "\r\nextra\n");
       break;
     case MODE_UNFRAMED:
+    case MODE_UNFRAMED_CRASH:
       conn_send_head (conn, 200, "X-Server-Stamp: s\r\nConnection: close\r\n");
       evbuffer_add_printf (out, "\r\nno length\n");
       conn_set_timer (conn, EVENT_PERIOD_MS);
@@ -669,6 +693,8 @@
     case MODE_UNFRAMED_STREAM:
     case MODE_CUT_EVENT:
     case MODE_CUT_UNFRAMED:
+    case MODE_UNFRAMED_STREAM_CRASH:
+    case MODE_UNFRAMED_WHOLE_CRASH:
     case MODE_REFUSE_REST:
     case MODE_REST_EMPTY:
     case MODE_REST_HEAD:
@@ -689,6 +715,7 @@
     case MODE_TRUNCATED:
     case MODE_EXTRA:
     case MODE_UNFRAMED:
+    case MODE_UNFRAMED_CRASH:
     case MODE_STRANGER:
     case MODE_NOISE:
       conn_send_odd (conn);
