Exchange: an answer that a close ends is whole only if its upstream still runs

Cause: an orderly close between two events, or anywhere in a plain body, was taken for the end of the answer. The kernel closes the connections of a process that died in just that way. Class: silence or a close counts as success.

Change: the end waits for a connection to the upstream, which the next request there uses. An upstream that refuses it, or does not accept it in 250 ms, has not proved the end: the attempt has broken, and a resumable stream goes on behind its last event. A resume without an event then shows that nothing is missing. An upstream that leaves is not asked: it stops after its last answer. Events are passed on as before; only the end is later, by one round trip.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -30,13 +30,14 @@
   br_http_reader_t *reader;
   client_state_t state;
   bool connected;
-  size_t request_len; /* bytes of the request in progress */
-  bool paused;        /* the response is not read for now */
-  bool skipping;      /* the current response is discarded */
-  bool skipped;       /* a response to another request was */
-  size_t n_responses; /* heads reported */
-  bool keep_alive;    /* of the last response */
-  bool framed;        /* the last response had a length or chunks */
+  size_t request_len;  /* bytes of the request in progress */
+  bool paused;         /* the response is not read for now */
+  bool skipping;       /* the current response is discarded */
+  bool skipped;        /* a response to another request was */
+  size_t n_responses;  /* heads reported */
+  bool keep_alive;     /* of the last response */
+  bool framed;         /* the last response had a length or chunks */
+  bool ended_by_close; /* the last response */
   br_ms_t idle_since_ms;
   br_ms_t keep_alive_ms;
   br_client_fn on_event;
@@ -210,7 +211,10 @@
   client->in_callback++;
   if (client->state == CLIENT_BUSY && !client->skipping
       && br_http_reader_finish (client->reader))
-    client_read (client);
+    {
+      client->ended_by_close = true;
+      client_read (client);
+    }
   if (!client->freed && client->state != CLIENT_DEAD)
     client_fail (client, BR_CLIENT_FAULT_CLOSED);
   client->in_callback--;
@@ -231,20 +235,32 @@
 }
 
 static void
-on_event (struct bufferevent *bev, short what, void *context)
+client_on_connected (br_http_client_t *client)
 {
-  br_http_client_t *client = context;
   unsigned user_timeout_ms = USER_TIMEOUT_MS;
+  evutil_socket_t fd = bufferevent_getfd (client->bev);
+  br_client_event_t event = { .kind = BR_CLIENT_CONNECTED };
   int on = 1;
 
+  client->connected = true;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+              sizeof user_timeout_ms);
+  if (client->state != CLIENT_IDLE)
+    return;
+  client->idle_since_ms = br_clock_now (&clock_monotonic);
+  if (!client_emit (client, event) && client->in_callback == 0)
+    client_destroy (client);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *context)
+{
+  br_http_client_t *client = context;
+
+  (void)bev;
   if (what & BEV_EVENT_CONNECTED)
-    {
-      client->connected = true;
-      setsockopt (bufferevent_getfd (bev), IPPROTO_TCP, TCP_NODELAY, &on,
-                  sizeof on);
-      setsockopt (bufferevent_getfd (bev), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                  &user_timeout_ms, sizeof user_timeout_ms);
-    }
+    client_on_connected (client);
   else if (what & BEV_EVENT_EOF)
     client_on_eof (client);
   else if (what & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
@@ -317,6 +333,12 @@
   return client->n_responses == 1;
 }
 
+bool
+br_http_client_ended_by_close (const br_http_client_t *client)
+{
+  return client->ended_by_close;
+}
+
 bool
 br_http_client_has_sent (const br_http_client_t *client)
 {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -14,11 +14,12 @@
 
 typedef enum
 {
-  BR_CLIENT_HEAD,   /* a response head was received */
-  BR_CLIENT_BODY,   /* the next bytes of its body */
-  BR_CLIENT_END,    /* the response is complete */
-  BR_CLIENT_FAILED, /* the response failed; free the connection */
-  BR_CLIENT_LOST,   /* the idle connection cannot be reused; free it */
+  BR_CLIENT_CONNECTED, /* the new connection has no request yet */
+  BR_CLIENT_HEAD,      /* a response head was received */
+  BR_CLIENT_BODY,      /* the next bytes of its body */
+  BR_CLIENT_END,       /* the response is complete */
+  BR_CLIENT_FAILED,    /* the response failed; free the connection */
+  BR_CLIENT_LOST,      /* the idle connection cannot be reused; free it */
 } br_client_event_kind_t;
 
 /* X (id, name) */
@@ -83,6 +84,10 @@
  * the connection.  Interim responses are not counted. */
 bool br_http_client_is_first_response (const br_http_client_t *client);
 
+/* Returns whether the close of the connection ended the last response, which
+ * had neither a length nor chunks. */
+bool br_http_client_ended_by_close (const br_http_client_t *client);
+
 /* Returns whether a byte of the request may have left this VM.  This can be
  * true before the event of the established connection was handled. */
 bool br_http_client_has_sent (const br_http_client_t *client);
--- a/src/shell/entry_quarantine.c
+++ b/src/shell/entry_quarantine.c
@@ -115,6 +115,8 @@
   br_crash_check_t *check = context;
 
   (void)client;
+  if (event->kind == BR_CLIENT_CONNECTED)
+    return;
   /* A connection that was accepted and then closed proves nothing: a proxy may
    * accept it for an upstream that no longer runs. */
   if (event->fault == BR_CLIENT_FAULT_CONNECT)
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -6,10 +6,6 @@
 
 #include "shell/upstream_pool.h"
 
-/* Connect timeout, in milliseconds, after which another upstream is tried.  A
- * connection usually takes a few milliseconds. */
-#define CONNECT_MS 250
-
 /* Share of the latency objective, and the minimum in milliseconds, after which
  * a request that may be repeated is tried at another upstream. */
 #define SLOW_ATTEMPT_SHARE 0.8
@@ -101,8 +97,10 @@
   const br_site_route_t *route = exchange->route;
   br_ms_t slow_ms;
 
+  if (exchange->end_check != NULL)
+    return exchange->end_check_until_ms;
   if (!br_http_client_is_connected (exchange->client))
-    return exchange->sent_ms + CONNECT_MS;
+    return exchange->sent_ms + BR_EXCHANGE_CONNECT_MS;
   if (exchange->paused || !br_exchange_may_repeat (exchange))
     return exchange->until_ms;
   /* No attempt follows a trial, and a trial that is given up counts as lost. */
@@ -547,6 +545,11 @@
       br_exchange_refuse_not_ready (exchange);
       return;
     }
+  if (exchange->end_check != NULL && now >= exchange->end_check_until_ms)
+    {
+      br_exchange_end_unproved (exchange);
+      return;
+    }
   if (now >= exchange->until_ms)
     {
       exchange_on_timeout (exchange);
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "http/response_match.h"
+#include "shell/upstream_pool.h"
 
 /* Most bytes of all plain answers that are being read, and of one of them.  An
  * answer up to PLAIN_ANSWER_SMALL is read in any case. */
@@ -121,8 +122,11 @@
       return;
     }
   /* Also when an earlier attempt has begun the stream: an upstream that resumes
-   * it has at least the last event to send. */
-  if (!br_event_stream_has_event (&exchange->events))
+   * it has at least the last event to send, unless the earlier one may have
+   * ended it. */
+  if (!br_event_stream_has_event (&exchange->events)
+      && !(exchange->end_unproved
+           && !br_http_client_ended_by_close (exchange->client)))
     {
       br_exchange_fail_attempt (exchange, "empty_stream", true,
                                 BR_RESULT_FAILED);
@@ -222,6 +226,77 @@
   br_exchange_free (exchange);
 }
 
+/* Handles the end of a whole answer, or of one that its upstream's crash may
+ * have cut. */
+static void
+exchange_on_end (br_exchange_t *exchange, bool reusable)
+{
+  if (exchange_streams (exchange))
+    exchange_on_stream_end (exchange, reusable);
+  else
+    exchange_on_plain_end (exchange, reusable);
+}
+
+/* --- ends without framing --- */
+
+/* Returns whether the end of the answer may be a crash: the close of the
+ * connection ended it.  An upstream that leaves closes its last connection as
+ * it stops. */
+static bool
+exchange_end_may_be_crash (const br_exchange_t *exchange)
+{
+  return br_http_client_ended_by_close (exchange->client)
+         && !exchange->upstream->listing.draining
+         && !exchange->upstream->removed
+         && !br_event_stream_is_inside_event (&exchange->events);
+}
+
+void
+br_exchange_end_unproved (br_exchange_t *exchange)
+{
+  exchange->end_unproved = true;
+  br_exchange_fail_attempt (exchange, "end_unproved", true, BR_RESULT_BROKEN);
+}
+
+static void
+exchange_on_end_check (void *context,
+                       br_http_client_t *client,
+                       const br_client_event_t *event)
+{
+  br_exchange_t *exchange = context;
+
+  if (event->kind != BR_CLIENT_CONNECTED)
+    {
+      br_exchange_end_unproved (exchange);
+      return;
+    }
+  exchange->end_check = NULL;
+  br_http_client_free (exchange->client);
+  exchange->client = client;
+  exchange_on_end (exchange, true);
+}
+
+/* Connects to the upstream, which shows whether it still runs.  The next
+ * request there uses the connection. */
+static void
+exchange_check_end (br_exchange_t *exchange)
+{
+  exchange->end_check = br_upstream_pool_connect (exchange->task->node->base,
+                                                  exchange->upstream);
+  if (exchange->end_check == NULL)
+    {
+      br_exchange_end_unproved (exchange);
+      return;
+    }
+  br_http_client_set_owner (exchange->end_check, exchange_on_end_check,
+                            exchange);
+  exchange->end_check_until_ms = BR_MIN (
+      br_exchange_now (exchange) + BR_EXCHANGE_CONNECT_MS, exchange->until_ms);
+  br_exchange_set_timer (exchange, exchange->end_check_until_ms);
+}
+
+/* --- heads --- */
+
 /* Copies the head, which lives in the connection, for the answer. */
 static void
 exchange_copy_head (br_exchange_t *exchange, const br_http_head_t *head)
@@ -384,6 +459,8 @@
 
   switch (event->kind)
     {
+    case BR_CLIENT_CONNECTED:
+      break;
     case BR_CLIENT_HEAD:
       exchange_on_head (exchange, client, event->head);
       break;
@@ -391,10 +468,10 @@
       exchange_on_body (exchange, event->body);
       break;
     case BR_CLIENT_END:
-      if (exchange_streams (exchange))
-        exchange_on_stream_end (exchange, event->reusable);
+      if (exchange_end_may_be_crash (exchange))
+        exchange_check_end (exchange);
       else
-        exchange_on_plain_end (exchange, event->reusable);
+        exchange_on_end (exchange, event->reusable);
       break;
     case BR_CLIENT_FAILED:
     case BR_CLIENT_LOST:
--- a/src/shell/exchange_end.c
+++ b/src/shell/exchange_end.c
@@ -178,7 +178,9 @@
     br_upstream_pool_keep (exchange->upstream, exchange->client, keep_max);
   else
     br_http_client_free (exchange->client);
+  br_http_client_free (exchange->end_check);
   exchange->client = NULL;
+  exchange->end_check = NULL;
   exchange->paused = false;
   exchange->upstream = NULL;
 }
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -60,8 +60,11 @@
   bool head_seen;
   const char *framing; /* of the answer; empty before its head */
   bool had_first_event;
-  bool counted;    /* in the usage of its organisation */
-  uint64_t window; /* in which it is counted */
+  bool counted;                /* in the usage of its organisation */
+  uint64_t window;             /* in which it is counted */
+  br_http_client_t *end_check; /* connects while the end of an answer waits for
+                                  it; NULL: none */
+  br_ms_t end_check_until_ms;
   br_outcome_head_t outcome;
   br_http_head_t answer_head; /* copied */
   br_buf_t answer;            /* of a plain service, or part of an event */
@@ -71,7 +74,8 @@
   size_t n_tried;
   int ran;
   int refused;
-  bool was_slow; /* an attempt was given up without an answer */
+  bool end_unproved; /* the last attempt closed between two events */
+  bool was_slow;     /* an attempt was given up without an answer */
   br_event_stream_t events;
   bool begun; /* the caller has received part of a stream */
   br_ms_t first_ms;
@@ -131,6 +135,10 @@
 
 /* --- exchange.c --- */
 
+/* Connect timeout, in milliseconds, after which another upstream is tried.  A
+ * connection usually takes a few milliseconds. */
+#define BR_EXCHANGE_CONNECT_MS 250
+
 /* Checks the current attempt for timeouts; an event_callback_fn. */
 void br_exchange_on_timer (evutil_socket_t fd, short what, void *context);
 
@@ -232,6 +240,10 @@
 
 /* --- exchange_answer.c --- */
 
+/* The upstream has not accepted a connection after the end of its answer.  May
+ * free the exchange. */
+void br_exchange_end_unproved (br_exchange_t *exchange);
+
 /* Handles an event of the upstream's connection; a br_client_fn. */
 void br_exchange_on_client (void *context,
                             br_http_client_t *client,
--- a/src/shell/upstream_pool.c
+++ b/src/shell/upstream_pool.c
@@ -50,7 +50,8 @@
   br_fleet_upstream_t *upstream = context;
   pool_t *pool = pool_get (upstream);
 
-  (void)event;
+  if (event->kind == BR_CLIENT_CONNECTED)
+    return;
   for (size_t i = 0; i < pool->idle.len; i++)
     if (pool->idle.items[i] == client)
       {
--- a/tests/soak/soak_call.c
+++ b/tests/soak/soak_call.c
@@ -44,6 +44,8 @@
   (void)client;
   switch (event->kind)
     {
+    case BR_CLIENT_CONNECTED:
+      break;
     case BR_CLIENT_HEAD:
       call->status = event->head->status;
       break;
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -155,6 +155,8 @@
   (void)client;
   switch (event->kind)
     {
+    case BR_CLIENT_CONNECTED:
+      break;
     case BR_CLIENT_HEAD:
       caller->status = event->head->status;
       break;
