--- a/tests/soak/soak_shim.c
+++ b/tests/soak/soak_shim.c
@@ -3,7 +3,9 @@
  * full disk.  The environment variable SOAK_SHIM names a file that holds the
  * values in force: "SHIFT_MS SYNC_MS FULL".  Connections to loopback addresses
  * come from the address in SOAK_ADDRESS, by which the relay tells the VMs
- * apart. */
+ * apart.  SHIM_CUT names a file "MODE FIRST LAST PORT": new connections to the
+ * ports FIRST to LAST of 127.0.0.1 are refused, or hang at PORT, which accepts
+ * none. */
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <errno.h>
@@ -128,10 +130,37 @@
   return write_fails (fd) ? -1 : REAL (writev) (fd, parts, n);
 }
 
+/* Returns whether the connection to TARGET is refused, or changes *TARGET to a
+ * port where it hangs, as the file of SHIM_CUT says. */
+static int
+cut_refuses (struct sockaddr_in *target)
+{
+  const char *path = getenv ("SHIM_CUT");
+  FILE *file = path != NULL ? fopen (path, "r") : NULL;
+  char mode[16] = "";
+  int first = 0;
+  int last = -1;
+  int hang_port = 0;
+  int port = ntohs (target->sin_port);
+
+  if (file == NULL)
+    return 0;
+  if (fscanf (file, "%15s %d %d %d", mode, &first, &last, &hang_port) != 4)
+    mode[0] = '\0';
+  fclose (file);
+  if (target->sin_addr.s_addr != htonl (INADDR_LOOPBACK) || port < first
+      || port > last)
+    return 0;
+  if (strcmp (mode, "hang") == 0)
+    target->sin_port = htons ((uint16_t)hang_port);
+  return strcmp (mode, "refuse") == 0;
+}
+
 int
 connect (int fd, const struct sockaddr *to, socklen_t len)
 {
-  const struct sockaddr_in *target = (const struct sockaddr_in *)to;
+  struct sockaddr_in *target = (struct sockaddr_in *)to;
+  struct sockaddr_in cut_to;
   const char *text = getenv ("SOAK_ADDRESS");
   struct sockaddr_in from = { .sin_family = AF_INET };
   int on = 1;
@@ -143,5 +172,15 @@
       setsockopt (fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
       (void)bind (fd, (const struct sockaddr *)&from, sizeof from);
     }
+  if (target->sin_family == AF_INET && len == sizeof cut_to)
+    {
+      cut_to = *target;
+      to = (const struct sockaddr *)&cut_to;
+      if (cut_refuses (&cut_to))
+        {
+          errno = ECONNREFUSED;
+          return -1;
+        }
+    }
   return REAL (connect) (fd, to, len);
 }
