Entry: requests for a lost service go to another entry VM

Cause: the VM took its own cut for a failure of each upstream, one after the other, 250 ms each, and had no other way for a request. Class: a fault of this VM is taken for a fault of the others.

Change: four upstreams of a service (all, if it has fewer) that accept no connection, with no new connection to any in between, make the service lost; from two on, the VM connects to three others at once to find out. Requests for a lost service, and those that two upstreams did not accept, go whole to another entry VM, on a port of its own and with a proof by the shared key. That VM serves them like its own callers', counts their usage and repeats, takes nothing from the quota again and never relays them on. After a byte was sent, a break ends the request as one that may have run. A connection each half second shows when the service is reached again; loads that a VM with a lost service reports do not exclude upstreams elsewhere.

--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -12,6 +12,8 @@
 #define BR_COUNTER_TABLE(X)                                                    \
   X (REQUESTS, "requests_total", "Requests received from callers")             \
   X (REQUESTS_REFUSED, "requests_refused_total", "Requests refused")           \
+  X (REQUESTS_RELAYED, "requests_relayed_total",                               \
+     "Requests that another entry VM served")                                  \
   X (REQUESTS_FAILED, "requests_failed_total", "Requests that failed")         \
   X (ATTEMPTS, "attempts_total", "Attempts sent to upstreams")                 \
   X (ATTEMPTS_FAILED, "attempts_failed_total", "Attempts that failed")         \
--- a/src/shell/control_heartbeat.c
+++ b/src/shell/control_heartbeat.c
@@ -8,6 +8,9 @@
 /* An entry VM without a report for this long is no longer live. */
 #define ENTRY_TIMEOUT_MS 3000
 
+/* Entry VMs named in a heartbeat that can serve requests for others. */
+#define HELPERS_MAX 8
+
 size_t
 br_control_live_entries (const br_control_task_t *task, br_ms_t now)
 {
@@ -126,6 +129,38 @@
   return views;
 }
 
+/* Names live entry VMs in WIRE and VIEWS, at most HELPERS_MAX, beginning with
+ * another one each time: those that have lost services only after the others.
+ * Returns their number. */
+static size_t
+heartbeat_helpers (br_control_task_t *task,
+                   br_ms_t now,
+                   Br__Site__Helper *wire,
+                   Br__Site__Helper **views)
+{
+  size_t n = 0;
+
+  task->helpers_from++;
+  for (size_t i = 0; i < 2 * task->entries.len && n < HELPERS_MAX; i++)
+    {
+      const br_control_entry_t *entry
+          = &task->entries.items[(task->helpers_from + i) % task->entries.len];
+      const Br__Site__EntryReport *report = entry->last_report->report;
+      bool second_round = i >= task->entries.len;
+
+      if (!br_control_entry_is_live (entry, now)
+          || (report->n_lost_services > 0) != second_round)
+        continue;
+      wire[n] = (Br__Site__Helper)BR__SITE__HELPER__INIT;
+      wire[n].vm = (char *)entry->vm.data;
+      wire[n].n_lost_services = report->n_lost_services;
+      wire[n].lost_services = report->lost_services;
+      views[n] = &wire[n];
+      n++;
+    }
+  return n;
+}
+
 /* Packs the heartbeat into OUT.  Computing the sums takes time proportional to
  * the number of entry VMs. */
 static void
@@ -137,6 +172,8 @@
   Br__Site__ControlBeat heartbeat = BR__SITE__CONTROL_BEAT__INIT;
   br_site_message_t message = BR__SITE__MESSAGE__INIT;
   char *names[BR_REPLICA_MEMBERS_MAX];
+  Br__Site__Helper wire_helpers[HELPERS_MAX];
+  Br__Site__Helper *helpers[HELPERS_MAX];
   br_load_sums_t loads = { 0 };
   br_demand_sums_t demands = { 0 };
   Br__Site__UpstreamLoad *wire_loads = NULL;
@@ -158,6 +195,9 @@
   heartbeat.has_sums = heartbeat.leads && with_sums;
   if (heartbeat.has_sums)
     {
+      heartbeat.n_helpers
+          = heartbeat_helpers (task, now, wire_helpers, helpers);
+      heartbeat.helpers = helpers;
       heartbeat_sum_loads (task, now, &loads);
       br_control_sum_demands (task, now, &demands);
       heartbeat.n_loads = loads.list.len;
--- a/src/shell/control_private.h
+++ b/src/shell/control_private.h
@@ -72,6 +72,7 @@
   br_control_entries_t entries;
   br_name_index_t entry_index; /* index into ENTRIES by VM */
   bool entries_changed;        /* since the last heartbeat */
+  size_t helpers_from;         /* entry VM that the last heartbeat began with */
   br_control_waits_t waits;
   br_site_clock_t clock;
   br_cloud_t *cloud;
--- a/src/shell/entry_private.h
+++ b/src/shell/entry_private.h
@@ -10,6 +10,7 @@
 #include "shell/entry_task.h"
 #include "site/choice.h"
 #include "site/fleet.h"
+#include "site/helper.h"
 #include "site/list_report.h"
 #include "site/quota.h"
 #include "site/repeat_budget.h"
@@ -32,6 +33,7 @@
 
 typedef struct br_exchange br_exchange_t;
 typedef struct br_crash_check br_crash_check_t;
+typedef struct br_link_probe br_link_probe_t;
 
 /* The demand for one service since the last report. */
 typedef struct
@@ -44,6 +46,7 @@
   uint32_t in_flight;
   uint32_t tick_requests; /* since the last tick */
   double requests_per_s;  /* moving average */
+  br_ms_t probed_ms; /* when upstreams were last connected to, while lost */
 } br_entry_service_t;
 
 BR_VEC (br_entry_services, br_entry_service_t);
@@ -52,6 +55,9 @@
 {
   br_node_t *node;
   br_http_server_t *server;
+  br_http_server_t *relay_server; /* for other entry VMs; NULL: none */
+  br_helpers_t helpers;    /* entry VMs that may serve requests of this one */
+  br_link_probe_t *probes; /* owned */
   br_configuration_t *configuration; /* NULL before the first one */
   br_fleet_t fleet;
   br_quotas_t quotas;
@@ -154,6 +160,18 @@
 /* Takes the limits that the leader knows, and the permits that it issued. */
 void br_entry_on_limits (br_entry_task_t *task, const Br__Site__Limits *limits);
 
+/* --- entry_links.c --- */
+
+/* Logs the services that were lost or reached again, and connects to upstreams
+ * of those that are lost; called on each tick. */
+void br_entry_links_tick (br_entry_task_t *task);
+void br_entry_free_probes (br_entry_task_t *task);
+
+/* Takes the entry VMs that the leader named. */
+void br_entry_set_helpers (br_entry_task_t *task,
+                           Br__Site__Helper *const *helpers,
+                           size_t n);
+
 /* --- entry_quarantine.c --- */
 
 /* Records a run whose connection broke or timed out, and checks whether the
@@ -246,6 +264,9 @@
 
 /* Handle a new request, and the disconnect of its caller. */
 void br_exchange_begin (br_entry_task_t *task, br_http_conn_t *conn);
+
+/* Handles a request that another entry VM relays. */
+void br_exchange_begin_relayed (br_entry_task_t *task, br_http_conn_t *conn);
 void br_exchange_on_disconnect (void *context, br_http_conn_t *conn);
 
 /* Goes on reading the answer for a caller that has received all of it so far.
--- a/src/shell/entry_report.c
+++ b/src/shell/entry_report.c
@@ -41,7 +41,10 @@
       bool unreachable;
 
       br_fleet_load_sent (upstream);
-      unreachable = br_fleet_is_unreachable (upstream, now);
+      /* The links of this VM may be lost, not the upstream. */
+      unreachable = br_fleet_is_unreachable (upstream, now)
+                    && !br_service_link_is_lost (&task->fleet.links,
+                                                 &upstream->listing.service);
       if (upstream->in_flight == 0 && !unreachable)
         continue;
       wire[n] = (Br__Site__UpstreamLoad)BR__SITE__UPSTREAM_LOAD__INIT;
@@ -128,6 +131,7 @@
   Br__Site__PartCrash *part_crash_views[BR_PART_CRASHES_MAX];
   Br__Site__StreamRecord *streams;
   Br__Site__StreamRecord **stream_views;
+  char **lost_services;
 } report_t;
 
 static void
@@ -148,6 +152,8 @@
       = br_alloc ((task->new_streams.len + 1) * sizeof *report->stream_views);
   report->services = br_alloc (services * sizeof *report->services);
   report->service_views = br_alloc (services * sizeof *report->service_views);
+  report->lost_services
+      = br_alloc ((task->fleet.links.len + 1) * sizeof *report->lost_services);
   report->used = br_alloc (organisations * sizeof *report->used);
   report->used_views = br_alloc (organisations * sizeof *report->used_views);
   report->demands.wire = br_alloc (organisations * sizeof (Br__Site__Demand));
@@ -160,6 +166,7 @@
 {
   free (report->loads);
   free (report->load_views);
+  free (report->lost_services);
   free (report->used);
   free (report->used_views);
   free (report->leaving);
@@ -246,6 +253,18 @@
   return n;
 }
 
+/* Fills NAMES, which has room for all links; returns their number. */
+static size_t
+report_lost_services (br_entry_task_t *task, char **names)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < task->fleet.links.len; i++)
+    if (task->fleet.links.items[i].is_lost)
+      names[n++] = task->fleet.links.items[i].service.data;
+  return n;
+}
+
 void
 br_entry_report (br_entry_task_t *task, br_ms_t now)
 {
@@ -281,6 +300,8 @@
       = br_entry_report_streams (task, 0, report.streams, report.stream_views);
   body.streams = report.stream_views;
   body.bans_made = task->bans_made;
+  body.n_lost_services = report_lost_services (task, report.lost_services);
+  body.lost_services = report.lost_services;
   body.n_used = report_used (task, false, report.used, report.used_views);
   body.used = report.used_views;
   body.up_ms = (uint64_t)(now - task->node->started_ms);
--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -99,6 +99,8 @@
   br_configuration_unref (task->configuration);
   task->configuration = configuration;
   br_http_server_set_limits (task->server, &configuration->limits);
+  if (task->relay_server != NULL)
+    br_http_server_set_limits (task->relay_server, &configuration->limits);
   BR_LOG (&task->node->log, "site", "configuration in force",
           br_field_int ("version", (int64_t)configuration->version),
           br_field_int ("routes", (int64_t)configuration->routes.len),
@@ -306,6 +308,8 @@
       && heartbeat->fleet_sequence == task->fleet.sequence && task->fleet.known)
     task->fleet.read_ms
         = BR_MAX (task->fleet.read_ms, now - (br_ms_t)heartbeat->fleet_age_ms);
+  if (heartbeat->has_sums)
+    br_entry_set_helpers (task, heartbeat->helpers, heartbeat->n_helpers);
   if (heartbeat->has_sums)
     task_on_loads (task, heartbeat->loads, heartbeat->n_loads);
 }
@@ -424,6 +428,7 @@
   (void)what;
   task_check_list (task, now);
   br_entry_quarantine_tick (task, has_leader);
+  br_entry_links_tick (task);
   br_entry_limits_tick (task, has_leader && task->leader.len > 0);
   if (task->report_due || now - task->last_report_ms >= REPORT_PERIOD_MS)
     {
@@ -446,8 +451,20 @@
   br_exchange_begin (context, conn);
 }
 
-static bool
-task_listen (br_entry_task_t *task, br_error_t *err)
+static void
+task_on_relayed_request (void *context, br_http_conn_t *conn)
+{
+  br_exchange_begin_relayed (context, conn);
+}
+
+/* Returns NULL with *ERR set when it cannot listen at ENDPOINT, which the
+ * setting NAME gives. */
+static br_http_server_t *
+task_listen (br_entry_task_t *task,
+             const br_endpoint_t *endpoint,
+             const char *name,
+             void (*on_request) (void *, br_http_conn_t *),
+             br_error_t *err)
 {
   br_node_t *node = task->node;
   struct sockaddr_storage address;
@@ -461,18 +478,37 @@
       .request_ms = node->settings.request_ms,
       .idle_ms = node->settings.idle_ms,
     },
-    .on_request = task_on_request,
+    .on_request = on_request,
     .on_disconnect = br_exchange_on_disconnect,
     .on_drained = br_exchange_on_drained,
     .context = task,
   };
 
-  if (!br_endpoint_to_sockaddr (&node->settings.callers, &address, &len))
-    return br_error_set (err, BR_ERROR_SETTINGS, "listen for callers", "",
-                         "callers.address is not valid");
+  if (!br_endpoint_to_sockaddr (endpoint, &address, &len))
+    {
+      br_error_set (err, BR_ERROR_SETTINGS, "listen", "", "%s is not valid",
+                    name);
+      return NULL;
+    }
   options.address_len = len;
-  task->server = br_http_server_new (&options, err);
-  return task->server != NULL;
+  return br_http_server_new (&options, err);
+}
+
+/* Listens for callers, and for other entry VMs if the settings have a port. */
+static bool
+task_open_ports (br_entry_task_t *task, br_error_t *err)
+{
+  const br_settings_t *settings = &task->node->settings;
+  br_endpoint_t relay = settings->peers;
+
+  task->server = task_listen (task, &settings->callers, "callers.address",
+                              task_on_request, err);
+  if (task->server == NULL || settings->relay_port == 0)
+    return task->server != NULL;
+  relay.port = settings->relay_port;
+  task->relay_server = task_listen (task, &relay, "peers.address",
+                                    task_on_relayed_request, err);
+  return task->relay_server != NULL;
 }
 
 br_entry_task_t *
@@ -486,8 +522,9 @@
     br_contacts_put (&task->contacts.seeds, &node->settings.vms.items[i].name);
   task->entries = 1;
   task->quotas.default_share = 1;
-  if (!task_listen (task, err))
+  if (!task_open_ports (task, err))
     {
+      br_http_server_free (task->server);
       free (task);
       return NULL;
     }
@@ -511,7 +548,10 @@
   while (task->exchanges != NULL)
     br_exchange_free (task->exchanges);
   br_entry_free_checks (task);
+  br_entry_free_probes (task);
   br_http_server_free (task->server);
+  br_http_server_free (task->relay_server);
+  br_helpers_release (&task->helpers);
   br_fleet_release (&task->fleet, br_upstream_pool_free, NULL);
   br_cloud_free (task->cloud);
   br_quotas_release (&task->quotas);
@@ -557,12 +597,16 @@
 br_entry_task_stop_keep_alive (br_entry_task_t *task)
 {
   br_http_server_close_after_answers (task->server);
+  if (task->relay_server != NULL)
+    br_http_server_close_after_answers (task->relay_server);
 }
 
 void
 br_entry_task_stop_accepting (br_entry_task_t *task)
 {
   br_http_server_stop (task->server);
+  if (task->relay_server != NULL)
+    br_http_server_stop (task->relay_server);
 }
 
 void
@@ -574,7 +618,11 @@
 size_t
 br_entry_task_in_progress (const br_entry_task_t *task)
 {
-  return br_http_server_connections (task->server);
+  size_t relayed = task->relay_server != NULL
+                       ? br_http_server_connections (task->relay_server)
+                       : 0;
+
+  return br_http_server_connections (task->server) + relayed;
 }
 
 void
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -101,6 +101,8 @@
     return exchange->end_check_until_ms;
   if (!br_http_client_is_connected (exchange->client))
     return exchange->sent_ms + BR_EXCHANGE_CONNECT_MS;
+  if (exchange->helper.len > 0)
+    return exchange->until_ms;
   if (exchange->paused || !br_exchange_may_repeat (exchange))
     return exchange->until_ms;
   /* No attempt follows a trial, and a trial that is given up counts as lost. */
@@ -278,6 +280,20 @@
   return br_choice_make (fleet, query, now);
 }
 
+/* Refuses a request that has not run if its service is lost.  Returns false if
+ * it may be attempted. */
+static bool
+exchange_refuse_lost (br_exchange_t *exchange)
+{
+  if (exchange->begun || exchange->ran > 0
+      || !br_service_link_is_lost (&exchange->task->fleet.links,
+                                   &exchange->service->name))
+    return false;
+  br_exchange_refuse (exchange, "this VM reaches no upstream of the service",
+                      BR_EXCHANGE_RETRY_AFTER_MS);
+  return true;
+}
+
 void
 br_exchange_attempt (br_exchange_t *exchange)
 {
@@ -314,6 +330,8 @@
       br_exchange_end_stream (exchange);
       return;
     }
+  if (br_exchange_relay (exchange) || exchange_refuse_lost (exchange))
+    return;
   query = exchange_choice_query (exchange);
   exchange->choice = exchange_choose (exchange, &query, now);
   if (exchange->choice.upstream == NULL
@@ -435,8 +453,12 @@
   br_exchange_log_attempt (exchange, cause, may_have_run,
                            br_attempt_next_name (next));
   br_counters_add (&task->node->counters, BR_COUNTER_ATTEMPTS_FAILED, 1);
+  if (result == BR_RESULT_UNREACHABLE || result == BR_RESULT_TIMED_OUT)
+    exchange->unconnected++;
   if (br_fleet_record_result (&task->fleet, exchange->upstream, result, now))
     exchange_on_domain_unreachable (exchange);
+  if (result == BR_RESULT_UNREACHABLE || result == BR_RESULT_TIMED_OUT)
+    br_entry_links_tick (task);
   if (result == BR_RESULT_STALLED || result == BR_RESULT_LATE)
     br_upstream_pool_drop (exchange->upstream);
   if (may_have_run && result_may_be_crash (result) && !exchange->loss_recorded)
@@ -473,7 +495,7 @@
   };
 
   br_exchange_record_unanswered (exchange);
-  if (exchange->upstream != NULL)
+  if (exchange->client != NULL)
     query.ran += br_http_client_has_sent (exchange->client) ? 1 : 0;
   br_exchange_end (exchange, br_attempt_give_up (&query),
                    "the request's deadline has passed");
@@ -560,7 +582,7 @@
       br_exchange_end_version_wait (exchange);
       return;
     }
-  if (exchange->upstream == NULL)
+  if (exchange->client == NULL)
     {
       br_exchange_attempt (exchange);
       return;
@@ -571,7 +593,9 @@
       br_exchange_set_timer (exchange, next_check_ms);
       return;
     }
-  if (!br_http_client_is_connected (exchange->client))
+  if (exchange->helper.len > 0)
+    br_exchange_helper_unconnected (exchange);
+  else if (!br_http_client_is_connected (exchange->client))
     br_exchange_fail_attempt (exchange, "connect_timeout", false,
                               BR_RESULT_TIMED_OUT);
   else
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -15,10 +15,10 @@
  * read. */
 #define CALLER_BACKLOG_MAX (256 * 1024)
 
-static void
-exchange_forward_head (br_exchange_t *exchange,
-                       br_http_headers_t *headers,
-                       br_http_answer_t *answer)
+void
+br_exchange_forward_head (br_exchange_t *exchange,
+                          br_http_headers_t *headers,
+                          br_http_answer_t *answer)
 {
   const br_http_head_t *head = &exchange->answer_head;
 
@@ -63,25 +63,21 @@
   exchange->last_event_ms = now;
 }
 
-/* Forwards EVENTS, which are whole. */
-static void
-exchange_forward_events (br_exchange_t *exchange, br_str_t events)
+void
+br_exchange_forward_bytes (br_exchange_t *exchange, br_str_t bytes)
 {
   br_http_headers_t headers = { 0 };
   br_http_answer_t answer;
 
-  if (events.len == 0)
-    return;
-  exchange_on_first_event (exchange);
   if (!exchange->begun)
     {
-      exchange_forward_head (exchange, &headers, &answer);
+      br_exchange_forward_head (exchange, &headers, &answer);
       br_http_conn_begin (exchange->conn, &answer);
       br_http_headers_free (&headers);
       exchange->begun = true;
       exchange->version = exchange->attempt_version;
     }
-  br_http_conn_write (exchange->conn, events);
+  br_http_conn_write (exchange->conn, bytes);
   if (br_http_conn_unsent (exchange->conn) > CALLER_BACKLOG_MAX)
     {
       exchange->paused = true;
@@ -89,7 +85,17 @@
     }
   exchange_record_gap (exchange);
   br_counters_add (&exchange->task->node->counters, BR_COUNTER_BYTES_STREAMED,
-                   events.len);
+                   bytes.len);
+}
+
+/* Forwards EVENTS, which are whole. */
+static void
+exchange_forward_events (br_exchange_t *exchange, br_str_t events)
+{
+  if (events.len == 0)
+    return;
+  exchange_on_first_event (exchange);
+  br_exchange_forward_bytes (exchange, events);
 }
 
 static bool
@@ -220,7 +226,7 @@
     br_fleet_record_result (&exchange->task->fleet, exchange->upstream,
                             BR_RESULT_GOOD, br_exchange_now (exchange));
   exchange_complete (exchange, "answered", reusable);
-  exchange_forward_head (exchange, &headers, &answer);
+  br_exchange_forward_head (exchange, &headers, &answer);
   br_http_conn_answer (exchange->conn, &answer, br_buf_str (&exchange->answer));
   br_http_headers_free (&headers);
   br_exchange_free (exchange);
@@ -297,9 +303,8 @@
 
 /* --- heads --- */
 
-/* Copies the head, which lives in the connection, for the answer. */
-static void
-exchange_copy_head (br_exchange_t *exchange, const br_http_head_t *head)
+void
+br_exchange_copy_head (br_exchange_t *exchange, const br_http_head_t *head)
 {
   br_http_head_t *copy = &exchange->answer_head;
 
@@ -376,6 +381,9 @@
       return;
     }
   exchange->last_byte_ms = br_exchange_now (exchange);
+  if (match.is_first)
+    br_service_link_connected (&exchange->task->fleet.links,
+                               &exchange->upstream->listing.service);
   exchange_take_signals (exchange, &outcome);
   if (outcome.status < 300 && !outcome.has_signature)
     {
@@ -394,7 +402,7 @@
     }
   exchange->head_seen = true;
   exchange->framing = br_http_head_framing_name (head);
-  exchange_copy_head (exchange, head);
+  br_exchange_copy_head (exchange, head);
 }
 
 /* Forwards the events that BYTES complete.  An upstream that sends anything
@@ -434,18 +442,23 @@
          || exchange->task->answer_bytes + len <= PLAIN_ANSWERS_MAX;
 }
 
+bool
+br_exchange_keep_bytes (br_exchange_t *exchange, br_str_t bytes)
+{
+  if (!exchange_has_room (exchange, bytes.len))
+    return false;
+  br_buf_append (&exchange->answer, bytes);
+  exchange->task->answer_bytes += bytes.len;
+  return true;
+}
+
 static void
 exchange_on_body (br_exchange_t *exchange, br_str_t body)
 {
   exchange->last_byte_ms = br_exchange_now (exchange);
   if (exchange_streams (exchange))
     exchange_on_events (exchange, body);
-  else if (exchange_has_room (exchange, body.len))
-    {
-      br_buf_append (&exchange->answer, body);
-      exchange->task->answer_bytes += body.len;
-    }
-  else
+  else if (!br_exchange_keep_bytes (exchange, body))
     br_exchange_fail_attempt (exchange, "answer_too_long", true,
                               BR_RESULT_FAILED);
 }
--- a/src/shell/exchange_arrival.c
+++ b/src/shell/exchange_arrival.c
@@ -6,6 +6,9 @@
  * VM takes the request. */
 #define OTHER_VM_RETRY_AFTER_MS 20
 
+/* Requests that this VM serves for others at once. */
+#define RELAYED_MAX 512
+
 /* A starting VM has the configuration and the list of upstreams after about
  * 0.5 s if all VMs start at once, and much sooner if it starts alone.  During
  * the start period, in milliseconds, requests wait for both, each for at most
@@ -114,8 +117,11 @@
       = br_entry_service (task, br_name_str (&exchange->service->name));
   br_repeat_limits_t limits = br_entry_repeat_limits (task);
 
-  service->requests++;
   service->tick_requests++;
+  /* The VM that relays it counts it. */
+  if (exchange->is_relayed)
+    return;
+  service->requests++;
   service->output_tokens += exchange->inbound.output_tokens;
   br_repeat_budget_request (&service->repeats, &limits,
                             br_exchange_now (exchange));
@@ -126,7 +132,7 @@
 {
   br_error_t err;
 
-  if (!exchange_take_units (exchange, &err))
+  if (!exchange->is_relayed && !exchange_take_units (exchange, &err))
     {
       br_exchange_answer_error (exchange, &err);
       return;
@@ -220,17 +226,50 @@
     }
 }
 
-void
-br_exchange_begin (br_entry_task_t *task, br_http_conn_t *conn)
+/* Returns false, with *ERR set, if this VM does not serve a relayed request. */
+static bool
+exchange_accept_relayed (const br_exchange_t *exchange, br_error_t *err)
+{
+  if (!br_exchange_is_relay_proved (exchange))
+    return br_error_set (err, BR_ERROR_UNAUTHORIZED, "relay", "",
+                         "the proof of the other entry VM is wrong");
+  if (br_http_server_connections (exchange->task->relay_server) > RELAYED_MAX)
+    {
+      br_error_set (err, BR_ERROR_UNAVAILABLE, "relay", "",
+                    "this VM serves %d requests for others", RELAYED_MAX);
+      err->retry_after_ms = OTHER_VM_RETRY_AFTER_MS;
+      return false;
+    }
+  return true;
+}
+
+static void
+exchange_begin (br_entry_task_t *task, br_http_conn_t *conn, bool is_relayed)
 {
   br_exchange_t *exchange = exchange_new (task, conn);
   br_error_t err;
 
+  exchange->is_relayed = is_relayed;
+
   if (!br_platform_read_request (br_http_conn_head (conn), &exchange->inbound,
                                  &err))
     br_exchange_answer_error (exchange, &err);
+  else if (is_relayed && !exchange_accept_relayed (exchange, &err))
+    br_exchange_answer_error (exchange, &err);
   else if (!task_is_configured (task))
     exchange_wait_for_start (exchange);
   else
     exchange_admit (exchange);
 }
+
+void
+br_exchange_begin (br_entry_task_t *task, br_http_conn_t *conn)
+{
+  exchange_begin (task, conn, false);
+}
+
+void
+br_exchange_begin_relayed (br_entry_task_t *task, br_http_conn_t *conn)
+{
+  exchange_begin (task, conn, true);
+}
--- a/src/shell/exchange_end.c
+++ b/src/shell/exchange_end.c
@@ -92,6 +92,8 @@
       br_field_int ("events", (int64_t)exchange->events.passed),
       br_field_z ("framing", exchange->framing),
       br_field_str ("upstream", upstream),
+      br_field_z ("helper", exchange->helper.data),
+      br_field_int ("relayed", exchange->is_relayed),
       br_field_z ("version", exchange->upstream != NULL
                                  ? exchange->upstream->listing.version.data
                                  : ""),
@@ -164,6 +166,13 @@
   br_entry_task_t *task = exchange->task;
   size_t keep_max;
 
+  if (exchange->helper.len > 0)
+    {
+      br_http_client_free (exchange->client);
+      exchange->client = NULL;
+      exchange->helper = (br_name_t){ 0 };
+      exchange->paused = false;
+    }
   if (exchange->upstream == NULL)
     return;
   keep_max = (size_t)BR_MAX (
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -39,6 +39,7 @@
   br_ms_t until_ms;     /* the caller's deadline or the route's timeout */
   double units;         /* taken from the quota */
   uint64_t content;     /* digest of what is requested; 0: not computed yet */
+  bool is_relayed;      /* another entry VM sent it */
   bool waits_for_start; /* not admitted yet, nothing below is set */
   br_stream_t stream;   /* that it begins or takes up */
   br_version_t version; /* that began the stream; 0: none has */
@@ -60,8 +61,12 @@
   bool head_seen;
   const char *framing; /* of the answer; empty before its head */
   bool had_first_event;
-  bool counted;                /* in the usage of its organisation */
-  uint64_t window;             /* in which it is counted */
+  bool counted;     /* in the usage of its organisation */
+  uint64_t window;  /* in which it is counted */
+  int unconnected;  /* upstreams that accepted no connection */
+  br_name_t helper; /* entry VM that CLIENT is connected to; empty: none */
+  br_name_t last_helper;
+  int helpers_tried;
   br_http_client_t *end_check; /* connects while the end of an answer waits for
                                   it; NULL: none */
   br_ms_t end_check_until_ms;
@@ -238,8 +243,37 @@
                       br_attempt_next_t next,
                       const char *why);
 
+/* --- exchange_relay.c --- */
+
+/* Sends the request to another entry VM if this one has lost its service.
+ * Returns false if it has not, or no other VM may help. */
+bool br_exchange_relay (br_exchange_t *exchange);
+
+/* Handles a helper that has not accepted a connection.  May free the
+ * exchange. */
+void br_exchange_helper_unconnected (br_exchange_t *exchange);
+
+/* Returns whether the proof of a relayed request is right. */
+bool br_exchange_is_relay_proved (const br_exchange_t *exchange);
+
 /* --- exchange_answer.c --- */
 
+/* Copies the head, which lives in the connection, for the answer. */
+void br_exchange_copy_head (br_exchange_t *exchange,
+                            const br_http_head_t *head);
+
+/* Fills HEADERS and *ANSWER, which points into them, from the copied head. */
+void br_exchange_forward_head (br_exchange_t *exchange,
+                               br_http_headers_t *headers,
+                               br_http_answer_t *answer);
+
+/* Forwards BYTES of a stream.  While its caller is slow, no more of the answer
+ * is read. */
+void br_exchange_forward_bytes (br_exchange_t *exchange, br_str_t bytes);
+
+/* Keeps BYTES of a plain answer.  Returns false if it is too long. */
+bool br_exchange_keep_bytes (br_exchange_t *exchange, br_str_t bytes);
+
 /* The upstream has not accepted a connection after the end of its answer.  May
  * free the exchange. */
 void br_exchange_end_unproved (br_exchange_t *exchange);
--- a/src/shell/settings.h
+++ b/src/shell/settings.h
@@ -86,6 +86,7 @@
   br_endpoint_t metrics;  /* port 0: served to operators only */
   br_endpoint_t platform; /* port 0: no platform */
   br_ms_t platform_poll_ms;
+  int64_t relay_port; /* of all entry VMs, at their names; 0: none */
   bool open_peers; /* VMs that the settings do not name may join */
   bool joins;      /* this VM is not among the first voters */
   br_site_settings_t site;
--- a/src/shell/settings_table.c
+++ b/src/shell/settings_table.c
@@ -44,6 +44,8 @@
      "IP address for other entry VMs")                                         \
   X (INT, "peers.port", peers.port, false, 1, 65535, 0,                        \
      "port for other entry VMs")                                               \
+  X (INT, "peers.relay_port", relay_port, false, 1, 65535, 0,                  \
+     "port, on all entry VMs, for requests that others cannot serve")          \
   X (STRING, "peers.shared_key", shared_key, false, 0, 0, 0,                   \
      "key that all entry VMs share")                                           \
   X (ADDRESS, "platform.address", platform.address, false, 0, 0, 0,            \
--- a/src/site/fleet.c
+++ b/src/site/fleet.c
@@ -208,6 +208,7 @@
   br_fleet_speeds_free (&fleet->speeds);
   br_version_history_clear (&fleet->history);
   br_domain_healths_free (&fleet->domains);
+  br_service_links_free (&fleet->links);
 }
 
 /* --- load and results --- */
@@ -430,6 +431,30 @@
     upstream->unreachable_until_ms = upstream->excluded_until_ms;
 }
 
+static size_t
+fleet_count_listed (const br_fleet_t *fleet, const br_name_t *service)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < fleet->all.len; i++)
+    {
+      const br_listing_t *listing = &fleet->all.items[i]->listing;
+
+      n += !listing->draining && br_name_equal (&listing->service, service);
+    }
+  return n;
+}
+
+void
+br_fleet_link_failed (br_fleet_t *fleet,
+                      const br_name_t *service,
+                      const br_name_t *upstream,
+                      br_ms_t now)
+{
+  br_service_link_failed (&fleet->links, service, upstream,
+                          fleet_count_listed (fleet, service), now);
+}
+
 bool
 br_fleet_record_result (br_fleet_t *fleet,
                         br_fleet_upstream_t *upstream,
@@ -439,6 +464,8 @@
   const br_listing_t *listing = &upstream->listing;
 
   upstream_record_result (upstream, result, now);
+  if (result == BR_RESULT_UNREACHABLE || result == BR_RESULT_TIMED_OUT)
+    br_fleet_link_failed (fleet, &listing->service, &listing->id, now);
   switch (result)
     {
     case BR_RESULT_GOOD:
--- a/src/site/fleet.h
+++ b/src/site/fleet.h
@@ -6,6 +6,7 @@
 #include "site/cache_memory.h"
 #include "site/domain_health.h"
 #include "site/listing.h"
+#include "site/service_link.h"
 #include "site/stream_version.h"
 #include "site/upstream_limit.h"
 
@@ -74,6 +75,7 @@
 typedef struct
 {
   br_domain_healths_t domains;  /* owned */
+  br_service_links_t links;     /* owned; services that failed to connect */
   br_fleet_speeds_t speeds;     /* owned; of services with a measurement */
   br_fleet_upstreams_t all;     /* owned; the listed upstreams */
   br_fleet_upstream_t *removed; /* owned; kept until their requests ended */
@@ -186,6 +188,13 @@
                              br_result_kind_t result,
                              br_ms_t now);
 
+/* Records that UPSTREAM accepted no connection of this VM, as evidence about
+ * this VM's links to SERVICE alone. */
+void br_fleet_link_failed (br_fleet_t *fleet,
+                           const br_name_t *service,
+                           const br_name_t *upstream,
+                           br_ms_t now);
+
 /* Marks the upstream as leaving after one of its answers announced it: it
  * counts as draining in this incarnation, whatever the list shows.  Returns
  * whether that is new. */
--- a/src/site/site.pb-c.c
+++ b/src/site/site.pb-c.c
@@ -1132,6 +1132,51 @@
   assert(message->base.descriptor == &br__site__bans__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   br__site__helper__init
+                     (Br__Site__Helper         *message)
+{
+  static const Br__Site__Helper init_value = BR__SITE__HELPER__INIT;
+  *message = init_value;
+}
+size_t br__site__helper__get_packed_size
+                     (const Br__Site__Helper *message)
+{
+  assert(message->base.descriptor == &br__site__helper__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t br__site__helper__pack
+                     (const Br__Site__Helper *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &br__site__helper__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t br__site__helper__pack_to_buffer
+                     (const Br__Site__Helper *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &br__site__helper__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Br__Site__Helper *
+       br__site__helper__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Br__Site__Helper *)
+     protobuf_c_message_unpack (&br__site__helper__descriptor,
+                                allocator, len, data);
+}
+void   br__site__helper__free_unpacked
+                     (Br__Site__Helper *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &br__site__helper__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   br__site__control_beat__init
                      (Br__Site__ControlBeat         *message)
 {
@@ -2390,7 +2435,7 @@
   (ProtobufCMessageInit) br__site__service_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__entry_report__field_descriptors[18] =
+static const ProtobufCFieldDescriptor br__site__entry_report__field_descriptors[19] =
 {
   {
     "windows",
@@ -2608,6 +2653,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost_services",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Br__Site__EntryReport, n_lost_services),
+    offsetof(Br__Site__EntryReport, lost_services),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__entry_report__field_indices_by_name[] = {
   10,   /* field[10] = answered */
@@ -2620,6 +2677,7 @@
   12,   /* field[12] = leaving */
   2,   /* field[2] = loads */
   15,   /* field[15] = losses */
+  18,   /* field[18] = lost_services */
   16,   /* field[16] = part_crashes */
   3,   /* field[3] = services */
   8,   /* field[8] = site_wall_ms */
@@ -2632,7 +2690,7 @@
 static const ProtobufCIntRange br__site__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor br__site__entry_report__descriptor =
 {
@@ -2642,7 +2700,7 @@
   "Br__Site__EntryReport",
   "br.site",
   sizeof(Br__Site__EntryReport),
-  18,
+  19,
   br__site__entry_report__field_descriptors,
   br__site__entry_report__field_indices_by_name,
   1,  br__site__entry_report__number_ranges,
@@ -3392,7 +3450,58 @@
   (ProtobufCMessageInit) br__site__bans__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor br__site__control_beat__field_descriptors[11] =
+static const ProtobufCFieldDescriptor br__site__helper__field_descriptors[2] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Br__Site__Helper, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lost_services",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Br__Site__Helper, n_lost_services),
+    offsetof(Br__Site__Helper, lost_services),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned br__site__helper__field_indices_by_name[] = {
+  1,   /* field[1] = lost_services */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange br__site__helper__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor br__site__helper__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "br.site.Helper",
+  "Helper",
+  "Br__Site__Helper",
+  "br.site",
+  sizeof(Br__Site__Helper),
+  2,
+  br__site__helper__field_descriptors,
+  br__site__helper__field_indices_by_name,
+  1,  br__site__helper__number_ranges,
+  (ProtobufCMessageInit) br__site__helper__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor br__site__control_beat__field_descriptors[12] =
 {
   {
     "configuration_version",
@@ -3526,6 +3635,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "helpers",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Br__Site__ControlBeat, n_helpers),
+    offsetof(Br__Site__ControlBeat, helpers),
+    &br__site__helper__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned br__site__control_beat__field_indices_by_name[] = {
   0,   /* field[0] = configuration_version */
@@ -3535,6 +3656,7 @@
   5,   /* field[5] = fleet_age_ms */
   4,   /* field[4] = fleet_sequence */
   10,   /* field[10] = has_sums */
+  11,   /* field[11] = helpers */
   2,   /* field[2] = leads */
   7,   /* field[7] = loads */
   3,   /* field[3] = term */
@@ -3544,7 +3666,7 @@
 {
   { 1, 0 },
   { 9, 7 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor br__site__control_beat__descriptor =
 {
@@ -3554,7 +3676,7 @@
   "Br__Site__ControlBeat",
   "br.site",
   sizeof(Br__Site__ControlBeat),
-  11,
+  12,
   br__site__control_beat__field_descriptors,
   br__site__control_beat__field_indices_by_name,
   2,  br__site__control_beat__number_ranges,
--- a/src/site/site.pb-c.h
+++ b/src/site/site.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Br__Site__Ban Br__Site__Ban;
 typedef struct Br__Site__TrialAsk Br__Site__TrialAsk;
 typedef struct Br__Site__Bans Br__Site__Bans;
+typedef struct Br__Site__Helper Br__Site__Helper;
 typedef struct Br__Site__ControlBeat Br__Site__ControlBeat;
 typedef struct Br__Site__Limit Br__Site__Limit;
 typedef struct Br__Site__Limits Br__Site__Limits;
@@ -379,10 +380,15 @@
    */
   size_t n_streams;
   Br__Site__StreamRecord **streams;
+  /*
+   * no connection to their upstreams
+   */
+  size_t n_lost_services;
+  char **lost_services;
 };
 #define BR__SITE__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__site__entry_report__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -582,6 +588,24 @@
     , 0, 0,NULL }
 
 
+/*
+ * An entry VM that may serve requests for another one.
+ */
+struct  Br__Site__Helper
+{
+  ProtobufCMessage base;
+  char *vm;
+  /*
+   * it does not reach their upstreams either
+   */
+  size_t n_lost_services;
+  char **lost_services;
+};
+#define BR__SITE__HELPER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&br__site__helper__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
 /*
  * From a control VM to its entry VMs, the same to all.  Only the leading control
  * VM sets the fields after the first three.
@@ -621,10 +645,15 @@
    * LOADS and DEMANDS are set
    */
   protobuf_c_boolean has_sums;
+  /*
+   * some live entry VMs
+   */
+  size_t n_helpers;
+  Br__Site__Helper **helpers;
 };
 #define BR__SITE__CONTROL_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&br__site__control_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -1230,6 +1259,25 @@
 void   br__site__bans__free_unpacked
                      (Br__Site__Bans *message,
                       ProtobufCAllocator *allocator);
+/* Br__Site__Helper methods */
+void   br__site__helper__init
+                     (Br__Site__Helper         *message);
+size_t br__site__helper__get_packed_size
+                     (const Br__Site__Helper   *message);
+size_t br__site__helper__pack
+                     (const Br__Site__Helper   *message,
+                      uint8_t             *out);
+size_t br__site__helper__pack_to_buffer
+                     (const Br__Site__Helper   *message,
+                      ProtobufCBuffer     *buffer);
+Br__Site__Helper *
+       br__site__helper__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   br__site__helper__free_unpacked
+                     (Br__Site__Helper *message,
+                      ProtobufCAllocator *allocator);
 /* Br__Site__ControlBeat methods */
 void   br__site__control_beat__init
                      (Br__Site__ControlBeat         *message);
@@ -1421,6 +1469,9 @@
 typedef void (*Br__Site__Bans_Closure)
                  (const Br__Site__Bans *message,
                   void *closure_data);
+typedef void (*Br__Site__Helper_Closure)
+                 (const Br__Site__Helper *message,
+                  void *closure_data);
 typedef void (*Br__Site__ControlBeat_Closure)
                  (const Br__Site__ControlBeat *message,
                   void *closure_data);
@@ -1470,6 +1521,7 @@
 extern const ProtobufCMessageDescriptor br__site__ban__descriptor;
 extern const ProtobufCMessageDescriptor br__site__trial_ask__descriptor;
 extern const ProtobufCMessageDescriptor br__site__bans__descriptor;
+extern const ProtobufCMessageDescriptor br__site__helper__descriptor;
 extern const ProtobufCMessageDescriptor br__site__control_beat__descriptor;
 extern const ProtobufCMessageDescriptor br__site__limit__descriptor;
 extern const ProtobufCMessageDescriptor br__site__limits__descriptor;
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -17,6 +17,10 @@
  *   load_sent ID | loads [ID IN_FLIGHT TOKENS...] | unreachable ID VMS
  *   result ID good|failed|broken|unreachable|timed_out|late|stalled|full|moved
  *   excluded ID | urgency PRIORITY UNCACHED
+ *   connected SERVICE            a new connection to one of its upstreams
+ *   link SERVICE                 whether this VM has lost it
+ *   helper VM [SERVICE...]       another entry VM, and what it has lost
+ *   help SERVICE [TRIED]         who helps, in 100 choices
  *   choose REQUEST SERVICE DOMAIN PROMPT [PART:TOKENS...] [not ID...]
  *   crowd N PROMPT               N requests to the first service at once
  *
@@ -54,6 +58,7 @@
 #include "site/attempt.h"
 #include "site/choice.h"
 #include "site/event_stream.h"
+#include "site/helper.h"
 #include "site/quota.h"
 #include "site/quota_pool.h"
 #include "site/repeat_budget.h"
@@ -81,6 +86,7 @@
   br_event_stream_t events;
   br_usage_ledger_t ledger;
   br_usage_t counted; /* by one entry VM */
+  br_helpers_t helpers;
 } session_t;
 
 typedef struct
@@ -291,6 +297,53 @@
       }
 }
 
+static void
+on_link (session_t *session, const words_t *words)
+{
+  br_name_t service = br_name_from (word (words, 1));
+  const br_service_links_t *links = &session->fleet.links;
+  const char *state = "reached";
+
+  for (size_t i = 0; i < links->len; i++)
+    if (br_name_equal (&links->items[i].service, &service)
+        && links->items[i].is_suspected)
+      state = "suspected";
+  printf ("%s\n", br_service_link_is_lost (links, &service) ? "lost" : state);
+}
+
+static void
+on_helper (session_t *session, const words_t *words)
+{
+  br_name_t vm = br_name_from (word (words, 1));
+  br_helper_t *helper = br_helpers_add (&session->helpers, &vm);
+
+  for (size_t i = 2; i < words->len; i++)
+    br_names_push (&helper->lost, br_name_from (word (words, i)));
+}
+
+static void
+on_help (session_t *session, const words_t *words)
+{
+  br_name_t service = br_name_from (word (words, 1));
+  br_name_t tried = br_name_from (words->len > 2 ? word (words, 2) : "");
+  size_t counts[8] = { 0 };
+  br_random_t random;
+
+  br_random_seed (&random, 1);
+  for (int i = 0; i < 100; i++)
+    {
+      const br_name_t *vm
+          = br_helpers_choose (&session->helpers, &service, &tried, &random);
+
+      for (size_t j = 0; vm != NULL && j < session->helpers.len; j++)
+        counts[j] += br_name_equal (vm, &session->helpers.items[j].vm);
+    }
+  for (size_t j = 0; j < session->helpers.len; j++)
+    printf ("%s%s %zu", j > 0 ? ", " : "", session->helpers.items[j].vm.data,
+            counts[j]);
+  printf ("\n");
+}
+
 static void
 on_loads (session_t *session, const words_t *words)
 {
@@ -673,6 +726,18 @@
   else if (strcmp (verb, "unreachable") == 0)
     br_fleet_receive_unreachable (upstream (session, words),
                                   (uint32_t)number (words, 2), session->now);
+  else if (strcmp (verb, "connected") == 0)
+    {
+      br_name_t service = br_name_from (word (words, 1));
+
+      br_service_link_connected (&session->fleet.links, &service);
+    }
+  else if (strcmp (verb, "link") == 0)
+    on_link (session, words);
+  else if (strcmp (verb, "helper") == 0)
+    on_helper (session, words);
+  else if (strcmp (verb, "help") == 0)
+    on_help (session, words);
   else if (strcmp (verb, "excluded") == 0)
     printf ("%s\n",
             br_fleet_is_excluded (&session->fleet, upstream (session, words),
@@ -835,5 +900,6 @@
   br_event_stream_release (&session.events);
   br_usage_ledger_release (&session.ledger);
   br_usage_release (&session.counted);
+  br_helpers_release (&session.helpers);
   return 0;
 }
--- a/tests/support/platform_site.sh
+++ b/tests/support/platform_site.sh
@@ -28,6 +28,7 @@
  "operators": {"address": "$ip:$((BASE_PORT + 1))"},
  "metrics": {"address": "$ip:$((BASE_PORT + 8))"},
  "peers": {"address": "$ip", "port": $((BASE_PORT + 2)), "open": true,
+           "relay_port": $((BASE_PORT + 9)),
            "shared_key": "platform-site-key"},
  "platform": {"address": "127.0.0.1:$((BASE_PORT + 3))"},
  "site": {"role": "$role", "founding": ${4:-true}, "usage_window_s": 1,
