--- a/src/shell/control_heartbeat.c
+++ b/src/shell/control_heartbeat.c
@@ -138,26 +138,27 @@
                    Br__Site__Helper *wire,
                    Br__Site__Helper **views)
 {
+  size_t len = task->entries.len;
   size_t n = 0;
 
   task->helpers_from++;
-  for (size_t i = 0; i < 2 * task->entries.len && n < HELPERS_MAX; i++)
-    {
-      const br_control_entry_t *entry
-          = &task->entries.items[(task->helpers_from + i) % task->entries.len];
-      const Br__Site__EntryReport *report = entry->last_report->report;
-      bool second_round = i >= task->entries.len;
-
-      if (!br_control_entry_is_live (entry, now)
-          || (report->n_lost_services > 0) != second_round)
-        continue;
-      wire[n] = (Br__Site__Helper)BR__SITE__HELPER__INIT;
-      wire[n].vm = (char *)entry->vm.data;
-      wire[n].n_lost_services = report->n_lost_services;
-      wire[n].lost_services = report->lost_services;
-      views[n] = &wire[n];
-      n++;
-    }
+  for (int has_lost = 0; has_lost < 2; has_lost++)
+    for (size_t i = 0; i < len && n < HELPERS_MAX; i++)
+      {
+        const br_control_entry_t *entry
+            = &task->entries.items[(task->helpers_from + i) % len];
+        const Br__Site__EntryReport *report = entry->last_report->report;
+
+        if (!br_control_entry_is_live (entry, now)
+            || (report->n_lost_services > 0) != (has_lost == 1))
+          continue;
+        wire[n] = (Br__Site__Helper)BR__SITE__HELPER__INIT;
+        wire[n].vm = (char *)entry->vm.data;
+        wire[n].n_lost_services = report->n_lost_services;
+        wire[n].lost_services = report->lost_services;
+        views[n] = &wire[n];
+        n++;
+      }
   return n;
 }
 
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -273,7 +273,7 @@
   br_choice_t choice = br_choice_make (fleet, query, now);
 
   if (choice.upstream != NULL || !exchange->was_slow
-      || exchange->ran >= exchange->route->max_attempts)
+      || exchange->ran >= exchange->max_attempts)
     return choice;
   exchange->was_slow = false;
   exchange->n_tried = query->n_tried = 0;
@@ -425,7 +425,7 @@
     .kind = exchange->route->kind,
     .resumable = exchange->route->resumable
                  && br_event_stream_can_resume (&exchange->events),
-    .max_attempts = exchange->route->max_attempts,
+    .max_attempts = exchange->max_attempts,
     .may_have_run = may_have_run,
     .begun = exchange->begun,
     .remaining_ms = exchange->until_ms - now,
@@ -529,7 +529,7 @@
 static void
 exchange_check_slow (br_exchange_t *exchange, br_ms_t now)
 {
-  bool has_attempts = exchange->ran + 1 < exchange->route->max_attempts;
+  bool has_attempts = exchange->ran + 1 < exchange->max_attempts;
   bool has_replacement = exchange_has_replacement (exchange, now);
 
   if (has_attempts && has_replacement && exchange_take_repeat (exchange))
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -202,7 +202,7 @@
   br_fleet_record_result (&exchange->task->fleet, exchange->upstream,
                           BR_RESULT_FAILED, br_exchange_now (exchange));
   if (!br_exchange_may_repeat (exchange)
-      || exchange->ran + 1 >= exchange->route->max_attempts || exchange->begun)
+      || exchange->ran + 1 >= exchange->max_attempts || exchange->begun)
     return false;
   br_exchange_fail_attempt (exchange, "upstream_error", true, BR_RESULT_FAILED);
   return true;
--- a/src/shell/exchange_arrival.c
+++ b/src/shell/exchange_arrival.c
@@ -160,6 +160,10 @@
       return;
     }
   exchange_set_deadline (exchange);
+  exchange->max_attempts = exchange->route->max_attempts;
+  if (exchange->is_relayed)
+    exchange->max_attempts
+        = BR_MIN (exchange->max_attempts, exchange->inbound.relay_attempts);
   exchange->events.extra_field = br_platform_event_field ();
   if (exchange->route->resumable)
     br_event_stream_begin_after (&exchange->events,
@@ -250,11 +254,9 @@
   br_error_t err;
 
   exchange->is_relayed = is_relayed;
-
   if (!br_platform_read_request (br_http_conn_head (conn), &exchange->inbound,
-                                 &err))
-    br_exchange_answer_error (exchange, &err);
-  else if (is_relayed && !exchange_accept_relayed (exchange, &err))
+                                 &err)
+      || (is_relayed && !exchange_accept_relayed (exchange, &err)))
     br_exchange_answer_error (exchange, &err);
   else if (!task_is_configured (task))
     exchange_wait_for_start (exchange);
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -77,6 +77,7 @@
   /* all attempts */
   const br_fleet_upstream_t *tried[BR_CHOICE_TRIED_MAX];
   size_t n_tried;
+  int max_attempts; /* upstreams that may run it */
   int ran;
   int refused;
   bool end_unproved; /* the last attempt closed between two events */
--- a/src/shell/exchange_relay.c
+++ b/src/shell/exchange_relay.c
@@ -274,6 +274,7 @@
     .last_event_id = exchange->begun ? br_event_stream_last (&exchange->events)
                                      : exchange->inbound.last_event_id,
     .resumes = exchange->inbound.resumes,
+    .attempts = exchange->max_attempts - exchange->ran,
   };
 
   /* The stream that this request began, or takes up already. */
--- a/src/shell/settings.h
+++ b/src/shell/settings.h
@@ -87,8 +87,8 @@
   br_endpoint_t platform; /* port 0: no platform */
   br_ms_t platform_poll_ms;
   int64_t relay_port; /* of all entry VMs, at their names; 0: none */
-  bool open_peers; /* VMs that the settings do not name may join */
-  bool joins;      /* this VM is not among the first voters */
+  bool open_peers;    /* VMs that the settings do not name may join */
+  bool joins;         /* this VM is not among the first voters */
   br_site_settings_t site;
   br_buf_t shared_key;  /* between entry VMs; empty without peers */
   br_buf_t data_folder; /* empty: nothing is kept on disk */
--- a/src/site/inbound.h
+++ b/src/site/inbound.h
@@ -28,6 +28,7 @@
   br_str_t last_event_id; /* where a stream resumes; empty: at its start */
   br_str_t resumes;       /* id of the request that began the stream */
   br_str_t relay_proof;   /* that another entry VM relays it; empty without */
+  int relay_attempts;     /* upstreams that may run it then */
   br_ms_t deadline_ms;    /* how long the caller waits; 0: not given */
   bool has_tokens;
   uint32_t prompt_tokens;
--- a/tests/event_stream_end_test.cc
+++ b/tests/event_stream_end_test.cc
@@ -24,8 +24,10 @@
   CLOSE,
 };
 
+const char interim[] = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+
 std::string
-message (framing_t framing, size_t *body_at)
+message (framing_t framing, bool has_interim, size_t *body_at)
 {
   std::string body;
   std::string fields;
@@ -46,6 +48,8 @@
   std::string text (sizeof head + fields.size (), '\0');
   text.resize (
       (size_t)snprintf (text.data (), text.size () + 1, head, fields.c_str ()));
+  if (has_interim)
+    text = interim + text;
   *body_at = text.size ();
   return text + body;
 }
@@ -70,7 +74,7 @@
       if (step == BR_HTTP_BODY)
         br_event_stream_take (stream, br_http_reader_body (reader));
       else if (step == BR_HTTP_END)
-        ended = true;
+        ended = br_http_reader_head (reader)->status >= 200;
       if (ended || step == BR_HTTP_BAD)
         break;
       if (step != BR_HTTP_NEED_MORE)
@@ -102,22 +106,24 @@
 TEST (EventStreamEnd, EachByteInAllFramings)
 {
   for (framing_t framing : { LENGTH, CHUNKS, CLOSE })
-    {
-      size_t body_at;
-      std::string text = message (framing, &body_at);
-
-      for (size_t len = 0; len <= text.size (); len++)
-        {
-          br_event_stream_t stream = {};
-          bool expected = len == text.size ()
-                          || (framing == CLOSE && len > body_at
-                              && is_between_events (len - body_at));
-
-          EXPECT_EQ (looks_complete (text, len, &stream), expected)
-              << "framing " << framing << ", " << len << " of " << text.size ();
-          br_event_stream_release (&stream);
-        }
-    }
+    for (bool has_interim : { false, true })
+      {
+        size_t body_at;
+        std::string text = message (framing, has_interim, &body_at);
+
+        for (size_t len = 0; len <= text.size (); len++)
+          {
+            br_event_stream_t stream = {};
+            bool expected = len == text.size ()
+                            || (framing == CLOSE && len > body_at
+                                && is_between_events (len - body_at));
+
+            EXPECT_EQ (looks_complete (text, len, &stream), expected)
+                << "framing " << framing << ", interim " << has_interim << ", "
+                << len << " of " << text.size ();
+            br_event_stream_release (&stream);
+          }
+      }
 }
 
 } // namespace
--- a/tests/process/platform_links_lost.sh
+++ b/tests/process/platform_links_lost.sh
@@ -5,8 +5,8 @@
 BUILD=$1
 BASE_PORT=31780
 . "$(dirname "$0")/../support/platform_site.sh"
+. "$(dirname "$0")/../support/platform_cut.sh"
 
-HANG_PORT=$((BASE_PORT + 12))
 FAILED=
 
 # fault TEXT...: records a failure and goes on
@@ -15,21 +15,6 @@
   FAILED="$FAILED $*;"
 }
 
-# cut ENTRY MODE FIRST LAST: new connections of the entry VM to the upstreams at the ports
-# BASE+FIRST to BASE+LAST hang or are refused
-cut() { echo "$2 $((BASE_PORT + $3)) $((BASE_PORT + $4)) $HANG_PORT" > "$SITE/cut-$1"; }
-
-# heal ENTRY: its new connections succeed again
-heal() { echo "open 0 0 0" > "$SITE/cut-$1"; }
-
-# restart ENTRY: starts the entry VM again, with a library that obeys cut()
-restart() {
-  heal "$1"
-  site_kill "entry-$1" 2> /dev/null
-  site_start "entry-$1" env LD_PRELOAD="$BUILD/libsoak_shim.so" SHIM_CUT="$SITE/cut-$1" \
-    ASAN_OPTIONS=verify_asan_link_order=0 "$BUILD/briarrack" serve "$SITE/entry-$1.json"
-}
-
 # cut_anew MODE FIRST LAST: starts entry VM 1 again, without connections to upstreams, and
 # cuts it off
 cut_anew() {
@@ -78,12 +63,7 @@
   [ "$twice" = 0 ] || fault "$name: $twice requests ran twice"
 }
 
-platform_up 1 3
-site_start blackhole "$BUILD/fake_blackhole" "$HANG_PORT"
-for i in 1 2 3; do restart "$i"; done
-for i in 1 2 3; do
-  platform_wait platform_entry_ready "$i" || site_fail "entry VM $i is not ready again"
-done
+cut_up 1 3
 all="/look/good /pay/good /chat/stream /draft/stream"
 # shellcheck disable=SC2086
 {
