Soak: entry VMs help each other

The port for other entry VMs is at the address for callers, which is the VM's name at a site that the platform runs; the soak's addresses for peers are others.

--- a/src/shell/entry_task.c
+++ b/src/shell/entry_task.c
@@ -499,14 +499,14 @@
 task_open_ports (br_entry_task_t *task, br_error_t *err)
 {
   const br_settings_t *settings = &task->node->settings;
-  br_endpoint_t relay = settings->peers;
+  br_endpoint_t relay = settings->callers;
 
   task->server = task_listen (task, &settings->callers, "callers.address",
                               task_on_request, err);
   if (task->server == NULL || settings->relay_port == 0)
     return task->server != NULL;
   relay.port = settings->relay_port;
-  task->relay_server = task_listen (task, &relay, "peers.address",
+  task->relay_server = task_listen (task, &relay, "callers.address",
                                     task_on_relayed_request, err);
   return task->relay_server != NULL;
 }
--- a/tests/soak/soak_site.c
+++ b/tests/soak/soak_site.c
@@ -21,6 +21,7 @@
 #define PORT_CLOUD 3
 #define PORT_RUNNERS 4
 #define PORT_METRICS 8
+#define PORT_HELP 9
 #define RELAY_PORT_OFFSET 10
 
 /* Calls that arrive up to this time after a link fault ends or their sender is
@@ -165,11 +166,12 @@
                  "\"operators\": {\"address\": \"127.0.%d.%d:%d\"},\n"
                  "\"metrics\": {\"address\": \"127.0.%d.%d:%d\"},\n"
                  "\"peers\": {\"address\": \"127.%d.%d.%d\", \"port\": %d, "
-                 "\"open\": true, \"shared_key\": \"soak-site-shared-key\"},\n"
+                 "\"open\": true, \"relay_port\": %d, "
+                 "\"shared_key\": \"soak-site-shared-key\"},\n"
                  "\"platform\": {\"address\": \"127.0.0.1:%d\"},\n",
                  net, n, soak->port + PORT_OPERATORS, net, n,
                  soak->port + PORT_METRICS, peers, net, n,
-                 soak->port + PORT_PEERS,
+                 soak->port + PORT_PEERS, soak->port + PORT_HELP,
                  soak->port + PORT_CLOUD
                      + (has_relay (soak, SOAK_CLOUD) ? RELAY_PORT_OFFSET : 0));
   br_buf_printf (
