--- a/src/shell/entry_private.h
+++ b/src/shell/entry_private.h
@@ -160,6 +160,15 @@
 /* Takes the limits that the leader knows, and the permits that it issued. */
 void br_entry_on_limits (br_entry_task_t *task, const Br__Site__Limits *limits);
 
+/* --- entry_ports.c --- */
+
+/* Listens for callers, and for other entry VMs if the settings have a port.
+ * Returns false with *ERR set when it cannot. */
+bool br_entry_open_ports (br_entry_task_t *task, br_error_t *err);
+void br_entry_close_ports (br_entry_task_t *task);
+void br_entry_set_limits (br_entry_task_t *task,
+                          const br_http_limits_t *limits);
+
 /* --- entry_links.c --- */
 
 /* Logs the services that were lost or reached again, and connects to upstreams
--- a/src/shell/exchange.c
+++ b/src/shell/exchange.c
@@ -280,20 +280,6 @@
   return br_choice_make (fleet, query, now);
 }
 
-/* Refuses a request that has not run if its service is lost.  Returns false if
- * it may be attempted. */
-static bool
-exchange_refuse_lost (br_exchange_t *exchange)
-{
-  if (exchange->begun || exchange->ran > 0
-      || !br_service_link_is_lost (&exchange->task->fleet.links,
-                                   &exchange->service->name))
-    return false;
-  br_exchange_refuse (exchange, "this VM reaches no upstream of the service",
-                      BR_EXCHANGE_RETRY_AFTER_MS);
-  return true;
-}
-
 void
 br_exchange_attempt (br_exchange_t *exchange)
 {
@@ -330,7 +316,7 @@
       br_exchange_end_stream (exchange);
       return;
     }
-  if (br_exchange_relay (exchange) || exchange_refuse_lost (exchange))
+  if (br_exchange_relay (exchange) || br_exchange_refuse_lost (exchange))
     return;
   query = exchange_choice_query (exchange);
   exchange->choice = exchange_choose (exchange, &query, now);
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -250,6 +250,10 @@
  * Returns false if it has not, or no other VM may help. */
 bool br_exchange_relay (br_exchange_t *exchange);
 
+/* Refuses a request that has not run if its service is lost, and frees the
+ * exchange.  Returns false if the request may be attempted. */
+bool br_exchange_refuse_lost (br_exchange_t *exchange);
+
 /* Handles a helper that has not accepted a connection.  May free the
  * exchange. */
 void br_exchange_helper_unconnected (br_exchange_t *exchange);
--- a/src/shell/exchange_relay.c
+++ b/src/shell/exchange_relay.c
@@ -318,3 +318,15 @@
   br_exchange_check_later (exchange);
   return true;
 }
+
+bool
+br_exchange_refuse_lost (br_exchange_t *exchange)
+{
+  if (exchange->begun || exchange->ran > 0
+      || !br_service_link_is_lost (&exchange->task->fleet.links,
+                                   &exchange->service->name))
+    return false;
+  br_exchange_refuse (exchange, "this VM reaches no upstream of the service",
+                      BR_EXCHANGE_RETRY_AFTER_MS);
+  return true;
+}
