--- a/tests/soak/soak_shim.c
+++ b/tests/soak/soak_shim.c
@@ -5,7 +5,8 @@
  * come from the address in SOAK_ADDRESS, by which the relay tells the VMs
  * apart.  SHIM_CUT names a file "MODE FIRST LAST PORT": new connections to the
  * ports FIRST to LAST of 127.0.0.1 are refused, or hang at PORT, which accepts
- * none. */
+ * none.  SHIM_SUSPENDED names a file with the milliseconds that the steady
+ * clock has not counted, as on a machine that was suspended. */
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <errno.h>
@@ -51,11 +52,31 @@
   fclose (file);
 }
 
+/* Takes from TIME what the file of SHIM_SUSPENDED says. */
+static void
+subtract_suspended (struct timespec *time)
+{
+  const char *path = getenv ("SHIM_SUSPENDED");
+  FILE *file = path != NULL ? fopen (path, "r") : NULL;
+  long long ms = 0;
+
+  if (file == NULL)
+    return;
+  if (fscanf (file, "%lld", &ms) != 1)
+    ms = 0;
+  fclose (file);
+  ms = time->tv_sec * 1000LL + time->tv_nsec / 1000000 - ms;
+  time->tv_nsec = ms % 1000 * 1000000 + time->tv_nsec % 1000000;
+  time->tv_sec = ms / 1000;
+}
+
 int
 clock_gettime (clockid_t clock, struct timespec *time)
 {
   int rc = REAL (clock_gettime) (clock, time);
 
+  if (clock == CLOCK_MONOTONIC || clock == CLOCK_MONOTONIC_COARSE)
+    subtract_suspended (time);
   if (rc != 0 || clock != CLOCK_REALTIME)
     return rc;
   read_shim_file ();
