Exchange: take a stream up at the only known version only if a control VM answers

What callers saw, as another operator reported: streams that began on a new version went on at another one (ORDER), at an entry VM that was away while the version joined.

Cause: without a record, the VM took the only version of its own lists, if these were less than two seconds old by its steady clock, which does not count the time in which a machine is suspended. Class: silence, here of the control VMs, is taken for consent.

Change: its own lists count only once a control VM has answered. Otherwise the take-up is refused at once as not run, and its caller may ask another entry VM. A take-up that names no request asks too, and does not match the records of requests without an id.

--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -45,6 +45,7 @@
   br_version_t version; /* that began the stream; 0: none has */
   br_version_t recorded_version; /* of the last attempt; 0: none */
   size_t version_answers;        /* of control VMs, that it waits for */
+  bool version_answered;         /* by one of them */
   br_version_t sole_version;     /* by an answer; 0: none */
   struct event *timer;
 
--- a/src/shell/exchange_version.c
+++ b/src/shell/exchange_version.c
@@ -76,14 +76,15 @@
 }
 
 /* Returns the only version that the service had, as far as this VM's lists
- * tell, or 0. */
+ * tell, or 0.  While no control VM answers, they may be older than they look:
+ * the steady clock does not count the time in which a VM is suspended. */
 static br_version_t
 exchange_sole_version (const br_exchange_t *exchange)
 {
   const br_fleet_t *fleet = &exchange->task->fleet;
   br_ms_t now = br_exchange_now (exchange);
 
-  if (now - fleet->read_ms > LIST_AGE_MAX_MS)
+  if (!exchange->version_answered || now - fleet->read_ms > LIST_AGE_MAX_MS)
     return 0;
   return br_version_history_sole (&fleet->history, &exchange->service->name,
                                   now);
@@ -117,14 +118,13 @@
 
   exchange->stream = br_stream_from_id (exchange->inbound.resumes);
   version = br_stream_table_find (&task->streams, exchange->stream, now);
-  if (version != 0)
+  if (version != 0 && exchange->inbound.resumes.len > 0)
     {
       exchange_resume_at (exchange, version, "own record");
       return;
     }
-  if (exchange->inbound.resumes.len > 0)
-    exchange->version_answers = br_entry_ask_stream (task, exchange->stream,
-                                                     &exchange->service->name);
+  exchange->version_answers
+      = br_entry_ask_stream (task, exchange->stream, &exchange->service->name);
   if (exchange->version_answers == 0)
     br_exchange_end_version_wait (exchange);
   else
@@ -143,9 +143,10 @@
       next = exchange->next;
       if (exchange->version_answers == 0 || exchange->stream != answer->stream)
         continue;
+      exchange->version_answered = true;
       if (answer->sole != 0)
         exchange->sole_version = answer->sole;
-      if (answer->version != 0)
+      if (answer->version != 0 && exchange->inbound.resumes.len > 0)
         exchange_resume_at (exchange, answer->version, "record");
       else if (--exchange->version_answers == 0)
         br_exchange_end_version_wait (exchange);
