--- a/tests/process/platform_helper_lost.sh
+++ b/tests/process/platform_helper_lost.sh
@@ -20,6 +20,18 @@
   echo $? > "$SITE/$1.exit"
 }
 
+# begin ID PATH: sends a request in the background; finish waits for all of them
+begin() {
+  send "$@" &
+  PENDING="$PENDING $!"
+}
+finish() {
+  # shellcheck disable=SC2086
+  wait $PENDING
+  PENDING=
+}
+PENDING=
+
 # runs ID: prints how often the request ran
 runs() { cat "$SITE"/[rp][12].out | grep -c "\"run\":\"$1\""; }
 
@@ -50,11 +62,11 @@
 [ "$(runs stranger)" = 0 ] || fault "a request without proof ran"
 
 # The helper stops as planned: what it has taken is answered.
-for i in 1 2 3 4; do send "stop-$i" /pay/slow & done
-send stop-chat /chat/stream &
+for i in 1 2 3 4; do begin "stop-$i" /pay/slow; done
+begin stop-chat /chat/stream
 sleep 0.15
 kill -TERM "$(site_pid entry-2)"
-wait $(jobs -p | tail -n 5) 2> /dev/null
+finish
 for i in 1 2 3 4; do
   [ "$(status "stop-$i")" = 200 ] || fault "stop-$i: $(cat "$SITE/stop-$i.answer")"
   [ "$(runs "stop-$i")" = 1 ] || fault "stop-$i ran $(runs "stop-$i") times"
@@ -70,12 +82,12 @@
 sleep 1
 send back /pay/good
 [ "$(status back)" = 200 ] || fault "no help after the restart: $(cat "$SITE/back.answer")"
-for i in 1 2 3 4; do send "kill-$i" /pay/slow & done
-send kill-look /look/slow &
-send kill-chat /chat/stream &
+for i in 1 2 3 4; do begin "kill-$i" /pay/slow; done
+begin kill-look /look/slow
+begin kill-chat /chat/stream
 sleep 0.15
 site_kill entry-2 2> /dev/null
-wait $(jobs -p | tail -n 6) 2> /dev/null
+finish
 for i in 1 2 3 4; do
   [ "$(status "kill-$i")" = 502 ] && grep -q '"outcome":"unknown"' "$SITE/kill-$i.answer" ||
     fault "kill-$i: $(cat "$SITE/kill-$i.answer")"
--- a/tests/process/platform_suspended_take_up.sh
+++ b/tests/process/platform_suspended_take_up.sh
@@ -50,11 +50,14 @@
 
 echo $(($(date +%s%3N) - stopped - 50)) > "$SITE/suspended"
 kill -CONT "$(site_pid entry-1)"
+pending=
 for i in $(seq $STREAMS); do
   platform_request 1 "s$i-again" /draft/named-stream -X POST -d "s$i" -H 'X-Token-Count: 10,60' \
     -H 'Last-Event-Id: 3' -H "Resumes: s$i" > "$SITE/again.answer" &
+  pending="$pending $!"
 done
-wait $(jobs -p | tail -n $STREAMS)
+# shellcheck disable=SC2086
+wait $pending
 kill -CONT "$(site_pid control-1)"
 mixed=0
 for i in $(seq $STREAMS); do
