--- a/tests/event_stream_end_test.cc
+++ b/tests/event_stream_end_test.cc
@@ -54,14 +54,16 @@
   return text + body;
 }
 
-// Reads the first LEN bytes of TEXT and an orderly close.  Returns whether the
-// answer looks complete; *STREAM has its events.
-bool
-looks_complete (const std::string &text, size_t len, br_event_stream_t *stream)
+// Reads the first LEN bytes of TEXT and an orderly close.  *STREAM has its
+// events, *ENDED whether the message is complete.
+void
+read_answer (const std::string &text,
+             size_t len,
+             br_event_stream_t *stream,
+             bool *ended)
 {
   br_http_reader_t *reader = br_http_reader_new (BR_HTTP_RESPONSES, 32768);
   br_str_t input = br_str_make (text.data (), len);
-  bool ended = false;
   bool closed = false;
   br_error_t err;
 
@@ -74,8 +76,8 @@
       if (step == BR_HTTP_BODY)
         br_event_stream_take (stream, br_http_reader_body (reader));
       else if (step == BR_HTTP_END)
-        ended = br_http_reader_head (reader)->status >= 200;
-      if (ended || step == BR_HTTP_BAD)
+        *ended = br_http_reader_head (reader)->status >= 200;
+      if (*ended || step == BR_HTTP_BAD)
         break;
       if (step != BR_HTTP_NEED_MORE)
         continue;
@@ -84,6 +86,15 @@
       closed = true;
     }
   br_http_reader_free (reader);
+}
+
+// Returns whether the first LEN bytes of TEXT look like a complete stream.
+bool
+looks_complete (const std::string &text, size_t len, br_event_stream_t *stream)
+{
+  bool ended = false;
+
+  read_answer (text, len, stream, &ended);
   return ended && !br_event_stream_is_inside_event (stream)
          && br_event_stream_has_event (stream);
 }
@@ -126,4 +137,27 @@
       }
 }
 
+// A plain answer without framing looks complete from the end of its head on;
+// whether its upstream still runs decides then.
+TEST (PlainAnswerEnd, EachByteInAllFramings)
+{
+  for (framing_t framing : { LENGTH, CHUNKS, CLOSE })
+    {
+      size_t body_at;
+      std::string text = message (framing, false, &body_at);
+
+      for (size_t len = 0; len <= text.size (); len++)
+        {
+          br_event_stream_t stream = {};
+          bool ended = false;
+
+          read_answer (text, len, &stream, &ended);
+          EXPECT_EQ (ended, len == text.size ()
+                                || (framing == CLOSE && len >= body_at))
+              << "framing " << framing << ", " << len << " of " << text.size ();
+          br_event_stream_release (&stream);
+        }
+    }
+}
+
 } // namespace
