--- a/review/site.sh
+++ b/review/site.sh
@@ -1,9 +1,8 @@
 # Shell functions that start a small site on loopback addresses: 3 control VMs
 # 127.A.B.11 to .13, entry VMs from .21 on, the platform's API at .2, runners from
 # .31 on.  Ports are the same on all addresses.  A case sources this file from its
-# own folder; site_end ends all that was started.
+# own folder and sets RECORD, the file of what was sent, answered and run; site_end ends all that was started.
 set -u
-CASE=$PWD
 REVIEW=$(cd .. && pwd)
 ROOT=$(cd ../.. && pwd)
 TROUBLE=${TROUBLE:-1}
@@ -11,7 +10,6 @@
 FRONT=18221 READY=18224 CONTROL=18229 INTERNAL=17600 RELAY=17615 METRICS=9464 CLOUD=18225 RUNNER=18080
 KEY=i9n73hh2b9wu3fexd9dn
 WORK=$(mktemp -d)
-RECORD=$CASE/record.txt
 PIDS=()
 trap site_end EXIT
 trap 'exit 2' TERM INT
