--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -14,6 +14,8 @@
   X (REQUESTS_REFUSED, "requests_refused_total", "Requests refused")           \
   X (REQUESTS_RELAYED, "requests_relayed_total",                               \
      "Requests that another entry VM served")                                  \
+  X (RELAYS_UNCLEAR, "relays_unclear_total",                                   \
+     "Relayed requests whose answer did not say whether they ran")             \
   X (REQUESTS_FAILED, "requests_failed_total", "Requests that failed")         \
   X (ATTEMPTS, "attempts_total", "Attempts sent to upstreams")                 \
   X (ATTEMPTS_FAILED, "attempts_failed_total", "Attempts that failed")         \
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -17,21 +17,31 @@
 
 void
 br_exchange_forward_head (br_exchange_t *exchange,
-                          br_http_headers_t *headers,
-                          br_http_answer_t *answer)
+                          br_forwarded_head_t *forwarded)
 {
   const br_http_head_t *head = &exchange->answer_head;
+  br_http_header_t stated;
 
+  *forwarded = (br_forwarded_head_t){ 0 };
   for (size_t i = 0; i < head->headers.len; i++)
     if (br_platform_forwards_field (head, head->headers.items[i].name))
-      br_http_headers_push (headers, head->headers.items[i]);
-  *answer = (br_http_answer_t){
+      br_http_headers_push (&forwarded->headers, head->headers.items[i]);
+  if (br_exchange_state_ran (exchange, &stated, &forwarded->statement))
+    br_http_headers_push (&forwarded->headers, stated);
+  forwarded->answer = (br_http_answer_t){
     .status = head->status,
-    .headers = headers->items,
-    .n_headers = headers->len,
+    .headers = forwarded->headers.items,
+    .n_headers = forwarded->headers.len,
   };
 }
 
+void
+br_forwarded_head_release (br_forwarded_head_t *forwarded)
+{
+  br_http_headers_free (&forwarded->headers);
+  br_buf_free (&forwarded->statement);
+}
+
 /* Records that the engine has begun to generate. */
 static void
 exchange_on_first_event (br_exchange_t *exchange)
@@ -66,14 +76,13 @@
 void
 br_exchange_forward_bytes (br_exchange_t *exchange, br_str_t bytes)
 {
-  br_http_headers_t headers = { 0 };
-  br_http_answer_t answer;
+  br_forwarded_head_t head;
 
   if (!exchange->begun)
     {
-      br_exchange_forward_head (exchange, &headers, &answer);
-      br_http_conn_begin (exchange->conn, &answer);
-      br_http_headers_free (&headers);
+      br_exchange_forward_head (exchange, &head);
+      br_http_conn_begin (exchange->conn, &head.answer);
+      br_forwarded_head_release (&head);
       exchange->begun = true;
       exchange->version = exchange->attempt_version;
     }
@@ -159,13 +168,6 @@
     }
 }
 
-/* Returns whether the status promises a caller that the request did not run. */
-static bool
-status_means_not_run (int status)
-{
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 /* Handles an error status of the upstream.  Returns true if it ended the
  * attempt, false if the answer is to be forwarded. */
 static bool
@@ -186,7 +188,7 @@
       br_exchange_fail_attempt (exchange, refusal_name (result), false, result);
       return true;
     }
-  if (status_means_not_run (outcome->status))
+  if (br_status_means_not_run (outcome->status))
     {
       /* The upstream does not say that the request has not run. */
       br_exchange_count_usage (exchange);
@@ -211,8 +213,7 @@
 static void
 exchange_on_plain_end (br_exchange_t *exchange, bool reusable)
 {
-  br_http_headers_t headers = { 0 };
-  br_http_answer_t answer;
+  br_forwarded_head_t head;
 
   if (exchange->outcome.status >= 400 && exchange_on_error_status (exchange))
     return;
@@ -222,13 +223,20 @@
                                 BR_RESULT_FAILED);
       return;
     }
+  if (br_exchange_looks_refused (exchange))
+    {
+      br_exchange_fail_attempt (exchange, "looks_refused", true,
+                                BR_RESULT_GOOD);
+      return;
+    }
   if (exchange->outcome.status < 400)
     br_fleet_record_result (&exchange->task->fleet, exchange->upstream,
                             BR_RESULT_GOOD, br_exchange_now (exchange));
   exchange_complete (exchange, "answered", reusable);
-  br_exchange_forward_head (exchange, &headers, &answer);
-  br_http_conn_answer (exchange->conn, &answer, br_buf_str (&exchange->answer));
-  br_http_headers_free (&headers);
+  br_exchange_forward_head (exchange, &head);
+  br_http_conn_answer (exchange->conn, &head.answer,
+                       br_buf_str (&exchange->answer));
+  br_forwarded_head_release (&head);
   br_exchange_free (exchange);
 }
 
--- a/src/shell/exchange_end.c
+++ b/src/shell/exchange_end.c
@@ -234,9 +234,9 @@
   int status = br_error_http_status (err->code);
   br_buf_t body = { 0 };
   char seconds[24];
-  br_http_header_t headers[] = {
+  br_buf_t statement = { 0 };
+  br_http_header_t headers[3] = {
     { br_str_from ("Content-Type"), br_str_from ("application/json") },
-    { br_str_from ("Retry-After"), { 0 } },
   };
   br_http_answer_t answer
       = { .status = status, .headers = headers, .n_headers = 1 };
@@ -245,9 +245,12 @@
     {
       snprintf (seconds, sizeof seconds, "%.3f",
                 (double)err->retry_after_ms / 1000);
-      headers[1].value = br_str_from (seconds);
-      answer.n_headers = 2;
+      headers[answer.n_headers++]
+          = (br_http_header_t){ br_str_from ("Retry-After"),
+                                br_str_from (seconds) };
     }
+  if (br_exchange_state_ran (exchange, &headers[answer.n_headers], &statement))
+    answer.n_headers++;
   exchange->cause = err->text;
   br_exchange_log (
       exchange, status == 503 || status == 429 ? "refused" : "failed", status);
@@ -258,6 +261,7 @@
   br_http_error_json (err, &body);
   br_http_conn_answer (exchange->conn, &answer, br_buf_str (&body));
   br_buf_free (&body);
+  br_buf_free (&statement);
   exchange_give_back_units (exchange);
   br_exchange_free (exchange);
 }
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -10,6 +10,7 @@
 #include "shell/entry_private.h"
 #include "site/attempt.h"
 #include "site/event_stream.h"
+#include "site/relayed_answer.h"
 
 BR_BEGIN_DECLS
 
@@ -68,6 +69,8 @@
   br_name_t helper; /* entry VM that CLIENT is connected to; empty: none */
   br_name_t last_helper;
   int helpers_tried;
+  uint64_t relay_nonce;
+  br_relayed_answer_t relayed; /* the helper's answer */
   br_http_client_t *end_check; /* connects while the end of an answer waits for
                                   it; NULL: none */
   br_ms_t end_check_until_ms;
@@ -262,16 +265,34 @@
 /* Returns whether the proof of a relayed request is right. */
 bool br_exchange_is_relay_proved (const br_exchange_t *exchange);
 
+/* Fills *HEADER with the statement for the entry VM that relayed the request;
+ * its value is appended to VALUE.  Returns false if that VM reads none. */
+bool br_exchange_state_ran (const br_exchange_t *exchange,
+                            br_http_header_t *header,
+                            br_buf_t *value);
+
+/* Returns whether the entry VM that relayed the request would take the answer
+ * for a refusal: it reads no statement, and no upstream has signed it. */
+bool br_exchange_looks_refused (const br_exchange_t *exchange);
+
 /* --- exchange_answer.c --- */
 
 /* Copies the head, which lives in the connection, for the answer. */
 void br_exchange_copy_head (br_exchange_t *exchange,
                             const br_http_head_t *head);
 
-/* Fills HEADERS and *ANSWER, which points into them, from the copied head. */
+/* An answer's head that is forwarded. */
+typedef struct
+{
+  br_http_answer_t answer; /* points into the rest */
+  br_http_headers_t headers;
+  br_buf_t statement; /* for the entry VM that relayed the request */
+} br_forwarded_head_t;
+
+/* Fills *FORWARDED from the copied head. */
 void br_exchange_forward_head (br_exchange_t *exchange,
-                               br_http_headers_t *headers,
-                               br_http_answer_t *answer);
+                               br_forwarded_head_t *forwarded);
+void br_forwarded_head_release (br_forwarded_head_t *forwarded);
 
 /* Forwards BYTES of a stream.  While its caller is slow, no more of the answer
  * is read. */
--- a/src/shell/exchange_relay.c
+++ b/src/shell/exchange_relay.c
@@ -1,6 +1,8 @@
 /* Sends requests that this entry VM cannot serve, as it reaches no upstream of
  * their service, to another entry VM, and forwards its answer.  That VM serves
  * them like its own callers', but takes nothing from the quota again. */
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "base/digest.h"
@@ -17,6 +19,9 @@
  * and that of its answer. */
 #define RELAY_MARGIN_MS 10
 
+/* Size of a nonce as text. */
+#define RELAY_NONCE_DIGITS 17
+
 static void
 proof_append (const br_exchange_t *exchange, br_buf_t *out)
 {
@@ -47,6 +52,87 @@
   return is_right;
 }
 
+/* --- the statement of a helper --- */
+
+/* Returns the proof that an entry VM which was sent NONCE states RAN. */
+static br_digest_t
+statement_mac (const br_exchange_t *exchange, br_str_t nonce, int ran)
+{
+  br_buf_t data = { 0 };
+  br_digest_t mac;
+
+  br_buf_printf (&data, "relayed %.*s %d %.*s", (int)nonce.len, nonce.data, ran,
+                 (int)exchange->inbound.id.len, exchange->inbound.id.data);
+  mac = br_digest_hmac (br_buf_str (&exchange->task->node->settings.shared_key),
+                        br_buf_str (&data));
+  br_buf_free (&data);
+  return mac;
+}
+
+/* Returns how many upstreams may have run the request. */
+static int
+exchange_ran_at_most (const br_exchange_t *exchange)
+{
+  bool is_sent = exchange->upstream != NULL && exchange->client != NULL
+                 && br_http_client_has_sent (exchange->client);
+
+  return exchange->ran + (is_sent ? 1 : 0);
+}
+
+bool
+br_exchange_state_ran (const br_exchange_t *exchange,
+                       br_http_header_t *header,
+                       br_buf_t *value)
+{
+  br_relay_statement_t statement = { .ran = exchange_ran_at_most (exchange) };
+  br_buf_t proof = { 0 };
+  br_digest_t mac;
+
+  if (!exchange->is_relayed || exchange->inbound.relay_nonce.len == 0
+      || !br_exchange_is_relay_proved (exchange))
+    return false;
+  mac = statement_mac (exchange, exchange->inbound.relay_nonce, statement.ran);
+  br_digest_print (&mac, &proof);
+  statement.proof = br_buf_str (&proof);
+  *header = br_platform_statement_header (&statement, value);
+  br_buf_free (&proof);
+  return true;
+}
+
+bool
+br_exchange_looks_refused (const br_exchange_t *exchange)
+{
+  return exchange->is_relayed && exchange->inbound.relay_nonce.len == 0
+         && !exchange->outcome.has_signature;
+}
+
+static br_str_t
+nonce_text (uint64_t nonce, char text[RELAY_NONCE_DIGITS])
+{
+  snprintf (text, RELAY_NONCE_DIGITS, "%016" PRIx64, nonce);
+  return br_str_from (text);
+}
+
+/* Reads what the helper states about the request, if its proof is right. */
+static void
+exchange_read_statement (br_exchange_t *exchange, const br_http_head_t *head)
+{
+  char nonce[RELAY_NONCE_DIGITS];
+  br_relay_statement_t statement;
+  br_digest_t right;
+  br_digest_t given;
+
+  if (!br_platform_read_statement (head, &statement)
+      || !br_digest_parse (statement.proof, &given))
+    return;
+  right = statement_mac (exchange, nonce_text (exchange->relay_nonce, nonce),
+                         statement.ran);
+  exchange->relayed.is_stated = br_digest_equal (&right, &given);
+  exchange->relayed.ran = statement.ran;
+}
+
+/* --- helpers --- */
+
 /* Returns whether a helper may serve the request when this VM does not. */
 static bool
 exchange_needs_helper (const br_exchange_t *exchange)
@@ -71,6 +157,8 @@
           br_field_str ("id", exchange->inbound.id),
           br_field_z ("helper", exchange->helper.data),
           br_field_int ("status", status),
+          br_field_int (
+              "ran", exchange->relayed.is_stated ? exchange->relayed.ran : -1),
           br_field_int ("sent", br_http_client_has_sent (exchange->client)),
           br_field_int ("attempt_ms", now - exchange->sent_ms),
           br_field_int ("left_ms", exchange->until_ms - now));
@@ -109,6 +197,31 @@
   exchange_refuse_helpless (exchange, retry_after_ms);
 }
 
+/* Nothing shows that the request did not run: neither a statement of the helper
+ * nor the signature of an upstream says who made the answer, or the two
+ * contradict each other. */
+static void
+exchange_on_unknown (br_exchange_t *exchange)
+{
+  br_attempt_query_t query = {
+    .kind = exchange->route->kind,
+    .resumable = exchange->route->resumable,
+    .max_attempts = exchange->max_attempts,
+    .may_have_run = true,
+    .begun = exchange->begun,
+    .remaining_ms = exchange->until_ms - br_exchange_now (exchange),
+  };
+
+  query.ran = exchange->ran += br_relayed_answer_ran (&exchange->relayed);
+  exchange->arrived++;
+  exchange_log_helper (exchange, "helper unclear", exchange->relayed.status);
+  br_counters_add (&exchange->task->node->counters, BR_COUNTER_RELAYS_UNCLEAR,
+                   1);
+  br_exchange_end_attempt (exchange, false);
+  br_exchange_end (exchange, br_attempt_decide (&query),
+                   "the other entry VM does not say whether it ran");
+}
+
 /* The connection to the helper broke after the request was sent. */
 static void
 exchange_on_helper_lost (br_exchange_t *exchange, const char *cause)
@@ -146,11 +259,19 @@
   br_outcome_head_t outcome;
 
   br_platform_read_response (head, &outcome);
-  /* Without the signature of an upstream, the helper itself refuses. */
-  if (!outcome.has_signature && outcome.status != 502 && outcome.status != 504)
+  exchange->relayed.status = outcome.status;
+  exchange->relayed.has_signature = outcome.has_signature;
+  exchange_read_statement (exchange, head);
+  switch (br_relayed_answer_use (&exchange->relayed))
     {
+    case BR_RELAYED_NOT_RUN:
       exchange_on_refusal (exchange, &outcome);
       return;
+    case BR_RELAYED_UNKNOWN:
+      exchange_on_unknown (exchange);
+      return;
+    case BR_RELAYED_FORWARD:
+      break;
     }
   exchange->outcome = outcome;
   exchange->outcome.request_id = (br_str_t){ 0 };
@@ -183,8 +304,7 @@
 static void
 exchange_on_relayed_end (br_exchange_t *exchange)
 {
-  br_http_headers_t headers = { 0 };
-  br_http_answer_t answer;
+  br_forwarded_head_t head;
   bool streams = exchange_streams_relayed (exchange);
 
   if (br_http_client_ended_by_close (exchange->client)
@@ -193,7 +313,7 @@
       exchange_on_helper_lost (exchange, "the other entry VM broke off");
       return;
     }
-  exchange->ran++;
+  exchange->ran += br_relayed_answer_ran (&exchange->relayed);
   br_histogram_add (&exchange->task->answer_ms,
                     br_exchange_now (exchange) - exchange->began_ms);
   br_counters_add (&exchange->task->node->counters, BR_COUNTER_REQUESTS_RELAYED,
@@ -206,10 +326,10 @@
     br_http_conn_end (exchange->conn);
   else
     {
-      br_exchange_forward_head (exchange, &headers, &answer);
-      br_http_conn_answer (exchange->conn, &answer,
+      br_exchange_forward_head (exchange, &head);
+      br_http_conn_answer (exchange->conn, &head.answer,
                            br_buf_str (&exchange->answer));
-      br_http_headers_free (&headers);
+      br_forwarded_head_release (&head);
     }
   br_exchange_free (exchange);
 }
@@ -267,14 +387,16 @@
 exchange_send_relayed (br_exchange_t *exchange)
 {
   br_ms_t left_ms = exchange->until_ms - exchange->sent_ms - RELAY_MARGIN_MS;
+  char nonce[RELAY_NONCE_DIGITS];
   br_buf_t proof = { 0 };
   br_buf_t request = { 0 };
   br_relayed_t relayed = {
+    .nonce = nonce_text (exchange->relay_nonce, nonce),
     .deadline_ms = BR_MAX (left_ms, 1),
     .last_event_id = exchange->begun ? br_event_stream_last (&exchange->events)
                                      : exchange->inbound.last_event_id,
     .resumes = exchange->inbound.resumes,
-    .attempts = exchange->max_attempts - exchange->ran,
+    .attempts = exchange->relayed.attempts,
   };
 
   /* The stream that this request began, or takes up already. */
@@ -309,6 +431,10 @@
   br_exchange_clear_answer (exchange);
   exchange->helper = exchange->last_helper = *helper;
   exchange->helpers_tried++;
+  exchange->relay_nonce = br_random_below (&task->node->random, UINT64_MAX);
+  exchange->relayed = (br_relayed_answer_t){
+    .attempts = exchange->max_attempts - exchange->ran,
+  };
   exchange->permit_until_ms = 0;
   exchange->asked_trial = false;
   exchange->had_first_event = false;
--- a/src/site/inbound.h
+++ b/src/site/inbound.h
@@ -29,6 +29,8 @@
   br_str_t resumes;       /* id of the request that began the stream */
   br_str_t relay_proof;   /* that another entry VM relays it; empty without */
   int relay_attempts;     /* upstreams that may run it then */
+  br_str_t relay_nonce;   /* for the statement in the answer; empty: the other
+                             entry VM reads no statement */
   br_ms_t deadline_ms;    /* how long the caller waits; 0: not given */
   bool has_tokens;
   uint32_t prompt_tokens;
--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -56,6 +56,10 @@
   X (UNNAMED_FULL, "unnamed-full") /* refuses, but names no request */         \
   X (UNPROMISED, "unpromised")     /* 429 without X-Not-Executed */            \
   X (ERROR, "error")                                                           \
+  X (UNSIGNED_ERROR, "unsigned-error")     /* 500, no X-Server-Stamp */        \
+  X (UNSIGNED_MISSING, "unsigned-missing") /* 404, likewise */                 \
+  X (FORGED_ERROR, "forged-error")   /* 500 with a statement of another VM */  \
+  X (INTERIM_ERROR, "interim-error") /* the same, in an interim answer */      \
   X (UNSIGNED, "unsigned")                                                     \
   X (NOISE, "noise") /* no HTTP at all */                                      \
   X (SILENT, "silent")                                                         \
@@ -630,6 +634,38 @@
     }
 }
 
+/* Fields with which an entry VM would state that the request did not run. */
+#define FORGED_FIELDS                                                          \
+  "X-Briarrack-Relayed: 0 sha256:"                                             \
+  "0000000000000000000000000000000000000000000000000000000000000000\r\n"
+
+/* Sends a failure. */
+static void
+conn_send_error (conn_t *conn)
+{
+  struct evbuffer *out = bufferevent_get_output (conn->bev);
+
+  switch (conn->mode)
+    {
+    case MODE_ERROR:
+      conn_send_answer (conn, 500, "X-Server-Stamp: s\r\n", "broken\n");
+      break;
+    case MODE_UNSIGNED_MISSING:
+      conn_send_answer (conn, 404, "", "missing\n");
+      break;
+    case MODE_FORGED_ERROR:
+      conn_send_answer (conn, 500, FORGED_FIELDS, "broken\n");
+      break;
+    case MODE_INTERIM_ERROR:
+      evbuffer_add_printf (out, "HTTP/1.1 103 Early\r\n" FORGED_FIELDS "\r\n");
+      conn_send_answer (conn, 500, "", "broken\n");
+      break;
+    default:
+      conn_send_answer (conn, 500, "", "broken\n");
+      break;
+    }
+}
+
 /* Sends an answer that is broken, unframed or not alone. */
 static void
 conn_send_odd (conn_t *conn)
@@ -729,7 +765,11 @@
       conn_refuse (conn);
       break;
     case MODE_ERROR:
-      conn_send_answer (conn, 500, "X-Server-Stamp: s\r\n", "broken\n");
+    case MODE_UNSIGNED_ERROR:
+    case MODE_UNSIGNED_MISSING:
+    case MODE_FORGED_ERROR:
+    case MODE_INTERIM_ERROR:
+      conn_send_error (conn);
       break;
     case MODE_UNSIGNED:
       conn_send_answer (conn, 200, "", "unsigned\n");
--- a/tests/site_session.c
+++ b/tests/site_session.c
@@ -21,6 +21,8 @@
  *   link SERVICE                 whether this VM has lost it
  *   helper VM [SERVICE...]       another entry VM, and what it has lost
  *   help SERVICE [TRIED]         who helps, in 100 choices
+ *   relayed STATUS [signed] [ran N]  a helper's answer, and what it states;
+ *                                it was allowed three attempts
  *   choose REQUEST SERVICE DOMAIN PROMPT [PART:TOKENS...] [not ID...]
  *   crowd N PROMPT               N requests to the first service at once
  *
@@ -61,6 +63,7 @@
 #include "site/helper.h"
 #include "site/quota.h"
 #include "site/quota_pool.h"
+#include "site/relayed_answer.h"
 #include "site/repeat_budget.h"
 #include "site/site_clock.h"
 #include "site/sizing.h"
@@ -321,6 +324,26 @@
     br_names_push (&helper->lost, br_name_from (word (words, i)));
 }
 
+static void
+on_relayed (const words_t *words)
+{
+  br_relayed_answer_t answer = {
+    .status = (int)number (words, 1),
+    .attempts = 3,
+  };
+
+  for (size_t i = 2; i < words->len; i++)
+    if (strcmp (word (words, i), "signed") == 0)
+      answer.has_signature = true;
+    else if (strcmp (word (words, i), "ran") == 0)
+      {
+        answer.is_stated = true;
+        answer.ran = (int)number (words, ++i);
+      }
+  printf ("%s ran %d\n", br_relayed_use_name (br_relayed_answer_use (&answer)),
+          br_relayed_answer_ran (&answer));
+}
+
 static void
 on_help (session_t *session, const words_t *words)
 {
@@ -738,6 +761,8 @@
     on_helper (session, words);
   else if (strcmp (verb, "help") == 0)
     on_help (session, words);
+  else if (strcmp (verb, "relayed") == 0)
+    on_relayed (words);
   else if (strcmp (verb, "excluded") == 0)
     printf ("%s\n",
             br_fleet_is_excluded (&session->fleet, upstream (session, words),
