Entry: the port for other entry VMs takes the fields that they add to a head

Callers got 503, and 502 since an answer without a statement counts as run. process.platform_helper_answers, 'long', failed before.

--- a/src/shell/entry_ports.c
+++ b/src/shell/entry_ports.c
@@ -2,6 +2,20 @@
  * requests which they cannot serve. */
 #include "shell/entry_private.h"
 
+/* What another entry VM adds to the head of a request that it relays, at most:
+ * the fields between entry VMs, and the id of a stream and of its last event.
+ */
+#define RELAY_HEAD_BYTES 1024
+
+static br_http_limits_t
+relay_limits (const br_http_limits_t *limits)
+{
+  br_http_limits_t relay = *limits;
+
+  relay.head_max_bytes += RELAY_HEAD_BYTES;
+  return relay;
+}
+
 static void
 task_on_request (void *context, br_http_conn_t *conn)
 {
@@ -79,9 +93,11 @@
 void
 br_entry_set_limits (br_entry_task_t *task, const br_http_limits_t *limits)
 {
+  br_http_limits_t relay = relay_limits (limits);
+
   br_http_server_set_limits (task->server, limits);
   if (task->relay_server != NULL)
-    br_http_server_set_limits (task->relay_server, limits);
+    br_http_server_set_limits (task->relay_server, &relay);
 }
 
 void
--- a/tests/process/platform_helper_answers.sh
+++ b/tests/process/platform_helper_answers.sh
@@ -61,6 +61,11 @@
 check chat-unsigned /chat/unsigned-error 500 1 broken
 check draft-unsigned /draft/unsigned-error 500 2 broken
 
+# A head that is as long as callers may send.
+long=$(printf '%7850s' '' | tr ' ' x)
+platform_request 1 long /pay/good -X POST -d long -H "X-Long: $long" > "$SITE/long.answer" 2>&1
+[ "$(status long)" = 200 ] || fault "long: $(cat "$SITE/long.answer")"
+
 # An upstream that refuses has not run the request, and neither has a helper.
 check full /pay/full 503 0 '"outcome":"not_run"'
 
