HTTP: interim answers and the framing of a body are limited

Seen on with 50 requests at once on the platform's path: an upstream that sends interim answers or chunk extensions without end was read until the deadline of 4 s (504). Nothing but time bounded what is neither head nor body. A body may have 128 KB and 8 bytes for each of its bytes beside it, an answer 32 interim answers; beyond that it fails at once (502). Memory did not grow before. process.platform_endless_answer has all places of an answer now, and failed before in these two.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -13,6 +13,9 @@
 /* Maximum size of a response head; upstreams send a few hundred bytes. */
 #define HEAD_MAX_BYTES (32 * 1024)
 
+/* Most interim responses to one request. */
+#define INTERIM_MAX 32
+
 /* A connection fails when sent bytes are not acknowledged for this long.  This
  * allows a few retransmissions and is well below the deadline of a request. */
 #define USER_TIMEOUT_MS 3000
@@ -35,6 +38,7 @@
   bool skipping;       /* the current response is discarded */
   bool skipped;        /* a response to another request was */
   size_t n_responses;  /* heads reported */
+  size_t n_interim;    /* interim responses to the request in progress */
   bool keep_alive;     /* of the last response */
   bool framed;         /* the last response had a length or chunks */
   bool ended_by_close; /* the last response */
@@ -131,6 +135,8 @@
   br_client_event_t event = { .kind = BR_CLIENT_HEAD, .head = head };
 
   client->skipping = head->status < 200;
+  if (client->skipping && ++client->n_interim > INTERIM_MAX)
+    return client_fail (client, BR_CLIENT_FAULT_GARBLED);
   if (client->skipping)
     return true;
   client->keep_alive = head->keep_alive;
@@ -300,6 +306,7 @@
   client->state = CLIENT_BUSY;
   client->request_len = request.len;
   client->skipping = false;
+  client->n_interim = 0;
   bufferevent_write (client->bev, request.data, request.len);
 }
 
--- a/src/http/http_reader.c
+++ b/src/http/http_reader.c
@@ -3,6 +3,8 @@
 #include <http_parser.h>
 #include <string.h>
 
+#include "http/framing.h"
+
 static const char head_end[] = "\r\n\r\n";
 
 #define HEAD_END_LEN (sizeof head_end - 1)
@@ -21,8 +23,10 @@
   size_t head_max;
   reader_state_t state;
   br_http_head_t head;
-  br_buf_t body;      /* read since the last BR_HTTP_BODY */
-  bool body_returned; /* the next call clears BODY */
+  br_buf_t body;         /* read since the last BR_HTTP_BODY */
+  bool body_returned;    /* the next call clears BODY */
+  uint64_t body_read;    /* bytes of the body, without their framing */
+  uint64_t framing_read; /* bytes of chunk sizes, extensions and the trailer */
   bool in_head;
   bool ended;
   bool failed;
@@ -68,6 +72,7 @@
   br_http_reader_t *reader = parser->data;
 
   br_buf_append (&reader->body, br_str_make (at, len));
+  reader->body_read += len;
   return 0;
 }
 
@@ -211,6 +216,7 @@
   br_buf_clear (&reader->body);
   reader->state = READING_HEAD;
   reader->ended = false;
+  reader->body_read = reader->framing_read = 0;
   if (HTTP_PARSER_ERRNO (&reader->parser) == HPE_PAUSED)
     http_parser_pause (&reader->parser, 0);
 }
@@ -260,15 +266,20 @@
                   size_t *used,
                   br_error_t *err)
 {
+  uint64_t body_before = reader->body_read;
   enum http_errno error;
 
   if (input.len > 0)
     *used = http_parser_execute (&reader->parser, &parser_settings, input.data,
                                  input.len);
+  reader->framing_read += *used - (reader->body_read - body_before);
   error = HTTP_PARSER_ERRNO (&reader->parser);
   if (error != HPE_OK && error != HPE_PAUSED)
     return reader_fail (reader, err, BR_ERROR_INVALID,
                         http_errno_description (error));
+  if (br_http_framing_is_excessive (reader->framing_read, reader->body_read))
+    return reader_fail (reader, err, BR_ERROR_INVALID,
+                        "the framing of the body is too long");
   if (reader->ended)
     reader->state = MESSAGE_COMPLETE;
   if (reader->body.len > 0)
--- a/tests/fakes/fake_broken.c
+++ b/tests/fakes/fake_broken.c
@@ -33,6 +33,10 @@
 /* The head of a stream on the platform, which ends with its connection. */
 #define SIGNED_EVENTS EVENTS "X-Server-Stamp: s\r\nConnection: close\r\n\r\n"
 
+/* The same in chunks. */
+#define SIGNED_CHUNKS                                                          \
+  EVENTS "X-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 /* Most bytes of an endless answer in the output buffer. */
 #define OUTPUT_BYTES_MAX (256 * 1024)
 
@@ -41,6 +45,22 @@
   { .name = "utf8",
     .event = "data: {\"choices\":[{\"index\":0,\"text\":\"\xff\xfe\"}]}\n\n" },
   { .name = "json", .event = "data: this is not JSON\n\n" },
+  { .name = "endless-status", .head = "HTTP/1.1 200 ", .repeat = FILLER_256 },
+  { .name = "endless-interim",
+    .head = "HTTP/1.1 100 Continue\r\n\r\n",
+    .repeat = "HTTP/1.1 100 Continue\r\nX-Filler: " FILLER_64 "\r\n\r\n" },
+  { .name = "endless-chunk-size",
+    .head = EVENTS "Transfer-Encoding: chunked\r\n\r\n",
+    .repeat = "0000000000000000" },
+  { .name = "endless-extension",
+    .head = EVENTS "Transfer-Encoding: chunked\r\n\r\n1;x=",
+    .repeat = FILLER_256 },
+  { .name = "endless-extensions",
+    .head = SIGNED_CHUNKS,
+    .repeat = "1;x=" FILLER_256 "\r\n:\r\n" },
+  { .name = "endless-trailer",
+    .head = SIGNED_CHUNKS "0\r\n",
+    .repeat = "X-Filler: " FILLER_256 "\r\n" },
   { .name = "endless-line", .head = OK "X-Line: ", .repeat = FILLER_256 },
   { .name = "endless-headers",
     .head = OK,
--- a/tests/process/platform_endless_answer.sh
+++ b/tests/process/platform_endless_answer.sh
@@ -1,5 +1,5 @@
-# Checks that an upstream which sends an endless event, an endless plain answer, or endless
-# events to callers that read slowly, does not fill the memory of the entry VM: the
+# Checks that an upstream which sends an endless head, interim answer, chunk, trailer, event or
+# plain answer, or endless events to callers that read slowly, does not fill the memory of the entry VM: the
 # connection is closed, and other requests are served meanwhile.
 # Usage: platform_endless_answer.sh BUILD
 set -u
@@ -31,12 +31,12 @@
     site_start "$fault-$i" "$BUILD/fake_broken" --port $((port + i - 1)) --fault "$fault"
   done
 }
-for fault in endless-event endless-events endless-plain; do
+before="r1 r2"
+for fault in endless-status endless-interim endless-line endless-headers endless-chunk-size \
+  endless-extension endless-extensions endless-trailer endless-event endless-events endless-plain; do
   path=/draft/any
   other=/look/good
   case $fault in
-    endless-event) fault_begins $fault 4 r1 r2 ;;
-    endless-events) fault_begins $fault 4 endless-event-1 endless-event-2 ;;
     endless-plain)
       path=/look/any
       other=/draft/stream
@@ -46,6 +46,11 @@
       done
       fault_begins $fault 6 p1 p2
       ;;
+    *)
+      # shellcheck disable=SC2086
+      fault_begins $fault 4 $before
+      before="$fault-1 $fault-2"
+      ;;
   esac
   sleep 1.5 # the entry VM has to detect that they are up again
   pids=()
@@ -65,12 +70,13 @@
   closed=$(cat "$SITE/$fault"-[12].out | grep -c '"closed"')
   [ "$broken" -ge 1 ] || failed="$failed $fault: the upstreams got no request."
   [ "$closed" = "$broken" ] || failed="$failed $fault: $closed of $broken connections closed."
+  # It fails when it is too long, not at the request's deadline of 4 s.
+  grep -qx 504 "$SITE/$fault"-*.status && failed="$failed $fault: status 504."
   used=$(($(memory_kb) - idle))
   echo "$fault: $broken sent, $closed closed, status $(sort -u "$SITE/$fault"-*.status | paste -sd ,), $used KB above idle so far" >&2
   [ "$used" -le "$MEMORY_KB" ] || failed="$failed $fault: $used KB above idle."
 done
 grep -qx 200 "$SITE"/endless-plain-*.status && failed="$failed endless-plain: status 200."
-# An endless event fails when it is too long, not at the request's deadline of 4 s.
 sort -u "$SITE"/endless-event-*.status | grep -qx 502 ||
   failed="$failed endless-event: status $(sort -u "$SITE"/endless-event-*.status | paste -sd ,)."
 [ -z "$failed" ] || site_fail "$failed"
