Own path: answers that are being received have a limit together

Seen on with 50 requests at once (process.upstream_endless, 64 MB allowed): interim answers without end 224 MB, chunks 343 MB, a body 540 MB above idle, which ends an entry VM; from outside 906 MB. Causes: evhttp adds the fields of all interim answers to one list and waits for the end of a chunk's line without a limit; each body had a limit, their sum had none. What is beside the body is limited as in the own reader, all answers share 8 MB, of which each may have 128 KB in any case.

--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -9,6 +9,7 @@
 #include <string.h>
 #include <uthash.h>
 
+#include "http/framing.h"
 #include "shell/connection_pool.h"
 #include "shell/domain_task.h"
 #include "shell/upstream_check.h"
@@ -26,6 +27,11 @@
 #define ANSWER_HEAD_MAX_BYTES 65536
 #define ANSWER_BODY_MAX_BYTES (4 * 1024 * 1024)
 
+/* Most bytes of all answers that are being received.  An answer up to
+ * ANSWER_SMALL_BYTES is received in any case. */
+#define ANSWERS_MAX_BYTES (8 * 1024 * 1024)
+#define ANSWER_SMALL_BYTES (128 * 1024)
+
 typedef struct
 {
   uint64_t number;
@@ -40,7 +46,9 @@
   struct evhttp_request *request;
   bool reused; /* the connection has carried an earlier attempt */
   struct evbuffer_cb_entry *output_cb;
-  struct evbuffer_cb_entry *input_cb; /* only of a reused connection */
+  struct evbuffer_cb_entry *input_cb;
+  uint64_t received;      /* bytes of the answer */
+  uint64_t body_received; /* those of its body */
   struct event *timer;
   const char *step; /* "connect", "first token" or "token gap" */
   bool stream;
@@ -64,6 +72,7 @@
   br_upstream_checks_t *checks;
   attempt_t *attempts;
   uint64_t last_number;
+  uint64_t received; /* bytes of the answers of ATTEMPTS */
 };
 
 static br_node_message_t
@@ -134,6 +143,7 @@
 attempt_free (attempt_t *attempt, bool reuse)
 {
   attempt_release_connection (attempt, reuse);
+  attempt->task->received -= attempt->received;
   HASH_DEL (attempt->task->attempts, attempt);
   event_free (attempt->timer);
   br_sse_free (&attempt->sse);
@@ -261,6 +271,23 @@
   attempt_fail_soon (attempt, BR_ERROR_UPSTREAM, fault);
 }
 
+/* Returns which limit of what was received is exceeded, or NULL.  evhttp has
+ * not read UNREAD bytes yet, as they are a part of a chunk or of a line. */
+static const char *
+attempt_excess (const attempt_t *attempt, size_t unread)
+{
+  uint64_t framing = attempt->received - unread - attempt->body_received;
+
+  if (unread > ANSWER_BODY_MAX_BYTES)
+    return "a chunk of the answer is too long";
+  if (br_http_framing_is_excessive (framing, attempt->body_received))
+    return "the answer has too much beside its body";
+  if (attempt->received > ANSWER_SMALL_BYTES
+      && attempt->task->received > ANSWERS_MAX_BYTES)
+    return "the answers of all requests are too long";
+  return NULL;
+}
+
 /* What a reused connection brings before the request has been sent whole is not
  * the answer to it. */
 static void
@@ -269,13 +296,19 @@
                   void *context)
 {
   attempt_t *attempt = context;
+  const char *excess;
 
-  (void)buffer;
-  if (info->n_added == 0 || attempt->fault != NULL
-      || !br_connection_has_unsent (attempt->connection))
+  if (info->n_added == 0 || attempt->fault != NULL)
     return;
-  attempt_fail_out_of_turn (attempt, info->n_added,
-                            "an answer began before the request had been sent");
+  attempt->received += info->n_added;
+  attempt->task->received += info->n_added;
+  if (attempt->reused && br_connection_has_unsent (attempt->connection))
+    attempt_fail_out_of_turn (
+        attempt, info->n_added,
+        "an answer began before the request had been sent");
+  excess = attempt_excess (attempt, evbuffer_get_length (buffer));
+  if (excess != NULL)
+    attempt_fail_soon (attempt, BR_ERROR_UPSTREAM, excess);
 }
 
 static void
@@ -368,6 +401,7 @@
       evbuffer_drain (input, len);
       return;
     }
+  attempt->body_received += len;
   attempt_open (attempt);
   if (!attempt_is_event_stream (attempt))
     {
@@ -500,9 +534,8 @@
   bev = evhttp_connection_get_bufferevent (attempt->connection);
   attempt->output_cb = evbuffer_add_cb (bufferevent_get_output (bev),
                                         attempt_on_output, attempt);
-  if (attempt->reused)
-    attempt->input_cb = evbuffer_add_cb (bufferevent_get_input (bev),
-                                         attempt_on_input, attempt);
+  attempt->input_cb = evbuffer_add_cb (bufferevent_get_input (bev),
+                                       attempt_on_input, attempt);
   attempt_set_timer (attempt, "connect", task->node->settings.connect_ms);
   attempt->request = attempt_new_request (attempt, options);
   br_counters_add (&task->node->counters, BR_COUNTER_ATTEMPTS, 1);
--- a/tests/process/upstream_endless.sh
+++ b/tests/process/upstream_endless.sh
@@ -1,4 +1,4 @@
-# Checks that an upstream which sends an endless head or body fails only its own
+# Checks that an upstream which sends an endless head, interim answer, framing or body fails only its own
 # request: the entry VM closes the connection, its memory stays bounded, and it
 # serves other requests meanwhile.  Usage: upstream_endless.sh BUILD
 set -u
@@ -9,7 +9,7 @@
 # Limit on the memory of the entry VM above idle, in KB, and number of concurrent
 # requests to the endless upstream.
 MEMORY_KB=65536
-AT_ONCE=4
+AT_ONCE=50
 
 # Without these options the sanitizer keeps freed memory, which would count.
 export ASAN_OPTIONS=quarantine_size_mb=1:thread_local_quarantine_size_kb=64
@@ -32,7 +32,8 @@
 site_complete 0 "$innocent" > /dev/null || site_fail "the engine does not answer before the fault"
 idle=$(memory_kb)
 failed=
-for fault in endless-line endless-headers endless-chunks endless-body; do
+for fault in endless-status endless-interim endless-line endless-headers endless-chunk-size \
+  endless-extension endless-extensions endless-trailer endless-chunks endless-body; do
   site_start "ledger-$fault" "$BUILD/fake_broken" --port $((BASE_PORT + 40)) --fault "$fault"
   site_wait "http://127.0.0.1:$((BASE_PORT + 40))/health"
   sleep 1.5 # the VMs have to detect that the service is up again
