Calls of the platform's API: answers without end are given up

An interim answer, a chunk size or a chunk extension without end was read until the call's time was up: 50 MB, all that the test sends, and 18 s of processor time for a chunk size, as evhttp searches its line from the start each time.

--- a/src/shell/http_call.c
+++ b/src/shell/http_call.c
@@ -7,6 +7,8 @@
 #include <stdio.h>
 #include <sys/socket.h>
 
+#include "http/framing.h"
+
 #define ANSWER_HEAD_MAX_BYTES 65536
 
 typedef struct call
@@ -15,6 +17,8 @@
   struct evhttp_connection *connection;
   struct evhttp_request *request; /* NULL once evhttp has ended it */
   struct event *timer;            /* the timeout, then the end of the call */
+  uint64_t received;              /* bytes of the answer */
+  bool is_too_long;               /* the timer is about to end the call */
   br_http_call_cb_t done;
   void *context;
   int status;
@@ -108,6 +112,28 @@
   call_set_timer (call, 0);
 }
 
+/* Ends the call when its answer has too much beside the body.  evhttp limits
+ * neither interim answers nor trailers. */
+static void
+call_on_input (struct evbuffer *buffer,
+               const struct evbuffer_cb_info *info,
+               void *context)
+{
+  call_t *call = context;
+  uint64_t body;
+  uint64_t unread = evbuffer_get_length (buffer);
+
+  call->received += info->n_added;
+  if (info->n_added == 0 || call->request == NULL || call->is_too_long)
+    return;
+  body = evbuffer_get_length (evhttp_request_get_input_buffer (call->request));
+  call->is_too_long
+      = unread > BR_HTTP_CALL_BODY_MAX
+        || br_http_framing_is_excessive (call->received - unread - body, body);
+  if (call->is_too_long)
+    event_active (call->timer, EV_TIMEOUT, 0);
+}
+
 static struct evhttp_request *
 call_new_request (call_t *call, const br_http_call_options_t *options)
 {
@@ -148,6 +174,9 @@
   evhttp_connection_set_max_headers_size (call->connection,
                                           ANSWER_HEAD_MAX_BYTES);
   evhttp_connection_set_max_body_size (call->connection, BR_HTTP_CALL_BODY_MAX);
+  evbuffer_add_cb (bufferevent_get_input (
+                       evhttp_connection_get_bufferevent (call->connection)),
+                   call_on_input, call);
   call_set_timer (call, options->timeout_ms);
   call->request = call_new_request (call, options);
   if (evhttp_make_request (call->connection, call->request, options->method,
--- a/tests/http_call_test.cc
+++ b/tests/http_call_test.cc
@@ -1,4 +1,5 @@
-/* Checks that a call that was given up is not delivered later. */
+/* Checks that a call that was given up is not delivered later, and that an
+ * answer without end ends its call. */
 #include <arpa/inet.h>
 #include <event2/event.h>
 #include <gtest/gtest.h>
@@ -7,6 +8,7 @@
 #include <unistd.h>
 
 #include <string>
+#include <thread>
 
 extern "C"
 {
@@ -85,3 +87,96 @@
   br_http_calls_free (calls);
   event_base_free (base);
 }
+
+/* Most bytes of an answer without end that a peer can send: the limit, and as
+ * much in socket buffers. */
+#define ENDLESS_BYTES_MAX (2 * BR_HTTP_CALL_BODY_MAX)
+
+/* Accepts one connection, sends HEAD and then REPEAT until it breaks.  Returns
+ * the number of bytes sent. */
+static size_t
+send_endless (int listener, const std::string &head, const std::string &repeat)
+{
+  int peer = accept (listener, nullptr, nullptr);
+  char request[4096];
+  std::string block;
+  size_t total = 0;
+  ssize_t n;
+
+  if (recv (peer, request, sizeof request, 0) <= 0)
+    return 0;
+  while (block.size () < 16384)
+    block += repeat;
+  n = send (peer, head.data (), head.size (), MSG_NOSIGNAL);
+  while (n > 0 && total < 4 * ENDLESS_BYTES_MAX)
+    {
+      total += (size_t)n;
+      n = send (peer, block.data (), block.size (), MSG_NOSIGNAL);
+    }
+  close (peer);
+  return total;
+}
+
+TEST (HttpCall, AnswerWithoutEndEndsTheCall)
+{
+  static const std::string ok = "HTTP/1.1 200 OK\r\n";
+  static const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  static const std::string filler (64, 'x');
+  static const struct
+  {
+    const char *name;
+    std::string head;
+    std::string repeat;
+  } cases[] = {
+    { "status line", "HTTP/1.1 200 ", filler },
+    { "interim answers", "HTTP/1.1 100 Continue\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\nX-Filler: " + filler + "\r\n\r\n" },
+    { "header line", ok + "X-Filler: ", filler },
+    { "headers", ok, "X-Filler: " + filler + "\r\n" },
+    { "chunk size", chunked, "0000000000000000" },
+    { "chunk extension", chunked + "1;x=", filler },
+    { "chunk extensions", chunked, "1;x=" + filler + "\r\n:\r\n" },
+    { "trailer", chunked + "0\r\n", "X-Filler: " + filler + "\r\n" },
+    { "chunks", chunked, "40\r\n" + filler + "\r\n" },
+    { "body", ok + "\r\n", filler },
+  };
+
+  for (const auto &endless : cases)
+    {
+      struct event_base *base = event_base_new ();
+      br_http_calls_t *calls = br_http_calls_new (base);
+      int listener = socket (AF_INET, SOCK_STREAM, 0);
+      struct sockaddr_in address = {};
+      socklen_t len = sizeof address;
+      br_http_call_options_t options = {};
+      size_t sent = 0;
+      int status = -1;
+
+      address.sin_family = AF_INET;
+      address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+      ASSERT_EQ (bind (listener, (struct sockaddr *)&address, sizeof address),
+                 0);
+      ASSERT_EQ (listen (listener, 1), 0);
+      ASSERT_EQ (getsockname (listener, (struct sockaddr *)&address, &len), 0);
+      options.address = "127.0.0.1";
+      options.port = ntohs (address.sin_port);
+      options.method = EVHTTP_REQ_GET;
+      options.path = "/list";
+      options.timeout_ms = 20000;
+      options.done = on_done;
+      options.context = &status;
+      std::thread peer ([&] {
+        sent = send_endless (listener, endless.head, endless.repeat);
+      });
+      br_http_call (calls, &options);
+      while (status < 0)
+        event_base_loop (base, EVLOOP_ONCE);
+      peer.join ();
+      EXPECT_EQ (status, 0) << endless.name;
+      EXPECT_GT (sent, 0u) << endless.name;
+      EXPECT_LT (sent, (size_t)ENDLESS_BYTES_MAX) << endless.name;
+      close (listener);
+      br_http_calls_free (calls);
+      event_base_free (base);
+    }
+}
