Store: no append to a segment whose successor may exist

At the next start the log could not be opened ('frames 21 to 6 are missing'), so that the VM lost its data folder. The append fails now, as after any sync that failed. unit.store_test FolderSyncFailsAtANewSegment failed before.

--- a/src/store/store.c
+++ b/src/store/store.c
@@ -462,9 +462,10 @@
   if (!store_check_usable (store, err))
     return false;
   /* When there is no space for a new segment, the append continues in the old
-   * one. */
-  if (store->size > store->segment_max_bytes)
-    store_new_segment (store, NULL, 0, NULL);
+   * one, unless the new one may exist. */
+  if (store->size > store->segment_max_bytes
+      && !store_new_segment (store, NULL, 0, err) && !store->usable)
+    return false;
   br_segment_append_frame (store->next, records, n, &frame);
   ok = store_write_frame (store, br_buf_str (&frame), err);
   br_buf_free (&frame);
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <fstream>
 #include <string>
+#include <sys/stat.h>
 #include <unistd.h>
 #include <vector>
 
@@ -133,6 +134,16 @@
     return -1;
   }
 
+  static int
+  fsync_of_folder_fails (int fd)
+  {
+    struct stat status;
+
+    return fail_sync && fstat (fd, &status) == 0 && S_ISDIR (status.st_mode)
+               ? fsync_fails (fd)
+               : fsync (fd);
+  }
+
   static bool full;
   static bool fail_sync;
   std::string folder;
@@ -348,3 +359,25 @@
           truncated);
   EXPECT_GT (reported, 0u);
 }
+
+/* Guards against a log that cannot be opened any more: a new segment exists and
+ * the old one is written on. */
+TEST_F (Store, FolderSyncFailsAtANewSegment)
+{
+  br_file_ops_t ops = br_file_system_ops;
+  std::string last;
+
+  ops.fsync = fsync_of_folder_fails;
+  ASSERT_TRUE (open_store (&ops));
+  for (int i = 0; i < 20; i++)
+    {
+      std::string text = "write " + std::to_string (i) + std::string (300, '.');
+
+      fail_sync = i >= 5;
+      if (append (text))
+        last = text;
+    }
+  ASSERT_TRUE (open_store ()) << err.text;
+  ASSERT_GE (loaded.records.len, 2u);
+  EXPECT_EQ (record (loaded.records.len - 2), last);
+}
