Store: the folder is read again after a failed sync, and written on

Cause: a failed sync, or a truncation that failed after a failed write, made the store unusable for the life of the process; a leader elected later met the same on the next disk, until no majority had a log. Now the writer reads the folder again before it repeats the write: it cuts off what the failed write left, syncs, drops the cached pages, reads all frames and checks that none that had been synced is missing.

--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -282,13 +282,16 @@
 
   if (task->failed)
     return;
-  if (!written->usable)
+  if (written->damaged)
     {
       task_fail (task, &written->error);
       task_take_events (task, NULL);
       return;
     }
-  task_set_has_space (task, written->has_space);
+  if (written->recovered)
+    BR_LOG (&task->node->log, "replica", "log read again",
+            br_field_int ("bytes", (int64_t)written->log_bytes));
+  task_set_has_space (task, written->ok && written->has_space);
   task->log_bytes = written->log_bytes;
   if (!written->ok)
     {
--- a/src/shell/replica_writer.c
+++ b/src/shell/replica_writer.c
@@ -38,26 +38,40 @@
   br_replica_written_t result;
 };
 
-static void
-writer_run_job (br_replica_writer_t *writer)
+static bool
+writer_write_records (br_replica_writer_t *writer, br_error_t *err)
 {
   size_t n = writer->records.len;
   br_str_t *views = br_alloc (n * sizeof *views);
-  br_replica_written_t *result = &writer->result;
+  bool ok = true;
 
-  *result = (br_replica_written_t){ .ok = true };
   for (size_t i = 0; i < n; i++)
     views[i] = br_buf_str (&writer->records.items[i]);
   if (writer->has_snapshot)
-    result->ok
-        = br_store_checkpoint (writer->store, br_buf_str (&writer->snapshot),
-                               views, n, &result->error);
+    ok = br_store_checkpoint (writer->store, br_buf_str (&writer->snapshot),
+                              views, n, err);
   else if (n > 0)
-    result->ok = br_store_append (writer->store, views, n, &result->error);
-  result->usable = br_store_is_usable (writer->store);
+    ok = br_store_append (writer->store, views, n, err);
+  free (views);
+  return ok;
+}
+
+static void
+writer_run_job (br_replica_writer_t *writer)
+{
+  br_replica_written_t *result = &writer->result;
+
+  *result = (br_replica_written_t){ .ok = true };
+  if (!br_store_is_usable (writer->store))
+    {
+      result->ok = result->recovered
+          = br_store_recover (writer->store, &result->error);
+      result->damaged = !result->ok && result->error.code == BR_ERROR_CORRUPT;
+    }
+  if (result->ok)
+    result->ok = writer_write_records (writer, &result->error);
   result->has_space = br_store_has_space (writer->store, FREE_SPACE_MIN_BYTES);
   result->log_bytes = br_store_log_bytes (writer->store);
-  free (views);
 }
 
 static void *
--- a/src/shell/replica_writer.h
+++ b/src/shell/replica_writer.h
@@ -16,7 +16,8 @@
 typedef struct
 {
   bool ok;
-  bool usable;    /* false: the folder must not be written any more */
+  bool recovered; /* the log was read again after an earlier failure */
+  bool damaged;   /* the folder must not be written any more */
   bool has_space; /* for further proposals */
   uint64_t log_bytes;
   br_error_t error;
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -386,6 +386,65 @@
   return NULL;
 }
 
+/* Cuts off what a failed write left behind the last synced frame, and drops the
+ * cached pages of the segment: after a failed sync they may differ from the
+ * disk. */
+static bool
+store_cut_failed_frame (const br_store_t *store, br_error_t *err)
+{
+  char path[PATH_MAX];
+  char name[BR_NAME_MAX];
+  bool ok;
+  int fd;
+
+  segment_name (store->segment, name);
+  fd = open (store_path (store, name, path), O_WRONLY | O_CLOEXEC);
+  if (fd < 0)
+    return br_file_fail (err, "open", path);
+  ok = (store->ops->ftruncate (fd, (off_t)store->size) == 0
+        && store->ops->fsync (fd) == 0)
+       || br_file_fail (err, "cut off a failed write", path);
+  posix_fadvise (fd, 0, 0, POSIX_FADV_DONTNEED);
+  close (fd);
+  return ok;
+}
+
+bool
+br_store_recover (br_store_t *store, br_error_t *err)
+{
+  br_store_t fresh = *store;
+  br_store_loaded_t loaded = { 0 };
+  bool found;
+  bool ok;
+
+  fresh.fd = -1;
+  fresh.next = 1;
+  fresh.log_bytes = 0;
+  if (store->fd >= 0)
+    close (store->fd);
+  store->fd = -1;
+  store->usable = false;
+  ok = br_file_sync_folder (store->ops, store->folder, err)
+       && store_cut_failed_frame (store, err)
+       && store_read_sealed (&fresh, SNAPSHOT_NAME, SNAPSHOT_KIND, &fresh.next,
+                             &loaded.snapshot, &found, err)
+       && store_load_log (&fresh, &loaded, err);
+  if (ok && fresh.next < store->next)
+    ok = br_error_set (err, BR_ERROR_CORRUPT, "read log", store->folder,
+                       "frames %" PRIu64 " to %" PRIu64
+                       " were synced and are missing",
+                       fresh.next, store->next - 1);
+  if (ok)
+    {
+      *store = fresh;
+      store->usable = true;
+    }
+  else if (fresh.fd >= 0)
+    close (fresh.fd);
+  br_store_loaded_release (&loaded);
+  return ok;
+}
+
 void
 br_store_close (br_store_t *store)
 {
@@ -406,8 +465,8 @@
   if (store->usable)
     return true;
   return br_error_set (err, BR_ERROR_STORAGE, "append", store->folder,
-                       "an earlier sync failed; the folder is no longer "
-                       "written");
+                       "an earlier sync failed, and the folder was not read "
+                       "again since");
 }
 
 /* Reserves blocks up to END, so that a later sync does not fail for lack of
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -41,8 +41,8 @@
 void br_store_close (br_store_t *store);
 
 /* Appends the N records atomically and syncs them.  On BR_ERROR_STORAGE nothing
- * was appended.  The append can be retried while br_store_is_usable();
- * otherwise the folder must no longer be written. */
+ * was appended.  The append can be retried while br_store_is_usable(),
+ * otherwise after br_store_recover(). */
 bool br_store_append (br_store_t *store,
                       const br_str_t *records,
                       size_t n,
@@ -56,10 +56,17 @@
                           size_t n,
                           br_error_t *err);
 
-/* Returns whether the folder can be written.  False permanently once a sync has
- * failed, because the content of the disk is then unknown. */
+/* Returns whether the folder can be written.  False once a sync has failed, or
+ * what a failed write left could not be cut off, because the content of the
+ * disk is then unknown. */
 bool br_store_is_usable (const br_store_t *store);
 
+/* Reads the folder again from the disk and cuts off what a failed write left,
+ * so that it can be written.  Fails with BR_ERROR_STORAGE while the disk
+ * refuses, and may be called again then; with BR_ERROR_CORRUPT when frames that
+ * had been synced are damaged or missing. */
+bool br_store_recover (br_store_t *store, br_error_t *err);
+
 /* Returns whether there is space for another BYTES, and reserves it where the
  * file system supports that. */
 bool br_store_has_space (br_store_t *store, uint64_t bytes);
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -381,3 +381,156 @@
   ASSERT_GE (loaded.records.len, 2u);
   EXPECT_EQ (record (loaded.records.len - 2), last);
 }
+
+/* Guards against a store that stays unusable once a disk that was full has room
+ * again. */
+TEST_F (Store, RecoversAfterAFailedSync)
+{
+  br_file_ops_t ops = br_file_system_ops;
+
+  ops.fsync = fsync_fails;
+  ASSERT_TRUE (open_store (&ops));
+  ASSERT_TRUE (append ("before"));
+  fail_sync = true;
+  EXPECT_FALSE (append ("failed"));
+  EXPECT_FALSE (br_store_recover (store, &err));
+  EXPECT_EQ (err.code, BR_ERROR_STORAGE);
+  EXPECT_FALSE (br_store_is_usable (store));
+  fail_sync = false;
+  ASSERT_TRUE (br_store_recover (store, &err)) << err.text;
+  EXPECT_TRUE (br_store_is_usable (store));
+  EXPECT_TRUE (append ("after"));
+  ASSERT_TRUE (open_store ());
+  ASSERT_EQ (loaded.records.len, 4u);
+  EXPECT_EQ (record (0), "before");
+  EXPECT_EQ (record (2), "after");
+}
+
+TEST_F (Store, RecoveryMissesASyncedFrame)
+{
+  br_file_ops_t ops = br_file_system_ops;
+
+  ops.fsync = fsync_fails;
+  ASSERT_TRUE (open_store (&ops));
+  ASSERT_TRUE (append ("first"));
+  ASSERT_TRUE (append ("second"));
+  fs::resize_file (segments ().back (),
+                   fs::file_size (segments ().back ()) - 10);
+  fail_sync = true;
+  EXPECT_FALSE (append ("failed"));
+  fail_sync = false;
+  EXPECT_FALSE (br_store_recover (store, &err));
+  EXPECT_EQ (err.code, BR_ERROR_CORRUPT);
+  EXPECT_FALSE (br_store_is_usable (store));
+}
+
+/* --- disks that refuse in all ways --- */
+
+br_random_t refusals;
+double refused_share;
+
+bool
+refuses ()
+{
+  bool is_refused = br_random_unit (&refusals) < refused_share;
+
+  if (is_refused)
+    errno = ENOSPC;
+  return is_refused;
+}
+
+/* A full disk may take a part of what is written. */
+ssize_t
+pwrite_refuses (int fd, const void *data, size_t len, off_t offset)
+{
+  if (!refuses ())
+    return pwrite (fd, data, len, offset);
+  if (len > 1 && br_random_below (&refusals, 2) == 0)
+    return pwrite (fd, data, 1 + br_random_below (&refusals, len - 1), offset);
+  errno = ENOSPC;
+  return -1;
+}
+
+int
+fsync_refuses (int fd)
+{
+  return refuses () ? -1 : fsync (fd);
+}
+
+int
+ftruncate_refuses (int fd, off_t len)
+{
+  return refuses () ? -1 : ftruncate (fd, len);
+}
+
+int
+rename_refuses (const char *from, const char *to)
+{
+  return refuses () ? -1 : rename (from, to);
+}
+
+int
+reserve_refuses (int fd, off_t offset, off_t len)
+{
+  return refuses () ? -1 : br_file_system_ops.reserve (fd, offset, len);
+}
+
+/* Writes in series, each repeated until it succeeds, while the disk refuses at
+ * random.  What was acknowledged is read back; a checkpoint that failed may
+ * have left its records. */
+TEST_F (Store, RecoversFromAnyRefusal)
+{
+  br_file_ops_t ops = { pwrite_refuses, fsync_refuses, ftruncate_refuses,
+                        rename_refuses, reserve_refuses };
+
+  for (uint64_t seed = 1; seed <= 60; seed++)
+    {
+      std::vector<std::string> written;
+      bool is_opened = false;
+
+      TearDown ();
+      store = nullptr;
+      loaded = {};
+      SetUp ();
+      br_random_seed (&refusals, seed);
+      refused_share = 0;
+      ASSERT_TRUE (open_store (&ops));
+      refused_share = 0.05 + 0.4 * br_random_unit (&refusals);
+      for (int i = 0; i < 60; i++)
+        {
+          std::string text = "write " + std::to_string (i);
+          bool is_checkpoint = br_random_below (&refusals, 10) == 0;
+          bool is_done = false;
+
+          text.append (br_random_below (&refusals, 300), '.');
+          for (int tries = 0; !is_done && tries < 100000; tries++)
+            {
+              if (!br_store_is_usable (store)
+                  && !br_store_recover (store, &err))
+                {
+                  ASSERT_EQ (err.code, BR_ERROR_STORAGE)
+                      << "seed " << seed << ": " << err.text;
+                  continue;
+                }
+              is_done = is_checkpoint ? checkpoint ("snapshot", text)
+                                      : append (text);
+            }
+          ASSERT_TRUE (is_done) << "seed " << seed;
+          if (is_checkpoint)
+            written.clear ();
+          written.push_back (text);
+          if (!is_checkpoint)
+            written.push_back ("second");
+        }
+      refused_share = 0;
+      is_opened = open_store ();
+      ASSERT_TRUE (is_opened) << "seed " << seed << ": " << err.text;
+      ASSERT_GE (loaded.records.len, written.size ()) << "seed " << seed;
+
+      size_t found = 0;
+
+      for (size_t i = 0; i < loaded.records.len && found < written.size (); i++)
+        found += record (i) == written[found];
+      EXPECT_EQ (found, written.size ()) << "seed " << seed;
+    }
+}
