Replica: a leader whose disk refuses hands over, and the VM goes on

Causes: while a write was repeated, all messages were dropped, the followers' acknowledgements too; the leader kept leading; and a follower whose disk refused took no entries, so that changes through it were never seen as committed. The soak's full disks refuse in four ways now.

--- a/src/replica/leader.c
+++ b/src/replica/leader.c
@@ -1,5 +1,9 @@
 #include "replica/replica_private.h"
 
+/* A leader whose disk is full hands over again after this many of the longest
+ * election timeouts. */
+#define HAND_OVER_ELECTIONS 2
+
 static bool
 leader_is_voter (const br_replica_t *replica, const br_progress_t *progress)
 {
@@ -168,7 +172,8 @@
 
   assert (replica->role == BR_ROLE_LEADER);
   if (kind == BR_ENTRY_COMMAND
-      && (!replica->has_space || replica->transfer_to.len > 0))
+      && (!br_replica_takes_proposals (replica)
+          || replica->transfer_to.len > 0))
     return false;
   if (proposer != NULL)
     entry.proposer = *proposer;
@@ -434,20 +439,6 @@
   br_replica_replicate (replica, progress, false);
 }
 
-void
-br_replica_tick_leader (br_replica_t *replica)
-{
-  static const br_name_t no_vm;
-
-  if (replica->transfer_to.len > 0
-      && replica->now >= replica->transfer_until_ms)
-    replica->transfer_to = no_vm;
-  if (replica->now >= replica->heartbeat_at_ms)
-    br_replica_broadcast (replica);
-  if (br_replica_has_lease (replica, replica->now))
-    br_replica_tick_membership (replica);
-}
-
 /* Returns the live voter with the highest match index, or NULL. */
 static const br_progress_t *
 leader_transfer_target (const br_replica_t *replica)
@@ -466,12 +457,11 @@
   return best;
 }
 
-bool
-br_replica_transfer (br_replica_t *replica, br_ms_t now)
+static bool
+leader_transfer (br_replica_t *replica)
 {
   const br_progress_t *target;
 
-  br_replica_advance (replica, now);
   if (replica->role != BR_ROLE_LEADER || replica->transfer_to.len > 0)
     return false;
   target = leader_transfer_target (replica);
@@ -482,3 +472,39 @@
   leader_continue_transfer (replica, target);
   return true;
 }
+
+/* Hands over because of the disk.  The next leader's may be full too, so there
+ * is a pause before this one hands over again. */
+static void
+leader_hand_over (br_replica_t *replica)
+{
+  if (replica->now < replica->hand_over_at_ms || !leader_transfer (replica))
+    return;
+  replica->hand_over_at_ms
+      = replica->now + HAND_OVER_ELECTIONS * replica->options.election_max_ms;
+}
+
+void
+br_replica_tick_leader (br_replica_t *replica)
+{
+  static const br_name_t no_vm;
+
+  if (replica->transfer_to.len > 0
+      && replica->now >= replica->transfer_until_ms)
+    replica->transfer_to = no_vm;
+  if (replica->now >= replica->heartbeat_at_ms)
+    {
+      if (!br_replica_takes_proposals (replica))
+        leader_hand_over (replica);
+      br_replica_broadcast (replica);
+    }
+  if (br_replica_has_lease (replica, replica->now))
+    br_replica_tick_membership (replica);
+}
+
+bool
+br_replica_transfer (br_replica_t *replica, br_ms_t now)
+{
+  br_replica_advance (replica, now);
+  return leader_transfer (replica);
+}
--- a/src/replica/proposal.c
+++ b/src/replica/proposal.c
@@ -103,6 +103,14 @@
                                  br_buf_str (&pending->command));
 }
 
+/* Returns whether the leader refuses a proposal for good: its disk has no
+ * space, and no other leader follows. */
+static bool
+proposal_is_refused (const br_replica_t *replica)
+{
+  return !br_replica_takes_proposals (replica) && replica->transfer_to.len == 0;
+}
+
 static void
 pending_send (br_replica_t *replica, br_pending_t *pending)
 {
@@ -179,7 +187,7 @@
             pending_send (replica, pending);
         }
       if (refused)
-        pending_refuse (replica, i, !replica->has_space);
+        pending_refuse (replica, i, proposal_is_refused (replica));
       else if (i < replica->pendings.len
                && replica->pendings.items[i].ticket == ticket)
         i++;
@@ -491,7 +499,7 @@
       answer->accepted = br_replica_lead_append (replica, BR_ENTRY_COMMAND,
                                                  &propose->proposer,
                                                  br_buf_str (&propose->data));
-      answer->no_space = !replica->has_space;
+      answer->no_space = proposal_is_refused (replica);
       return true;
     case TICKET_PASSED:
       return !ticket_may_be_appended (replica, &propose->proposer);
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -112,10 +112,20 @@
  * this replica has applied every commit that was reported before this call. */
 void br_replica_read (br_replica_t *replica, br_ms_t now, uint64_t ticket);
 
-/* Sets whether the disk has space.  Without space a leader refuses
- * proposals. */
+/* Sets whether the disk has space.  Without space a leader hands over, and
+ * refuses proposals until then. */
 void br_replica_set_has_space (br_replica_t *replica, bool has_space);
 
+/* Sets whether the last write failed and is repeated.  Until it succeeds,
+ * nothing is sent that depends on the write, and only a few entries are taken
+ * from a leader, as they accumulate in memory.  Otherwise the replica goes on:
+ * it applies what others have committed, and as a leader hands over. */
+void br_replica_set_disk_refuses (br_replica_t *replica, bool refuses);
+
+/* Returns whether the disk refuses and no more entries are taken, so that a
+ * proposal or read could not be answered. */
+bool br_replica_is_choked (const br_replica_t *replica);
+
 /* Replaces the VMs of the settings.  While this replica knows no leader, it
  * sends join requests to them, to the members of its log, and to those that
  * other VMs named. */
--- a/src/replica/replica_private.h
+++ b/src/replica/replica_private.h
@@ -113,6 +113,8 @@
   bool write_hard_state;
   bool write_snapshot;
   bool has_space;
+  bool disk_refuses;       /* the last write failed */
+  br_ms_t hand_over_at_ms; /* earliest next time because of the disk */
 
   /* All roles. */
   br_replica_role_t role;
@@ -168,6 +170,9 @@
 
 /* replica.c */
 
+/* Returns whether the disk lets this replica take proposals as the leader. */
+bool br_replica_takes_proposals (const br_replica_t *replica);
+
 /* Advances the time.  A pause of this process does not count as silence of the
  * leader. */
 void br_replica_advance (br_replica_t *replica, br_ms_t now);
--- a/src/shell/replica_task.c
+++ b/src/shell/replica_task.c
@@ -25,6 +25,7 @@
 #define COMMIT_SAVE_MS 100
 
 #define DATA_FOLDER_FAILED "this VM's data folder cannot be written"
+#define DISK_REFUSES "this VM's disk has no space left"
 
 struct br_replica_task
 {
@@ -298,8 +299,10 @@
       br_log_error (&task->node->log, "replica", "write failed",
                     &written->error);
       task->retry_ms = now + SPACE_RETRY_MS;
+      br_replica_set_disk_refuses (task->replica, true);
       return;
     }
+  br_replica_set_disk_refuses (task->replica, false);
   if (task->checkpointing)
     br_replica_compact (task->replica, &task->checkpoint);
   else if (task->writing > 0)
@@ -448,6 +451,8 @@
 
   if (task->failed)
     task_refuse (task, ticket, BR_ERROR_STORAGE, DATA_FOLDER_FAILED);
+  else if (br_replica_is_choked (task->replica))
+    task_refuse (task, ticket, BR_ERROR_STORAGE, DISK_REFUSES);
   else if (command.len > BR_COMMAND_MAX)
     task_refuse (task, ticket, BR_ERROR_TOO_LARGE, "the command is too long");
   else
@@ -464,6 +469,8 @@
 
   if (task->failed)
     task_refuse (task, ticket, BR_ERROR_STORAGE, DATA_FOLDER_FAILED);
+  else if (br_replica_is_choked (task->replica))
+    task_refuse (task, ticket, BR_ERROR_STORAGE, DISK_REFUSES);
   else
     br_replica_read (task->replica, br_node_now (task->node), ticket);
   task_schedule (task);
@@ -478,9 +485,7 @@
   br_replica_message_t message;
   br_error_t err;
 
-  /* While the disk has no space, the messages could not be written and would
-   * accumulate in memory. */
-  if (task->failed || task->retry_ms > 0)
+  if (task->failed)
     return;
   if (!br_replica_unpack (payload, vm, &message, &err))
     {
--- a/tests/replica_random_test.cc
+++ b/tests/replica_random_test.cc
@@ -80,6 +80,7 @@
       if (!sim.vm (i).up)
         sim.start (i);
       sim.freeze (i, false);
+      sim.set_disk_refuses (i, false);
     }
 }
 
@@ -111,9 +112,22 @@
         stop (sim, i);
 }
 
+/* The disk of one VM refuses, or none does. */
+static void
+refuse_one (replica_sim &sim, const sim_options &options)
+{
+  size_t full = random_below (sim, 2 * options.vms);
+
+  for (size_t i = 0; i < options.vms; i++)
+    sim.set_disk_refuses (i, i == full);
+}
+
 /* With REMOVALS, voters that are silent lose their vote as on a site. */
 static void
-run_seed (uint64_t seed, bool removals = false, bool stops = false)
+run_seed (uint64_t seed,
+          bool removals = false,
+          bool stops = false,
+          bool disks = false)
 {
   SCOPED_TRACE ("seed " + std::to_string (seed));
   sim_options options;
@@ -158,6 +172,8 @@
         disturb (sim, options);
       if (stops && random_below (sim, 12) == 0)
         disturb_more (sim, options);
+      if (disks && random_below (sim, 10) == 0)
+        refuse_one (sim, options);
     }
   heal (sim, options);
   sim.run (4000);
@@ -167,7 +183,7 @@
 }
 
 static void
-run_seeds (bool removals, bool stops = false)
+run_seeds (bool removals, bool stops = false, bool disks = false)
 {
   const char *count = getenv ("BR_REPLICA_SEEDS");
   const char *first = getenv ("BR_REPLICA_FIRST_SEED");
@@ -176,7 +192,7 @@
   uint64_t seed = from;
 
   while (seed < from + n && !::testing::Test::HasFailure ())
-    run_seed (seed++, removals, stops);
+    run_seed (seed++, removals, stops, disks);
   printf ("seeds %llu to %llu\n", (unsigned long long)from,
           (unsigned long long)(seed - 1));
 }
@@ -192,3 +208,14 @@
 /* The same while VMs stop as planned, connections are reset, and the sender
  * knows that a proposal or read could not be sent. */
 TEST (ReplicaRandom, InvariantsHoldWhileVmsStop) { run_seeds (true, true); }
+
+/* The same while the disk of one VM after another refuses. */
+TEST (ReplicaRandom, InvariantsHoldWhileADiskRefuses)
+{
+  run_seeds (false, false, true);
+}
+
+TEST (ReplicaRandom, InvariantsHoldWhileADiskRefusesAndVmsStop)
+{
+  run_seeds (true, true, true);
+}
--- a/tests/replica_sim.h
+++ b/tests/replica_sim.h
@@ -54,6 +54,7 @@
   bool up = false;
   bool frozen = false;
   bool has_space = true;
+  bool refuses = false; /* its disk; a write waits */
   sim_disk disk;
   br_replica_t *replica = nullptr;
   uint64_t incarnation = 0;
@@ -173,6 +174,7 @@
     vm.replica = br_replica_new (&options, &saved, now_);
     br_replica_peers_free (&options.peers);
     br_replica_set_has_space (vm.replica, vm.has_space);
+    br_replica_set_disk_refuses (vm.replica, vm.refuses);
     vm.up = true;
     vm.frozen = false;
     vm.writing = false;
@@ -269,6 +271,14 @@
       br_replica_set_has_space (vms_[i].replica, has_space);
   }
 
+  void
+  set_disk_refuses (size_t i, bool refuses)
+  {
+    vms_[i].refuses = refuses;
+    if (vms_[i].up)
+      br_replica_set_disk_refuses (vms_[i].replica, refuses);
+  }
+
   /* Reports to I that its connection to J was lost. */
   void
   suspect (size_t i, size_t j)
@@ -581,7 +591,7 @@
   {
     sim_write &write = vm.write;
 
-    if (!vm.writing || now_ < vm.written_at)
+    if (!vm.writing || vm.refuses || now_ < vm.written_at)
       return;
     vm.writing = false;
     if (write.has_hard_state)
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -283,6 +283,65 @@
   sim.check_outcomes ();
 }
 
+/* Guards against a leader that goes on leading while its disk refuses, so that
+ * changes stay unanswered. */
+TEST (Replica, LeaderWhoseDiskRefusesHandsOver)
+{
+  replica_sim sim (sim_options{});
+  int leader = sim.run_to_leader ();
+
+  ASSERT_GE (leader, 0);
+  sim.run (300);
+  for (int round = 0; round < 6; round++)
+    {
+      size_t full = (size_t)sim.find_leader ();
+
+      sim.set_disk_refuses (full, true);
+      sim.run (400);
+      ASSERT_GE (sim.find_leader (), 0) << "round " << round;
+      EXPECT_NE (sim.find_leader (), (int)full) << "round " << round;
+      /* The VM whose disk refuses passes them to the leader. */
+      sim.propose (full);
+      sim.propose ((full + 1) % 3);
+      sim.run (100);
+      EXPECT_EQ (count (sim, SIM_COMMITTED), 2u * (size_t)(round + 1));
+      sim.set_disk_refuses (full, false);
+      sim.run (1500);
+    }
+  EXPECT_EQ (count (sim, SIM_COMMITTED), 12u);
+  sim.check_outcomes ();
+}
+
+/* Guards against entries that fill the memory of a VM whose disk refuses. */
+TEST (Replica, DiskThatRefusesTakesFewEntries)
+{
+  replica_sim sim (sim_options{});
+  int leader = sim.run_to_leader ();
+  std::string command (100 * 1024, 'x');
+
+  ASSERT_GE (leader, 0);
+  sim.run (300);
+  size_t full = ((size_t)leader + 1) % 3;
+  br_replica_t *replica = sim.vm (full).replica;
+  uint64_t last = br_replica_log_last_index (br_replica_log (replica));
+  uint64_t ticket = 1000000;
+
+  sim.set_disk_refuses (full, true);
+  for (int i = 0; i < 40; i++)
+    {
+      br_replica_propose (sim.vm ((size_t)leader).replica, sim.now (), ++ticket,
+                          br_str_make (command.data (), command.size ()));
+      sim.run (50);
+    }
+  EXPECT_GT (br_replica_log_last_index (br_replica_log (replica)), last + 5);
+  EXPECT_LT (br_replica_log_last_index (br_replica_log (replica)), last + 16);
+  EXPECT_TRUE (br_replica_is_choked (replica));
+  EXPECT_EQ (sim.find_leader (), leader);
+  sim.set_disk_refuses (full, false);
+  sim.run (3000);
+  EXPECT_GE (br_replica_log_last_index (br_replica_log (replica)), last + 40);
+}
+
 TEST (Replica, ReconnectedVoterDoesNotDisruptTheLeader)
 {
   replica_sim sim (sim_options{});
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -220,13 +220,13 @@
 void soak_process_kill (soak_t *soak, soak_process_t *process, br_ms_t wait_ms);
 
 /* Sets how the process's clock and disk behave: SHIFT_MS is added to its time
- * of day, each sync takes SYNC_MS longer, and writes fail if FULL.  See
- * soak_shim.c. */
+ * of day, each sync takes SYNC_MS longer, and the disk refuses what FULL names.
+ * See soak_shim.c. */
 void soak_process_shim (soak_t *soak,
                         const soak_process_t *process,
                         int shift_ms,
                         int sync_ms,
-                        bool full);
+                        int full);
 
 /* Sets PATH to the process's file with SUFFIX in the soak's folder. */
 void soak_process_path (const soak_t *soak,
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -312,6 +312,10 @@
   return duration_ms;
 }
 
+/* What a full disk refuses, as in soak_shim.c: writes; these, reservations and
+ * new files; syncs; everything. */
+static const int disk_refusals[] = { 1, 11, 4, 63 };
+
 /* Shifts the clock of a control VM, or makes its disk slow or full.  The
  * process may exit by itself while its disk is full. */
 static br_ms_t
@@ -323,14 +327,19 @@
   int which = (int)soak_random_between (soak, 0, 2);
   int shift = which == 0 ? (int)soak_random_between (soak, -5000, 5000) : 0;
   int slow = which == 1 ? (int)soak_random_between (soak, 5, 60) : 0;
+  /* Not drawn, so that seeds keep their course. */
+  int full = which == 2
+                 ? disk_refusals[duration_ms % BR_N_ELEMENTS (disk_refusals)]
+                 : 0;
 
   if (which == 2)
     vm->may_exit_until_ms = soak_now () + duration_ms + FULL_DISK_EXIT_MS;
   vm->shim_reset_ms = soak_now () + duration_ms;
-  soak_log (soak, "%s: clock shifted by %d ms, syncs %d ms slower%s, for %d ms",
-            vm->name, shift, slow, which == 2 ? ", disk full" : "",
-            (int)duration_ms);
-  soak_process_shim (soak, vm, shift, slow, which == 2);
+  soak_log (soak,
+            "%s: clock shifted by %d ms, syncs %d ms slower, disk refuses %d, "
+            "for %d ms",
+            vm->name, shift, slow, full, (int)duration_ms);
+  soak_process_shim (soak, vm, shift, slow, full);
   return duration_ms;
 }
 
--- a/tests/soak/soak_shim.c
+++ b/tests/soak/soak_shim.c
@@ -1,16 +1,19 @@
 /* A library that the soak preloads into control VMs.  It shifts their time of
  * day, in whole seconds, delays each sync and lets writes to files fail as on a
  * full disk.  The environment variable SOAK_SHIM names a file that holds the
- * values in force: "SHIFT_MS SYNC_MS FULL".  Connections to loopback addresses
- * come from the address in SOAK_ADDRESS, by which the relay tells the VMs
- * apart.  SHIM_CUT names a file "MODE FIRST LAST PORT": new connections to the
- * ports FIRST to LAST of 127.0.0.1 are refused, or hang at PORT, which accepts
- * none.  SHIM_SUSPENDED names a file with the milliseconds that the steady
- * clock has not counted, as on a machine that was suspended. */
+ * values in force: "SHIFT_MS SYNC_MS FULL", the last one the sum of what the
+ * full disk refuses (refusal_t).  Connections to loopback addresses come from
+ * the address in SOAK_ADDRESS, by which the relay tells the VMs apart. SHIM_CUT
+ * names a file "MODE FIRST LAST PORT": new connections to the ports FIRST to
+ * LAST of 127.0.0.1 are refused, or hang at PORT, which accepts none.
+ * SHIM_SUSPENDED names a file with the milliseconds that the steady clock has
+ * not counted, as on a machine that was suspended. */
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <netinet/in.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -26,9 +29,20 @@
 
 #define REAL(name) ((__typeof__ (&(name)))dlsym (RTLD_NEXT, #name))
 
+/* What a full disk refuses. */
+typedef enum
+{
+  REFUSE_WRITES = 1,
+  REFUSE_RESERVATIONS = 2,
+  REFUSE_SYNCS = 4,
+  REFUSE_NEW_FILES = 8,
+  REFUSE_TRUNCATIONS = 16,
+  REFUSE_RENAMES = 32,
+} refusal_t;
+
 static long long shift_ms;
 static long long sync_ms;
-static int disk_full;
+static int disk_full; /* sum of refusal_t */
 
 static void
 read_shim_file (void)
@@ -104,51 +118,96 @@
     nanosleep (&wait, NULL);
 }
 
+/* Returns whether the full disk refuses WHAT, and sets errno. */
+static int
+disk_refuses (refusal_t what)
+{
+  read_shim_file ();
+  if (!(disk_full & (int)what))
+    return 0;
+  errno = ENOSPC;
+  return 1;
+}
+
+/* The same for FD.  Only regular files are affected, standard streams never
+ * are. */
+static int
+file_refuses (int fd, refusal_t what)
+{
+  struct stat status;
+
+  return fd > STDERR_FILENO && fstat (fd, &status) == 0
+         && (S_ISREG (status.st_mode) || S_ISDIR (status.st_mode))
+         && disk_refuses (what);
+}
+
 int
 fsync (int fd)
 {
   delay_sync ();
-  return REAL (fsync) (fd);
+  return file_refuses (fd, REFUSE_SYNCS) ? -1 : REAL (fsync) (fd);
 }
 
 int
 fdatasync (int fd)
 {
   delay_sync ();
-  return REAL (fdatasync) (fd);
+  return file_refuses (fd, REFUSE_SYNCS) ? -1 : REAL (fdatasync) (fd);
 }
 
-/* Returns whether a write to FD must fail because the disk counts as full. Only
- * regular files are affected, standard streams never are. */
-static int
-write_fails (int fd)
+int
+fallocate (int fd, int mode, off_t from, off_t len)
 {
-  struct stat status;
+  return file_refuses (fd, REFUSE_RESERVATIONS)
+             ? -1
+             : REAL (fallocate) (fd, mode, from, len);
+}
 
-  read_shim_file ();
-  if (!disk_full || fd <= STDERR_FILENO || fstat (fd, &status) != 0
-      || !S_ISREG (status.st_mode))
-    return 0;
-  errno = ENOSPC;
-  return 1;
+int
+ftruncate (int fd, off_t len)
+{
+  return file_refuses (fd, REFUSE_TRUNCATIONS) ? -1
+                                               : REAL (ftruncate) (fd, len);
+}
+
+int
+rename (const char *from, const char *to)
+{
+  return disk_refuses (REFUSE_RENAMES) ? -1 : REAL (rename) (from, to);
+}
+
+int
+open (const char *path, int flags, ...)
+{
+  va_list rest;
+  mode_t mode = 0;
+
+  va_start (rest, flags);
+  if (flags & O_CREAT)
+    mode = va_arg (rest, mode_t);
+  va_end (rest);
+  if (flags & O_CREAT && disk_refuses (REFUSE_NEW_FILES))
+    return -1;
+  return REAL (open) (path, flags, mode);
 }
 
 ssize_t
 write (int fd, const void *bytes, size_t len)
 {
-  return write_fails (fd) ? -1 : REAL (write) (fd, bytes, len);
+  return file_refuses (fd, REFUSE_WRITES) ? -1 : REAL (write) (fd, bytes, len);
 }
 
 ssize_t
 pwrite (int fd, const void *bytes, size_t len, off_t at)
 {
-  return write_fails (fd) ? -1 : REAL (pwrite) (fd, bytes, len, at);
+  return file_refuses (fd, REFUSE_WRITES) ? -1
+                                          : REAL (pwrite) (fd, bytes, len, at);
 }
 
 ssize_t
 writev (int fd, const struct iovec *parts, int n)
 {
-  return write_fails (fd) ? -1 : REAL (writev) (fd, parts, n);
+  return file_refuses (fd, REFUSE_WRITES) ? -1 : REAL (writev) (fd, parts, n);
 }
 
 /* Returns whether the connection to TARGET is refused, or changes *TARGET to a
--- a/tests/soak/soak_site.c
+++ b/tests/soak/soak_site.c
@@ -129,13 +129,13 @@
                    const soak_process_t *process,
                    int shift_ms,
                    int sync_ms,
-                   bool full)
+                   int full)
 {
   br_buf_t path = { 0 };
   br_buf_t text = { 0 };
 
   soak_process_path (soak, process, ".shim", &path);
-  br_buf_printf (&text, "%d %d %d\n", shift_ms, sync_ms, full ? 1 : 0);
+  br_buf_printf (&text, "%d %d %d\n", shift_ms, sync_ms, full);
   write_file (path.data, &text);
   br_buf_free (&path);
   br_buf_free (&text);
