--- a/src/shell/exchange_arrival.c
+++ b/src/shell/exchange_arrival.c
@@ -153,6 +153,14 @@
                           OTHER_VM_RETRY_AFTER_MS);
       return;
     }
+  if (exchange->inbound.relay_version > task->configuration->version
+      && exchange->is_relayed)
+    {
+      br_exchange_refuse (exchange,
+                          "the other entry VM has a newer configuration",
+                          OTHER_VM_RETRY_AFTER_MS);
+      return;
+    }
   exchange->configuration = br_configuration_ref (task->configuration);
   if (!exchange_resolve (exchange, &err))
     {
--- a/src/shell/exchange_relay.c
+++ b/src/shell/exchange_relay.c
@@ -397,6 +397,7 @@
                                      : exchange->inbound.last_event_id,
     .resumes = exchange->inbound.resumes,
     .attempts = exchange->relayed.attempts,
+    .version = exchange->task->configuration->version,
   };
 
   /* The stream that this request began, or takes up already. */
--- a/src/site/inbound.h
+++ b/src/site/inbound.h
@@ -31,6 +31,8 @@
   int relay_attempts;     /* upstreams that may run it then */
   br_str_t relay_nonce;   /* for the statement in the answer; empty: the other
                              entry VM reads no statement */
+  uint64_t relay_version; /* of the configuration that the other entry VM
+                             applies; 0: not given */
   br_ms_t deadline_ms;    /* how long the caller waits; 0: not given */
   bool has_tokens;
   uint32_t prompt_tokens;
