Entry: the end of an unframed answer is checked at leaving upstreams too

Cause: the check of such an end, a new connection to the upstream, was left out for upstreams that are draining or removed. Now it is made there too. process.platform_unframed_leaving failed before: 3 of 3 streams at a draining upstream, and 3 of 3 at a removed one, were complete with half of their events. It passes 3 of 3 times now; an upstream that leaves and still runs is believed.

--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -254,14 +254,12 @@
 /* --- ends without framing --- */
 
 /* Returns whether the end of the answer may be a crash: the close of the
- * connection ended it.  An upstream that leaves closes its last connection as
- * it stops. */
+ * connection ended it.  An upstream that leaves may be gone before it has sent
+ * all. */
 static bool
 exchange_end_may_be_crash (const br_exchange_t *exchange)
 {
   return br_http_client_ended_by_close (exchange->client)
-         && !exchange->upstream->listing.draining
-         && !exchange->upstream->removed
          && !br_event_stream_is_inside_event (&exchange->events);
 }
 
--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -36,6 +36,7 @@
 #define ERROR_TEXT                                                             \
   "HTTP/1.1 500 Answer\r\nContent-Type: text/plain\r\n\r\nspoiled\n\n"
 #define NAMED_STREAM_EVENTS 12
+#define LONG_STREAM_EVENTS 100
 
 /* Event at which a broken stream stops, in the middle. */
 #define BROKEN_EVENT 4
@@ -64,6 +65,7 @@
   X (NOISE, "noise") /* no HTTP at all */                                      \
   X (SILENT, "silent")                                                         \
   X (UNFRAMED_STREAM, "unframed-stream") /* six events, as in unframed */      \
+  X (UNFRAMED_LONG, "unframed-long")     /* a hundred events, likewise */      \
   X (CUT_EVENT, "cut-event")       /* ends as if complete inside the fourth */ \
   X (CUT_UNFRAMED, "cut-unframed") /* the same, as in unframed */              \
   X (UNFRAMED_CRASH, "unframed-crash") /* half an answer, as in unframed, and  \
@@ -357,7 +359,8 @@
 conn_is_unframed (const conn_t *conn)
 {
   return conn->mode == MODE_UNFRAMED || conn->mode == MODE_UNFRAMED_STREAM
-         || conn->mode == MODE_CUT_UNFRAMED || conn->mode == MODE_UNFRAMED_CRASH
+         || conn->mode == MODE_UNFRAMED_LONG || conn->mode == MODE_CUT_UNFRAMED
+         || conn->mode == MODE_UNFRAMED_CRASH
          || conn->mode == MODE_UNFRAMED_STREAM_CRASH
          || conn->mode == MODE_UNFRAMED_WHOLE_CRASH;
 }
@@ -454,8 +457,9 @@
   br_str_t last = br_http_head_find (&conn->head, "Last-Event-Id");
 
   conn->next_event = last.len > 0 ? atoi (last.data) : 0;
-  conn->last_event
-      = conn->mode == MODE_NAMED_STREAM ? NAMED_STREAM_EVENTS : STREAM_EVENTS;
+  conn->last_event = conn->mode == MODE_NAMED_STREAM    ? NAMED_STREAM_EVENTS
+                     : conn->mode == MODE_UNFRAMED_LONG ? LONG_STREAM_EVENTS
+                                                        : STREAM_EVENTS;
   if (conn->mode == MODE_REFUSE_REST && conn->next_event > 0)
     {
       printf ("{\"refused\":\"%s\"}\n", conn->runner->id);
@@ -475,7 +479,7 @@
     conn->next_event += conn->mode == MODE_REST_SKIP ? 1 : -1;
   /* Only the first attempt is cut off or faulty; the resume completes. */
   if (last.len > 0 && conn->mode != MODE_NAMED_STREAM
-      && conn->mode != MODE_RICH)
+      && conn->mode != MODE_UNFRAMED_LONG && conn->mode != MODE_RICH)
     conn->mode = MODE_STREAM;
   conn_send_head (conn, 200,
                   "X-Server-Stamp: s\r\n"
@@ -510,7 +514,8 @@
   else if (conn->mode == MODE_UNFRAMED
            || (conn->mode == MODE_CUT_UNFRAMED
                && conn->next_event == BROKEN_EVENT)
-           || (conn->mode == MODE_UNFRAMED_STREAM
+           || ((conn->mode == MODE_UNFRAMED_STREAM
+                || conn->mode == MODE_UNFRAMED_LONG)
                && conn->next_event == conn->last_event))
     conn_free (conn);
   else if (conn->mode == MODE_TRUNCATED
@@ -727,6 +732,7 @@
     case MODE_STREAM:
     case MODE_CRASH:
     case MODE_UNFRAMED_STREAM:
+    case MODE_UNFRAMED_LONG:
     case MODE_CUT_EVENT:
     case MODE_CUT_UNFRAMED:
     case MODE_UNFRAMED_STREAM_CRASH:
