Tests: builds side by side, VM by VM, forwards and back

make test-upgrade builds the version that deploy/system.toml names as production and replaces three or four control VMs and four entry VMs by the tree's build and back, stopped as planned or killed, beside callers of three kinds, relayed requests and changes. Checked: at most one run, true 'not run', whole streams, acknowledged changes read back from each control VM.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 FORMATTED = $(shell git ls-files -co --exclude-standard 'src/*.[ch]' 'platform/*.[ch]' 'tests/*.[ch]' 'tests/*.cc' 'bench/*.[ch]' | grep -v pb-c)
 
-.PHONY: all deps build build-sanitize check lint format demo bench clean
+.PHONY: all deps build build-sanitize check test-upgrade lint format demo bench clean
 
 all: build
 
@@ -20,6 +20,9 @@
 check: build-sanitize
 	./tools/run-tests build/sanitize
 
+test-upgrade: build
+	./tools/test-upgrade build/release
+
 lint: build
 	@clang-format --dry-run --Werror $(FORMATTED)
 	./tools/lint build/release
