--- a/src/replica/replica_private.h
+++ b/src/replica/replica_private.h
@@ -173,6 +173,11 @@
 /* Returns whether the disk lets this replica take proposals as the leader. */
 bool br_replica_takes_proposals (const br_replica_t *replica);
 
+/* Removes from MESSAGE what a replica whose disk refuses does not take. Returns
+ * false if nothing remains. */
+bool br_replica_reduce (const br_replica_t *replica,
+                        br_replica_message_t *message);
+
 /* Advances the time.  A pause of this process does not count as silence of the
  * leader. */
 void br_replica_advance (br_replica_t *replica, br_ms_t now);
