--- a/review/site-2.sh
+++ b/review/site-2.sh
@@ -1,11 +1,11 @@
 # Shell functions of the cases 6 to 10: a small site on loopback with the settings that
-# platform/settings.json.tmpl gives.  Set CASE (the folder of the case) before sourcing it.
+# platform/settings.json.tmpl gives.  Set CASE (the folder of the case) and RECORD (its
+# record.txt) before sourcing it.
 # All addresses are on the loopback network; ports begin at BASE.
 
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 BIN=$ROOT/target/review-2
 PROGRAM="$ROOT/target/briarrack serve"
-RECORD=$CASE/record.txt
 KEY=i9n73hh2b9wu3fexd9dn
 PIDS=()
 
