HTTP client: a reset upload no longer ends an answer without a length

Callers saw: an upstream answers a long upload at once with a 200 that has neither a length nor chunks, sends a part of its body and resets the connection, or closes it with the upload unread, while the request is still being written.

Cause: the end of the input was taken for the end of the answer.

Why the fix works: an error goes before an end in the same event, and an end counts only if the connection still is in TCP_CLOSE_WAIT and the upstream has acknowledged the whole request, or acknowledges more of it after its FIN: a peer that has closed both directions answers that with a reset. If neither comes in 500 ms the response fails as close_unproved, unless everything that was sent is acknowledged: then the peer keeps its socket open and full, which only a peer that shut down its sending side does. Bytes of the answer do not wait, only its end. An answer to a request that was received whole ends as before.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "http/http_reader.h"
+#include "http/peer_close.h"
 
 /* Maximum size of a response head; upstreams send a few hundred bytes. */
 #define HEAD_MAX_BYTES (32 * 1024)
@@ -20,6 +21,11 @@
  * allows a few retransmissions and is well below the deadline of a request. */
 #define USER_TIMEOUT_MS 3000
 
+/* After a close that a reset may follow, the connection is checked at this
+ * interval, and for this long, which allows a retransmission. */
+#define CLOSE_CHECK_INTERVAL_MS 5
+#define CLOSE_CHECK_MAX_MS 500
+
 typedef enum
 {
   CLIENT_IDLE,
@@ -33,15 +39,18 @@
   br_http_reader_t *reader;
   client_state_t state;
   bool connected;
-  size_t request_len;  /* bytes of the request in progress */
-  bool paused;         /* the response is not read for now */
-  bool skipping;       /* the current response is discarded */
-  bool skipped;        /* a response to another request was */
-  size_t n_responses;  /* heads reported */
-  size_t n_interim;    /* interim responses to the request in progress */
-  bool keep_alive;     /* of the last response */
-  bool framed;         /* the last response had a length or chunks */
-  bool ended_by_close; /* the last response */
+  size_t request_len;        /* bytes of the request in progress */
+  bool paused;               /* the response is not read for now */
+  bool skipping;             /* the current response is discarded */
+  bool skipped;              /* a response to another request was */
+  size_t n_responses;        /* heads reported */
+  size_t n_interim;          /* interim responses to the request in progress */
+  bool keep_alive;           /* of the last response */
+  bool framed;               /* the last response had a length or chunks */
+  bool ended_by_close;       /* the last response */
+  struct event *close_timer; /* reads CLOSE again; NULL: not closed */
+  br_peer_close_t close;     /* of a response that a close ends */
+  br_ms_t close_until_ms;
   br_ms_t idle_since_ms;
   br_ms_t keep_alive_ms;
   br_client_fn on_event;
@@ -67,6 +76,8 @@
 static void
 client_destroy (br_http_client_t *client)
 {
+  if (client->close_timer != NULL)
+    event_free (client->close_timer);
   bufferevent_free (client->bev);
   br_http_reader_free (client->reader);
   free (client);
@@ -209,23 +220,100 @@
   client_read (context);
 }
 
-/* Handles the close of the connection by the upstream, which completes a
- * response without a length. */
+/* --- ends of the connection --- */
+
+/* Must be called at the end of each callback of libevent. */
 static void
-client_on_eof (br_http_client_t *client)
+client_leave_callback (br_http_client_t *client)
 {
-  client->in_callback++;
-  if (client->state == CLIENT_BUSY && !client->skipping
-      && br_http_reader_finish (client->reader))
+  client->in_callback--;
+  if (client->freed && client->in_callback == 0)
+    client_destroy (client);
+}
+
+static size_t
+client_buffered (const br_http_client_t *client)
+{
+  return evbuffer_get_length (bufferevent_get_output (client->bev));
+}
+
+/* Completes a response without a length, which the upstream has ended in
+ * order. */
+static void
+client_finish (br_http_client_t *client)
+{
+  if (br_http_reader_finish (client->reader))
     {
       client->ended_by_close = true;
       client_read (client);
     }
   if (!client->freed && client->state != CLIENT_DEAD)
     client_fail (client, BR_CLIENT_FAULT_CLOSED);
-  client->in_callback--;
-  if (client->freed && client->in_callback == 0)
-    client_destroy (client);
+}
+
+/* Ends the response, or waits if it is not known yet whether the close is an
+ * orderly one. */
+static void
+client_check_close (br_http_client_t *client)
+{
+  static const struct timeval interval = { 0, CLOSE_CHECK_INTERVAL_MS * 1000 };
+  bool has_waited = br_clock_now (&clock_monotonic) >= client->close_until_ms;
+
+  switch (br_peer_close_kind (&client->close, has_waited))
+    {
+    case BR_PEER_CLOSE_ORDERLY:
+      client_finish (client);
+      return;
+    case BR_PEER_CLOSE_RESET:
+      client_fail (client, BR_CLIENT_FAULT_RESET);
+      return;
+    case BR_PEER_CLOSE_UNKNOWN:
+      if (has_waited)
+        client_fail (client, BR_CLIENT_FAULT_UNPROVED);
+      else
+        event_add (client->close_timer, &interval);
+      return;
+    }
+}
+
+static void
+on_close_timer (evutil_socket_t fd, short what, void *context)
+{
+  br_http_client_t *client = context;
+
+  (void)fd;
+  (void)what;
+  if (client->state != CLIENT_BUSY)
+    return;
+  br_peer_close_update (&client->close, bufferevent_getfd (client->bev),
+                        client_buffered (client));
+  client->in_callback++;
+  client_check_close (client);
+  client_leave_callback (client);
+}
+
+/* Handles the end of the input, which may complete a response without a
+ * length. */
+static void
+client_on_eof (br_http_client_t *client)
+{
+  if (client->close_timer != NULL)
+    return;
+  client->in_callback++;
+  if (client->state == CLIENT_BUSY && !client->skipping
+      && br_http_reader_needs_close (client->reader))
+    {
+      client->close_timer = evtimer_new (bufferevent_get_base (client->bev),
+                                         on_close_timer, client);
+      client->close = br_peer_close_begin (bufferevent_getfd (client->bev),
+                                           client_buffered (client));
+      client->close_until_ms
+          = br_clock_now (&clock_monotonic) + CLOSE_CHECK_MAX_MS;
+      client_check_close (client);
+    }
+  else
+    client_fail (client, BR_CLIENT_FAULT_CLOSED);
+  client_leave_callback (client);
 }
 
 static void
@@ -235,9 +323,7 @@
   client_fail (client, br_http_client_is_connected (client)
                            ? BR_CLIENT_FAULT_RESET
                            : BR_CLIENT_FAULT_CONNECT);
-  client->in_callback--;
-  if (client->freed && client->in_callback == 0)
-    client_destroy (client);
+  client_leave_callback (client);
 }
 
 static void
@@ -267,10 +353,12 @@
   (void)bev;
   if (what & BEV_EVENT_CONNECTED)
     client_on_connected (client);
-  else if (what & BEV_EVENT_EOF)
-    client_on_eof (client);
+  /* Behind an error that was reported while writing, reading returns the end of
+   * the input, and both come as one event. */
   else if (what & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
     client_on_error (client);
+  else if (what & BEV_EVENT_EOF)
+    client_on_eof (client);
 }
 
 br_http_client_t *
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -27,7 +27,8 @@
   X (CONNECT, "connect_failed") /* no byte of the request left this VM */      \
   X (CLOSED, "closed")          /* orderly, before the response ended */       \
   X (RESET, "reset")                                                           \
-  X (GARBLED, "garbled") /* not a valid HTTP response */
+  X (UNPROVED, "close_unproved") /* closed; whether in order is not known */   \
+  X (GARBLED, "garbled")         /* not a valid HTTP response */
 
 typedef enum
 {
--- a/src/http/http_reader.c
+++ b/src/http/http_reader.c
@@ -327,6 +327,13 @@
   return BR_HTTP_END;
 }
 
+bool
+br_http_reader_needs_close (const br_http_reader_t *reader)
+{
+  return !reader->failed && reader->state == READING_BODY && !reader->ended
+         && !reader->head.chunked && reader->head.content_length < 0;
+}
+
 bool
 br_http_reader_finish (br_http_reader_t *reader)
 {
--- a/src/http/http_reader.h
+++ b/src/http/http_reader.h
@@ -35,6 +35,9 @@
                                     size_t *used,
                                     br_error_t *err);
 
+/* Returns whether only the end of the stream completes the message. */
+bool br_http_reader_needs_close (const br_http_reader_t *reader);
+
 /* Handles the orderly end of the stream.  Returns true when it completes the
  * message, which is then a response without a length. */
 bool br_http_reader_finish (br_http_reader_t *reader);
--- a/src/shell/exchange_move.c
+++ b/src/shell/exchange_move.c
@@ -479,7 +479,8 @@
   bool is_close = event->kind == BR_CLIENT_END
                       ? br_http_client_ended_by_close (exchange->client)
                       : event->fault == BR_CLIENT_FAULT_CLOSED
-                            || event->fault == BR_CLIENT_FAULT_RESET;
+                            || event->fault == BR_CLIENT_FAULT_RESET
+                            || event->fault == BR_CLIENT_FAULT_UNPROVED;
 
   if (!is_close)
     return false;
