HTTP reader: a status is three digits from 100 to 599

Callers saw: an upstream in trouble answers with status 000 and keeps the connection open. No caller got that answer, but each waited until its deadline (504), and a repeat waited once more. 600 and 999 reached callers as they were, with the upstream's stamp; 0200 was taken for 200.

Cause: the reader took any number that the parser accepts. Below 200 it counts as an interim response, behind which nothing comes; above 599 as an answer. No place said what a status is.

Why the fix works: the check is in the one reader of responses, before the parser sees the head, so a client connection, a hedged copy, a moved run and an answer that another entry VM relays all have it. The response fails as "garbled", as other invalid heads do: the upstream counts as one that answers wrongly, and the request may have run. 101 is refused too, as no request asks for another protocol.

Already sound on this path, and kept in the test: a blank, a tab, a control byte, NUL, 0x7f, 0x80 or a quote in a name, a blank before the name or the colon, no name, no colon, control bytes in a value.

--- a/src/http/http_head.c
+++ b/src/http/http_head.c
@@ -171,3 +171,29 @@
     }
   return true;
 }
+
+#define STATUS_DIGITS 3
+
+bool
+br_http_head_has_status (br_str_t bytes, br_error_t *err)
+{
+  static const char version[] = "HTTP/1.x ";
+  const size_t at = sizeof version - 1;
+  int status = 0;
+
+  if (bytes.len <= at + STATUS_DIGITS || bytes.data[at - 1] != ' ')
+    return strict_fail (err, "the first line states no status");
+  for (size_t i = at; i < at + STATUS_DIGITS; i++)
+    {
+      if (bytes.data[i] < '0' || bytes.data[i] > '9')
+        return strict_fail (err, "the status is not of three digits");
+      status = 10 * status + bytes.data[i] - '0';
+    }
+  if (bytes.data[at + STATUS_DIGITS] != ' '
+      && bytes.data[at + STATUS_DIGITS] != '\r')
+    return strict_fail (err, "the status is not of three digits");
+  if (status < 100 || status > 599 || status == 101)
+    return br_error_set (err, BR_ERROR_INVALID, "read head", "",
+                         "the status is %d", status);
+  return true;
+}
--- a/src/http/http_reader.c
+++ b/src/http/http_reader.c
@@ -188,7 +188,9 @@
   br_str_t bytes = br_buf_str (&reader->head.bytes);
   size_t parsed;
 
-  if (!br_http_head_is_strict (bytes, err))
+  if (!br_http_head_is_strict (bytes, err)
+      || (reader->side == BR_HTTP_RESPONSES
+          && !br_http_head_has_status (bytes, err)))
     {
       reader->failed = true;
       return BR_HTTP_BAD;
--- a/tests/fakes/fake_abrupt.c
+++ b/tests/fakes/fake_abrupt.c
@@ -43,7 +43,7 @@
   X (SHUTDOWN, "shutdown") /* SHUT_WR, reads on for LINGER_MS, closes */       \
   X (STUCK, "stuck")       /* SHUT_WR, reads nothing more, stays open */       \
   X (READ, "read")         /* reads the whole request, and closes */           \
-  X (KEEP, "keep")         /* reads on until the other side closes */
+  X (KEEP, "keep")         /* takes further requests */
 
 typedef enum
 {
@@ -201,9 +201,8 @@
       poll (&closed, 1, -1);
       break;
     case END_READ:
-      return read_bytes (fd, rest, 0);
     case END_KEEP:
-      return read_bytes (fd, SIZE_MAX, 0);
+      return read_bytes (fd, rest, 0);
     }
   return 0;
 }
@@ -221,7 +220,9 @@
              : strtoul (length.data, NULL, 10) + head_len - request.len;
 }
 
-static void
+/* Answers REQUEST, of which only a part may have come.  Returns whether the
+ * connection stays open. */
+static bool
 connection_answer (int fd, br_str_t request, size_t head_len)
 {
   br_str_t id = find_value (request, "X-Request-Id: ", "\r");
@@ -233,7 +234,7 @@
       write_all (fd, br_str_from ("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
                                   "Content-Length: 2\r\n"
                                   "Connection: close\r\n\r\n{}"));
-      return;
+      return false;
     }
   printf ("{\"event\":\"run\",\"run\":\"%.*s\",\"end\":\"%s\"}\n", (int)id.len,
           id.data, end_names[spec.end]);
@@ -245,31 +246,40 @@
   printf ("{\"event\":\"end\",\"id\":\"%.*s\",\"read\":%zu}\n", (int)id.len,
           id.data, n_read + request.len);
   fflush (stdout);
+  return spec.end == END_KEEP;
 }
 
-static void *
-connection_run (void *context)
+/* Reads the start of a request to BYTES and answers it.  Returns whether
+ * another request may follow. */
+static bool
+connection_next (int fd, char *bytes)
 {
-  int fd = (int)(intptr_t)context;
-  char *bytes = br_alloc_zero (START_BYTES_MAX);
   size_t len = 0;
   spec_t spec;
+  ssize_t n;
 
-  while (len < START_BYTES_MAX)
+  while (len < START_BYTES_MAX
+         && (n = recv (fd, bytes + len, START_BYTES_MAX - len, 0)) > 0)
     {
-      ssize_t n = recv (fd, bytes + len, START_BYTES_MAX - len, 0);
-      br_str_t request = br_str_make (bytes, len += n > 0 ? (size_t)n : 0);
+      br_str_t request = br_str_make (bytes, len += (size_t)n);
       const char *head_end = memmem (bytes, len, "\r\n\r\n", 4);
 
-      if (n <= 0)
-        break;
-      if (head_end == NULL
-          || (!spec_read (request, &spec)
-              && br_str_starts_with (request, br_str_from ("POST"))))
-        continue;
-      connection_answer (fd, request, (size_t)(head_end - bytes) + 4);
-      break;
+      if (head_end != NULL
+          && (spec_read (request, &spec)
+              || !br_str_starts_with (request, br_str_from ("POST"))))
+        return connection_answer (fd, request, (size_t)(head_end - bytes) + 4);
     }
+  return false;
+}
+
+static void *
+connection_run (void *context)
+{
+  int fd = (int)(intptr_t)context;
+  char *bytes = br_alloc_zero (START_BYTES_MAX);
+
+  while (connection_next (fd, bytes))
+    continue;
   close (fd);
   free (bytes);
   return NULL;
--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -144,6 +144,31 @@
     }
 }
 
+TEST (HttpReader, RefusesResponsesWithoutASoundStatus)
+{
+  const char *const sound[] = { "200", "200 ", "200 OK", "499 Own", "599 x" };
+  const char *const unsound[] = {
+    "000 x", "0 x",   "00 x",   "099 x",  "20 x",  "020 x",  "0200 x", "101 x",
+    "600 x", "999 x", "1000 x", "+200 x", "2O0 x", " 200 x", "",       "-1 x",
+  };
+  const std::string rest = "\r\nContent-Length: 2\r\n\r\nok";
+
+  for (const char *status : sound)
+    EXPECT_EQ (
+        read (std::string ("HTTP/1.1 ") + status + rest, {}, BR_HTTP_RESPONSES)
+            .messages.size (),
+        1u)
+        << status;
+  for (const char *status : unsound)
+    {
+      Reading got = read (std::string ("HTTP/1.1 ") + status + rest, {},
+                          BR_HTTP_RESPONSES);
+
+      EXPECT_TRUE (got.bad) << status;
+      EXPECT_TRUE (got.messages.empty ()) << status;
+    }
+}
+
 TEST (HttpReader, RefusesATooLongHead)
 {
   Reading got = read (post ("Long: " + std::string (4000, 'x') + "\r\n"));
--- a/tests/process/platform_reset_upload.sh
+++ b/tests/process/platform_reset_upload.sh
@@ -19,18 +19,7 @@
   FAILED="$FAILED $*;"
 }
 
-# The upstreams of the site are stand-ins that answer as the request states.
-platform_upstreams() {
-  local i ports=
-  for i in 4 5 6 7; do ports="$ports --port $((BASE_PORT + i))"; done
-  site_start cloud "$BUILD/fake_cloud" --port $((BASE_PORT + 3)) \
-    --runner "r1,llm,castillos,$((BASE_PORT + 4))" \
-    --runner "r2,llm,castillos,$((BASE_PORT + 5))" \
-    --runner "p1,ledger,castillos,$((BASE_PORT + 6))" \
-    --runner "p2,ledger,castillos,$((BASE_PORT + 7))"
-  # shellcheck disable=SC2086
-  site_start abrupt "$BUILD/fake_abrupt" $ports
-}
+platform_upstreams() { abrupt_upstreams; }
 
 # answer_body ROUTE: prints what the upstream's body begins with, and KEPT of answer() cuts
 answer_body() {
--- a/tests/support/abrupt.sh
+++ b/tests/support/abrupt.sh
@@ -19,6 +19,19 @@
   } > "$1"
 }
 
+# Starts the platform's API and the upstreams of platform_site.sh, all as fake_abrupt.
+abrupt_upstreams() {
+  local i ports=
+  for i in 4 5 6 7; do ports="$ports --port $((BASE_PORT + i))"; done
+  site_start cloud "$BUILD/fake_cloud" --port $((BASE_PORT + 3)) \
+    --runner "r1,llm,castillos,$((BASE_PORT + 4))" \
+    --runner "r2,llm,castillos,$((BASE_PORT + 5))" \
+    --runner "p1,ledger,castillos,$((BASE_PORT + 6))" \
+    --runner "p2,ledger,castillos,$((BASE_PORT + 7))"
+  # shellcheck disable=SC2086
+  site_start abrupt "$BUILD/fake_abrupt" $ports
+}
+
 # Prints the first N events of a stream: abrupt_events N
 abrupt_events() {
   local i
