HTTP reader: no line of a head holds a control character

Callers saw: an answer with a control byte in its reason phrase came as a sound one. The phrase itself is not passed on.

Cause: of control characters, only a bare CR and NUL were looked for in all lines. The parser checks the values of fields, and a check of our own their names; the first line had neither.

Evidence: unit.http_reader_test with each of the 256 bytes in the reason phrase failed for 1 to 8, 11, 12, 14 to 31 and 127, for values for none. process.platform_unsound_heads failed (200 on four routes) and passes: 502.

Why the fix works: the check of the raw head covers every line before anything is parsed. Requests of callers have it too; their targets and values were checked by the parser already.

--- a/src/http/http_head.c
+++ b/src/http/http_head.c
@@ -146,6 +146,12 @@
   return true;
 }
 
+static bool
+char_is_control (unsigned char c)
+{
+  return (c < ' ' && c != '\t') || c == 0x7f;
+}
+
 bool
 br_http_head_is_strict (br_str_t bytes, br_error_t *err)
 {
@@ -160,9 +166,9 @@
       if (end == NULL || end == bytes.data || end[-1] != '\r')
         return strict_fail (err, "a line does not end in CR LF");
       len = (size_t)(end - bytes.data) - 1;
-      if (memchr (bytes.data, '\r', len) != NULL
-          || memchr (bytes.data, '\0', len) != NULL)
-        return strict_fail (err, "a line holds a bare CR or a NUL byte");
+      for (size_t i = 0; i < len; i++)
+        if (char_is_control ((unsigned char)bytes.data[i]))
+          return strict_fail (err, "a line holds a control character");
       if (!first && len > 0
           && !line_is_strict (br_str_make (bytes.data, len), &seen, err))
         return false;
--- a/src/http/http_head.h
+++ b/src/http/http_head.h
@@ -47,8 +47,8 @@
 bool br_http_head_is_hop_by_hop (const br_http_head_t *head, br_str_t name);
 
 /* Checks the raw bytes of a head for faults that a lenient parser accepts: bare
- * line feeds, folded lines, white space around a field name, and repeated
- * fields that may occur only once.  *ERR describes the fault. */
+ * line feeds, control characters, folded lines, white space around a field
+ * name, and repeated fields that may occur only once.  *ERR describes the fault. */
 bool br_http_head_is_strict (br_str_t bytes, br_error_t *err);
 
 /* Checks the raw bytes of a response's head: its first line must state a status
--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -169,6 +169,24 @@
     }
 }
 
+TEST (HttpReader, RefusesControlCharactersInEachLineOfAHead)
+{
+  for (int c = 0; c < 256; c++)
+    {
+      const std::string byte (1, static_cast<char> (c));
+      bool sound = (c >= ' ' && c != 0x7f) || c == '\t';
+      Reading reason
+          = read ("HTTP/1.1 200 a" + byte + "b\r\nContent-Length: 2\r\n\r\nok",
+                  {}, BR_HTTP_RESPONSES);
+      Reading value = read ("HTTP/1.1 200 OK\r\nPart: a" + byte
+                                + "b\r\nContent-Length: 2\r\n\r\nok",
+                            {}, BR_HTTP_RESPONSES);
+
+      EXPECT_EQ (reason.messages.size (), sound ? 1u : 0u) << c;
+      EXPECT_EQ (value.messages.size (), sound ? 1u : 0u) << c;
+    }
+}
+
 TEST (HttpReader, RefusesATooLongHead)
 {
   Reading got = read (post ("Long: " + std::string (4000, 'x') + "\r\n"));
--- a/tests/process/platform_unsound_heads.sh
+++ b/tests/process/platform_unsound_heads.sh
@@ -90,6 +90,7 @@
   refused value-control "$1" "$OK" 'X-Part: a\001b\r\n'
   refused value-delete "$1" "$OK" 'X-Part: a\177b\r\n'
   refused value-nul "$1" "$OK" 'X-Part: a\000b\r\n'
+  refused reason-control "$1" 'HTTP/1.1 200 O\001K'
   refused coding-blank "$1" "$OK" 'Transfer-Encoding : chunked\r\n'
   accepted plain "$1" "$OK" 200
   accepted reason-none "$1" 'HTTP/1.1 200' 200
