--- a/tests/process/platform_reset_upload.sh
+++ b/tests/process/platform_reset_upload.sh
@@ -5,7 +5,7 @@
 # Usage: platform_reset_upload.sh BUILD
 set -u
 BUILD=$1
-BASE_PORT=32980
+BASE_PORT=22200
 SITE_SECONDS=250
 . "$(dirname "$0")/../support/platform_site.sh"
 . "$(dirname "$0")/../support/platform_cut.sh"
--- a/tests/process/platform_unsound_heads.sh
+++ b/tests/process/platform_unsound_heads.sh
@@ -4,7 +4,7 @@
 # Usage: platform_unsound_heads.sh BUILD
 set -u
 BUILD=$1
-BASE_PORT=33020
+BASE_PORT=22300
 SITE_SECONDS=250
 . "$(dirname "$0")/../support/platform_site.sh"
 . "$(dirname "$0")/../support/platform_cut.sh"
