Upstream task: answers whose head is not sound fail

Callers of plain services and engines on sites with settings of their own saw: 200 with a name of a field that held a blank, a tab, a control byte or a quote, or none; a body of chunk sizes and all behind "Transfer-Encoding : chunked" beside a length; 600 and 999 as they were; status 1000 in a status line that curl does not read.

Cause: answers are read by evhttp here, which splits a line of a head at its first colon and takes what is before it for the name, takes any number for the status, and uses the first of two lengths. Only answers on the platform's path had the strict reader.

Why the fix works: the raw bytes of an answer are read by http_reader up to the end of the final head, before evhttp has them. What a sound head is, is said there alone, and an attempt that fails is not taken up by what evhttp reads later. The fault is counted as a protocol error and logged with its reason.

The limits on what was received move to answer_watch.c with it.

--- a/src/http/http_head.h
+++ b/src/http/http_head.h
@@ -48,12 +48,13 @@
 
 /* Checks the raw bytes of a head for faults that a lenient parser accepts: bare
  * line feeds, control characters, folded lines, white space around a field
- * name, and repeated fields that may occur only once.  *ERR describes the fault. */
+ * name, and repeated fields that may occur only once.  *ERR describes the
+ * fault. */
 bool br_http_head_is_strict (br_str_t bytes, br_error_t *err);
 
 /* Checks the raw bytes of a response's head: its first line must state a status
- * of three digits from 100 to 599 (RFC 9110, section 15).  101 is refused, as no
- * request asks for another protocol. */
+ * of three digits from 100 to 599 (RFC 9110, section 15).  101 is refused, as
+ * no request asks for another protocol. */
 bool br_http_head_has_status (br_str_t bytes, br_error_t *err);
 
 BR_END_DECLS
--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -9,7 +9,7 @@
 #include <string.h>
 #include <uthash.h>
 
-#include "http/framing.h"
+#include "shell/answer_watch.h"
 #include "shell/connection_pool.h"
 #include "shell/domain_task.h"
 #include "shell/upstream_check.h"
@@ -21,17 +21,6 @@
  * first. */
 #define HTTP_TIMEOUT_S 3600
 
-/* Limits on the head and the body of an answer, in bytes.  The whole answer is
- * kept in memory until its caller has read it.  The longest answers of engines
- * are about 100 KB. */
-#define ANSWER_HEAD_MAX_BYTES 65536
-#define ANSWER_BODY_MAX_BYTES (4 * 1024 * 1024)
-
-/* Most bytes of all answers that are being received.  An answer up to
- * ANSWER_SMALL_BYTES is received in any case. */
-#define ANSWERS_MAX_BYTES (8 * 1024 * 1024)
-#define ANSWER_SMALL_BYTES (128 * 1024)
-
 typedef struct
 {
   uint64_t number;
@@ -47,8 +36,7 @@
   bool reused; /* the connection has carried an earlier attempt */
   struct evbuffer_cb_entry *output_cb;
   struct evbuffer_cb_entry *input_cb;
-  uint64_t received;      /* bytes of the answer */
-  uint64_t body_received; /* those of its body */
+  br_answer_watch_t watch;
   struct event *timer;
   const char *step; /* "connect", "first token" or "token gap" */
   bool stream;
@@ -143,7 +131,7 @@
 attempt_free (attempt_t *attempt, bool reuse)
 {
   attempt_release_connection (attempt, reuse);
-  attempt->task->received -= attempt->received;
+  br_answer_watch_release (&attempt->watch);
   HASH_DEL (attempt->task->attempts, attempt);
   event_free (attempt->timer);
   br_sse_free (&attempt->sse);
@@ -271,23 +259,6 @@
   attempt_fail_soon (attempt, BR_ERROR_UPSTREAM, fault);
 }
 
-/* Returns which limit of what was received is exceeded, or NULL.  evhttp has
- * not read UNREAD bytes yet, as they are a part of a chunk or of a line. */
-static const char *
-attempt_excess (const attempt_t *attempt, size_t unread)
-{
-  uint64_t framing = attempt->received - unread - attempt->body_received;
-
-  if (unread > ANSWER_BODY_MAX_BYTES)
-    return "a chunk of the answer is too long";
-  if (br_http_framing_is_excessive (framing, attempt->body_received))
-    return "the answer has too much beside its body";
-  if (attempt->received > ANSWER_SMALL_BYTES
-      && attempt->task->received > ANSWERS_MAX_BYTES)
-    return "the answers of all requests are too long";
-  return NULL;
-}
-
 /* What a reused connection brings before the request has been sent whole is not
  * the answer to it. */
 static void
@@ -296,19 +267,24 @@
                   void *context)
 {
   attempt_t *attempt = context;
-  const char *excess;
+  br_answer_fault_t fault;
 
   if (info->n_added == 0 || attempt->fault != NULL)
     return;
-  attempt->received += info->n_added;
-  attempt->task->received += info->n_added;
+  fault = br_answer_watch_take (&attempt->watch, buffer, info->n_added);
   if (attempt->reused && br_connection_has_unsent (attempt->connection))
     attempt_fail_out_of_turn (
         attempt, info->n_added,
         "an answer began before the request had been sent");
-  excess = attempt_excess (attempt, evbuffer_get_length (buffer));
-  if (excess != NULL)
-    attempt_fail_soon (attempt, BR_ERROR_UPSTREAM, excess);
+  if (fault.text == NULL || attempt->fault != NULL)
+    return;
+  if (fault.code == BR_ERROR_PROTOCOL)
+    {
+      attempt->step = "read head";
+      br_counters_add (&attempt->task->node->counters,
+                       BR_COUNTER_PROTOCOL_ERRORS, 1);
+    }
+  attempt_fail_soon (attempt, fault.code, fault.text);
 }
 
 static void
@@ -401,7 +377,7 @@
       evbuffer_drain (input, len);
       return;
     }
-  attempt->body_received += len;
+  attempt->watch.body += len;
   attempt_open (attempt);
   if (!attempt_is_event_stream (attempt))
     {
@@ -505,9 +481,9 @@
         task->node->base, NULL, attempt->address, attempt->port);
   evhttp_connection_set_timeout (attempt->connection, HTTP_TIMEOUT_S);
   evhttp_connection_set_max_headers_size (attempt->connection,
-                                          ANSWER_HEAD_MAX_BYTES);
+                                          BR_ANSWER_HEAD_MAX_BYTES);
   evhttp_connection_set_max_body_size (attempt->connection,
-                                       ANSWER_BODY_MAX_BYTES);
+                                       BR_ANSWER_BODY_MAX_BYTES);
 }
 
 uint64_t
@@ -528,6 +504,7 @@
   if (options->contract != NULL)
     snprintf (attempt->contract, sizeof attempt->contract, "%s",
               options->contract);
+  br_answer_watch_init (&attempt->watch, &task->received);
   attempt_connect (attempt, options);
   attempt->timer = evtimer_new (task->node->base, attempt_on_timer, attempt);
   HASH_ADD (hh, task->attempts, number, sizeof attempt->number, attempt);
@@ -621,6 +598,7 @@
     HASH_DEL (task->attempts, attempt);
     event_free (attempt->timer);
     br_sse_free (&attempt->sse);
+    br_answer_watch_release (&attempt->watch);
     free (attempt);
   }
   br_upstream_checks_free (task->checks);
--- a/tests/fakes/fake_abrupt.c
+++ b/tests/fakes/fake_abrupt.c
@@ -220,12 +220,21 @@
              : strtoul (length.data, NULL, 10) + head_len - request.len;
 }
 
+/* Returns how the sender names the request, or an empty view. */
+static br_str_t
+request_id (br_str_t request)
+{
+  br_str_t id = find_value (request, "X-Request-Id: ", "\r");
+
+  return id.len > 0 ? id : find_value (request, "Idempotency-Key: ", "\r");
+}
+
 /* Answers REQUEST, of which only a part may have come.  Returns whether the
  * connection stays open. */
 static bool
 connection_answer (int fd, br_str_t request, size_t head_len)
 {
-  br_str_t id = find_value (request, "X-Request-Id: ", "\r");
+  br_str_t id = request_id (request);
   spec_t spec = { 0 };
   size_t n_read;
 
