HTTP calls: an answer whose head is not sound is none

What was seen: calls of the platform's interface, probes of upstreams and orders to move a run took the status of an answer with an invalid head: 0200, 600 and 1000 as they were, 200 with a blank or a control byte in a name, a control byte in a value, two lengths, or "Transfer-Encoding : chunked" beside a length. An order could count as carried out, or a body be read with another length.

Cause: evhttp alone read these answers, as on the path of plain services.

The flag that ends a call early now also holds if evhttp completes the answer in the same turn.

Already sound, and kept as tests: an answer without a length that a reset or a close cuts while the call's body is being written is none.

--- a/src/http/head_check.c
+++ b/src/http/head_check.c
@@ -28,10 +28,8 @@
   free (check);
 }
 
-bool
-br_http_head_check_feed (br_http_head_check_t *check,
-                         br_str_t bytes,
-                         br_error_t *err)
+static bool
+check_read (br_http_head_check_t *check, br_str_t bytes, br_error_t *err)
 {
   while (!check->is_over)
     {
@@ -51,7 +49,22 @@
 }
 
 bool
-br_http_head_check_is_over (const br_http_head_check_t *check)
+br_http_head_check_take (br_http_head_check_t *check,
+                         struct evbuffer *input,
+                         size_t n_added,
+                         br_error_t *err)
 {
-  return check->is_over;
+  size_t before = evbuffer_get_length (input) - n_added;
+  struct evbuffer_ptr from;
+  br_buf_t bytes = { 0 };
+  bool is_sound;
+
+  if (check->is_over)
+    return true;
+  br_buf_reserve (&bytes, n_added);
+  evbuffer_ptr_set (input, &from, before, EVBUFFER_PTR_SET);
+  evbuffer_copyout_from (input, &from, bytes.data, n_added);
+  is_sound = check_read (check, br_str_make (bytes.data, n_added), err);
+  br_buf_free (&bytes);
+  return is_sound;
 }
--- a/src/http/head_check.h
+++ b/src/http/head_check.h
@@ -3,6 +3,8 @@
 #ifndef BR_HTTP_HEAD_CHECK_H
 #define BR_HTTP_HEAD_CHECK_H
 
+#include <event2/buffer.h>
+
 #include "base/error.h"
 
 BR_BEGIN_DECLS
@@ -13,16 +15,14 @@
 br_http_head_check_t *br_http_head_check_new (size_t head_max);
 void br_http_head_check_free (br_http_head_check_t *check);
 
-/* Takes the next bytes of the response.  Returns false, and *ERR describes the
- * fault, if a head among them is invalid.  Once the head of the final response
- * has been read, the rest is ignored. */
-bool br_http_head_check_feed (br_http_head_check_t *check,
-                              br_str_t bytes,
+/* Takes the last N_ADDED bytes of INPUT, which the other parser has not read.
+ * Returns false, and *ERR describes the fault, if a head among them is invalid.
+ * What follows the head of the final response is ignored. */
+bool br_http_head_check_take (br_http_head_check_t *check,
+                              struct evbuffer *input,
+                              size_t n_added,
                               br_error_t *err);
 
-/* Returns whether the head of the final response has been read. */
-bool br_http_head_check_is_over (const br_http_head_check_t *check);
-
 BR_END_DECLS
 
 #endif
--- a/src/shell/answer_watch.c
+++ b/src/shell/answer_watch.c
@@ -39,27 +39,6 @@
   return NULL;
 }
 
-static bool
-watch_check_head (br_answer_watch_t *watch,
-                  struct evbuffer *input,
-                  size_t n_added)
-{
-  size_t before = evbuffer_get_length (input) - n_added;
-  struct evbuffer_ptr from;
-  br_buf_t bytes = { 0 };
-  bool is_sound;
-
-  if (br_http_head_check_is_over (watch->head))
-    return true;
-  br_buf_reserve (&bytes, n_added);
-  evbuffer_ptr_set (input, &from, before, EVBUFFER_PTR_SET);
-  evbuffer_copyout_from (input, &from, bytes.data, n_added);
-  is_sound = br_http_head_check_feed (
-      watch->head, br_str_make (bytes.data, n_added), &watch->head_error);
-  br_buf_free (&bytes);
-  return is_sound;
-}
-
 br_answer_fault_t
 br_answer_watch_take (br_answer_watch_t *watch,
                       struct evbuffer *input,
@@ -70,7 +49,9 @@
   watch->received += n_added;
   *watch->together += n_added;
   fault.text = watch_excess (watch, evbuffer_get_length (input));
-  if (fault.text == NULL && !watch_check_head (watch, input, n_added))
+  if (fault.text == NULL
+      && !br_http_head_check_take (watch->head, input, n_added,
+                                   &watch->head_error))
     fault = (br_answer_fault_t){ BR_ERROR_PROTOCOL, watch->head_error.text };
   return fault;
 }
--- a/src/shell/http_call.c
+++ b/src/shell/http_call.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include "http/framing.h"
+#include "http/head_check.h"
 
 #define ANSWER_HEAD_MAX_BYTES 65536
 
@@ -18,7 +19,8 @@
   struct evhttp_request *request; /* NULL once evhttp has ended it */
   struct event *timer;            /* the timeout, then the end of the call */
   uint64_t received;              /* bytes of the answer */
-  bool is_too_long;               /* the timer is about to end the call */
+  br_http_head_check_t *head_check;
+  bool has_bad_answer; /* the timer is about to end the call */
   br_http_call_cb_t done;
   void *context;
   int status;
@@ -62,6 +64,7 @@
     }
   evhttp_connection_free (call->connection);
   event_free (call->timer);
+  br_http_head_check_free (call->head_check);
   br_buf_free (&call->body);
   free (call);
 }
@@ -99,7 +102,7 @@
   call_t *call = context;
 
   call->request = NULL;
-  if (request != NULL)
+  if (request != NULL && !call->has_bad_answer)
     {
       struct evbuffer *input = evhttp_request_get_input_buffer (request);
       size_t len = evbuffer_get_length (input);
@@ -112,8 +115,9 @@
   call_set_timer (call, 0);
 }
 
-/* Ends the call when its answer has too much beside the body.  evhttp limits
- * neither interim answers nor trailers. */
+/* Ends the call when its answer has too much beside the body, or an invalid
+ * head.  evhttp limits neither interim answers nor trailers, and accepts such
+ * heads. */
 static void
 call_on_input (struct evbuffer *buffer,
                const struct evbuffer_cb_info *info,
@@ -122,15 +126,18 @@
   call_t *call = context;
   uint64_t body;
   uint64_t unread = evbuffer_get_length (buffer);
+  br_error_t err;
 
   call->received += info->n_added;
-  if (info->n_added == 0 || call->request == NULL || call->is_too_long)
+  if (info->n_added == 0 || call->request == NULL || call->has_bad_answer)
     return;
   body = evbuffer_get_length (evhttp_request_get_input_buffer (call->request));
-  call->is_too_long
+  call->has_bad_answer
       = unread > BR_HTTP_CALL_BODY_MAX
-        || br_http_framing_is_excessive (call->received - unread - body, body);
-  if (call->is_too_long)
+        || br_http_framing_is_excessive (call->received - unread - body, body)
+        || !br_http_head_check_take (call->head_check, buffer, info->n_added,
+                                     &err);
+  if (call->has_bad_answer)
     event_active (call->timer, EV_TIMEOUT, 0);
 }
 
@@ -169,6 +176,7 @@
   call->next = calls->first;
   calls->first = call;
   call->timer = evtimer_new (calls->base, call_on_timer, call);
+  call->head_check = br_http_head_check_new (ANSWER_HEAD_MAX_BYTES);
   call->connection = evhttp_connection_base_new (
       calls->base, NULL, options->address, options->port);
   evhttp_connection_set_max_headers_size (call->connection,
--- a/tests/http_call_test.cc
+++ b/tests/http_call_test.cc
@@ -1,12 +1,15 @@
-/* Checks that a call that was given up is not delivered later, and that an
- * answer without end ends its call. */
+/* Checks that a call that was given up is not delivered later, that an answer
+ * without end ends its call, and that an answer that was cut or has an invalid
+ * head is none. */
 #include <arpa/inet.h>
 #include <event2/event.h>
 #include <gtest/gtest.h>
 #include <poll.h>
+#include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <functional>
 #include <string>
 #include <thread>
 
@@ -180,3 +183,138 @@
       event_base_free (base);
     }
 }
+
+/* Returns the status of a call with a body of BODY_LEN bytes to a peer that
+ * handles its connection with PEER, which closes it. */
+static int
+call_status (size_t body_len, const std::function<void (int)> &handle)
+{
+  struct event_base *base = event_base_new ();
+  br_http_calls_t *calls = br_http_calls_new (base);
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in address = {};
+  socklen_t len = sizeof address;
+  std::string body (body_len, 'x');
+  br_http_call_options_t options = {};
+  int buffer_bytes = PEER_BUFFER_BYTES;
+  int status = -1;
+
+  signal (SIGPIPE, SIG_IGN);
+  setsockopt (listener, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+              sizeof buffer_bytes);
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  EXPECT_EQ (bind (listener, (struct sockaddr *)&address, sizeof address), 0);
+  EXPECT_EQ (listen (listener, 1), 0);
+  EXPECT_EQ (getsockname (listener, (struct sockaddr *)&address, &len), 0);
+  options.address = "127.0.0.1";
+  options.port = ntohs (address.sin_port);
+  options.method = EVHTTP_REQ_POST;
+  options.path = "/order";
+  options.body = br_str_make (body.data (), body.size ());
+  options.timeout_ms = 5000;
+  options.done = on_done;
+  options.context = &status;
+  std::thread peer ([&] { handle (accept (listener, nullptr, nullptr)); });
+  br_http_call (calls, &options);
+  while (status < 0)
+    event_base_loop (base, EVLOOP_ONCE);
+  br_http_calls_free (calls);
+  event_base_loop (base, EVLOOP_NONBLOCK);
+  peer.join ();
+  close (listener);
+  event_base_free (base);
+  return status;
+}
+
+/* Sends ANSWER when the request has begun. */
+static void
+send_answer (int fd, const std::string &answer)
+{
+  char byte;
+
+  recv (fd, &byte, 1, MSG_PEEK);
+  send (fd, answer.data (), answer.size (), MSG_NOSIGNAL);
+}
+
+static const std::string unframed = "HTTP/1.1 200 OK\r\n\r\n[1, 2";
+static const size_t long_body = 4 * 1024 * 1024;
+
+TEST (HttpCall, AnswerCutByAResetIsNone)
+{
+  EXPECT_EQ (call_status (long_body,
+                          [] (int fd) {
+                            struct linger now = { 1, 0 };
+
+                            send_answer (fd, unframed);
+                            setsockopt (fd, SOL_SOCKET, SO_LINGER, &now,
+                                        sizeof now);
+                            close (fd);
+                          }),
+             0);
+}
+
+TEST (HttpCall, AnswerCutByACloseBeforeTheRequestWasReadIsNone)
+{
+  EXPECT_EQ (call_status (long_body,
+                          [] (int fd) {
+                            char bytes[16384];
+
+                            send_answer (fd, unframed);
+                            while (recv (fd, bytes, sizeof bytes, MSG_DONTWAIT)
+                                   > 0)
+                              ;
+                            close (fd);
+                          }),
+             0);
+}
+
+TEST (HttpCall, AnswerThatEndsInOrderIsWhole)
+{
+  EXPECT_EQ (call_status (2,
+                          [] (int fd) {
+                            char bytes[16384];
+
+                            send_answer (fd, unframed);
+                            shutdown (fd, SHUT_WR);
+                            while (recv (fd, bytes, sizeof bytes, 0) > 0)
+                              ;
+                            close (fd);
+                          }),
+             200);
+}
+
+TEST (HttpCall, AnswerWithAnInvalidHeadIsNone)
+{
+  static const std::string length = "Content-Length: 2\r\n\r\n{}";
+  static const struct
+  {
+    std::string answer;
+    int status;
+  } cases[] = {
+    { "HTTP/1.1 200 OK\r\n" + length, 200 },
+    { "HTTP/1.1 404 None\r\nPart: a\r\n" + length, 404 },
+    { "HTTP/1.1 000 OK\r\n" + length, 0 },
+    { "HTTP/1.1 0200 OK\r\n" + length, 0 },
+    { "HTTP/1.1 600 OK\r\n" + length, 0 },
+    { "HTTP/1.1 1000 OK\r\n" + length, 0 },
+    { "HTTP/1.1 200 OK\r\nA Part: a\r\n" + length, 0 },
+    { "HTTP/1.1 200 OK\r\nA\001Part: a\r\n" + length, 0 },
+    { "HTTP/1.1 200 OK\r\nPart: a\001\r\n" + length, 0 },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + length, 0 },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + length, 0 },
+  };
+
+  for (const auto &each : cases)
+    EXPECT_EQ (call_status (2,
+                            [&] (int fd) {
+                              char bytes[4096];
+
+                              send_answer (fd, each.answer);
+                              while (recv (fd, bytes, sizeof bytes, 0) > 0)
+                                ;
+                              close (fd);
+                            }),
+               each.status)
+        << each.answer;
+}
