Log and counters: how the connection of a failed answer ended

An answer that a reset cut, one whose close is not proved to be in order, and one that is not valid HTTP could not be told apart in the counters, and a "garbled" answer not from another. attempt_failed now has `received` (bytes of the body), `unacked` (bytes of the request that the upstream has not acknowledged) and `fault` (why the answer is not valid); answers_reset_total, answers_cut_total, answers_unproved_total and answers_invalid_total count them, for hedged copies, relayed answers and the path of services and engines too. process.platform_reset_upload and process.platform_unsound_heads check both.

--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -19,6 +19,15 @@
   X (REQUESTS_FAILED, "requests_failed_total", "Requests that failed")         \
   X (ATTEMPTS, "attempts_total", "Attempts sent to upstreams")                 \
   X (ATTEMPTS_FAILED, "attempts_failed_total", "Attempts that failed")         \
+  X (ANSWERS_RESET, "answers_reset_total",                                     \
+     "Answers whose connection was reset")                                     \
+  X (ANSWERS_CUT, "answers_cut_total",                                         \
+     "Answers whose connection was closed before their end")                   \
+  X (ANSWERS_UNPROVED, "answers_unproved_total",                               \
+     "Answers without a length whose connection was closed, whether in order " \
+     "is not known")                                                           \
+  X (ANSWERS_INVALID, "answers_invalid_total",                                 \
+     "Answers that are not valid HTTP")                                        \
   X (HEDGES, "hedges_total", "Copies of slow requests sent")                   \
   X (HEDGES_WON, "hedges_won_total", "Copies that were answered first")        \
   X (HEDGES_LOST, "hedges_lost_total",                                         \
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -51,6 +51,8 @@
   struct event *close_timer; /* reads CLOSE again; NULL: not closed */
   br_peer_close_t close;     /* of a response that a close ends */
   br_ms_t close_until_ms;
+  uint64_t received; /* bytes of the body */
+  br_error_t error;  /* of a response that is not valid */
   br_ms_t idle_since_ms;
   br_ms_t keep_alive_ms;
   br_client_fn on_event;
@@ -153,6 +155,7 @@
   client->keep_alive = head->keep_alive;
   client->framed = head->chunked || head->content_length >= 0;
   client->keep_alive_ms = head_keep_alive_ms (head);
+  client->received = 0;
   client->n_responses++;
   return client_emit (client, event);
 }
@@ -180,7 +183,6 @@
 client_read (br_http_client_t *client)
 {
   struct evbuffer *input = bufferevent_get_input (client->bev);
-  br_error_t err;
   bool alive = true;
 
   client->in_callback++;
@@ -191,12 +193,13 @@
       br_client_event_t event = { .kind = BR_CLIENT_BODY };
       size_t used = 0;
       br_http_step_t step = br_http_reader_next (
-          client->reader, br_str_make (data, len), &used, &err);
+          client->reader, br_str_make (data, len), &used, &client->error);
 
       evbuffer_drain (input, used);
       if (step == BR_HTTP_NEED_MORE)
         break;
       event.body = br_http_reader_body (client->reader);
+      client->received += step == BR_HTTP_BODY ? event.body.len : 0;
       if (step == BR_HTTP_HEAD)
         alive = client_on_head (client);
       else if (step == BR_HTTP_BODY && !client->skipping)
@@ -395,6 +398,7 @@
   client->request_len = request.len;
   client->skipping = false;
   client->n_interim = 0;
+  client->received = 0;
   bufferevent_write (client->bev, request.data, request.len);
 }
 
@@ -447,6 +451,19 @@
   return client->connected || br_http_client_has_sent (client);
 }
 
+br_client_progress_t
+br_http_client_progress (const br_http_client_t *client)
+{
+  br_peer_close_t close = br_peer_close_begin (bufferevent_getfd (client->bev),
+                                               client_buffered (client));
+
+  return (br_client_progress_t){
+    .received = client->received,
+    .unacked = close.unacked,
+    .fault = client->error.text,
+  };
+}
+
 br_ms_t
 br_http_client_idle_since (const br_http_client_t *client)
 {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -94,6 +94,18 @@
 bool br_http_client_has_sent (const br_http_client_t *client);
 bool br_http_client_is_connected (const br_http_client_t *client);
 
+/* What is known of the response in progress, or of the last one, for the log.
+ */
+typedef struct
+{
+  uint64_t received; /* bytes of its body */
+  size_t unacked;    /* bytes of the request that the upstream has not
+                      * acknowledged */
+  const char *fault; /* why it is not valid HTTP, or empty; a view */
+} br_client_progress_t;
+
+br_client_progress_t br_http_client_progress (const br_http_client_t *client);
+
 /* Return when the last response ended, and for how long the upstream announced
  * to keep the idle connection open; 0 if it announced nothing. */
 br_ms_t br_http_client_idle_since (const br_http_client_t *client);
--- a/src/shell/exchange_answer.c
+++ b/src/shell/exchange_answer.c
@@ -279,6 +279,8 @@
 void
 br_exchange_end_unproved (br_exchange_t *exchange)
 {
+  br_counters_add (&exchange->task->node->counters, BR_COUNTER_ANSWERS_UNPROVED,
+                   1);
   exchange->end_unproved = true;
   br_exchange_fail_attempt (exchange, "end_unproved", true, BR_RESULT_BROKEN);
 }
@@ -469,6 +471,31 @@
                               BR_RESULT_FAILED);
 }
 
+br_result_kind_t
+br_exchange_count_fault (br_entry_task_t *task, br_client_fault_t fault)
+{
+  br_counters_t *counters = &task->node->counters;
+
+  switch (fault)
+    {
+    case BR_CLIENT_FAULT_CONNECT:
+      return BR_RESULT_UNREACHABLE;
+    case BR_CLIENT_FAULT_CLOSED:
+      br_counters_add (counters, BR_COUNTER_ANSWERS_CUT, 1);
+      return BR_RESULT_BROKEN;
+    case BR_CLIENT_FAULT_RESET:
+      br_counters_add (counters, BR_COUNTER_ANSWERS_RESET, 1);
+      return BR_RESULT_BROKEN;
+    case BR_CLIENT_FAULT_UNPROVED:
+      br_counters_add (counters, BR_COUNTER_ANSWERS_UNPROVED, 1);
+      return BR_RESULT_BROKEN;
+    case BR_CLIENT_FAULT_GARBLED:
+      br_counters_add (counters, BR_COUNTER_ANSWERS_INVALID, 1);
+      return BR_RESULT_FAILED;
+    }
+  return BR_RESULT_BROKEN;
+}
+
 void
 br_exchange_on_end (br_exchange_t *exchange, const br_client_event_t *event)
 {
@@ -476,9 +503,7 @@
     br_exchange_fail_attempt (
         exchange, br_client_fault_name (event->fault),
         br_http_client_has_sent (exchange->client),
-        event->fault == BR_CLIENT_FAULT_CONNECT   ? BR_RESULT_UNREACHABLE
-        : event->fault == BR_CLIENT_FAULT_GARBLED ? BR_RESULT_FAILED
-                                                  : BR_RESULT_BROKEN);
+        br_exchange_count_fault (exchange->task, event->fault));
   else if (exchange_end_may_be_crash (exchange))
     exchange_check_end (exchange);
   else
--- a/src/shell/exchange_end.c
+++ b/src/shell/exchange_end.c
@@ -131,7 +131,10 @@
   br_repeat_limits_t limits = br_entry_repeat_limits (exchange->task);
   char content[BR_CONTENT_DIGITS];
   char parts[PARTS_TEXT_MAX];
+  br_client_progress_t progress = { .fault = "" };
 
+  if (exchange->client != NULL)
+    progress = br_http_client_progress (exchange->client);
   BR_LOG (
       &exchange->task->node->log, "request", "attempt_failed",
       br_field_str ("id", exchange->inbound.id),
@@ -142,11 +145,13 @@
       br_field_int ("born", (int64_t)upstream->listing.started_ms),
       br_field_z ("version", upstream->listing.version.data),
       br_field_z ("peer", upstream->listing.address.data),
-      br_field_z ("cause", cause), br_field_int ("may_have_run", may_have_run),
-      br_field_z ("next", next),
+      br_field_z ("cause", cause), br_field_z ("fault", progress.fault),
+      br_field_int ("may_have_run", may_have_run), br_field_z ("next", next),
       br_field_int ("attempt_ms", now - exchange->sent_ms),
       br_field_int ("events", (int64_t)exchange->events.passed),
       br_field_z ("framing", exchange->framing),
+      br_field_int ("received", (int64_t)progress.received),
+      br_field_int ("unacked", (int64_t)progress.unacked),
       br_field_int ("inside_event",
                     br_event_stream_is_inside_event (&exchange->events)),
       br_field_int ("answering", exchange->had_first_event),
--- a/src/shell/exchange_hedge.c
+++ b/src/shell/exchange_hedge.c
@@ -382,10 +382,7 @@
     case BR_CLIENT_LOST:
       hedge_fail (exchange, br_client_fault_name (event->fault),
                   br_http_client_has_sent (client),
-                  event->fault == BR_CLIENT_FAULT_CONNECT
-                      ? BR_RESULT_UNREACHABLE
-                  : event->fault == BR_CLIENT_FAULT_GARBLED ? BR_RESULT_FAILED
-                                                            : BR_RESULT_BROKEN);
+                  br_exchange_count_fault (exchange->task, event->fault));
       break;
     }
 }
--- a/src/shell/exchange_private.h
+++ b/src/shell/exchange_private.h
@@ -292,6 +292,13 @@
  * its upstream may have crashed without breaking the connection. */
 void br_exchange_record_unanswered (br_exchange_t *exchange);
 
+/* --- exchange_answer.c --- */
+
+/* Counts an answer that failed for FAULT and returns the result of its
+ * attempt. */
+br_result_kind_t br_exchange_count_fault (br_entry_task_t *task,
+                                          br_client_fault_t fault);
+
 /* --- exchange_end.c --- */
 
 /* Size of a content's digest as text. */
--- a/src/shell/exchange_relay.c
+++ b/src/shell/exchange_relay.c
@@ -356,6 +356,7 @@
       break;
     case BR_CLIENT_FAILED:
     case BR_CLIENT_LOST:
+      br_exchange_count_fault (exchange->task, event->fault);
       if (br_http_client_has_sent (client))
         exchange_on_helper_lost (exchange, br_client_fault_name (event->fault));
       else
--- a/src/shell/upstream_task.c
+++ b/src/shell/upstream_task.c
@@ -283,6 +283,8 @@
       attempt->step = "read head";
       br_counters_add (&attempt->task->node->counters,
                        BR_COUNTER_PROTOCOL_ERRORS, 1);
+      br_counters_add (&attempt->task->node->counters,
+                       BR_COUNTER_ANSWERS_INVALID, 1);
     }
   attempt_fail_soon (attempt, fault.code, fault.text);
 }
--- a/tests/process/platform_reset_upload.sh
+++ b/tests/process/platform_reset_upload.sh
@@ -117,5 +117,12 @@
 grep -q '"id":"helped-pay-open-reset-0-1".*"helper":"127.0.12.[23]"' "$SITE/entry-1.out" ||
   fault "helped-pay-open-reset-0-1 was not relayed"
 
+# Such an end has its cause in the log, and is counted.
+grep '"id":"own-pay-open-reset-20-1"' "$SITE/entry-1.out" | grep '"attempt_failed"' |
+  grep '"cause":"reset"' | grep '"framing":"close"' | grep '"received":27' |
+  grep -q '"unacked":[1-9]' || fault "the log has no reset of own-pay-open-reset-20-1"
+curl -s "http://127.0.12.1:$((BASE_PORT + 8))/metrics" | grep -q '^briarrack_answers_reset_total [1-9]' ||
+  fault "answers_reset_total is 0"
+
 [ -z "$FAILED" ] || site_fail "$FAILED"
 echo "reset uploads: no cut answer looks complete"
--- a/tests/process/platform_unsound_heads.sh
+++ b/tests/process/platform_unsound_heads.sh
@@ -117,5 +117,11 @@
 grep -q '"id":"helped-status-000-pay-1".*"helper":"127.0.12.[23]"' "$SITE/entry-1.out" ||
   fault "helped-status-000-pay-1 was not relayed"
 
+# Such an answer has its fault in the log, and is counted.
+grep '"id":"status-999-pay-1"' "$SITE/entry-1.out" | grep '"cause":"garbled"' |
+  grep -q '"fault":"the status is 999"' || fault "the log does not state the fault of status-999-pay-1"
+curl -s "http://127.0.12.1:$((BASE_PORT + 8))/metrics" | grep -q '^briarrack_answers_invalid_total [1-9]' ||
+  fault "answers_invalid_total is 0"
+
 [ -z "$FAILED" ] || site_fail "$FAILED"
 echo "unsound heads: refused at once"
