HTTP calls: an invalid answer of an upstream's health is no crash

What was seen: an upstream in trouble, whose answers all have status 000, those for its health too, counted as crashed: every VM got the notice, with the request that had failed there as the one that may have caused it. After more of them the quarantine refuses that request, which did nothing wrong.

Cause: a call with an invalid answer ended like one without an answer, and a failed attempt at an upstream that does not answer is a crash.

Why the fix works: BR_HTTP_CALL_INVALID tells such an answer from none, so the check behind a failed attempt sees that the upstream runs. For the probes of an upstream it stays a failure, and after several it gets no requests.

--- a/src/shell/http_call.c
+++ b/src/shell/http_call.c
@@ -23,7 +23,7 @@
   bool has_bad_answer; /* the timer is about to end the call */
   br_http_call_cb_t done;
   void *context;
-  int status;
+  int status; /* of an answer that is whole or bad */
   br_buf_t body;
   struct call *next;
 } call_t;
@@ -77,7 +77,7 @@
   call_t *call = context;
   br_http_call_cb_t done = call->done;
   void *done_context = call->context;
-  int status = call->request == NULL ? call->status : 0;
+  int status = call->request == NULL || call->has_bad_answer ? call->status : 0;
   br_buf_t body = call->body;
 
   (void)fd;
@@ -134,9 +134,15 @@
   body = evbuffer_get_length (evhttp_request_get_input_buffer (call->request));
   call->has_bad_answer
       = unread > BR_HTTP_CALL_BODY_MAX
-        || br_http_framing_is_excessive (call->received - unread - body, body)
-        || !br_http_head_check_take (call->head_check, buffer, info->n_added,
-                                     &err);
+        || br_http_framing_is_excessive (call->received - unread - body, body);
+  if (!call->has_bad_answer
+      && !br_http_head_check_take (call->head_check, buffer, info->n_added,
+                                   &err))
+    {
+      call->has_bad_answer = true;
+      if (err.code == BR_ERROR_INVALID)
+        call->status = BR_HTTP_CALL_INVALID;
+    }
   if (call->has_bad_answer)
     event_active (call->timer, EV_TIMEOUT, 0);
 }
--- a/src/shell/http_call.h
+++ b/src/shell/http_call.h
@@ -14,8 +14,12 @@
 /* Longest body of an answer, in bytes.  A longer answer fails. */
 #define BR_HTTP_CALL_BODY_MAX (8 * 1024 * 1024)
 
-/* STATUS is 0 when no whole answer came in time.  BODY is valid during the
- * callback. */
+/* Status of a call whose answer has an invalid head: the peer runs, and may
+ * have carried out the call. */
+#define BR_HTTP_CALL_INVALID (-1)
+
+/* STATUS is 0 when no whole answer came in time, or BR_HTTP_CALL_INVALID.  BODY
+ * is valid during the callback. */
 typedef void (*br_http_call_cb_t) (void *context, int status, br_str_t body);
 
 typedef struct
--- a/src/shell/upstream_watch.c
+++ b/src/shell/upstream_watch.c
@@ -132,16 +132,17 @@
 {
   br_upstream_t *upstream = br_registry_find (&watch->node->registry,
                                               br_name_str (&probe->upstream));
+  bool is_answered = status != 0 && status != BR_HTTP_CALL_INVALID;
   failures_t *failures;
 
   if (upstream == NULL || upstream->incarnation != probe->incarnation)
     return;
   failures = watch_failures (watch, &probe->upstream);
-  failures->n = status != 0 ? 0 : failures->n + 1;
+  failures->n = is_answered ? 0 : failures->n + 1;
   if (status == HTTP_OK && probe->for_load)
     watch_set_load (watch, probe, upstream, body);
-  if (status != 0 || failures->n >= FAILURES_MAX)
-    br_upstream_watch_set_down (watch, &probe->upstream, status == 0);
+  if (is_answered || failures->n >= FAILURES_MAX)
+    br_upstream_watch_set_down (watch, &probe->upstream, !is_answered);
   if (probe->for_load)
     watch_report (watch, upstream);
 }
--- a/tests/fakes/fake_abrupt.c
+++ b/tests/fakes/fake_abrupt.c
@@ -14,6 +14,7 @@
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -43,6 +44,7 @@
   X (SHUTDOWN, "shutdown") /* SHUT_WR, reads on for LINGER_MS, closes */       \
   X (STUCK, "stuck")       /* SHUT_WR, reads nothing more, stays open */       \
   X (READ, "read")         /* reads the whole request, and closes */           \
+  X (SICK, "sick")         /* the same, and health is invalid from now on */   \
   X (KEEP, "keep")         /* takes further requests */
 
 typedef enum
@@ -71,6 +73,8 @@
   long wait_ms;
 } spec_t;
 
+static atomic_bool is_sick;
+
 static void
 sleep_ms (long ms)
 {
@@ -201,6 +205,7 @@
       poll (&closed, 1, -1);
       break;
     case END_READ:
+    case END_SICK:
     case END_KEEP:
       return read_bytes (fd, rest, 0);
     }
@@ -238,6 +243,11 @@
   spec_t spec = { 0 };
   size_t n_read;
 
+  if (!spec_read (request, &spec) && is_sick)
+    {
+      write_all (fd, br_str_from ("HTTP/1.1 000 Trouble\r\n\r\n"));
+      return false;
+    }
   if (!spec_read (request, &spec))
     {
       write_all (fd, br_str_from ("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
@@ -248,6 +258,7 @@
   printf ("{\"event\":\"run\",\"run\":\"%.*s\",\"end\":\"%s\"}\n", (int)id.len,
           id.data, end_names[spec.end]);
   fflush (stdout);
+  is_sick = is_sick || spec.end == END_SICK;
   write_hex (fd, spec.answer);
   if (spec.wait_ms > 0)
     sleep_ms (spec.wait_ms);
@@ -255,7 +266,7 @@
   printf ("{\"event\":\"end\",\"id\":\"%.*s\",\"read\":%zu}\n", (int)id.len,
           id.data, n_read + request.len);
   fflush (stdout);
-  return spec.end == END_KEEP;
+  return spec.end == END_KEEP || spec.end == END_SICK;
 }
 
 /* Reads the start of a request to BYTES and answers it.  Returns whether
--- a/tests/http_call_test.cc
+++ b/tests/http_call_test.cc
@@ -184,6 +184,9 @@
     }
 }
 
+/* Is no status. */
+static const int not_ended = -1000;
+
 /* Returns the status of a call with a body of BODY_LEN bytes to a peer that
  * handles its connection with PEER, which closes it. */
 static int
@@ -197,7 +200,7 @@
   std::string body (body_len, 'x');
   br_http_call_options_t options = {};
   int buffer_bytes = PEER_BUFFER_BYTES;
-  int status = -1;
+  int status = not_ended;
 
   signal (SIGPIPE, SIG_IGN);
   setsockopt (listener, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
@@ -217,7 +220,7 @@
   options.context = &status;
   std::thread peer ([&] { handle (accept (listener, nullptr, nullptr)); });
   br_http_call (calls, &options);
-  while (status < 0)
+  while (status == not_ended)
     event_base_loop (base, EVLOOP_ONCE);
   br_http_calls_free (calls);
   event_base_loop (base, EVLOOP_NONBLOCK);
@@ -294,15 +297,17 @@
   } cases[] = {
     { "HTTP/1.1 200 OK\r\n" + length, 200 },
     { "HTTP/1.1 404 None\r\nPart: a\r\n" + length, 404 },
-    { "HTTP/1.1 000 OK\r\n" + length, 0 },
-    { "HTTP/1.1 0200 OK\r\n" + length, 0 },
-    { "HTTP/1.1 600 OK\r\n" + length, 0 },
-    { "HTTP/1.1 1000 OK\r\n" + length, 0 },
-    { "HTTP/1.1 200 OK\r\nA Part: a\r\n" + length, 0 },
-    { "HTTP/1.1 200 OK\r\nA\001Part: a\r\n" + length, 0 },
-    { "HTTP/1.1 200 OK\r\nPart: a\001\r\n" + length, 0 },
-    { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + length, 0 },
-    { "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + length, 0 },
+    { "HTTP/1.1 000 OK\r\n" + length, BR_HTTP_CALL_INVALID },
+    { "HTTP/1.1 0200 OK\r\n" + length, BR_HTTP_CALL_INVALID },
+    { "HTTP/1.1 600 OK\r\n" + length, BR_HTTP_CALL_INVALID },
+    { "HTTP/1.1 1000 OK\r\n" + length, BR_HTTP_CALL_INVALID },
+    { "HTTP/1.1 200 OK\r\nA Part: a\r\n" + length, BR_HTTP_CALL_INVALID },
+    { "HTTP/1.1 200 OK\r\nA\001Part: a\r\n" + length, BR_HTTP_CALL_INVALID },
+    { "HTTP/1.1 200 OK\r\nPart: a\001\r\n" + length, BR_HTTP_CALL_INVALID },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + length,
+      BR_HTTP_CALL_INVALID },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + length,
+      BR_HTTP_CALL_INVALID },
   };
 
   for (const auto &each : cases)
--- a/tests/process/upstream_unsound_heads.sh
+++ b/tests/process/upstream_unsound_heads.sh
@@ -11,6 +11,7 @@
 . "$(dirname "$0")/../support/abrupt.sh"
 
 FAILED=
+END=keep
 N=0
 BODY='{"booked":true}'
 
@@ -24,7 +25,7 @@
 # answer has a head of these lines, printf formats.  Sets STATUS and RUNS.
 call() {
   printf "$2\r\nContent-Type: application/json\r\n$3\r\n${4:-$BODY}" |
-    abrupt_body "$SITE/body" keep 0
+    abrupt_body "$SITE/body" "$END" 0
   N=$(((N + 1) % 3))
   STATUS=$(curl -sS --max-time 20 -H "Authorization: Bearer $SITE_KEY" -H "Idempotency-Key: $1" \
     -H 'Content-Type: application/json' -o "$SITE/$1.answer" -w '%{http_code}' \
@@ -102,5 +103,13 @@
   grep -q '"part"' "$SITE/$name.answer" && fault "$name: $(cat "$SITE/$name.answer")"
 done
 
+# A service whose answers are all invalid, those for its health too, still runs: no request
+# counts as one that crashed it.
+END=sick
+refused sick 'HTTP/1.1 000 Trouble'
+sleep 2
+cat "$SITE"/castillos-[12].log "$SITE/lascano-1.log" | grep '"event":"notice"' | grep -q '"kind":"crash"' &&
+  fault "an invalid answer counts as a crash"
+
 [ -z "$FAILED" ] || site_fail "$FAILED"
 echo "unsound heads: refused"
