--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -454,12 +454,10 @@
 br_client_progress_t
 br_http_client_progress (const br_http_client_t *client)
 {
-  br_peer_close_t close = br_peer_close_begin (bufferevent_getfd (client->bev),
-                                               client_buffered (client));
-
   return (br_client_progress_t){
     .received = client->received,
-    .unacked = close.unacked,
+    .unacked = br_peer_unacked (bufferevent_getfd (client->bev),
+                                client_buffered (client)),
     .fault = client->error.text,
   };
 }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -94,8 +94,7 @@
 bool br_http_client_has_sent (const br_http_client_t *client);
 bool br_http_client_is_connected (const br_http_client_t *client);
 
-/* What is known of the response in progress, or of the last one, for the log.
- */
+/* What the log says of the response in progress, or of the last one. */
 typedef struct
 {
   uint64_t received; /* bytes of its body */
--- a/src/http/peer_close.c
+++ b/src/http/peer_close.c
@@ -6,15 +6,22 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+size_t
+br_peer_unacked (int fd, size_t buffered)
+{
+  int queued = 0;
+
+  return ioctl (fd, SIOCOUTQ, &queued) == 0 ? buffered + (size_t)queued
+                                            : buffered;
+}
+
 void
 br_peer_close_update (br_peer_close_t *close, int fd, size_t buffered)
 {
   struct tcp_info info = { 0 };
   socklen_t len = sizeof info;
-  int queued = 0;
 
-  if (ioctl (fd, SIOCOUTQ, &queued) == 0)
-    close->unacked = (size_t)queued + buffered;
+  close->unacked = br_peer_unacked (fd, buffered);
   /* A peer's FIN leaves the connection in TCP_CLOSE_WAIT. */
   close->is_reset = getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0
                     || info.tcpi_state == TCP_CLOSE;
@@ -24,7 +31,7 @@
 br_peer_close_t
 br_peer_close_begin (int fd, size_t buffered)
 {
-  br_peer_close_t close = { .unacked = buffered };
+  br_peer_close_t close = { 0 };
 
   br_peer_close_update (&close, fd, buffered);
   close.unacked_first = close.unacked;
--- a/src/http/peer_close.h
+++ b/src/http/peer_close.h
@@ -1,8 +1,8 @@
 /* Tells an orderly close of a TCP connection by its peer from a reset.
  *
- * The end of the input alone does not: reading returns it also behind a reset
- * that another call has reported, and a peer that has closed both directions
- * sends a reset only for what reaches it afterwards. */
+ * The end of the input alone does not tell.  Reading returns it also behind a
+ * reset that a write has reported before, and a peer that has closed both
+ * directions sends its reset only when more bytes reach it. */
 #ifndef BR_HTTP_PEER_CLOSE_H
 #define BR_HTTP_PEER_CLOSE_H
 
@@ -28,6 +28,10 @@
   size_t unacked;       /* and now */
 } br_peer_close_t;
 
+/* Returns how many bytes the peer of the socket FD has not acknowledged,
+ * BUFFERED among them, which have not been written to it yet. */
+size_t br_peer_unacked (int fd, size_t buffered);
+
 /* Reads the state of the socket FD.  BUFFERED bytes have not been written to it
  * yet. */
 br_peer_close_t br_peer_close_begin (int fd, size_t buffered);
--- a/src/shell/answer_watch.c
+++ b/src/shell/answer_watch.c
@@ -8,16 +8,16 @@
 #define ANSWER_SMALL_BYTES (128 * 1024)
 
 void
-br_answer_watch_init (br_answer_watch_t *watch, uint64_t *together)
+br_answer_watch_init (br_answer_watch_t *watch, uint64_t *total)
 {
-  *watch = (br_answer_watch_t){ .together = together };
+  *watch = (br_answer_watch_t){ .total = total };
   watch->head = br_http_head_check_new (BR_ANSWER_HEAD_MAX_BYTES);
 }
 
 void
 br_answer_watch_release (br_answer_watch_t *watch)
 {
-  *watch->together -= watch->received;
+  *watch->total -= watch->received;
   br_http_head_check_free (watch->head);
   *watch = (br_answer_watch_t){ 0 };
 }
@@ -33,8 +33,7 @@
     return "a chunk of the answer is too long";
   if (br_http_framing_is_excessive (framing, watch->body))
     return "the answer has too much beside its body";
-  if (watch->received > ANSWER_SMALL_BYTES
-      && *watch->together > ANSWERS_MAX_BYTES)
+  if (watch->received > ANSWER_SMALL_BYTES && *watch->total > ANSWERS_MAX_BYTES)
     return "the answers of all requests are too long";
   return NULL;
 }
@@ -47,7 +46,7 @@
   br_answer_fault_t fault = { .code = BR_ERROR_UPSTREAM };
 
   watch->received += n_added;
-  *watch->together += n_added;
+  *watch->total += n_added;
   fault.text = watch_excess (watch, evbuffer_get_length (input));
   if (fault.text == NULL
       && !br_http_head_check_take (watch->head, input, n_added,
--- a/src/shell/answer_watch.h
+++ b/src/shell/answer_watch.h
@@ -17,9 +17,9 @@
 
 typedef struct
 {
-  uint64_t received;  /* bytes of the answer */
-  uint64_t body;      /* those of its body */
-  uint64_t *together; /* bytes of all answers that are being received */
+  uint64_t received; /* bytes of the answer */
+  uint64_t body;     /* those of its body */
+  uint64_t *total;   /* bytes of all answers that are being received */
   br_http_head_check_t *head;
   br_error_t head_error;
 } br_answer_watch_t;
@@ -30,8 +30,8 @@
   const char *text; /* valid as long as the watch; NULL: no fault */
 } br_answer_fault_t;
 
-/* TOGETHER must outlive the watch, which adds to it what it receives. */
-void br_answer_watch_init (br_answer_watch_t *watch, uint64_t *together);
+/* TOTAL must outlive the watch, which adds to it what it receives. */
+void br_answer_watch_init (br_answer_watch_t *watch, uint64_t *total);
 void br_answer_watch_release (br_answer_watch_t *watch);
 
 /* Takes the last N_ADDED bytes of INPUT, the bytes that evhttp has not read.
