Tests: a peer that is to close early never reads the whole request

The peer of the test reads until nothing is there, then closes. Traced beside 12 such programs: of 720 calls 166 had 200, and in all of these the peer had read the whole request, which is an orderly close; 554 had 0, and in none of them had it.

So the test's peer was wrong, not the check. It and the other two peers of this kind now read half of the request at most, and the check stays as strict, 20 times in a row.

--- a/tests/fakes/fake_abrupt.c
+++ b/tests/fakes/fake_abrupt.c
@@ -38,9 +38,9 @@
 
 /* X (id, name) */
 #define END_TABLE(X)                                                           \
-  X (RESET, "reset")       /* with SO_LINGER 0 */                              \
-  X (CLOSE, "close")       /* what was not read makes it a reset */            \
-  X (DRAIN, "drain")       /* a FIN; what comes later makes it a reset */      \
+  X (RESET, "reset") /* with SO_LINGER 0 */                                    \
+  X (CLOSE, "close") /* what was not read makes it a reset */                  \
+  X (DRAIN, "drain") /* reads what has come, half of it at most, closes */     \
   X (SHUTDOWN, "shutdown") /* SHUT_WR, reads on for LINGER_MS, closes */       \
   X (STUCK, "stuck")       /* SHUT_WR, reads nothing more, stays open */       \
   X (READ, "read")         /* reads the whole request, and closes */           \
@@ -197,7 +197,7 @@
     case END_CLOSE:
       break;
     case END_DRAIN:
-      return read_bytes (fd, SIZE_MAX, MSG_DONTWAIT);
+      return read_bytes (fd, rest / 2, MSG_DONTWAIT);
     case END_SHUTDOWN:
       return end_shutdown (fd);
     case END_STUCK:
--- a/tests/http_call_test.cc
+++ b/tests/http_call_test.cc
@@ -257,19 +257,25 @@
              0);
 }
 
+/* The peer reads what has come, but never the whole request. */
 TEST (HttpCall, AnswerCutByACloseBeforeTheRequestWasReadIsNone)
 {
-  EXPECT_EQ (call_status (long_body,
-                          [] (int fd) {
-                            char bytes[16384];
-
-                            send_answer (fd, unframed);
-                            while (recv (fd, bytes, sizeof bytes, MSG_DONTWAIT)
-                                   > 0)
-                              ;
-                            close (fd);
-                          }),
-             0);
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (call_status (long_body,
+                            [] (int fd) {
+                              char bytes[16384];
+                              size_t total = 0;
+                              ssize_t n;
+
+                              send_answer (fd, unframed);
+                              while (total < long_body / 2
+                                     && (n = recv (fd, bytes, sizeof bytes,
+                                                   MSG_DONTWAIT))
+                                            > 0)
+                                total += (size_t)n;
+                              close (fd);
+                            }),
+               0);
 }
 
 TEST (HttpCall, AnswerThatEndsInOrderIsWhole)
--- a/tests/peer_close_test.cc
+++ b/tests/peer_close_test.cc
@@ -97,6 +97,7 @@
   std::this_thread::sleep_for (std::chrono::milliseconds (100));
 }
 
+const size_t upload_bytes = 4 * 1024 * 1024;
 std::atomic<bool> client_ended;
 
 // Sends an upload to a peer that handles its connection with PEER, which closes
@@ -104,7 +105,7 @@
 Ended
 upload (const std::function<void (int)> &peer)
 {
-  std::string body (4 * 1024 * 1024, 'x');
+  std::string body (upload_bytes, 'x');
   std::string request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "
                         + std::to_string (body.size ()) + "\r\n\r\n" + body;
   int listener = socket (AF_INET, SOCK_STREAM, 0);
@@ -157,10 +158,13 @@
 {
   Ended ended = upload ([] (int fd) {
     char bytes[65536];
+    size_t total = 0; // never the whole request
+    ssize_t n;
 
     write_answer (fd);
-    while (recv (fd, bytes, sizeof bytes, MSG_DONTWAIT) > 0)
-      ;
+    while (total < upload_bytes / 2
+           && (n = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT)) > 0)
+      total += static_cast<size_t> (n);
     close (fd);
   });
 
