--- a/tests/fakes/fake_abrupt.c
+++ b/tests/fakes/fake_abrupt.c
@@ -33,7 +33,7 @@
 #define START_BYTES_MAX 65536
 
 /* How long END_SHUTDOWN goes on reading, and its pause between two reads. */
-#define LINGER_MS 150
+#define LINGER_MS 400
 #define LINGER_PAUSE_MS 2
 
 /* X (id, name) */
