--- a/review/site-3.sh
+++ b/review/site-3.sh
@@ -23,6 +23,7 @@
 
 site_stop() {
   local status=$?
+  exec 2> /dev/null
   kill -9 "${PIDS[@]}" 2> /dev/null
   wait 2> /dev/null
   rm -rf "$SITE"
