--- a/review/site-3.sh
+++ b/review/site-3.sh
@@ -6,7 +6,7 @@
 # limits that a process takes there from its machine (260 MB, 4,100 descriptors)
 # stand in them as numbers, as this machine is larger.
 #
-# CASE is the case's folder, TROUBLE 0 or 1, LLM_MODE the mode of the model
+# CASE is the case's folder, whose run.sh sends the output to record.txt, TROUBLE 0 or 1, LLM_MODE the mode of the model
 # servers.
 
 TROUBLE=${TROUBLE:-1}
@@ -19,7 +19,6 @@
 SITE=$(mktemp -d)
 PIDS=()
 KEY=harvest-key-0001
-exec > "$CASE/record.txt" 2>&1
 
 site_stop() {
   local status=$?
